--- a/crates/core/src/view/holder.rs
+++ b/crates/core/src/view/holder.rs
@@ -87,6 +87,12 @@
         !self.active
     }
 
+    /// Whether a view to act under may come soon: the view is changing and the lease runs.
+    #[must_use]
+    pub fn is_waiting(&self, now: Instant) -> bool {
+        !self.active && now < self.until
+    }
+
     /// Tells the leader from now on that this entry is stopping.
     pub fn leave(&mut self) {
         self.member.leaving = true;
--- a/crates/curlewlift/src/entry/claims.rs
+++ b/crates/curlewlift/src/entry/claims.rs
@@ -60,7 +60,7 @@
 pub(super) async fn claim(node: &Arc<Node>, request: &Request) -> Result<(), Stop> {
     let until = request.deadline.min(node.now() + PATIENCE);
     loop {
-        let roster = node.acting()?;
+        let roster = node.act().await?;
         match round(node, request, &roster).await {
             Round::Granted => {
                 let line = Line::new(Kind::Claimed)
@@ -186,7 +186,7 @@
 
 /// What the replicas keep of `key`.
 pub(super) async fn look(node: &Arc<Node>, key: id::Key) -> Result<Option<Record>, Refusal> {
-    let roster = node.acting()?;
+    let roster = node.act().await?;
     let mut answered = false;
     for member in roster.replicas(key.shard(SHARDS)) {
         let found = if member.host == node.member.host {
--- a/crates/curlewlift/src/entry/http.rs
+++ b/crates/curlewlift/src/entry/http.rs
@@ -25,6 +25,7 @@
 use curlewlift_core::event::Line;
 use curlewlift_core::id;
 use curlewlift_core::unit::Bytes as Size;
+use http_body_util::BodyExt;
 use serde_json::Value;
 use serde_json::json;
 
@@ -44,6 +45,9 @@
 /// How long a caller may take to send a body.
 const SLOWEST: Duration = Duration::from_secs(30);
 
+/// How long a body that is too large is taken and thrown away.
+const DRAIN: Duration = Duration::from_secs(2);
+
 type Shared = Arc<Node>;
 type Reply = Response<Body>;
 
@@ -138,7 +142,7 @@
         ));
     }
     let (customer, rights) = admit::customer(node, headers)?;
-    node.acting()?;
+    node.act().await?;
     let open = admit::enter(node, &customer, &rights)?;
     let body = read_body(body, rights.body).await?;
     let sender = Sender { customer, rights };
@@ -189,6 +193,8 @@
         Refusal::new(Code::TooLarge, why)
     };
     if body.size_hint().lower() > limit.0 {
+        // A caller that is still writing would see a broken connection and not the refusal.
+        let _ = tokio::time::timeout(DRAIN, drain(body)).await;
         return Err(too_large());
     }
     let limit = usize::try_from(limit.0).unwrap_or(usize::MAX);
@@ -209,6 +215,12 @@
     })
 }
 
+/// Takes a body and throws it away.
+async fn drain(body: Body) {
+    let mut body = body;
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 async fn models(State(node): State<Shared>, headers: HeaderMap) -> Result<Json<Value>, Reply> {
     admit::customer(&node, &headers).map_err(|why| reply::refusal(&why))?;
     let snapshot = node.snapshot();
--- a/crates/curlewlift/src/entry/node.rs
+++ b/crates/curlewlift/src/entry/node.rs
@@ -52,6 +52,12 @@
 /// How long a connection to a backend server may take to be made.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// How long a change of the view is waited for.
+const CHANGE: Duration = Duration::from_secs(5);
+
+/// Between two looks at a view that is changing.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// What the owner told a waiting request.
 pub(super) type Word = Result<id::Server, Refusal>;
 
@@ -128,11 +134,33 @@
             .ok_or_else(|| Refusal::new(Code::NoLease, why))
     }
 
+    /// The view to act under, waiting for it while it changes.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NoLease`] at once where the lease has run out, or where the change takes too long.
+    pub(super) async fn act(&self) -> Result<Arc<Roster>, Refusal> {
+        let until = self.now() + CHANGE;
+        loop {
+            let acting = self.acting();
+            let now = self.now();
+            if acting.is_ok() || now >= until || !lock(&self.holder).is_waiting(now) {
+                return acting;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// The configuration in force here.
     pub(super) fn snapshot(&self) -> Arc<Snapshot> {
         Arc::clone(lock(&self.holder).get_snapshot())
     }
 
+    /// The newest view's number.
+    pub(super) fn held(&self) -> id::View {
+        lock(&self.holder).get_roster().number
+    }
+
     /// A number for the next request.
     pub(super) fn ticket(&self) -> id::Ticket {
         id::Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1)
--- a/crates/curlewlift/src/entry/parse.rs
+++ b/crates/curlewlift/src/entry/parse.rs
@@ -191,7 +191,7 @@
         stamp: if keyed {
             stamp(&key_text)
         } else {
-            Some(node.acting()?.number)
+            Some(node.held())
         },
         key_text,
         keyed,
--- a/crates/curlewlift/src/entry/run.rs
+++ b/crates/curlewlift/src/entry/run.rs
@@ -226,7 +226,7 @@
         let why = "a request with this key may have run; the entry that held its answer is gone";
         Refusal::new(Code::ClaimUnknown, why)
     };
-    let roster = node.acting()?;
+    let roster = node.act().await?;
     let holder = roster.get(&record.holder).ok_or_else(lost)?;
     if holder.incarnation != record.incarnation {
         return Err(lost());
--- a/crates/curlewlift/src/entry/schedule.rs
+++ b/crates/curlewlift/src/entry/schedule.rs
@@ -115,7 +115,7 @@
                 "the deadline passed while it waited",
             ));
         }
-        let word = match node.acting() {
+        let word = match node.act().await {
             Ok(roster) => ask_once(node, request, attempt, &roster).await,
             Err(refusal) => Err(refusal),
         };
@@ -144,7 +144,7 @@
 
 /// Whether the owner only has to be asked again: it is changing, or its view is.
 fn is_passing(code: Code) -> bool {
-    matches!(code, Code::WrongView | Code::Unreachable | Code::NoLease)
+    matches!(code, Code::WrongView | Code::Unreachable)
 }
 
 async fn ask_once(node: &Arc<Node>, request: &Arc<Request>, attempt: u8, roster: &Roster) -> Word {
--- /dev/null
+++ b/crates/curlewlift/tests/bad_input.rs
@@ -0,0 +1,98 @@
+//! Bad input: each a numbered code, and the entry goes on.
+
+mod support;
+
+use axum::http::Method;
+use curlewlift_lab::client::Client;
+use support::Small;
+
+#[test]
+fn numbered_refusals() {
+    let small = Small::start("numbered_refusals", 1, 1, 1);
+    let entry = small.site.entry(0);
+    let chat = "/v1/chat/completions";
+    let good = Client::chat("m", "hi", 1, false);
+    let large = "x".repeat(5 << 20);
+    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str, &str)> = vec![
+        (Method::POST, chat, vec![], "no json", "1001"),
+        (Method::POST, chat, vec![], "[1]", "1001"),
+        (Method::POST, chat, vec![], "{\"model\":1}", "1001"),
+        (Method::POST, chat, vec![], "{\"messages\":[]}", "1002"),
+        (Method::POST, chat, vec![], "{\"model\":\"m\"}", "1002"),
+        (
+            Method::POST,
+            chat,
+            vec![],
+            "{\"model\":\"x\",\"messages\":[{}]}",
+            "1005",
+        ),
+        (
+            Method::POST,
+            chat,
+            vec![],
+            "{\"model\":\"m\",\"messages\":[{}],\"max_tokens\":0}",
+            "1001",
+        ),
+        (Method::POST, chat, vec![], &large, "1008"),
+        (Method::GET, chat, vec![], "", "1004"),
+        (Method::GET, "/nothing", vec![], "", "1007"),
+        (Method::POST, "/services/none/x", vec![], "", "1006"),
+        (
+            Method::POST,
+            chat,
+            vec![("curlewlift-deadline-ms", "-1")],
+            &good,
+            "1010",
+        ),
+        (
+            Method::POST,
+            chat,
+            vec![("curlewlift-deadline-ms", "soon")],
+            &good,
+            "1003",
+        ),
+        (
+            Method::POST,
+            chat,
+            vec![("idempotency-key", "a"), ("idempotency-key", "b")],
+            &good,
+            "1003",
+        ),
+        (
+            Method::POST,
+            chat,
+            vec![("curlewlift-deadline-ms", "1")],
+            &good,
+            "3002",
+        ),
+    ];
+    for (method, path, headers, body, code) in cases {
+        let sent = small
+            .ann
+            .send(entry, method, path, &headers, body.to_owned());
+        let reply = small.runtime.block_on(sent);
+        let shown = body.get(..40).unwrap_or(body);
+        assert_eq!(
+            reply.header("curlewlift-code"),
+            code,
+            "{path} {shown}: {}",
+            reply.body
+        );
+        assert_eq!(
+            reply.header("curlewlift-outcome"),
+            "not-run",
+            "{path} {shown}"
+        );
+        assert!(reply.body.contains("\"error\""), "{}", reply.body);
+    }
+    let stranger = Client::new("nobody's");
+    let reply = small
+        .runtime
+        .block_on(stranger.post(entry, &[], good.clone()));
+    assert_eq!(
+        (reply.status, reply.header("curlewlift-code")),
+        (401, "2001")
+    );
+    let reply = small.runtime.block_on(small.ann.post(entry, &[], good));
+    assert_eq!(reply.status, 200, "the entry goes on: {}", reply.body);
+}
--- /dev/null
+++ b/crates/curlewlift/tests/broken_answers.rs
@@ -0,0 +1,113 @@
+//! Answers that break, and servers that refuse (rows D5, D6, D7).
+
+mod support;
+
+use axum::http::Method;
+use curlewlift_lab::client::Client;
+use curlewlift_lab::standin::Faults;
+use support::Small;
+
+#[test]
+fn broken_stream() {
+    let small = Small::start("broken_stream", 1, 1, 1);
+    small.engines[0].set_faults(Faults {
+        break_after: Some(300),
+        ..Faults::default()
+    });
+    let body = Client::chat("m", "hello", 20, true);
+    let reply = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(0), &[], body));
+    assert_eq!(
+        reply.body.matches("\"delta\"").count(),
+        20,
+        "{}",
+        reply.body
+    );
+    assert!(reply.body.ends_with("code=0 outcome=run\n\n"));
+    assert_eq!(small.most_runs(), 1);
+}
+
+#[test]
+fn lost_stream() {
+    let small = Small::start("lost_stream", 1, 1, 1);
+    small.engines[0].set_faults(Faults {
+        break_after: Some(300),
+        lose: true,
+        ..Faults::default()
+    });
+    let body = Client::chat("m", "hello", 20, true);
+    let reply = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(0), &[], body));
+    assert!(reply.body.contains("\"number\":4002"), "{}", reply.body);
+    assert!(reply.body.ends_with("code=4002 outcome=unknown\n\n"));
+    assert!(!reply.body.contains("[DONE]"));
+}
+
+#[test]
+fn short_answer() {
+    let small = Small::start("short_answer", 1, 1, 1);
+    small.engines[0].set_faults(Faults {
+        short: true,
+        ..Faults::default()
+    });
+    let body = Client::chat("m", "hello", 20, false);
+    let reply = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(0), &[], body));
+    assert_eq!(
+        (reply.status, reply.header("curlewlift-code")),
+        (502, "4002"),
+        "{}",
+        reply.body
+    );
+    assert_eq!(reply.header("curlewlift-outcome"), "unknown");
+}
+
+#[test]
+fn refusing_server() {
+    let small = Small::start("refusing_server", 1, 1, 2);
+    small.engines[0].set_faults(Faults {
+        refuse: true,
+        ..Faults::default()
+    });
+    for _ in 0..4 {
+        let body = Client::chat("m", "hello", 2, false);
+        let reply = small
+            .runtime
+            .block_on(small.ann.post(small.site.entry(0), &[], body));
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    assert!(small.engines[0].tally().runs.is_empty());
+    small.engines[1].set_faults(Faults {
+        refuse: true,
+        ..Faults::default()
+    });
+    let body = Client::chat("m", "hello", 2, false);
+    let reply = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(0), &[], body));
+    assert_eq!(reply.header("curlewlift-code"), "4001", "{}", reply.body);
+    assert_eq!(reply.header("curlewlift-outcome"), "not-run");
+}
+
+#[test]
+fn own_answers() {
+    let small = Small::start("own_answers", 1, 2, 1);
+    let ask = |number: u64| {
+        let ann = small.ann.clone();
+        let to = small.site.entry(usize::from(number % 2 == 0));
+        let path = format!("/services/pay/echo/{number}");
+        async move {
+            ann.send(to, Method::POST, &path, &[], number.to_string())
+                .await
+        }
+    };
+    for _ in 0..5 {
+        let all = futures::future::join_all((0..40).map(ask));
+        for (number, reply) in small.runtime.block_on(all).into_iter().enumerate() {
+            assert_eq!(reply.body, format!("POST /echo/{number} {number}"));
+        }
+    }
+}
--- a/crates/lab/src/site/started.rs
+++ b/crates/lab/src/site/started.rs
@@ -146,19 +146,34 @@
         });
     }
 
-    /// Waits until a view with `count` members that take new work is active.
+    /// Waits until a view with `count` members that take new work is active at every entry that
+    /// runs.
     ///
     /// # Panics
     ///
     /// If that does not happen within half a minute.
     pub fn wait_for_view(&self, count: usize) {
+        let running = self
+            .entries
+            .iter()
+            .enumerate()
+            .filter(|part| part.1.process.is_some());
+        let places: Vec<_> = running.map(|part| part.0).collect();
+        self.wait_for_view_of(&places, count);
+    }
+
+    /// Waits until a view with `count` members that take new work is active at these entries.
+    ///
+    /// # Panics
+    ///
+    /// If that does not happen within half a minute.
+    pub fn wait_for_view_of(&self, places: &[usize], count: usize) {
         for _ in 0..600 {
             let view = self.ask("show view where leaving = false as json");
             let members = view.unwrap_or_default().lines().count();
-            let ready = self.entries.iter().filter(|part| part.process.is_some());
-            let ready = ready
-                .filter_map(|part| part.http)
-                .all(|http| members_at(http) == count);
+            let ready = places
+                .iter()
+                .all(|place| members_at(self.entry(*place)) == count);
             if members == count && ready {
                 return;
             }
