--- a/crates/core/src/log/membership.rs
+++ b/crates/core/src/log/membership.rs
@@ -87,10 +87,20 @@
             return Err(Refusal::new(Code::Floor, "no replica would be left"));
         }
         self.progress.remove(host);
+        self.regressed.remove(host);
         self.change(next, now);
         Ok(())
     }
 
+    /// The replicas that have lost what they had acknowledged to this leader: their disks are older
+    /// copies of themselves, and must be taken out.
+    pub fn regressed(&self) -> impl Iterator<Item = &Host> {
+        let members = self.members();
+        self.regressed
+            .iter()
+            .filter(|host| members.get(host).is_some())
+    }
+
     /// The learners that are whole.
     #[must_use]
     pub fn whole_learners(&self) -> Vec<Host> {
--- a/crates/core/src/log/message.rs
+++ b/crates/core/src/log/message.rs
@@ -20,6 +20,8 @@
     pub disk: Disk,
     /// How often the sender's disk was started: an older copy of it tells a smaller number.
     pub boot: u64,
+    /// What the sender drew when it started.
+    pub mark: u64,
     /// The receiver's host.
     pub to: Host,
     /// The receiver's disk; a replica with another disk is not meant.
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -19,6 +19,7 @@
 pub use members::Members;
 pub use message::Call;
 pub use message::Message;
+pub use output::Boot;
 pub use output::Hard;
 pub use output::Output;
 pub use output::Saved;
--- a/crates/core/src/log/output.rs
+++ b/crates/core/src/log/output.rs
@@ -24,7 +24,18 @@
     /// Whom it voted for in that term.
     pub vote: Option<Host>,
     /// The newest boot seen of each other disk.
-    pub seen: Vec<(Disk, u64)>,
+    pub seen: Vec<Boot>,
+}
+
+/// One start of a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Boot {
+    /// The disk.
+    pub disk: Disk,
+    /// How often that disk was started.
+    pub number: u64,
+    /// Drawn at the start: a copy of the disk that was started as often draws another.
+    pub mark: u64,
 }
 
 /// The state of the machine above the log, up to a place.
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -16,6 +16,7 @@
 use crate::id::Term;
 
 use super::Body;
+use super::Boot;
 use super::Call;
 use super::Entry;
 use super::Hard;
@@ -75,6 +76,7 @@
 #[derive(Debug)]
 pub struct Replica {
     pub(super) host: Host,
+    pub(super) mark: u64,
     pub(super) hard: Hard,
     pub(super) snapshot: Snapshot,
     pub(super) entries: Vec<Entry>,
@@ -89,6 +91,7 @@
     pub(super) heard: Option<Instant>,
     pub(super) votes: BTreeSet<Host>,
     pub(super) progress: BTreeMap<Host, Progress>,
+    pub(super) regressed: BTreeSet<Host>,
     pub(super) round: u64,
     pub(super) beat: Instant,
     pub(super) rounds: VecDeque<(u64, Instant)>,
@@ -111,13 +114,15 @@
             .last()
             .map_or(saved.snapshot.index, |entry| entry.index);
         let applied = saved.snapshot.index;
+        let mut random = SmallRng::seed_from_u64(seed);
         let mut replica = Self {
             host,
+            mark: random.random(),
             hard: saved.hard,
             snapshot: saved.snapshot,
             entries: saved.entries,
             timing,
-            random: SmallRng::seed_from_u64(seed),
+            random,
             role: Role::Follower,
             leader: None,
             commit: applied,
@@ -127,6 +132,7 @@
             heard: None,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
+            regressed: BTreeSet::new(),
             round: 0,
             beat: now,
             rounds: VecDeque::new(),
@@ -421,6 +427,7 @@
             from: self.host.clone(),
             disk: self.hard.disk,
             boot: self.hard.boot,
+            mark: self.mark,
             to: to.host.clone(),
             to_disk: to.disk,
             term: self.hard.term,
@@ -449,12 +456,17 @@
             .hard
             .seen
             .iter_mut()
-            .find(|seen| seen.0 == message.disk);
+            .find(|seen| seen.disk == message.disk);
+        let boot = Boot {
+            disk: message.disk,
+            number: message.boot,
+            mark: message.mark,
+        };
         match seen {
-            Some(seen) if seen.1 > message.boot => return false,
-            Some(seen) if seen.1 == message.boot => return true,
-            Some(seen) => seen.1 = message.boot,
-            None => self.hard.seen.push((message.disk, message.boot)),
+            Some(seen) if *seen == boot => return true,
+            Some(seen) if seen.number >= boot.number => return false,
+            Some(seen) => *seen = boot,
+            None => self.hard.seen.push(boot),
         }
         self.write_hard();
         true
--- a/crates/core/src/log/replicate.rs
+++ b/crates/core/src/log/replicate.rs
@@ -31,6 +31,7 @@
         self.leader = Some(self.host.clone());
         self.led_since = now;
         self.progress.clear();
+        self.regressed.clear();
         self.rounds.clear();
         let next = self.last_index().next();
         for member in self.others() {
@@ -191,6 +192,9 @@
             progress.next = progress.matched.next();
         } else {
             // Never before what it has acknowledged: a disk that lost that is not the same disk.
+            if index < progress.matched {
+                self.regressed.insert(from.clone());
+            }
             let back = Index(progress.next.0.saturating_sub(1)).min(index.next());
             progress.next = back.max(progress.matched.next());
         }
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,5 @@
+//! What the tests share.
+
+#![allow(dead_code)]
+
+pub mod history;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -284,11 +284,12 @@
                 .is_some_and(|known| known.role == config::Role::Control)
         };
         let members = self.replica.members().0.iter();
+        let regressed: Vec<_> = self.replica.regressed().cloned().collect();
         let extra: Vec<_> = members
             .filter(|m| !wanted(&m.host))
             .map(|m| m.host.clone())
             .collect();
-        for host in extra {
+        for host in extra.into_iter().chain(regressed) {
             let own = self.replica.get_leader() == Some(&host);
             if !own && self.replica.expel(&host, now).is_ok() {
                 self.timeline
