Measure the queue against the usual ways of choosing

Cause: nothing told whether one owner a service pays.

Change: a small measure in virtual time: fakes of an engine (prompts in turn, a batch, a cache), both users' fleets, thirteen cases, the product's own queue with and without the ways of messages, and four rivals that decide at each entry alone on reports a second old.

--- a/crates/core/tests/support/history.rs
+++ b/crates/core/tests/support/history.rs
@@ -28,7 +28,7 @@
 
 /// A rule that is broken on purpose, to see that the checks find it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flaw {
+pub(crate) enum Flaw {
     /// All rules are kept.
     None,
     /// A replica forgets its vote when it restarts.
@@ -42,7 +42,7 @@
 }
 
 /// One step of a history; numbers pick among what there is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Deliver(usize),
     Drop(usize),
@@ -112,7 +112,7 @@
 }
 
 /// A history so far.
-pub struct History {
+pub(crate) struct History {
     nodes: Vec<Node>,
     bag: Vec<Message>,
     cuts: Vec<(usize, usize)>,
@@ -168,7 +168,7 @@
     }
 
     /// Entries that were committed.
-    pub fn committed(&self) -> usize {
+    pub(crate) fn committed(&self) -> usize {
         self.committed.len()
     }
 
@@ -235,7 +235,7 @@
             return Ok(());
         }
         // Mostly the oldest, sometimes any.
-        let place = if pick % 4 == 0 {
+        let place = if pick.is_multiple_of(4) {
             (pick / 4) % self.bag.len()
         } else {
             0
@@ -267,7 +267,9 @@
         };
         let sync = *sync;
         for (_, writes) in std::mem::take(&mut node.written) {
-            writes.into_iter().for_each(|write| node.disk.write(write));
+            for write in writes {
+                node.disk.write(write);
+            }
         }
         let now = self.now;
         self.at(place, |replica| replica.synced(sync, now))
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,4 +2,4 @@
 
 #![allow(dead_code)]
 
-pub mod history;
+pub(crate) mod history;
--- a/crates/core/tests/view_histories.rs
+++ b/crates/core/tests/view_histories.rs
@@ -150,7 +150,7 @@
         if self.mail.is_empty() {
             return;
         }
-        let place = if pick % 8 == 0 {
+        let place = if pick.is_multiple_of(8) {
             pick / 8 % self.mail.len()
         } else {
             0
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,6 @@
 //! whole system on loopback in one process.
 
 pub mod client;
+pub mod measure;
 pub mod site;
 pub mod standin;
