Tell the queue when a first token is too late, and gate the engines

The queue knew only the last deadline, so it granted work whose first token came too late; and granted work waited inside the engines, out of the queue's order, where higher tiers overtook it until its deadline passed.

Change: a tier names the time in which a first token is of use; an ask carries it, and what cannot meet it is refused before prefill. A server gets another prompt only while less than 0.2 s of prompts wait in it, and long prompts (above 0.75 s) leave half of the servers to short ones.

--- a/crates/core/src/config/item.rs
+++ b/crates/core/src/config/item.rs
@@ -17,6 +17,9 @@
 pub struct Tier {
     /// Place among the tiers, 0 the highest; no two tiers share one.
     pub rank: u8,
+    /// Milliseconds in which a first token is of use; 0 where only the deadline counts.
+    #[serde(default)]
+    pub first_ms: u64,
 }
 
 /// A party that sends requests, and what it may.
--- a/crates/core/src/config/snapshot.rs
+++ b/crates/core/src/config/snapshot.rs
@@ -4,6 +4,7 @@
 use std::fmt::Display;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -154,6 +155,13 @@
         self.services.iter().find(|pair| serves(pair.1))
     }
 
+    /// The time in which a first token is of use to `customer`, if its tier has one.
+    #[must_use]
+    pub fn first(&self, customer: &Customer) -> Option<Duration> {
+        let tier = self.tiers.get(&customer.tier)?;
+        (tier.first_ms > 0).then(|| Duration::from_millis(tier.first_ms))
+    }
+
     /// The rank of `customer`'s tier.
     #[must_use]
     pub fn rank(&self, customer: &Customer) -> u8 {
--- a/crates/core/src/fleet/index.rs
+++ b/crates/core/src/fleet/index.rs
@@ -12,6 +12,7 @@
 use super::Pick;
 use super::Prefix;
 use super::Spec;
+use super::Time;
 use super::Work;
 use super::prefix::Belief;
 use super::server::Server;
@@ -19,6 +20,12 @@
 /// One slot in so many is kept for the highest tier.
 const RESERVE: u32 = 8;
 
+/// Seconds of prompts that may wait inside a server.
+const GATE: f64 = 0.2;
+
+/// Seconds after which a prompt counts as long.
+const LONG: f64 = 0.75;
+
 /// Servers that are alike: same hall, and rates within a quarter octave.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Class {
@@ -44,6 +51,10 @@
     /// Servers with no slot left but the one kept for the highest tier.
     reserved: BTreeMap<Class, Order>,
     belief: Belief,
+    /// Live servers.
+    live: usize,
+    /// Servers that are at a long prompt.
+    long: usize,
 }
 
 /// # Members
@@ -72,6 +83,7 @@
                 self.place(place);
             }
         }
+        self.live = stays.iter().filter(|stays| **stays).count();
         for (place, stays) in stays.into_iter().enumerate() {
             if !stays {
                 self.servers[place].live = false;
@@ -89,7 +101,7 @@
     /// How many servers take new work.
     #[must_use]
     pub fn live(&self) -> usize {
-        self.servers.iter().filter(|server| server.live).count()
+        self.live
     }
 
     /// Requests that run on all servers.
@@ -100,6 +112,9 @@
 
     /// Puts a server where its state says, after any change of it.
     fn place(&mut self, place: usize) {
+        let is_long = self.servers[place].busy() > LONG;
+        let was_long = std::mem::replace(&mut self.servers[place].long, is_long);
+        self.long = self.long + usize::from(is_long) - usize::from(was_long);
         if let Some((class, key, open)) = self.keys[place].take() {
             let side = if open {
                 &mut self.open
@@ -170,6 +185,9 @@
 
     fn consider(&self, place: usize, cached: Tokens, work: &Work, best: &mut Option<(f64, Pick)>) {
         let server = &self.servers[place];
+        if !self.takes(server, work.prompt.less(cached)) {
+            return;
+        }
         let first = server.first(work.prompt.less(cached));
         let whole = first + server.rest(work.output);
         if best.as_ref().is_some_and(|known| known.0 <= whole) {
@@ -179,23 +197,43 @@
             server: place,
             name: server.spec.name.clone(),
             cached,
-            first: seconds(first),
-            whole: seconds(whole),
+            time: Time {
+                first: seconds(first),
+                whole: seconds(whole),
+            },
         };
         *best = Some((whole, pick));
     }
 
+    /// Whether a server takes a prompt now, rather than the queue keeping it.
+    ///
+    /// What waits in the queue is still in its order; what waits inside a server is not. And
+    /// long prompts leave half of the servers to short ones.
+    fn takes(&self, server: &Server, prompt: Tokens) -> bool {
+        if server.busy() > GATE {
+            return false;
+        }
+        let is_long = prompt.as_f64() / server.prefill > LONG;
+        !is_long || (self.long + 1) * 2 <= self.live.max(2)
+    }
+
     /// The least time in which any live server could answer `work`, if it had nothing else.
     #[must_use]
-    pub fn fastest(&self, work: &Work) -> Option<Duration> {
+    pub fn fastest(&self, work: &Work) -> Option<Time> {
         let longest = work
             .prefixes
             .first()
             .map_or(Tokens(0), |prefix| prefix.length);
         let prompt = work.prompt.less(longest);
         let live = self.servers.iter().filter(|server| server.live);
-        let times = live.map(|s| prompt.as_f64() / s.prefill + s.rest(work.output) / s.slow);
-        times.min_by(f64::total_cmp).map(seconds)
+        let best = live.min_by(|a, b| {
+            a.alone(prompt, work.output)
+                .total_cmp(&b.alone(prompt, work.output))
+        });
+        best.map(|server| Time {
+            first: seconds(prompt.as_f64() / server.prefill),
+            whole: seconds(server.alone(prompt, work.output)),
+        })
     }
 }
 
@@ -220,7 +258,7 @@
         let server = &mut self.servers[pick.server];
         server.backlog = server.backlog.less(work.prompt.less(pick.cached));
         if let Some(took) = took {
-            server.on_first(took, pick.first, now);
+            server.on_first(took, pick.time.first, now);
         }
         self.place(pick.server);
     }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 
 pub use index::Fleet;
 pub use pick::Pick;
+pub use pick::Time;
 pub use pick::Work;
 pub use prefix::Prefix;
 pub use server::Spec;
--- a/crates/core/src/fleet/pick.rs
+++ b/crates/core/src/fleet/pick.rs
@@ -29,8 +29,15 @@
     pub name: id::Server,
     /// Prompt tokens believed to be cached there.
     pub cached: Tokens,
-    /// Time to the first token.
+    /// How long it should take.
+    pub time: Time,
+}
+
+/// How long an answer should take from the moment of sending.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Time {
+    /// To the first token.
     pub first: Duration,
-    /// Time to the end.
+    /// To the end.
     pub whole: Duration,
 }
--- a/crates/core/src/fleet/server.rs
+++ b/crates/core/src/fleet/server.rs
@@ -50,6 +50,8 @@
     pub(super) slow: f64,
     /// When the backlog was last drained by the first token of something.
     pub(super) moved: Instant,
+    /// Whether it is at a long prompt, as the fleet has counted it.
+    pub(super) long: bool,
 }
 
 impl Server {
@@ -63,6 +65,7 @@
             backlog: Tokens(0),
             slow: 1.0,
             moved: now,
+            long: false,
         }
     }
 
@@ -81,6 +84,11 @@
         output.as_f64() / self.decode * self.slow
     }
 
+    /// Seconds for `prompt` uncached and `output` tokens if it had nothing else.
+    pub(super) fn alone(&self, prompt: Tokens, output: Tokens) -> f64 {
+        prompt.as_f64() / self.prefill + output.as_f64() / self.decode
+    }
+
     /// A first token came `took` after the dispatch, for which `expected` was said.
     pub(super) fn on_first(&mut self, took: Duration, expected: Duration, now: Instant) {
         let ratio = (took.as_secs_f64() + 0.001) / (expected.as_secs_f64() + 0.001);
--- a/crates/core/src/queue/ask.rs
+++ b/crates/core/src/queue/ask.rs
@@ -46,6 +46,8 @@
     pub prefixes: Vec<Prefix>,
     /// How often it was sent and surely not run before.
     pub attempt: u8,
+    /// When its first token must come, by the owner's clock.
+    pub first: Instant,
     /// When its answer must be whole, by the owner's clock.
     pub deadline: Instant,
 }
--- a/crates/core/src/queue/order.rs
+++ b/crates/core/src/queue/order.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::code::Code;
 use crate::code::Refusal;
 use crate::fleet::Fleet;
 use crate::fleet::Pick;
+use crate::fleet::Time;
 use crate::fleet::Work;
 use crate::id;
 use crate::unit::Tokens;
@@ -124,8 +124,7 @@
             server: place,
             name: server.clone(),
             cached: ask.prompt,
-            first: Duration::ZERO,
-            whole: Duration::ZERO,
+            time: Time::default(),
         };
         self.remove(&ask.ticket);
         if self.running.contains_key(&ask.ticket) {
@@ -268,8 +267,8 @@
                 "no backend server of the service is live",
             ));
         };
-        if now + fastest > ask.deadline {
-            return Err(cannot_finish(fastest));
+        if now + fastest.first > ask.first || now + fastest.whole > ask.deadline {
+            return Err(cannot_finish(&fastest));
         }
         Ok(())
     }
@@ -338,11 +337,12 @@
         let mut work = work_of(&waiting.ask, waiting.expect);
         work.top = Some(rank) == top || rank == 0;
         let deadline = waiting.ask.deadline;
+        let first = waiting.ask.first;
         let customer = waiting.ask.customer.clone();
         let Some(pick) = self.fleet.pick(&work) else {
             return false;
         };
-        let late = now + pick.whole > deadline;
+        let late = now + pick.time.first > first || now + pick.time.whole > deadline;
         let Some(level) = self.levels.get_mut(&rank) else {
             return false;
         };
@@ -356,7 +356,7 @@
         self.spots.remove(&ticket);
         self.deadlines.remove(&(deadline, ticket.clone()));
         if late {
-            let refusal = cannot_finish(pick.whole);
+            let refusal = cannot_finish(&pick.time);
             self.actions.push(Action::Refuse { ticket, refusal });
         } else {
             let granted = ticket.clone();
@@ -442,10 +442,10 @@
     }
 }
 
-fn cannot_finish(needs: Duration) -> Refusal {
-    let needs = needs.as_millis();
-    Refusal::new(
-        Code::CannotFinish,
-        format!("it needs {needs} ms, more than its deadline leaves"),
-    )
+fn cannot_finish(needs: &Time) -> Refusal {
+    let first = needs.first.as_millis();
+    let whole = needs.whole.as_millis();
+    let why =
+        format!("it needs {first} ms to its first token and {whole} ms in all; that is too late");
+    Refusal::new(Code::CannotFinish, why)
 }
--- a/crates/curlewlift/src/entry/owner.rs
+++ b/crates/curlewlift/src/entry/owner.rs
@@ -166,6 +166,7 @@
     };
     let snapshot = node.snapshot();
     let rights = snapshot.customers.get(&customer);
+    let first = rights.and_then(|rights| snapshot.first(rights));
     let ask = Ask {
         ticket: queue::Ticket {
             host,
@@ -179,6 +180,7 @@
         output,
         prefixes,
         attempt,
+        first: first.map_or(node.now() + left, |first| node.now() + left.min(first)),
         deadline: node.now() + left,
     };
     let (sender, receiver) = oneshot::channel();
--- a/crates/lab/src/measure/owner.rs
+++ b/crates/lab/src/measure/owner.rs
@@ -203,6 +203,7 @@
                 length: Tokens(request.common),
             }],
             attempt: 0,
+            first: instant(request.arrival + request.first),
             deadline: instant(request.arrival + request.whole),
         }
     }
