Switch each part of the choice off, and see what it is worth

Cause: seven parts decide where a request goes; nothing told which pay.

Change: the numbers behind the choice stand in one place, and an example runs the measure with one part off at a time. The measure also tells the least part that any other customer gets while one floods.

--- a/crates/core/src/fleet/index.rs
+++ b/crates/core/src/fleet/index.rs
@@ -13,21 +13,13 @@
 use super::Prefix;
 use super::Spec;
 use super::Time;
+use super::Tuning;
 use super::Work;
 use super::prefix::Belief;
 use super::server::Server;
 use super::speed::Speed;
 use super::speed::rate;
 
-/// One slot in so many is kept for the highest tier.
-const RESERVE: u32 = 8;
-
-/// Seconds of prompts that may wait inside a server.
-const GATE: f64 = 0.2;
-
-/// Seconds after which a prompt counts as long.
-const LONG: f64 = 0.75;
-
 /// Servers that are alike: same hall and speed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Class {
@@ -44,6 +36,7 @@
 /// not allocate but for the name's reference count; a change of one server is logarithmic.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
+    tuning: Tuning,
     servers: Vec<Server>,
     places: HashMap<id::Server, usize>,
     keys: Vec<Option<(Class, u64, bool)>>,
@@ -62,6 +55,21 @@
 
 /// # Members
 impl Fleet {
+    /// A fleet without servers.
+    #[must_use]
+    pub fn new(tuning: Tuning) -> Self {
+        Self {
+            tuning,
+            ..Self::default()
+        }
+    }
+
+    /// The numbers behind its choices.
+    #[must_use]
+    pub fn get_tuning(&self) -> &Tuning {
+        &self.tuning
+    }
+
     /// Sets which servers take new work; the others keep what runs on them.
     ///
     /// A server that comes back under its name keeps its rates but not its cache.
@@ -115,7 +123,7 @@
 
     /// Puts a server where its state says, after any change of it.
     fn place(&mut self, place: usize) {
-        let is_long = self.servers[place].busy() > LONG;
+        let is_long = self.servers[place].busy() > self.tuning.long;
         let was_long = std::mem::replace(&mut self.servers[place].long, is_long);
         self.long = self.long + usize::from(is_long) - usize::from(was_long);
         self.count_speed(place);
@@ -136,7 +144,11 @@
         if !server.live || server.running >= server.spec.slots {
             return;
         }
-        let kept = server.spec.slots / RESERVE;
+        let kept = server
+            .spec
+            .slots
+            .checked_div(self.tuning.reserve)
+            .unwrap_or(0);
         let open = server.running + kept < server.spec.slots;
         let class = Class {
             hall: server.spec.hall.clone(),
@@ -235,10 +247,10 @@
     /// What waits in the queue is still in its order; what waits inside a server is not. And
     /// long prompts leave half of the servers to short ones.
     fn takes(&self, server: &Server, prompt: Tokens) -> bool {
-        if server.busy() > GATE {
+        if server.busy() > self.tuning.gate {
             return false;
         }
-        let is_long = prompt.as_f64() / server.prefill > LONG;
+        let is_long = prompt.as_f64() / server.prefill > self.tuning.long;
         !is_long || (self.long + 1) * 2 <= self.live.max(2)
     }
 
@@ -275,7 +287,7 @@
         }
         server.running += 1;
         server.backlog += work.prompt.less(pick.cached);
-        for prefix in &work.prefixes {
+        for prefix in work.prefixes.iter().filter(|_| self.tuning.belief) {
             self.belief.add(*prefix, pick.server);
         }
         self.place(pick.server);
@@ -285,7 +297,7 @@
     pub fn first(&mut self, pick: &Pick, work: &Work, took: Option<Duration>, now: Instant) {
         let server = &mut self.servers[pick.server];
         server.backlog = server.backlog.less(work.prompt.less(pick.cached));
-        if let Some(took) = took {
+        if let Some(took) = took.filter(|_| self.tuning.learn) {
             server.on_first(took, pick.time.first, now);
         }
         self.place(pick.server);
@@ -293,7 +305,9 @@
 
     /// It generated `tokens` in `took`.
     pub fn tokens(&mut self, place: usize, tokens: Tokens, took: Duration) {
-        self.servers[place].on_tokens(tokens, took);
+        if self.tuning.learn {
+            self.servers[place].on_tokens(tokens, took);
+        }
         self.place(place);
     }
 
@@ -327,6 +341,9 @@
 
     /// Looks for servers whose first tokens are overdue; linear in the servers.
     pub fn watch(&mut self, now: Instant) {
+        if !self.tuning.learn {
+            return;
+        }
         for place in 0..self.servers.len() {
             let before = self.servers[place].slow;
             self.servers[place].watch(now);
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod prefix;
 mod server;
 mod speed;
+mod tuning;
 
 pub use index::Fleet;
 pub use pick::Pick;
@@ -13,3 +14,4 @@
 pub use pick::Work;
 pub use prefix::Prefix;
 pub use server::Spec;
+pub use tuning::Tuning;
--- /dev/null
+++ b/crates/core/src/fleet/tuning.rs
@@ -0,0 +1,33 @@
+//! The numbers behind the choice of a server, so that each can be measured by itself.
+
+/// The numbers behind the choice of a server.
+///
+/// The defaults are what docs/design/scheduling.md measured; the ablations there change one each.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Seconds of prompts that may wait inside a server.
+    pub gate: f64,
+    /// Seconds after which a prompt counts as long; long ones leave half of the servers to others.
+    pub long: f64,
+    /// One slot in so many of a server is kept for the highest tier; 0 for none.
+    pub reserve: u32,
+    /// Whether servers are preferred that may have a prompt cached.
+    pub belief: bool,
+    /// Whether the speed of a server is learnt from its answers.
+    pub learn: bool,
+    /// What is added to an expected time before it is held against a limit, as a part of it.
+    pub caution: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            gate: 0.2,
+            long: 0.75,
+            reserve: 8,
+            belief: true,
+            learn: true,
+            caution: 0.1,
+        }
+    }
+}
--- a/crates/core/src/queue/order.rs
+++ b/crates/core/src/queue/order.rs
@@ -346,8 +346,10 @@
         let Some(pick) = self.fleet.pick(&work) else {
             return false;
         };
+        let caution = self.fleet.get_tuning().caution;
         let in_time = |time: &Time| {
-            now + cautious(time.first) <= first && now + cautious(time.whole) <= deadline
+            now + cautious(time.first, caution) <= first
+                && now + cautious(time.whole, caution) <= deadline
         };
         let late = !in_time(&pick.time);
         // Another server may do what this one cannot: the request waits for it.
@@ -444,12 +446,12 @@
     }
 }
 
-/// What is counted on for a time that is expected: a tenth more, and the ways of messages.
+/// What is counted on for a time that is expected: a part more, and the ways of messages.
 ///
 /// Under overload what is granted stands at the brink of its limit; without this a small error
 /// throws its whole prompt away.
-fn cautious(time: Duration) -> Duration {
-    time + time / 10 + SLACK
+fn cautious(time: Duration, part: f64) -> Duration {
+    time.mul_f64(1.0 + part) + SLACK
 }
 
 fn work_of(ask: &Ask, expect: Tokens) -> Work {
--- a/crates/lab/examples/measure.rs
+++ b/crates/lab/examples/measure.rs
@@ -36,9 +36,9 @@
             site.entries
         );
         println!(
-            "| case | way | goodput tier 0 | 1 | 2 | 3 | all (min..max) | wasted | first p50 s | p95 | between p50 ms | p95 | sheds inverted |"
+            "| case | way | goodput tier 0 | 1 | 2 | 3 | all (min..max) | wasted | first p50 s | p95 | between p50 ms | p95 | least of the others, tier 1 | sheds inverted |"
         );
-        println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
         for case in Case::all().iter().filter(|case| case.name.contains(&word)) {
             for (name, ways) in WAYS {
                 let scores: Vec<_> = (0..seeds)
@@ -63,12 +63,13 @@
     let between = |part| 1_000.0 * mean(&|s| Score::quantile(&s.between, part));
     let inversions: u32 = scores.iter().map(|score| score.inversions).sum();
     format!(
-        "{} | {all:.3} ({low:.3}..{high:.3}) | {:.4} | {:.2} | {:.2} | {:.0} | {:.0} | {inversions} |",
+        "{} | {all:.3} ({low:.3}..{high:.3}) | {:.4} | {:.2} | {:.2} | {:.0} | {:.0} | {:.3} | {inversions} |",
         tiers.join(" | "),
         mean(&Score::waste),
         first(0.5),
         first(0.95),
         between(0.5),
         between(0.95),
+        mean(&Score::others),
     )
 }
--- a/crates/lab/src/measure/owner.rs
+++ b/crates/lab/src/measure/owner.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::fleet::Fleet;
 use curlewlift_core::fleet::Prefix;
 use curlewlift_core::fleet::Spec;
+use curlewlift_core::fleet::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::queue::Action;
 use curlewlift_core::queue::Ask;
@@ -50,6 +51,7 @@
     outbox: VecDeque<(f64, Verdict)>,
     dead_until: f64,
     builds: Vec<Build>,
+    tuning: Tuning,
     live: Vec<bool>,
     host: id::Host,
 }
@@ -76,9 +78,9 @@
 }
 
 impl Owner {
-    pub(super) fn new(builds: &[Build], way: f64) -> Self {
+    pub(super) fn new(builds: &[Build], way: f64, tuning: Tuning) -> Self {
         let live = vec![true; builds.len()];
-        let mut fleet = Fleet::default();
+        let mut fleet = Fleet::new(tuning);
         fleet.set(specs(builds, &live), instant(0.0));
         Self {
             queue: Queue::new(fleet, LIMIT),
@@ -87,6 +89,7 @@
             outbox: VecDeque::new(),
             dead_until: 0.0,
             builds: builds.to_vec(),
+            tuning,
             live,
             host: "e1".parse().expect("a name"),
         }
@@ -111,7 +114,7 @@
         now: f64,
     ) {
         self.dead_until = now + PAUSE;
-        let mut fleet = Fleet::default();
+        let mut fleet = Fleet::new(self.tuning);
         fleet.set(specs(&self.builds, &self.live), instant(now));
         self.queue = Queue::new(fleet, LIMIT);
         self.inbox
--- a/crates/lab/src/measure/score.rs
+++ b/crates/lab/src/measure/score.rs
@@ -1,5 +1,8 @@
 //! What came of it.
 
+use super::load::CUSTOMERS;
+use super::load::Request;
+
 /// Tiers.
 pub(super) const TIERS: usize = 4;
 
@@ -18,8 +21,10 @@
     pub prefill: f64,
     /// Prompt tokens computed for answers that were not good.
     pub wasted: f64,
-    /// Good answers over offered requests of the second tier, by customer.
-    pub shares: Vec<f64>,
+    /// Offered requests of the second tier, by customer.
+    pub asked: [u32; CUSTOMERS],
+    /// Good answers of them.
+    pub served: [u32; CUSTOMERS],
     /// Times to the first token in the highest tier, in seconds.
     pub first: Vec<f64>,
     /// Times between tokens in the highest tier, in seconds.
@@ -29,6 +34,27 @@
 }
 
 impl Score {
+    pub(super) fn count_offered(&mut self, request: &Request) {
+        if request.rank == 1 {
+            self.asked[request.customer] += 1;
+        }
+    }
+
+    pub(super) fn count_good(&mut self, request: &Request) {
+        if request.rank == 1 {
+            self.served[request.customer] += 1;
+        }
+    }
+
+    /// The least part of its second-tier requests that a customer but the first gets answered.
+    #[must_use]
+    pub fn others(&self) -> f64 {
+        let parts = (1..CUSTOMERS).map(|customer| {
+            f64::from(self.served[customer]) / f64::from(self.asked[customer].max(1))
+        });
+        parts.fold(1.0, f64::min)
+    }
+
     /// Whole answers in time over what was offered.
     #[must_use]
     pub fn goodput(&self, tier: usize) -> f64 {
--- a/crates/lab/src/measure/world.rs
+++ b/crates/lab/src/measure/world.rs
@@ -1,6 +1,7 @@
 //! Virtual time: requests arrive, are placed, run, and are counted.
 
 use curlewlift_core::code::Code;
+use curlewlift_core::fleet::Tuning;
 use curlewlift_core::queue::Report;
 use curlewlift_core::unit::Tokens;
 
@@ -10,7 +11,6 @@
 use super::engine::Event;
 use super::engine::Job;
 use super::load;
-use super::load::CUSTOMERS;
 use super::load::Request;
 use super::load::TROUBLE;
 use super::owner::Owner;
@@ -40,12 +40,14 @@
 const SLOWER: f64 = 5.0;
 
 /// Who places requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ways {
     /// The product's queue, at its owner.
     Ours,
     /// The product's queue without any way for messages: the same word at the same instant.
     Instant,
+    /// The product's queue with other numbers.
+    Tuned(Tuning),
     /// Each entry alone.
     Alone(Rival),
 }
@@ -86,8 +88,10 @@
         Ways::Instant => 0.0,
         _ => site.between.as_secs_f64(),
     };
+    let owner = |tuning| Placer::Owner(Box::new(Owner::new(&site.engines, way, tuning)));
     let placer = match ways {
-        Ways::Ours | Ways::Instant => Placer::Owner(Box::new(Owner::new(&site.engines, way))),
+        Ways::Ours | Ways::Instant => owner(Tuning::default()),
+        Ways::Tuned(tuning) => owner(tuning),
         Ways::Alone(rival) => {
             let chooser = Chooser::new(rival, site.entries, site.engines.len(), seed);
             Placer::Chooser(Box::new(chooser))
@@ -182,6 +186,7 @@
             let id = self.next;
             self.next += 1;
             self.score.offered[usize::from(self.requests[id].rank)] += 1;
+            self.score.count_offered(&self.requests[id]);
             let request = self.requests[id].clone();
             self.open.push(id);
             match &mut self.placer {
@@ -274,6 +279,7 @@
         let rank = usize::from(request.rank);
         if good {
             self.score.good[rank] += 1;
+            self.score.count_good(request);
             self.score.tokens += (request.prompt + request.output) as f64;
         } else {
             self.score.wasted += (request.prompt - cached) as f64;
@@ -355,7 +361,6 @@
 
     fn finish(mut self) -> Score {
         self.score.prefill = self.engines.iter().map(|engine| engine.computed).sum();
-        self.score.shares = (0..CUSTOMERS).map(|_| 0.0).collect();
         self.score
     }
 }
