Take out the kept slot and the room for short prompts; test the queue

The queue had no test of its own.

Change: both are out, with the second order of servers that they needed. A server above its gate is not in the order at all.

--- a/crates/core/src/fleet/index.rs
+++ b/crates/core/src/fleet/index.rs
@@ -39,18 +39,14 @@
     tuning: Tuning,
     servers: Vec<Server>,
     places: HashMap<id::Server, usize>,
-    keys: Vec<Option<(Class, u64, bool)>>,
-    /// Servers with a slot for anyone.
+    keys: Vec<Option<(Class, u64)>>,
+    /// Servers with a free slot.
     open: BTreeMap<Class, Order>,
-    /// Servers with no slot left but the one kept for the highest tier.
-    reserved: BTreeMap<Class, Order>,
     belief: Belief,
     /// Live servers by speed.
     speeds: BTreeMap<Speed, usize>,
     /// Live servers.
     live: usize,
-    /// Servers that are at a long prompt.
-    long: usize,
 }
 
 /// # Members
@@ -123,45 +119,29 @@
 
     /// Puts a server where its state says, after any change of it.
     fn place(&mut self, place: usize) {
-        let is_long = self.servers[place].busy() > self.tuning.long;
-        let was_long = std::mem::replace(&mut self.servers[place].long, is_long);
-        self.long = self.long + usize::from(is_long) - usize::from(was_long);
         self.count_speed(place);
-        if let Some((class, key, open)) = self.keys[place].take() {
-            let side = if open {
-                &mut self.open
-            } else {
-                &mut self.reserved
-            };
-            if let Some(order) = side.get_mut(&class) {
-                order.remove(&(key, place));
-                if order.is_empty() {
-                    side.remove(&class);
-                }
+        if let Some((class, key)) = self.keys[place].take()
+            && let Some(order) = self.open.get_mut(&class)
+        {
+            order.remove(&(key, place));
+            if order.is_empty() {
+                self.open.remove(&class);
             }
         }
         let server = &self.servers[place];
-        if !server.live || server.running >= server.spec.slots {
+        // What waits in the queue is still in its order; what waits inside a server is not.
+        let full = server.running >= server.spec.slots || server.busy() > self.tuning.gate;
+        if !server.live || full {
             return;
         }
-        let kept = server
-            .spec
-            .slots
-            .checked_div(self.tuning.reserve)
-            .unwrap_or(0);
-        let open = server.running + kept < server.spec.slots;
         let class = Class {
             hall: server.spec.hall.clone(),
             speed: server.speed(),
         };
         let key = micros(server.busy());
-        let side = if open {
-            &mut self.open
-        } else {
-            &mut self.reserved
-        };
-        side.entry(class.clone()).or_default().insert((key, place));
-        self.keys[place] = Some((class, key, open));
+        let order = self.open.entry(class.clone()).or_default();
+        order.insert((key, place));
+        self.keys[place] = Some((class, key));
     }
 }
 
@@ -196,17 +176,9 @@
         for order in self.open.values() {
             self.consider_head(order, work, &mut best);
         }
-        if work.top {
-            for order in self.reserved.values() {
-                self.consider_head(order, work, &mut best);
-            }
-        }
         for prefix in &work.prefixes {
             for &place in self.belief.holders(*prefix) {
-                let usable = self.keys[place]
-                    .as_ref()
-                    .is_some_and(|key| key.2 || work.top);
-                if usable {
+                if self.keys[place].is_some() {
                     self.consider(place, prefix.length, work, &mut best);
                 }
             }
@@ -222,9 +194,6 @@
 
     fn consider(&self, place: usize, cached: Tokens, work: &Work, best: &mut Option<(f64, Pick)>) {
         let server = &self.servers[place];
-        if !self.takes(server, work.prompt.less(cached)) {
-            return;
-        }
         let first = server.first(work.prompt.less(cached));
         let whole = first + server.rest(work.output);
         if best.as_ref().is_some_and(|known| known.0 <= whole) {
@@ -242,18 +211,6 @@
         *best = Some((whole, pick));
     }
 
-    /// Whether a server takes a prompt now, rather than the queue keeping it.
-    ///
-    /// What waits in the queue is still in its order; what waits inside a server is not. And
-    /// long prompts leave half of the servers to short ones.
-    fn takes(&self, server: &Server, prompt: Tokens) -> bool {
-        if server.busy() > self.tuning.gate {
-            return false;
-        }
-        let is_long = prompt.as_f64() / server.prefill > self.tuning.long;
-        !is_long || (self.long + 1) * 2 <= self.live.max(2)
-    }
-
     /// The least time in which any live server could answer `work`, if it had nothing else.
     ///
     /// Linear in the speeds that there are; right to a tenth.
--- a/crates/core/src/fleet/pick.rs
+++ b/crates/core/src/fleet/pick.rs
@@ -16,8 +16,6 @@
     pub output: Tokens,
     /// Beginnings of its prompt, the longest first.
     pub prefixes: Vec<Prefix>,
-    /// Whether it is of the highest tier, for which each server keeps a slot.
-    pub top: bool,
 }
 
 /// A server and what to expect of it.
--- a/crates/core/src/fleet/server.rs
+++ b/crates/core/src/fleet/server.rs
@@ -52,8 +52,6 @@
     pub(super) slow: f64,
     /// When the backlog was last drained by the first token of something.
     pub(super) moved: Instant,
-    /// Whether it is at a long prompt, as the fleet has counted it.
-    pub(super) long: bool,
     /// Under which speed the fleet has counted it.
     pub(super) counted: Option<Speed>,
 }
@@ -69,7 +67,6 @@
             backlog: Tokens(0),
             slow: 1.0,
             moved: now,
-            long: false,
             counted: None,
         }
     }
--- a/crates/core/src/fleet/tuning.rs
+++ b/crates/core/src/fleet/tuning.rs
@@ -7,10 +7,6 @@
 pub struct Tuning {
     /// Seconds of prompts that may wait inside a server.
     pub gate: f64,
-    /// Seconds after which a prompt counts as long; long ones leave half of the servers to others.
-    pub long: f64,
-    /// One slot in so many of a server is kept for the highest tier; 0 for none.
-    pub reserve: u32,
     /// Whether servers are preferred that may have a prompt cached.
     pub belief: bool,
     /// Whether the speed of a server is learnt from its answers.
@@ -23,8 +19,6 @@
     fn default() -> Self {
         Self {
             gate: 0.2,
-            long: 0.75,
-            reserve: 8,
             belief: true,
             learn: true,
             caution: 0.1,
--- a/crates/core/src/queue/order.rs
+++ b/crates/core/src/queue/order.rs
@@ -330,7 +330,6 @@
 
     /// Whether something left the queue.
     fn grant_next(&mut self, now: Instant) -> bool {
-        let top = self.levels.keys().next().copied();
         let Some(level) = self.levels.iter().find(|pair| !pair.1.is_empty()) else {
             return false;
         };
@@ -338,8 +337,7 @@
         let Some((place, waiting)) = level.1.first() else {
             return false;
         };
-        let mut work = work_of(&waiting.ask, waiting.expect);
-        work.top = Some(rank) == top || rank == 0;
+        let work = work_of(&waiting.ask, waiting.expect);
         let deadline = waiting.ask.deadline;
         let first = waiting.ask.first;
         let customer = waiting.ask.customer.clone();
@@ -459,7 +457,6 @@
         prompt: ask.prompt,
         output: expect,
         prefixes: ask.prefixes.clone(),
-        top: ask.rank == 0,
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,4 +2,5 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod asks;
 pub(crate) mod history;
--- a/crates/lab/examples/ablations.rs
+++ b/crates/lab/examples/ablations.rs
@@ -16,8 +16,6 @@
     vec![
         ("all parts", all),
         ("no gate", Tuning { gate: 1e9, ..all }),
-        ("no room for short prompts", Tuning { long: 1e9, ..all }),
-        ("no kept slot", Tuning { reserve: 0, ..all }),
         (
             "no cache belief",
             Tuning {
