Time one decision at 10, 100 and 1,800 servers

Cause: the size to design for wants one owner to decide for 1,800 engines with 100,000 requests waiting; nothing had timed it.

Change: a bench of a whole turn: an ask into the queue, the first token and the end of one that runs, and the choice and grant that follow.

--- /dev/null
+++ b/crates/core/benches/decision.rs
@@ -0,0 +1,129 @@
+//! Speed of one decision: an ask into a full queue and the grant of another, by servers and by
+//! what waits.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use curlewlift_core::clock::Instant;
+use curlewlift_core::fleet::Fleet;
+use curlewlift_core::fleet::Prefix;
+use curlewlift_core::fleet::Spec;
+use curlewlift_core::id;
+use curlewlift_core::queue::Action;
+use curlewlift_core::queue::Ask;
+use curlewlift_core::queue::Queue;
+use curlewlift_core::queue::Report;
+use curlewlift_core::queue::Ticket;
+use curlewlift_core::unit::Rate;
+use curlewlift_core::unit::Tokens;
+
+/// Customers, as in the size to design for.
+const CUSTOMERS: u64 = 470;
+
+/// Data halls and generations of hardware.
+const HALLS: usize = 6;
+const PREFILL: [u64; 3] = [8_000, 4_000, 2_000];
+
+struct Bench {
+    queue: Queue,
+    customers: Vec<id::Customer>,
+    host: id::Host,
+    number: u64,
+    running: std::collections::VecDeque<Ticket>,
+    now: Instant,
+}
+
+fn spec(place: usize) -> Spec {
+    Spec {
+        name: format!("m{place}").parse().expect("a name"),
+        hall: format!("h{}", place % HALLS).parse().expect("a name"),
+        slots: 16,
+        prefill: Rate(PREFILL[place % 3]),
+        decode: Rate(40),
+    }
+}
+
+impl Bench {
+    fn new(servers: usize, waiting: usize) -> Self {
+        let mut fleet = Fleet::default();
+        fleet.set((0..servers).map(spec).collect(), Instant::default());
+        let customers = (0..CUSTOMERS).map(|n| format!("u{n}").parse().expect("a name"));
+        let mut bench = Self {
+            queue: Queue::new(fleet, Tokens(u64::MAX)),
+            customers: customers.collect(),
+            host: "e1".parse().expect("a name"),
+            number: 0,
+            running: std::collections::VecDeque::new(),
+            now: Instant::default(),
+        };
+        while bench.queue.waiting() < waiting {
+            bench.ask();
+        }
+        bench
+    }
+
+    fn ask(&mut self) {
+        self.number += 1;
+        let far = self.now + Duration::from_secs(100_000) + Duration::from_micros(self.number);
+        let place = usize::try_from(self.number % CUSTOMERS).expect("small");
+        let ask = Ask {
+            ticket: Ticket {
+                host: self.host.clone(),
+                number: id::Ticket(self.number),
+            },
+            customer: self.customers[place].clone(),
+            weight: 1,
+            waiting: u32::MAX,
+            rank: u8::try_from(self.number % 4).expect("small"),
+            prompt: Tokens(200 + self.number % 500),
+            output: Tokens(200),
+            prefixes: vec![Prefix {
+                hash: self.number % 10_000,
+                length: Tokens(100),
+            }],
+            attempt: 0,
+            first: far,
+            deadline: far,
+        };
+        self.queue.ask(ask, self.now);
+        self.take();
+    }
+
+    fn take(&mut self) {
+        for action in self.queue.actions() {
+            if let Action::Grant { ticket, .. } = action {
+                self.running.push_back(ticket);
+            }
+        }
+    }
+
+    /// One ask, and the life of one that runs: three events and one choice.
+    fn turn(&mut self) {
+        self.now = self.now + Duration::from_micros(260);
+        self.ask();
+        let Some(ticket) = self.running.pop_front() else { return };
+        self.queue.report(&ticket, Report::First, self.now);
+        let output = Tokens(100);
+        self.queue.report(&ticket, Report::Ended { output, cached: None }, self.now);
+        self.take();
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("turn");
+    for servers in [10, 100, 1_800] {
+        for waiting in [10, 1_000, 100_000] {
+            let mut bench = Bench::new(servers, waiting);
+            let name = BenchmarkId::new(format!("{servers} servers"), waiting);
+            group.bench_function(name, |b| b.iter(|| black_box(bench.turn())));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
