--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -105,10 +105,19 @@
     fn turn(&mut self) {
         self.now = self.now + Duration::from_micros(260);
         self.ask();
-        let Some(ticket) = self.running.pop_front() else { return };
+        let Some(ticket) = self.running.pop_front() else {
+            return;
+        };
         self.queue.report(&ticket, Report::First, self.now);
         let output = Tokens(100);
-        self.queue.report(&ticket, Report::Ended { output, cached: None }, self.now);
+        self.queue.report(
+            &ticket,
+            Report::Ended {
+                output,
+                cached: None,
+            },
+            self.now,
+        );
         self.take();
     }
 }
--- a/crates/core/src/lang/parser.rs
+++ b/crates/core/src/lang/parser.rs
@@ -61,15 +61,12 @@
     whole.parse(line).map_err(|why| {
         let wanted: Vec<_> = why.inner().context().map(ToString::to_string).collect();
         let wanted = if wanted.is_empty() {
-            "show, create, change, remove, drain, undrain, stop or dry".to_owned()
+            "expected show, create, change, remove, drain, undrain, stop or dry".to_owned()
         } else {
             wanted.join(" or ")
         };
         let column = why.offset() + 1;
-        let detail = format!(
-            "column {column}: expected {wanted}\n  {line}\n  {:>column$}",
-            "^"
-        );
+        let detail = format!("column {column}: {wanted}\n  {line}\n  {:>column$}", "^");
         Refusal::new(Code::Syntax, detail)
     })
 }
@@ -147,7 +144,8 @@
 }
 
 fn query(input: &mut Input<'_>) -> Read<Query> {
-    let subjects = "customers, hosts, operators, servers, services, tiers, revision, audit or view";
+    let subjects =
+        "customers, hosts, operators, servers, services, tiers, revision, audit, view or replicas";
     let subject = expected(subject, subjects).parse_next(input)?;
     let conditions = opt(preceded(word("where"), cut_err(conditions))).parse_next(input)?;
     let sort = opt(preceded((word("sort"), word("by")), cut_err(sort))).parse_next(input)?;
@@ -163,18 +161,7 @@
 }
 
 fn subject(input: &mut Input<'_>) -> Read<Subject> {
-    alt((
-        word("customers").value(Subject::Customers),
-        word("hosts").value(Subject::Hosts),
-        word("operators").value(Subject::Operators),
-        word("servers").value(Subject::Servers),
-        word("services").value(Subject::Services),
-        word("tiers").value(Subject::Tiers),
-        word("revision").value(Subject::Revision),
-        word("audit").value(Subject::Audit),
-        word("view").value(Subject::View),
-    ))
-    .parse_next(input)
+    lexeme(text.verify_map(Subject::from_word)).parse_next(input)
 }
 
 fn conditions(input: &mut Input<'_>) -> Read<Vec<Condition>> {
--- a/crates/core/src/lang/statement.rs
+++ b/crates/core/src/lang/statement.rs
@@ -36,6 +36,27 @@
     Audit,
     /// The view of the entries.
     View,
+    /// The control replicas.
+    Replicas,
+}
+
+impl Subject {
+    /// The subject that `word` names.
+    pub(super) fn from_word(word: &str) -> Option<Self> {
+        Some(match word {
+            "customers" => Self::Customers,
+            "hosts" => Self::Hosts,
+            "operators" => Self::Operators,
+            "servers" => Self::Servers,
+            "services" => Self::Services,
+            "tiers" => Self::Tiers,
+            "revision" => Self::Revision,
+            "audit" => Self::Audit,
+            "view" => Self::View,
+            "replicas" => Self::Replicas,
+            _ => return None,
+        })
+    }
 }
 
 /// How an answer is printed.
--- a/crates/core/src/log/replicate.rs
+++ b/crates/core/src/log/replicate.rs
@@ -64,21 +64,20 @@
     /// long after it heard this leader, and it heard it no earlier than this leader sent.
     #[must_use]
     pub fn hears_majority(&self, now: Instant) -> bool {
-        let heard = |host: &Host| {
-            host == &self.host
-                || self
-                    .progress
-                    .get(host)
-                    .is_some_and(|p| now.since(p.heard) < self.timing.election)
-        };
-        let count = self
-            .members()
-            .voters()
-            .filter(|member| heard(&member.host))
+        let voters = self.members().voters();
+        let count = voters
+            .filter(|member| self.hears(&member.host, now))
             .count();
         count >= self.members().majority()
     }
 
+    /// Whether the replica on `host` has answered this leader within an election's time.
+    #[must_use]
+    pub fn hears(&self, host: &Host, now: Instant) -> bool {
+        let heard = self.progress.get(host).map(|progress| progress.heard);
+        host == &self.host || heard.is_some_and(|heard| now.since(heard) < self.timing.election)
+    }
+
     /// Adds a command to the log.
     ///
     /// # Errors
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -1,6 +1,7 @@
 //! The numbers of operators' commands, and what was answered to each.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,68 +12,78 @@
 
 use super::Command;
 
-/// How many answers are kept for one operator.
-const KEPT: usize = 1_000;
+/// How many answers are kept.
+const KEPT: usize = 10_000;
 
 /// What was answered to a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Done {
-    /// The command's line.
+    /// Who gave it.
+    pub operator: id::Operator,
+    /// Its line.
     pub line: String,
     /// The revision that it made, or the reason why it was refused.
     pub answer: Result<id::Revision, Refusal>,
 }
 
-/// One operator's commands.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Page {
-    done: BTreeMap<u64, Done>,
-    dropped: Option<u64>,
-}
-
-/// The answers to the commands, by operator and number.
+/// The answers to the commands, by number.
 ///
-/// A number is answered once: again with the same line it gets the first answer, with another line
-/// a conflict. Lookup is logarithmic; memory is bounded by a thousand lines an operator.
+/// A number is answered once: again from the same operator with the same line it gets the first
+/// answer; from another operator, or with another line, a conflict that names the first. Lookup is
+/// logarithmic; memory is bounded by ten thousand lines, the oldest of which go.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
-    pages: BTreeMap<id::Operator, Page>,
+    done: BTreeMap<u64, Done>,
+    order: VecDeque<u64>,
+    /// The highest number of each operator whose answer is not kept any more.
+    dropped: BTreeMap<id::Operator, u64>,
 }
 
 impl Ledger {
     /// The answer to `command`, if its number was used before.
     #[must_use]
     pub fn get(&self, command: &Command) -> Option<Result<id::Revision, Refusal>> {
-        let page = self.pages.get(&command.operator)?;
-        if page
-            .dropped
-            .is_some_and(|dropped| command.number <= dropped)
-        {
-            let why = format!(
-                "number {} is too old: its answer is not kept",
-                command.number
-            );
-            return Some(Err(Refusal::new(Code::Conflict, why)));
-        }
-        let done = page.done.get(&command.number)?;
-        if done.line == command.line {
+        let Some(done) = self.done.get(&command.number) else {
+            return self.too_old(command).map(Err);
+        };
+        if done.operator == command.operator && done.line == command.line {
             return Some(done.answer.clone());
         }
-        let first = &done.line;
-        let why = format!("number {} was used for: {first}", command.number);
+        let (operator, line) = (&done.operator, &done.line);
+        let why = format!(
+            "number {} was used by `{operator}` for: {line}",
+            command.number
+        );
         Some(Err(Refusal::new(Code::Conflict, why)))
     }
 
+    fn too_old(&self, command: &Command) -> Option<Refusal> {
+        let dropped = self.dropped.get(&command.operator)?;
+        let why = format!(
+            "number {} is too old: its answer is not kept",
+            command.number
+        );
+        (command.number <= *dropped).then(|| Refusal::new(Code::Conflict, why))
+    }
+
     /// Keeps the answer to `command`.
     pub fn put(&mut self, command: &Command, answer: Result<id::Revision, Refusal>) {
-        let page = self.pages.entry(command.operator.clone()).or_default();
         let done = Done {
+            operator: command.operator.clone(),
             line: command.line.clone(),
             answer,
         };
-        page.done.insert(command.number, done);
-        if page.done.len() > KEPT {
-            page.dropped = page.done.pop_first().map(|first| first.0);
+        self.done.insert(command.number, done);
+        self.order.push_back(command.number);
+        while self.order.len() > KEPT {
+            let Some(number) = self.order.pop_front() else {
+                return;
+            };
+            let Some(done) = self.done.remove(&number) else {
+                continue;
+            };
+            let dropped = self.dropped.entry(done.operator).or_insert(number);
+            *dropped = (*dropped).max(number);
         }
     }
 }
--- a/crates/curlewlift/src/control/query.rs
+++ b/crates/curlewlift/src/control/query.rs
@@ -23,6 +23,7 @@
         Subject::Audit => audit(state),
         Subject::Revision => revision(state, snapshot),
         Subject::View => view(state),
+        Subject::Replicas => replicas(state),
         Subject::Customers => table(&snapshot.customers),
         Subject::Hosts => table(&snapshot.hosts),
         Subject::Operators => table(&snapshot.operators),
@@ -72,6 +73,21 @@
     table
 }
 
+fn replicas(state: &State) -> Table {
+    let mut table = Table::default();
+    let leader = state.replica.get_leader();
+    for member in &state.replica.members().0 {
+        let row = json!({
+            "disk": format!("{:016x}", member.disk.0),
+            "voter": member.voter,
+            "answers": state.replica.hears(&member.host, state.clock.now()),
+            "leads": leader == Some(&member.host),
+        });
+        table.push(&member.host, &row);
+    }
+    table
+}
+
 fn view(state: &State) -> Table {
     let mut table = Table::default();
     let roster = state.machine.get_roster();
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -1,8 +1,10 @@
 //! The state of a control replica, and what it does with the machine's outputs.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::code::Code;
@@ -56,6 +58,8 @@
     waiting: HashMap<id::Index, (id::Term, oneshot::Sender<Answer>)>,
     role: Role,
     proposed: id::View,
+    /// Hosts whose replicas must be taken out.
+    removed: BTreeSet<id::Host>,
 }
 
 /// # Making
@@ -83,6 +87,7 @@
             waiting: HashMap::new(),
             role: Role::Follower,
             proposed: id::View::default(),
+            removed: BTreeSet::new(),
         })
     }
 
@@ -172,11 +177,12 @@
 
     fn apply(&mut self, entry: &Entry) {
         let answer = match &entry.body {
-            Body::Data(data) => match Record::decode(data) {
-                Ok(record) => self.machine.apply(&record),
-                Err(why) => Err(Refusal::new(Code::Internal, why)),
-            },
-            Body::Blank | Body::Members(_) => Ok(self.machine.get_snapshot().revision),
+            Body::Data(data) => self.apply_record(data),
+            Body::Members(members) => {
+                self.removed.retain(|host| members.get(host).is_some());
+                Ok(self.machine.get_snapshot().revision)
+            }
+            Body::Blank => Ok(self.machine.get_snapshot().revision),
         };
         if let Some((term, waiting)) = self.waiting.remove(&entry.index)
             && term == entry.term
@@ -185,6 +191,18 @@
         }
     }
 
+    /// Applies a record; a host that it takes out of the configuration loses its replica too, even
+    /// where the next command names the host again.
+    fn apply_record(&mut self, data: &[u8]) -> Answer {
+        let record = Record::decode(data).map_err(|why| Refusal::new(Code::Internal, why))?;
+        let before = Arc::clone(self.machine.get_snapshot());
+        let answer = self.machine.apply(&record);
+        let after = &self.machine.get_snapshot().hosts;
+        let gone = before.hosts.keys().filter(|host| !after.contains_key(host));
+        self.removed.extend(gone.cloned());
+        answer
+    }
+
     fn send(&self, message: Message) {
         let Some(to) = self.locate(&message.to) else {
             return;
@@ -284,12 +302,11 @@
                 .is_some_and(|known| known.role == config::Role::Control)
         };
         let members = self.replica.members().0.iter();
-        let regressed: Vec<_> = self.replica.regressed().cloned().collect();
-        let extra: Vec<_> = members
-            .filter(|m| !wanted(&m.host))
-            .map(|m| m.host.clone())
-            .collect();
-        for host in extra.into_iter().chain(regressed) {
+        let regressed = self.replica.regressed();
+        let is_extra = |host: &&id::Host| !wanted(host) || self.removed.contains(*host);
+        let extra = members.map(|member| &member.host).filter(is_extra);
+        let out: BTreeSet<_> = extra.chain(regressed).cloned().collect();
+        for host in out {
             let own = self.replica.get_leader() == Some(&host);
             if !own && self.replica.expel(&host, now).is_ok() {
                 self.timeline
--- a/crates/curlewlift/src/disk/journal.rs
+++ b/crates/curlewlift/src/disk/journal.rs
@@ -1,8 +1,9 @@
 //! The journal: one file of checksummed records.
 //!
 //! Layout, version 1: eight bytes `CLWJ` and the version, big end first; then records, each with
-//! its length (4 bytes), the CRC-32 of its bytes (4 bytes) and its bytes, one
-//! [`curlewlift_core::log::Write`] as JSON.
+//! its length (4 bytes), the CRC-32 of the length (4 bytes), the CRC-32 of its bytes (4 bytes) and
+//! its bytes, one [`curlewlift_core::log::Write`] as JSON. The length has a checksum of its own, so
+//! that a damaged one is not taken for a record that was cut short.
 
 use std::fs::File;
 use std::fs::OpenOptions;
@@ -20,7 +21,7 @@
 const HEADER: [u8; 8] = *b"CLWJ\0\0\0\x01";
 
 /// Bytes of a record before its own.
-const PREFIX: usize = 8;
+const PREFIX: usize = 12;
 
 /// The file's name in the data folder.
 const NAME: &str = "journal";
@@ -127,6 +128,7 @@
     let body = serde_json::to_vec(write)?;
     let length = u32::try_from(body.len()).map_err(std::io::Error::other)?;
     bytes.extend(length.to_be_bytes());
+    bytes.extend(crc32fast::hash(&length.to_be_bytes()).to_be_bytes());
     bytes.extend(crc32fast::hash(&body).to_be_bytes());
     bytes.extend(body);
     Ok(())
@@ -158,11 +160,14 @@
         four.copy_from_slice(&rest[from..from + 4]);
         u32::from_be_bytes(four)
     };
+    if crc32fast::hash(&rest[..4]) != number(4) {
+        return Err(format!("the length of the record at byte {at} is damaged"));
+    }
     let length = number(0) as usize;
     let Some(body) = rest.get(PREFIX..PREFIX + length) else {
         return Ok(None);
     };
-    if crc32fast::hash(body) != number(4) {
+    if crc32fast::hash(body) != number(8) {
         return Err(format!(
             "the checksum of the record at byte {at} does not fit"
         ));
--- a/crates/lab/src/site/started.rs
+++ b/crates/lab/src/site/started.rs
@@ -288,6 +288,31 @@
     }
 }
 
+/// # Control replicas
+impl Site {
+    /// Control replicas that count and answer, by the log of whichever leads.
+    #[must_use]
+    pub fn replicas(&self) -> usize {
+        let rows = self.ask("show replicas where voter = true and answers = true as json");
+        rows.map_or(0, |rows| rows.lines().count())
+    }
+
+    /// Waits until so many control replicas count.
+    ///
+    /// # Panics
+    ///
+    /// If that does not happen within half a minute.
+    pub fn wait_for_replicas(&self, count: usize) {
+        for _ in 0..600 {
+            if self.replicas() == count {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        panic!("{} replicas count", self.replicas());
+    }
+}
+
 /// # Parts
 impl Site {
     /// Where control is reached.
