--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -128,7 +128,7 @@
         for waiting in [10, 1_000, 100_000] {
             let mut bench = Bench::new(servers, waiting);
             let name = BenchmarkId::new(format!("{servers} servers"), waiting);
-            group.bench_function(name, |b| b.iter(|| black_box(bench.turn())));
+            group.bench_function(name, |b| b.iter(|| black_box(&mut bench).turn()));
         }
     }
     group.finish();
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -23,6 +23,18 @@
 /// How many lines of the audit trail are kept.
 const AUDIT: usize = 10_000;
 
+/// How many steps between revisions are kept, for those who are a little behind.
+const RECENT: usize = 256;
+
+/// The change that made a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The revision that it made.
+    pub revision: id::Revision,
+    /// The change, in the operators' language.
+    pub line: String,
+}
+
 /// Configuration, ledger, audit trail and view, as one value that every replica computes alike.
 ///
 /// # Examples
@@ -49,6 +61,7 @@
     audit: VecDeque<Line>,
     roster: Roster,
     previous: Roster,
+    recent: VecDeque<Step>,
 }
 
 impl Machine {
@@ -95,6 +108,13 @@
             return Err(Refusal::new(Code::Syntax, "only a change is numbered"));
         };
         self.snapshot = Arc::new(self.snapshot.apply(&change)?);
+        self.recent.push_back(Step {
+            revision: self.snapshot.revision,
+            line: line.to_owned(),
+        });
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
         Ok(self.snapshot.revision)
     }
 }
@@ -119,6 +139,14 @@
         &self.previous
     }
 
+    /// The steps that lead from `revision` to the one in force; none where they are not kept.
+    #[must_use]
+    pub fn steps_from(&self, revision: id::Revision) -> Option<Vec<Step>> {
+        let missing = usize::try_from(self.snapshot.revision.0.checked_sub(revision.0)?).ok()?;
+        let first = self.recent.len().checked_sub(missing)?;
+        Some(self.recent.iter().skip(first).cloned().collect())
+    }
+
     /// The audit trail, oldest first.
     pub fn audit(&self) -> impl Iterator<Item = &Line> {
         self.audit.iter()
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -9,5 +9,6 @@
 pub use ledger::Done;
 pub use ledger::Ledger;
 pub use machine::Machine;
+pub use machine::Step;
 pub use record::Command;
 pub use record::Record;
--- a/crates/core/src/view/holder.rs
+++ b/crates/core/src/view/holder.rs
@@ -4,9 +4,13 @@
 
 use crate::clock::Instant;
 use crate::config::Snapshot;
+use crate::lang;
+use crate::lang::Statement;
+use crate::state::Step;
 
 use super::Grant;
 use super::Member;
+use super::News;
 use super::Renewal;
 use super::Roster;
 
@@ -53,10 +57,12 @@
     /// Answers may come in any order: an older view or revision never replaces a newer one, and
     /// the lease counts from the moment of asking.
     pub fn granted(&mut self, grant: Grant, asked: Instant) {
-        if let Some(snapshot) = grant.snapshot
-            && snapshot.revision > self.snapshot.revision
-        {
-            self.snapshot = snapshot;
+        match grant.news {
+            News::Whole(snapshot) if snapshot.revision > self.snapshot.revision => {
+                self.snapshot = snapshot;
+            }
+            News::Steps(steps) => steps.iter().for_each(|step| self.take(step)),
+            News::Whole(_) | News::None => {}
         }
         if let Some(roster) = grant.roster
             && roster.number > self.roster.number
@@ -74,6 +80,23 @@
         }
     }
 
+    /// Takes the next step of the configuration; any other is passed over.
+    fn take(&mut self, step: &Step) {
+        if step.revision != self.snapshot.revision.next() {
+            return;
+        }
+        let next = match lang::parse(&step.line) {
+            Ok(Statement::Change(change)) => self.snapshot.apply(&change),
+            Ok(_) => return,
+            Err(why) => Err(why),
+        };
+        // What was accepted at control is accepted here: both apply the same to the same.
+        debug_assert!(next.is_ok(), "an accepted change applies: {next:?}");
+        if let Ok(next) = next {
+            self.snapshot = Arc::new(next);
+        }
+    }
+
     /// The view to act under, if there is one at `now`.
     #[must_use]
     pub fn acting(&self, now: Instant) -> Option<&Arc<Roster>> {
--- a/crates/core/src/view/keeper.rs
+++ b/crates/core/src/view/keeper.rs
@@ -15,6 +15,7 @@
 use super::Grant;
 use super::Lease;
 use super::Member;
+use super::News;
 use super::Renewal;
 use super::Roster;
 
@@ -97,7 +98,7 @@
             number: roster.number,
             active: self.is_active(machine, now),
             lease: (roster.has(&asked.member) && !asked.gone).then_some(self.lease.length),
-            snapshot: (snapshot.revision > asked.revision).then(|| Arc::clone(snapshot)),
+            news: news(machine, asked.revision),
         })
     }
 
@@ -181,6 +182,16 @@
     }
 }
 
+/// The steps where they are known, else the whole: a change costs a line an entry.
+fn news(machine: &Machine, held: id::Revision) -> News {
+    let snapshot = machine.get_snapshot();
+    if snapshot.revision <= held {
+        return News::None;
+    }
+    let steps = machine.steps_from(held).filter(|_| held > id::Revision(0));
+    steps.map_or_else(|| News::Whole(Arc::clone(snapshot)), News::Steps)
+}
+
 fn process(member: &Member) -> Process {
     (member.host.clone(), member.incarnation)
 }
--- a/crates/core/src/view/lease.rs
+++ b/crates/core/src/view/lease.rs
@@ -8,6 +8,7 @@
 
 use crate::config::Snapshot;
 use crate::id;
+use crate::state::Step;
 
 use super::Member;
 use super::Roster;
@@ -50,6 +51,17 @@
     pub gone: bool,
 }
 
+/// What an entry must do to have the newest configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// Nothing.
+    None,
+    /// Apply these, in order.
+    Steps(Vec<Step>),
+    /// Take this.
+    Whole(Arc<Snapshot>),
+}
+
 /// The leader's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
@@ -63,6 +75,6 @@
     pub active: bool,
     /// How long the lease lasts from the moment of asking; none is no lease.
     pub lease: Option<Duration>,
-    /// The configuration, if it is newer than the one in force there.
-    pub snapshot: Option<Arc<Snapshot>>,
+    /// What is newer in the configuration than what is in force there.
+    pub news: News,
 }
--- a/crates/core/src/view/mod.rs
+++ b/crates/core/src/view/mod.rs
@@ -15,6 +15,7 @@
 pub use keeper::Keeper;
 pub use lease::Grant;
 pub use lease::Lease;
+pub use lease::News;
 pub use lease::Renewal;
 pub use roster::Member;
 pub use roster::REPLICAS;
--- a/crates/core/tests/claim_histories.rs
+++ b/crates/core/tests/claim_histories.rs
@@ -1,4 +1,11 @@
 //! Seeded histories of claims under deaths, restarts, late views and copies: a key that may never
+
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for people, far below where it matters"
+)]
 //! be repeated is dispatched at most once (rows D1, D2, D10).
 
 use std::collections::BTreeMap;
--- a/crates/core/tests/fleet_pick.rs
+++ b/crates/core/tests/fleet_pick.rs
@@ -1,5 +1,12 @@
 //! The choice of a server against one that looks at every server.
 
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for people, far below where it matters"
+)]
+
 mod support;
 
 use std::time::Duration;
--- a/crates/core/tests/queue_load.rs
+++ b/crates/core/tests/queue_load.rs
@@ -102,7 +102,7 @@
     short.deadline = at(8_000);
     short.first = at(8_000);
     queue.ask(short, at(0));
-    queue.actions();
+    drop(queue.actions());
     end(&mut queue, &ticket(0), 5_000);
     assert_eq!(
         grants(&mut queue)[0].0,
@@ -154,7 +154,7 @@
         let rank = u8::try_from(number % 3).expect("small");
         queue.ask(ask(number, "a", rank, 100), at(0));
     }
-    queue.actions();
+    drop(queue.actions());
     queue.ask(ask(20, "b", 0, 400), at(0));
     let shed: Vec<_> = queue
         .actions()
--- a/crates/core/tests/queue_order.rs
+++ b/crates/core/tests/queue_order.rs
@@ -1,5 +1,12 @@
 //! The queue against a plain one that looks at everything, and what holds over random histories.
 
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for people, far below where it matters"
+)]
+
 mod support;
 
 use std::collections::BTreeMap;
--- a/crates/core/tests/view_histories.rs
+++ b/crates/core/tests/view_histories.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::view::Keeper;
 use curlewlift_core::view::Lease;
 use curlewlift_core::view::Member;
+use curlewlift_core::view::News;
 use curlewlift_core::view::Renewal;
 use curlewlift_core::view::Roster;
 use quickcheck::Arbitrary;
@@ -254,7 +255,7 @@
         previous: None,
         active: true,
         lease: Some(Duration::from_secs(2)),
-        snapshot: None,
+        news: News::None,
     };
     let asked = Instant(1_000_000);
     holder.granted(grant, asked);
@@ -289,7 +290,7 @@
             number: curlewlift_core::id::View(0),
             active: false,
             lease: None,
-            snapshot: Some(Arc::new(snapshot)),
+            news: News::Whole(Arc::new(snapshot)),
         };
         holder.granted(grant, Instant(1));
     }
@@ -299,3 +300,35 @@
         "a late answer does not turn it back"
     );
 }
+
+#[test]
+fn by_steps() {
+    let mut machine = machine();
+    let mut keeper = Keeper::new(Lease::default(), Instant::default());
+    let mut holder = Holder::new(member(0, 1));
+    for number in 0..400 {
+        let command = Command {
+            operator: "root".parse().expect("a name"),
+            number: 1_000 + number,
+            line: format!("create service s{number} model=m{number}"),
+        };
+        machine.apply(&Record::Command(command)).expect("a change");
+        if number % 7 == 0 || number > 390 {
+            let now = Instant(number);
+            let grant = keeper
+                .renew(&holder.renewal(), &machine, now)
+                .expect("it is known");
+            let whole = matches!(grant.news, News::Whole(_));
+            assert_eq!(whole, number == 0, "steps, but for the first time");
+            holder.granted(grant.clone(), now);
+            holder.granted(grant, now);
+            assert_eq!(holder.get_snapshot(), machine.get_snapshot());
+        }
+    }
+    let mut late = Holder::new(member(1, 2));
+    let grant = keeper
+        .renew(&late.renewal(), &machine, Instant(500))
+        .expect("it is known");
+    late.granted(grant, Instant(500));
+    assert_eq!(late.get_snapshot(), machine.get_snapshot());
+}
--- a/crates/curlewlift/tests/bad_input.rs
+++ b/crates/curlewlift/tests/bad_input.rs
@@ -6,6 +6,9 @@
 use curlewlift_lab::client::Client;
 use support::Small;
 
+/// Method, path, headers, body, and the code that must come.
+type Case<'a> = (Method, &'a str, Vec<(&'a str, &'a str)>, &'a str, &'a str);
+
 #[test]
 fn numbered_refusals() {
     let small = Small::start("numbered_refusals", 1, 1, 1);
@@ -13,7 +16,7 @@
     let chat = "/v1/chat/completions";
     let good = Client::chat("m", "hi", 1, false);
     let large = "x".repeat(5 << 20);
-    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str, &str)> = vec![
+    let cases: Vec<Case<'_>> = vec![
         (Method::POST, chat, vec![], "no json", "1001"),
         (Method::POST, chat, vec![], "[1]", "1001"),
         (Method::POST, chat, vec![], "{\"model\":1}", "1001"),
--- a/crates/curlewlift/tests/broken_answers.rs
+++ b/crates/curlewlift/tests/broken_answers.rs
@@ -97,7 +97,7 @@
     let small = Small::start("own_answers", 1, 2, 1);
     let ask = |number: u64| {
         let ann = small.ann.clone();
-        let to = small.site.entry(usize::from(number % 2 == 0));
+        let to = small.site.entry(usize::from(number.is_multiple_of(2)));
         let path = format!("/services/pay/echo/{number}");
         async move {
             ann.send(to, Method::POST, &path, &[], number.to_string())
--- a/crates/curlewlift/tests/support/mod.rs
+++ b/crates/curlewlift/tests/support/mod.rs
@@ -32,6 +32,7 @@
 }
 
 impl Small {
+    #[allow(dead_code)]
     pub(crate) fn start(name: &str, control: usize, entries: usize, engines: usize) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
--- a/crates/lab/examples/ablations.rs
+++ b/crates/lab/examples/ablations.rs
@@ -1,4 +1,11 @@
 //! Prints what each part of the choice is worth, with one part off at a time:
+
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for people, far below where it matters"
+)]
 //! `cargo run --release -p curlewlift-lab --example ablations`.
 
 use curlewlift_core::fleet::Tuning;
--- a/crates/lab/examples/measure.rs
+++ b/crates/lab/examples/measure.rs
@@ -1,4 +1,11 @@
 //! Prints the measure of the decisions: `cargo run --release -p curlewlift-lab --example measure`.
+
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for people, far below where it matters"
+)]
 //!
 //! With a number it runs as many seeds (3 without); with a word only cases with that word in their
 //! names.
--- a/crates/lab/src/measure/case.rs
+++ b/crates/lab/src/measure/case.rs
@@ -69,7 +69,8 @@
     }
 }
 
-/// One case of the measure.
+/// One case of the measure: each trouble comes or does not.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Case {
     /// Its name.
--- a/crates/lab/src/measure/load.rs
+++ b/crates/lab/src/measure/load.rs
@@ -169,7 +169,6 @@
     // A group's common beginning has one length, whatever the rest of the prompt is.
     let spread = kind.prompt.1 - kind.prompt.0;
     let common = kind.prompt.0 + (group * 7_919) % spread.max(1);
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let common = ((common as f64 * kind.common) as u64).min(prompt - 1);
     Request {
         arrival,
--- a/crates/lab/src/measure/owner.rs
+++ b/crates/lab/src/measure/owner.rs
@@ -66,7 +66,6 @@
 
 fn specs(builds: &[Build], live: &[bool]) -> Vec<Spec> {
     let all = builds.iter().enumerate().filter(|(place, _)| live[*place]);
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let spec = |(place, build): (usize, &Build)| Spec {
         name: server(place),
         hall: format!("h{}", place % 3).parse().expect("a name"),
@@ -166,7 +165,6 @@
 
     fn answer(&mut self, now: f64) {
         for action in self.queue.actions() {
-            #[allow(clippy::cast_possible_truncation)]
             let verdict = match action {
                 Action::Grant { ticket, pick } => {
                     let name = pick.name.as_str();
--- a/crates/lab/src/measure/score.rs
+++ b/crates/lab/src/measure/score.rs
@@ -80,7 +80,6 @@
     pub fn quantile(times: &[f64], part: f64) -> f64 {
         let mut sorted = times.to_vec();
         sorted.sort_by(f64::total_cmp);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let place = (sorted.len() as f64 * part) as usize;
         sorted
             .get(place.min(sorted.len().saturating_sub(1)))
--- a/crates/lab/src/measure/world.rs
+++ b/crates/lab/src/measure/world.rs
@@ -336,7 +336,6 @@
                 continue;
             };
             if let Some(tokens) = self.engines[engine].generated(id) {
-                #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
                 let tokens = Tokens(tokens as u64);
                 self.tell(id, Report::Tokens(tokens), now);
             }
@@ -345,7 +344,6 @@
 
     /// Reports are a second old when they come.
     fn tell_load(&mut self, now: f64, number: u64) {
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let every = (REPORT / STEP) as u64;
         if !number.is_multiple_of(every) || (self.case.silent && now >= TROUBLE) {
             return;
--- a/crates/lab/src/site/started.rs
+++ b/crates/lab/src/site/started.rs
@@ -35,6 +35,16 @@
     number: u64,
 }
 
+/// A lease that is short, so that tests need not wait long.
+fn quick_lease() -> Lease {
+    Lease {
+        length: Duration::from_secs(1),
+        drift: Duration::from_millis(100),
+        renew: Duration::from_millis(150),
+        ..Lease::default()
+    }
+}
+
 fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -50,12 +60,22 @@
     /// If a part cannot be started or does not become ready.
     #[must_use]
     pub fn start(folder: &Path, halls: &[&str], control: usize, entries: usize) -> Self {
-        let lease = Lease {
-            length: Duration::from_secs(1),
-            drift: Duration::from_millis(100),
-            renew: Duration::from_millis(150),
-            ..Lease::default()
-        };
+        Self::start_with(folder, halls, control, entries, quick_lease())
+    }
+
+    /// The same with leases of another length.
+    ///
+    /// # Panics
+    ///
+    /// If a part cannot be started or does not become ready.
+    #[must_use]
+    pub fn start_with(
+        folder: &Path,
+        halls: &[&str],
+        control: usize,
+        entries: usize,
+        lease: Lease,
+    ) -> Self {
         let mut site = Self {
             folder: folder.to_owned(),
             lease,
