Name the entry in the keys that it draws, and set owners aside

And a service's owner at the size to design for spends more than an entry may for control, with nothing to put it on the hosts that may be set aside.

Change: a key that an entry draws names it, and is asked for there; no claim is made. Where the entry is gone the fate is unknown. A host has a field that says whether it may own queues; where none may, all do.

--- a/crates/core/src/config/item.rs
+++ b/crates/core/src/config/item.rs
@@ -108,6 +108,9 @@
     pub hall: id::Hall,
     /// Where the other processes reach it.
     pub rpc: SocketAddr,
+    /// Whether it may own services' queues; where no live entry may, all do. Entries only.
+    #[serde(default = "yes")]
+    pub owns: bool,
     /// Where callers reach it; entries only.
     #[serde(default)]
     pub http: Option<SocketAddr>,
@@ -169,6 +172,10 @@
     }
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn one() -> u32 {
     1
 }
--- a/crates/core/src/view/keeper.rs
+++ b/crates/core/src/view/keeper.rs
@@ -158,7 +158,7 @@
                 members.push(seen.member.clone());
             }
         }
-        mark_leaving(&mut members, machine.get_snapshot());
+        mark(&mut members, machine.get_snapshot());
         members.sort_by(|a, b| a.host.cmp(&b.host));
         let number = roster.number.next();
         (aged || members != roster.members).then_some(Roster { number, members })
@@ -196,13 +196,13 @@
     (member.host.clone(), member.incarnation)
 }
 
-/// Marks what the operators drain; a member that says itself that it is leaving stays marked.
-fn mark_leaving(members: &mut [Member], snapshot: &Snapshot) {
+/// Marks what the operators drain or set aside; a member that says itself that it is leaving stays
+/// marked.
+fn mark(members: &mut [Member], snapshot: &Snapshot) {
     for member in members {
-        let state = snapshot
-            .hosts
-            .get(&member.host)
-            .map_or(State::Leaving, |host| host.state);
+        let host = snapshot.hosts.get(&member.host);
+        member.owns = host.is_some_and(|host| host.owns);
+        let state = host.map_or(State::Leaving, |host| host.state);
         member.leaving |= state != State::Live;
     }
 }
--- a/crates/core/src/view/roster.rs
+++ b/crates/core/src/view/roster.rs
@@ -26,6 +26,8 @@
     pub incarnation: u64,
     /// Whether it is stopping: then it owns nothing and keeps nothing.
     pub leaving: bool,
+    /// Whether it may own services' queues.
+    pub owns: bool,
 }
 
 /// A view.
@@ -61,11 +63,14 @@
 
     /// The entry that orders the waiting work of `service`.
     ///
-    /// By rendezvous hashing: where a member goes, only what it owned moves. Linear in members.
+    /// By rendezvous hashing: where a member goes, only what it owned moves. Members that the
+    /// operators set aside for it go before all others. Linear in members.
     #[must_use]
     pub fn owner(&self, service: &id::Service) -> Option<&Member> {
-        let staying = self.members.iter().filter(|member| !member.leaving);
-        staying.max_by_key(|member| weight(&member.host, service.as_str().as_bytes()))
+        let rank = |member: &&Member| weight(&member.host, service.as_str().as_bytes());
+        let staying = || self.members.iter().filter(|member| !member.leaving);
+        let owners = staying().filter(|member| member.owns).max_by_key(rank);
+        owners.or_else(|| staying().max_by_key(rank))
     }
 
     /// The entries that keep `shard`, the deciding one first, in different data halls where there
--- a/crates/core/tests/claim_histories.rs
+++ b/crates/core/tests/claim_histories.rs
@@ -82,6 +82,7 @@
         http: address,
         incarnation,
         leaving: false,
+        owns: true,
     }
 }
 
--- a/crates/core/tests/view_histories.rs
+++ b/crates/core/tests/view_histories.rs
@@ -77,6 +77,7 @@
         http: address,
         incarnation,
         leaving: false,
+        owns: true,
     }
 }
 
--- a/crates/curlewlift/src/entry/answers.rs
+++ b/crates/curlewlift/src/entry/answers.rs
@@ -64,8 +64,15 @@
         }
         ClaimCall::Copy { shard, view } => ClaimReply::Copy(lock(&node.table).copy(shard, view)),
         ClaimCall::Look { key } => ClaimReply::Looked(lock(&node.table).get(key).cloned()),
-        ClaimCall::Fetch { key, from } => {
+        ClaimCall::Fetch { key, body, from } => {
             let kept = lock(&node.shelf).get(key).cloned();
+            if kept
+                .as_ref()
+                .is_some_and(|kept| body != 0 && kept.digest != body)
+            {
+                let why = "the key was used with another body";
+                return Err(Refusal::new(Code::OtherBody, why));
+            }
             let from = usize::try_from(from).unwrap_or(usize::MAX);
             match kept {
                 Some(kept) => ClaimReply::Piece(Some(kept.piece(from, WAIT).await)),
--- a/crates/curlewlift/src/entry/daemon.rs
+++ b/crates/curlewlift/src/entry/daemon.rs
@@ -120,6 +120,7 @@
         http: address(&http_listener)?,
         incarnation: rand::rng().next_u64(),
         leaving: false,
+        owns: true,
     };
     let client = rpc::Client::new(timeline.clone());
     let listening = format!("entry, rpc={} http={}", member.rpc, member.http);
--- a/crates/curlewlift/src/entry/http.rs
+++ b/crates/curlewlift/src/entry/http.rs
@@ -32,6 +32,7 @@
 use super::addresses;
 use super::admit;
 use super::claims;
+use super::issue;
 use super::node::Node;
 use super::node::lock;
 use super::parse;
@@ -45,6 +46,9 @@
 /// How long a caller may take to send a body.
 const SLOWEST: Duration = Duration::from_secs(30);
 
+/// The hash that stands for any body.
+const ANY_BODY: u64 = 0;
+
 /// How long a body that is too large is taken and thrown away.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -251,9 +255,12 @@
 
 async fn fate(node: &Shared, key: &str, headers: &HeaderMap) -> Result<Value, Refusal> {
     let (customer, _) = admit::customer(node, headers)?;
-    let record = claims::look(node, id::Key::new(&customer, key)).await?;
-    let record = record.ok_or_else(not_kept)?;
-    Ok(match record.fate {
+    let id = id::Key::new(&customer, key);
+    let fate = match issue::record(key, ANY_BODY) {
+        Some(record) => run::state(node, id, &record).await?,
+        None => claims::look(node, id).await?.ok_or_else(not_kept)?.fate,
+    };
+    Ok(match fate {
         Fate::Open => json!({ "key": key, "state": "open" }),
         Fate::Ended { outcome, code } => json!({
             "key": key,
@@ -286,6 +293,9 @@
     if let Some(kept) = lock(&node.shelf).get(key) {
         return Ok(kept.attach());
     }
-    let record = claims::look(node, key).await?.ok_or_else(not_kept)?;
+    let record = match issue::record(key_text, ANY_BODY) {
+        Some(record) => record,
+        None => claims::look(node, key).await?.ok_or_else(not_kept)?,
+    };
     Ok(run::collect(node, key, record))
 }
--- a/crates/curlewlift/src/entry/mod.rs
+++ b/crates/curlewlift/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod claims;
 mod daemon;
 mod http;
+mod issue;
 mod kept;
 mod node;
 mod owner;
--- a/crates/curlewlift/src/entry/node.rs
+++ b/crates/curlewlift/src/entry/node.rs
@@ -156,11 +156,6 @@
         Arc::clone(lock(&self.holder).get_snapshot())
     }
 
-    /// The newest view's number.
-    pub(super) fn held(&self) -> id::View {
-        lock(&self.holder).get_roster().number
-    }
-
     /// A number for the next request.
     pub(super) fn ticket(&self) -> id::Ticket {
         id::Ticket(self.tickets.fetch_add(1, Ordering::Relaxed) + 1)
--- a/crates/curlewlift/src/entry/parse.rs
+++ b/crates/curlewlift/src/entry/parse.rs
@@ -14,9 +14,9 @@
 use curlewlift_core::fleet::Prefix;
 use curlewlift_core::id;
 use curlewlift_core::unit::Tokens;
-use rand::Rng;
 use serde_json::Value;
 
+use super::issue;
 use super::node::Node;
 use super::request::Call;
 use super::request::Request;
@@ -70,10 +70,9 @@
 }
 
 /// The request key that the headers name, or a new one; and whether they name it.
-fn key(headers: &HeaderMap) -> Result<(String, bool), Refusal> {
+fn key(node: &Node, headers: &HeaderMap) -> Result<(String, bool), Refusal> {
     let Some(text) = single(headers, &KEY)? else {
-        let drawn = (rand::rng().next_u64(), rand::rng().next_u64());
-        return Ok((format!("e-{:016x}{:016x}", drawn.0, drawn.1), false));
+        return Ok((issue::draw(&node.member), false));
     };
     if text.is_empty() || text.len() > LONGEST_KEY {
         let why = format!("`{KEY}` must have 1 to {LONGEST_KEY} characters");
@@ -184,15 +183,11 @@
     headers: &HeaderMap,
     call: Call,
 ) -> Result<Request, Refusal> {
-    let (key_text, keyed) = key(headers)?;
+    let (key_text, keyed) = key(node, headers)?;
     let left = deadline(headers)?;
     Ok(Request {
         key: id::Key::new(&sender.customer, &key_text),
-        stamp: if keyed {
-            stamp(&key_text)
-        } else {
-            Some(node.held())
-        },
+        stamp: stamp(&key_text),
         key_text,
         keyed,
         customer: sender.customer,
--- a/crates/curlewlift/src/entry/run.rs
+++ b/crates/curlewlift/src/entry/run.rs
@@ -20,6 +20,7 @@
 
 use super::claims;
 use super::claims::Stop;
+use super::issue;
 use super::kept::End;
 use super::kept::Head;
 use super::kept::Kept;
@@ -111,7 +112,12 @@
 }
 
 async fn work(node: &Arc<Node>, request: &Arc<Request>, kept: &Arc<Kept>) -> End {
-    let claim = claims::claim(node, request);
+    if request.keyed
+        && let Some(record) = issue::record(&request.key_text, request.digest)
+    {
+        return follow(node, request.key, kept, record).await;
+    }
+    let claim = claim(node, request);
     let turn = async {
         schedule::turn(node, request, 0)
             .await
@@ -140,6 +146,14 @@
     }
 }
 
+/// Claims the key, if anyone but this entry could bring it.
+async fn claim(node: &Arc<Node>, request: &Request) -> Result<(), Stop> {
+    if request.keyed {
+        claims::claim(node, request).await?;
+    }
+    Ok(())
+}
+
 fn not_run(refusal: Refusal) -> End {
     End {
         outcome: Outcome::NotRun,
@@ -154,7 +168,7 @@
         .refusal
         .as_ref()
         .map_or(0, |why| why.get_code().number());
-    if !kept.is_followed() {
+    if request.keyed && !kept.is_followed() {
         let node = Arc::clone(node);
         let request = Arc::clone(request);
         let told = tokio::spawn(async move { claims::end(&node, &request, fate).await });
@@ -186,8 +200,9 @@
     node.timeline
         .note(line.detail(format_args!("holder={}", record.holder)));
     loop {
-        let piece = match fetch(node, key, kept, &record).await {
+        let piece = match fetch(node, key, kept.length() as u64, &record).await {
             Ok(piece) => piece,
+            Err(refusal) if refusal.get_code() == Code::OtherBody => return not_run(refusal),
             Err(refusal) => return unknown(refusal),
         };
         if let Some((status, headers)) = piece.head {
@@ -219,7 +234,7 @@
 async fn fetch(
     node: &Arc<Node>,
     key: id::Key,
-    kept: &Kept,
+    from: u64,
     record: &Record,
 ) -> Result<Piece, Refusal> {
     let lost = || {
@@ -233,7 +248,8 @@
     }
     let call = ClaimCall::Fetch {
         key,
-        from: kept.length() as u64,
+        body: record.body,
+        from,
     };
     match node.rpc.call(holder.rpc, Method::Claim, &call, FETCH).await {
         Ok(ClaimReply::Piece(Some(piece))) => Ok(piece),
@@ -258,3 +274,18 @@
     });
     reader
 }
+
+/// What the entry that drew `key` knows of its request.
+pub(super) async fn state(
+    node: &Arc<Node>,
+    key: id::Key,
+    record: &Record,
+) -> Result<Fate, Refusal> {
+    if record.holder == node.member.host && record.incarnation == node.member.incarnation {
+        let end = lock(&node.shelf).get(key).map(|kept| kept.get_end());
+        let end = end.ok_or_else(|| Refusal::new(Code::UnknownKey, "its answer is not kept"))?;
+        return Ok(end.map_or(Fate::Open, |end| end.fate()));
+    }
+    let piece = fetch(node, key, u64::MAX, record).await?;
+    Ok(piece.fate.unwrap_or(Fate::Open))
+}
--- a/crates/curlewlift/src/entry/stop.rs
+++ b/crates/curlewlift/src/entry/stop.rs
@@ -14,6 +14,9 @@
 /// Between two looks whether all is finished.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// Between two looks whether the operators have told this entry to stop.
+const TOLD: Duration = Duration::from_millis(250);
+
 /// Before the process ends, for the last word to reach the leader.
 const LAST: Duration = Duration::from_millis(500);
 
@@ -25,7 +28,7 @@
         if host.is_some_and(|host| host.state == curlewlift_core::config::State::Stopping) {
             return;
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(TOLD).await;
     }
 }
 
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -46,8 +46,9 @@
     Copy { shard: id::Shard, view: id::View },
     /// Asks what is kept of a key.
     Look { key: id::Key },
-    /// Asks the holder for the answer, from a byte on; waits a while for more.
-    Fetch { key: id::Key, from: u64 },
+    /// Asks the holder for the answer to a body, by the body's hash (0 for any), from a byte on;
+    /// waits a while for more.
+    Fetch { key: id::Key, body: u64, from: u64 },
 }
 
 /// The answers to [`ClaimCall`].
--- a/crates/curlewlift/tests/request_keys.rs
+++ b/crates/curlewlift/tests/request_keys.rs
@@ -117,3 +117,58 @@
     assert!(again.body.ends_with("code=0 outcome=run\n\n"));
     assert_eq!(small.most_runs(), 1);
 }
+
+#[test]
+fn drawn_key() {
+    let mut small = Small::start("drawn_key", 1, 3, 1);
+    let body = Client::chat("m", "hello", 5, false);
+    let first = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(0), &[], body.clone()));
+    let key = first.header("curlewlift-key").to_owned();
+    let headers = [(KEY, key.as_str())];
+    for entry in 0..3 {
+        let again = small
+            .ann
+            .post(small.site.entry(entry), &headers, body.clone());
+        let again = small.runtime.block_on(again);
+        assert_eq!(again.body, first.body, "entry {entry}");
+        let path = format!("/curlewlift/requests/{key}");
+        let state = small
+            .ann
+            .send(small.site.entry(entry), Method::GET, &path, &[], "");
+        let state = small.runtime.block_on(state);
+        assert!(state.body.contains("\"outcome\":\"run\""), "{}", state.body);
+        let answer = format!("{path}/answer");
+        let answer = small
+            .ann
+            .send(small.site.entry(entry), Method::GET, &answer, &[], "");
+        assert_eq!(small.runtime.block_on(answer).body, first.body);
+        let other = Client::chat("m", "other", 5, false);
+        let other = small.ann.post(small.site.entry(entry), &headers, other);
+        assert_eq!(
+            small.runtime.block_on(other).header("curlewlift-code"),
+            "5001"
+        );
+    }
+    assert_eq!(small.most_runs(), 1);
+    let unseen = Client::chat("m", "unseen", 5, false);
+    let unseen = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(0), &[], unseen));
+    let key = unseen.header("curlewlift-key").to_owned();
+    let headers = [(KEY, key.as_str())];
+    let body = Client::chat("m", "unseen", 5, false);
+    small.site.kill_entry(0);
+    small.site.wait_for_view(2);
+    let lost = small
+        .runtime
+        .block_on(small.ann.post(small.site.entry(1), &headers, body));
+    assert_eq!(
+        lost.header("curlewlift-code"),
+        "5003",
+        "its entry is gone: {}",
+        lost.body
+    );
+    assert_eq!(lost.header("curlewlift-outcome"), "unknown");
+}
--- a/crates/lab/examples/slopes.rs
+++ b/crates/lab/examples/slopes.rs
@@ -8,7 +8,7 @@
 )]
 //! `cargo run --release -p curlewlift-lab --example slopes [part] [most entries]`.
 //!
-//! A part is one of owner, claims, leases, changes, views, processes; without one all are run. What
+//! A part is one of owner, claims, leases, changes, views, requests, processes; without one all are run. What
 //! memory a part takes is only told by a run of that part alone.
 //!
 //! The parts are timed by themselves on one thread; then a control replica and up to so many real
@@ -41,7 +41,10 @@
 use curlewlift_core::view::Member;
 use curlewlift_core::view::Renewal;
 use curlewlift_core::view::Roster;
+use curlewlift_lab::client::Client;
 use curlewlift_lab::site::Site;
+use curlewlift_lab::standin::Engine;
+use curlewlift_lab::standin::Shape;
 
 /// Bytes of a page of memory.
 const PAGE: u64 = 4_096;
@@ -72,6 +75,9 @@
     if wanted("views") {
         views();
     }
+    if wanted("requests") {
+        requests();
+    }
     if wanted("processes") {
         processes(most);
     }
@@ -159,6 +165,7 @@
             .expect("an address"),
         incarnation: place,
         leaving: false,
+        owns: true,
     }
 }
 
@@ -405,6 +412,99 @@
     fit("taking up a view, by entries", "ms", &points);
 }
 
+/// Seconds of processor time of the threads whose names begin with `name`.
+fn threads(name: &str) -> f64 {
+    let tasks = std::fs::read_dir("/proc/self/task")
+        .into_iter()
+        .flatten()
+        .flatten();
+    let read = |file: &str| std::fs::read_to_string(file).unwrap_or_default();
+    let paths = tasks.map(|task| task.path().display().to_string());
+    let named = paths.filter(|path| read(&format!("{path}/comm")).starts_with(name));
+    // The first number of schedstat is the time on a processor in nanoseconds.
+    let spent = named.map(|path| {
+        let text = read(&format!("{path}/schedstat"));
+        text.split(' ')
+            .next()
+            .and_then(|first| first.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    });
+    spent.sum::<f64>() / 1e9
+}
+
+/// What a request costs the entries: six of them, all by one client, engines that answer at once.
+fn requests() {
+    println!("\n# requests through six entries: processor time of all entries");
+    let folder = std::env::temp_dir().join(format!("curlewlift-slopes-{}", std::process::id()));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("a runtime");
+    let mut site = Site::start(&folder, &["h1", "h2", "h3"], 1, 6);
+    site.tiers();
+    site.run("create service chat model=m");
+    site.customer("ann", "live", "rate=100000 open=100000");
+    let shape = Shape {
+        prefill: 10_000_000,
+        decode: 1_000_000,
+    };
+    let engines: Vec<_> = (0..4)
+        .map(|_| runtime.block_on(Engine::start(shape)))
+        .collect();
+    for (place, engine) in engines.iter().enumerate() {
+        let fields = "slots=1000 prefill=10000000 decode=1000000";
+        site.server(&format!("m{place}"), "chat", engine.address(), fields);
+    }
+    site.wait_in_force();
+    let idle = spent(&runtime, &site, 0, 1);
+    println!("  idle: {:.2}% of a core an entry", 100.0 * idle / 6.0);
+    let mut points = Vec::new();
+    for rate in [50, 100, 200, 400] {
+        points.push((f64::from(rate), 1_000.0 * spent(&runtime, &site, rate, 1)));
+    }
+    fit(
+        "milliseconds a second, by requests a second of one token",
+        "ms/s",
+        &points,
+    );
+    let mut points = Vec::new();
+    for tokens in [1, 50, 100, 200] {
+        let spent = spent(&runtime, &site, 100, tokens);
+        points.push((tokens as f64, 1e6 * spent / 100.0));
+    }
+    fit("microseconds a request, by tokens", "us", &points);
+    drop(site);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// Seconds of processor time a second that all entries spend under a load.
+fn spent(runtime: &tokio::runtime::Runtime, site: &Site, rate: u32, tokens: u64) -> f64 {
+    const SECONDS: u32 = 4;
+    let before = threads("entry");
+    let began = Wall::now();
+    let client = Client::new("key-ann");
+    let entries: Vec<_> = (0..6).map(|place| site.entry(place)).collect();
+    runtime.block_on(async {
+        let mut tasks = Vec::new();
+        let total = rate * SECONDS;
+        let mut tick = tokio::time::interval(Duration::from_secs(1) / rate.max(1));
+        for number in 0..total {
+            tick.tick().await;
+            let (client, to) = (client.clone(), entries[number as usize % entries.len()]);
+            let body = Client::chat("m", &format!("hello {number}"), tokens, true);
+            tasks.push(tokio::spawn(async move {
+                let reply = client.post(to, &[], body).await;
+                assert!(reply.body.contains("outcome=run"), "{}", reply.body);
+            }));
+        }
+        for task in tasks {
+            task.await.expect("a request is answered");
+        }
+        tokio::time::sleep_until((began + Duration::from_secs(u64::from(SECONDS))).into()).await;
+    });
+    (threads("entry") - before) / began.elapsed().as_secs_f64()
+}
+
 fn processes(most: usize) {
     println!("\n# real processes on loopback: one control replica and entries, idle");
     let folder = std::env::temp_dir().join(format!("curlewlift-slopes-{}", std::process::id()));
