Count the bytes that a request costs between entries

Change: the slopes example takes the bytes of the caller's own hop, asked straight of an engine, twice off those of a request through an entry.

--- a/crates/lab/examples/slopes.rs
+++ b/crates/lab/examples/slopes.rs
@@ -473,10 +473,43 @@
         points.push((tokens as f64, 1e6 * spent / 100.0));
     }
     fit("microseconds a request, by tokens", "us", &points);
+    control_bytes(&runtime, &site, &engines);
     drop(site);
     let _ = std::fs::remove_dir_all(folder);
 }
 
+/// Bytes a request between entries: all bytes less twice those of the caller's own hop.
+fn control_bytes(runtime: &tokio::runtime::Runtime, site: &Site, engines: &[Engine]) {
+    const COUNT: usize = 400;
+    let client = Client::new("key-ann");
+    let idle = {
+        let before = loopback();
+        std::thread::sleep(Duration::from_secs(2));
+        (loopback() - before) / 2.0
+    };
+    let ask = |to: &dyn Fn(usize) -> std::net::SocketAddr, keyed: bool| {
+        let began = Wall::now();
+        let before = loopback();
+        for number in 0..COUNT {
+            let key = format!("k{number}");
+            let headers = [("idempotency-key", key.as_str())];
+            let headers = if keyed { &headers[..] } else { &[] };
+            let body = Client::chat("m", "hello", 1, true);
+            runtime.block_on(client.post(to(number), headers, body));
+        }
+        let rest = idle * began.elapsed().as_secs_f64();
+        (loopback() - before - rest) / COUNT as f64
+    };
+    let direct = ask(&|number| engines[number % engines.len()].address(), false);
+    let drawn = ask(&|number| site.entry(number % 6), false);
+    let keyed = ask(&|number| site.entry(number % 6), true);
+    println!(
+        "  bytes a request: one hop {direct:.0}; between entries {:.0}, with a caller's key {:.0}",
+        drawn - 2.0 * direct,
+        keyed - 2.0 * direct
+    );
+}
+
 /// Seconds of processor time a second that all entries spend under a load.
 fn spent(runtime: &tokio::runtime::Runtime, site: &Site, rate: u32, tokens: u64) -> f64 {
     const SECONDS: u32 = 4;
