Lose no records when a shard moves, and say unknown where they are lost

Cause: `charge_once` failed now and then: a charge was refused with 5003 right after the start. The time line showed it: an entry that joined in the hall of another took shards over from it, and the other dropped its copies in the same step, so the copies that it was asked for were not there and the records counted as lost. Ruled out: skipped views (they happened too, but were not the cause here). Two more faults came up: the refusal said not-run although an earlier request with the key may have run; and a copy that was asked of a dead entry held up the renewals until the lease was lost (`others_go_on`).

Change: copies that move away stay for one view, for those who fill theirs. A view is followed by another only when each of its live members has taken it up, and while a copy is not whole only for a death. Copies are asked for beside the renewals. Where records are lost the outcome is unknown.

--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -70,6 +70,8 @@
     limit: usize,
     view: id::View,
     held: BTreeMap<Shard, Held>,
+    /// Whole copies of the former view that are kept elsewhere now, for those who fill theirs.
+    former: BTreeMap<Shard, Slot>,
     order: VecDeque<(Instant, id::View, Key)>,
 }
 
@@ -83,13 +85,15 @@
             limit,
             view: id::View::default(),
             held: BTreeMap::new(),
+            former: BTreeMap::new(),
             order: VecDeque::new(),
         }
     }
 
     /// Takes up a view that has become active: `previous` tells who may have copies.
     ///
-    /// A shard that was kept here and still is stays whole. A new one waits for a copy; where no
+    /// A shard that was kept here and still is stays whole; one that was kept here and is not any more
+    /// stays for one view, for those who fill theirs. A new one waits for a copy; where no
     /// keeper of the former view is left there is none, and the loss is remembered. The first view
     /// of all has nothing to lose.
     pub fn adopt(&mut self, roster: &Roster, previous: &Roster, now: Instant) {
@@ -115,6 +119,12 @@
             let held = kept.unwrap_or_else(|| self.begin(shard, roster, previous, now));
             self.held.insert(shard, held);
         }
+        let fresh = former_view == previous.number;
+        let whole = former.into_iter().filter_map(|(shard, held)| match held {
+            Held::Whole(slot) if fresh => Some((shard, slot)),
+            _ => None,
+        });
+        self.former = whole.collect();
     }
 
     /// Whether this entry had to agree to every claim of `shard` under `previous`.
@@ -261,7 +271,11 @@
         }
         match self.held.get(&shard) {
             Some(Held::Whole(slot)) => Copy::Whole(slot.clone()),
-            _ => Copy::NotWhole,
+            Some(Held::Filling(_)) => Copy::NotWhole,
+            None => {
+                let former = self.former.get(&shard);
+                former.map_or(Copy::NotWhole, |slot| Copy::Whole(slot.clone()))
+            }
         }
     }
 
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -72,6 +72,8 @@
     Refused = 208, "refused", "The request was refused; the detail has the code.";
     CallerLeft = 209, "caller-left", "The caller went away before its answer was whole.";
     TriedAgain = 210, "tried-again", "Surely nothing ran; the request asks for another server.";
+    ClaimKept = 211, "claim-kept", "This entry keeps the request's claim as a replica of its shard.";
+    Queued = 212, "queued", "The request is in the queue of the service, at its owner.";
     Shed = 220, "shed", "The owner has shed a waiting request.";
     Owns = 221, "owns", "This entry has become the owner of a service's queue.";
     ViewHeld = 300, "view-held", "The entry has adopted a view and acts no more under the former.";
--- a/crates/core/src/view/holder.rs
+++ b/crates/core/src/view/holder.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Instant;
 use crate::config::Snapshot;
+use crate::id;
 use crate::lang;
 use crate::lang::Statement;
 use crate::state::Step;
@@ -24,6 +25,7 @@
     until: Instant,
     snapshot: Arc<Snapshot>,
     gone: bool,
+    whole: bool,
 }
 
 impl Holder {
@@ -38,6 +40,7 @@
             until: Instant::default(),
             snapshot: Arc::default(),
             gone: false,
+            whole: true,
         }
     }
 
@@ -47,6 +50,12 @@
         Renewal {
             member: self.member.clone(),
             held: self.roster.number,
+            acting: if self.active {
+                self.roster.number
+            } else {
+                id::View::default()
+            },
+            whole: self.whole,
             revision: self.snapshot.revision,
             gone: self.gone,
         }
@@ -116,6 +125,11 @@
         !self.active && now < self.until
     }
 
+    /// Whether every shard that this entry keeps is whole; the leader is told with each renewal.
+    pub fn whole(&mut self, whole: bool) {
+        self.whole = whole;
+    }
+
     /// Tells the leader from now on that this entry is stopping.
     pub fn leave(&mut self) {
         self.member.leaving = true;
--- a/crates/core/src/view/keeper.rs
+++ b/crates/core/src/view/keeper.rs
@@ -30,6 +30,8 @@
 struct Seen {
     member: Member,
     held: id::View,
+    acting: id::View,
+    whole: bool,
     revision: id::Revision,
     heard: Instant,
     gone: bool,
@@ -83,6 +85,8 @@
         let seen = Seen {
             member: asked.member.clone(),
             held: asked.held,
+            acting: asked.acting,
+            whole: asked.whole,
             revision: asked.revision,
             heard: now,
             gone: asked.gone,
@@ -126,7 +130,8 @@
     /// The next view, where the present one is active and no longer fits, or has lasted so long
     /// that its number tells no age any more.
     ///
-    /// A view stays for two renewals at least, so that each entry can take it up.
+    /// A view stays until each of its members that lives has taken it up: a copy of a shard's claims
+    /// is never passed over. And while a copy is not whole only a death makes the next view.
     #[must_use]
     pub fn next(&mut self, machine: &Machine, now: Instant) -> Option<Roster> {
         let roster = machine.get_roster();
@@ -140,8 +145,25 @@
                 now
             }
         };
-        let settled = roster.number == id::View(0) || now.since(since) >= self.lease.renew * 2;
-        if !settled {
+        let live = |member: &&Member| !self.is_dead(member, now);
+        if !roster
+            .members
+            .iter()
+            .filter(live)
+            .all(|member| self.has_taken_up(member, roster))
+        {
+            return None;
+        }
+        let whole = roster
+            .members
+            .iter()
+            .filter(live)
+            .all(|member| self.is_whole(member));
+        let death = roster
+            .members
+            .iter()
+            .any(|member| self.is_dead(member, now));
+        if !whole && !death {
             return None;
         }
         let aged = !roster.members.is_empty() && now.since(since) >= self.lease.age;
@@ -164,15 +186,32 @@
         (aged || members != roster.members).then_some(Roster { number, members })
     }
 
+    /// Whether `member` acts no more: it has said so, or its lease has run out.
+    fn is_dead(&self, member: &Member, now: Instant) -> bool {
+        match self.seen.get(&process(member)) {
+            Some(seen) => seen.gone || self.has_run_out(seen.heard, now),
+            None => self.has_run_out(self.began, now),
+        }
+    }
+
+    fn has_taken_up(&self, member: &Member, roster: &Roster) -> bool {
+        let seen = self.seen.get(&process(member));
+        seen.is_some_and(|seen| seen.acting >= roster.number)
+    }
+
+    fn is_whole(&self, member: &Member) -> bool {
+        self.seen
+            .get(&process(member))
+            .is_some_and(|seen| seen.whole)
+    }
+
     /// What becomes of `member` in the next view.
     fn kept(&self, member: &Member, now: Instant) -> Option<Member> {
-        let Some(seen) = self.seen.get(&process(member)) else {
-            return (!self.has_run_out(self.began, now)).then(|| member.clone());
-        };
-        if seen.gone || self.has_run_out(seen.heard, now) {
+        if self.is_dead(member, now) {
             return None;
         }
-        Some(seen.member.clone())
+        let seen = self.seen.get(&process(member));
+        Some(seen.map_or_else(|| member.clone(), |seen| seen.member.clone()))
     }
 
     /// The revision that was last told to be in force at each entry, and how long ago.
--- a/crates/core/src/view/lease.rs
+++ b/crates/core/src/view/lease.rs
@@ -45,6 +45,10 @@
     pub member: Member,
     /// The newest view that it has adopted: it acts under no older one any more.
     pub held: id::View,
+    /// The newest view that it has taken up as active.
+    pub acting: id::View,
+    /// Whether every shard that it keeps is whole there.
+    pub whole: bool,
     /// The revision that is in force there.
     pub revision: id::Revision,
     /// Whether it has ended its work and acts no more.
--- a/crates/core/tests/claim_histories.rs
+++ b/crates/core/tests/claim_histories.rs
@@ -406,3 +406,41 @@
         "not run: it may be tried again"
     );
 }
+
+#[test]
+fn displaced_copies() {
+    // The second entry stands in the first one's hall and takes shards over from it.
+    let (old, new) = (member(0, 0), member(3, 1));
+    let others = [member(1, 2), member(2, 3)];
+    let now = Instant::default();
+    let first = roster(1, &[&old, &others[0], &others[1]]);
+    let second = roster(2, &[&old, &others[0], &others[1], &new]);
+    let mut keeper = table(&old);
+    keeper.adopt(&first, &Roster::default(), now);
+    for key in 0..200 {
+        let mut claim = claim(1, None);
+        claim.key = id::Key(key);
+        assert_eq!(keeper.claim(&claim, now), Answer::Granted);
+    }
+    keeper.adopt(&second, &first, now);
+    let mut filled = table(&new);
+    filled.adopt(&second, &first, now);
+    let wanted = filled.wanted();
+    assert!(wanted.len() > 50, "it takes shards over: {}", wanted.len());
+    for (shard, _) in wanted {
+        let Copy::Whole(slot) = keeper.copy(shard, id::View(2)) else {
+            panic!("shard {shard} is lost although its copy is there");
+        };
+        filled.fill(shard, id::View(2), slot, now);
+    }
+    let mut again = claim(2, None);
+    again.record.holder = "e8".parse().expect("a name");
+    for key in 0..200 {
+        again.key = id::Key(key);
+        let answer = filled.claim(&again, now);
+        assert!(
+            matches!(answer, Answer::Earlier(_) | Answer::OtherView(_)),
+            "{answer:?}"
+        );
+    }
+}
--- a/crates/core/tests/view_histories.rs
+++ b/crates/core/tests/view_histories.rs
@@ -333,3 +333,55 @@
     late.granted(grant, Instant(500));
     assert_eq!(late.get_snapshot(), machine.get_snapshot());
 }
+
+#[test]
+fn taken_up_first() {
+    let mut machine = machine();
+    let mut keeper = Keeper::new(Lease::default(), Instant::default());
+    let mut holders: Vec<_> = (0..3).map(|place| Holder::new(member(place, 1))).collect();
+    let renew = |keeper: &mut Keeper, holder: &mut Holder, machine: &Machine, now: u64| {
+        let grant = keeper.renew(&holder.renewal(), machine, Instant(now));
+        holder.granted(grant.expect("it is known"), Instant(now));
+    };
+    let propose = |keeper: &mut Keeper, machine: &mut Machine, now: u64| {
+        let next = keeper.next(machine, Instant(now));
+        let some = next.is_some();
+        if let Some(roster) = next {
+            machine
+                .apply(&Record::Roster(roster))
+                .expect("a view is taken");
+        }
+        some
+    };
+    renew(&mut keeper, &mut holders[0], &machine, 1);
+    assert!(propose(&mut keeper, &mut machine, 2));
+    renew(&mut keeper, &mut holders[1], &machine, 3);
+    assert!(
+        !propose(&mut keeper, &mut machine, 4),
+        "the first has not taken its view up"
+    );
+    renew(&mut keeper, &mut holders[0], &machine, 5);
+    assert!(
+        !propose(&mut keeper, &mut machine, 6),
+        "nor told that it has"
+    );
+    renew(&mut keeper, &mut holders[0], &machine, 7);
+    assert!(propose(&mut keeper, &mut machine, 8));
+    for now in 9..12 {
+        renew(&mut keeper, &mut holders[0], &machine, now);
+        renew(&mut keeper, &mut holders[1], &machine, now);
+    }
+    holders[1].whole(false);
+    renew(&mut keeper, &mut holders[1], &machine, 20);
+    renew(&mut keeper, &mut holders[2], &machine, 21);
+    assert!(
+        !propose(&mut keeper, &mut machine, 22),
+        "a copy is not whole"
+    );
+    let late = 2_200_000;
+    renew(&mut keeper, &mut holders[1], &machine, late);
+    assert!(
+        propose(&mut keeper, &mut machine, late + 1),
+        "but a death does not wait"
+    );
+}
--- a/crates/curlewlift/src/entry/answers.rs
+++ b/crates/curlewlift/src/entry/answers.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use curlewlift_core::claim::Answer;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Filter;
+use curlewlift_core::event::Kind;
+use curlewlift_core::event::Line;
 use futures::FutureExt;
 
 use crate::rpc;
@@ -51,7 +54,14 @@
     Ok(match call {
         ClaimCall::Claim(claim) => {
             node.acting()?;
-            ClaimReply::Claimed(lock(&node.table).claim(&claim, node.now()))
+            let answer = lock(&node.table).claim(&claim, node.now());
+            if answer == Answer::Granted {
+                let line = Line::new(Kind::ClaimKept).key(claim.key);
+                let holder = &claim.record.holder;
+                node.timeline
+                    .note(line.detail(format_args!("holder={holder}")));
+            }
+            ClaimReply::Claimed(answer)
         }
         ClaimCall::End {
             key,
--- a/crates/curlewlift/src/entry/http.rs
+++ b/crates/curlewlift/src/entry/http.rs
@@ -256,9 +256,10 @@
 async fn fate(node: &Shared, key: &str, headers: &HeaderMap) -> Result<Value, Refusal> {
     let (customer, _) = admit::customer(node, headers)?;
     let id = id::Key::new(&customer, key);
-    let fate = match issue::record(key, ANY_BODY) {
+    let drawn = issue::record(key, ANY_BODY);
+    let fate = match drawn {
         Some(record) => run::state(node, id, &record).await?,
-        None => claims::look(node, id).await?.ok_or_else(not_kept)?.fate,
+        None => claimed(node, id).await?,
     };
     Ok(match fate {
         Fate::Open => json!({ "key": key, "state": "open" }),
@@ -271,6 +272,16 @@
     })
 }
 
+/// What became of a request whose key was claimed.
+async fn claimed(node: &Shared, key: id::Key) -> Result<Fate, Refusal> {
+    let record = claims::look(node, key).await?.ok_or_else(not_kept)?;
+    match record.fate {
+        // The holder may have ended it and the replicas not know yet.
+        Fate::Open => Ok(run::state(node, key, &record).await.unwrap_or(Fate::Open)),
+        Fate::Ended { .. } => Ok(record.fate),
+    }
+}
+
 fn not_kept() -> Refusal {
     Refusal::new(Code::UnknownKey, "no request with this key is kept")
 }
--- a/crates/curlewlift/src/entry/owner.rs
+++ b/crates/curlewlift/src/entry/owner.rs
@@ -147,6 +147,7 @@
 pub(super) fn ask(node: &Node, call: AskCall) -> Result<oneshot::Receiver<Word>, Refusal> {
     let AskCall::Ask {
         service,
+        key,
         ticket,
         host,
         customer,
@@ -183,6 +184,9 @@
         first: first.map_or(node.now() + left, |first| node.now() + left.min(first)),
         deadline: node.now() + left,
     };
+    let line = Line::new(Kind::Queued).key(key).customer(&ask.customer);
+    let detail = format!("service={service} tier={} from={}", ask.rank, ask.ticket);
+    node.timeline.note(line.detail(detail));
     let (sender, receiver) = oneshot::channel();
     let ticket = ask.ticket.clone();
     if let Some(server) = running {
--- a/crates/curlewlift/src/entry/renew.rs
+++ b/crates/curlewlift/src/entry/renew.rs
@@ -28,6 +28,9 @@
 /// Between two renewals while a view is changing.
 const HURRY: Duration = Duration::from_millis(40);
 
+/// Between two looks for shards that are not whole.
+const FILL: Duration = Duration::from_millis(100);
+
 /// How long another entry may take to give a copy.
 const COPY: Duration = Duration::from_secs(2);
 
@@ -42,7 +45,6 @@
             acting = now_acting;
             take_up(&node, acting);
         }
-        fill(&node).await;
         let hurry = !renewed || lock(&node.holder).is_changing();
         tokio::time::sleep(if hurry { HURRY } else { lease.renew }).await;
     }
@@ -54,6 +56,8 @@
         return false;
     };
     let asked = node.now();
+    let whole = lock(&node.table).wanted().is_empty();
+    lock(&node.holder).whole(whole);
     let call = RenewCall::Entry(lock(&node.holder).renewal());
     let grant: Result<Grant, Refusal> = node.rpc.call(*address, Method::Renew, &call, CALL).await;
     match grant {
@@ -104,6 +108,16 @@
     node.view_changed.notify_waiters();
 }
 
+/// Fills shards for as long as the process lives; beside the renewals, which a source that does not
+/// answer must not hold up.
+pub(super) async fn keep_filled(node: Arc<Node>) {
+    loop {
+        let changed = node.view_changed.notified();
+        fill(&node).await;
+        let _ = tokio::time::timeout(FILL, changed).await;
+    }
+}
+
 /// Asks for the copies of shards that are kept here since this view.
 async fn fill(node: &Arc<Node>) {
     let wanted = lock(&node.table).wanted();
--- a/crates/curlewlift/src/entry/run.rs
+++ b/crates/curlewlift/src/entry/run.rs
@@ -126,7 +126,7 @@
     let (mut turn, mut attempt) = match tokio::try_join!(turn, claim) {
         Ok((turn, ())) => (turn, 0),
         Err(Stop::Earlier(record)) => return follow(node, request.key, kept, record).await,
-        Err(Stop::Refused(refusal)) => return not_run(refusal),
+        Err(Stop::Refused(refusal)) => return refused(refusal),
     };
     loop {
         kept.sent();
@@ -154,6 +154,17 @@
     Ok(())
 }
 
+/// The end of a request whose key or turn was refused.
+///
+/// This time nothing ran; but where the key's record is gone an earlier one may have, and nobody
+/// must be told that it did not.
+fn refused(refusal: Refusal) -> End {
+    match refusal.get_code() {
+        Code::ClaimUnknown | Code::KeyTooOld => unknown(refusal),
+        _ => not_run(refusal),
+    }
+}
+
 fn not_run(refusal: Refusal) -> End {
     End {
         outcome: Outcome::NotRun,
--- a/crates/curlewlift/src/entry/schedule.rs
+++ b/crates/curlewlift/src/entry/schedule.rs
@@ -171,6 +171,7 @@
     AskCall::Ask {
         view: roster.number,
         service: request.service.clone(),
+        key: request.key,
         ticket: request.ticket,
         host: node.member.host.clone(),
         customer: request.customer.clone(),
--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -7,6 +7,9 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use error_stack::Frame;
+use error_stack::Report;
+use error_stack::ResultExt;
 
 use crate::process::Process;
 use crate::settings;
@@ -36,8 +39,12 @@
     let args: Args = argh::from_env();
     match run(args, &Environment::own()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(refusal) => {
+        Err(report) => {
+            let refusal = report.current_context();
             eprintln!("curlewlift: error {refusal}");
+            for what in report.frames().filter_map(Frame::downcast_ref::<&str>) {
+                eprintln!("  while {what}");
+            }
             if refusal.get_code() == Code::BadSetting {
                 eprintln!("usage: curlewlift [options] COMMAND; `curlewlift --help` explains");
             }
@@ -54,25 +61,20 @@
     }
 }
 
-fn run(args: Args, environment: &Environment) -> Result<(), Refusal> {
-    settings::unknown(environment)?;
-    let common = settings::Common::new(&args, environment)?;
-    logs::start(common.level, common.json)?;
+fn run(args: Args, environment: &Environment) -> Result<(), Report<Refusal>> {
+    settings::unknown(environment).attach("looking through the environment")?;
+    let common = settings::Common::new(&args, environment);
+    let common = common.attach("reading the settings of every role")?;
+    logs::start(common.level, common.json).attach("starting the log")?;
     match args.command {
-        Command::Entry(args) => {
-            let entry = settings::Entry::new(&args, environment)?;
-            logs::metrics(common.metrics)?;
-            wait(start_entry(entry)?)
-        }
+        Command::Entry(args) => entry(&args, environment, &common).attach("running an entry"),
         Command::Control(args) => {
-            let control = settings::Control::new(&args, environment)?;
-            logs::metrics(common.metrics)?;
-            wait(start_control(control)?)
+            control(&args, environment, &common).attach("running a control replica")
         }
-        Command::Operate(args) => operate::run(&args, environment),
-        Command::Timeline(args) => timeline::run(&args),
-        Command::Check(args) => check(&args.role, environment),
-        Command::Digest(_) => digest(),
+        Command::Operate(args) => operate::run(&args, environment).attach("giving a command"),
+        Command::Timeline(args) => timeline::run(&args).attach("collecting the time line"),
+        Command::Check(args) => check(&args.role, environment).attach("checking settings"),
+        Command::Digest(_) => digest().attach("reading a key"),
         Command::Version(_) => {
             println!("curlewlift {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -80,6 +82,26 @@
     }
 }
 
+fn entry(
+    args: &settings::EntryArgs,
+    environment: &Environment,
+    common: &settings::Common,
+) -> Result<(), Refusal> {
+    let entry = settings::Entry::new(args, environment)?;
+    logs::metrics(common.metrics)?;
+    wait(start_entry(entry)?)
+}
+
+fn control(
+    args: &settings::ControlArgs,
+    environment: &Environment,
+    common: &settings::Common,
+) -> Result<(), Refusal> {
+    let control = settings::Control::new(args, environment)?;
+    logs::metrics(common.metrics)?;
+    wait(start_control(control)?)
+}
+
 fn bind(name: &str, address: SocketAddr) -> Result<TcpListener, Refusal> {
     TcpListener::bind(address).map_err(|why| {
         Refusal::new(
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -79,6 +79,7 @@
     Ask {
         view: id::View,
         service: id::Service,
+        key: id::Key,
         ticket: id::Ticket,
         host: id::Host,
         customer: id::Customer,
--- a/crates/curlewlift/tests/dead_entry.rs
+++ b/crates/curlewlift/tests/dead_entry.rs
@@ -14,13 +14,17 @@
     let mut small = Small::start("charge_once", 1, 4, 1);
     small.plain.set_delay(Duration::from_secs(2));
     let headers = [("idempotency-key", "c1")];
-    let first = small
-        .ann
-        .send(small.site.entry(0), Method::POST, PATH, &headers, "10 EUR");
-    let cut = small
-        .runtime
-        .block_on(async { tokio::time::timeout(Duration::from_millis(600), first).await });
-    assert!(cut.is_err(), "the charge is under way: {cut:?}");
+    let (ann, to) = (small.ann.clone(), small.site.entry(0));
+    let first = small.runtime.spawn(async move {
+        let headers = [("idempotency-key", "c1")];
+        ann.send(to, Method::POST, PATH, &headers, "10 EUR").await
+    });
+    while small.plain.calls().is_empty() {
+        if first.is_finished() {
+            panic!("{:?}", small.runtime.block_on(first));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
     small.site.kill_entry(0);
     small.plain.set_delay(Duration::ZERO);
     for entry in 1..4 {
@@ -55,3 +59,40 @@
     }
     small.site.wait_for_view(3);
 }
+
+#[test]
+fn copies_gone() {
+    let mut small = Small::start("copies_gone", 1, 4, 1);
+    let headers = [("idempotency-key", "c2")];
+    let first = small
+        .ann
+        .send(small.site.entry(0), Method::POST, PATH, &headers, "10 EUR");
+    assert_eq!(small.runtime.block_on(first).status, 200);
+    for place in 0..3 {
+        small.site.kill_entry(place);
+    }
+    small.site.wait_for_view(1);
+    let last = small.site.entry(3);
+    let again =
+        small
+            .runtime
+            .block_on(small.ann.send(last, Method::POST, PATH, &headers, "10 EUR"));
+    assert_eq!(again.header("curlewlift-code"), "5003", "{}", again.body);
+    assert_eq!(again.header("curlewlift-outcome"), "unknown", "it did run");
+    let path = "/curlewlift/addresses";
+    let answer = small
+        .runtime
+        .block_on(small.ann.send(last, Method::GET, path, &[], ""));
+    let answer: serde_json::Value = serde_json::from_str(&answer.body).expect("JSON");
+    let fresh = format!("{}c2", answer["stamp"].as_str().expect("a stamp"));
+    let headers = [("idempotency-key", fresh.as_str())];
+    let fresh =
+        small
+            .runtime
+            .block_on(small.ann.send(last, Method::POST, PATH, &headers, "10 EUR"));
+    assert_eq!(
+        fresh.status, 200,
+        "a stamped key is surely new: {}",
+        fresh.body
+    );
+}
--- /dev/null
+++ b/crates/curlewlift/tests/golden_sessions.rs
@@ -0,0 +1,254 @@
+//! Whole sessions, held against golden files.
+
+mod support;
+
+use std::process::Command;
+
+use axum::http::Method;
+use curlewlift::Operator;
+use curlewlift_core::event::Filter;
+use curlewlift_core::id;
+use curlewlift_lab::client::Client;
+use curlewlift_lab::site::Site;
+use support::Small;
+use support::folder;
+use support::golden::Session;
+
+const KEY: &str = "idempotency-key";
+
+#[test]
+fn streamed_chat() {
+    let small = Small::start("streamed_chat", 1, 1, 1);
+    let mut session = Session::default();
+    let body = Client::chat("m", "hello", 3, true);
+    session.did(&format!("POST /v1/chat/completions {body}"));
+    let headers = [(KEY, "k1")];
+    let reply = small.ann.post(small.site.entry(0), &headers, body);
+    session.got(&small.runtime.block_on(reply));
+    session.check("streamed_chat");
+}
+
+#[test]
+fn plain_call() {
+    let small = Small::start("plain_call", 1, 1, 1);
+    let mut session = Session::default();
+    session.did("POST /services/pay/charge?room=7 120 EUR");
+    let path = "/services/pay/charge?room=7";
+    let to = small.site.entry(0);
+    let reply = small
+        .ann
+        .send(to, Method::POST, path, &[(KEY, "c1")], "120 EUR");
+    session.got(&small.runtime.block_on(reply));
+    session.check("plain_call");
+}
+
+#[test]
+fn resend_elsewhere() {
+    let small = Small::start("golden_resend", 1, 3, 1);
+    let mut session = Session::default();
+    for (entry, prompt) in [(0, "hello"), (1, "hello"), (2, "other")] {
+        let body = Client::chat("m", prompt, 2, false);
+        session.did(&format!(
+            "entry {}: POST /v1/chat/completions {body}",
+            entry + 1
+        ));
+        let reply = small
+            .ann
+            .post(small.site.entry(entry), &[(KEY, "k1")], body);
+        session.got(&small.runtime.block_on(reply));
+    }
+    session.did("entry 2: GET /curlewlift/requests/k1");
+    let path = "/curlewlift/requests/k1";
+    let state = small
+        .ann
+        .send(small.site.entry(1), Method::GET, path, &[], "");
+    session.got(&small.runtime.block_on(state));
+    session.check("resend_elsewhere");
+}
+
+#[test]
+fn refused_request() {
+    let small = Small::start("refused_request", 1, 1, 1);
+    let mut session = Session::default();
+    let body = Client::chat("m", "hello", 1_000, false);
+    session.did(&format!("POST /v1/chat/completions in 100 ms {body}"));
+    let headers = [(KEY, "k1"), ("curlewlift-deadline-ms", "100")];
+    let reply = small.ann.post(small.site.entry(0), &headers, body);
+    session.got(&small.runtime.block_on(reply));
+    session.check("refused_request");
+}
+
+#[test]
+fn drained_servers() {
+    let mut small = Small::start("drained_servers", 1, 1, 2);
+    let mut session = Session::default();
+    for line in [
+        "change service chat floor=1",
+        "dry drain server m1",
+        "drain server m1",
+        "drain server m2",
+        "show servers where service = chat columns name, state, slots",
+    ] {
+        session.did(line);
+        let number = small.site.next_number();
+        match small.site.operator().run(number, line) {
+            Ok(text) => session.said(&text),
+            Err(why) => session.said(&why.to_string()),
+        }
+    }
+    small.site.wait_in_force();
+    for number in 0..6 {
+        let body = Client::chat("m", &format!("hello {number}"), 2, false);
+        let reply = small.ann.post(small.site.entry(0), &[], body);
+        assert_eq!(small.runtime.block_on(reply).status, 200);
+    }
+    let runs: Vec<_> = small
+        .engines
+        .iter()
+        .map(|engine| engine.tally().runs.len())
+        .collect();
+    session.said(&format!("requests run at m1 and m2 after that: {runs:?}"));
+    session.check("drained_servers");
+}
+
+#[test]
+fn bad_setting() {
+    let mut session = Session::default();
+    for (variables, arguments) in [
+        (vec![], vec!["entry", "--host", "e1"]),
+        (vec![("CURLEWLIFT_HOTS", "e1")], vec!["version"]),
+        (vec![], vec!["--log", "loud", "version"]),
+        (vec![], vec!["entry", "--rpc", "localhost:1"]),
+        (
+            vec![("CURLEWLIFT_LEASE_MS", "100")],
+            vec![
+                "entry",
+                "--host",
+                "e1",
+                "--hall",
+                "a",
+                "--rpc",
+                "127.0.0.1:1",
+                "--http",
+                "127.0.0.1:2",
+                "--control",
+                "c1=127.0.0.1:3",
+            ],
+        ),
+        (
+            vec![],
+            vec![
+                "control",
+                "--host",
+                "c1",
+                "--rpc",
+                "127.0.0.1:1",
+                "--control",
+                "c1=127.0.0.1:2",
+                "--data",
+                "d",
+            ],
+        ),
+        (vec![], vec!["check", "caller"]),
+        (
+            vec![],
+            vec!["timeline", "--from", "127.0.0.1:1", "--key", "k"],
+        ),
+    ] {
+        let shown: Vec<_> = variables
+            .iter()
+            .map(|(name, value)| format!("{name}={value} "))
+            .collect();
+        session.did(&format!(
+            "{}curlewlift {}",
+            shown.concat(),
+            arguments.join(" ")
+        ));
+        let output = Command::new(env!("CARGO_BIN_EXE_curlewlift"))
+            .args(arguments)
+            .env_clear()
+            .envs(variables)
+            .output()
+            .expect("it runs");
+        session.said(&String::from_utf8_lossy(&output.stderr));
+        session.said(&format!("exit code {}", output.status.code().unwrap_or(-1)));
+    }
+    session.check("bad_setting");
+}
+
+#[test]
+fn racing_operators() {
+    let mut site = Site::start(&folder("racing_operators"), &["a", "b", "c"], 3, 0);
+    site.wait_for_replicas(3);
+    let hash = curlewlift::digest("ben-key");
+    site.run(&format!("create operator ben key_hash={hash} right=write"));
+    let hash = curlewlift::digest("eve-key");
+    site.run(&format!("create operator eve key_hash={hash} right=read"));
+    let control = site.control_addresses();
+    let ann = site.operator();
+    let ben = Operator::new("ben".parse().expect("a name"), "ben-key", control.clone());
+    let eve = Operator::new("eve".parse().expect("a name"), "eve-key", control);
+    let mut session = Session::default();
+    let mut give = |name: &str, operator: &Operator, number: u64, line: &str| {
+        session.did(&format!("{name} {number}: {line}"));
+        match operator.run(number, line) {
+            Ok(text) => session.said(&text),
+            Err(why) => session.said(&why.to_string()),
+        }
+    };
+    give("root", &ann, 100, "create tier live rank=0");
+    give("ben", &ben, 100, "create tier quick rank=0");
+    give("ben", &ben, 101, "create tier quick rank=0");
+    give("ben", &ben, 102, "create tier quick rank=1");
+    give("eve", &eve, 103, "create tier late rank=2");
+    give("eve", &eve, 0, "show tiers sort by rank down");
+    site.kill_control(0);
+    give("root", &ann, 100, "create tier live rank=0");
+    give("ben", &ben, 102, "create tier quick rank=1");
+    give("ben", &ben, 102, "create tier quick rank=2");
+    for place in 1..3 {
+        site.kill_control(place);
+    }
+    for place in 0..3 {
+        site.restart_control(place);
+    }
+    give("ben", &ben, 101, "create tier quick rank=0");
+    give(
+        "eve",
+        &eve,
+        0,
+        "show audit where number > 99 columns operator, number, code, line as json",
+    );
+    session.check("racing_operators");
+}
+
+#[test]
+fn one_story() {
+    let small = Small::start("one_story", 1, 3, 1);
+    let body = Client::chat("m", "hello", 3, true);
+    let reply = small.ann.post(small.site.entry(0), &[(KEY, "k1")], body);
+    assert_eq!(small.runtime.block_on(reply).status, 200);
+    let ann = "ann".parse().expect("a name");
+    let filter = Filter {
+        key: Some(id::Key::new(&ann, "k1")),
+        ..Filter::default()
+    };
+    let (lines, silent) =
+        curlewlift::collect(&small.site.rpc_addresses(), &filter).expect("collected");
+    assert!(silent.is_empty());
+    let mut hosts: Vec<_> = lines.iter().map(|line| line.host.as_str()).collect();
+    hosts.sort_unstable();
+    hosts.dedup();
+    assert_eq!(hosts, ["e1", "e2", "e3"], "one story over three processes");
+    let place = |number| lines.iter().position(|line| line.kind.number() == number);
+    let order: Vec<_> = [200, 212, 203, 204, 205, 207].map(place).to_vec();
+    assert!(
+        order.iter().all(Option::is_some) && order.is_sorted(),
+        "{lines:#?}"
+    );
+    assert!(place(211) < place(201), "kept before it is claimed");
+    assert!(
+        lines.iter().all(|line| !line.to_string().contains("hello")),
+        "no content"
+    );
+}
--- a/crates/curlewlift/tests/support/mod.rs
+++ b/crates/curlewlift/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! What the tests of whole systems share.
 
+#[allow(dead_code)]
+pub(crate) mod golden;
+
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
--- a/crates/lab/examples/slopes.rs
+++ b/crates/lab/examples/slopes.rs
@@ -359,6 +359,8 @@
             let renewal = Renewal {
                 member: member(place),
                 held: number,
+                acting: number,
+                whole: true,
                 revision,
                 gone: false,
             };
--- a/crates/lab/src/site/started.rs
+++ b/crates/lab/src/site/started.rs
@@ -228,12 +228,18 @@
     ///
     /// If it is refused.
     pub fn run(&mut self, line: &str) -> String {
-        self.number += 1;
+        let number = self.next_number();
         let line = line.replace("ROOT", &curlewlift::digest(ROOT_KEY));
-        let answer = self.operator().run(self.number, &line);
+        let answer = self.operator().run(number, &line);
         answer.unwrap_or_else(|why| panic!("{line}: {why}"))
     }
 
+    /// A number that no command has had.
+    pub fn next_number(&mut self) -> u64 {
+        self.number += 1;
+        self.number
+    }
+
     /// Asks as the first operator.
     ///
     /// # Errors
