Cut the large files, and put what stood twice in one place

Change: what a replica knows, admission and dispatch have files of their own; the lab has one set of gauges; tests share members; one macro shows and reads numbers. Module docs that an edit had torn apart are whole. Ours is the third group of imports in tests too.

--- a/crates/core/src/id/number.rs
+++ b/crates/core/src/id/number.rs
@@ -24,19 +24,7 @@
             }
         }
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseIntError;
-
-            fn from_str(text: &str) -> Result<Self, ParseIntError> {
-                text.parse().map(Self)
-            }
-        }
+        crate::text::number_text!($name);
     )* };
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod log;
 pub mod queue;
 pub mod state;
+mod text;
 pub mod unit;
 pub mod view;
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -6,6 +6,7 @@
 
 mod election;
 mod entry;
+mod getters;
 mod members;
 mod membership;
 mod message;
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -4,8 +4,10 @@
 //! inside a customer by deadline. What must be shed is taken from the lowest tier that waits.
 
 mod action;
+mod admission;
 mod ask;
 mod budget;
+mod dispatch;
 mod length;
 mod level;
 mod line;
--- a/crates/core/src/unit/size.rs
+++ b/crates/core/src/unit/size.rs
@@ -1,11 +1,8 @@
 //! Amounts of work and of memory.
 
-use std::fmt;
 use std::iter::Sum;
-use std::num::ParseIntError;
 use std::ops::Add;
 use std::ops::AddAssign;
-use std::str::FromStr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -54,19 +51,7 @@
             }
         }
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseIntError;
-
-            fn from_str(text: &str) -> Result<Self, ParseIntError> {
-                text.parse().map(Self)
-            }
-        }
+        crate::text::number_text!($name);
     )* };
 }
 
--- a/crates/core/tests/claim_histories.rs
+++ b/crates/core/tests/claim_histories.rs
@@ -1,4 +1,5 @@
 //! Seeded histories of claims under deaths, restarts, late views and copies: a key that may never
+//! be repeated is dispatched at most once (rows D1, D2, D10).
 
 #![allow(
     clippy::cast_precision_loss,
@@ -6,7 +7,8 @@
     clippy::cast_sign_loss,
     reason = "figures for people, far below where it matters"
 )]
-//! be repeated is dispatched at most once (rows D1, D2, D10).
+
+mod support;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,6 +28,8 @@
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
+use support::members::member;
+
 const ENTRIES: usize = 5;
 const COUNT: u64 = 500;
 const STEPS: usize = 600;
@@ -71,21 +75,6 @@
     flaw: Flaw,
 }
 
-fn member(place: usize, incarnation: u64) -> Member {
-    let address = format!("127.0.0.1:{}", 7_000 + place)
-        .parse()
-        .expect("an address");
-    Member {
-        host: format!("e{place}").parse().expect("a name"),
-        hall: format!("h{}", place % 3).parse().expect("a name"),
-        rpc: address,
-        http: address,
-        incarnation,
-        leaving: false,
-        owns: true,
-    }
-}
-
 fn table(member: &Member) -> Table {
     Table::new(member.clone(), Duration::from_secs(1_000), 10_000)
 }
--- a/crates/core/tests/fleet_pick.rs
+++ b/crates/core/tests/fleet_pick.rs
@@ -18,6 +18,7 @@
 use curlewlift_core::unit::Tokens;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
+
 use support::asks::at;
 use support::asks::fleet;
 use support::asks::spec;
--- a/crates/core/tests/queue_load.rs
+++ b/crates/core/tests/queue_load.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::queue::Report;
 use curlewlift_core::queue::Ticket;
 use curlewlift_core::unit::Tokens;
+
 use support::asks::ask;
 use support::asks::at;
 use support::asks::fleet;
--- a/crates/core/tests/queue_order.rs
+++ b/crates/core/tests/queue_order.rs
@@ -21,6 +21,7 @@
 use curlewlift_core::unit::Tokens;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
+
 use support::asks::ask;
 use support::asks::at;
 use support::asks::fleet;
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -4,3 +4,4 @@
 
 pub(crate) mod asks;
 pub(crate) mod history;
+pub(crate) mod members;
--- a/crates/core/tests/view_histories.rs
+++ b/crates/core/tests/view_histories.rs
@@ -1,6 +1,8 @@
 //! Seeded histories of leases under late messages, deaths, drifting clocks and new leaders: no two
 //! entries ever act under two views at once (rows M3, M6, M7, S10).
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,13 +16,14 @@
 use curlewlift_core::view::Holder;
 use curlewlift_core::view::Keeper;
 use curlewlift_core::view::Lease;
-use curlewlift_core::view::Member;
 use curlewlift_core::view::News;
 use curlewlift_core::view::Renewal;
 use curlewlift_core::view::Roster;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
+use support::members::member;
+
 const ENTRIES: usize = 5;
 const COUNT: u64 = 1_000;
 const STEPS: usize = 1_500;
@@ -66,21 +69,6 @@
     acted: u64,
 }
 
-fn member(place: usize, incarnation: u64) -> Member {
-    let address = format!("127.0.0.1:{}", 7_000 + place)
-        .parse()
-        .expect("an address");
-    Member {
-        host: format!("e{place}").parse().expect("a name"),
-        hall: "a".parse().expect("a name"),
-        rpc: address,
-        http: address,
-        incarnation,
-        leaving: false,
-        owns: true,
-    }
-}
-
 fn machine() -> Machine {
     let mut machine = Machine::default();
     for place in 0..ENTRIES {
--- a/crates/core/tests/view_maps.rs
+++ b/crates/core/tests/view_maps.rs
@@ -1,31 +1,19 @@
 //! The maps that follow from a view: owners of services and replicas of shards.
 
+mod support;
+
 use std::collections::BTreeSet;
 
 use curlewlift_core::id;
-use curlewlift_core::view::Member;
 use curlewlift_core::view::REPLICAS;
 use curlewlift_core::view::Roster;
 
-fn member(place: usize) -> Member {
-    let address = format!("127.0.0.1:{}", 7_000 + place)
-        .parse()
-        .expect("an address");
-    Member {
-        host: format!("e{place}").parse().expect("a name"),
-        hall: format!("h{}", place % 3).parse().expect("a name"),
-        rpc: address,
-        http: address,
-        incarnation: 1,
-        leaving: false,
-        owns: true,
-    }
-}
+use support::members::member;
 
 fn roster(count: usize) -> Roster {
     Roster {
         number: id::View(1),
-        members: (0..count).map(member).collect(),
+        members: (0..count).map(|place| member(place, 1)).collect(),
     }
 }
 
--- a/crates/curlewlift/examples/tour.rs
+++ b/crates/curlewlift/examples/tour.rs
@@ -1,4 +1,5 @@
 //! A whole system on loopback in one process, under a mixed load, with some parts killed and
+//! drained on the way; prints a table. See tour.md.
 
 #![allow(
     clippy::cast_precision_loss,
@@ -6,7 +7,6 @@
     clippy::cast_sign_loss,
     reason = "figures for people, far below where it matters"
 )]
-//! drained on the way; prints a table. See tour.md.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/curlewlift/tests/bad_input.rs
+++ b/crates/curlewlift/tests/bad_input.rs
@@ -4,6 +4,7 @@
 
 use axum::http::Method;
 use curlewlift_lab::client::Client;
+
 use support::Small;
 
 /// Method, path, headers, body, and the code that must come.
--- a/crates/curlewlift/tests/broken_answers.rs
+++ b/crates/curlewlift/tests/broken_answers.rs
@@ -5,6 +5,7 @@
 use axum::http::Method;
 use curlewlift_lab::client::Client;
 use curlewlift_lab::standin::Faults;
+
 use support::Small;
 
 #[test]
--- a/crates/curlewlift/tests/dead_entry.rs
+++ b/crates/curlewlift/tests/dead_entry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use axum::http::Method;
+
 use support::Small;
 
 const PATH: &str = "/services/pay/charge";
--- a/crates/curlewlift/tests/golden_sessions.rs
+++ b/crates/curlewlift/tests/golden_sessions.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::id;
 use curlewlift_lab::client::Client;
 use curlewlift_lab::site::Site;
+
 use support::Small;
 use support::folder;
 use support::golden::Session;
--- a/crates/curlewlift/tests/planned_stop.rs
+++ b/crates/curlewlift/tests/planned_stop.rs
@@ -6,6 +6,7 @@
 
 use axum::http::Method;
 use curlewlift_lab::client::Client;
+
 use support::Small;
 
 #[test]
--- a/crates/curlewlift/tests/whole_path.rs
+++ b/crates/curlewlift/tests/whole_path.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use curlewlift_lab::client::Client;
+
 use support::Small;
 
 #[test]
--- a/crates/lab/examples/ablations.rs
+++ b/crates/lab/examples/ablations.rs
@@ -1,4 +1,5 @@
 //! Prints what each part of the choice is worth, with one part off at a time:
+//! `cargo run --release -p curlewlift-lab --example ablations`.
 
 #![allow(
     clippy::cast_precision_loss,
@@ -6,7 +7,6 @@
     clippy::cast_sign_loss,
     reason = "figures for people, far below where it matters"
 )]
-//! `cargo run --release -p curlewlift-lab --example ablations`.
 
 use curlewlift_core::fleet::Tuning;
 use curlewlift_lab::measure::Case;
--- a/crates/lab/examples/forwarding.rs
+++ b/crates/lab/examples/forwarding.rs
@@ -19,6 +19,8 @@
 use axum::response::IntoResponse;
 use axum::routing::any;
 use curlewlift_lab::client::Client;
+use curlewlift_lab::gauge::memory;
+use curlewlift_lab::gauge::threads;
 use curlewlift_lab::site::Site;
 use curlewlift_lab::standin::Engine;
 use curlewlift_lab::standin::Shape;
@@ -33,25 +35,6 @@
 const STREAMS: usize = 16;
 const TOKENS: u64 = 2_000;
 
-/// Seconds of processor time of the threads whose names begin with `name`.
-fn threads(name: &str) -> f64 {
-    let tasks = std::fs::read_dir("/proc/self/task")
-        .into_iter()
-        .flatten()
-        .flatten();
-    let read = |file: &str| std::fs::read_to_string(file).unwrap_or_default();
-    let paths = tasks.map(|task| task.path().display().to_string());
-    let named = paths.filter(|path| read(&format!("{path}/comm")).starts_with(name));
-    let spent = named.map(|path| {
-        let text = read(&format!("{path}/schedstat"));
-        text.split(' ')
-            .next()
-            .and_then(|first| first.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    });
-    spent.sum::<f64>() / 1e9
-}
-
 /// A bare pass-through on one thread, as an entry has one.
 fn pass_through(engine: SocketAddr) -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -128,15 +111,6 @@
     }
 }
 
-fn memory() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    text.split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<u64>().ok())
-        .unwrap_or(0)
-        * 4_096
-}
-
 fn main() {
     let folder = std::env::temp_dir().join(format!("curlewlift-forward-{}", std::process::id()));
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/crates/lab/examples/measure.rs
+++ b/crates/lab/examples/measure.rs
@@ -1,4 +1,7 @@
 //! Prints the measure of the decisions: `cargo run --release -p curlewlift-lab --example measure`.
+//!
+//! With a number it runs as many seeds (3 without); with a word only cases with that word in their
+//! names.
 
 #![allow(
     clippy::cast_precision_loss,
@@ -6,9 +9,6 @@
     clippy::cast_sign_loss,
     reason = "figures for people, far below where it matters"
 )]
-//!
-//! With a number it runs as many seeds (3 without); with a word only cases with that word in their
-//! names.
 
 use curlewlift_lab::measure::Case;
 use curlewlift_lab::measure::Rival;
--- a/crates/lab/examples/slopes.rs
+++ b/crates/lab/examples/slopes.rs
@@ -1,11 +1,4 @@
 //! Measures the slopes behind docs/CAPACITY.md:
-
-#![allow(
-    clippy::cast_precision_loss,
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "figures for people, far below where it matters"
-)]
 //! `cargo run --release -p curlewlift-lab --example slopes [part] [most entries]`.
 //!
 //! A part is one of owner, claims, leases, changes, views, requests, processes; without one all are run. What
@@ -14,6 +7,13 @@
 //! The parts are timed by themselves on one thread; then a control replica and up to so many real
 //! entries (340 without a number) run on loopback in this process.
 
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for people, far below where it matters"
+)]
+
 use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant as Wall;
@@ -42,16 +42,14 @@
 use curlewlift_core::view::Renewal;
 use curlewlift_core::view::Roster;
 use curlewlift_lab::client::Client;
+use curlewlift_lab::gauge::loopback;
+use curlewlift_lab::gauge::memory;
+use curlewlift_lab::gauge::processor;
+use curlewlift_lab::gauge::threads;
 use curlewlift_lab::site::Site;
 use curlewlift_lab::standin::Engine;
 use curlewlift_lab::standin::Shape;
 
-/// Bytes of a page of memory.
-const PAGE: u64 = 4_096;
-
-/// Clock ticks a second in `/proc/self/stat`.
-const TICKS: f64 = 100.0;
-
 fn main() {
     let arguments: Vec<_> = std::env::args().skip(1).collect();
     let most = arguments
@@ -104,42 +102,6 @@
     println!("  = {start:.3} + {slope:.5} x, worst point {worst:.0}% off");
 }
 
-fn memory() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text
-        .split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<u64>().ok());
-    pages.unwrap_or(0) * PAGE
-}
-
-/// Seconds of processor time of this process.
-fn processor() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<_> = text
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split(' ')
-        .collect();
-    let field = |place: usize| fields.get(place).and_then(|text| text.parse::<f64>().ok());
-    (field(12).unwrap_or(0.0) + field(13).unwrap_or(0.0)) / TICKS
-}
-
-/// Bytes that went over loopback.
-fn loopback() -> f64 {
-    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
-    let line = text
-        .lines()
-        .find(|line| line.trim_start().starts_with("lo:"))
-        .unwrap_or_default();
-    let first = line
-        .split(':')
-        .nth(1)
-        .and_then(|rest| rest.split_whitespace().next());
-    first.and_then(|bytes| bytes.parse().ok()).unwrap_or(0.0)
-}
-
 /// Microseconds of one call of `turn`.
 fn time(count: u32, mut turn: impl FnMut()) -> f64 {
     let began = Wall::now();
@@ -414,26 +376,6 @@
     fit("taking up a view, by entries", "ms", &points);
 }
 
-/// Seconds of processor time of the threads whose names begin with `name`.
-fn threads(name: &str) -> f64 {
-    let tasks = std::fs::read_dir("/proc/self/task")
-        .into_iter()
-        .flatten()
-        .flatten();
-    let read = |file: &str| std::fs::read_to_string(file).unwrap_or_default();
-    let paths = tasks.map(|task| task.path().display().to_string());
-    let named = paths.filter(|path| read(&format!("{path}/comm")).starts_with(name));
-    // The first number of schedstat is the time on a processor in nanoseconds.
-    let spent = named.map(|path| {
-        let text = read(&format!("{path}/schedstat"));
-        text.split(' ')
-            .next()
-            .and_then(|first| first.parse::<f64>().ok())
-            .unwrap_or(0.0)
-    });
-    spent.sum::<f64>() / 1e9
-}
-
 /// What a request costs the entries: six of them, all by one client, engines that answer at once.
 fn requests() {
     println!("\n# requests through six entries: processor time of all entries");
--- /dev/null
+++ b/crates/lab/src/gauge.rs
@@ -0,0 +1,68 @@
+//! Readings of this process, from what the kernel tells.
+
+/// Bytes of a page of memory.
+const PAGE: u64 = 4_096;
+
+/// Clock ticks a second in `/proc/self/stat`.
+const TICKS: f64 = 100.0;
+
+/// Bytes of memory that this process has in use.
+#[must_use]
+pub fn memory() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+/// Seconds of processor time of this process.
+#[must_use]
+pub fn processor() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<_> = text
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split(' ')
+        .collect();
+    let field = |place: usize| fields.get(place).and_then(|text| text.parse::<f64>().ok());
+    (field(12).unwrap_or(0.0) + field(13).unwrap_or(0.0)) / TICKS
+}
+
+/// Bytes that went over loopback.
+#[must_use]
+pub fn loopback() -> f64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("lo:"))
+        .unwrap_or_default();
+    let first = line
+        .split(':')
+        .nth(1)
+        .and_then(|rest| rest.split_whitespace().next());
+    first.and_then(|bytes| bytes.parse().ok()).unwrap_or(0.0)
+}
+
+/// Seconds of processor time of the threads whose names begin with `name`.
+#[must_use]
+pub fn threads(name: &str) -> f64 {
+    let tasks = std::fs::read_dir("/proc/self/task")
+        .into_iter()
+        .flatten()
+        .flatten();
+    let read = |file: &str| std::fs::read_to_string(file).unwrap_or_default();
+    let paths = tasks.map(|task| task.path().display().to_string());
+    let named = paths.filter(|path| read(&format!("{path}/comm")).starts_with(name));
+    // The first number of schedstat is the time on a processor in nanoseconds.
+    let spent = named.map(|path| {
+        let text = read(&format!("{path}/schedstat"));
+        text.split(' ')
+            .next()
+            .and_then(|first| first.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    });
+    spent.sum::<f64>() / 1e9
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,7 @@
 //! What the project tests and measures itself with; nothing here is part of the product.
+//!
+//! Stand-ins for what stands outside (engines and plain servers), a small client, and a site: a
+//! whole system on loopback in one process.
 
 #![allow(
     clippy::cast_precision_loss,
@@ -6,11 +9,9 @@
     clippy::cast_sign_loss,
     reason = "figures for people, far below where it matters"
 )]
-//!
-//! Stand-ins for what stands outside (engines and plain servers), a small client, and a site: a
-//! whole system on loopback in one process.
 
 pub mod client;
+pub mod gauge;
 pub mod measure;
 pub mod site;
 pub mod standin;
