Drain the servers that the platform's list says are leaving

Cause: the platform's list of live and leaving hosts was not read; only operators could drain.

Change: the leading control replica asks for the list every second and commands drains in the name of `platform`; a pure part says what an old, a shortened or a flapping copy may do, and leaves alone what operators drained.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod lang;
 pub mod log;
+pub mod platform;
 pub mod queue;
 pub mod state;
 mod text;
--- /dev/null
+++ b/crates/core/tests/platform_list.rs
@@ -0,0 +1,107 @@
+//! The platform's list lags, repeats an old copy and loses a live host (row M2).
+
+use curlewlift_core::config::Snapshot;
+use curlewlift_core::lang;
+use curlewlift_core::lang::Statement;
+use curlewlift_core::platform::Host;
+use curlewlift_core::platform::List;
+use curlewlift_core::platform::Order;
+use curlewlift_core::platform::Watch;
+
+fn apply(snapshot: &Snapshot, line: &str) -> Snapshot {
+    let Ok(Statement::Change(change)) = lang::parse(line) else {
+        panic!("{line}")
+    };
+    snapshot.apply(&change).expect(line)
+}
+
+fn configured() -> Snapshot {
+    let lines = [
+        "create service s model=m",
+        "create server x service=s address=127.0.0.1:1 hall=h",
+        "create server y service=s address=127.0.0.1:2 hall=h",
+    ];
+    lines
+        .iter()
+        .fold(Snapshot::default(), |snapshot, line| apply(&snapshot, line))
+}
+
+fn list(version: u64, hosts: &[(&str, bool)]) -> List {
+    let host = |(name, leaving): &(&str, bool)| Host {
+        name: name.parse().expect("a name"),
+        leaving: *leaving,
+    };
+    List {
+        version,
+        hosts: hosts.iter().map(host).collect(),
+    }
+}
+
+#[test]
+fn older_copies() {
+    let mut snapshot = configured();
+    let mut watch = Watch::default();
+    let x = "x".parse().expect("a name");
+    assert!(
+        watch
+            .take(&list(5, &[("x", false), ("y", false)]), &snapshot)
+            .is_empty()
+    );
+    assert_eq!(
+        watch.take(&list(7, &[("x", true)]), &snapshot),
+        [Order::Drain(x)]
+    );
+    snapshot = apply(&snapshot, "drain server x");
+    for version in [5, 6, 7] {
+        let old = list(version, &[("x", false), ("y", true)]);
+        assert!(
+            watch.take(&old, &snapshot).is_empty(),
+            "older never replaces newer"
+        );
+    }
+}
+
+#[test]
+fn lost_host() {
+    let snapshot = configured();
+    let mut watch = Watch::default();
+    watch.take(&list(1, &[("x", false), ("y", false)]), &snapshot);
+    assert!(
+        watch.take(&list(2, &[("x", false)]), &snapshot).is_empty(),
+        "y is not gone"
+    );
+}
+
+#[test]
+fn no_flapping() {
+    let mut snapshot = configured();
+    let mut watch = Watch::default();
+    let x: curlewlift_core::id::Server = "x".parse().expect("a name");
+    let mut orders = Vec::new();
+    for version in 1..=12 {
+        // Now leaving, now live; then live for good.
+        let leaving = version < 8 && version % 2 == 1;
+        for order in watch.take(&list(version, &[("x", leaving)]), &snapshot) {
+            let line = match &order {
+                Order::Drain(name) => format!("drain server {name}"),
+                Order::Undrain(name) => format!("undrain server {name}"),
+            };
+            snapshot = apply(&snapshot, &line);
+            orders.push(order);
+        }
+    }
+    assert_eq!(orders, [Order::Drain(x.clone()), Order::Undrain(x)]);
+}
+
+#[test]
+fn operators_drain() {
+    let snapshot = apply(&configured(), "drain server x");
+    let mut watch = Watch::default();
+    for version in 1..10 {
+        let orders = watch.take(&list(version, &[("x", false)]), &snapshot);
+        assert!(
+            orders.is_empty(),
+            "what the operators drained is theirs to take back"
+        );
+    }
+}
--- a/crates/curlewlift/src/control/daemon.rs
+++ b/crates/curlewlift/src/control/daemon.rs
@@ -60,6 +60,7 @@
     peers: BTreeMap<id::Host, SocketAddr>,
     timing: Timing,
     lease: Lease,
+    platform: Option<SocketAddr>,
 }
 
 /// # Settings
@@ -75,6 +76,7 @@
             peers: BTreeMap::new(),
             timing: Timing::default(),
             lease: Lease::default(),
+            platform: None,
         }
     }
 
@@ -99,6 +101,13 @@
         self
     }
 
+    /// Where the platform tells its list of live and leaving hosts.
+    #[must_use]
+    pub fn platform(mut self, platform: Option<SocketAddr>) -> Self {
+        self.platform = platform;
+        self
+    }
+
     /// How long elections and heartbeats take.
     #[must_use]
     pub fn timing(mut self, timing: Timing) -> Self {
@@ -172,6 +181,9 @@
     let handler = super::answers::handler(Rc::clone(&state), timeline.clone());
     tokio::task::spawn_local(rpc::serve(listener, handler, timeline.clone()));
     timeline.note(Line::new(Kind::Started).detail(format_args!("control, rpc={address}")));
+    if let Some(platform) = control.platform {
+        tokio::task::spawn_local(super::platform::watch(Rc::clone(&state), platform));
+    }
     state.borrow_mut().settle();
     let mut tick = tokio::time::interval(TICK);
     let mut join = tokio::time::interval(JOIN);
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod daemon;
+mod platform;
 mod query;
 mod replica;
 
--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -127,6 +127,7 @@
         .data(control.data)
         .found(control.found)
         .peers(control.peers)
+        .platform(control.platform)
         .lease(control.lease)
         .start()
 }
--- a/crates/curlewlift/src/settings/args.rs
+++ b/crates/curlewlift/src/settings/args.rs
@@ -77,6 +77,10 @@
     /// the control replicas, as NAME=ADDRESS:PORT,... (CURLEWLIFT_CONTROL)
     #[argh(option)]
     pub(crate) control: Option<String>,
+    /// where the platform tells its list of hosts, as ADDRESS:PORT; default nowhere
+    /// (CURLEWLIFT_PLATFORM)
+    #[argh(option)]
+    pub(crate) platform: Option<String>,
     /// folder of its files (CURLEWLIFT_DATA)
     #[argh(option)]
     pub(crate) data: Option<String>,
--- a/crates/curlewlift/src/settings/known.rs
+++ b/crates/curlewlift/src/settings/known.rs
@@ -9,7 +9,7 @@
 const PREFIX: &str = "CURLEWLIFT_";
 
 /// Every variable that is a setting.
-const KNOWN: [&str; 14] = [
+const KNOWN: [&str; 15] = [
     "CURLEWLIFT_CONTROL",
     "CURLEWLIFT_DATA",
     "CURLEWLIFT_FOUND",
@@ -23,6 +23,7 @@
     "CURLEWLIFT_LOG_FORMAT",
     "CURLEWLIFT_METRICS",
     "CURLEWLIFT_OPERATOR",
+    "CURLEWLIFT_PLATFORM",
     "CURLEWLIFT_RPC",
 ];
 
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod plain;
+mod platform;
 mod tape;
 
 pub use engine::Engine;
@@ -9,3 +10,4 @@
 pub use engine::Shape;
 pub use engine::Tally;
 pub use plain::Plain;
+pub use platform::Platform;
