Send entries once, and take no late answer for a lost disk

Reading for it, a fault: a single late "I lack that" counted as a replica that had lost what it acknowledged, and the leader took it out.

Five such answers in a row without an acknowledgement between make a regressed replica.

With one late answer enough, `late_rejection` fails; with five it passes.

--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -67,6 +67,8 @@
     pub(super) next: Index,
     /// When the newest round that it answered was sent.
     pub(super) heard: Instant,
+    /// Answers in a row that say that it lacks what it had acknowledged.
+    pub(super) lacking: u32,
 }
 
 /// One replica of the log.
--- a/crates/core/src/log/replicate.rs
+++ b/crates/core/src/log/replicate.rs
@@ -21,6 +21,9 @@
 /// The most entries in one message.
 const BATCH: usize = 256;
 
+/// After how many answers in a row that it lacks what it acknowledged a replica counts as regressed.
+const LACKING: u32 = 5;
+
 /// How many rounds of heartbeats are remembered with the moment when they were sent.
 const ROUNDS: usize = 64;
 
@@ -39,6 +42,7 @@
                 matched: Index(0),
                 next,
                 heard: now,
+                lacking: 0,
             };
             self.progress.insert(member.host, progress);
         }
@@ -137,6 +141,7 @@
             matched: Index(0),
             next,
             heard: now,
+            lacking: 0,
         };
         let next = self
             .progress
@@ -147,11 +152,15 @@
         let prev_index = Index(next.0 - 1);
         let Some(prev_term) = self.term_at(prev_index) else {
             let snapshot = self.snapshot.clone();
+            self.sent_up_to(&member.host, snapshot.index);
             self.send(member, Call::Install { snapshot, round });
             return;
         };
         let after = self.entries.iter().filter(|entry| entry.index >= next);
-        let entries = after.take(BATCH).cloned().collect();
+        let entries: Vec<_> = after.take(BATCH).cloned().collect();
+        if let Some(last) = entries.last() {
+            self.sent_up_to(&member.host, last.index);
+        }
         let commit = self.commit;
         self.send(
             member,
@@ -165,6 +174,13 @@
         );
     }
 
+    /// Counts on what was sent to arrive; a follower that lacks it says so, and it is sent again.
+    fn sent_up_to(&mut self, host: &Host, index: Index) {
+        if let Some(progress) = self.progress.get_mut(host) {
+            progress.next = index.next();
+        }
+    }
+
     #[allow(clippy::too_many_arguments)]
     pub(super) fn on_append_reply(
         &mut self,
@@ -188,10 +204,13 @@
         }
         if matched {
             progress.matched = progress.matched.max(index);
-            progress.next = progress.matched.next();
+            progress.next = progress.next.max(progress.matched.next());
+            progress.lacking = 0;
         } else {
-            // Never before what it has acknowledged: a disk that lost that is not the same disk.
-            if index < progress.matched {
+            // Never before what it has acknowledged: a disk that lost that is not the same disk. One
+            // such answer may only be late; several without an acknowledgement between are not.
+            progress.lacking += u32::from(index < progress.matched);
+            if progress.lacking >= LACKING {
                 self.regressed.insert(from.clone());
             }
             let back = Index(progress.next.0.saturating_sub(1)).min(index.next());
--- /dev/null
+++ b/crates/core/tests/old_disk.rs
@@ -0,0 +1,153 @@
+//! A replica whose disk is an older copy of itself (row S3).
+
+use std::time::Duration;
+
+use curlewlift_core::clock::Instant;
+use curlewlift_core::id::Disk;
+use curlewlift_core::id::Host;
+use curlewlift_core::log::Call;
+use curlewlift_core::log::Message;
+use curlewlift_core::log::Output;
+use curlewlift_core::log::Replica;
+use curlewlift_core::log::Saved;
+use curlewlift_core::log::Timing;
+
+struct Node {
+    replica: Replica,
+    disk: Saved,
+}
+
+impl Node {
+    fn new(host: &str, disk: Saved, seed: u64, now: Instant) -> Self {
+        let host: Host = host.parse().expect("a name");
+        let replica = Replica::new(host, disk.clone(), Timing::default(), seed, now);
+        Self { replica, disk }
+    }
+
+    /// Writes and syncs what there is to write; gives what there is to send.
+    fn settle(&mut self, now: Instant) -> Vec<Message> {
+        let mut sends = Vec::new();
+        loop {
+            let output = self.replica.output();
+            if output == Output::default() {
+                return sends;
+            }
+            for write in output.writes {
+                self.disk.write(write);
+            }
+            sends.extend(output.sends);
+            if let Some(sync) = output.sync {
+                self.replica.synced(sync, now);
+            }
+        }
+    }
+}
+
+/// Lets time pass and delivers everything, in order.
+fn go_on(nodes: &mut [Node], now: &mut Instant, steps: u32) {
+    for _ in 0..steps {
+        *now = *now + Duration::from_millis(20);
+        let mut bag = Vec::new();
+        for node in nodes.iter_mut() {
+            node.replica.tick(*now);
+            bag.extend(node.settle(*now));
+        }
+        while !bag.is_empty() {
+            let message = bag.remove(0);
+            for node in nodes
+                .iter_mut()
+                .filter(|node| node.replica.get_host() == &message.to)
+            {
+                node.replica.receive(message.clone(), *now);
+                bag.extend(node.settle(*now));
+            }
+        }
+    }
+}
+
+/// A leader and two replicas that count, after some entries.
+fn three() -> (Vec<Node>, Instant) {
+    let mut now = Instant::default();
+    let founder: Host = "c0".parse().expect("a name");
+    let mut nodes = vec![Node::new("c0", Replica::found(&founder, Disk(1)), 1, now)];
+    nodes.push(Node::new("c1", Replica::blank(Disk(2)), 2, now));
+    nodes.push(Node::new("c2", Replica::blank(Disk(3)), 3, now));
+    go_on(&mut nodes, &mut now, 100);
+    for (place, disk) in [(1, 2), (2, 3)] {
+        let host: Host = format!("c{place}").parse().expect("a name");
+        nodes[0]
+            .replica
+            .admit(&host, Disk(disk), now)
+            .expect("admitted");
+        go_on(&mut nodes, &mut now, 20);
+        nodes[0].replica.promote(&host, now).expect("whole");
+        go_on(&mut nodes, &mut now, 20);
+    }
+    (nodes, now)
+}
+
+#[test]
+fn older_copy() {
+    let (mut nodes, mut now) = three();
+    let copy = nodes[2].disk.clone();
+    for number in 0..10_u8 {
+        nodes[0]
+            .replica
+            .propose(vec![number], now)
+            .expect("it leads");
+        go_on(&mut nodes, &mut now, 2);
+    }
+    nodes[2] = Node::new("c2", copy, 9, now);
+    go_on(&mut nodes, &mut now, 50);
+    let regressed: Vec<_> = nodes[0]
+        .replica
+        .regressed()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(regressed, ["c2"], "the leader sees what it lacks");
+}
+
+#[test]
+fn late_rejection() {
+    let (mut nodes, mut now) = three();
+    for number in 0..10_u8 {
+        nodes[0]
+            .replica
+            .propose(vec![number], now)
+            .expect("it leads");
+        go_on(&mut nodes, &mut now, 2);
+    }
+    let late = Message {
+        from: "c2".parse().expect("a name"),
+        disk: Disk(3),
+        boot: nodes[2].disk.hard.boot,
+        mark: nodes[0]
+            .disk
+            .hard
+            .seen
+            .iter()
+            .find(|seen| seen.disk == Disk(3))
+            .expect("seen")
+            .mark,
+        to: "c0".parse().expect("a name"),
+        to_disk: Disk(1),
+        term: nodes[0].replica.get_term(),
+        call: Call::AppendReply {
+            matched: false,
+            index: curlewlift_core::id::Index(1),
+            round: 1,
+        },
+    };
+    for _ in 0..3 {
+        nodes[0].replica.receive(late.clone(), now);
+        go_on(&mut nodes, &mut now, 5);
+    }
+    assert_eq!(
+        nodes[0].replica.regressed().count(),
+        0,
+        "an answer that came late proves nothing"
+    );
+    nodes[0].replica.propose(vec![99], now).expect("it leads");
+    go_on(&mut nodes, &mut now, 10);
+    assert_eq!(nodes[2].replica.last_index(), nodes[0].replica.last_index());
+}
