--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -94,7 +94,7 @@
     ///
     /// A shard that was kept here and still is stays whole; one that was kept here and is not any more
     /// stays for one view, for those who fill theirs. A new one waits for a copy; where no
-    /// keeper of the former view is left there is none, and the loss is remembered. The first view
+    /// replica of the former view is left there is none, and the loss is remembered. The first view
     /// of all has nothing to lose.
     pub fn adopt(&mut self, roster: &Roster, previous: &Roster, now: Instant) {
         if roster.number <= self.view {
--- a/crates/core/src/fleet/index.rs
+++ b/crates/core/src/fleet/index.rs
@@ -130,7 +130,7 @@
         }
         let server = &self.servers[place];
         // What waits in the queue is still in its order; what waits inside a server is not.
-        let full = server.running >= server.spec.slots || server.busy() > self.tuning.gate;
+        let full = server.running >= server.spec.slots || server.busy() > self.tuning.backlog;
         if !server.live || full {
             return;
         }
--- a/crates/core/src/fleet/tuning.rs
+++ b/crates/core/src/fleet/tuning.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
     /// Seconds of prompts that may wait inside a server.
-    pub gate: f64,
+    pub backlog: f64,
     /// Whether servers are preferred that may have a prompt cached.
     pub belief: bool,
     /// Whether the speed of a server is learnt from its answers.
@@ -18,7 +18,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            gate: 0.2,
+            backlog: 0.2,
             belief: true,
             learn: true,
             caution: 0.1,
--- a/crates/core/src/queue/admission.rs
+++ b/crates/core/src/queue/admission.rs
@@ -12,7 +12,7 @@
 use super::dispatch::work_of;
 use super::level::Level;
 use super::line::Waiting;
-use super::order::Spot;
+use super::spot::Spot;
 
 /// # Admission
 impl Queue {
--- a/crates/core/src/queue/dispatch.rs
+++ b/crates/core/src/queue/dispatch.rs
@@ -15,7 +15,7 @@
 use super::Ask;
 use super::Queue;
 use super::Ticket;
-use super::order::Running;
+use super::spot::Running;
 
 /// Added to each expected time for the ways of messages.
 const SLACK: Duration = Duration::from_millis(60);
@@ -151,7 +151,7 @@
 
 /// What is counted on for a time that is expected: a part more, and the ways of messages.
 ///
-/// Under overload what is granted stands at the brink of its limit; without this a small error
+/// Under overload what is granted can only just meet its limit; without this a small error
 /// throws its whole prompt away.
 fn cautious(time: Duration, part: f64) -> Duration {
     time.mul_f64(1.0 + part) + SLACK
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -12,6 +12,7 @@
 mod level;
 mod line;
 mod order;
+mod spot;
 
 pub use action::Action;
 pub use ask::Ask;
--- a/crates/core/src/queue/order.rs
+++ b/crates/core/src/queue/order.rs
@@ -10,7 +10,6 @@
 use crate::fleet::Fleet;
 use crate::fleet::Pick;
 use crate::fleet::Time;
-use crate::fleet::Work;
 use crate::id;
 use crate::unit::Tokens;
 
@@ -22,27 +21,9 @@
 use super::dispatch::work_of;
 use super::length::Length;
 use super::level::Level;
-use super::line::Place;
 use super::line::Waiting;
-
-/// A request that was granted and has not ended.
-#[derive(Clone, Debug)]
-pub(super) struct Running {
-    pub(super) pick: Pick,
-    pub(super) work: Work,
-    pub(super) customer: id::Customer,
-    pub(super) sent: Instant,
-    pub(super) first: Option<Instant>,
-    pub(super) counted: (Instant, Tokens),
-}
-
-/// Where a request waits.
-#[derive(Clone, Debug)]
-pub(super) struct Spot {
-    pub(super) rank: u8,
-    pub(super) customer: id::Customer,
-    pub(super) place: Place,
-}
+use super::spot::Running;
+use super::spot::Spot;
 
 /// The waiting and the running work of one service, at its owner.
 ///
--- a/crates/core/src/view/keeper.rs
+++ b/crates/core/src/view/grantor.rs
@@ -43,15 +43,15 @@
 /// as holding a lease that was granted in the moment before. Memory and each round are linear in
 /// the entries.
 #[derive(Clone, Debug)]
-pub struct Keeper {
+pub struct Grantor {
     lease: Lease,
     began: Instant,
     active: Option<(id::View, Instant)>,
     seen: BTreeMap<Process, Seen>,
 }
 
-impl Keeper {
-    /// A keeper for a leader that began to lead at `now`.
+impl Grantor {
+    /// A grantor for a leader that began to lead at `now`.
     #[must_use]
     pub fn new(lease: Lease, now: Instant) -> Self {
         Self {
--- a/crates/core/tests/claim_histories.rs
+++ b/crates/core/tests/claim_histories.rs
@@ -404,20 +404,20 @@
     let now = Instant::default();
     let first = roster(1, &[&old, &others[0], &others[1]]);
     let second = roster(2, &[&old, &others[0], &others[1], &new]);
-    let mut keeper = table(&old);
-    keeper.adopt(&first, &Roster::default(), now);
+    let mut old_table = table(&old);
+    old_table.adopt(&first, &Roster::default(), now);
     for key in 0..200 {
         let mut claim = claim(1, None);
         claim.key = id::Key(key);
-        assert_eq!(keeper.claim(&claim, now), Answer::Granted);
+        assert_eq!(old_table.claim(&claim, now), Answer::Granted);
     }
-    keeper.adopt(&second, &first, now);
+    old_table.adopt(&second, &first, now);
     let mut filled = table(&new);
     filled.adopt(&second, &first, now);
     let wanted = filled.wanted();
     assert!(wanted.len() > 50, "it takes shards over: {}", wanted.len());
     for (shard, _) in wanted {
-        let Copy::Whole(slot) = keeper.copy(shard, id::View(2)) else {
+        let Copy::Whole(slot) = old_table.copy(shard, id::View(2)) else {
             panic!("shard {shard} is lost although its copy is there");
         };
         filled.fill(shard, id::View(2), slot, now);
--- a/crates/core/tests/fleet_pick.rs
+++ b/crates/core/tests/fleet_pick.rs
@@ -71,12 +71,12 @@
             });
         }
         let mut fleet = fleet(specs);
-        let gate = fleet.get_tuning().gate;
+        let backlog = fleet.get_tuning().backlog;
         for step in 0..100 {
             let work = work(&mut g);
             let open = known
                 .iter()
-                .filter(|k| (k.backlog.len() as u32) < k.slots && k.busy() <= gate);
+                .filter(|k| (k.backlog.len() as u32) < k.slots && k.busy() <= backlog);
             let best = open.map(|k| k.whole(&work)).min_by(f64::total_cmp);
             let pick = fleet.pick(&work);
             assert_eq!(pick.is_some(), best.is_some(), "seed {seed} step {step}");
--- a/crates/core/tests/view_histories.rs
+++ b/crates/core/tests/view_histories.rs
@@ -13,8 +13,8 @@
 use curlewlift_core::state::Machine;
 use curlewlift_core::state::Record;
 use curlewlift_core::view::Grant;
+use curlewlift_core::view::Grantor;
 use curlewlift_core::view::Holder;
-use curlewlift_core::view::Keeper;
 use curlewlift_core::view::Lease;
 use curlewlift_core::view::News;
 use curlewlift_core::view::Renewal;
@@ -59,7 +59,7 @@
 
 struct History {
     machine: Machine,
-    keeper: Keeper,
+    grantor: Grantor,
     clock: Drift,
     entries: Vec<Entry>,
     mail: Vec<Mail>,
@@ -92,7 +92,7 @@
         };
         Self {
             machine: machine(),
-            keeper: Keeper::new(Lease::default(), Instant::default()),
+            grantor: Grantor::new(Lease::default(), Instant::default()),
             clock: Drift(20),
             entries: (0..ENTRIES).map(entry).collect(),
             mail: Vec::new(),
@@ -111,7 +111,7 @@
             190..=229 => self.time += 1_000 * (pick as u64 % 200),
             230..=231 => self.entries[pick % ENTRIES].alive = false,
             232..=234 => self.restart(pick % ENTRIES),
-            235 => self.keeper = Keeper::new(Lease::default(), self.clock.at(self.time)),
+            235 => self.grantor = Grantor::new(Lease::default(), self.clock.at(self.time)),
             236 => {
                 let place = pick % self.mail.len().max(1);
                 if place < self.mail.len() {
@@ -149,7 +149,7 @@
             Mail::Renewal(entry, incarnation, renewal, asked) => {
                 let now = self.clock.at(self.time);
                 let grant = self
-                    .keeper
+                    .grantor
                     .renew(&renewal, &self.machine, now)
                     .expect("it is known");
                 self.mail
@@ -174,7 +174,7 @@
 
     fn tend(&mut self) {
         let now = self.clock.at(self.time);
-        if let Some(roster) = self.keeper.next(&self.machine, now) {
+        if let Some(roster) = self.grantor.next(&self.machine, now) {
             self.machine
                 .apply(&Record::Roster(roster))
                 .expect("a view is taken");
@@ -293,7 +293,7 @@
 #[test]
 fn by_steps() {
     let mut machine = machine();
-    let mut keeper = Keeper::new(Lease::default(), Instant::default());
+    let mut grantor = Grantor::new(Lease::default(), Instant::default());
     let mut holder = Holder::new(member(0, 1));
     for number in 0..400 {
         let command = Command {
@@ -304,7 +304,7 @@
         machine.apply(&Record::Command(command)).expect("a change");
         if number % 7 == 0 || number > 390 {
             let now = Instant(number);
-            let grant = keeper
+            let grant = grantor
                 .renew(&holder.renewal(), &machine, now)
                 .expect("it is known");
             let whole = matches!(grant.news, News::Whole(_));
@@ -315,7 +315,7 @@
         }
     }
     let mut late = Holder::new(member(1, 2));
-    let grant = keeper
+    let grant = grantor
         .renew(&late.renewal(), &machine, Instant(500))
         .expect("it is known");
     late.granted(grant, Instant(500));
@@ -325,14 +325,14 @@
 #[test]
 fn taken_up_first() {
     let mut machine = machine();
-    let mut keeper = Keeper::new(Lease::default(), Instant::default());
+    let mut grantor = Grantor::new(Lease::default(), Instant::default());
     let mut holders: Vec<_> = (0..3).map(|place| Holder::new(member(place, 1))).collect();
-    let renew = |keeper: &mut Keeper, holder: &mut Holder, machine: &Machine, now: u64| {
-        let grant = keeper.renew(&holder.renewal(), machine, Instant(now));
+    let renew = |grantor: &mut Grantor, holder: &mut Holder, machine: &Machine, now: u64| {
+        let grant = grantor.renew(&holder.renewal(), machine, Instant(now));
         holder.granted(grant.expect("it is known"), Instant(now));
     };
-    let propose = |keeper: &mut Keeper, machine: &mut Machine, now: u64| {
-        let next = keeper.next(machine, Instant(now));
+    let propose = |grantor: &mut Grantor, machine: &mut Machine, now: u64| {
+        let next = grantor.next(machine, Instant(now));
         let some = next.is_some();
         if let Some(roster) = next {
             machine
@@ -341,35 +341,35 @@
         }
         some
     };
-    renew(&mut keeper, &mut holders[0], &machine, 1);
-    assert!(propose(&mut keeper, &mut machine, 2));
-    renew(&mut keeper, &mut holders[1], &machine, 3);
+    renew(&mut grantor, &mut holders[0], &machine, 1);
+    assert!(propose(&mut grantor, &mut machine, 2));
+    renew(&mut grantor, &mut holders[1], &machine, 3);
     assert!(
-        !propose(&mut keeper, &mut machine, 4),
+        !propose(&mut grantor, &mut machine, 4),
         "the first has not taken its view up"
     );
-    renew(&mut keeper, &mut holders[0], &machine, 5);
+    renew(&mut grantor, &mut holders[0], &machine, 5);
     assert!(
-        !propose(&mut keeper, &mut machine, 6),
+        !propose(&mut grantor, &mut machine, 6),
         "nor told that it has"
     );
-    renew(&mut keeper, &mut holders[0], &machine, 7);
-    assert!(propose(&mut keeper, &mut machine, 8));
+    renew(&mut grantor, &mut holders[0], &machine, 7);
+    assert!(propose(&mut grantor, &mut machine, 8));
     for now in 9..12 {
-        renew(&mut keeper, &mut holders[0], &machine, now);
-        renew(&mut keeper, &mut holders[1], &machine, now);
+        renew(&mut grantor, &mut holders[0], &machine, now);
+        renew(&mut grantor, &mut holders[1], &machine, now);
     }
     holders[1].whole(false);
-    renew(&mut keeper, &mut holders[1], &machine, 20);
-    renew(&mut keeper, &mut holders[2], &machine, 21);
+    renew(&mut grantor, &mut holders[1], &machine, 20);
+    renew(&mut grantor, &mut holders[2], &machine, 21);
     assert!(
-        !propose(&mut keeper, &mut machine, 22),
+        !propose(&mut grantor, &mut machine, 22),
         "a copy is not whole"
     );
     let late = 2_200_000;
-    renew(&mut keeper, &mut holders[1], &machine, late);
+    renew(&mut grantor, &mut holders[1], &machine, late);
     assert!(
-        propose(&mut keeper, &mut machine, late + 1),
+        propose(&mut grantor, &mut machine, late + 1),
         "but a death does not wait"
     );
 }
--- a/crates/curlewlift/src/control/answers.rs
+++ b/crates/curlewlift/src/control/answers.rs
@@ -69,10 +69,10 @@
             state.leads()?;
             let now = state.clock.now();
             let state = &mut *state;
-            let Some(keeper) = &mut state.keeper else {
+            let Some(grantor) = &mut state.grantor else {
                 return Err(Refusal::new(Code::NotLeader, "it has only begun to lead"));
             };
-            let grant = keeper.renew(&renewal, &state.machine, now)?;
+            let grant = grantor.renew(&renewal, &state.machine, now)?;
             Ok(rpc::encode(&grant))
         }
     }
--- a/crates/curlewlift/src/control/query.rs
+++ b/crates/curlewlift/src/control/query.rs
@@ -60,9 +60,9 @@
     table.push(&"control", &own);
     let now = state.clock.now();
     for (host, revision, view, heard) in state
-        .keeper
+        .grantor
         .iter()
-        .flat_map(curlewlift_core::view::Keeper::revisions)
+        .flat_map(curlewlift_core::view::Grantor::revisions)
     {
         let age = u64::try_from(now.since(heard).as_millis()).unwrap_or(u64::MAX);
         table.push(
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -21,7 +21,7 @@
 use curlewlift_core::log::Sync;
 use curlewlift_core::state::Machine;
 use curlewlift_core::state::Record;
-use curlewlift_core::view::Keeper;
+use curlewlift_core::view::Grantor;
 use curlewlift_core::view::Lease;
 use tokio::sync::oneshot;
 
@@ -46,7 +46,7 @@
 pub(super) struct State {
     pub(super) replica: Replica,
     pub(super) machine: Machine,
-    pub(super) keeper: Option<Keeper>,
+    pub(super) grantor: Option<Grantor>,
     pub(super) timeline: Timeline,
     pub(super) clock: Clock,
     writer: Writer,
@@ -75,7 +75,7 @@
         Ok(Self {
             replica,
             machine,
-            keeper: None,
+            grantor: None,
             timeline,
             clock: Clock::start(),
             writer,
@@ -241,11 +241,11 @@
         if role == Role::Leader {
             self.timeline
                 .note(Line::new(Kind::Leads).detail(format_args!("term={term}")));
-            self.keeper = Some(Keeper::new(self.lease, self.clock.now()));
+            self.grantor = Some(Grantor::new(self.lease, self.clock.now()));
         } else if self.role == Role::Leader {
             self.timeline
                 .note(Line::new(Kind::Follows).detail(format_args!("term={term}")));
-            self.keeper = None;
+            self.grantor = None;
             // Whoever waits is told nothing: the command may still be committed.
             self.waiting.clear();
         }
@@ -269,13 +269,13 @@
 
     fn tend_view(&mut self) {
         let now = self.clock.now();
-        let Some(keeper) = &mut self.keeper else {
+        let Some(grantor) = &mut self.grantor else {
             return;
         };
         if self.proposed > self.machine.get_roster().number {
             return;
         }
-        let Some(roster) = keeper.next(&self.machine, now) else {
+        let Some(roster) = grantor.next(&self.machine, now) else {
             return;
         };
         let hosts: Vec<_> = roster.members.iter().map(|m| m.host.as_str()).collect();
--- a/crates/curlewlift/src/entry/admit.rs
+++ b/crates/curlewlift/src/entry/admit.rs
@@ -24,11 +24,11 @@
 
 /// The customers' limits at this entry.
 #[derive(Debug, Default)]
-pub(super) struct Gate {
+pub(super) struct Limits {
     used: HashMap<id::Customer, Used>,
 }
 
-impl Gate {
+impl Limits {
     /// Counts a request of `customer` as open.
     fn enter(
         &mut self,
@@ -75,7 +75,7 @@
 
 impl Drop for Open {
     fn drop(&mut self) {
-        lock(&self.node.gate).leave(&self.customer);
+        lock(&self.node.limits).leave(&self.customer);
     }
 }
 
@@ -108,7 +108,7 @@
     name: &id::Customer,
     customer: &config::Customer,
 ) -> Result<Open, Refusal> {
-    lock(&node.gate).enter(name, customer, node.now())?;
+    lock(&node.limits).enter(name, customer, node.now())?;
     Ok(Open {
         node: Arc::clone(node),
         customer: name.clone(),
--- a/crates/curlewlift/src/entry/answers.rs
+++ b/crates/curlewlift/src/entry/answers.rs
@@ -75,7 +75,7 @@
         ClaimCall::Copy { shard, view } => ClaimReply::Copy(lock(&node.table).copy(shard, view)),
         ClaimCall::Look { key } => ClaimReply::Looked(lock(&node.table).get(key).cloned()),
         ClaimCall::Fetch { key, body, from } => {
-            let kept = lock(&node.shelf).get(key).cloned();
+            let kept = lock(&node.store).get(key).cloned();
             if kept
                 .as_ref()
                 .is_some_and(|kept| body != 0 && kept.digest != body)
--- a/crates/curlewlift/src/entry/http.rs
+++ b/crates/curlewlift/src/entry/http.rs
@@ -301,7 +301,7 @@
 ) -> Result<super::kept::Reader, Refusal> {
     let (customer, _) = admit::customer(node, headers)?;
     let key = id::Key::new(&customer, key_text);
-    if let Some(kept) = lock(&node.shelf).get(key) {
+    if let Some(kept) = lock(&node.store).get(key) {
         return Ok(kept.attach());
     }
     let record = match issue::record(key_text, ANY_BODY) {
--- a/crates/curlewlift/src/entry/kept.rs
+++ b/crates/curlewlift/src/entry/kept.rs
@@ -270,7 +270,7 @@
 
 /// The answers that this entry keeps; ended ones go after a time, or for want of room.
 #[derive(Debug)]
-pub(super) struct Shelf {
+pub(super) struct Store {
     answers: HashMap<id::Key, Arc<Kept>>,
     ended: VecDeque<(Instant, id::Key, usize)>,
     bytes: usize,
@@ -278,7 +278,7 @@
     keep: Duration,
 }
 
-impl Shelf {
+impl Store {
     /// Keeps ended answers for `keep`, `limit` bytes of them at the most.
     pub(super) fn new(keep: Duration, limit: usize) -> Self {
         Self {
--- a/crates/curlewlift/src/entry/node.rs
+++ b/crates/curlewlift/src/entry/node.rs
@@ -32,8 +32,8 @@
 use crate::rpc;
 use crate::timeline::Timeline;
 
-use super::admit::Gate;
-use super::kept::Shelf;
+use super::admit::Limits;
+use super::kept::Store;
 use super::owner::Owned;
 use super::request::Request;
 
@@ -41,7 +41,7 @@
 const KEEP: Duration = Duration::from_mins(10);
 
 /// Bytes of ended answers that are kept.
-const SHELF: usize = 64 << 20;
+const STORE: usize = 64 << 20;
 
 /// Records of request keys that are kept.
 const RECORDS: usize = 1_000_000;
@@ -72,8 +72,8 @@
     pub(super) table: Mutex<Table>,
     pub(super) owned: Mutex<BTreeMap<id::Service, Owned>>,
     pub(super) waits: Mutex<HashMap<queue::Ticket, oneshot::Sender<Word>>>,
-    pub(super) shelf: Mutex<Shelf>,
-    pub(super) gate: Mutex<Gate>,
+    pub(super) store: Mutex<Store>,
+    pub(super) limits: Mutex<Limits>,
     pub(super) running: Mutex<HashMap<id::Ticket, (Arc<Request>, id::Server)>>,
     pub(super) pooled: Client<HttpConnector, Body>,
     pub(super) fresh: Client<HttpConnector, Body>,
@@ -102,8 +102,8 @@
             member,
             owned: Mutex::default(),
             waits: Mutex::default(),
-            shelf: Mutex::new(Shelf::new(KEEP, SHELF)),
-            gate: Mutex::default(),
+            store: Mutex::new(Store::new(KEEP, STORE)),
+            limits: Mutex::default(),
             running: Mutex::default(),
             pooled: http_client(true),
             fresh: http_client(false),
--- a/crates/curlewlift/src/entry/run.rs
+++ b/crates/curlewlift/src/entry/run.rs
@@ -40,8 +40,8 @@
 
 /// Begins a request, or finds the answer of the first one with its key.
 pub(super) fn begin(node: &Arc<Node>, request: Request) -> Result<Reader, Refusal> {
-    let mut shelf = lock(&node.shelf);
-    if let Some(kept) = shelf.get(request.key) {
+    let mut store = lock(&node.store);
+    if let Some(kept) = store.get(request.key) {
         if kept.digest != request.digest {
             let why = "the key was used with another body";
             return Err(Refusal::new(Code::OtherBody, why));
@@ -54,7 +54,7 @@
         return Ok(kept.attach());
     }
     let kept = Arc::new(Kept::new(request.digest));
-    shelf.put(request.key, Arc::clone(&kept));
+    store.put(request.key, Arc::clone(&kept));
     let reader = kept.attach();
     node.open.fetch_add(1, Ordering::Relaxed);
     tokio::spawn(run(Arc::clone(node), Arc::new(request), kept));
@@ -189,7 +189,7 @@
             let _ = tokio::time::timeout(TELL, told).await;
         }
     }
-    lock(&node.shelf).end(request.key, outcome, node.now());
+    lock(&node.store).end(request.key, outcome, node.now());
     kept.end(end);
     let kind = if outcome == Outcome::NotRun {
         Kind::Refused
@@ -293,7 +293,7 @@
     record: &Record,
 ) -> Result<Fate, Refusal> {
     if record.holder == node.member.host && record.incarnation == node.member.incarnation {
-        let end = lock(&node.shelf).get(key).map(|kept| kept.get_end());
+        let end = lock(&node.store).get(key).map(|kept| kept.get_end());
         let end = end.ok_or_else(|| Refusal::new(Code::UnknownKey, "its answer is not kept"))?;
         return Ok(end.map_or(Fate::Open, |end| end.fate()));
     }
--- a/crates/lab/examples/ablations.rs
+++ b/crates/lab/examples/ablations.rs
@@ -22,7 +22,13 @@
     let all = Tuning::default();
     vec![
         ("all parts", all),
-        ("no gate", Tuning { gate: 1e9, ..all }),
+        (
+            "no limit on the backlog",
+            Tuning {
+                backlog: 1e9,
+                ..all
+            },
+        ),
         (
             "no cache belief",
             Tuning {
--- a/crates/lab/examples/slopes.rs
+++ b/crates/lab/examples/slopes.rs
@@ -36,7 +36,7 @@
 use curlewlift_core::state::Record;
 use curlewlift_core::unit::Rate;
 use curlewlift_core::unit::Tokens;
-use curlewlift_core::view::Keeper;
+use curlewlift_core::view::Grantor;
 use curlewlift_core::view::Lease;
 use curlewlift_core::view::Member;
 use curlewlift_core::view::Renewal;
@@ -65,7 +65,7 @@
         owner();
     }
     if wanted("leases") {
-        keeper();
+        leases();
     }
     if wanted("changes") {
         changes();
@@ -303,7 +303,7 @@
     machine
 }
 
-fn keeper() {
+fn leases() {
     println!("\n# leases, at the leading control replica");
     let mut points = Vec::new();
     for entries in [10, 100, 340] {
@@ -313,7 +313,7 @@
         machine
             .apply(&Record::Roster(Roster { number, members }))
             .expect("a view");
-        let mut keeper = Keeper::new(Lease::default(), Instant::default());
+        let mut grantor = Grantor::new(Lease::default(), Instant::default());
         let mut place = 0;
         let revision = machine.get_snapshot().revision;
         let took = time(20_000, || {
@@ -326,7 +326,7 @@
                 revision,
                 gone: false,
             };
-            let grant = keeper.renew(&renewal, &machine, Instant::default());
+            let grant = grantor.renew(&renewal, &machine, Instant::default());
             assert!(grant.is_ok());
         });
         points.push((entries as f64, took));
--- a/crates/lab/src/standin/tape.rs
+++ b/crates/lab/src/standin/buffer.rs
@@ -15,12 +15,12 @@
 
 /// A stream of an engine.
 #[derive(Default)]
-pub(super) struct Tape {
+pub(super) struct Buffer {
     state: Mutex<State>,
     grown: Notify,
 }
 
-impl Tape {
+impl Buffer {
     pub(super) fn write(&self, bytes: &[u8]) {
         self.lock().bytes.extend_from_slice(bytes);
         self.grown.notify_waiters();
--- a/crates/lab/src/standin/engine.rs
+++ b/crates/lab/src/standin/engine.rs
@@ -30,7 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use super::tape::Tape;
+use super::buffer::Buffer;
 
 /// Prompts that the cache holds.
 const CACHE: usize = 64;
@@ -80,7 +80,7 @@
     faults: Faults,
     tally: Tally,
     cache: VecDeque<u64>,
-    tapes: HashMap<String, Arc<Tape>>,
+    buffers: HashMap<String, Arc<Buffer>>,
 }
 
 struct Shared {
@@ -180,20 +180,20 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let wanted = wanted(&engine, &headers, &body);
-    let tape = Arc::new(Tape::default());
+    let buffer = Arc::new(Buffer::default());
     {
         let mut inner = engine.lock();
         *inner.tally.runs.entry(wanted.id.clone()).or_default() += 1;
-        inner.tapes.insert(wanted.id.clone(), Arc::clone(&tape));
+        inner.buffers.insert(wanted.id.clone(), Arc::clone(&buffer));
     }
     let stream = wanted.stream;
     let faults = engine.lock().faults;
-    tokio::spawn(generate(engine, wanted, Arc::clone(&tape)));
+    tokio::spawn(generate(engine, wanted, Arc::clone(&buffer)));
     if stream {
-        return streamed(tape, 0, faults.break_after);
+        return streamed(buffer, 0, faults.break_after);
     }
     let mut whole = Vec::new();
-    while let Some(bytes) = tape.next(whole.len(), usize::MAX).await {
+    while let Some(bytes) = buffer.next(whole.len(), usize::MAX).await {
         whole.extend(bytes);
     }
     if faults.short {
@@ -243,7 +243,7 @@
 }
 
 /// Computes the answer, whether anyone reads it or not.
-async fn generate(engine: Arc<Shared>, wanted: Wanted, tape: Arc<Tape>) {
+async fn generate(engine: Arc<Shared>, wanted: Wanted, buffer: Arc<Buffer>) {
     let computed = wanted.prompt - wanted.cached;
     {
         let _turn = engine.prefill.lock().await;
@@ -261,26 +261,26 @@
         let token = format!("t{place} ");
         if wanted.stream {
             let delta = json!({ "choices": [{ "index": 0, "delta": { "content": token } }] });
-            tape.write(format!("data: {delta}\n\n").as_bytes());
+            buffer.write(format!("data: {delta}\n\n").as_bytes());
         } else {
             text += &token;
         }
     }
     if wanted.stream {
         let last = json!({ "choices": [], "usage": usage });
-        tape.write(format!("data: {last}\n\ndata: [DONE]\n\n").as_bytes());
+        buffer.write(format!("data: {last}\n\ndata: [DONE]\n\n").as_bytes());
     } else {
         let message = json!({ "role": "assistant", "content": text });
         let choice = json!({ "index": 0, "message": message, "finish_reason": "stop" });
         let whole = json!({ "object": "chat.completion", "choices": [choice], "usage": usage });
-        tape.write(whole.to_string().as_bytes());
+        buffer.write(whole.to_string().as_bytes());
     }
-    tape.end();
+    buffer.end();
     // A reader that has lost its connection may come back for a while.
     tokio::time::sleep(Duration::from_secs(1)).await;
     let mut inner = engine.lock();
     inner.tally.finished += 1;
-    if !tape.is_read() {
+    if !buffer.is_read() {
         inner.tally.wasted += computed;
     }
 }
@@ -290,15 +290,15 @@
     tokio::time::sleep(seconds).await;
 }
 
-fn streamed(tape: Arc<Tape>, from: usize, break_after: Option<usize>) -> Response<Body> {
-    let parts = stream::unfold((tape, from), move |(tape, from)| async move {
+fn streamed(buffer: Arc<Buffer>, from: usize, break_after: Option<usize>) -> Response<Body> {
+    let parts = stream::unfold((buffer, from), move |(buffer, from)| async move {
         let most = break_after.map_or(usize::MAX, |after| after.saturating_sub(from));
         if most == 0 {
-            return Some((Err(std::io::Error::other("broken")), (tape, from)));
+            return Some((Err(std::io::Error::other("broken")), (buffer, from)));
         }
-        let bytes = tape.next(from, most).await?;
+        let bytes = buffer.next(from, most).await?;
         let next = from + bytes.len();
-        Some((Ok(Bytes::from(bytes)), (tape, next)))
+        Some((Ok(Bytes::from(bytes)), (buffer, next)))
     });
     let body = Body::from_stream(parts);
     ([(header::CONTENT_TYPE, "text/event-stream")], body).into_response()
@@ -315,14 +315,14 @@
     Query(From { from }): Query<From>,
 ) -> Response<Body> {
     let inner = engine.lock();
-    match inner.tapes.get(&id) {
-        Some(tape) if !inner.faults.lose => streamed(Arc::clone(tape), from, None),
+    match inner.buffers.get(&id) {
+        Some(buffer) if !inner.faults.lose => streamed(Arc::clone(buffer), from, None),
         _ => StatusCode::NOT_FOUND.into_response(),
     }
 }
 
 async fn cancel(State(engine): State<Arc<Shared>>, Path(id): Path<String>) -> StatusCode {
-    match engine.lock().tapes.remove(&id) {
+    match engine.lock().buffers.remove(&id) {
         Some(_) => StatusCode::NO_CONTENT,
         None => StatusCode::NOT_FOUND,
     }
--- a/crates/lab/src/standin/mod.rs
+++ b/crates/lab/src/standin/mod.rs
@@ -1,9 +1,9 @@
 //! Stand-ins for backend servers, as docs/INTERFACES.md describes them.
 
+mod buffer;
 mod engine;
 mod plain;
 mod platform;
-mod tape;
 
 pub use engine::Engine;
 pub use engine::Faults;
