--- a/crates/curlewlift/tests/broken_answers.rs
+++ b/crates/curlewlift/tests/broken_answers.rs
@@ -112,3 +112,35 @@
         }
     }
 }
+
+#[test]
+fn refused_connection() {
+    let mut small = Small::start("refused_connection", 1, 1, 1);
+    // A port that was free a moment ago, and where nobody listens.
+    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = free.local_addr().expect("an address");
+    drop(free);
+    small.site.run("create service away");
+    small.site.server("a1", "away", address, "");
+    small.site.wait_in_force();
+    let to = small.site.entry(0);
+    let away = small
+        .ann
+        .send(to, Method::POST, "/services/away/x", &[], "");
+    let away = small.runtime.block_on(away);
+    assert_eq!(away.header("curlewlift-code"), "4001", "{}", away.body);
+    assert_eq!(
+        away.header("curlewlift-outcome"),
+        "not-run",
+        "surely nothing went out"
+    );
+    // Beside a server that answers, it goes there.
+    small.site.server("a2", "away", small.plain.address(), "");
+    small.site.wait_in_force();
+    for number in 0..4 {
+        let path = format!("/services/away/{number}");
+        let reply = small.ann.send(to, Method::POST, &path, &[], "");
+        let reply = small.runtime.block_on(reply);
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+}
