--- a/crates/core/tests/old_disk.rs
+++ b/crates/core/tests/old_disk.rs
@@ -151,3 +151,22 @@
     go_on(&mut nodes, &mut now, 10);
     assert_eq!(nodes[2].replica.last_index(), nodes[0].replica.last_index());
 }
+
+#[test]
+fn same_boot() {
+    let (mut nodes, mut now) = three();
+    let host: Host = "c2".parse().expect("a name");
+    let copy = nodes[2].disk.clone();
+    nodes[2] = Node::new("c2", copy.clone(), 9, now);
+    go_on(&mut nodes, &mut now, 50);
+    assert!(
+        nodes[0].replica.hears(&host, now),
+        "the disk itself is heard"
+    );
+    nodes[2] = Node::new("c2", copy, 10, now);
+    go_on(&mut nodes, &mut now, 100);
+    assert!(
+        !nodes[0].replica.hears(&host, now),
+        "a copy that was started as often is not"
+    );
+}
