Give each drain of the platform's list a number of its own

Cause: read in the change itself: the commands that follow from one list were numbered by the revision, which moves only once a command is applied. Where a list named two leaving servers, the second drain had the number of the first, was a conflict, and the server kept its work until the list changed again.

Change: they are numbered by the log's end, which moves with each proposal. The test has two servers leave in one list.

A drain that a floor refuses is still not tried again before the list's next version.

--- a/crates/curlewlift/src/control/platform.rs
+++ b/crates/curlewlift/src/control/platform.rs
@@ -73,13 +73,14 @@
             Order::Undrain(name) => format!("undrain server {name}"),
         };
         let mut state = state.borrow_mut();
-        let revision = state.machine.get_snapshot().revision;
+        // The log's end moves with each proposal; the revision only once one is applied.
+        let place = state.replica.last_index();
         let Ok(operator) = OPERATOR.parse() else {
             return;
         };
         let record = Record::Command(Command {
             operator,
-            number: FIRST_NUMBER + revision.0,
+            number: FIRST_NUMBER + place.0,
             line: line.clone(),
         });
         match state.propose(&record) {
--- a/crates/curlewlift/tests/leaving_servers.rs
+++ b/crates/curlewlift/tests/leaving_servers.rs
@@ -57,5 +57,12 @@
     wait_for("{\"name\":\"x\"}\n");
     platform.tell(6, &[("y", true)]);
     wait_for("{\"name\":\"x\"}\n{\"name\":\"y\"}\n");
+    // Two at once: each drain is a command of its own.
+    for (number, name) in [(10, "a"), (11, "b")] {
+        let line = format!("create server {name} service=s address=127.0.0.1:3 hall=h");
+        operator.run(number, &line).expect("it is applied");
+    }
+    platform.tell(7, &[("a", true), ("b", true), ("y", true)]);
+    wait_for("{\"name\":\"a\"}\n{\"name\":\"b\"}\n{\"name\":\"x\"}\n{\"name\":\"y\"}\n");
     control.kill();
 }
