--- a/crates/core/tests/old_disk.rs
+++ b/crates/core/tests/old_disk.rs
@@ -86,17 +86,20 @@
     (nodes, now)
 }
 
+/// Ten entries that all acknowledge.
+fn propose_ten(nodes: &mut [Node], now: &mut Instant) {
+    for number in 0..10_u8 {
+        let leader = &mut nodes[0].replica;
+        leader.propose(vec![number], *now).expect("it leads");
+        go_on(nodes, now, 2);
+    }
+}
+
 #[test]
 fn older_copy() {
     let (mut nodes, mut now) = three();
     let copy = nodes[2].disk.clone();
-    for number in 0..10_u8 {
-        nodes[0]
-            .replica
-            .propose(vec![number], now)
-            .expect("it leads");
-        go_on(&mut nodes, &mut now, 2);
-    }
+    propose_ten(&mut nodes, &mut now);
     nodes[2] = Node::new("c2", copy, 9, now);
     go_on(&mut nodes, &mut now, 50);
     let regressed: Vec<_> = nodes[0]
@@ -110,13 +113,7 @@
 #[test]
 fn late_rejection() {
     let (mut nodes, mut now) = three();
-    for number in 0..10_u8 {
-        nodes[0]
-            .replica
-            .propose(vec![number], now)
-            .expect("it leads");
-        go_on(&mut nodes, &mut now, 2);
-    }
+    propose_ten(&mut nodes, &mut now);
     let late = Message {
         from: "c2".parse().expect("a name"),
         disk: Disk(3),
