Look once which members of a view live

Cause: the leader asked at each look, fifty times a second, three times over for each member whether it is dead, and a fourth time to copy it.

Change: the live members are found once; the rest is read off them.

Figures: none taken; four lookups a member and look are two or three now.

--- a/crates/core/src/view/grantor.rs
+++ b/crates/core/src/view/grantor.rs
@@ -145,33 +145,19 @@
                 now
             }
         };
-        let live = |member: &&Member| !self.is_dead(member, now);
-        if !roster
-            .members
-            .iter()
-            .filter(live)
-            .all(|member| self.has_taken_up(member, roster))
-        {
+        let members = roster.members.iter();
+        let live: Vec<_> = members
+            .filter(|member| !self.is_dead(member, now))
+            .collect();
+        if !live.iter().all(|member| self.has_taken_up(member, roster)) {
             return None;
         }
-        let whole = roster
-            .members
-            .iter()
-            .filter(live)
-            .all(|member| self.is_whole(member));
-        let death = roster
-            .members
-            .iter()
-            .any(|member| self.is_dead(member, now));
-        if !whole && !death {
+        let death = live.len() < roster.members.len();
+        if !death && !live.iter().all(|member| self.is_whole(member)) {
             return None;
         }
         let aged = !roster.members.is_empty() && now.since(since) >= self.lease.age;
-        let mut members: Vec<_> = roster
-            .members
-            .iter()
-            .filter_map(|m| self.kept(m, now))
-            .collect();
+        let mut members: Vec<_> = live.iter().map(|member| self.newest(member)).collect();
         for seen in self.seen.values() {
             let is_new = members
                 .iter()
@@ -205,13 +191,10 @@
             .is_some_and(|seen| seen.whole)
     }
 
-    /// What becomes of `member` in the next view.
-    fn kept(&self, member: &Member, now: Instant) -> Option<Member> {
-        if self.is_dead(member, now) {
-            return None;
-        }
+    /// What `member` has last said of itself.
+    fn newest(&self, member: &Member) -> Member {
         let seen = self.seen.get(&process(member));
-        Some(seen.map_or_else(|| member.clone(), |seen| seen.member.clone()))
+        seen.map_or(member, |seen| &seen.member).clone()
     }
 
     /// The revision that was last told to be in force at each entry, and how long ago.
