--- a/crates/core/src/code/table.rs
+++ b/crates/core/src/code/table.rs
@@ -85,6 +85,7 @@
     RateLimit = 2002, "rate-limit", 429, "The customer sends more requests a second than it may.";
     OpenLimit = 2003, "open-limit", 429, "The customer has as many requests open as it may.";
     Forbidden = 2004, "forbidden", 403, "The operator may not give this command.";
+    Allowance = 2005, "allowance", 429, "The customer has used up its allowance; come back later.";
     Shed = 3001, "shed", 503, "The service is full and this was the lowest tier that waited.";
     CannotFinish = 3002, "cannot-finish", 503, "The deadline cannot be met; refused before prefill.";
     QueueLimit = 3003, "queue-limit", 503, "The customer has as much waiting as it may.";
@@ -93,6 +94,7 @@
     Refused = 4001, "refused", 502, "The backend server refused before running.";
     Broken = 4002, "broken", 502, "The answer ended before its end.";
     Late = 4003, "late", 504, "The answer was not whole when the deadline passed.";
+    RetryBudget = 4004, "retry-budget", 503, "It did not run, and no further sending is allowed at present.";
     OtherBody = 5001, "other-body", 422, "The request key was used before with another body.";
     InFlight = 5002, "in-flight", 409, "A request with this key is running; ask for it again later.";
     ClaimUnknown = 5003, "claim-unknown", 409, "A request with this key may have run; its answer is not kept.";
@@ -112,6 +114,7 @@
     Leaving = 7004, "leaving", 503, "This entry is stopping; use another address.";
     WrongView = 7005, "wrong-view", 503, "The two entries hold different views; ask again.";
     Internal = 7006, "internal", 500, "An invariant did not hold; the event log has the place.";
+    NoTable = 7007, "no-table", 503, "This gateway has no routing table yet; use another address.";
     BadSetting = 8001, "bad-setting", 500, "A setting is unknown, out of range or contradicts another.";
     Damaged = 9001, "damaged", 500, "A file of the data folder is damaged and was not guessed at.";
     DiskFailed = 9002, "disk-failed", 500, "A write or sync failed; the process stopped.";
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -82,6 +82,13 @@
     ShardFilled = 303, "shard-filled", "A copy of a shard's claims has come and is whole.";
     ShardLost = 304, "shard-lost", "No copy of a shard's claims is left.";
     Revision = 305, "revision", "A revision of the configuration is in force here.";
+    TableHeld = 306, "table-held", "A routing table is in force at this gateway.";
+    ListHeld = 307, "list-held", "A list of backend servers is in force at this gateway.";
+    HubFound = 308, "hub-found", "The gateway hears the leading control replica.";
+    HubLost = 309, "hub-lost", "The gateway does not hear the leading control replica; it keeps to its own parts of the allowances.";
+    PlatformFound = 310, "platform-found", "The platform's list is answered again.";
+    PlatformLost = 311, "platform-lost", "The platform's list is not answered.";
+    Reloaded = 312, "reloaded", "The settings were read again.";
     Leads = 400, "leads", "This control replica has become the leader.";
     Follows = 401, "follows", "This control replica follows a leader or has none.";
     Command = 402, "command", "An operator's command was answered.";
@@ -90,4 +97,5 @@
     ReplicaCounts = 405, "replica-counts", "A learner is whole and counts from now on.";
     ReplicaExpelled = 406, "replica-expelled", "A control replica was taken out.";
     DiskFailed = 407, "disk-failed", "A write or sync has failed; the process ends.";
+    Published = 408, "published", "A routing table is in force; the detail has its number.";
 }
--- a/crates/core/src/log/entry.rs
+++ b/crates/core/src/log/entry.rs
@@ -14,7 +14,7 @@
     /// Nothing: the first entry of a leader's term.
     Blank,
     /// A command of the machine above the log.
-    Data(Vec<u8>),
+    Data(#[serde(with = "super::bytes")] Vec<u8>),
     /// A new set of replicas, in force as soon as it stands in the log.
     Members(Members),
 }
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -4,6 +4,7 @@
 //! changes of the replica set one at a time, snapshots. [`Replica`] is the machine; its caller
 //! owns the socket, the disk and the clock, and gives back what each [`Output`] asks for.
 
+mod bytes;
 mod election;
 mod entry;
 mod getters;
--- a/crates/core/src/log/output.rs
+++ b/crates/core/src/log/output.rs
@@ -48,6 +48,7 @@
     /// The replicas at that place.
     pub members: Members,
     /// The state, as the machine above the log encodes it.
+    #[serde(with = "super::bytes")]
     pub state: Vec<u8>,
 }
 
--- /dev/null
+++ b/crates/core/src/pool/ask.rs
@@ -0,0 +1,52 @@
+//! What is asked of a pool, and what it answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::gateway::Server;
+
+/// The number of a request that waits or runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A request that wants a backend server.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Its rank, 0 first.
+    pub rank: u8,
+    /// Incarnations that it was sent to before.
+    pub tried: Vec<Arc<str>>,
+}
+
+/// A request's turn.
+#[derive(Clone, Debug)]
+pub struct Turn {
+    /// Whose it is.
+    pub ticket: Ticket,
+    /// Where to send it.
+    pub server: Arc<Server>,
+}
+
+/// How a sending ended, as far as it says something of the backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    /// Answered; with the time to the first byte, and between the pieces of a stream.
+    Good {
+        /// From the sending to the first byte of the answer.
+        first: Duration,
+        /// The mean time between two pieces, where there were several.
+        gap: Option<Duration>,
+    },
+    /// It said that it has no room.
+    Full,
+    /// It answered that it failed.
+    Failed,
+    /// It could not be reached, broke off, or answered with bytes that are no answer.
+    Broken,
+    /// It has said nothing for longer than could be explained by its load.
+    Silent,
+    /// Another incarnation has the address, or it is leaving.
+    Gone,
+    /// The caller went away; nothing is said of the server.
+    Nothing,
+}
--- /dev/null
+++ b/crates/core/src/pool/budget.rs
@@ -0,0 +1,99 @@
+//! How many sendings past the first a service may get, over all gateways together.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// The part of the floor that is shared out: a gateway that starts anew has forgotten what it
+/// spent before.
+const SHARED_OUT: f64 = 0.7;
+
+/// How many steps a window is counted in.
+const STEPS: u32 = 10;
+
+/// What a deployment allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowed {
+    /// Further sendings for each first one.
+    pub ratio: f64,
+    /// Further sendings in a window at all times, over all gateways.
+    pub floor: f64,
+    /// The window's length.
+    pub window: Duration,
+}
+
+/// One step of the window.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    began: Instant,
+    firsts: u32,
+    further: u32,
+}
+
+/// A gateway's part of a service's budget: so much for each request that it took itself, and its
+/// part of the floor. No word with others is needed.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    allowed: Allowed,
+    steps: VecDeque<Step>,
+}
+
+impl Budget {
+    /// A budget of which nothing is spent.
+    #[must_use]
+    pub fn new(allowed: Allowed) -> Self {
+        Self {
+            allowed,
+            steps: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request's first sending.
+    pub fn first(&mut self, now: Instant) {
+        self.step(now).firsts += 1;
+    }
+
+    /// Whether a further sending is allowed now, with `gateways` in all; if so it is counted.
+    pub fn take(&mut self, gateways: u32, now: Instant) -> bool {
+        self.step(now);
+        let sums = self.steps.iter();
+        let (firsts, further) = sums.fold((0, 0), |(firsts, further), step| {
+            (firsts + step.firsts, further + step.further)
+        });
+        let floor = if gateways == 0 {
+            0.0
+        } else {
+            self.allowed.floor * SHARED_OUT / f64::from(gateways)
+        };
+        let most = floor + self.allowed.ratio * f64::from(firsts);
+        if f64::from(further) + 1.0 > most {
+            return false;
+        }
+        self.step(now).further += 1;
+        true
+    }
+
+    /// The step that `now` falls in; steps that left the window are dropped.
+    fn step(&mut self, now: Instant) -> &mut Step {
+        let length = self.allowed.window / STEPS;
+        while let Some(oldest) = self.steps.front()
+            && now.since(oldest.began) >= self.allowed.window
+        {
+            self.steps.pop_front();
+        }
+        let stale = self
+            .steps
+            .back()
+            .is_none_or(|newest| now.since(newest.began) >= length);
+        if stale {
+            self.steps.push_back(Step {
+                began: now,
+                firsts: 0,
+                further: 0,
+            });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/choose.rs
@@ -0,0 +1,267 @@
+//! The choice.
+
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::clock::Instant;
+use crate::gateway::Load;
+use crate::gateway::Server;
+
+use super::Ask;
+use super::End;
+use super::Ticket;
+use super::Turn;
+use super::server::Known;
+use super::waiting::Waiting;
+
+/// How a pool chooses.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Requests beyond a server's slots that may be in flight there: what other gateways have
+    /// ended is heard late, and an engine that finds nothing waiting rests meanwhile.
+    pub over: u32,
+    /// By how much more a server in another data hall must be free to be taken, in requests.
+    pub distance: f64,
+    /// By how much the failed part of a server's answers makes it less wanted.
+    pub distrust: f64,
+    /// How many may wait; beyond it the last one in order is turned away.
+    pub waiting: usize,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            over: 1,
+            distance: 0.2,
+            distrust: 4.0,
+            waiting: 400,
+        }
+    }
+}
+
+/// The backend servers of one service, and the requests that wait for one.
+#[derive(Debug)]
+pub struct Pool {
+    hall: Arc<str>,
+    tuning: Tuning,
+    servers: Vec<Known>,
+    waiting: Waiting,
+    next: u64,
+    random: SmallRng,
+}
+
+impl Pool {
+    /// An empty pool of a gateway in `hall`.
+    #[must_use]
+    pub fn new(hall: Arc<str>, tuning: Tuning, seed: u64) -> Self {
+        Self {
+            hall,
+            tuning,
+            servers: Vec::new(),
+            waiting: Waiting::default(),
+            next: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes up a list; what is known of an incarnation that stays is kept.
+    pub fn adopt(&mut self, servers: Vec<Arc<Server>>) {
+        let mut former = std::mem::take(&mut self.servers);
+        for server in servers {
+            let place = former
+                .iter()
+                .position(|known| known.server.incarnation == server.incarnation);
+            let mut known = match place {
+                Some(place) => former.swap_remove(place),
+                None => Known::new(Arc::clone(&server)),
+            };
+            known.server = server;
+            self.servers.push(known);
+        }
+        // What has gone but still runs requests from here stays until they end, and takes no more.
+        for mut known in former {
+            if known.own > 0 {
+                let mut server = Server::clone(&known.server);
+                server.leaving = true;
+                known.server = Arc::new(server);
+                self.servers.push(known);
+            }
+        }
+    }
+
+    /// Takes up what other gateways have in flight.
+    pub fn hear(&mut self, loads: &[Load]) {
+        for known in &mut self.servers {
+            let load = loads
+                .iter()
+                .find(|load| load.incarnation == known.server.incarnation);
+            known.others = load.map_or(0, |load| load.requests);
+        }
+    }
+
+    /// Takes up what an answer of a server told of its load.
+    pub fn told(&mut self, incarnation: &str, in_flight: u32) {
+        if let Some(known) = self.get(incarnation) {
+            known.others = in_flight.saturating_sub(known.own);
+        }
+    }
+
+    /// Whether it has a server that takes new work.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.servers.iter().any(|known| !known.server.leaving)
+    }
+
+    /// How many wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// What is in flight from here.
+    pub fn loads(&self) -> impl Iterator<Item = Load> {
+        let busy = self.servers.iter().filter(|known| known.own > 0);
+        busy.map(|known| Load {
+            incarnation: Arc::clone(&known.server.incarnation),
+            requests: known.own,
+        })
+    }
+
+    /// Puts a request in line; tells who is turned away for want of room.
+    pub fn ask(&mut self, ask: Ask) -> (Ticket, Option<Ticket>) {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        self.waiting.add(ticket, ask);
+        let crowded = self.waiting.len() > self.tuning.waiting;
+        let last = if crowded { self.waiting.last() } else { None };
+        if let Some(last) = last {
+            self.waiting.remove(last);
+        }
+        (ticket, last)
+    }
+
+    /// Takes a request out of line; false where it does not wait any more.
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        self.waiting.remove(ticket)
+    }
+
+    /// Gives turns to those in line for whom there is room.
+    pub fn serve(&mut self, now: Instant) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        let line: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(ticket, ask)| (ticket, ask.tried.clone()))
+            .collect();
+        for (ticket, tried) in line {
+            let Some(place) = self.choose(&tried, now) else {
+                // Who has tried some servers may wait for others; the next in line may not.
+                if tried.is_empty() {
+                    break;
+                }
+                continue;
+            };
+            self.waiting.remove(ticket);
+            self.servers[place].own += 1;
+            let server = Arc::clone(&self.servers[place].server);
+            turns.push(Turn { ticket, server });
+        }
+        turns
+    }
+
+    /// Takes note of how a sending ended.
+    pub fn ended(&mut self, incarnation: &str, end: End, now: Instant) {
+        let Some(known) = self.get(incarnation) else {
+            return;
+        };
+        known.own = known.own.saturating_sub(1);
+        known.judge(end, now);
+        let gone = |known: &Known| known.server.leaving && known.own == 0;
+        self.servers
+            .retain(|known| &*known.server.incarnation != incarnation || !gone(known));
+    }
+
+    /// Takes note of something that is seen while a request still runs.
+    pub fn seen(&mut self, incarnation: &str, end: End, now: Instant) {
+        if let Some(known) = self.get(incarnation) {
+            known.judge(end, now);
+        }
+    }
+
+    fn get(&mut self, incarnation: &str) -> Option<&mut Known> {
+        let mut servers = self.servers.iter_mut();
+        servers.find(|known| &*known.server.incarnation == incarnation)
+    }
+
+    /// The place of the best server with room.
+    ///
+    /// Two that look the same are told apart by lot, so that gateways with the same word do not
+    /// all send to the same one.
+    fn choose(&mut self, tried: &[Arc<str>], now: Instant) -> Option<usize> {
+        let mean = self.mean_gap();
+        let mut best: Option<(f64, usize)> = None;
+        for place in 0..self.servers.len() {
+            let lot: f64 = self.random.random();
+            let known = &self.servers[place];
+            let server = &known.server;
+            let room = known.in_flight() < server.slots.max(1) + self.tuning.over;
+            let again = tried.contains(&server.incarnation);
+            if server.leaving || again || !room || known.trust.is_suspect(now) {
+                continue;
+            }
+            let score = self.score(known, mean) + lot * 0.3;
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, place));
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// How long a request is likely to take there, in the time of one request at a server of the
+    /// usual pace.
+    fn score(&self, known: &Known, mean: f64) -> f64 {
+        let pace = known.gap.mean().or(known.first.mean());
+        let pace = pace.map_or(1.0, |pace| pace / mean.max(f64::MIN_POSITIVE));
+        let far = if known.server.hall == self.hall {
+            0.0
+        } else {
+            self.tuning.distance
+        };
+        let distrust = 1.0 + self.tuning.distrust * known.trust.failures();
+        (f64::from(known.in_flight()) + 1.0 + far) * pace.clamp(0.2, 5.0) * distrust
+    }
+
+    /// The mean pace of all servers.
+    fn mean_gap(&self) -> f64 {
+        let paces = self.servers.iter();
+        let paces = paces.filter_map(|known| known.gap.mean().or(known.first.mean()));
+        let (sum, count) = paces.fold((0.0, 0.0), |(sum, count), pace| (sum + pace, count + 1.0));
+        if count > 0.0 { sum / count } else { 1.0 }
+    }
+}
+
+impl Known {
+    fn judge(&mut self, end: End, now: Instant) {
+        match end {
+            End::Good { first, gap } => {
+                self.trust.good();
+                self.first.add(first);
+                if let Some(gap) = gap {
+                    self.gap.add(gap);
+                }
+            }
+            End::Full => self.trust.full(now),
+            End::Failed => self.trust.failed(),
+            End::Broken | End::Silent => self.trust.broke(now),
+            End::Gone => {
+                let mut server = Server::clone(&self.server);
+                server.leaving = true;
+                self.server = Arc::new(server);
+            }
+            End::Nothing => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/mod.rs
@@ -0,0 +1,20 @@
+//! A gateway's choice among the backend servers of one service, and who waits for it.
+
+mod ask;
+mod budget;
+mod choose;
+mod pace;
+mod server;
+mod trust;
+mod waiting;
+
+pub use ask::Ask;
+pub use ask::End;
+pub use ask::Ticket;
+pub use ask::Turn;
+pub use budget::Allowed;
+pub use budget::Budget;
+pub use choose::Pool;
+pub use choose::Tuning;
+pub use pace::Pace;
+pub use trust::Trust;
--- /dev/null
+++ b/crates/core/src/pool/trust.rs
@@ -0,0 +1,64 @@
+//! Whether a backend server is worth a request now, by what came of the last ones.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// The first time that a server is left alone after it broke off or was silent.
+const FIRST: Duration = Duration::from_millis(400);
+
+/// The longest time that it is left alone: then one request tries it again.
+const LONGEST: Duration = Duration::from_secs(5);
+
+/// How long a server that has no room is left alone: some requests' time at a fast engine.
+const FULL: Duration = Duration::from_millis(120);
+
+/// The weight of one answer in the part of failures.
+const WEIGHT: f64 = 0.15;
+
+/// What is known of a server's failures.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Trust {
+    breaks: u32,
+    until: Option<Instant>,
+    failures: f64,
+}
+
+impl Trust {
+    /// An answer came.
+    pub fn good(&mut self) {
+        self.breaks = 0;
+        self.until = None;
+        self.failures *= 1.0 - WEIGHT;
+    }
+
+    /// It answered that it failed.
+    pub fn failed(&mut self) {
+        self.failures += (1.0 - self.failures) * WEIGHT;
+    }
+
+    /// It broke off, was silent or could not be reached.
+    pub fn broke(&mut self, now: Instant) {
+        self.failures += (1.0 - self.failures) * WEIGHT;
+        self.breaks = self.breaks.saturating_add(1);
+        let doubled = FIRST * 2_u32.saturating_pow(self.breaks.min(8) - 1);
+        self.until = Some(now + doubled.min(LONGEST));
+    }
+
+    /// It has no room.
+    pub fn full(&mut self, now: Instant) {
+        self.until = Some(now + FULL);
+    }
+
+    /// Whether it is to be left alone at `now`.
+    #[must_use]
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
+    /// The part of its last answers that failed, 0 to 1.
+    #[must_use]
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota/mod.rs
@@ -0,0 +1,10 @@
+//! Allowances over all entries together: a desk that knows the total, and shares at the entries.
+
+mod bucket;
+mod desk;
+mod share;
+
+pub use bucket::Bucket;
+pub use desk::Desk;
+pub use desk::Level;
+pub use share::Share;
--- /dev/null
+++ b/crates/core/src/quota/share.rs
@@ -0,0 +1,135 @@
+//! An entry's side of the allowances.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::id;
+use crate::route::Allowance;
+
+use super::Bucket;
+use super::Level;
+
+/// After how long without word from the desk an entry keeps to its own part.
+///
+/// Two and a half of the waits that a question to the desk takes at most; longer would let a
+/// half that is cut off spend the whole allowance.
+const STALE: Duration = Duration::from_millis(700);
+
+/// What an entry knows of one customer.
+#[derive(Clone, Debug)]
+struct Known {
+    /// The whole bucket as the desk last told, less what was let in here since.
+    whole: Bucket,
+    /// This entry's own part, for when the desk is not heard.
+    own: Bucket,
+    /// Let in since the last report was taken.
+    unreported: u64,
+    /// Reported in a question that has no answer yet.
+    reported: u64,
+}
+
+/// What an entry may let in, by what the desk last told it.
+#[derive(Clone, Debug, Default)]
+pub struct Share {
+    known: BTreeMap<id::Customer, Known>,
+    heard: Option<Instant>,
+    entries: u32,
+}
+
+impl Share {
+    /// Whether a request of `customer` that counts `cost` is let in at `now`; if so it is counted.
+    pub fn admit(
+        &mut self,
+        customer: &id::Customer,
+        allowance: &Allowance,
+        cost: u64,
+        now: Instant,
+    ) -> bool {
+        if !allowance.is_limited() {
+            return true;
+        }
+        let part = 1.0 / f64::from(self.entries.max(1));
+        let fresh = self.heard.is_some_and(|heard| now.since(heard) < STALE);
+        let known = self
+            .known
+            .entry(customer.clone())
+            .or_insert_with(|| Known {
+                whole: Bucket::new(allowance.burst, now),
+                own: Bucket::new(allowance.burst * part, now),
+                unreported: 0,
+                reported: 0,
+            });
+        #[allow(clippy::cast_precision_loss)]
+        let wanted = cost as f64;
+        let whole = known.whole.fill(allowance.rate, allowance.burst, now);
+        let own = known
+            .own
+            .fill(allowance.rate * part, allowance.burst * part, now);
+        let left = if fresh { whole } else { own.min(whole) };
+        if left < wanted.min(allowance.burst * if fresh { 1.0 } else { part }) {
+            return false;
+        }
+        known.whole.draw(wanted);
+        known.own.draw(wanted);
+        known.unreported += cost;
+        true
+    }
+
+    /// Gives back what a request counted that surely did not run.
+    pub fn give_back(&mut self, customer: &id::Customer, cost: u64) {
+        if let Some(known) = self.known.get_mut(customer) {
+            let kept = known.unreported.saturating_sub(cost);
+            #[allow(clippy::cast_precision_loss)]
+            let back = (known.unreported - kept) as f64;
+            known.unreported = kept;
+            known.whole.draw(-back);
+            known.own.draw(-back);
+        }
+    }
+
+    /// What was let in since the last report that the desk took.
+    pub fn report(&mut self) -> Vec<(id::Customer, u64)> {
+        let mut report = Vec::new();
+        for (customer, known) in &mut self.known {
+            known.reported += std::mem::take(&mut known.unreported);
+            if known.reported > 0 {
+                report.push((customer.clone(), known.reported));
+            }
+        }
+        report
+    }
+
+    /// What it knows of each, for a desk that has only begun.
+    #[must_use]
+    pub fn levels(&self) -> Vec<Level> {
+        let known = self.known.iter();
+        known
+            .map(|(customer, known)| Level {
+                customer: customer.clone(),
+                left: known.whole.level(),
+            })
+            .collect()
+    }
+
+    /// Takes up the desk's word, in answer to the last report.
+    pub fn heard(&mut self, levels: &[Level], entries: u32, now: Instant) {
+        self.heard = Some(now);
+        self.entries = entries;
+        for known in self.known.values_mut() {
+            known.reported = 0;
+        }
+        for level in levels {
+            let known = self.known.entry(level.customer.clone());
+            let known = known.or_insert_with(|| Known {
+                whole: Bucket::new(level.left, now),
+                own: Bucket::new(0.0, now),
+                unreported: 0,
+                reported: 0,
+            });
+            known.whole = Bucket::new(level.left, now);
+            #[allow(clippy::cast_precision_loss)]
+            known.whole.draw(known.unreported as f64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,17 @@
+//! Routing tables: which requests go to which services, given whole under a rising number.
+
+mod customer;
+mod kind;
+mod rule;
+mod table;
+
+pub use customer::Account;
+pub use customer::Allowance;
+pub use customer::Unit;
+pub use kind::Kind;
+pub use rule::Rule;
+pub use rule::Target;
+pub use table::Limits;
+pub use table::Parts;
+pub use table::Provider;
+pub use table::Table;
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -18,6 +18,7 @@
 use super::Command;
 use super::Ledger;
 use super::Line;
+use super::Publication;
 use super::Record;
 
 /// How many lines of the audit trail are kept.
@@ -62,6 +63,8 @@
     roster: Roster,
     previous: Roster,
     recent: VecDeque<Step>,
+    #[serde(default)]
+    publication: Publication,
 }
 
 impl Machine {
@@ -79,6 +82,17 @@
                 }
                 Ok(self.snapshot.revision)
             }
+            Record::Publication(publication) => {
+                self.publish(publication);
+                Ok(self.snapshot.revision)
+            }
+        }
+    }
+
+    /// Takes up a routing table; one whose number is not above the one in force changes nothing.
+    fn publish(&mut self, publication: &Publication) {
+        if publication.number > self.publication.number {
+            self.publication = publication.clone();
         }
     }
 
@@ -127,6 +141,12 @@
         &self.snapshot
     }
 
+    /// The routing table in force; number 0 where none was published.
+    #[must_use]
+    pub fn get_publication(&self) -> &Publication {
+        &self.publication
+    }
+
     /// The newest view.
     #[must_use]
     pub fn get_roster(&self) -> &Roster {
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -11,4 +11,5 @@
 pub use machine::Machine;
 pub use machine::Step;
 pub use record::Command;
+pub use record::Publication;
 pub use record::Record;
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -1,5 +1,7 @@
 //! What the log carries for the machine.
 
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,6 +19,15 @@
     pub line: String,
 }
 
+/// A routing table as it was published: one whole document under a rising number.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Publication {
+    /// Its number; the highest is in force.
+    pub number: u64,
+    /// The document as it was sent, kept to the byte.
+    pub document: Arc<str>,
+}
+
 /// What one entry of the log carries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -24,6 +35,8 @@
     Command(Command),
     /// A new view of the entries.
     Roster(Roster),
+    /// A routing table.
+    Publication(Publication),
 }
 
 impl Record {
--- a/crates/curlewlift/src/control/answers.rs
+++ b/crates/curlewlift/src/control/answers.rs
@@ -36,7 +36,7 @@
         async move {
             match method {
                 Method::Step => step(&state, &body),
-                Method::Renew => renew(&state, &body),
+                Method::Renew => renew(&state, &body).await,
                 Method::Command => command(&state, &body).await,
                 Method::Events => {
                     let filter: Filter = rpc::decode(&body)?;
@@ -58,14 +58,17 @@
     Ok(rpc::encode(&()))
 }
 
-fn renew(state: &Shared, body: &[u8]) -> Result<Vec<u8>, Refusal> {
-    let mut state = state.borrow_mut();
+async fn renew(state: &Shared, body: &[u8]) -> Result<Vec<u8>, Refusal> {
     match rpc::decode(body)? {
+        RenewCall::Hub(call) => super::hub::answer(state, call)
+            .await
+            .map(|reply| rpc::encode(&reply)),
         RenewCall::Replica { host, disk } => {
-            state.admit(&host, disk)?;
+            state.borrow_mut().admit(&host, disk)?;
             Ok(rpc::encode(&()))
         }
         RenewCall::Entry(renewal) => {
+            let mut state = state.borrow_mut();
             state.leads()?;
             let now = state.clock.now();
             let state = &mut *state;
--- a/crates/curlewlift/src/control/daemon.rs
+++ b/crates/curlewlift/src/control/daemon.rs
@@ -28,6 +28,7 @@
 use crate::rpc;
 use crate::timeline::Timeline;
 
+use super::gateways::Gateways;
 use super::replica::State;
 
 /// Between two looks at the clock.
@@ -61,6 +62,7 @@
     timing: Timing,
     lease: Lease,
     platform: Option<SocketAddr>,
+    gateways: Option<Gateways>,
 }
 
 /// # Settings
@@ -77,9 +79,17 @@
             timing: Timing::default(),
             lease: Lease::default(),
             platform: None,
+            gateways: None,
         }
     }
 
+    /// Serves gateways, and takes in replicas as they ask.
+    #[must_use]
+    pub(crate) fn gateways(mut self, gateways: Gateways) -> Self {
+        self.gateways = Some(gateways);
+        self
+    }
+
     /// The folder of its files.
     #[must_use]
     pub fn data(mut self, data: PathBuf) -> Self {
@@ -176,7 +186,11 @@
     let client = rpc::Client::new(timeline.clone());
     let state = State::new(replica, writer, client, timeline.clone(), control.lease);
     let state = Rc::new(RefCell::new(
-        state?.peers(control.peers).address(address).clock(clock),
+        state?
+            .peers(control.peers)
+            .address(address)
+            .clock(clock)
+            .gateways(control.gateways),
     ));
     let handler = super::answers::handler(Rc::clone(&state), timeline.clone());
     tokio::task::spawn_local(rpc::serve(listener, handler, timeline.clone()));
@@ -190,7 +204,7 @@
     loop {
         tokio::select! {
             _ = tick.tick() => state.borrow_mut().tick(),
-            _ = join.tick() => state.borrow().join(),
+            _ = join.tick() => state.borrow_mut().join(),
             Some(result) = synced.recv() => match result {
                 Ok(sync) => state.borrow_mut().synced(sync),
                 Err(refusal) => {
--- /dev/null
+++ b/crates/curlewlift/src/control/gateways.rs
@@ -0,0 +1,35 @@
+//! What a control replica needs to serve gateways.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use curlewlift_core::code::Refusal;
+use curlewlift_core::id;
+use curlewlift_core::route::Table;
+
+/// Reads the document of a routing table.
+pub(crate) type Decode = fn(&str) -> Result<Table, Refusal>;
+
+/// Tells where the control replica on a host is reached.
+pub(crate) type Locate = Arc<dyn Fn(&id::Host) -> Option<SocketAddr> + Send + Sync>;
+
+/// What a control replica needs to serve gateways, where hosts are not configured by name.
+#[derive(Clone)]
+pub(crate) struct Gateways {
+    /// Reads the document of a routing table.
+    pub(crate) decode: Decode,
+    /// Where the replica on a host is reached that nobody has named.
+    pub(crate) locate: Locate,
+    /// How many replicas must count before a first table is accepted: what is accepted must
+    /// outlive the loss of as many disks as the deployment says.
+    pub(crate) replicas: usize,
+}
+
+impl fmt::Debug for Gateways {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gateways")
+            .field("replicas", &self.replicas)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/curlewlift/src/control/hub.rs
@@ -0,0 +1,122 @@
+//! Answers what gateways ask the leader.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
+use curlewlift_core::event::Line;
+use curlewlift_core::gateway::Question;
+use curlewlift_core::state::Publication;
+use curlewlift_core::state::Record;
+
+use crate::rpc::HubCall;
+use crate::rpc::HubReply;
+
+use super::replica::State;
+
+type Shared = Rc<RefCell<State>>;
+
+/// How long a question waits for something new.
+///
+/// It bounds the age of the sums over all gateways; shorter costs more calls.
+const WAIT: Duration = Duration::from_millis(150);
+
+pub(super) async fn answer(state: &Shared, call: HubCall) -> Result<HubReply, Refusal> {
+    if let Some(elsewhere) = elsewhere(&state.borrow()) {
+        return Ok(elsewhere);
+    }
+    match call {
+        HubCall::Ask(question) => ask(state, *question).await,
+        HubCall::Publish(publication) => publish(state, publication).await,
+        HubCall::Read => {
+            let publication = state.borrow().machine.get_publication().clone();
+            Ok(HubReply::Table(publication))
+        }
+    }
+}
+
+/// The answer of a replica that does not surely lead.
+fn elsewhere(state: &State) -> Option<HubReply> {
+    if state.leads().is_ok() {
+        return None;
+    }
+    let leader = state.replica.get_leader();
+    let other = leader.filter(|leader| *leader != state.replica.get_host());
+    Some(HubReply::Elsewhere(other.cloned()))
+}
+
+async fn ask(state: &Shared, question: Question) -> Result<HubReply, Refusal> {
+    let news = Rc::clone(&state.borrow().news);
+    let waited = news.notified();
+    if !hear(&mut state.borrow_mut(), &question)? {
+        let _ = tokio::time::timeout(WAIT, waited).await;
+    }
+    let mut state = state.borrow_mut();
+    if let Some(elsewhere) = elsewhere(&state) {
+        return Ok(elsewhere);
+    }
+    let now = state.clock.now();
+    let publication = state.machine.get_publication();
+    let newer = publication.number > question.table;
+    let document = newer.then(|| (publication.number, publication.document.to_string()));
+    let control = state.replica.members().0.iter();
+    let control = control.map(|member| member.host.clone()).collect();
+    let host = state.replica.get_host().clone();
+    let hub = state.hub.as_mut().ok_or_else(begun)?;
+    let mut reply = hub.answer(&question, document, now);
+    reply.control = control;
+    reply.fetches = hub.fetcher(&host, now).as_ref() == Some(&question.host);
+    reply.leader = Some(host);
+    Ok(HubReply::News(Box::new(reply)))
+}
+
+/// Takes note of a question; true where it can be answered at once.
+fn hear(state: &mut State, question: &Question) -> Result<bool, Refusal> {
+    let now = state.clock.now();
+    let newer = state.machine.get_publication().number > question.table;
+    let hub = state.hub.as_mut().ok_or_else(begun)?;
+    hub.hear(question, now);
+    if let Some(listing) = &question.fetched
+        && hub.get_listing().version != listing.version
+    {
+        hub.list(Arc::new(listing.clone()));
+        state.news.notify_waiters();
+        return Ok(true);
+    }
+    Ok(newer || hub.has_news(question))
+}
+
+async fn publish(state: &Shared, publication: Publication) -> Result<HubReply, Refusal> {
+    let number = publication.number;
+    let bytes = publication.document.len();
+    let wait = {
+        let mut state = state.borrow_mut();
+        // Leading surely and settled, what is applied here is what is committed.
+        if number <= state.machine.get_publication().number {
+            return Ok(HubReply::Published);
+        }
+        let replicas = state.replica.members().voters().count();
+        let needed = state.gateways.as_ref().map_or(1, |gateways| gateways.replicas);
+        if replicas < needed {
+            let why = format!("{replicas} control replicas count, {needed} must");
+            return Err(Refusal::new(Code::NotLeader, why));
+        }
+        state.propose(&Record::Publication(publication))?
+    };
+    let lost = "the leader changed; send the same table again to learn what became of it";
+    wait.await
+        .map_err(|_| Refusal::new(Code::Unreachable, lost))??;
+    state
+        .borrow()
+        .timeline
+        .note(Line::new(Kind::Published).detail(format_args!("number={number} bytes={bytes}")));
+    Ok(HubReply::Published)
+}
+
+fn begun() -> Refusal {
+    Refusal::new(Code::NotLeader, "it has only begun to lead")
+}
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -2,8 +2,13 @@
 
 mod answers;
 mod daemon;
+mod gateways;
+mod hub;
 mod platform;
 mod query;
 mod replica;
 
 pub use daemon::Control;
+pub(crate) use gateways::Decode;
+pub(crate) use gateways::Gateways;
+pub(crate) use gateways::Locate;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -4,14 +4,18 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::config;
+use curlewlift_core::clock::Instant;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
+use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::log::Body;
 use curlewlift_core::log::Entry;
@@ -23,6 +27,7 @@
 use curlewlift_core::state::Record;
 use curlewlift_core::view::Grantor;
 use curlewlift_core::view::Lease;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::disk::Batch;
@@ -33,12 +38,21 @@
 use crate::rpc::RenewCall;
 use crate::timeline::Timeline;
 
+use super::gateways::Gateways;
+
 /// How long a message of the log may take.
 const STEP: Duration = Duration::from_millis(500);
 
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT: usize = 1_000;
 
+/// Bytes of entries after which the log is replaced by a snapshot: some routing tables of a few
+/// hundred rules, which must not fill a small host's memory.
+const COMPACT_BYTES: usize = 256 << 10;
+
+/// How long no leader is heard before a replica asks to be taken in again: several elections.
+const LEFT_OUT: Duration = Duration::from_millis(2_500);
+
 /// The answer to a command.
 pub(super) type Answer = Result<id::Revision, Refusal>;
 
@@ -60,6 +74,13 @@
     proposed: id::View,
     /// Hosts whose replicas must be taken out.
     removed: BTreeSet<id::Host>,
+    pub(super) gateways: Option<Gateways>,
+    /// What the gateways tell, while this replica leads.
+    pub(super) hub: Option<Hub>,
+    /// Wakes those who wait for a newer table or list.
+    pub(super) news: Rc<Notify>,
+    /// Since when no leader is heard.
+    alone: Option<Instant>,
 }
 
 /// # Making
@@ -88,9 +109,18 @@
             role: Role::Follower,
             proposed: id::View::default(),
             removed: BTreeSet::new(),
+            gateways: None,
+            hub: None,
+            news: Rc::new(Notify::new()),
+            alone: None,
         })
     }
 
+    pub(super) fn gateways(mut self, gateways: Option<Gateways>) -> Self {
+        self.gateways = gateways;
+        self
+    }
+
     pub(super) fn peers(mut self, peers: BTreeMap<id::Host, SocketAddr>) -> Self {
         self.peers = peers;
         self
@@ -197,6 +227,9 @@
         let record = Record::decode(data).map_err(|why| Refusal::new(Code::Internal, why))?;
         let before = Arc::clone(self.machine.get_snapshot());
         let answer = self.machine.apply(&record);
+        if matches!(record, Record::Publication(_)) {
+            self.take_up();
+        }
         let after = &self.machine.get_snapshot().hosts;
         let gone = before.hosts.keys().filter(|host| !after.contains_key(host));
         self.removed.extend(gone.cloned());
@@ -227,6 +260,7 @@
         configured
             .or(learned)
             .or_else(|| self.peers.get(host).copied())
+            .or_else(|| (self.gateways.as_ref()?.locate)(host))
     }
 }
 
@@ -241,11 +275,17 @@
         if role == Role::Leader {
             self.timeline
                 .note(Line::new(Kind::Leads).detail(format_args!("term={term}")));
-            self.grantor = Some(Grantor::new(self.lease, self.clock.now()));
+            let now = self.clock.now();
+            self.grantor = Some(Grantor::new(self.lease, now));
+            if self.gateways.is_some() {
+                self.hub = Some(Hub::new(Tuning::default()));
+                self.take_up();
+            }
         } else if self.role == Role::Leader {
             self.timeline
                 .note(Line::new(Kind::Follows).detail(format_args!("term={term}")));
             self.grantor = None;
+            self.hub = None;
             // Whoever waits is told nothing: the command may still be committed.
             self.waiting.clear();
         }
@@ -254,7 +294,9 @@
 
     /// What a leader looks after: the view, the learners, the log's length.
     fn tend(&mut self) {
-        if self.replica.entries().len() > COMPACT {
+        let entries = self.replica.entries();
+        let bytes = entries.iter().map(size).sum::<usize>();
+        if entries.len() > COMPACT || bytes > COMPACT_BYTES {
             let state = self.machine.encode();
             self.replica.compact(state);
             self.settle();
@@ -263,6 +305,10 @@
             self.proposed = id::View::default();
             return;
         }
+        if self.gateways.is_some() {
+            self.tend_replicas();
+            return;
+        }
         self.tend_view();
         self.tend_members();
     }
@@ -319,6 +365,9 @@
     /// Takes in a replica with a blank disk, if the configuration names its host.
     pub(super) fn admit(&mut self, host: &id::Host, disk: id::Disk) -> Result<(), Refusal> {
         self.leads()?;
+        if self.gateways.is_some() {
+            return self.take_in(host, disk);
+        }
         let known = self.machine.get_snapshot().hosts.get(host);
         if known.is_none_or(|known| known.role != config::Role::Control) {
             let why = format!("the configuration has no control host `{host}`");
@@ -334,14 +383,14 @@
         Ok(())
     }
 
-    /// Asks the leader to be taken in, where this replica is no member.
-    pub(super) fn join(&self) {
+    /// Asks the leader to be taken in, where this replica is no member or no leader is heard.
+    pub(super) fn join(&mut self) {
         let disk = self.replica.get_disk();
         let host = self.replica.get_host().clone();
-        if self.replica.members().has(&host, disk) {
+        if self.replica.members().has(&host, disk) && !self.is_left_out() {
             return;
         }
-        for (peer, address) in self.peers.clone() {
+        for (peer, address) in self.peers_known() {
             if peer == host {
                 continue;
             }
@@ -351,8 +400,116 @@
                 disk,
             };
             tokio::task::spawn_local(async move {
-                let _: Result<(), Refusal> = client.call(address, Method::Renew, &call, STEP).await;
+                let answer: Result<(), Refusal> =
+                    client.call(address, Method::Renew, &call, STEP).await;
+                if let Err(why) = answer {
+                    log::debug!("the replica at {address} does not take this one in: {why}");
+                }
             });
         }
     }
+
+    /// Whether no leader has been heard for so long that others may have taken this one out.
+    fn is_left_out(&mut self) -> bool {
+        if self.gateways.is_none() || self.replica.get_leader().is_some() {
+            self.alone = None;
+            return false;
+        }
+        let now = self.clock.now();
+        let since = *self.alone.get_or_insert(now);
+        now.since(since) > LEFT_OUT
+    }
+
+    fn peers_known(&self) -> BTreeMap<id::Host, SocketAddr> {
+        let mut peers = self.peers.clone();
+        for member in &self.replica.members().0 {
+            if let Some(address) = self.locate(&member.host) {
+                peers.insert(member.host.clone(), address);
+            }
+        }
+        peers
+    }
+}
+
+/// # Replicas that are taken in as they ask
+impl State {
+    /// Takes in a replica that nobody has named; where its host had another disk, that one goes
+    /// first.
+    fn take_in(&mut self, host: &id::Host, disk: id::Disk) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let members = self.replica.members();
+        if members.has(host, disk) {
+            return Ok(());
+        }
+        let lost = members.get(host).is_some();
+        if lost {
+            self.replica.expel(host, now)?;
+            self.timeline
+                .note(Line::new(Kind::ReplicaExpelled).detail(format_args!("{host}, its disk is lost")));
+        } else {
+            self.replica.admit(host, disk, now)?;
+            self.timeline
+                .note(Line::new(Kind::ReplicaAdmitted).detail(host));
+        }
+        self.settle();
+        Ok(())
+    }
+
+    /// Lets whole learners count; each takes the place of a replica that is silent, if one is.
+    ///
+    /// A replica that is only cut off and returns asks to be taken in again.
+    fn tend_replicas(&mut self) {
+        let now = self.clock.now();
+        for host in self.replica.whole_learners() {
+            let silent = self.silent();
+            if self.replica.promote(&host, now).is_ok() {
+                self.timeline
+                    .note(Line::new(Kind::ReplicaCounts).detail(&host));
+                self.removed.extend(silent);
+            }
+        }
+        let members = self.replica.members();
+        self.removed.retain(|host| members.get(host).is_some());
+        let regressed: Vec<_> = self.replica.regressed().cloned().collect();
+        for host in self.removed.clone().into_iter().chain(regressed) {
+            if self.replica.expel(&host, now).is_ok() {
+                self.timeline
+                    .note(Line::new(Kind::ReplicaExpelled).detail(format_args!("{host}, replaced")));
+            }
+        }
+        self.settle();
+    }
+
+    /// A replica that counts and does not answer this leader.
+    fn silent(&self) -> Option<id::Host> {
+        let now = self.clock.now();
+        let members = self.replica.members();
+        let mut voters = members.voters();
+        let silent = voters.find(|member| !self.replica.hears(&member.host, now));
+        silent.map(|member| member.host.clone())
+    }
+
+    /// Gives the hub the table in force, and wakes those who wait for it.
+    fn take_up(&mut self) {
+        let publication = self.machine.get_publication();
+        let (Some(hub), Some(gateways)) = (&mut self.hub, &self.gateways) else {
+            return;
+        };
+        if publication.number == 0 {
+            return;
+        }
+        match (gateways.decode)(&publication.document) {
+            Ok(table) => hub.adopt(&table, self.clock.now()),
+            Err(why) => log::error!("table {} cannot be read: {why}", publication.number),
+        }
+        self.news.notify_waiters();
+    }
+}
+
+/// The bytes that an entry carries.
+fn size(entry: &Entry) -> usize {
+    match &entry.body {
+        Body::Data(data) => data.len(),
+        Body::Members(_) | Body::Blank => 0,
+    }
 }
--- /dev/null
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -0,0 +1,166 @@
+//! Whether a request is taken: its rule, its customer, its size, the customer's allowance.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::Request;
+use axum::http::header;
+use axum::http::request;
+use bytes::Bytes;
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use curlewlift_core::route::Account;
+use curlewlift_core::route::Limits;
+use curlewlift_core::route::Rule;
+use curlewlift_core::route::Table;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::dialect::Call;
+use super::node::Node;
+use super::refuse::Refused;
+
+/// When a caller without a table here is to come back: another gateway may have one.
+const NO_TABLE: Duration = Duration::from_millis(200);
+
+/// The longest wait that is named to a customer that has used up its allowance.
+const ALLOWANCE: Duration = Duration::from_secs(1);
+
+/// A request that is taken.
+pub(super) struct Admitted {
+    pub(super) call: Call,
+    pub(super) rule: Arc<Rule>,
+    pub(super) account: Option<Arc<Account>>,
+    pub(super) cost: u64,
+    pub(super) head: request::Parts,
+    pub(super) body: Bytes,
+    /// When it arrived.
+    pub(super) arrived: Instant,
+    /// When it must be answered.
+    pub(super) until: Instant,
+    /// The number of the table that it was taken by.
+    pub(super) table: u64,
+}
+
+impl Admitted {
+    /// The same request, for the part that goes on after its head was answered.
+    pub(super) fn share(&self) -> Self {
+        Self {
+            call: self.call.clone(),
+            rule: Arc::clone(&self.rule),
+            account: self.account.clone(),
+            cost: self.cost,
+            head: self.head.clone(),
+            body: self.body.clone(),
+            arrived: self.arrived,
+            until: self.until,
+            table: self.table,
+        }
+    }
+}
+
+/// Takes a request, or says why not; nothing of it has run then.
+pub(super) async fn admit(
+    node: &Node,
+    request: Request<Incoming>,
+    arrived: Instant,
+    call: Call,
+) -> Result<Admitted, Refused> {
+    let table = table(node)?;
+    let rule = rule(&table, &request)?;
+    let account = account(&table, &rule, &call)?;
+    let patience = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
+    let until = arrived + patience;
+    let number = table.get_number();
+    let limits = table.get_limits();
+    drop(table);
+    let (head, body) = request.into_parts();
+    let body = read(body, limits, until).await?;
+    let mut cost = 0;
+    if let Some(account) = &account {
+        cost = account.allowance.cost(call.tokens);
+        let mut share = node.share.borrow_mut();
+        if !share.admit(&account.name, &account.allowance, cost, node.now()) {
+            return Err(used_up(account, cost));
+        }
+    }
+    Ok(Admitted {
+        call,
+        rule,
+        account,
+        cost,
+        head,
+        body,
+        arrived,
+        until,
+        table: number,
+    })
+}
+
+fn table(node: &Node) -> Result<Rc<Table>, Refused> {
+    node.table().ok_or_else(|| {
+        Refused::new(Code::NoTable, "no routing table has come yet").again(NO_TABLE)
+    })
+}
+
+fn rule(table: &Table, request: &Request<Incoming>) -> Result<Arc<Rule>, Refused> {
+    let host = request.headers().get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = request.uri().host().or(host).unwrap_or_default();
+    let path = request.uri().path();
+    let rule = table.find(host, path).cloned();
+    rule.ok_or_else(|| {
+        let why = format!("table {} has no rule for {host}{path}", table.get_number());
+        Refused::new(Code::UnknownPath, why)
+    })
+}
+
+fn account(
+    table: &Table,
+    rule: &Rule,
+    call: &Call,
+) -> Result<Option<Arc<Account>>, Refused> {
+    let known = call.key.as_deref().and_then(|key| table.account(key));
+    if !table.needs_key() || rule.public {
+        return Ok(known.cloned());
+    }
+    known.cloned().map(Some).ok_or_else(|| {
+        let why = format!("table {} has no customer with this key", table.get_number());
+        Refused::new(Code::WrongKey, why)
+    })
+}
+
+async fn read(body: Incoming, limits: Limits, until: Instant) -> Result<Bytes, Refused> {
+    let too_large = || {
+        let why = format!("a body has at most {} bytes", limits.body_bytes);
+        Refused::new(Code::TooLarge, why)
+    };
+    let stated = body.size_hint().lower();
+    if usize::try_from(stated).is_ok_and(|stated| stated > limits.body_bytes) {
+        return Err(too_large());
+    }
+    let limited = Limited::new(body, limits.body_bytes).collect();
+    let late = Refusal::new(Code::TooSlow, "the body did not arrive within the deadline");
+    let Ok(read) = tokio::time::timeout_at(until, limited).await else {
+        return Err(late.into());
+    };
+    match read {
+        Ok(read) => Ok(read.to_bytes()),
+        Err(why) if why.is::<LengthLimitError>() => Err(too_large()),
+        Err(why) => Err(Refused::new(Code::Broken, format!("the body broke off: {why}"))),
+    }
+}
+
+/// Says when an allowance will have filled up enough.
+fn used_up(account: &Account, cost: u64) -> Refused {
+    #[allow(clippy::cast_precision_loss)]
+    let wait = cost as f64 / account.allowance.rate.max(1.0);
+    let wait = Duration::from_secs_f64(wait.min(ALLOWANCE.as_secs_f64()));
+    let why = format!("customer {} has used up its allowance", account.name);
+    Refused::new(Code::Allowance, why).again(wait.max(Duration::from_millis(100)))
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -0,0 +1,198 @@
+//! One request to one backend server, over a connection of its own.
+//!
+//! A connection that carries one request only cannot bring it the late rest of another's answer,
+//! and closing it tells the server that nobody waits any more.
+
+use std::time::Duration;
+
+use axum::http::Request;
+use axum::http::Response;
+use axum::http::StatusCode;
+use axum::http::response;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::dialect::Dialect;
+use super::dialect::Marks;
+use super::turn::Place;
+
+/// How long a connection may take to be made.
+///
+/// Three losses of the opening packet's answer between data halls are over by then; a live server
+/// takes a millisecond.
+const CONNECT: Duration = Duration::from_millis(700);
+
+/// The largest answer that is read whole before it is passed on, in bytes; larger ones are passed
+/// on as they come.
+const WHOLE: u64 = 256 << 10;
+
+/// Ends a connection's task, and with it the connection.
+struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// The request surely did not reach the server.
+    NotSent(String),
+    /// The server said that it did not run it; `moved` where another incarnation has the address.
+    NotRun { moved: bool, status: u16 },
+    /// It may have run.
+    Unknown(String),
+    /// It may have run, and the time was up.
+    Late,
+}
+
+/// The head of an answer that is still coming.
+pub(super) struct Coming {
+    pub(super) head: response::Parts,
+    pub(super) marks: Marks,
+    pub(super) body: Incoming,
+    pub(super) place: Place,
+    connection: Connection,
+    /// From the sending to the head.
+    pub(super) first: Duration,
+}
+
+/// Sends `request` to the server of `place`, and waits for the head of the answer.
+///
+/// # Errors
+///
+/// What is known of the request's fate, with the place, for the caller to say how it ended.
+pub(super) async fn send(
+    request: Request<Full<Bytes>>,
+    place: Place,
+    dialect: Dialect,
+    until: Instant,
+    quiet: Duration,
+) -> Result<Coming, (Failure, Place)> {
+    let address = place.server.address;
+    let left = until.saturating_duration_since(Instant::now());
+    let connect = tokio::time::timeout(CONNECT.min(left), TcpStream::connect(address)).await;
+    let stream = match connect {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(why)) => return Err((Failure::NotSent(why.to_string()), place)),
+        Err(_) => return Err((Failure::NotSent("no connection in time".to_owned()), place)),
+    };
+    crate::process::watch_connection(&stream);
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = match handshake {
+        Ok(made) => made,
+        Err(why) => return Err((Failure::NotSent(why.to_string()), place)),
+    };
+    let connection = Connection(tokio::task::spawn_local(async move {
+        if let Err(why) = connection.await {
+            log::debug!("a connection to {address} has ended: {why}");
+        }
+    }));
+    let began = Instant::now();
+    let answer = sender.send_request(request);
+    let mut answer = std::pin::pin!(answer);
+    let early = tokio::time::timeout_at(until.min(began + quiet), &mut answer).await;
+    let answer = if let Ok(answer) = early {
+        answer
+    } else {
+        if Instant::now() < until {
+            place.seen(curlewlift_core::pool::End::Silent);
+        }
+        match tokio::time::timeout_at(until, answer).await {
+            Ok(answer) => answer,
+            Err(_) => return Err((Failure::Late, place)),
+        }
+    };
+    match answer {
+        Ok(answer) => Ok(coming(answer, place, connection, dialect, began.elapsed())),
+        Err(why) => Err((Failure::Unknown(why.to_string()), place)),
+    }
+}
+
+fn coming(
+    answer: Response<Incoming>,
+    place: Place,
+    connection: Connection,
+    dialect: Dialect,
+    first: Duration,
+) -> Coming {
+    let (head, body) = answer.into_parts();
+    let marks = (dialect.marks)(head.status.as_u16(), &head.headers);
+    if let Some(in_flight) = marks.in_flight {
+        place.told(in_flight);
+    }
+    Coming {
+        head,
+        marks,
+        body,
+        place,
+        connection,
+        first,
+    }
+}
+
+impl Coming {
+    /// Whether the head says that the request did not run.
+    pub(super) fn refusal(&self) -> Option<Failure> {
+        let status = self.head.status.as_u16();
+        let moved = self.marks.moved;
+        (self.marks.not_run || moved).then_some(Failure::NotRun { moved, status })
+    }
+
+    /// Why the head cannot be an answer to the request with the name `id`, if so.
+    pub(super) fn foreign(&self, id: Option<&axum::http::HeaderValue>) -> Option<&'static str> {
+        if self.marks.id.as_ref() != id {
+            return Some("the answer is to another request");
+        }
+        if self.head.status.is_success() && !self.marks.signed {
+            return Some("the answer is not vouched for");
+        }
+        if self.head.status.is_informational() || self.head.status == StatusCode::SWITCHING_PROTOCOLS
+        {
+            return Some("the answer is none");
+        }
+        None
+    }
+
+    /// Whether the body is small enough to be read before it is passed on.
+    pub(super) fn is_small(&self) -> bool {
+        use hyper::body::Body;
+        self.body.size_hint().upper().is_none_or(|upper| upper <= WHOLE)
+    }
+
+    /// The whole body; nothing of it is passed on before its end is there.
+    pub(super) async fn whole(
+        mut self,
+        until: Instant,
+    ) -> (response::Parts, Result<Bytes, Failure>, Place, Duration) {
+        let read = read(&mut self.body);
+        let body = match tokio::time::timeout_at(until, read).await {
+            Ok(body) => body,
+            Err(_) => Err(Failure::Late),
+        };
+        drop(self.connection);
+        (self.head, body, self.place, self.first)
+    }
+
+    /// The parts for a body that is passed on as it comes; the connection ends with the guard.
+    pub(super) fn open(self) -> (response::Parts, Incoming, Place, Guard) {
+        (self.head, self.body, self.place, Guard(self.connection))
+    }
+}
+
+/// Keeps a connection until it is dropped.
+pub(super) struct Guard(#[allow(dead_code, reason = "it is kept to be dropped")] Connection);
+
+async fn read(body: &mut Incoming) -> Result<Bytes, Failure> {
+    let collected = body.collect().await;
+    let collected = collected.map_err(|why| Failure::Unknown(why.to_string()))?;
+    Ok(collected.to_bytes())
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -0,0 +1,69 @@
+//! Fetches the platform's list of backend servers: one gateway for all, and each for itself while
+//! it hears no hub.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
+use curlewlift_core::gateway::Listing;
+
+use super::log::Line;
+use super::node::Node;
+
+/// Fetches the list.
+pub(crate) type Fetch = Rc<dyn Fn() -> Pin<Box<dyn Future<Output = Result<Listing, Refusal>>>>>;
+
+/// Between two fetches for all: a sixth of the time in which a leaving server must be left alone.
+const FOR_ALL: Duration = Duration::from_millis(500);
+
+/// Between two fetches of a gateway that hears no hub: with many gateways, all of them together
+/// must stay within what the platform takes.
+const ALONE: Duration = Duration::from_millis(1_000);
+
+/// Between two looks whether a fetch is due.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// After how long without the hub's word a gateway fetches for itself.
+const SILENT: Duration = Duration::from_millis(800);
+
+/// Fetches for as long as the process lives.
+pub(super) async fn keep(node: Rc<Node>, fetch: Fetch) {
+    let mut answered = true;
+    loop {
+        let Some(pause) = due(&node) else {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        match fetch().await {
+            Ok(listing) => {
+                if !answered {
+                    Line::new(Kind::PlatformFound).write();
+                }
+                answered = true;
+                node.adopt_listing(listing);
+                node.changed.notify_one();
+            }
+            Err(why) => {
+                if answered {
+                    Line::new(Kind::PlatformLost)
+                        .with("why", why.get_detail())
+                        .write();
+                }
+                answered = false;
+            }
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// The pause after the next fetch; none where none is due.
+fn due(node: &Node) -> Option<Duration> {
+    let silence = node.hub_silence();
+    if silence.is_none_or(|silence| silence > SILENT) {
+        return Some(ALONE);
+    }
+    node.hub.borrow().fetches.then_some(FOR_ALL)
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/log.rs
@@ -0,0 +1,44 @@
+//! One line of JSON for each decision that touches a request or changes what this process believes.
+
+use axum::http::HeaderValue;
+use curlewlift_core::event::Kind;
+use serde_json::Map;
+use serde_json::Value;
+
+/// The target by which the log knows lines that are JSON already.
+pub(crate) const TARGET: &str = "decision";
+
+/// A line about `kind`.
+pub(crate) fn note(kind: Kind) -> Line {
+    Line::new(kind)
+}
+
+/// A line that is being written.
+pub(crate) struct Line(Map<String, Value>);
+
+impl Line {
+    /// A line about `kind`.
+    pub(crate) fn new(kind: Kind) -> Self {
+        let mut fields = Map::new();
+        fields.insert("event".to_owned(), kind.number().into());
+        fields.insert("name".to_owned(), kind.name().into());
+        Self(fields)
+    }
+
+    /// Adds a field.
+    pub(crate) fn with(mut self, name: &str, value: impl Into<Value>) -> Self {
+        self.0.insert(name.to_owned(), value.into());
+        self
+    }
+
+    /// Adds the request's name.
+    pub(crate) fn request(self, id: Option<&HeaderValue>) -> Self {
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        self.with("request", id)
+    }
+
+    /// Writes it.
+    pub(crate) fn write(self) {
+        ::log::info!(target: TARGET, "{}", Value::Object(self.0));
+    }
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -0,0 +1,41 @@
+//! A gateway: an entry that passes requests on by a routing table.
+//!
+//! It keeps nothing that must outlive it. What is agreed on (the table), summed up (what is in
+//! flight, what customers used) and found out (the backend servers, the other gateways) it gets
+//! from the hub beside the leading control replica, and it serves on without.
+
+mod admit;
+mod body;
+mod daemon;
+mod dialect;
+mod exchange;
+mod lists;
+mod log;
+mod node;
+mod refuse;
+mod relay;
+mod request;
+mod sending;
+mod serve;
+mod stop;
+mod sync;
+mod turn;
+
+pub(crate) use body::Answer;
+pub(crate) use body::whole;
+pub(crate) use daemon::Beginning;
+pub(crate) use daemon::Beside;
+pub(crate) use daemon::Gateway;
+pub(crate) use daemon::Surroundings;
+pub(crate) use dialect::Call;
+pub(crate) use dialect::Dialect;
+pub(crate) use dialect::Hand;
+pub(crate) use dialect::Marks;
+pub(crate) use lists::Fetch;
+pub(crate) use log::TARGET;
+pub(crate) use log::note;
+pub(crate) use node::Node;
+pub(crate) use serve::serve;
+pub(crate) use stop::Grace;
+pub(crate) use sync::publish;
+pub(crate) use sync::read;
--- /dev/null
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -0,0 +1,305 @@
+//! Passes a stream on as it comes, and takes it up at another server where it breaks and may be.
+
+use std::time::Duration;
+
+use axum::http::StatusCode;
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use curlewlift_core::event::Kind;
+use curlewlift_core::pool::End;
+use curlewlift_core::route;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::body::Cut;
+use super::body::Reply;
+use super::exchange;
+use super::exchange::Coming;
+use super::exchange::Guard;
+use super::log::Line;
+use super::request::Run;
+use super::turn::Place;
+
+/// The longest event, in bytes: one that never ends must not fill the memory.
+const LONGEST: usize = 1 << 20;
+
+/// A stream that is being passed on.
+struct Relay {
+    run: Run,
+    body: Incoming,
+    place: Option<Place>,
+    guard: Option<Guard>,
+    events: Option<Events>,
+    first: Duration,
+    began: Instant,
+    pieces: u32,
+    ended: bool,
+}
+
+/// The body of a stream.
+pub(super) fn body(run: Run, coming: Coming) -> Reply {
+    let first = coming.first;
+    let resumable = run.admitted.rule.kind == route::Kind::Resumable;
+    let (_, body, place, guard) = coming.open();
+    let relay = Relay {
+        run,
+        body,
+        place: Some(place),
+        guard: Some(guard),
+        events: resumable.then(Events::default),
+        first,
+        began: Instant::now(),
+        pieces: 0,
+        ended: false,
+    };
+    let pieces = futures::stream::unfold(relay, |mut relay| async move {
+        let piece = relay.next().await?;
+        Some((piece.map(Frame::data), relay))
+    });
+    Box::pin(StreamBody::new(pieces))
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.ended {
+            Line::new(Kind::CallerLeft)
+                .request(self.run.admitted.call.id.as_ref())
+                .with("pieces", self.pieces)
+                .with("after_ms", super::request::millis(self.run.admitted.arrived.elapsed()))
+                .write();
+        }
+    }
+}
+
+impl Relay {
+    /// The next piece for the caller; none at the end.
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        while !self.ended {
+            let until = self.run.admitted.until;
+            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Some(Err(self.cut("the deadline has passed".to_owned()))),
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let Some(piece) = self.piece(data) {
+                        return Some(Ok(piece));
+                    }
+                }
+                Some(Err(why)) => {
+                    if !self.take_up(&why.to_string()).await {
+                        return Some(Err(self.cut(why.to_string())));
+                    }
+                }
+                None => return self.finish().map(Ok),
+            }
+        }
+        None
+    }
+
+    /// What of `data` may be passed on now: of a stream that can be taken up, whole events.
+    fn piece(&mut self, data: Bytes) -> Option<Bytes> {
+        self.pieces += 1;
+        let Some(events) = &mut self.events else {
+            return Some(data);
+        };
+        let whole = events.take(data);
+        (!whole.is_empty()).then_some(whole)
+    }
+
+    /// The stream has come to its end.
+    fn finish(&mut self) -> Option<Bytes> {
+        self.ended = true;
+        let gaps = self.pieces.saturating_sub(1);
+        let gap = (gaps > 0).then(|| self.began.elapsed() / gaps);
+        if let Some(place) = &mut self.place {
+            place.end(End::Good {
+                first: self.first,
+                gap,
+            });
+        }
+        self.place = None;
+        self.run.log_end(StatusCode::OK.as_u16(), "stream");
+        let rest = self.events.as_mut().map(Events::rest)?;
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// The stream cannot go on.
+    fn cut(&mut self, why: String) -> Cut {
+        self.ended = true;
+        if let Some(place) = &mut self.place
+            && Instant::now() < self.run.admitted.until
+        {
+            place.end(End::Broken);
+        }
+        self.place = None;
+        self.guard = None;
+        Line::new(Kind::Ended)
+            .request(self.run.admitted.call.id.as_ref())
+            .with("how", "cut")
+            .with("why", why.as_str())
+            .with("pieces", self.pieces)
+            .with("after_ms", super::request::millis(self.run.admitted.arrived.elapsed()))
+            .write();
+        metrics::counter!("curlewlift_cut").increment(1);
+        Cut(why)
+    }
+
+    /// Goes on at another server after a break; false where that cannot be.
+    async fn take_up(&mut self, why: &str) -> bool {
+        let Some(after) = self.events.as_mut().map(Events::broke) else {
+            return false;
+        };
+        if let Some(mut place) = self.place.take() {
+            place.end(End::Broken);
+        }
+        // The former server must have stopped before another goes on.
+        self.guard = None;
+        while self.run.sent + self.run.passed < self.run.admitted.rule.attempts {
+            let Some(coming) = self.other(after.as_deref()).await else {
+                continue;
+            };
+            Line::new(Kind::Resumed)
+                .request(self.run.admitted.call.id.as_ref())
+                .with("server", &*coming.place.server.incarnation)
+                .with("after_event", after.as_deref())
+                .with("why", why)
+                .write();
+            self.began = Instant::now();
+            self.pieces = 0;
+            self.first = coming.first;
+            let (_, body, place, guard) = coming.open();
+            self.body = body;
+            self.place = Some(place);
+            self.guard = Some(guard);
+            return true;
+        }
+        false
+    }
+
+    /// Asks another server for the stream after the event `after`; counts the try.
+    async fn other(&mut self, after: Option<&str>) -> Option<Coming> {
+        self.run.passed += 1;
+        let place = self.run.turn().await.ok()?;
+        if !self.run.may_repeat() {
+            self.run.sent = u8::MAX / 2;
+            return None;
+        }
+        let request = self.run.request(&place, after);
+        let server = std::sync::Arc::clone(&place.server.incarnation);
+        self.run.tried.push(server);
+        let until = self.run.admitted.until;
+        let quiet = self.run.quiet();
+        let dialect = self.run.node.dialect;
+        let sent = exchange::send(request, place, dialect, until, quiet).await;
+        let mut coming = match sent {
+            Ok(coming) => coming,
+            Err((_, mut place)) => {
+                place.end(End::Broken);
+                return None;
+            }
+        };
+        let foreign = coming.foreign(self.run.admitted.call.id.as_ref()).is_some();
+        if foreign || coming.head.status != StatusCode::OK {
+            let full = coming.refusal().is_some();
+            coming.place.end(if full { End::Full } else { End::Broken });
+            return None;
+        }
+        Some(coming)
+    }
+}
+
+/// Splits a stream into events, and remembers the last one that was passed on.
+#[derive(Debug, Default)]
+struct Events {
+    partial: BytesMut,
+    /// Where to look on for the end of an event.
+    looked: usize,
+    last: Option<String>,
+    /// The highest number that was passed on, where events are numbered.
+    highest: Option<u64>,
+}
+
+impl Events {
+    /// Takes in bytes; gives the whole events among them that the caller does not have yet.
+    fn take(&mut self, data: Bytes) -> Bytes {
+        self.partial.extend_from_slice(&data);
+        let mut whole = BytesMut::new();
+        while let Some(end) = self.end() {
+            let event = self.partial.split_to(end).freeze();
+            self.looked = 0;
+            if self.is_new(&event) {
+                whole.extend_from_slice(&event);
+            }
+        }
+        if self.partial.len() > LONGEST {
+            whole.extend_from_slice(&self.partial.split());
+            self.looked = 0;
+        }
+        whole.freeze()
+    }
+
+    /// The end of the first event that is there whole.
+    fn end(&mut self) -> Option<usize> {
+        let bytes = &self.partial[..];
+        let from = self.looked;
+        for place in from..bytes.len() {
+            if bytes[place] != b'\n' {
+                continue;
+            }
+            let rest = &bytes[place + 1..];
+            if rest.first() == Some(&b'\n') {
+                return Some(place + 2);
+            }
+            if rest.starts_with(b"\r\n") {
+                return Some(place + 3);
+            }
+        }
+        self.looked = bytes.len().saturating_sub(2);
+        None
+    }
+
+    /// Whether the event comes after those that were passed on; if so it is the last one now.
+    fn is_new(&mut self, event: &Bytes) -> bool {
+        let Some(id) = id(event) else {
+            return true;
+        };
+        let number: Option<u64> = id.parse().ok();
+        if let (Some(number), Some(highest)) = (number, self.highest)
+            && number <= highest
+        {
+            return false;
+        }
+        self.highest = number.or(self.highest);
+        self.last = Some(id);
+        true
+    }
+
+    /// The stream broke: what is there of an event is dropped; gives the last event's name.
+    fn broke(&mut self) -> Option<String> {
+        self.partial.clear();
+        self.looked = 0;
+        self.last.clone()
+    }
+
+    /// What is there at the stream's own end.
+    fn rest(&mut self) -> Bytes {
+        let rest = self.partial.split();
+        rest.freeze()
+    }
+}
+
+/// The name of an event.
+fn id(event: &Bytes) -> Option<String> {
+    let mut lines = event.chunk().split(|byte| *byte == b'\n');
+    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let text = std::str::from_utf8(line).ok()?;
+    Some(text.trim().to_owned())
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -0,0 +1,68 @@
+//! Takes connections and answers their requests.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use axum::http::Request;
+use curlewlift_core::route::Limits;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::body::Answer;
+
+/// The most headers in one head.
+const HEADERS: usize = 128;
+
+/// Between two attempts to take a connection after one failed, for descriptors to come free.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers requests on `listener` with `answer` until it is dropped.
+pub(crate) async fn serve<L, F, A>(listener: TcpListener, limits: L, answer: F)
+where
+    L: Fn() -> Limits,
+    F: Fn(Request<Incoming>) -> A + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let answer = Rc::clone(&answer);
+                tokio::task::spawn_local(connection(stream, limits(), answer));
+            }
+            Err(why) => {
+                log::warn!("a connection cannot be taken: {why}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<F, A>(stream: TcpStream, limits: Limits, answer: Rc<F>)
+where
+    F: Fn(Request<Incoming>) -> A + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    crate::process::watch_connection(&stream);
+    let service = service_fn(move |request| {
+        let answer = answer(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    // A head's time begins when the connection rests, so it must allow for that.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time + limits.header_time)
+        .max_headers(HEADERS)
+        .max_buf_size(limits.header_bytes.max(8 << 10) + (8 << 10))
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(why) = connection.await {
+        log::debug!("a caller's connection has ended: {why}");
+    }
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/stop.rs
@@ -0,0 +1,53 @@
+//! The planned stop: callers are sent elsewhere, what is open is finished.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewlift_core::event::Kind;
+
+use super::log::Line;
+use super::node::Node;
+
+/// Between two looks whether all is finished.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Before the end of the grace: what is still open then is cut by the process's own end, not by
+/// the platform's.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// When a caller that comes late is to come back: at once, elsewhere.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// How long a stop takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Grace {
+    /// How long callers may still hold this gateway's address.
+    pub(crate) held: Duration,
+    /// After how long the platform ends the process.
+    pub(crate) grace: Duration,
+}
+
+/// Whether a request is turned away, and after how long it may come back.
+pub(super) fn turns_away(node: &Node) -> Option<Duration> {
+    node.closed.get().then_some(ELSEWHERE)
+}
+
+/// Sends callers elsewhere, waits until nobody holds the address any more, and finishes.
+pub(super) async fn run(node: &Rc<Node>, grace: Grace) {
+    let began = node.now();
+    node.stopping.set(Some(began));
+    node.changed.notify_one();
+    Line::new(Kind::Stopping)
+        .with("open", node.open.get())
+        .write();
+    tokio::time::sleep(grace.held).await;
+    node.closed.set(true);
+    let latest = grace.grace.saturating_sub(MARGIN);
+    while node.open.get() > 0 && node.now().since(began) < latest {
+        tokio::time::sleep(LOOK).await;
+    }
+    Line::new(Kind::Stopped)
+        .with("open", node.open.get())
+        .with("finished", node.finished.get())
+        .write();
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -0,0 +1,214 @@
+//! Asks the hub, over and over: what is new, and what is left.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
+use curlewlift_core::gateway::Question;
+use curlewlift_core::gateway::Reply;
+use curlewlift_core::id;
+use curlewlift_core::state::Publication;
+
+use crate::rpc::HubCall;
+use crate::rpc::HubReply;
+use crate::rpc::Method;
+use crate::rpc::RenewCall;
+
+use super::daemon::Surroundings;
+use super::log::Line;
+use super::node::Node;
+
+/// How long an answer may take: the hub's own wait, and a busy host's delay.
+const CALL: Duration = Duration::from_millis(600);
+
+/// Between an answer and the next question.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// After a control replica that does not lead or does not answer.
+const NEXT: Duration = Duration::from_millis(60);
+
+/// How long a routing table may take to be put in force, or read.
+const PUBLISH: Duration = Duration::from_millis(1_500);
+
+/// How often another control replica is asked where the first does not lead.
+const HOPS: usize = 4;
+
+/// After how long the hub counts as lost, for the log.
+const LOST: Duration = Duration::from_millis(1_500);
+
+/// Asks for as long as the process lives.
+pub(super) async fn keep(node: Rc<Node>, around: Rc<Surroundings>) {
+    let mut place = 0;
+    let mut known = false;
+    loop {
+        let asked = once(&node, &around, &mut place).await;
+        let silent = node.hub_silence().is_none_or(|silence| silence > LOST);
+        if known == silent {
+            known = !silent;
+            let kind = if silent { Kind::HubLost } else { Kind::HubFound };
+            let leader = node.hub.borrow().leader.clone();
+            let line = Line::new(kind).with("leader", leader.map(|leader| leader.to_string()));
+            line.write();
+        }
+        let pause = if asked { PAUSE } else { NEXT };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// One question; true where the leader answered it.
+async fn once(node: &Rc<Node>, around: &Surroundings, place: &mut usize) -> bool {
+    let Some(address) = address(node, around, *place) else {
+        *place += 1;
+        return false;
+    };
+    let question = question(node);
+    let call = RenewCall::Hub(HubCall::Ask(Box::new(question)));
+    let reply: Result<HubReply, Refusal> =
+        node.rpc.call(address, Method::Renew, &call, CALL).await;
+    match reply {
+        Ok(HubReply::News(reply)) => {
+            take(node, around, *reply);
+            true
+        }
+        Ok(HubReply::Elsewhere(leader)) => {
+            let same = leader == node.hub.borrow().leader;
+            if same || leader.is_none() {
+                *place += 1;
+            }
+            node.hub.borrow_mut().leader = if same { None } else { leader };
+            false
+        }
+        Ok(_) => false,
+        Err(why) => {
+            log::debug!("no word from {address}: {why}");
+            node.hub.borrow_mut().leader = None;
+            *place += 1;
+            false
+        }
+    }
+}
+
+/// Where to ask: at the leader, or in turn at each that may know it.
+fn address(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
+    let hub = node.hub.borrow();
+    if let Some(leader) = &hub.leader
+        && let Some(address) = (around.locate)(leader)
+    {
+        return Some(address);
+    }
+    let mut all: Vec<_> = hub.control.iter().filter_map(|host| (around.locate)(host)).collect();
+    for seed in (around.seeds)() {
+        if !all.contains(&seed) {
+            all.push(seed);
+        }
+    }
+    all.get(place % all.len().max(1)).copied()
+}
+
+fn question(node: &Node) -> Question {
+    let hub = node.hub.borrow();
+    let listing = node.listing.borrow();
+    let fetched = hub.fetches && listing.version != hub.listing;
+    let mut share = node.share.borrow_mut();
+    Question {
+        host: node.host.clone(),
+        incarnation: node.incarnation,
+        gateway: node.gateway.clone(),
+        ready: node.is_ready(),
+        table: node.table().map_or(0, |table| table.get_number()),
+        listing: listing.version,
+        roll: node.roll.borrow().version,
+        loads: node.loads(),
+        spent: share.report(),
+        levels: share.levels(),
+        fetched: fetched.then(|| listing.clone()),
+    }
+}
+
+fn take(node: &Node, around: &Surroundings, reply: Reply) {
+    if let Some((number, document)) = reply.table {
+        match (around.decode)(&document) {
+            Ok(table) => node.adopt_table(table),
+            Err(why) => log::error!("table {number} cannot be read: {why}"),
+        }
+    }
+    {
+        let mut hub = node.hub.borrow_mut();
+        hub.heard = Some(node.now());
+        hub.leader = reply.leader;
+        hub.control = reply.control;
+        hub.count = reply.count;
+        hub.fetches = reply.fetches;
+        hub.listing = match &reply.listing {
+            Some(listing) => listing.version,
+            None => node.listing.borrow().version,
+        };
+    }
+    // The one that fetches the list has it first hand.
+    if let Some(listing) = reply.listing
+        && !reply.fetches
+    {
+        node.adopt_listing(listing);
+    }
+    if let Some(roll) = reply.roll {
+        *node.roll.borrow_mut() = roll;
+    }
+    let count = reply.count;
+    node.share
+        .borrow_mut()
+        .heard(&reply.levels, count, node.now());
+    node.hear(&reply.loads);
+}
+
+/// Puts a routing table in force.
+///
+/// # Errors
+///
+/// The leader's refusal; [`Code::Unreachable`] where what became of it is not known.
+pub(crate) async fn publish(
+    node: &Node,
+    around: &Surroundings,
+    publication: Publication,
+) -> Result<(), Refusal> {
+    match ask(node, around, HubCall::Publish(publication)).await? {
+        HubReply::Published => Ok(()),
+        _ => Err(no_leader()),
+    }
+}
+
+/// The routing table in force, surely the newest.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] where nobody can be sure.
+pub(crate) async fn read(node: &Node, around: &Surroundings) -> Result<Publication, Refusal> {
+    match ask(node, around, HubCall::Read).await? {
+        HubReply::Table(publication) => Ok(publication),
+        _ => Err(no_leader()),
+    }
+}
+
+/// Asks the leader, where it can be found within a few steps.
+async fn ask(node: &Node, around: &Surroundings, call: HubCall) -> Result<HubReply, Refusal> {
+    let call = RenewCall::Hub(call);
+    let mut named: Option<id::Host> = node.hub.borrow().leader.clone();
+    for hop in 0..HOPS {
+        let leader = named.as_ref().and_then(|leader| (around.locate)(leader));
+        let Some(address) = leader.or_else(|| address(node, around, hop)) else {
+            continue;
+        };
+        let reply = node.rpc.call(address, Method::Renew, &call, PUBLISH).await?;
+        match reply {
+            HubReply::Elsewhere(next) => named = next,
+            reply => return Ok(reply),
+        }
+    }
+    Err(no_leader())
+}
+
+fn no_leader() -> Refusal {
+    Refusal::new(Code::Unreachable, "no control replica surely leads")
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -0,0 +1,113 @@
+//! Waits for a request's turn at a backend server.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewlift_core::gateway::Server;
+use curlewlift_core::id;
+use curlewlift_core::pool::Ask;
+use curlewlift_core::pool::End;
+use curlewlift_core::pool::Ticket;
+use curlewlift_core::pool::Turn;
+use tokio::sync::oneshot;
+
+use super::node::Node;
+
+/// A place at a backend server; given back when it is dropped.
+pub(super) struct Place {
+    node: Rc<Node>,
+    service: id::Service,
+    pub(super) server: Arc<Server>,
+    end: End,
+}
+
+impl Place {
+    /// How it ended, told when it is given back.
+    pub(super) fn end(&mut self, end: End) {
+        self.end = end;
+    }
+
+    /// Something that is seen while the request runs.
+    pub(super) fn seen(&self, end: End) {
+        let now = self.node.now();
+        let incarnation = &self.server.incarnation;
+        self.node.with_pool(&self.service, |service| {
+            service.pool.seen(incarnation, end, now);
+        });
+    }
+
+    /// What an answer told of the server's load.
+    pub(super) fn told(&self, in_flight: u32) {
+        let incarnation = &self.server.incarnation;
+        self.node.with_pool(&self.service, |service| {
+            service.pool.told(incarnation, in_flight);
+        });
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.node
+            .ended(&self.service, &self.server.incarnation, self.end);
+    }
+}
+
+/// A place in line; left when it is dropped.
+struct Line {
+    node: Rc<Node>,
+    service: id::Service,
+    ticket: Ticket,
+    turn: oneshot::Receiver<Turn>,
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.node.leave(&self.service, self.ticket);
+        // A turn that came in the moment in which its request went away is given back.
+        self.turn.close();
+        if let Ok(turn) = self.turn.try_recv() {
+            let incarnation = &turn.server.incarnation;
+            self.node.ended(&self.service, incarnation, End::Nothing);
+        }
+    }
+}
+
+/// Why no turn came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoTurn {
+    /// There is no such service here, or no server of it.
+    NoServer,
+    /// Others of a higher rank have taken its place in line.
+    Displaced,
+    /// Its time was up.
+    TimeUp,
+}
+
+/// Waits for a turn for at most `patience`.
+pub(super) async fn wait(
+    node: &Rc<Node>,
+    service: &id::Service,
+    ask: Ask,
+    patience: Duration,
+) -> Result<Place, NoTurn> {
+    let (ticket, turn) = node.ask(service, ask).ok_or(NoTurn::NoServer)?;
+    let mut line = Line {
+        node: Rc::clone(node),
+        service: service.clone(),
+        ticket,
+        turn,
+    };
+    let turn = tokio::time::timeout(patience, &mut line.turn).await;
+    let turn = match turn {
+        Ok(Ok(turn)) => turn,
+        Ok(Err(_)) => return Err(NoTurn::Displaced),
+        Err(_) => return Err(NoTurn::TimeUp),
+    };
+    Ok(Place {
+        node: Rc::clone(node),
+        service: service.clone(),
+        server: turn.server,
+        end: End::Nothing,
+    })
+}
--- a/crates/curlewlift/src/lib.rs
+++ b/crates/curlewlift/src/lib.rs
@@ -5,8 +5,10 @@
 mod control;
 mod disk;
 mod entry;
+mod gateway;
 mod key;
 mod operate;
+mod platform;
 mod process;
 mod program;
 mod rpc;
--- /dev/null
+++ b/crates/curlewlift/src/platform/document.rs
@@ -0,0 +1,212 @@
+//! The operators' configuration document, decoded into a routing table.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use curlewlift_core::route::Account;
+use curlewlift_core::route::Allowance;
+use curlewlift_core::route::Kind;
+use curlewlift_core::route::Limits;
+use curlewlift_core::route::Parts;
+use curlewlift_core::route::Provider;
+use curlewlift_core::route::Rule;
+use curlewlift_core::route::Table;
+use curlewlift_core::route::Target;
+use curlewlift_core::route::Unit;
+use serde::Deserialize;
+
+/// The whole document.
+#[derive(Deserialize)]
+struct Document {
+    version: u64,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    limits: Option<Bounds>,
+    tenants: Option<Vec<Tenant>>,
+}
+
+#[derive(Deserialize)]
+struct Route {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: String,
+    timeout_ms: f64,
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    service: Option<String>,
+    backends: Option<Vec<Backend>>,
+    max_attempts: Option<u8>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct Backend {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    name: String,
+    health_path: Option<String>,
+    max_conns: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    unit: Option<String>,
+    plain_tokens: Option<u64>,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// Decodes a document; it is taken whole or refused whole.
+///
+/// # Errors
+///
+/// [`Code::BadJson`] where it cannot be read, [`Code::BadValue`] where its parts do not fit.
+pub(super) fn decode(text: &str) -> Result<Table, Refusal> {
+    let document: Document = serde_json::from_str(text)
+        .map_err(|why| Refusal::new(Code::BadJson, format!("the configuration: {why}")))?;
+    let rules = document.routes.into_iter().map(rule);
+    let rules = rules.collect::<Result<_, _>>()?;
+    let services = document.services.into_iter().map(service);
+    let services: BTreeMap<_, _> = services.collect::<Result<_, _>>()?;
+    let accounts = document.tenants.map(|tenants| {
+        let accounts = tenants.into_iter().map(account);
+        accounts.collect::<Result<Vec<_>, _>>()
+    });
+    Table::new(Parts {
+        number: document.version,
+        rules,
+        services,
+        limits: document.limits.map_or_else(|| Ok(Limits::default()), limits)?,
+        accounts: accounts.transpose()?,
+    })
+}
+
+fn rule(route: Route) -> Result<Rule, Refusal> {
+    let kind = match (route.kind.as_str(), route.resumable) {
+        ("safe", _) => Kind::Safe,
+        ("unsafe", _) => Kind::Unsafe,
+        ("streaming", false) => Kind::Streaming,
+        ("streaming", true) => Kind::Resumable,
+        (other, _) => {
+            let why = format!("route {}: `{other}` is no kind of requests", route.name);
+            return Err(Refusal::new(Code::BadValue, why));
+        }
+    };
+    let targets = match (route.backends, route.service) {
+        (Some(backends), _) if !backends.is_empty() => backends,
+        (_, Some(service)) => vec![Backend {
+            service,
+            weight: 1.0,
+        }],
+        _ => {
+            let why = format!("route {}: it names no service", route.name);
+            return Err(Refusal::new(Code::BadValue, why));
+        }
+    };
+    let targets = targets.into_iter().map(|backend| {
+        Ok(Target {
+            service: name(&backend.service)?,
+            weight: backend.weight,
+        })
+    });
+    let timeout = millis(route.timeout_ms)?;
+    let objective = route.target_latency_ms.map_or(Ok(timeout), millis)?;
+    Ok(Rule {
+        name: route.name.into(),
+        host: route.host.to_ascii_lowercase().into(),
+        prefix: route.path_prefix.into(),
+        kind,
+        timeout,
+        objective,
+        rank: route.priority,
+        targets: targets.collect::<Result<_, Refusal>>()?,
+        attempts: route.max_attempts.unwrap_or(1),
+        public: route.public,
+    })
+}
+
+fn service(
+    service: Service,
+) -> Result<(curlewlift_core::id::Service, Provider), Refusal> {
+    let provider = Provider {
+        connections: service.max_conns.unwrap_or(u32::MAX),
+        health: service.health_path.unwrap_or_default().into(),
+    };
+    Ok((name(&service.name)?, provider))
+}
+
+fn limits(bounds: Bounds) -> Result<Limits, Refusal> {
+    let usual = Limits::default();
+    Ok(Limits {
+        header_bytes: bounds.max_header_bytes.unwrap_or(usual.header_bytes),
+        body_bytes: bounds.max_body_bytes.unwrap_or(usual.body_bytes),
+        header_time: bounds
+            .header_timeout_ms
+            .map_or(Ok(usual.header_time), millis)?,
+        idle_time: bounds.idle_timeout_ms.map_or(Ok(usual.idle_time), millis)?,
+    })
+}
+
+fn account(tenant: Tenant) -> Result<Account, Refusal> {
+    let unit = match tenant.unit.as_deref() {
+        Some("tokens") => Unit::Tokens(tenant.plain_tokens.unwrap_or(1)),
+        _ => Unit::Requests,
+    };
+    let numbers = [tenant.rate_per_s, tenant.burst];
+    if numbers.iter().any(|number| !number.is_finite() || *number < 0.0) {
+        let why = format!("tenant {}: its limit is below 0", tenant.name);
+        return Err(Refusal::new(Code::BadValue, why));
+    }
+    Ok(Account {
+        name: name(&tenant.name)?,
+        keys: tenant.api_keys,
+        rank: tenant.priority,
+        allowance: Allowance {
+            unit,
+            rate: tenant.rate_per_s,
+            burst: tenant.burst,
+        },
+    })
+}
+
+fn name<T>(text: &str) -> Result<T, Refusal>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    text.parse()
+        .map_err(|why: T::Err| Refusal::new(Code::BadValue, why.to_string()))
+}
+
+/// A time in milliseconds; days are more than any request is held.
+fn millis(number: f64) -> Result<Duration, Refusal> {
+    Duration::try_from_secs_f64(number / 1_000.0)
+        .map_err(|why| Refusal::new(Code::BadValue, format!("{number} ms: {why}")))
+}
--- /dev/null
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -0,0 +1,138 @@
+//! The heads of requests and answers.
+
+use std::time::Duration;
+
+use axum::http::HeaderMap;
+use axum::http::HeaderName;
+use axum::http::HeaderValue;
+use axum::http::header;
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+
+use crate::gateway::Call;
+use crate::gateway::Dialect;
+use crate::gateway::Hand;
+use crate::gateway::Marks;
+
+/// The request's name; every try of a caller has its own.
+const REQUEST: HeaderName = HeaderName::from_static("x-attempt-id");
+/// How long the caller, and in turn the backend server, may take, in milliseconds.
+const PATIENCE: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// Tokens of the prompt, and the most that are made, with a comma between.
+const TOKENS: HeaderName = HeaderName::from_static("x-token-counts");
+/// The customer's name, for the backend server.
+const CUSTOMER: HeaderName = HeaderName::from_static("x-tenant");
+/// The incarnation that is meant.
+const MEANT: HeaderName = HeaderName::from_static("x-expect-instance");
+/// The last event that is there already.
+const AFTER: HeaderName = HeaderName::from_static("last-event-id");
+/// By this the backend server vouches for its answer.
+const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
+/// The backend server did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
+/// Requests running, requests waiting, and slots.
+const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+
+/// Another incarnation has the address.
+const MISDIRECTED: u16 = 421;
+
+/// What only this system may tell a backend server, whatever a caller sends.
+const OURS: [HeaderName; 8] = [
+    CUSTOMER,
+    MEANT,
+    HeaderName::from_static("x-expect-version"),
+    HeaderName::from_static("x-hold"),
+    HeaderName::from_static("x-pin-ms"),
+    HeaderName::from_static("x-kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+];
+
+/// How the platform's heads are read and written.
+pub(super) const DIALECT: Dialect = Dialect { read, dress, marks };
+
+fn read(headers: &HeaderMap) -> Result<Call, Refusal> {
+    Ok(Call {
+        id: headers.get(REQUEST).cloned(),
+        key: key(headers),
+        patience: number(headers, &PATIENCE)?.map(Duration::from_millis),
+        tokens: tokens(headers)?,
+    })
+}
+
+fn key(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.trim().split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then(|| key.trim().to_owned())
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default().trim();
+    let number: Result<f64, _> = text.parse();
+    match number {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        Ok(number) if number >= 0.0 => Ok(Some(number as u64)),
+        _ => Err(bad(name, text, "a number of milliseconds")),
+    }
+}
+
+fn tokens(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
+    let Some(value) = headers.get(TOKENS) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let counts = text.split(',').map(|count| count.trim().parse::<u64>());
+    let sum: Result<u64, _> = counts.sum();
+    sum.map(Some)
+        .map_err(|_| bad(&TOKENS, text, "two whole numbers with a comma between"))
+}
+
+fn bad(name: &HeaderName, text: &str, wanted: &str) -> Refusal {
+    Refusal::new(Code::BadHeader, format!("{name}: `{text}` is not right; give {wanted}"))
+}
+
+fn dress(headers: &mut HeaderMap, hand: &Hand<'_>) {
+    headers.remove(header::AUTHORIZATION);
+    for name in OURS {
+        headers.remove(name);
+    }
+    set(headers, PATIENCE, &hand.patience.as_millis().to_string());
+    set(headers, MEANT, hand.incarnation);
+    if let Some(customer) = hand.customer {
+        set(headers, CUSTOMER, customer);
+    }
+    if let Some(after) = hand.after {
+        set(headers, AFTER, after);
+    }
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(why) => log::error!("{name}: `{value}` cannot be sent: {why}"),
+    }
+}
+
+fn marks(status: u16, headers: &HeaderMap) -> Marks {
+    Marks {
+        id: headers.get(REQUEST).cloned(),
+        not_run: headers.contains_key(NOT_RUN),
+        moved: status == MISDIRECTED,
+        signed: headers.contains_key(SIGNATURE),
+        in_flight: load(headers),
+    }
+}
+
+fn load(headers: &HeaderMap) -> Option<u32> {
+    let mut parts = headers.get(LOAD)?.to_str().ok()?.split(',');
+    let running: u32 = parts.next()?.trim().parse().ok()?;
+    let waiting: u32 = parts.next()?.trim().parse().ok()?;
+    Some(running + waiting)
+}
--- /dev/null
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -0,0 +1,140 @@
+//! The settings file that the platform lays out for each process.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use serde::Deserialize;
+
+/// The settings of one process.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct Settings {
+    /// This machine's address; the system's own names of hosts are their addresses.
+    pub(super) ip: IpAddr,
+    /// Its data hall.
+    #[serde(rename = "zone")]
+    pub(super) hall: String,
+    /// The ports that the system's processes may use among themselves, first and last.
+    #[serde(rename = "internal_ports")]
+    pub(super) own_ports: (u16, u16),
+    /// Where some control replicas may be found: the addresses at which operators reach them.
+    #[serde(default)]
+    pub(super) seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, on empty disks.
+    #[serde(rename = "bootstrap", default)]
+    pub(super) first_start: bool,
+    /// The folder for files, on hosts with a disk.
+    #[serde(default)]
+    pub(super) data_dir: Option<PathBuf>,
+    /// Where this process listens for whom.
+    pub(super) listen: Listen,
+    /// What may be lost at once.
+    #[serde(rename = "fault_tolerance", default)]
+    pub(super) tolerated: Tolerated,
+    /// The bounds that the platform holds the system to.
+    pub(super) bounds: Bounds,
+    /// Where the platform itself is reached.
+    #[serde(rename = "cloud")]
+    pub(super) platform: Reached,
+}
+
+/// Where a process listens.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct Listen {
+    /// For callers.
+    #[serde(rename = "front")]
+    pub(super) callers: SocketAddr,
+    /// For the platform's question whether this host takes callers.
+    #[serde(rename = "ready")]
+    pub(super) readiness: SocketAddr,
+    /// For operators.
+    #[serde(rename = "control")]
+    pub(super) operators: SocketAddr,
+    /// For callers that ask which addresses to use.
+    pub(super) directory: SocketAddr,
+}
+
+/// What may be lost at once.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub(super) struct Tolerated {
+    /// Hosts with a disk.
+    #[serde(rename = "machines", default)]
+    pub(super) disks: usize,
+}
+
+/// The bounds that are used; the others bind all the same.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(super) struct Bounds {
+    /// From the order to stop to the process's end by force, in seconds.
+    #[serde(rename = "grace_s")]
+    pub(super) stop_seconds: f64,
+    /// Further sendings for each request, over all hosts.
+    #[serde(rename = "retry_budget_ratio")]
+    pub(super) retry_ratio: f64,
+    /// Further sendings in a window at all times, over all hosts.
+    #[serde(rename = "budget_min_retries")]
+    pub(super) retry_floor: f64,
+    /// The window in which they are counted, in seconds.
+    #[serde(rename = "budget_window_s")]
+    pub(super) retry_seconds: f64,
+    /// How long an address answer may be kept at most, in seconds.
+    #[serde(rename = "ttl_max_s", default = "no_bound")]
+    pub(super) answer_seconds: f64,
+}
+
+/// Where the platform is reached.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(super) struct Reached {
+    /// Its address.
+    pub(super) address: SocketAddr,
+}
+
+fn no_bound() -> f64 {
+    f64::MAX
+}
+
+impl Settings {
+    /// Reads the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadSetting`] with the field that is missing or cannot be read.
+    pub(crate) fn read(path: &Path) -> Result<Self, Refusal> {
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|why| bad(path, &why))?;
+        Self::parse(&text).map_err(|why| bad(path, &why))
+    }
+
+    /// Reads the file's text.
+    pub(super) fn parse(text: &str) -> Result<Self, serde_json::Error> {
+        serde_json::from_str(text)
+    }
+
+    /// Where the control replica on the host with `ip` is reached.
+    pub(super) fn replica(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.own_ports.0)
+    }
+
+    /// Whether this process is the one that founds the log.
+    pub(super) fn founds(&self) -> bool {
+        let first = self.seeds.first();
+        self.first_start && first.is_some_and(|first| first.ip() == self.ip)
+    }
+
+    /// The time after which the platform ends a process that was told to stop.
+    pub(super) fn stop_time(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.stop_seconds)
+    }
+}
+
+fn bad(path: &Path, why: &dyn std::fmt::Display) -> Refusal {
+    let detail = format!(
+        "{}: {why}; give the file that the platform lays out from deploy/settings.json",
+        path.display()
+    );
+    Refusal::new(Code::BadSetting, detail)
+}
--- /dev/null
+++ b/crates/curlewlift/src/platform/start.rs
@@ -0,0 +1,193 @@
+//! Starts a gateway on the platform.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use curlewlift_core::gateway;
+use curlewlift_core::id;
+use curlewlift_core::pool::Allowed;
+use curlewlift_core::route::Limits;
+
+use crate::control::Gateways;
+use crate::control::Locate;
+use crate::gateway::Answer;
+use crate::gateway::Beginning;
+use crate::gateway::Beside;
+use crate::gateway::Gateway;
+use crate::gateway::Grace;
+use crate::gateway::Node;
+use crate::gateway::Surroundings;
+use crate::gateway::serve;
+use crate::process;
+use crate::process::Process;
+
+use super::Settings;
+use super::directory;
+use super::document;
+use super::heads;
+use super::instances;
+use super::operator;
+
+/// How long callers are told to keep an address answer, in seconds: a host that stops serves on
+/// for three times that long, as some keep it.
+const KEEP: f64 = 1.0;
+
+/// How many times that some callers keep it.
+const KEPT: f64 = 3.0;
+
+/// Beyond that, for a stopping host's word to reach all who answer.
+const WORD: Duration = Duration::from_millis(300);
+
+/// The listeners beside the callers' one.
+struct Listeners {
+    readiness: TcpListener,
+    operators: TcpListener,
+    directory: TcpListener,
+}
+
+/// Starts a gateway with the settings that were read from `path`.
+///
+/// # Errors
+///
+/// [`Code::BadSetting`] where an address cannot be had.
+pub(crate) fn start(path: PathBuf, settings: Settings) -> Result<Process, Refusal> {
+    let listen = &settings.listen;
+    let callers = bind(listen.callers)?;
+    let listeners = Listeners {
+        readiness: bind(listen.readiness)?,
+        operators: bind(listen.operators)?,
+        directory: bind(listen.directory)?,
+    };
+    let keep = KEEP.min(settings.bounds.answer_seconds);
+    let bounds = settings.bounds;
+    let gateway = Gateway {
+        host: host(settings.ip)?,
+        gateway: gateway::Gateway {
+            hall: settings.hall.as_str().into(),
+            callers: listen.callers,
+        },
+        callers,
+        dialect: heads::DIALECT,
+        allowed: Allowed {
+            ratio: bounds.retry_ratio,
+            floor: bounds.retry_floor,
+            window: Duration::from_secs_f64(bounds.retry_seconds),
+        },
+        grace: Grace {
+            held: Duration::from_secs_f64(keep * KEPT) + WORD,
+            grace: settings.stop_time(),
+        },
+        beside: beside(&settings)?,
+    };
+    gateway.start(move || {
+        let around = surroundings(path, &settings);
+        let fetch = instances::fetch(settings.platform.address);
+        let also: Beginning = Box::new(move |node, around| also(node, around, listeners, keep));
+        (around, fetch, also)
+    })
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
+    TcpListener::bind(address).map_err(|why| {
+        Refusal::new(
+            Code::BadSetting,
+            format!("cannot listen at {address}: {why}"),
+        )
+    })
+}
+
+/// A host's name: its address, so that whoever knows the name can reach it.
+fn host(ip: IpAddr) -> Result<id::Host, Refusal> {
+    let name = ip.to_string().parse();
+    name.map_err(|why| Refusal::new(Code::BadSetting, format!("{ip}: {why}")))
+}
+
+/// How a host is reached by its name.
+fn locate(settings: &Settings) -> Locate {
+    let port = settings.own_ports.0;
+    Arc::new(move |host| {
+        let ip: IpAddr = host.as_str().parse().ok()?;
+        Some(SocketAddr::new(ip, port))
+    })
+}
+
+/// The control replica, on a host with a disk.
+fn beside(settings: &Settings) -> Result<Option<Beside>, Refusal> {
+    let Some(data) = &settings.data_dir else {
+        return Ok(None);
+    };
+    let mut peers = BTreeMap::new();
+    for seed in &settings.seeds {
+        peers.insert(host(seed.ip())?, settings.replica(seed.ip()));
+    }
+    // One more than half must be left after the loss of as many as may be lost at once.
+    let replicas = 2 * settings.tolerated.disks + 1;
+    Ok(Some(Beside {
+        rpc: settings.replica(settings.ip),
+        data: data.clone(),
+        found: settings.founds(),
+        peers,
+        gateways: Gateways {
+            decode: document::decode,
+            locate: locate(settings),
+            replicas,
+        },
+    }))
+}
+
+fn surroundings(path: PathBuf, settings: &Settings) -> Surroundings {
+    let first = settings.clone();
+    Surroundings {
+        // The file may change without a signal.
+        seeds: Box::new(move || {
+            let settings = Settings::read(&path).unwrap_or_else(|why| {
+                log::warn!("the settings are kept as they were: {why}");
+                first.clone()
+            });
+            let seeds = settings.seeds.iter();
+            seeds.map(|seed| settings.replica(seed.ip())).collect()
+        }),
+        locate: locate(settings),
+        decode: document::decode,
+    }
+}
+
+/// Serves operators, address questions and the question of readiness.
+fn also(
+    node: &Rc<Node>,
+    around: &Rc<Surroundings>,
+    listeners: Listeners,
+    keep: f64,
+) -> Result<(), Refusal> {
+    let asked = Rc::clone(node);
+    listen(listeners.readiness, move |request| {
+        std::future::ready(directory::readiness(&asked, &request))
+    })?;
+    let asked = Rc::clone(node);
+    listen(listeners.directory, move |request| {
+        std::future::ready(directory::resolve(&asked, keep, &request))
+    })?;
+    let node = Rc::clone(node);
+    let around = Rc::clone(around);
+    listen(listeners.operators, move |request| {
+        operator::answer(Rc::clone(&node), Rc::clone(&around), request)
+    })
+}
+
+fn listen<F, A>(listener: TcpListener, answer: F) -> Result<(), Refusal>
+where
+    F: Fn(axum::http::Request<hyper::body::Incoming>) -> A + 'static,
+    A: Future<Output = Answer> + 'static,
+{
+    let listener = process::listener(listener)?;
+    tokio::task::spawn_local(serve(listener, Limits::default, answer));
+    Ok(())
+}
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -156,3 +156,18 @@
         )
     })
 }
+
+/// How long bytes may go unacknowledged before a connection counts as dead: a peer that lost its
+/// power or is cut off says nothing.
+const UNACKNOWLEDGED: std::time::Duration = std::time::Duration::from_secs(4);
+
+/// Sends small pieces at once, and finds out when the peer has gone silently.
+pub(crate) fn watch_connection(stream: &tokio::net::TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    if let Err(why) = set {
+        log::debug!("a connection's options cannot be set: {why}");
+    }
+}
--- a/crates/curlewlift/src/program/logs.rs
+++ b/crates/curlewlift/src/program/logs.rs
@@ -9,33 +9,51 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use serde_json::json;
 
-/// Logs to standard error from `level` up, as text or as one JSON object a line.
+use crate::gateway::TARGET;
+
+use super::lines::Lines;
+
+/// Logs from `level` up: as text to standard error, or as one JSON object a line to standard
+/// output.
 pub(super) fn start(level: log::LevelFilter, json: bool) -> Result<(), Refusal> {
     let dispatch = fern::Dispatch::new()
         .level(level)
         .level_for("tracing", log::LevelFilter::Error);
     let dispatch = if json {
-        dispatch.format(|out, message, record| {
-            let line = json!({
-                "level": record.level().as_str(),
-                "target": record.target(),
-                "message": message.to_string(),
-            });
-            out.finish(format_args!("{line}"));
-        })
+        let lines = Lines::start();
+        dispatch
+            .format(|out, message, record| out.finish(format_args!("{}", line(message, record))))
+            .chain(fern::Output::call(move |record| {
+                lines.push(record.args().to_string());
+            }))
     } else {
-        dispatch.format(|out, message, record| {
-            out.finish(format_args!(
-                "{} {}: {message}",
-                record.level(),
-                record.target()
-            ));
-        })
+        dispatch
+            .format(|out, message, record| {
+                out.finish(format_args!(
+                    "{} {}: {message}",
+                    record.level(),
+                    record.target()
+                ));
+            })
+            .chain(std::io::stderr())
     };
-    let started = dispatch.chain(std::io::stderr()).apply();
+    let started = dispatch.apply();
     started.map_err(|why| Refusal::new(Code::Internal, format!("no log can be kept: {why}")))
 }
 
+/// A message as a JSON object; a decision is one already.
+fn line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> String {
+    if record.target() == TARGET {
+        return message.to_string();
+    }
+    json!({
+        "level": record.level().as_str(),
+        "target": record.target(),
+        "message": message.to_string(),
+    })
+    .to_string()
+}
+
 /// Serves the metrics in the usual text format at `address`, under `/metrics`.
 pub(super) fn metrics(address: Option<SocketAddr>) -> Result<(), Refusal> {
     let Some(address) = address else {
--- a/crates/curlewlift/src/program/mod.rs
+++ b/crates/curlewlift/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! What the command line starts.
 
+mod lines;
 mod logs;
 mod operate;
 mod run;
--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -7,6 +7,7 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
 use error_stack::Frame;
 use error_stack::Report;
 use error_stack::ResultExt;
@@ -71,6 +72,9 @@
         Command::Control(args) => {
             control(&args, environment, &common).attach("running a control replica")
         }
+        Command::Platform(args) => {
+            platform(&args, environment, &common).attach("running a gateway on the platform")
+        }
         Command::Operate(args) => operate::run(&args, environment).attach("giving a command"),
         Command::Timeline(args) => timeline::run(&args).attach("collecting the time line"),
         Command::Check(args) => check(&args.role, environment).attach("checking settings"),
@@ -102,6 +106,17 @@
     wait(start_control(control)?)
 }
 
+fn platform(
+    args: &settings::Platform,
+    environment: &Environment,
+    common: &settings::Common,
+) -> Result<(), Refusal> {
+    let path = args.path(environment)?;
+    let settings = crate::platform::Settings::read(&path)?;
+    logs::metrics(common.metrics)?;
+    wait(crate::platform::start(path, settings)?)
+}
+
 fn bind(name: &str, address: SocketAddr) -> Result<TcpListener, Refusal> {
     TcpListener::bind(address).map_err(|why| {
         Refusal::new(
@@ -154,6 +169,14 @@
     let Ok(mut terminate) = signal(SignalKind::terminate()) else {
         return;
     };
+    // The settings are read where they are needed: a hint that they have changed must not end it.
+    let hangup = signal(SignalKind::hangup());
+    tokio::spawn(async move {
+        let Ok(mut hangup) = hangup else { return };
+        while hangup.recv().await.is_some() {
+            crate::gateway::note(Kind::Reloaded).write();
+        }
+    });
     tokio::select! {
         _ = terminate.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
@@ -170,12 +193,16 @@
             let settings = settings::Control::new(&settings::ControlArgs::default(), environment)?;
             println!("{settings:#?}");
         }
+        "platform" => {
+            let path = settings::Platform::default().path(environment)?;
+            println!("{:#?}", crate::platform::Settings::read(&path)?);
+        }
         "operate" => {
             let settings = settings::Operator::new(&settings::Operate::default(), environment)?;
             println!("operator {} asks {:?}", settings.name, settings.control);
         }
         _ => {
-            let why = format!("`{role}` is no role: give entry, control or operate");
+            let why = format!("`{role}` is no role: give entry, control, platform or operate");
             return Err(Refusal::new(Code::BadSetting, why));
         }
     }
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -5,8 +5,10 @@
 use curlewlift_core::claim::Claim;
 use curlewlift_core::claim::Fate;
 use curlewlift_core::fleet::Prefix;
+use curlewlift_core::gateway;
 use curlewlift_core::id;
 use curlewlift_core::queue::Report;
+use curlewlift_core::state::Publication;
 use curlewlift_core::unit::Tokens;
 use curlewlift_core::view::Renewal;
 use serde::Deserialize;
@@ -28,6 +30,32 @@
     Entry(Renewal),
     /// A control replica that is no member asks to be taken in; the answer is empty.
     Replica { host: id::Host, disk: id::Disk },
+    /// A gateway's side; the answer is a [`HubReply`].
+    Hub(HubCall),
+}
+
+/// What gateways ask the leading control replica.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum HubCall {
+    /// What is new; answered at once where something is, else after a while.
+    Ask(Box<gateway::Question>),
+    /// Puts a routing table in force.
+    Publish(Publication),
+    /// Asks for the routing table in force.
+    Read,
+}
+
+/// The answers to [`HubCall`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum HubReply {
+    /// What is new.
+    News(Box<gateway::Reply>),
+    /// It is in force, or a higher number is.
+    Published,
+    /// The table in force; number 0 where there is none.
+    Table(Publication),
+    /// This replica does not lead; that one may.
+    Elsewhere(Option<id::Host>),
 }
 
 /// `claim`: what concerns request keys.
--- a/crates/curlewlift/src/rpc/mod.rs
+++ b/crates/curlewlift/src/rpc/mod.rs
@@ -9,6 +9,8 @@
 pub(crate) use call::ClaimCall;
 pub(crate) use call::ClaimReply;
 pub(crate) use call::CommandCall;
+pub(crate) use call::HubCall;
+pub(crate) use call::HubReply;
 pub(crate) use call::Piece;
 pub(crate) use call::RenewCall;
 pub(crate) use client::Client;
--- a/crates/curlewlift/src/rpc/server.rs
+++ b/crates/curlewlift/src/rpc/server.rs
@@ -68,7 +68,7 @@
 }
 
 async fn answer(stream: TcpStream, node: Node) {
-    let _ = stream.set_nodelay(true);
+    crate::process::watch_connection(&stream);
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(
         futures::io::BufReader::new(reader),
--- a/crates/curlewlift/src/settings/args.rs
+++ b/crates/curlewlift/src/settings/args.rs
@@ -29,6 +29,7 @@
     Entry(Entry),
     Control(Control),
     Operate(Operate),
+    Platform(Platform),
     Timeline(Timeline),
     Check(Check),
     Digest(Digest),
@@ -94,6 +95,15 @@
     pub(crate) lease_ms: Option<String>,
 }
 
+/// Runs a gateway on the platform, and a control replica beside it where the host has a disk.
+#[derive(Debug, Default, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub(crate) struct Platform {
+    /// the settings file that the platform lays out (CURLEWLIFT_CONFIG)
+    #[argh(option)]
+    pub(crate) config: Option<String>,
+}
+
 /// Gives operators' commands: one line, a file, or an interactive prompt.
 ///
 /// The operator's key is read from CURLEWLIFT_KEY or a file, never from a flag.
@@ -151,7 +161,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub(crate) struct Check {
-    /// entry, control or operate
+    /// entry, control, platform or operate
     #[argh(positional)]
     pub(crate) role: String,
 }
--- a/crates/curlewlift/src/settings/known.rs
+++ b/crates/curlewlift/src/settings/known.rs
@@ -9,7 +9,8 @@
 const PREFIX: &str = "CURLEWLIFT_";
 
 /// Every variable that is a setting.
-const KNOWN: [&str; 15] = [
+const KNOWN: [&str; 16] = [
+    "CURLEWLIFT_CONFIG",
     "CURLEWLIFT_CONTROL",
     "CURLEWLIFT_DATA",
     "CURLEWLIFT_FOUND",
--- a/crates/curlewlift/src/settings/mod.rs
+++ b/crates/curlewlift/src/settings/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) use args::Control as ControlArgs;
 pub(crate) use args::Entry as EntryArgs;
 pub(crate) use args::Operate;
+pub(crate) use args::Platform;
 pub(crate) use args::Timeline;
 pub(crate) use known::unknown;
 pub(crate) use resolve::Common;
--- a/crates/curlewlift/src/settings/resolve.rs
+++ b/crates/curlewlift/src/settings/resolve.rs
@@ -290,3 +290,10 @@
         })
     }
 }
+
+impl args::Platform {
+    /// The path of the platform's settings file.
+    pub(crate) fn path(&self, environment: &Environment) -> Result<PathBuf, Refusal> {
+        setting(self.config.as_ref(), "config", "the path of a file").needed(environment)
+    }
+}
