Tell gateways which list the hub holds

Cause: the one that fetches the list took its own version for the hub's when an answer came, so a list fetched meanwhile never reached the others; two halls of three had no servers. Change: the hub's answer names the version that it holds.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -143,6 +143,7 @@
         let other_list = listing.version != 0 && listing.version != question.listing;
         Reply {
             table: document,
+            held: listing.version,
             listing: other_list.then(|| Listing::clone(listing)),
             count: u32::try_from(self.seen.len()).unwrap_or(u32::MAX),
             roll: (roll.version != question.roll).then_some(roll),
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -72,6 +72,8 @@
     pub table: Option<(u64, String)>,
     /// Another list of backend servers.
     pub listing: Option<Listing>,
+    /// The version of the list that the hub holds.
+    pub held: u64,
     /// Another roll of the gateways.
     pub roll: Option<Roll>,
     /// How many gateways there are, to share an allowance among them.
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -45,7 +45,7 @@
     pub(super) heard: Option<clock::Instant>,
     /// The hosts of the control replicas.
     pub(super) control: Vec<id::Host>,
-    /// The version of the list that it gave or took last.
+    /// The version of the list that it held at its last word.
     pub(super) listing: u64,
     /// How many gateways there are.
     pub(super) count: u32,
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -142,10 +142,7 @@
         hub.control = reply.control;
         hub.count = reply.count;
         hub.fetches = reply.fetches;
-        hub.listing = match &reply.listing {
-            Some(listing) => listing.version,
-            None => node.listing.borrow().version,
-        };
+        hub.listing = reply.held;
     }
     // The one that fetches the list has it first hand.
     if let Some(listing) = reply.listing
