Give out a part of what a deployment bears above an allowance

Cause: gateways refused customers that the deployment counts as within their allowance: a window's overage and slack are borne, the bucket held the burst only. Ruled out: a miscounted report (the hub's sums fit the sendings). Change: buckets hold the burst and four tenths of the tolerance; the rest is for what gateways let in before they hear of each other.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -11,6 +11,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::quota::Desk;
+use crate::quota::Tolerance;
 use crate::route::Table;
 
 use super::Gateway;
@@ -30,6 +31,8 @@
     pub silent: Duration,
     /// After how long it is forgotten, and its part of the allowances is the others' again.
     pub forget: Duration,
+    /// How much more than an allowance may be let in.
+    pub tolerance: Tolerance,
 }
 
 impl Default for Tuning {
@@ -37,6 +40,7 @@
         Self {
             silent: Duration::from_millis(1_200),
             forget: Duration::from_secs(10),
+            tolerance: Tolerance::default(),
         }
     }
 }
@@ -73,7 +77,7 @@
             tuning,
             seen: BTreeMap::new(),
             sums: BTreeMap::new(),
-            desk: Desk::default(),
+            desk: Desk::new(tuning.tolerance),
             table: 0,
             listing: Arc::default(),
         }
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -10,6 +10,7 @@
 use crate::route::Allowance;
 
 use super::Bucket;
+use super::Tolerance;
 
 /// What is left of a customer's allowance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,10 +34,20 @@
 /// that a change of the leader gives nobody a second burst.
 #[derive(Clone, Debug, Default)]
 pub struct Desk {
+    tolerance: Tolerance,
     held: BTreeMap<id::Customer, Held>,
 }
 
 impl Desk {
+    /// A desk where so much more than an allowance may be let in.
+    #[must_use]
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self {
+            tolerance,
+            held: BTreeMap::new(),
+        }
+    }
+
     /// Takes up the allowances of a table; a bucket never holds more than its burst.
     pub fn adopt<'a>(
         &mut self,
@@ -45,13 +56,14 @@
     ) {
         let mut next = BTreeMap::new();
         for (customer, allowance) in accounts.filter(|(_, allowance)| allowance.is_limited()) {
+            let depth = self.tolerance.depth(&allowance);
             let mut held = self.held.get(customer).copied().unwrap_or(Held {
                 allowance,
-                bucket: Bucket::new(allowance.burst, now),
+                bucket: Bucket::new(depth, now),
             });
-            held.bucket
-                .fill(held.allowance.rate, held.allowance.burst, now);
-            held.bucket.lower(allowance.burst);
+            let former = self.tolerance.depth(&held.allowance);
+            held.bucket.fill(held.allowance.rate, former, now);
+            held.bucket.lower(depth);
             held.allowance = allowance;
             next.insert(customer.clone(), held);
         }
@@ -63,7 +75,8 @@
     pub fn fill(&mut self, silent: f64, now: Instant) {
         for held in self.held.values_mut() {
             let rate = held.allowance.rate * (1.0 - silent);
-            held.bucket.fill(rate, held.allowance.burst, now);
+            let depth = self.tolerance.depth(&held.allowance);
+            held.bucket.fill(rate, depth, now);
         }
     }
 
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -3,8 +3,10 @@
 mod bucket;
 mod desk;
 mod share;
+mod tolerance;
 
 pub use bucket::Bucket;
 pub use desk::Desk;
 pub use desk::Level;
 pub use share::Share;
+pub use tolerance::Tolerance;
--- a/crates/core/src/quota/share.rs
+++ b/crates/core/src/quota/share.rs
@@ -9,6 +9,7 @@
 
 use super::Bucket;
 use super::Level;
+use super::Tolerance;
 
 /// After how long without word from the desk an entry keeps to its own part.
 ///
@@ -32,12 +33,22 @@
 /// What an entry may let in, by what the desk last told it.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
+    tolerance: Tolerance,
     known: BTreeMap<id::Customer, Known>,
     heard: Option<Instant>,
     entries: u32,
 }
 
 impl Share {
+    /// A share that knows nothing yet, where so much more than an allowance may be let in.
+    #[must_use]
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self {
+            tolerance,
+            ..Self::default()
+        }
+    }
+
     /// Whether a request of `customer` that counts `cost` is let in at `now`; if so it is counted.
     pub fn admit(
         &mut self,
@@ -49,25 +60,24 @@
         if !allowance.is_limited() {
             return true;
         }
+        let depth = self.tolerance.depth(allowance);
         let part = 1.0 / f64::from(self.entries.max(1));
         let fresh = self.heard.is_some_and(|heard| now.since(heard) < STALE);
         let known = self
             .known
             .entry(customer.clone())
             .or_insert_with(|| Known {
-                whole: Bucket::new(allowance.burst, now),
-                own: Bucket::new(allowance.burst * part, now),
+                whole: Bucket::new(depth, now),
+                own: Bucket::new(depth * part, now),
                 unreported: 0,
                 reported: 0,
             });
         #[allow(clippy::cast_precision_loss)]
         let wanted = cost as f64;
-        let whole = known.whole.fill(allowance.rate, allowance.burst, now);
-        let own = known
-            .own
-            .fill(allowance.rate * part, allowance.burst * part, now);
+        let whole = known.whole.fill(allowance.rate, depth, now);
+        let own = known.own.fill(allowance.rate * part, depth * part, now);
         let left = if fresh { whole } else { own.min(whole) };
-        if left < wanted.min(allowance.burst * if fresh { 1.0 } else { part }) {
+        if left < wanted.min(depth * if fresh { 1.0 } else { part }) {
             return false;
         }
         known.whole.draw(wanted);
--- a/crates/curlewlift/src/control/gateways.rs
+++ b/crates/curlewlift/src/control/gateways.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use curlewlift_core::code::Refusal;
+use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::route::Table;
 
@@ -24,6 +25,8 @@
     /// How many replicas must count before a first table is accepted: what is accepted must
     /// outlive the loss of as many disks as the deployment says.
     pub(crate) replicas: usize,
+    /// How long silence of a gateway means what, and what is borne.
+    pub(crate) tuning: Tuning,
 }
 
 impl fmt::Debug for Gateways {
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -15,7 +15,6 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
 use curlewlift_core::gateway::Hub;
-use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::log::Body;
 use curlewlift_core::log::Entry;
@@ -277,8 +276,8 @@
                 .note(Line::new(Kind::Leads).detail(format_args!("term={term}")));
             let now = self.clock.now();
             self.grantor = Some(Grantor::new(self.lease, now));
-            if self.gateways.is_some() {
-                self.hub = Some(Hub::new(Tuning::default()));
+            if let Some(gateways) = &self.gateways {
+                self.hub = Some(Hub::new(gateways.tuning));
                 self.take_up();
             }
         } else if self.role == Role::Leader {
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -16,6 +16,7 @@
 use curlewlift_core::gateway;
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
+use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Limits;
 use hyper::body::Incoming;
 
@@ -80,6 +81,7 @@
     pub(crate) callers: TcpListener,
     pub(crate) dialect: Dialect,
     pub(crate) allowed: Allowed,
+    pub(crate) tolerance: Tolerance,
     pub(crate) grace: Grace,
     pub(crate) beside: Option<Beside>,
 }
@@ -123,8 +125,14 @@
         let client = rpc::Client::new(timeline);
         let listener = process::listener(self.callers)?;
         let host = self.host.clone();
-        let node = Node::new(host, self.gateway, self.dialect, self.allowed, client);
-        let node = Rc::new(node);
+        let node = Rc::new(Node::new(
+            host,
+            self.gateway,
+            self.dialect,
+            self.allowed,
+            self.tolerance,
+            client,
+        ));
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
             .with("hall", &*node.gateway.hall)
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -25,6 +25,7 @@
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
 use curlewlift_core::quota::Share;
+use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Table;
 use rand::Rng;
 use tokio::sync::Notify;
@@ -89,6 +90,7 @@
         gateway: gateway::Gateway,
         dialect: Dialect,
         allowed: Allowed,
+        tolerance: Tolerance,
         rpc: rpc::Client,
     ) -> Self {
         Self {
@@ -104,7 +106,7 @@
             listing: RefCell::default(),
             listed: Cell::new(None),
             roll: RefCell::default(),
-            share: RefCell::default(),
+            share: RefCell::new(Share::new(tolerance)),
             hub: RefCell::default(),
             stopping: Cell::new(None),
             closed: Cell::new(false),
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -8,6 +8,7 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::quota::Tolerance;
 use serde::Deserialize;
 
 /// The settings of one process.
@@ -81,6 +82,15 @@
     /// The window in which they are counted, in seconds.
     #[serde(rename = "budget_window_s")]
     pub(super) retry_seconds: f64,
+    /// The window in which a customer's use is counted, in seconds.
+    #[serde(rename = "quota_window_s", default)]
+    pub(super) use_seconds: f64,
+    /// What more than an allowance is borne, as a part of what it gives in a window.
+    #[serde(rename = "quota_overage", default)]
+    pub(super) use_part: f64,
+    /// What is borne on top, in the allowance's unit.
+    #[serde(rename = "quota_slack", default)]
+    pub(super) use_slack: f64,
     /// How long an address answer may be kept at most, in seconds.
     #[serde(rename = "ttl_max_s", default = "no_bound")]
     pub(super) answer_seconds: f64,
@@ -125,6 +135,15 @@
         self.first_start && first.is_some_and(|first| first.ip() == self.ip)
     }
 
+    /// How much more than an allowance may be let in.
+    pub(super) fn tolerance(&self) -> Tolerance {
+        Tolerance {
+            window: Duration::from_secs_f64(self.bounds.use_seconds),
+            part: self.bounds.use_part,
+            slack: self.bounds.use_slack,
+        }
+    }
+
     /// The time after which the platform ends a process that was told to stop.
     pub(super) fn stop_time(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.stop_seconds)
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -12,6 +12,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::gateway;
+use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::route::Limits;
@@ -81,6 +82,7 @@
             floor: bounds.retry_floor,
             window: Duration::from_secs_f64(bounds.retry_seconds),
         },
+        tolerance: settings.tolerance(),
         grace: Grace {
             held: Duration::from_secs_f64(keep * KEPT) + WORD,
             grace: settings.stop_time(),
@@ -139,6 +141,10 @@
             decode: document::decode,
             locate: locate(settings),
             replicas,
+            tuning: Tuning {
+                tolerance: settings.tolerance(),
+                ..Tuning::default()
+            },
         },
     }))
 }
