Wait in line a quarter of the objective, and keep the place of who comes back

Cause: in bursts the line was longer than the objective, so engines worked on answers that were late already; and one whose server refused the connection went to the end of the line. Ruled out: silent engines (first bytes came). Change: a request waits at most a quarter of its objective in line, then it is told when to come back; a place in line goes by arrival; a caller that leaves before the head is logged.

--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::Instant;
 use crate::gateway::Server;
 
 /// The number of a request that waits or runs.
@@ -14,6 +15,8 @@
 pub struct Ask {
     /// Its rank, 0 first.
     pub rank: u8,
+    /// When it arrived: one that comes back from a server keeps its place.
+    pub arrived: Instant,
     /// Incarnations that it was sent to before.
     pub tried: Vec<Arc<str>>,
 }
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -2,22 +2,27 @@
 
 use std::collections::BTreeMap;
 
+use crate::clock::Instant;
+
 use super::Ask;
 use super::Ticket;
 
+/// A place in line: by rank, then by arrival.
+type Place = (u8, Instant, Ticket);
+
 /// Requests that wait.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Waiting {
-    order: BTreeMap<(u8, Ticket), Ask>,
+    order: BTreeMap<Place, Ask>,
 }
 
 impl Waiting {
     pub(super) fn add(&mut self, ticket: Ticket, ask: Ask) {
-        self.order.insert((ask.rank, ticket), ask);
+        self.order.insert((ask.rank, ask.arrived, ticket), ask);
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> bool {
-        let key = self.order.keys().find(|(_, other)| *other == ticket);
+        let key = self.order.keys().find(|(_, _, other)| *other == ticket);
         let Some(key) = key.copied() else {
             return false;
         };
@@ -30,11 +35,11 @@
 
     /// The one that is last: of the lowest rank, and there the newest.
     pub(super) fn last(&self) -> Option<Ticket> {
-        self.order.last_key_value().map(|((_, ticket), _)| *ticket)
+        self.order.last_key_value().map(|((_, _, ticket), _)| *ticket)
     }
 
     /// In order.
     pub(super) fn iter(&self) -> impl Iterator<Item = (Ticket, &Ask)> {
-        self.order.iter().map(|((_, ticket), ask)| (*ticket, ask))
+        self.order.iter().map(|((_, _, ticket), ask)| (*ticket, ask))
     }
 }
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -8,6 +8,7 @@
 use axum::http::header;
 use axum::http::request;
 use bytes::Bytes;
+use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::route::Account;
@@ -41,6 +42,8 @@
     pub(super) body: Bytes,
     /// When it arrived.
     pub(super) arrived: Instant,
+    /// The same by the clock of the decisions.
+    pub(super) since: clock::Instant,
     /// When it must be answered.
     pub(super) until: Instant,
     /// The number of the table that it was taken by.
@@ -58,6 +61,7 @@
             head: self.head.clone(),
             body: self.body.clone(),
             arrived: self.arrived,
+            since: self.since,
             until: self.until,
             table: self.table,
         }
@@ -97,6 +101,7 @@
         head,
         body,
         arrived,
+        since: node.now(),
         until,
         table: number,
     })
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -49,9 +49,13 @@
 /// When to come back to a service that is full: some requests' time at an engine.
 const FULL: Duration = Duration::from_millis(300);
 
-/// The part of its time that a request may wait in line before it is refused: what is left must
-/// be worth a caller's second try.
-const IN_LINE: f64 = 0.5;
+/// The part of the time within which an answer is wanted that a request may wait in line before
+/// it is refused: an answer is still in time after that wait, and a caller that comes back has
+/// lost little.
+const IN_LINE: f64 = 0.25;
+
+/// The part of what is left of its time that a request may wait in line at the most.
+const LEFT: f64 = 0.5;
 
 /// A request on its way.
 pub(super) struct Run {
@@ -64,6 +68,23 @@
     pub(super) passed: u8,
     /// Where it was sent.
     pub(super) tried: Vec<Arc<str>>,
+    /// From the last sending to the head of the answer.
+    pub(super) first: Option<Duration>,
+    /// Whether its end is told, here or where its stream is passed on.
+    pub(super) told: bool,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.told {
+            Line::new(Kind::CallerLeft)
+                .request(self.admitted.call.id.as_ref())
+                .with("sent", self.sent + self.passed)
+                .with("server", self.tried.last().map(|server| &**server))
+                .with("after_ms", millis(self.admitted.arrived.elapsed()))
+                .write();
+        }
+    }
 }
 
 /// What a sending came to.
@@ -100,6 +121,8 @@
         sent: 0,
         passed: 0,
         tried: Vec::new(),
+        first: None,
+        told: false,
     };
     run.drive().await
 }
@@ -160,9 +183,11 @@
         let left = admitted.until.saturating_duration_since(Instant::now());
         let ask = Ask {
             rank: self.rank(),
+            arrived: self.admitted.since,
             tried: self.tried.clone(),
         };
-        let patience = left.mul_f64(IN_LINE);
+        let wanted = admitted.rule.objective.mul_f64(IN_LINE);
+        let patience = left.mul_f64(LEFT).min(wanted);
         let turn = turn::wait(&self.node, &self.service, ask, patience).await;
         turn.map_err(|why| self.no_turn(why))
     }
@@ -247,6 +272,7 @@
             return self.failed(refusal, coming.place);
         }
         self.sent += 1;
+        self.first = Some(coming.first);
         let status = coming.head.status;
         metrics::histogram!("curlewlift_first_seconds").record(coming.first.as_secs_f64());
         if status.is_success() && self.admitted.rule.kind.is_stream() {
@@ -332,7 +358,8 @@
     }
 
     /// This gateway's own answer to a request that it took.
-    fn refuse(&self, refusal: &Refused) -> Answer {
+    fn refuse(&mut self, refusal: &Refused) -> Answer {
+        self.told = true;
         if self.sent == 0
             && refusal.again.is_some()
             && let Some(account) = &self.admitted.account
@@ -345,7 +372,8 @@
     }
 
     /// A server's answer that is there whole.
-    fn whole(&self, head: response::Parts, body: Bytes) -> Answer {
+    fn whole(&mut self, head: response::Parts, body: Bytes) -> Answer {
+        self.told = true;
         self.log_end(head.status.as_u16(), "whole");
         pass_on(head, Some(body.len()), whole(body))
     }
@@ -359,7 +387,10 @@
             sent: self.sent,
             passed: self.passed,
             tried: self.tried.clone(),
+            first: self.first,
+            told: true,
         };
+        self.told = true;
         let head = coming.head.clone();
         let body = relay::body(run, coming);
         pass_on(head, None, body)
@@ -371,6 +402,8 @@
             .with("status", status)
             .with("how", how)
             .with("sent", self.sent + self.passed)
+            .with("server", self.tried.last().map(|server| &**server))
+            .with("first_ms", self.first.map(millis))
             .with("after_ms", millis(self.admitted.arrived.elapsed()))
             .write();
         let seconds = self.admitted.arrived.elapsed().as_secs_f64();
