Take a silent replica out where more count than are wanted

Ruled out: a lost record (the two disks that were left held version 90). Change: log::Upkeep, pure, keeps the set: a silent replica beyond the wanted number goes after 1.5 s; it asks again when it returns.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -187,7 +187,9 @@
 
     fn forget(&mut self, now: Instant) {
         let forget = self.tuning.forget;
-        let gone = self.seen.extract_if(.., |_, seen| now.since(seen.heard) >= forget);
+        let gone = self
+            .seen
+            .extract_if(.., |_, seen| now.since(seen.heard) >= forget);
         let gone: Vec<_> = gone.collect();
         for (_, seen) in gone {
             self.take_off(&seen.loads);
--- a/crates/core/src/log/mod.rs
+++ b/crates/core/src/log/mod.rs
@@ -14,6 +14,7 @@
 mod output;
 mod replica;
 mod replicate;
+mod upkeep;
 
 pub use entry::Body;
 pub use entry::Entry;
@@ -31,3 +32,5 @@
 pub use replica::Replica;
 pub use replica::Role;
 pub use replica::Timing;
+pub use upkeep::Kept;
+pub use upkeep::Upkeep;
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -35,11 +35,15 @@
 
     /// The one that is last: of the lowest rank, and there the newest.
     pub(super) fn last(&self) -> Option<Ticket> {
-        self.order.last_key_value().map(|((_, _, ticket), _)| *ticket)
+        self.order
+            .last_key_value()
+            .map(|((_, _, ticket), _)| *ticket)
     }
 
     /// In order.
     pub(super) fn iter(&self) -> impl Iterator<Item = (Ticket, &Ask)> {
-        self.order.iter().map(|((_, _, ticket), ask)| (*ticket, ask))
+        self.order
+            .iter()
+            .map(|((_, _, ticket), ask)| (*ticket, ask))
     }
 }
--- a/crates/core/src/quota/share.rs
+++ b/crates/core/src/quota/share.rs
@@ -63,15 +63,12 @@
         let depth = self.tolerance.depth(allowance);
         let part = 1.0 / f64::from(self.entries.max(1));
         let fresh = self.heard.is_some_and(|heard| now.since(heard) < STALE);
-        let known = self
-            .known
-            .entry(customer.clone())
-            .or_insert_with(|| Known {
-                whole: Bucket::new(depth, now),
-                own: Bucket::new(depth * part, now),
-                unreported: 0,
-                reported: 0,
-            });
+        let known = self.known.entry(customer.clone()).or_insert_with(|| Known {
+            whole: Bucket::new(depth, now),
+            own: Bucket::new(depth * part, now),
+            unreported: 0,
+            reported: 0,
+        });
         #[allow(clippy::cast_precision_loss)]
         let wanted = cost as f64;
         let whole = known.whole.fill(allowance.rate, depth, now);
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod asks;
 pub(crate) mod history;
 pub(crate) mod members;
+pub(crate) mod replicas;
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -100,7 +100,10 @@
             return Ok(HubReply::Published);
         }
         let replicas = state.replica.members().voters().count();
-        let needed = state.gateways.as_ref().map_or(1, |gateways| gateways.replicas);
+        let needed = state
+            .gateways
+            .as_ref()
+            .map_or(1, |gateways| gateways.replicas);
         if replicas < needed {
             let why = format!("{replicas} control replicas count, {needed} must");
             return Err(Refusal::new(Code::NotLeader, why));
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -8,20 +8,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use curlewlift_core::clock::Instant;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::config;
-use curlewlift_core::clock::Instant;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::id;
 use curlewlift_core::log::Body;
 use curlewlift_core::log::Entry;
+use curlewlift_core::log::Kept;
 use curlewlift_core::log::Message;
 use curlewlift_core::log::Replica;
 use curlewlift_core::log::Role;
 use curlewlift_core::log::Sync;
+use curlewlift_core::log::Upkeep;
 use curlewlift_core::state::Machine;
 use curlewlift_core::state::Record;
 use curlewlift_core::view::Grantor;
@@ -78,6 +80,8 @@
     pub(super) hub: Option<Hub>,
     /// Wakes those who wait for a newer table or list.
     pub(super) news: Rc<Notify>,
+    /// Keeps the replica set whole, where replicas are taken in as they ask.
+    upkeep: Upkeep,
     /// Since when no leader is heard.
     alone: Option<Instant>,
 }
@@ -111,11 +115,14 @@
             gateways: None,
             hub: None,
             news: Rc::new(Notify::new()),
+            upkeep: Upkeep::default(),
             alone: None,
         })
     }
 
     pub(super) fn gateways(mut self, gateways: Option<Gateways>) -> Self {
+        let wanted = gateways.as_ref().map_or(1, |gateways| gateways.replicas);
+        self.upkeep = Upkeep::new(wanted);
         self.gateways = gateways;
         self
     }
@@ -432,60 +439,31 @@
 
 /// # Replicas that are taken in as they ask
 impl State {
-    /// Takes in a replica that nobody has named; where its host had another disk, that one goes
-    /// first.
+    /// Takes in a replica that nobody has named.
     fn take_in(&mut self, host: &id::Host, disk: id::Disk) -> Result<(), Refusal> {
         let now = self.clock.now();
-        let members = self.replica.members();
-        if members.has(host, disk) {
-            return Ok(());
-        }
-        let lost = members.get(host).is_some();
-        if lost {
-            self.replica.expel(host, now)?;
-            self.timeline
-                .note(Line::new(Kind::ReplicaExpelled).detail(format_args!("{host}, its disk is lost")));
-        } else {
-            self.replica.admit(host, disk, now)?;
-            self.timeline
-                .note(Line::new(Kind::ReplicaAdmitted).detail(host));
-        }
+        let kept = self.upkeep.admit(&mut self.replica, host, disk, now)?;
+        self.note_kept(kept);
         self.settle();
         Ok(())
     }
 
-    /// Lets whole learners count; each takes the place of a replica that is silent, if one is.
-    ///
-    /// A replica that is only cut off and returns asks to be taken in again.
     fn tend_replicas(&mut self) {
         let now = self.clock.now();
-        for host in self.replica.whole_learners() {
-            let silent = self.silent();
-            if self.replica.promote(&host, now).is_ok() {
-                self.timeline
-                    .note(Line::new(Kind::ReplicaCounts).detail(&host));
-                self.removed.extend(silent);
-            }
-        }
-        let members = self.replica.members();
-        self.removed.retain(|host| members.get(host).is_some());
-        let regressed: Vec<_> = self.replica.regressed().cloned().collect();
-        for host in self.removed.clone().into_iter().chain(regressed) {
-            if self.replica.expel(&host, now).is_ok() {
-                self.timeline
-                    .note(Line::new(Kind::ReplicaExpelled).detail(format_args!("{host}, replaced")));
-            }
-        }
+        let kept = self.upkeep.tend(&mut self.replica, now);
+        self.note_kept(kept);
         self.settle();
     }
 
-    /// A replica that counts and does not answer this leader.
-    fn silent(&self) -> Option<id::Host> {
-        let now = self.clock.now();
-        let members = self.replica.members();
-        let mut voters = members.voters();
-        let silent = voters.find(|member| !self.replica.hears(&member.host, now));
-        silent.map(|member| member.host.clone())
+    fn note_kept(&self, kept: impl IntoIterator<Item = Kept>) {
+        for kept in kept {
+            let (kind, host) = match kept {
+                Kept::Admitted(host) => (Kind::ReplicaAdmitted, host),
+                Kept::Counts(host) => (Kind::ReplicaCounts, host),
+                Kept::Expelled(host) => (Kind::ReplicaExpelled, host),
+            };
+            self.timeline.note(Line::new(kind).detail(host));
+        }
     }
 
     /// Gives the hub the table in force, and wakes those who wait for it.
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -108,9 +108,8 @@
 }
 
 fn table(node: &Node) -> Result<Rc<Table>, Refused> {
-    node.table().ok_or_else(|| {
-        Refused::new(Code::NoTable, "no routing table has come yet").again(NO_TABLE)
-    })
+    node.table()
+        .ok_or_else(|| Refused::new(Code::NoTable, "no routing table has come yet").again(NO_TABLE))
 }
 
 fn rule(table: &Table, request: &Request<Incoming>) -> Result<Arc<Rule>, Refused> {
@@ -125,11 +124,7 @@
     })
 }
 
-fn account(
-    table: &Table,
-    rule: &Rule,
-    call: &Call,
-) -> Result<Option<Arc<Account>>, Refused> {
+fn account(table: &Table, rule: &Rule, call: &Call) -> Result<Option<Arc<Account>>, Refused> {
     let known = call.key.as_deref().and_then(|key| table.account(key));
     if !table.needs_key() || rule.public {
         return Ok(known.cloned());
@@ -157,7 +152,10 @@
     match read {
         Ok(read) => Ok(read.to_bytes()),
         Err(why) if why.is::<LengthLimitError>() => Err(too_large()),
-        Err(why) => Err(Refused::new(Code::Broken, format!("the body broke off: {why}"))),
+        Err(why) => Err(Refused::new(
+            Code::Broken,
+            format!("the body broke off: {why}"),
+        )),
     }
 }
 
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -144,7 +144,11 @@
         }
         let answering = Rc::clone(&node);
         let bounded = Rc::clone(&node);
-        let limits = move || bounded.table().map_or_else(Limits::default, |table| table.get_limits());
+        let limits = move || {
+            bounded
+                .table()
+                .map_or_else(Limits::default, |table| table.get_limits())
+        };
         let answering = serve::serve(listener, limits, move |request| {
             answer(Rc::clone(&answering), request)
         });
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -155,7 +155,8 @@
         if self.head.status.is_success() && !self.marks.signed {
             return Some("the answer is not vouched for");
         }
-        if self.head.status.is_informational() || self.head.status == StatusCode::SWITCHING_PROTOCOLS
+        if self.head.status.is_informational()
+            || self.head.status == StatusCode::SWITCHING_PROTOCOLS
         {
             return Some("the answer is none");
         }
@@ -165,7 +166,10 @@
     /// Whether the body is small enough to be read before it is passed on.
     pub(super) fn is_small(&self) -> bool {
         use hyper::body::Body;
-        self.body.size_hint().upper().is_none_or(|upper| upper <= WHOLE)
+        self.body
+            .size_hint()
+            .upper()
+            .is_none_or(|upper| upper <= WHOLE)
     }
 
     /// The whole body; nothing of it is passed on before its end is there.
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -319,6 +319,9 @@
     /// How many wait for a turn.
     pub(super) fn waiting(&self) -> usize {
         let services = self.services.borrow();
-        services.values().map(|service| service.pool.waiting()).sum()
+        services
+            .values()
+            .map(|service| service.pool.waiting())
+            .sum()
     }
 }
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -69,7 +69,10 @@
             Line::new(Kind::CallerLeft)
                 .request(self.run.admitted.call.id.as_ref())
                 .with("pieces", self.pieces)
-                .with("after_ms", super::request::millis(self.run.admitted.arrived.elapsed()))
+                .with(
+                    "after_ms",
+                    super::request::millis(self.run.admitted.arrived.elapsed()),
+                )
                 .write();
         }
     }
@@ -146,7 +149,10 @@
             .with("how", "cut")
             .with("why", why.as_str())
             .with("pieces", self.pieces)
-            .with("after_ms", super::request::millis(self.run.admitted.arrived.elapsed()))
+            .with(
+                "after_ms",
+                super::request::millis(self.run.admitted.arrived.elapsed()),
+            )
             .write();
         metrics::counter!("curlewlift_cut").increment(1);
         Cut(why)
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -112,7 +112,10 @@
     };
     let lot = rand::rng().random();
     let Some(service) = admitted.rule.target(lot).cloned() else {
-        return refused(id.as_ref(), &Refused::new(Code::NoServer, "the rule has no service"));
+        return refused(
+            id.as_ref(),
+            &Refused::new(Code::NoServer, "the rule has no service"),
+        );
     };
     let run = Run {
         node,
@@ -171,9 +174,9 @@
     pub(super) fn may_repeat(&self) -> bool {
         let now = self.node.now();
         let gateways = self.node.hub.borrow().count;
-        let taken = self.node.with_pool(&self.service, |service| {
-            service.budget.take(gateways, now)
-        });
+        let taken = self
+            .node
+            .with_pool(&self.service, |service| service.budget.take(gateways, now));
         taken.unwrap_or(false)
     }
 
@@ -214,10 +217,16 @@
     /// The refusal of a request that may not be sent again.
     fn exhausted(&self) -> Refused {
         if self.sent > 0 {
-            return Refused::new(Code::Broken, "it broke off, and the retry budget is used up");
+            return Refused::new(
+                Code::Broken,
+                "it broke off, and the retry budget is used up",
+            );
         }
-        Refused::new(Code::RetryBudget, "servers refused it, and the retry budget is used up")
-            .again(FULL)
+        Refused::new(
+            Code::RetryBudget,
+            "servers refused it, and the retry budget is used up",
+        )
+        .again(FULL)
     }
 
     /// The request for one server, with what is left of its time.
@@ -321,7 +330,9 @@
         let rule = &self.admitted.rule;
         let (end, why) = match &failure {
             Failure::NotSent(why) => (End::Broken, why.clone()),
-            Failure::NotRun { moved: true, .. } => (End::Gone, "another has its address".to_owned()),
+            Failure::NotRun { moved: true, .. } => {
+                (End::Gone, "another has its address".to_owned())
+            }
             Failure::NotRun { status, .. } => (End::Full, format!("it did not run it: {status}")),
             Failure::Unknown(why) => (End::Broken, why.clone()),
             Failure::Late => (End::Silent, "the deadline has passed".to_owned()),
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -48,7 +48,11 @@
         let silent = node.hub_silence().is_none_or(|silence| silence > LOST);
         if known == silent {
             known = !silent;
-            let kind = if silent { Kind::HubLost } else { Kind::HubFound };
+            let kind = if silent {
+                Kind::HubLost
+            } else {
+                Kind::HubFound
+            };
             let leader = node.hub.borrow().leader.clone();
             let line = Line::new(kind).with("leader", leader.map(|leader| leader.to_string()));
             line.write();
@@ -66,8 +70,7 @@
     };
     let question = question(node);
     let call = RenewCall::Hub(HubCall::Ask(Box::new(question)));
-    let reply: Result<HubReply, Refusal> =
-        node.rpc.call(address, Method::Renew, &call, CALL).await;
+    let reply: Result<HubReply, Refusal> = node.rpc.call(address, Method::Renew, &call, CALL).await;
     match reply {
         Ok(HubReply::News(reply)) => {
             take(node, around, *reply);
@@ -99,7 +102,11 @@
     {
         return Some(address);
     }
-    let mut all: Vec<_> = hub.control.iter().filter_map(|host| (around.locate)(host)).collect();
+    let mut all: Vec<_> = hub
+        .control
+        .iter()
+        .filter_map(|host| (around.locate)(host))
+        .collect();
     for seed in (around.seeds)() {
         if !all.contains(&seed) {
             all.push(seed);
@@ -197,7 +204,10 @@
         let Some(address) = leader.or_else(|| address(node, around, hop)) else {
             continue;
         };
-        let reply = node.rpc.call(address, Method::Renew, &call, PUBLISH).await?;
+        let reply = node
+            .rpc
+            .call(address, Method::Renew, &call, PUBLISH)
+            .await?;
         match reply {
             HubReply::Elsewhere(next) => named = next,
             reply => return Ok(reply),
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -103,7 +103,9 @@
         number: document.version,
         rules,
         services,
-        limits: document.limits.map_or_else(|| Ok(Limits::default()), limits)?,
+        limits: document
+            .limits
+            .map_or_else(|| Ok(Limits::default()), limits)?,
         accounts: accounts.transpose()?,
     })
 }
@@ -152,9 +154,7 @@
     })
 }
 
-fn service(
-    service: Service,
-) -> Result<(curlewlift_core::id::Service, Provider), Refusal> {
+fn service(service: Service) -> Result<(curlewlift_core::id::Service, Provider), Refusal> {
     let provider = Provider {
         connections: service.max_conns.unwrap_or(u32::MAX),
         health: service.health_path.unwrap_or_default().into(),
@@ -180,7 +180,10 @@
         _ => Unit::Requests,
     };
     let numbers = [tenant.rate_per_s, tenant.burst];
-    if numbers.iter().any(|number| !number.is_finite() || *number < 0.0) {
+    if numbers
+        .iter()
+        .any(|number| !number.is_finite() || *number < 0.0)
+    {
         let why = format!("tenant {}: its limit is below 0", tenant.name);
         return Err(Refusal::new(Code::BadValue, why));
     }
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -93,7 +93,10 @@
 }
 
 fn bad(name: &HeaderName, text: &str, wanted: &str) -> Refusal {
-    Refusal::new(Code::BadHeader, format!("{name}: `{text}` is not right; give {wanted}"))
+    Refusal::new(
+        Code::BadHeader,
+        format!("{name}: `{text}` is not right; give {wanted}"),
+    )
 }
 
 fn dress(headers: &mut HeaderMap, hand: &Hand<'_>) {
--- a/crates/curlewlift/src/platform/instances.rs
+++ b/crates/curlewlift/src/platform/instances.rs
@@ -60,7 +60,10 @@
     })
 }
 
-async fn all(client: &Client<HttpConnector, Body>, platform: SocketAddr) -> Result<Listing, Refusal> {
+async fn all(
+    client: &Client<HttpConnector, Body>,
+    platform: SocketAddr,
+) -> Result<Listing, Refusal> {
     let mut servers = Vec::new();
     let mut from = String::new();
     for _ in 0..PAGES {
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -73,9 +73,7 @@
 
 async fn get(node: &Node, around: &Surroundings) -> Answer {
     match gateway::read(node, around).await {
-        Ok(publication) if publication.number > 0 => {
-            http::json(publication.document.to_string())
-        }
+        Ok(publication) if publication.number > 0 => http::json(publication.document.to_string()),
         Ok(_) => {
             let why = "no configuration was accepted yet";
             http::refused(&Refusal::new(Code::NoTable, why))
