Fill allowances at a rate that uses a window's tolerance evenly

Ruled out: a larger bucket, which a new desk would give out twice. Change: buckets fill at the rate and eight tenths of the tolerance, a window never has more than nine; the desk tells the pace of all, gateways foresee it.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -70,14 +70,14 @@
 }
 
 impl Hub {
-    /// A hub that knows nothing yet.
+    /// A hub that begins at `now` and knows nothing yet.
     #[must_use]
-    pub fn new(tuning: Tuning) -> Self {
+    pub fn new(tuning: Tuning, now: Instant) -> Self {
         Self {
             tuning,
             seen: BTreeMap::new(),
             sums: BTreeMap::new(),
-            desk: Desk::new(tuning.tolerance),
+            desk: Desk::new(tuning.tolerance, now),
             table: 0,
             listing: Arc::default(),
         }
@@ -116,7 +116,7 @@
             }
         }
         for (customer, amount) in &question.spent {
-            self.desk.spent(customer, *amount);
+            self.desk.spent(customer, *amount, now);
         }
         let seen = Seen {
             incarnation: question.incarnation,
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -1,6 +1,7 @@
 //! The desk: one bucket a customer, kept where all entries report.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,6 +12,7 @@
 
 use super::Bucket;
 use super::Tolerance;
+use super::Window;
 
 /// What is left of a customer's allowance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -19,15 +21,25 @@
     pub customer: id::Customer,
     /// What its bucket holds; below zero where too much was let in.
     pub left: f64,
+    /// How much all gateways together have lately let in, a second.
+    pub pace: f64,
 }
 
 /// What is kept for one customer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Held {
     allowance: Allowance,
     bucket: Bucket,
+    /// What was let in within the tolerance's window.
+    window: Window,
+    /// What was let in, fading away; divided by [`FADES`] it is a pace.
+    lately: f64,
+    faded: Instant,
 }
 
+/// The time in which what was let in fades to a third, in seconds: some rounds of questions.
+const FADES: f64 = 0.4;
+
 /// One bucket a customer.
 ///
 /// It begins with each leader. What an entry last heard of the former desk lowers the level, so
@@ -35,15 +47,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Desk {
     tolerance: Tolerance,
+    began: Instant,
     held: BTreeMap<id::Customer, Held>,
 }
 
 impl Desk {
-    /// A desk where so much more than an allowance may be let in.
+    /// A desk that begins at `now`, where so much more than an allowance may be let in.
     #[must_use]
-    pub fn new(tolerance: Tolerance) -> Self {
+    pub fn new(tolerance: Tolerance, now: Instant) -> Self {
         Self {
             tolerance,
+            began: now,
             held: BTreeMap::new(),
         }
     }
@@ -56,14 +70,24 @@
     ) {
         let mut next = BTreeMap::new();
         for (customer, allowance) in accounts.filter(|(_, allowance)| allowance.is_limited()) {
-            let depth = self.tolerance.depth(&allowance);
-            let mut held = self.held.get(customer).copied().unwrap_or(Held {
+            let mut held = self.held.get(customer).cloned().unwrap_or_else(|| Held {
                 allowance,
-                bucket: Bucket::new(depth, now),
+                bucket: Bucket::new(allowance.burst, now),
+                window: Window::default(),
+                lately: 0.0,
+                faded: now,
             });
-            let former = self.tolerance.depth(&held.allowance);
-            held.bucket.fill(held.allowance.rate, former, now);
-            held.bucket.lower(depth);
+            let former = held.allowance;
+            held.bucket.fill(former.rate, former.burst, now);
+            held.bucket.lower(allowance.burst);
+            // What was let in under a higher limit is no debt under a lower one.
+            let (new, old) = (
+                self.tolerance.most(&allowance),
+                self.tolerance.most(&former),
+            );
+            if new < old {
+                held.window.scale(new / old);
+            }
             held.allowance = allowance;
             next.insert(customer.clone(), held);
         }
@@ -73,18 +97,38 @@
     /// Fills all buckets; `silent` is the part of the entries (0 to 1) that may be spending their
     /// own shares unheard.
     pub fn fill(&mut self, silent: f64, now: Instant) {
+        let tolerance = self.tolerance;
+        // What was let in before it began is not known: the tolerance may be used up.
+        let knows = now.since(self.began) >= tolerance.window;
         for held in self.held.values_mut() {
-            let rate = held.allowance.rate * (1.0 - silent);
-            let depth = self.tolerance.depth(&held.allowance);
-            held.bucket.fill(rate, depth, now);
+            let allowance = held.allowance;
+            let rate = if knows {
+                tolerance.rate(&allowance)
+            } else {
+                allowance.rate
+            };
+            let heard = 1.0 - silent;
+            held.bucket.fill(rate * heard, allowance.burst, now);
+            if tolerance.window > Duration::ZERO {
+                let used = held.window.sum(tolerance.window, now);
+                let left = tolerance.most(&allowance) * heard - used;
+                held.bucket.lower(left);
+            }
+            let time = now.since(held.faded).as_secs_f64();
+            held.lately *= (-time / FADES).exp();
+            held.faded = now;
         }
     }
 
     /// Takes note that an entry let in `amount`.
-    pub fn spent(&mut self, customer: &id::Customer, amount: u64) {
+    pub fn spent(&mut self, customer: &id::Customer, amount: u64, now: Instant) {
+        let length = self.tolerance.window;
         if let Some(held) = self.held.get_mut(customer) {
             #[allow(clippy::cast_precision_loss)]
-            held.bucket.draw(amount as f64);
+            let amount = amount as f64;
+            held.bucket.draw(amount);
+            held.window.add(amount, length, now);
+            held.lately += amount;
         }
     }
 
@@ -102,6 +146,7 @@
         held.map(|(customer, held)| Level {
             customer: customer.clone(),
             left: held.bucket.level(),
+            pace: held.lately / FADES,
         })
         .collect()
     }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -4,9 +4,11 @@
 mod desk;
 mod share;
 mod tolerance;
+mod window;
 
 pub use bucket::Bucket;
 pub use desk::Desk;
 pub use desk::Level;
 pub use share::Share;
 pub use tolerance::Tolerance;
+pub use window::Window;
--- a/crates/core/src/quota/share.rs
+++ b/crates/core/src/quota/share.rs
@@ -17,9 +17,8 @@
 /// half that is cut off spend the whole allowance.
 const STALE: Duration = Duration::from_millis(700);
 
-/// The part of what is left that an entry lets in before it hears of the others again: they let in
-/// at the same time.
-const BEFORE_WORD: f64 = 1.0 / 3.0;
+/// How old the desk's word is when it comes, in seconds: others have let in more by then.
+const ON_ITS_WAY: f64 = 0.1;
 
 /// What an entry knows of one customer.
 #[derive(Clone, Debug)]
@@ -28,9 +27,9 @@
     whole: Bucket,
     /// This entry's own part, for when the desk is not heard.
     own: Bucket,
-    /// What was left by the desk's last word.
-    told: f64,
-    /// Let in since that word.
+    /// How much all entries lately let in a second, by the desk's last word.
+    pace: f64,
+    /// Let in here since that word.
     since: f64,
     /// Let in since the last report was taken.
     unreported: u64,
@@ -43,7 +42,7 @@
         Self {
             whole: Bucket::new(whole, now),
             own: Bucket::new(own, now),
-            told: whole,
+            pace: 0.0,
             since: 0.0,
             unreported: 0,
             reported: 0,
@@ -81,7 +80,8 @@
         if !allowance.is_limited() {
             return true;
         }
-        let depth = self.tolerance.depth(allowance);
+        let rate = self.tolerance.rate(allowance);
+        let depth = allowance.burst;
         let part = 1.0 / f64::from(self.entries.max(1));
         let fresh = self.heard.is_some_and(|heard| now.since(heard) < STALE);
         let known = self
@@ -90,16 +90,20 @@
             .or_insert_with(|| Known::new(depth, depth * part, now));
         #[allow(clippy::cast_precision_loss)]
         let wanted = cost as f64;
-        let whole = known.whole.fill(allowance.rate, depth, now);
-        let own = known.own.fill(allowance.rate * part, depth * part, now);
-        let left = if fresh { whole } else { own.min(whole) };
+        let whole = known.whole.fill(rate, depth, now);
+        let own = known.own.fill(rate * part, depth * part, now);
+        let age = self
+            .heard
+            .map_or(0.0, |heard| now.since(heard).as_secs_f64());
+        let others = (known.pace * (age + ON_ITS_WAY) - known.since).max(0.0);
+        let left = if fresh {
+            whole - others
+        } else {
+            own.min(whole)
+        };
         if left < wanted.min(depth * if fresh { 1.0 } else { part }) {
             return false;
         }
-        // One request may always use what is left; more only a part of it.
-        if known.since > 0.0 && known.since + wanted > known.told.max(whole) * BEFORE_WORD {
-            return false;
-        }
         known.since += wanted;
         known.whole.draw(wanted);
         known.own.draw(wanted);
@@ -140,6 +144,7 @@
             .map(|(customer, known)| Level {
                 customer: customer.clone(),
                 left: known.whole.level(),
+                pace: known.pace,
             })
             .collect()
     }
@@ -155,7 +160,7 @@
             let known = self.known.entry(level.customer.clone());
             let known = known.or_insert_with(|| Known::new(level.left, 0.0, now));
             known.whole = Bucket::new(level.left, now);
-            known.told = level.left;
+            known.pace = level.pace;
             known.since = 0.0;
             #[allow(clippy::cast_precision_loss)]
             known.whole.draw(known.unreported as f64);
--- a/crates/core/src/quota/tolerance.rs
+++ b/crates/core/src/quota/tolerance.rs
@@ -4,9 +4,13 @@
 
 use crate::route::Allowance;
 
-/// The part of the tolerance that is given out; the rest is for what entries let in before they
-/// hear of each other, and for entries and desks that begin anew.
-const GIVEN_OUT: f64 = 0.35;
+/// The part of the tolerance that is given out; the rest is for what gateways let in before they
+/// hear of each other, and for gateways and desks that begin anew.
+const GIVEN_OUT: f64 = 0.8;
+
+/// The part of the tolerance that a window may use up in all: what is let in late beyond it is
+/// little by then, as the bucket's rate is low.
+const WINDOW: f64 = 0.9;
 
 /// How much more than an allowance may be let in, in any window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -20,7 +24,8 @@
 }
 
 impl Tolerance {
-    /// How much a customer may use at once.
+    /// At what rate a customer's bucket fills: above its own rate, so that a window's tolerance is
+    /// used evenly. The bucket holds its burst, no more: what a desk forgets is small.
     ///
     /// # Examples
     ///
@@ -31,11 +36,30 @@
     /// use curlewlift_core::route::Unit;
     /// let allowance = Allowance { unit: Unit::Requests, rate: 10.0, burst: 20.0 };
     /// let tolerance = Tolerance { window: Duration::from_secs(8), part: 0.1, slack: 0.0 };
-    /// assert!((tolerance.depth(&allowance) - 23.5).abs() < 1e-9);
+    /// assert!((tolerance.rate(&allowance) - 11.0).abs() < 1e-9);
+    /// assert!((Tolerance::default().rate(&allowance) - 10.0).abs() < 1e-9);
     /// ```
     #[must_use]
-    pub fn depth(&self, allowance: &Allowance) -> f64 {
-        let window = allowance.rate * self.window.as_secs_f64() + allowance.burst;
-        allowance.burst + (self.part * window + self.slack) * GIVEN_OUT
+    pub fn rate(&self, allowance: &Allowance) -> f64 {
+        let window = self.window.as_secs_f64();
+        if window <= 0.0 {
+            return allowance.rate;
+        }
+        allowance.rate + self.tolerated(allowance) * GIVEN_OUT / window
+    }
+
+    /// How much a window may have in all.
+    #[must_use]
+    pub fn most(&self, allowance: &Allowance) -> f64 {
+        self.gives(allowance) + self.tolerated(allowance) * WINDOW
+    }
+
+    /// What the allowance itself gives in a window.
+    fn gives(&self, allowance: &Allowance) -> f64 {
+        allowance.rate * self.window.as_secs_f64() + allowance.burst
+    }
+
+    fn tolerated(&self, allowance: &Allowance) -> f64 {
+        self.part * self.gives(allowance) + self.slack
     }
 }
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -55,6 +55,9 @@
     let_in: VecDeque<(Instant, u64)>,
     most: u64,
     total: u64,
+    /// What is still to be asked for.
+    asked: f64,
+    allowance: Allowance,
 }
 
 impl World {
@@ -67,13 +70,15 @@
         });
         let mut world = Self {
             gateways: gateways.collect(),
-            desk: Desk::new(TOLERANCE),
+            desk: Desk::new(TOLERANCE, Instant::default()),
             now: Instant::default(),
             step: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             let_in: VecDeque::new(),
             most: 0,
             total: 0,
+            asked: 0.0,
+            allowance: ALLOWANCE,
         };
         world
             .desk
@@ -83,7 +88,7 @@
 
     /// Another desk begins; each gateway tells it what it last heard.
     fn new_desk(&mut self) {
-        self.desk = Desk::new(TOLERANCE);
+        self.desk = Desk::new(TOLERANCE, self.now);
         self.desk.adopt([(&ann(), ALLOWANCE)].into_iter(), self.now);
         for gateway in &self.gateways {
             for level in gateway.share.levels() {
@@ -119,7 +124,7 @@
                 }
             } else if self.step % ROUND == gateway.offset {
                 for (customer, amount) in gateway.share.report() {
-                    self.desk.spent(&customer, amount);
+                    self.desk.spent(&customer, amount, self.now);
                 }
                 self.desk.fill(silent, self.now);
                 gateway.answer = Some((self.step + ROUND / 2, self.desk.levels()));
@@ -128,16 +133,16 @@
     }
 
     fn ask(&mut self, load: f64) {
-        let mut left = load * STEP.as_secs_f64();
-        while left > 0.0 {
+        self.asked += load * STEP.as_secs_f64();
+        while self.asked > 0.0 {
             let cost = 200 + self.random.next_u64() % 5_000;
             let place = self.random.next_u64() as usize % self.gateways.len();
             #[allow(clippy::cast_precision_loss)]
             {
-                left -= cost as f64;
+                self.asked -= cost as f64;
             }
             let share = &mut self.gateways[place].share;
-            if share.admit(&ann(), &ALLOWANCE, cost, self.now) {
+            if share.admit(&ann(), &self.allowance, cost, self.now) {
                 self.let_in.push_back((self.now, cost));
                 self.total += cost;
             }
@@ -154,7 +159,7 @@
 
     /// Whether no window had more than the deployment bears.
     fn is_kept(&self) -> bool {
-        let window = ALLOWANCE.rate * TOLERANCE.window.as_secs_f64() + ALLOWANCE.burst;
+        let window = self.allowance.rate * TOLERANCE.window.as_secs_f64() + self.allowance.burst;
         let bound = window * (1.0 + TOLERANCE.part) + TOLERANCE.slack;
         #[allow(clippy::cast_precision_loss)]
         let most = self.most as f64;
@@ -176,7 +181,7 @@
     for seed in 0..40 {
         let mut world = World::new(12, seed);
         world.go_on(Duration::from_secs(3), 30_000.0);
-        world.go_on(Duration::from_secs(12), 8.5 * 33_000.0);
+        world.go_on(Duration::from_secs(12), 10.0 * 33_000.0);
         assert!(world.is_kept(), "seed {seed}: {}", world.most);
         assert!(
             world.total > 700_000,
@@ -190,7 +195,7 @@
 fn many_gateways() {
     let mut world = World::new(88, 5);
     world.go_on(Duration::from_secs(3), 30_000.0);
-    world.go_on(Duration::from_secs(12), 8.5 * 33_000.0);
+    world.go_on(Duration::from_secs(12), 10.0 * 33_000.0);
     assert!(world.is_kept(), "{}", world.most);
 }
 
@@ -224,6 +229,32 @@
     }
 }
 
+#[test]
+fn lowered_limit() {
+    let mut world = World::new(12, 3);
+    world.go_on(Duration::from_secs(10), 55_000.0);
+    let lower = Allowance {
+        rate: 20_000.0,
+        burst: 20_000.0,
+        ..ALLOWANCE
+    };
+    world.desk.adopt([(&ann(), lower)].into_iter(), world.now);
+    world.allowance = lower;
+    let before = world.total;
+    world.go_on(Duration::from_secs(2), 55_000.0);
+    let let_in = world.total - before;
+    assert!(let_in > 30_000, "what was used before is no debt: {let_in}");
+    world.go_on(Duration::from_secs(8), 55_000.0);
+    world.most = 0;
+    world.go_on(Duration::from_secs(8), 55_000.0);
+    assert!(world.is_kept(), "{}", world.most);
+    assert!(
+        world.total - before > 18 * 22_000,
+        "{}",
+        world.total - before
+    );
+}
+
 #[test]
 fn given_back() {
     let now = Instant::default();
@@ -231,6 +262,7 @@
     let level = Level {
         customer: ann(),
         left: 1_000.0,
+        pace: 0.0,
     };
     share.heard(&[level], 1, now);
     assert!(share.admit(&ann(), &ALLOWANCE, 800, now));
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -43,7 +43,7 @@
 
 #[test]
 fn sums_of_others() {
-    let mut hub = Hub::new(Tuning::default());
+    let mut hub = Hub::new(Tuning::default(), seconds(0));
     for (host, in_flight) in [("g", 3), ("gg", 4), ("gg", 5)] {
         hub.hear(&question(host, in_flight), seconds(1));
     }
@@ -55,7 +55,7 @@
 
 #[test]
 fn silent_leave_roll() {
-    let mut hub = Hub::new(Tuning::default());
+    let mut hub = Hub::new(Tuning::default(), seconds(0));
     hub.hear(&question("g", 0), seconds(1));
     hub.hear(&question("gg", 0), seconds(1));
     let mut stopping = question("ggg", 0);
@@ -74,7 +74,7 @@
 
 #[test]
 fn forgotten_in_time() {
-    let mut hub = Hub::new(Tuning::default());
+    let mut hub = Hub::new(Tuning::default(), seconds(0));
     hub.hear(&question("g", 0), seconds(1));
     hub.hear(&question("gg", 2), seconds(1));
     hub.hear(&question("g", 0), seconds(20));
@@ -94,7 +94,7 @@
         leaving: false,
     };
     let listing = Arc::new(Listing::new(vec![server]));
-    let mut hub = Hub::new(Tuning::default());
+    let mut hub = Hub::new(Tuning::default(), seconds(0));
     let mut asked = question("g", 0);
     hub.hear(&asked, seconds(1));
     assert!(!hub.has_news(&asked), "no list is no news");
@@ -109,7 +109,7 @@
 
 #[test]
 fn one_fetches() {
-    let mut hub = Hub::new(Tuning::default());
+    let mut hub = Hub::new(Tuning::default(), seconds(0));
     let beside = "gg".parse().expect("a name");
     assert_eq!(hub.fetcher(&beside, seconds(1)), None);
     hub.hear(&question("g", 0), seconds(1));
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -284,7 +284,7 @@
             let now = self.clock.now();
             self.grantor = Some(Grantor::new(self.lease, now));
             if let Some(gateways) = &self.gateways {
-                self.hub = Some(Hub::new(gateways.tuning));
+                self.hub = Some(Hub::new(gateways.tuning, now));
                 self.take_up();
             }
         } else if self.role == Role::Leader {
