Recover soon after all have lost power, and confirm reads by a round

Looking at it, a voter that starts anew forgets whom it heard, so a leader that counts on it for an election's time could answer an older table. Change: a replica that starts asks for an election after 0.15 to 0.3 s; a request waits 0.15 s for a first table, then is told to come back in 0.8 s; a read waits until a majority answers a round sent after it.

--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -60,6 +60,10 @@
     }
 }
 
+/// The part of an election's time after which a replica that starts asks for one, at least; at most
+/// twice this.
+const FIRST_PART: u32 = 4;
+
 /// How far a follower has come, as its leader knows.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
@@ -147,6 +151,10 @@
         replica.hard.boot += 1;
         replica.write_hard();
         replica.rest(now);
+        // One that starts asks soon whether an election would succeed: after all have lost power
+        // nobody leads, and where somebody does, the others say no and nothing changes.
+        let first = replica.timing.election / FIRST_PART;
+        replica.deadline = now + first + first.mul_f64(replica.random.random());
         replica
     }
 
--- a/crates/core/src/log/replicate.rs
+++ b/crates/core/src/log/replicate.rs
@@ -75,6 +75,21 @@
         count >= self.members().majority()
     }
 
+    /// Whether a majority has answered a round that this leader sent at `at` or later.
+    ///
+    /// Unlike [`Replica::hears_majority`] it needs no faith in how long others keep from electing
+    /// another leader: one that had been elected before `at` would have been heard of.
+    #[must_use]
+    pub fn is_confirmed_since(&self, at: Instant) -> bool {
+        let voters = self.members().voters();
+        let heard = |host: &Host| {
+            let progress = self.progress.get(host);
+            host == &self.host || progress.is_some_and(|progress| progress.heard >= at)
+        };
+        let count = voters.filter(|member| heard(&member.host)).count();
+        self.is_settled() && count >= self.members().majority()
+    }
+
     /// Whether the replica on `host` has answered this leader within an election's time.
     #[must_use]
     pub fn hears(&self, host: &Host, now: Instant) -> bool {
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -33,6 +33,12 @@
 /// The most that a question waits: the rest of a table's way must stay within its bound.
 const WAIT_MOST: Duration = Duration::from_millis(250);
 
+/// How long a majority may take to confirm that this replica leads: some heartbeats.
+const CONFIRM: Duration = Duration::from_millis(600);
+
+/// Between two looks whether it has.
+const LOOK: Duration = Duration::from_millis(10);
+
 pub(super) async fn answer(state: &Shared, call: HubCall) -> Result<HubReply, Refusal> {
     if let Some(elsewhere) = elsewhere(&state.borrow()) {
         return Ok(elsewhere);
@@ -40,10 +46,7 @@
     match call {
         HubCall::Ask(question) => ask(state, *question).await,
         HubCall::Publish(publication) => publish(state, publication).await,
-        HubCall::Read => {
-            let publication = state.borrow().machine.get_publication().clone();
-            Ok(HubReply::Table(publication))
-        }
+        HubCall::Read => read(state).await,
     }
 }
 
@@ -106,6 +109,23 @@
     Ok(newer || hub.has_news(question))
 }
 
+/// The newest table, once a majority has confirmed after the question that this replica leads.
+async fn read(state: &Shared) -> Result<HubReply, Refusal> {
+    let asked = state.borrow().clock.now();
+    let confirmed = || state.borrow().replica.is_confirmed_since(asked);
+    let wait = async {
+        while !confirmed() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    if tokio::time::timeout(CONFIRM, wait).await.is_err() {
+        let why = "no majority confirms that this replica leads";
+        return Err(Refusal::new(Code::NotLeader, why));
+    }
+    let publication = state.borrow().machine.get_publication().clone();
+    Ok(HubReply::Table(publication))
+}
+
 async fn publish(state: &Shared, publication: Publication) -> Result<HubReply, Refusal> {
     let number = publication.number;
     let bytes = publication.document.len();
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -26,8 +26,16 @@
 use super::node::Node;
 use super::refuse::Refused;
 
-/// When a caller without a table here is to come back: another gateway may have one.
-const NO_TABLE: Duration = Duration::from_millis(200);
+/// When a caller is to come back to a gateway that has no table: a leader is elected and has told
+/// its gateways by then.
+const NO_TABLE: Duration = Duration::from_millis(800);
+
+/// How long a request waits for a first table, at the most: a quarter of the shortest time within
+/// which an answer is usually wanted.
+const FIRST_TABLE: Duration = Duration::from_millis(150);
+
+/// Between two looks whether a first table has come.
+const LOOK: Duration = Duration::from_millis(15);
 
 /// The longest wait that is named to a customer that has used up its allowance.
 const ALLOWANCE: Duration = Duration::from_secs(1);
@@ -75,7 +83,7 @@
     arrived: Instant,
     call: Call,
 ) -> Result<Admitted, Refused> {
-    let table = table(node)?;
+    let table = table(node, arrived).await?;
     let rule = rule(&table, &request)?;
     let account = account(&table, &rule, &call)?;
     let patience = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
@@ -107,7 +115,11 @@
     })
 }
 
-fn table(node: &Node) -> Result<Rc<Table>, Refused> {
+/// The table in force; a gateway that has only begun waits a little for its first one.
+async fn table(node: &Node, arrived: Instant) -> Result<Rc<Table>, Refused> {
+    while node.table().is_none() && arrived.elapsed() < FIRST_TABLE {
+        tokio::time::sleep(LOOK).await;
+    }
     node.table()
         .ok_or_else(|| Refused::new(Code::NoTable, "no routing table has come yet").again(NO_TABLE))
 }
