Choose a server by a request's own time: long prompts to fast engines

Cause: the largest prompts took 1.4 s to their first event on slow engines at calm times, while fast ones had room; the score counted a request in flight as much as the request itself. Ruled out: queues in the engines (7 or fewer in flight: 0.2 s). Change: a request counts four beside it, and one for a thousand tokens of its prompt.

--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Instant;
 use crate::gateway::Server;
+use crate::unit::Tokens;
 
 /// The number of a request that waits or runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -17,6 +18,8 @@
     pub rank: u8,
     /// When it arrived: one that comes back from a server keeps its place.
     pub arrived: Instant,
+    /// The length of its prompt; 0 where it has none.
+    pub prompt: Tokens,
     /// Incarnations that it was sent to before.
     pub tried: Vec<Arc<str>>,
 }
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -9,6 +9,7 @@
 use crate::clock::Instant;
 use crate::gateway::Load;
 use crate::gateway::Server;
+use crate::unit::Tokens;
 
 use super::Ask;
 use super::End;
@@ -17,12 +18,22 @@
 use super::server::Known;
 use super::waiting::Waiting;
 
+/// The weight of the lot that is drawn for each server, in requests: servers that look nearly the
+/// same are told apart by it.
+const LOT: f64 = 0.3;
+
 /// How a pool chooses.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
     /// Requests beyond a server's slots that may be in flight there: what other gateways have
     /// ended is heard late, and an engine that finds nothing waiting rests meanwhile.
     pub over: u32,
+    /// What a request itself counts, in requests beside it: tokens of one are hardly slowed by
+    /// others beside it, so a fast server is better than an empty slow one until it is full.
+    pub own: f64,
+    /// What a thousand tokens of its prompt count, in requests beside it: reading a long prompt
+    /// takes longest, and holds up all beside it.
+    pub prompt: f64,
     /// By how much more a server in another data hall must be free to be taken, in requests.
     pub distance: f64,
     /// By how much the failed part of a server's answers makes it less wanted.
@@ -35,6 +46,8 @@
     fn default() -> Self {
         Self {
             over: 1,
+            own: 4.0,
+            prompt: 1.0,
             distance: 0.2,
             distrust: 4.0,
             waiting: 400,
@@ -154,10 +167,10 @@
         let line: Vec<_> = self
             .waiting
             .iter()
-            .map(|(ticket, ask)| (ticket, ask.tried.clone()))
+            .map(|(ticket, ask)| (ticket, ask.tried.clone(), ask.prompt))
             .collect();
-        for (ticket, tried) in line {
-            let Some(place) = self.choose(&tried, now) else {
+        for (ticket, tried, prompt) in line {
+            let Some(place) = self.choose(&tried, prompt, now) else {
                 // Who has tried some servers may wait for others; the next in line may not.
                 if tried.is_empty() {
                     break;
@@ -200,7 +213,7 @@
     ///
     /// Two that look the same are told apart by lot, so that gateways with the same word do not
     /// all send to the same one.
-    fn choose(&mut self, tried: &[Arc<str>], now: Instant) -> Option<usize> {
+    fn choose(&mut self, tried: &[Arc<str>], prompt: Tokens, now: Instant) -> Option<usize> {
         let mean = self.mean_gap();
         let mut best: Option<(f64, usize)> = None;
         for place in 0..self.servers.len() {
@@ -212,7 +225,7 @@
             if server.leaving || again || !room || known.trust.is_suspect(now) {
                 continue;
             }
-            let score = self.score(known, mean) + lot * 0.3;
+            let score = self.score(known, prompt, mean) + lot * LOT;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, place));
             }
@@ -220,9 +233,9 @@
         best.map(|(_, place)| place)
     }
 
-    /// How long a request is likely to take there, in the time of one request at a server of the
-    /// usual pace.
-    fn score(&self, known: &Known, mean: f64) -> f64 {
+    /// How long a request with `prompt` is likely to take there, in the time of one request at a
+    /// server of the usual pace.
+    fn score(&self, known: &Known, prompt: Tokens, mean: f64) -> f64 {
         let pace = known.gap.mean().or(known.first.mean());
         let pace = pace.map_or(1.0, |pace| pace / mean.max(f64::MIN_POSITIVE));
         let far = if known.server.hall == self.hall {
@@ -231,7 +244,8 @@
             self.tuning.distance
         };
         let distrust = 1.0 + self.tuning.distrust * known.trust.failures();
-        (f64::from(known.in_flight()) + 1.0 + far) * pace.clamp(0.2, 5.0) * distrust
+        let itself = self.tuning.own + self.tuning.prompt * prompt.as_f64() / 1_000.0;
+        (f64::from(known.in_flight()) + itself + far) * pace.clamp(0.2, 5.0) * distrust
     }
 
     /// The mean pace of all servers.
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -136,7 +136,8 @@
         self.asked += load * STEP.as_secs_f64();
         while self.asked > 0.0 {
             let cost = 200 + self.random.next_u64() % 5_000;
-            let place = self.random.next_u64() as usize % self.gateways.len();
+            let count = self.gateways.len() as u64;
+            let place = usize::try_from(self.random.next_u64() % count).expect("few");
             #[allow(clippy::cast_precision_loss)]
             {
                 self.asked -= cost as f64;
--- a/crates/core/tests/replica_upkeep.rs
+++ b/crates/core/tests/replica_upkeep.rs
@@ -103,8 +103,8 @@
     }
 }
 
-fn names(names: &[&str]) -> Option<Vec<String>> {
-    Some(names.iter().map(|name| (*name).to_owned()).collect())
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
 }
 
 fn three() -> Set {
@@ -112,7 +112,7 @@
     set.join("c1", 101);
     set.join("c2", 102);
     set.go_on(Duration::from_secs(4));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c2"]));
+    assert_eq!(set.voters(), Some(names(&["c0", "c1", "c2"])));
     set
 }
 
@@ -128,7 +128,7 @@
     set.go_on(Duration::from_secs(2));
     set.join("c2", 202);
     set.go_on(Duration::from_secs(4));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c2"]));
+    assert_eq!(set.voters(), Some(names(&["c0", "c1", "c2"])));
 }
 
 #[test]
@@ -138,7 +138,7 @@
     set.go_on(Duration::from_secs(1));
     set.join("c3", 103);
     set.go_on(Duration::from_secs(4));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c3"]));
+    assert_eq!(set.voters(), Some(names(&["c0", "c1", "c3"])));
 }
 
 /// The new host came before the old one went, so four counted; then the old one went for good, a
@@ -148,10 +148,14 @@
     let mut set = three();
     set.join("c3", 103);
     set.go_on(Duration::from_secs(2));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c2", "c3"]));
+    assert_eq!(set.voters(), Some(names(&["c0", "c1", "c2", "c3"])));
     set.stop("c2");
     set.go_on(Duration::from_secs(4));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c3"]), "three are wanted");
+    assert_eq!(
+        set.voters(),
+        Some(names(&["c0", "c1", "c3"])),
+        "three are wanted"
+    );
     let kept: Vec<_> = ["c0", "c3"].map(|host| (host, set.stop(host))).into();
     set.stop("c1");
     for (host, disk) in kept {
@@ -159,7 +163,7 @@
     }
     set.join("c1", 201);
     set.go_on(Duration::from_secs(8));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c3"]));
+    assert_eq!(set.voters(), Some(names(&["c0", "c1", "c3"])));
 }
 
 /// Two of three are never fewer than wanted: a silent one stays a member until another comes.
@@ -168,5 +172,5 @@
     let mut set = three();
     set.stop("c2");
     set.go_on(Duration::from_secs(10));
-    assert_eq!(set.voters(), names(&["c0", "c1", "c2"]));
+    assert_eq!(set.voters(), Some(names(&["c0", "c1", "c2"])));
 }
--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -11,6 +11,7 @@
 use curlewlift_core::pool::Pool;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Tuning;
+use curlewlift_core::unit::Tokens;
 
 fn server(name: &str, leaving: bool) -> Arc<Server> {
     Arc::new(Server {
@@ -174,6 +175,34 @@
     assert_eq!(first, 50);
 }
 
+/// A long prompt waits for none: it goes to the fast one even where that is busier.
+#[test]
+fn long_prompt_to_fast() {
+    let mut pool = pool(&["s1", "s2"]);
+    let now = Instant::default();
+    for (name, gap) in [("s1", 10), ("s2", 30)] {
+        for _ in 0..20 {
+            let gap = Some(Duration::from_millis(gap));
+            let first = Duration::from_millis(50);
+            pool.seen(name, End::Good { first, gap }, now);
+        }
+    }
+    let load = Load {
+        incarnation: "s1".into(),
+        requests: 1,
+    };
+    for _ in 0..50 {
+        pool.hear(std::slice::from_ref(&load));
+        pool.ask(Ask {
+            prompt: Tokens(18_000),
+            ..Ask::default()
+        });
+        let turn = served(&mut pool, now);
+        assert_eq!(turn[0].1, "s1");
+        pool.ended("s1", End::Nothing, now);
+    }
+}
+
 #[test]
 fn tried_goes_elsewhere() {
     let mut pool = pool(&["s1", "s2"]);
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -95,7 +95,8 @@
     let body = read(body, limits, until).await?;
     let mut cost = 0;
     if let Some(account) = &account {
-        cost = account.allowance.cost(call.tokens);
+        let tokens = call.tokens.map(|(prompt, made)| prompt + made);
+        cost = account.allowance.cost(tokens);
         let mut share = node.share.borrow_mut();
         if !share.admit(&account.name, &account.allowance, cost, node.now()) {
             return Err(used_up(account, cost));
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -77,7 +77,7 @@
 /// A gateway, to be started.
 pub(crate) struct Gateway {
     pub(crate) host: id::Host,
-    pub(crate) gateway: gateway::Gateway,
+    pub(crate) known_as: gateway::Gateway,
     pub(crate) callers: TcpListener,
     pub(crate) dialect: Dialect,
     pub(crate) allowed: Allowed,
@@ -127,7 +127,7 @@
         let host = self.host.clone();
         let node = Rc::new(Node::new(
             host,
-            self.gateway,
+            self.known_as,
             self.dialect,
             self.allowed,
             self.tolerance,
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -15,8 +15,8 @@
     pub(crate) key: Option<String>,
     /// How long the caller will wait.
     pub(crate) patience: Option<Duration>,
-    /// Tokens of prompt and answer together.
-    pub(crate) tokens: Option<u64>,
+    /// Tokens of the prompt, and the most that are made.
+    pub(crate) tokens: Option<(u64, u64)>,
 }
 
 /// What a backend server is told beside what the caller sent.
--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -21,7 +21,7 @@
 
 /// Between two fetches of a gateway that hears no hub: with many gateways, all of them together
 /// must stay within what the platform takes.
-const ALONE: Duration = Duration::from_millis(1_000);
+const ALONE: Duration = Duration::from_secs(1);
 
 /// Between two looks whether a fetch is due.
 const LOOK: Duration = Duration::from_millis(100);
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -83,9 +83,8 @@
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         while !self.ended {
             let until = self.run.admitted.until;
-            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => return Some(Err(self.cut("the deadline has passed".to_owned()))),
+            let Ok(frame) = tokio::time::timeout_at(until, self.body.frame()).await else {
+                return Some(Err(self.cut("the deadline has passed".to_owned())));
             };
             match frame {
                 Some(Ok(frame)) => {
@@ -113,7 +112,7 @@
         let Some(events) = &mut self.events else {
             return Some(data);
         };
-        let whole = events.take(data);
+        let whole = events.take(&data);
         (!whole.is_empty()).then_some(whole)
     }
 
@@ -235,8 +234,8 @@
 
 impl Events {
     /// Takes in bytes; gives the whole events among them that the caller does not have yet.
-    fn take(&mut self, data: Bytes) -> Bytes {
-        self.partial.extend_from_slice(&data);
+    fn take(&mut self, data: &[u8]) -> Bytes {
+        self.partial.extend_from_slice(data);
         let mut whole = BytesMut::new();
         while let Some(end) = self.end() {
             let event = self.partial.split_to(end).freeze();
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
+use curlewlift_core::unit::Tokens;
 use hyper::body::Incoming;
 use rand::RngExt;
 use tokio::time::Instant;
@@ -187,6 +188,7 @@
         let ask = Ask {
             rank: self.rank(),
             arrived: self.admitted.since,
+            prompt: Tokens(admitted.call.tokens.map_or(0, |(prompt, _)| prompt)),
             tried: self.tried.clone(),
         };
         let wanted = admitted.rule.objective.mul_f64(IN_LINE);
@@ -329,12 +331,11 @@
     fn failed(&mut self, failure: Failure, mut place: Place) -> Result<Step, Refused> {
         let rule = &self.admitted.rule;
         let (end, why) = match &failure {
-            Failure::NotSent(why) => (End::Broken, why.clone()),
+            Failure::NotSent(why) | Failure::Unknown(why) => (End::Broken, why.clone()),
             Failure::NotRun { moved: true, .. } => {
                 (End::Gone, "another has its address".to_owned())
             }
             Failure::NotRun { status, .. } => (End::Full, format!("it did not run it: {status}")),
-            Failure::Unknown(why) => (End::Broken, why.clone()),
             Failure::Late => (End::Silent, "the deadline has passed".to_owned()),
         };
         place.end(end);
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -61,7 +61,7 @@
     max_conns: Option<u32>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 struct Bounds {
     max_header_bytes: Option<usize>,
     max_body_bytes: Option<usize>,
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -81,15 +81,17 @@
     }
 }
 
-fn tokens(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
+fn tokens(headers: &HeaderMap) -> Result<Option<(u64, u64)>, Refusal> {
     let Some(value) = headers.get(TOKENS) else {
         return Ok(None);
     };
     let text = value.to_str().unwrap_or_default();
-    let counts = text.split(',').map(|count| count.trim().parse::<u64>());
-    let sum: Result<u64, _> = counts.sum();
-    sum.map(Some)
-        .map_err(|_| bad(&TOKENS, text, "two whole numbers with a comma between"))
+    let count = |text: &str| text.trim().parse::<u64>().ok();
+    let both = text
+        .split_once(',')
+        .and_then(|(prompt, made)| Some((count(prompt)?, count(made)?)));
+    both.map(Some)
+        .ok_or_else(|| bad(&TOKENS, text, "two whole numbers with a comma between"))
 }
 
 fn bad(name: &HeaderName, text: &str, wanted: &str) -> Refusal {
--- a/crates/curlewlift/src/platform/instances.rs
+++ b/crates/curlewlift/src/platform/instances.rs
@@ -88,7 +88,7 @@
         .map_err(|why| lost(&why))?;
     let answer = client.request(request).await.map_err(|why| lost(&why))?;
     if answer.status() != StatusCode::OK {
-        return Err(lost(&answer.status()));
+        return Err(lost(answer.status()));
     }
     let body = Limited::new(answer.into_body(), LARGEST).collect().await;
     let body = body.map_err(|why| lost(&why))?.to_bytes();
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -71,7 +71,7 @@
     let bounds = settings.bounds;
     let gateway = Gateway {
         host: host(settings.ip)?,
-        gateway: gateway::Gateway {
+        known_as: gateway::Gateway {
             hall: settings.hall.as_str().into(),
             callers: listen.callers,
         },
