Test the platform's side whole, and end a replica with its gateway

Cause: a gateway that ended left its control replica's thread behind in the same process (platform_tables::lost_disk could not be read back: the old replicas still held the addresses).

--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -196,16 +196,34 @@
     }
 }
 
+/// A control replica that ends with the gateway beside which it runs.
+struct Replica(Option<Process>);
+
+impl Replica {
+    fn is_ended(&self) -> bool {
+        self.0.as_ref().is_none_or(Process::is_ended)
+    }
+}
+
+impl Drop for Replica {
+    fn drop(&mut self) {
+        if let Some(process) = self.0.take() {
+            process.kill();
+        }
+    }
+}
+
 /// Keeps a control replica running: one that its disk has failed begins anew with what the disk
 /// holds, and the gateway goes on meanwhile.
 async fn keep_replica(host: id::Host, beside: Beside) {
     loop {
         match start_replica(&host, &beside) {
             Ok(process) => {
-                while !process.is_ended() {
+                let mut replica = Replica(Some(process));
+                while !replica.is_ended() {
                     tokio::time::sleep(REVIVE).await;
                 }
-                if let Err(why) = process.wait() {
+                if let Some(Err(why)) = replica.0.take().map(Process::wait) {
                     log::error!("the control replica has ended: {why}");
                 }
             }
--- a/crates/curlewlift/src/lib.rs
+++ b/crates/curlewlift/src/lib.rs
@@ -22,6 +22,7 @@
 pub use key::digest;
 pub use operate::Operator;
 pub use operate::collect;
+pub use platform::Platform;
 pub use process::Handle;
 pub use process::Process;
 pub use program::main;
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -12,5 +12,5 @@
 mod settings;
 mod start;
 
-pub(crate) use settings::Settings;
-pub(crate) use start::start;
+pub use settings::Settings;
+pub use start::Platform;
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -11,9 +11,9 @@
 use curlewlift_core::quota::Tolerance;
 use serde::Deserialize;
 
-/// The settings of one process.
+/// The settings of one process, as the platform's file has them.
 #[derive(Clone, Debug, Deserialize)]
-pub(crate) struct Settings {
+pub struct Settings {
     /// This machine's address; the system's own names of hosts are their addresses.
     pub(super) ip: IpAddr,
     /// Its data hall.
@@ -113,7 +113,7 @@
     /// # Errors
     ///
     /// [`Code::BadSetting`] with the field that is missing or cannot be read.
-    pub(crate) fn read(path: &Path) -> Result<Self, Refusal> {
+    pub fn read(path: &Path) -> Result<Self, Refusal> {
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|why| bad(path, &why))?;
         Self::parse(&text).map_err(|why| bad(path, &why))
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -54,12 +54,45 @@
     directory: TcpListener,
 }
 
-/// Starts a gateway with the settings that were read from `path`.
+/// A gateway on the platform, and a control replica beside it where the host has a disk; to be
+/// started.
 ///
-/// # Errors
+/// # Examples
 ///
-/// [`Code::BadSetting`] where an address cannot be had.
-pub(crate) fn start(path: PathBuf, settings: Settings) -> Result<Process, Refusal> {
+/// ```no_run
+/// let process = curlewlift::Platform::new("settings.json".into())?.start()?;
+/// process.stop();
+/// process.wait()?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct Platform {
+    path: PathBuf,
+    settings: Settings,
+}
+
+impl Platform {
+    /// A gateway with the settings in the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadSetting`] where the file cannot be read.
+    pub fn new(path: PathBuf) -> Result<Self, Refusal> {
+        let settings = Settings::read(&path)?;
+        Ok(Self { path, settings })
+    }
+
+    /// Starts it on threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadSetting`] where an address cannot be had.
+    pub fn start(self) -> Result<Process, Refusal> {
+        start(self.path, self.settings)
+    }
+}
+
+fn start(path: PathBuf, settings: Settings) -> Result<Process, Refusal> {
     let listen = &settings.listen;
     let callers = bind(listen.callers)?;
     let listeners = Listeners {
--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -112,9 +112,9 @@
     common: &settings::Common,
 ) -> Result<(), Refusal> {
     let path = args.path(environment)?;
-    let settings = crate::platform::Settings::read(&path)?;
+    let platform = crate::platform::Platform::new(path)?;
     logs::metrics(common.metrics)?;
-    wait(crate::platform::start(path, settings)?)
+    wait(platform.start()?)
 }
 
 fn bind(name: &str, address: SocketAddr) -> Result<TcpListener, Refusal> {
--- /dev/null
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -0,0 +1,184 @@
+//! An engine that does what the request's `X-Play` header says.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub(crate) struct Came {
+    /// The request line and the headers, in lower case but for the values.
+    pub head: String,
+    pub body: String,
+}
+
+impl Came {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+/// A running engine.
+#[derive(Clone)]
+pub(crate) struct Engine {
+    pub id: String,
+    pub address: SocketAddr,
+    came: Arc<Mutex<Vec<Came>>>,
+    left: Arc<Mutex<u32>>,
+}
+
+impl Engine {
+    pub(crate) fn start(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let engine = Self {
+            id: id.to_owned(),
+            address: listener.local_addr().expect("an address"),
+            came: Arc::default(),
+            left: Arc::default(),
+        };
+        let serving = engine.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = serving.clone();
+                std::thread::spawn(move || engine.serve(stream));
+            }
+        });
+        engine
+    }
+
+    /// What came so far.
+    pub(crate) fn came(&self) -> Vec<Came> {
+        self.came.lock().expect("a lock").clone()
+    }
+
+    /// How many callers left before their answer was whole.
+    pub(crate) fn left(&self) -> u32 {
+        *self.left.lock().expect("a lock")
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        let Some(came) = request(&mut reader) else {
+            return;
+        };
+        let meant = came.header("x-expect-instance").map(ToOwned::to_owned);
+        let id = came.header("x-attempt-id").unwrap_or_default().to_owned();
+        let play = came.header("x-play").unwrap_or("answer").to_owned();
+        let after = came.header("last-event-id").and_then(|id| id.parse().ok());
+        if meant.as_deref() != Some(&self.id) {
+            answer(stream, 421, &id, "", "");
+            return;
+        }
+        self.came.lock().expect("a lock").push(came);
+        self.play(stream, &play, &id, after);
+    }
+
+    fn play(&self, mut stream: TcpStream, play: &str, id: &str, after: Option<u32>) {
+        // `first=PLAY`: only the engine with the lower name does so.
+        let play = match play.split_once('=') {
+            Some(("first", play)) if self.id == "i-1" => play,
+            Some(_) => "answer",
+            None => play,
+        };
+        match play {
+            "shed" => answer(stream, 503, id, "X-Not-Executed: 1\r\n", ""),
+            "fail" => answer(stream, 500, id, SIGNED, "failed"),
+            "foreign" => answer(stream, 200, "another", SIGNED, "another's"),
+            "unsigned" => answer(stream, 200, id, "", "nobody's"),
+            "close" => {}
+            "short" => {
+                let head = head(200, id, SIGNED);
+                let _ = write!(stream, "{head}Content-Length: 10\r\n\r\nhalf");
+            }
+            "surplus" => {
+                answer(
+                    stream.try_clone().expect("a handle"),
+                    200,
+                    id,
+                    SIGNED,
+                    "right",
+                );
+                answer(stream, 200, "another", SIGNED, "wrong");
+            }
+            "hang" => self.wait_for_leave(&mut stream),
+            "events" => events(&mut stream, id, after.map_or(1, |after| after + 1), None),
+            "break" if after.is_none() => events(&mut stream, id, 1, Some(3)),
+            "break" => events(&mut stream, id, after.map_or(1, |after| after + 1), None),
+            _ => answer(stream, 200, id, SIGNED, "done"),
+        }
+    }
+
+    /// Says nothing until the caller closes the connection.
+    fn wait_for_leave(&self, stream: &mut TcpStream) {
+        let patience = Some(Duration::from_secs(20));
+        stream.set_read_timeout(patience).expect("a time-out");
+        let mut byte = [0];
+        if matches!(stream.read(&mut byte), Ok(0) | Err(_)) {
+            *self.left.lock().expect("a lock") += 1;
+        }
+    }
+}
+
+const SIGNED: &str = "X-Response-Signature: sealed\r\n";
+
+fn head(status: u16, id: &str, more: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\nX-Attempt-Id: {id}\r\n{more}")
+}
+
+fn answer(mut stream: TcpStream, status: u16, id: &str, more: &str, body: &str) {
+    let head = head(status, id, more);
+    let length = body.len();
+    let _ = write!(stream, "{head}Content-Length: {length}\r\n\r\n{body}");
+}
+
+/// Six events from `from` on; with `breaks` the stream is cut within that one.
+fn events(stream: &mut TcpStream, id: &str, from: u32, breaks: Option<u32>) {
+    let head = head(200, id, SIGNED);
+    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let _ = write!(stream, "{head}{kind}");
+    for number in from..=6 {
+        let event = format!("id: {number}\ndata: e{number}\n\n");
+        if breaks == Some(number) {
+            let part = &event[..9];
+            let _ = write!(stream, "{:x}\r\n{part}\r\n", part.len());
+            return;
+        }
+        let _ = write!(stream, "{:x}\r\n{event}\r\n", event.len());
+    }
+    let _ = write!(stream, "0\r\n\r\n");
+}
+
+fn request(reader: &mut BufReader<TcpStream>) -> Option<Came> {
+    let mut head = String::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        head.push_str(&line);
+    }
+    let mut came = Came {
+        head,
+        body: String::new(),
+    };
+    let length = came
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body).ok()?;
+    came.body = String::from_utf8_lossy(&body).into_owned();
+    Some(came)
+}
--- /dev/null
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -0,0 +1,263 @@
+//! Hosts of the platform on loopback addresses, and its list of engines.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use curlewlift::Platform;
+use curlewlift::Process;
+use serde_json::Value;
+use serde_json::json;
+
+use super::Engine;
+use super::ask;
+
+/// How long anything may take to come about; no test asserts a time below it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Ports, alike on all hosts.
+#[derive(Clone, Copy)]
+struct Ports {
+    callers: u16,
+    ready: u16,
+    control: u16,
+    directory: u16,
+    own: u16,
+}
+
+/// Three hosts with a disk, and the platform's list.
+pub(crate) struct Hosts {
+    folder: PathBuf,
+    ports: Ports,
+    processes: Vec<Option<Process>>,
+    list: SocketAddr,
+    listed: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Hosts {
+    pub(crate) fn start(folder: PathBuf, engines: &[(&Engine, &str)]) -> Self {
+        let listed = engines
+            .iter()
+            .map(|(engine, service)| entry(engine, service, "ready"));
+        let listed = Arc::new(Mutex::new(listed.collect::<Vec<_>>()));
+        let mut hosts = Self {
+            folder,
+            ports: ports(),
+            processes: vec![None, None, None],
+            list: serve_list(Arc::clone(&listed)),
+            listed,
+        };
+        for place in 0..3 {
+            hosts.boot(place, true);
+        }
+        hosts
+    }
+
+    /// The platform says that an engine is leaving.
+    pub(crate) fn drain(&self, engine: &Engine) {
+        let mut listed = self.listed.lock().expect("a lock");
+        for entry in listed.iter_mut().filter(|entry| entry["id"] == engine.id) {
+            entry["state"] = json!("draining");
+        }
+    }
+
+    /// Starts a host with what its disk holds.
+    pub(crate) fn boot(&mut self, place: usize, first: bool) {
+        let path = self.settings(place, first);
+        let platform = Platform::new(path).expect("settings");
+        self.processes[place] = Some(platform.start().expect("it starts"));
+    }
+
+    /// A host's process is killed.
+    pub(crate) fn kill(&mut self, place: usize) {
+        if let Some(process) = self.processes[place].take() {
+            process.kill();
+        }
+    }
+
+    /// A host that is down loses its disk.
+    pub(crate) fn wipe(&self, place: usize) {
+        let disk = self.folder.join(format!("host-{place}")).join("data");
+        std::fs::remove_dir_all(disk).expect("it had one");
+    }
+
+    /// A host is told to stop; gives its process to wait for.
+    pub(crate) fn stop(&mut self, place: usize) -> Process {
+        let process = self.processes[place].take().expect("it runs");
+        process.stop();
+        process
+    }
+
+    pub(crate) fn callers(&self, place: usize) -> SocketAddr {
+        address(place, self.ports.callers)
+    }
+
+    pub(crate) fn control(&self, place: usize) -> SocketAddr {
+        address(place, self.ports.control)
+    }
+
+    pub(crate) fn directory(&self, place: usize) -> SocketAddr {
+        address(place, self.ports.directory)
+    }
+
+    /// Whether a host takes callers.
+    pub(crate) fn is_ready(&self, place: usize) -> bool {
+        let address = address(place, self.ports.ready);
+        std::net::TcpStream::connect(address).is_ok()
+            && ask(address, "GET /api/readiness HTTP/1.1\r\nHost: x", "").status == 200
+    }
+
+    /// Puts a configuration; gives the status.
+    pub(crate) fn put(&self, place: usize, document: &str) -> u16 {
+        let head = "POST /api/config/put HTTP/1.1\r\nHost: x";
+        ask(self.control(place), head, document).status
+    }
+
+    /// Puts a configuration until it is taken, and waits until it is in force at all hosts.
+    pub(crate) fn configure(&self, document: &str) {
+        self.wait("the configuration is taken", || {
+            self.put(0, document) == 200
+        });
+        self.wait("all are ready", || {
+            (0..3).all(|place| self.processes[place].is_none() || self.is_ready(place))
+        });
+    }
+
+    /// Waits for something to come about.
+    pub(crate) fn wait(&self, what: &str, come: impl Fn() -> bool) {
+        let began = Instant::now();
+        while !come() {
+            assert!(
+                began.elapsed() < PATIENCE,
+                "not within {PATIENCE:?}: {what}"
+            );
+            std::thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    fn settings(&self, place: usize, first: bool) -> PathBuf {
+        let folder = self.folder.join(format!("host-{place}"));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let seeds: Vec<_> = (0..3).map(|place| self.control(place)).collect();
+        let ready = address(place, self.ports.ready);
+        let settings = json!({
+            "ip": address(place, 0).ip(), "zone": format!("hall-{place}"),
+            "internal_ports": [self.ports.own, self.ports.own],
+            "seeds": seeds, "bootstrap": first, "data_dir": folder.join("data"),
+            "listen": {
+                "front": self.callers(place), "ready": ready,
+                "control": self.control(place), "directory": self.directory(place),
+            },
+            "fault_tolerance": { "machines": 1 },
+            "bounds": {
+                "grace_s": 8, "retry_budget_ratio": 0.2, "budget_min_retries": 60,
+                "budget_window_s": 10, "quota_window_s": 8, "quota_overage": 0.1,
+                "quota_slack": 0, "ttl_max_s": 5,
+            },
+            "cloud": { "address": self.list },
+            "some_later_field": true,
+        });
+        let path = folder.join("settings.json");
+        std::fs::write(&path, settings.to_string()).expect("a file");
+        path
+    }
+}
+
+impl Drop for Hosts {
+    fn drop(&mut self) {
+        for place in 0..3 {
+            self.kill(place);
+        }
+    }
+}
+
+/// Each test's hosts have addresses of their own, by the process's number.
+fn address(place: usize, port: u16) -> SocketAddr {
+    let process = std::process::id();
+    let [_, high, low, _] = (process << 8).to_be_bytes();
+    let place = u8::try_from(place + 1).expect("few");
+    SocketAddr::from(([127, high.max(1), low, place], port))
+}
+
+/// Five ports that are free now.
+fn ports() -> Ports {
+    let listeners: Vec<_> = (0..5)
+        .map(|_| TcpListener::bind(address(0, 0)).expect("a port"))
+        .collect();
+    let ports: Vec<_> = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("an address").port())
+        .collect();
+    Ports {
+        callers: ports[0],
+        ready: ports[1],
+        control: ports[2],
+        directory: ports[3],
+        own: ports[4],
+    }
+}
+
+fn entry(engine: &Engine, service: &str, state: &str) -> Value {
+    json!({
+        "id": engine.id, "service": service, "address": engine.address, "zone": "hall-0",
+        "version": "v1", "slots": 4, "state": state, "cold_left_ms": 0,
+    })
+}
+
+/// Answers the list, two entries a page.
+fn serve_list(listed: Arc<Mutex<Vec<Value>>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let listed = Arc::clone(&listed);
+            std::thread::spawn(move || {
+                while let Some(path) = asked(&mut stream) {
+                    let from: usize = path
+                        .split_once("page_token=")
+                        .and_then(|(_, token)| token.parse().ok())
+                        .unwrap_or(0);
+                    let body = page(&listed.lock().expect("a lock"), from).to_string();
+                    let length = body.len();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                    let _ = write!(stream, "{head}{body}");
+                }
+            });
+        }
+    });
+    address
+}
+
+fn page(listed: &[Value], from: usize) -> Value {
+    let end = (from + 2).min(listed.len());
+    let next = (end < listed.len()).then(|| end.to_string());
+    json!({ "instances": &listed[from..end], "next_token": next })
+}
+
+/// The path that is asked for next on a connection.
+fn asked(stream: &mut std::net::TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).into_owned();
+    head.split(' ').nth(1).map(ToOwned::to_owned)
+}
+
+/// A fresh folder for one test.
+pub(crate) fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
--- /dev/null
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -0,0 +1,15 @@
+//! The platform's side for tests: its list, engines that behave as they are told, hosts.
+
+#![allow(dead_code)]
+
+mod client;
+mod document;
+mod engine;
+mod hosts;
+
+pub(crate) use client::Answer;
+pub(crate) use client::ask;
+pub(crate) use document::document;
+pub(crate) use engine::Engine;
+pub(crate) use hosts::Hosts;
+pub(crate) use hosts::folder;
