--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -12,5 +12,5 @@
 mod settings;
 mod start;
 
-pub use settings::Settings;
+pub(crate) use settings::Settings;
 pub use start::Platform;
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -13,7 +13,7 @@
 
 /// The settings of one process, as the platform's file has them.
 #[derive(Clone, Debug, Deserialize)]
-pub struct Settings {
+pub(crate) struct Settings {
     /// This machine's address; the system's own names of hosts are their addresses.
     pub(super) ip: IpAddr,
     /// Its data hall.
@@ -113,7 +113,7 @@
     /// # Errors
     ///
     /// [`Code::BadSetting`] with the field that is missing or cannot be read.
-    pub fn read(path: &Path) -> Result<Self, Refusal> {
+    pub(crate) fn read(path: &Path) -> Result<Self, Refusal> {
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|why| bad(path, &why))?;
         Self::parse(&text).map_err(|why| bad(path, &why))
--- a/crates/curlewlift/tests/platform/client.rs
+++ b/crates/curlewlift/tests/platform/client.rs
@@ -56,7 +56,7 @@
     };
     if let Some(length) = answer.header("content-length") {
         answer.whole = length.parse() == Ok(rest.len());
-        answer.body = rest.to_owned();
+        rest.clone_into(&mut answer.body);
     } else {
         (answer.body, answer.whole) = chunks(rest);
     }
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -122,26 +122,14 @@
 
     /// Puts a configuration until it is taken, and waits until it is in force at all hosts.
     pub(crate) fn configure(&self, document: &str) {
-        self.wait("the configuration is taken", || {
+        wait("the configuration is taken", || {
             self.put(0, document) == 200
         });
-        self.wait("all are ready", || {
+        wait("all are ready", || {
             (0..3).all(|place| self.processes[place].is_none() || self.is_ready(place))
         });
     }
 
-    /// Waits for something to come about.
-    pub(crate) fn wait(&self, what: &str, come: impl Fn() -> bool) {
-        let began = Instant::now();
-        while !come() {
-            assert!(
-                began.elapsed() < PATIENCE,
-                "not within {PATIENCE:?}: {what}"
-            );
-            std::thread::sleep(Duration::from_millis(30));
-        }
-    }
-
     fn settings(&self, place: usize, first: bool) -> PathBuf {
         let folder = self.folder.join(format!("host-{place}"));
         std::fs::create_dir_all(&folder).expect("a folder");
@@ -255,6 +243,18 @@
     head.split(' ').nth(1).map(ToOwned::to_owned)
 }
 
+/// Waits for something to come about.
+pub(crate) fn wait(what: &str, come: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !come() {
+        assert!(
+            began.elapsed() < PATIENCE,
+            "not within {PATIENCE:?}: {what}"
+        );
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
 /// A fresh folder for one test.
 pub(crate) fn folder(name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -13,3 +13,4 @@
 pub(crate) use engine::Engine;
 pub(crate) use hosts::Hosts;
 pub(crate) use hosts::folder;
+pub(crate) use hosts::wait;
--- a/crates/curlewlift/tests/platform_requests.rs
+++ b/crates/curlewlift/tests/platform_requests.rs
@@ -8,6 +8,7 @@
 use platform::ask;
 use platform::document;
 use platform::folder;
+use platform::wait;
 
 /// Hosts with a configuration in force, and the two engines of `chat`.
 struct World {
@@ -167,11 +168,9 @@
                 X-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann\r\nContent-Length: 0\r\n\r\n";
     let mut stream = std::net::TcpStream::connect(address).expect("a connection");
     std::io::Write::write_all(&mut stream, head.as_bytes()).expect("written");
-    world
-        .hosts
-        .wait("it reaches an engine", || world.came() == 1);
+    wait("it reaches an engine", || world.came() == 1);
     drop(stream);
-    world.hosts.wait("the engine is left", || {
+    wait("the engine is left", || {
         world.engines.iter().any(|engine| engine.left() == 1)
     });
 }
@@ -237,11 +236,9 @@
     let world = World::start("drained_takes_none");
     world.hosts.drain(&world.engines[0]);
     let taken = |engine: &Engine| engine.came().len();
-    world
-        .hosts
-        .wait("the first engine is left alone at all hosts", || {
-            let before = taken(&world.engines[0]);
-            (0..12).for_each(|_| drop(world.play("safe", "answer")));
-            taken(&world.engines[0]) == before
-        });
+    wait("the first engine is left alone at all hosts", || {
+        let before = taken(&world.engines[0]);
+        (0..12).for_each(|_| drop(world.play("safe", "answer")));
+        taken(&world.engines[0]) == before
+    });
 }
--- a/crates/curlewlift/tests/platform_tables.rs
+++ b/crates/curlewlift/tests/platform_tables.rs
@@ -8,6 +8,7 @@
 use platform::ask;
 use platform::document;
 use platform::folder;
+use platform::wait;
 use serde_json::Value;
 use serde_json::json;
 
@@ -103,7 +104,7 @@
     }
     (0..3).for_each(|place| hosts.kill(place));
     (0..3).for_each(|place| hosts.boot(place, false));
-    hosts.wait("it is read back", || read_back(&hosts, 0).is_some());
+    wait("it is read back", || read_back(&hosts, 0).is_some());
     assert_eq!(read_back(&hosts, 0), Some(document(39)));
 }
 
@@ -117,11 +118,11 @@
         (0..3).for_each(|place| hosts.kill(place));
         hosts.wipe(lost);
         (0..3).for_each(|place| hosts.boot(place, false));
-        hosts.wait("it is read back", || read_back(&hosts, lost).is_some());
+        wait("it is read back", || read_back(&hosts, lost).is_some());
         assert_eq!(read_back(&hosts, lost), Some(held), "without disk {lost}");
         // A newer one is taken only once the blank disk counts again.
         let newer = document(9 + lost as u64).to_string();
-        hosts.wait("a newer one is taken", || hosts.put(lost, &newer) == 200);
+        wait("a newer one is taken", || hosts.put(lost, &newer) == 200);
     }
 }
 
@@ -131,12 +132,12 @@
     hosts.configure(&document(7).to_string());
     hosts.kill(1);
     hosts.kill(2);
-    hosts.wait("the one that is left is unsure", || {
+    wait("the one that is left is unsure", || {
         read(&hosts, 0).status == 503
     });
     assert_eq!(hosts.put(0, &document(8).to_string()), 503);
     hosts.boot(1, false);
-    hosts.wait("two are sure again", || read_back(&hosts, 0).is_some());
+    wait("two are sure again", || read_back(&hosts, 0).is_some());
 }
 
 #[test]
@@ -149,9 +150,9 @@
         let answer: Value = serde_json::from_str(&answer.body).unwrap_or_default();
         answer["addresses"].as_array().map_or(0, Vec::len)
     };
-    hosts.wait("all are named", || addresses(&hosts) == 3);
+    wait("all are named", || addresses(&hosts) == 3);
     let process = hosts.stop(2);
-    hosts.wait("two are named", || addresses(&hosts) == 2);
+    wait("two are named", || addresses(&hosts) == 2);
     assert!(!hosts.is_ready(2));
     let asked = "GET /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a";
     assert_eq!(
