--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -18,6 +18,7 @@
 use crate::settings::Command;
 use crate::settings::Environment;
 
+use super::lines;
 use super::logs;
 use super::operate;
 use super::timeline;
@@ -38,7 +39,9 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match run(args, &Environment::own()) {
+    let result = run(args, &Environment::own());
+    lines::finish();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             let refusal = report.current_context();
