Bound answers that are read whole, and check the platform's settings

Cause: an answer without a stated length was read whole without a bound; where halls may be lost one control replica was enough to accept a table.

--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -32,6 +33,10 @@
 /// on as they come.
 const WHOLE: u64 = 256 << 10;
 
+/// The largest answer without a stated length that is read whole, in bytes: several of them at once
+/// must not fill a small host's memory.
+const LARGEST: usize = 4 << 20;
+
 /// Ends a connection's task, and with it the connection.
 struct Connection(JoinHandle<()>);
 
@@ -196,7 +201,7 @@
 pub(super) struct Guard(#[allow(dead_code, reason = "it is kept to be dropped")] Connection);
 
 async fn read(body: &mut Incoming) -> Result<Bytes, Failure> {
-    let collected = body.collect().await;
+    let collected = Limited::new(body, LARGEST).collect().await;
     let collected = collected.map_err(|why| Failure::Unknown(why.to_string()))?;
     Ok(collected.to_bytes())
 }
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -65,6 +65,26 @@
     /// Hosts with a disk.
     #[serde(rename = "machines", default)]
     pub(super) disks: usize,
+    /// Data halls.
+    #[serde(rename = "zones", default)]
+    pub(super) halls: usize,
+    /// Regions.
+    #[serde(default)]
+    pub(super) regions: usize,
+}
+
+impl Tolerated {
+    /// How many control replicas must count before anything is accepted: one more than half of
+    /// them must be left after the loss of as many disks; where halls or regions may go, one in
+    /// each of three at least.
+    pub(super) fn replicas(self) -> usize {
+        let wide = if self.halls > 0 || self.regions > 0 {
+            3
+        } else {
+            1
+        };
+        (2 * self.disks + 1).max(wide)
+    }
 }
 
 /// The bounds that are used; the others bind all the same.
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -163,8 +163,7 @@
     for seed in &settings.seeds {
         peers.insert(host(seed.ip())?, settings.replica(seed.ip()));
     }
-    // One more than half must be left after the loss of as many as may be lost at once.
-    let replicas = 2 * settings.tolerated.disks + 1;
+    let replicas = settings.tolerated.replicas();
     Ok(Some(Beside {
         rpc: settings.replica(settings.ip),
         data: data.clone(),
