Wait a quarter of the objective for an allowance that is used up

Ruled out: a higher rate (with no limit at all the bound of a window is exceeded). Change: a request waits for its allowance up to a quarter of its objective.

--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -34,7 +34,11 @@
 /// which an answer is usually wanted.
 const FIRST_TABLE: Duration = Duration::from_millis(150);
 
-/// Between two looks whether a first table has come.
+/// The part of the time within which an answer is wanted that a request may wait for its customer's
+/// allowance: as long as one may wait in line.
+const WAIT: f64 = 0.25;
+
+/// Between two looks whether a first table has come, or an allowance has filled up.
 const LOOK: Duration = Duration::from_millis(15);
 
 /// The longest wait that is named to a customer that has used up its allowance.
@@ -97,8 +101,7 @@
     if let Some(account) = &account {
         let tokens = call.tokens.map(|(prompt, made)| prompt + made);
         cost = account.allowance.cost(tokens);
-        let mut share = node.share.borrow_mut();
-        if !share.admit(&account.name, &account.allowance, cost, node.now()) {
+        if !allowed(node, &rule, account, cost, arrived).await {
             return Err(used_up(account, cost));
         }
     }
@@ -116,6 +119,23 @@
     })
 }
 
+/// Whether the customer's allowance lets the request in; a clump of requests waits a little for it to
+/// fill up.
+async fn allowed(node: &Node, rule: &Rule, account: &Account, cost: u64, arrived: Instant) -> bool {
+    let patience = rule.objective.mul_f64(WAIT);
+    loop {
+        let now = node.now();
+        let admitted = {
+            let mut share = node.share.borrow_mut();
+            share.admit(&account.name, &account.allowance, cost, now)
+        };
+        if admitted || arrived.elapsed() >= patience {
+            return admitted;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// The table in force; a gateway that has only begun waits a little for its first one.
 async fn table(node: &Node, arrived: Instant) -> Result<Rc<Table>, Refused> {
     while node.table().is_none() && arrived.elapsed() < FIRST_TABLE {
