Give each step of a request's way a module of its own

Change: request.rs takes requests, run.rs sends them, judge.rs decides after failures, outcome.rs ends them, events.rs splits streams; whether a request may run again is decided in one place; may_repeat is take_budget, as it counts.

--- /dev/null
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -0,0 +1,112 @@
+//! What becomes of a request that no backend server answered.
+
+use std::time::Duration;
+
+use curlewlift_core::code::Code;
+use curlewlift_core::event::Kind;
+use curlewlift_core::pool::End;
+use tokio::time::Instant;
+
+use super::exchange::Failure;
+use super::log::Line;
+use super::refuse::Refused;
+use super::run::Run;
+use super::run::Step;
+use super::turn::NoTurn;
+use super::turn::Place;
+
+/// Sendings that a request may have beyond those its rule allows, where servers said that they
+/// did not run it.
+const FURTHER: u8 = 2;
+
+/// When to come back to a service that is full: some requests' time at an engine.
+const FULL: Duration = Duration::from_millis(300);
+
+impl Run {
+    /// Decides what becomes of a request that the server of `place` did not answer.
+    pub(super) fn failed(&mut self, failure: &Failure, mut place: Place) -> Result<Step, Refused> {
+        let (end, why) = meaning(failure);
+        place.end(end);
+        Line::new(Kind::TriedAgain)
+            .request(self.admitted.call.id.as_ref())
+            .with("server", &*place.server.incarnation)
+            .with("why", why.as_str())
+            .after(self.admitted.arrived)
+            .write();
+        drop(place);
+        match failure {
+            Failure::NotSent(_) | Failure::NotRun { .. } => self.passed_over(why),
+            Failure::Unknown(_) => self.broke(why),
+            Failure::Late => Err(Refused::new(Code::Late, why)),
+        }
+    }
+
+    /// It surely did not run at the server.
+    fn passed_over(&mut self, why: String) -> Result<Step, Refused> {
+        self.passed += 1;
+        let most = self.admitted.rule.attempts.saturating_add(FURTHER);
+        if self.sent + self.passed < most {
+            return Ok(Step::Again);
+        }
+        if self.sent > 0 {
+            return Err(Refused::new(Code::Broken, why));
+        }
+        // The code whose status promises that it has not run.
+        Err(Refused::new(Code::RetryBudget, why).again(FULL))
+    }
+
+    /// It may have run at the server.
+    fn broke(&mut self, why: String) -> Result<Step, Refused> {
+        self.sent += 1;
+        if self.may_run_again() {
+            return Ok(Step::Again);
+        }
+        Err(Refused::new(Code::Broken, why))
+    }
+
+    /// Whether a request that may have run may run once more, and there is time for it.
+    pub(super) fn may_run_again(&self) -> bool {
+        let rule = &self.admitted.rule;
+        rule.kind.is_repeatable()
+            && self.sent < rule.attempts
+            && Instant::now() < self.admitted.until
+    }
+
+    /// The refusal of a request that got no server.
+    pub(super) fn no_turn(&self, why: NoTurn) -> Refused {
+        if self.sent > 0 {
+            return Refused::new(Code::Broken, "it broke off, and no other server is free");
+        }
+        let refused = match why {
+            NoTurn::NoServer => Refused::new(Code::NoServer, "the service has no server"),
+            NoTurn::Displaced => Refused::new(Code::Shed, "others of a higher tier wait"),
+            NoTurn::TimeUp => Refused::new(Code::CannotFinish, "no server was free in time"),
+        };
+        refused.again(FULL)
+    }
+
+    /// The refusal of a request that may not be sent again.
+    pub(super) fn exhausted(&self) -> Refused {
+        if self.sent > 0 {
+            return Refused::new(
+                Code::Broken,
+                "it broke off, and the retry budget is used up",
+            );
+        }
+        Refused::new(
+            Code::RetryBudget,
+            "servers refused it, and the retry budget is used up",
+        )
+        .again(FULL)
+    }
+}
+
+/// What a failure says of the server, and why, for the log and the caller.
+fn meaning(failure: &Failure) -> (End, String) {
+    match failure {
+        Failure::NotSent(why) | Failure::Unknown(why) => (End::Broken, why.clone()),
+        Failure::NotRun { moved: true, .. } => (End::Gone, "another has its address".to_owned()),
+        Failure::NotRun { status, .. } => (End::Full, format!("it did not run it: {status}")),
+        Failure::Late => (End::Silent, "the deadline has passed".to_owned()),
+    }
+}
--- a/crates/curlewlift/src/gateway/log.rs
+++ b/crates/curlewlift/src/gateway/log.rs
@@ -1,9 +1,12 @@
 //! One line of JSON for each decision that touches a request or changes what this process believes.
 
+use std::time::Duration;
+
 use axum::http::HeaderValue;
 use curlewlift_core::event::Kind;
 use serde_json::Map;
 use serde_json::Value;
+use tokio::time::Instant;
 
 /// The target by which the log knows lines that are JSON already.
 pub(crate) const TARGET: &str = "decision";
@@ -37,8 +40,18 @@
         self.with("request", id)
     }
 
+    /// Adds how long ago the request arrived.
+    pub(super) fn after(self, arrived: Instant) -> Self {
+        self.with("after_ms", millis(arrived.elapsed()))
+    }
+
     /// Writes it.
     pub(crate) fn write(self) {
         ::log::info!(target: TARGET, "{}", Value::Object(self.0));
     }
 }
+
+/// Milliseconds for a log line.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -0,0 +1,91 @@
+//! How a request ends: with a refusal, a server's whole answer, or a stream.
+
+use std::rc::Rc;
+
+use axum::http::Response;
+use axum::http::header;
+use axum::http::response;
+use bytes::Bytes;
+use curlewlift_core::event::Kind;
+
+use super::body;
+use super::body::Answer;
+use super::body::Reply;
+use super::exchange::Coming;
+use super::log::Line;
+use super::log::millis;
+use super::refuse::Refused;
+use super::relay;
+use super::request;
+use super::run::Run;
+use super::sending;
+
+impl Run {
+    /// This gateway's own answer to a request that it took.
+    pub(super) fn refuse(&mut self, refusal: &Refused) -> Answer {
+        self.told = true;
+        if self.sent == 0
+            && refusal.again.is_some()
+            && let Some(account) = &self.admitted.account
+        {
+            // It surely did not run: the customer is not charged.
+            let mut share = self.node.share.borrow_mut();
+            share.give_back(&account.name, self.admitted.cost);
+        }
+        request::refused(self.admitted.call.id.as_ref(), refusal)
+    }
+
+    /// A server's answer that is there whole.
+    pub(super) fn whole(&mut self, head: response::Parts, body: Bytes) -> Answer {
+        self.told = true;
+        self.log_end(head.status.as_u16(), "whole");
+        pass_on(head, Some(body.len()), body::whole(body))
+    }
+
+    /// A server's answer that is passed on as it comes.
+    pub(super) fn stream(&mut self, coming: Coming) -> Answer {
+        let run = Run {
+            node: Rc::clone(&self.node),
+            admitted: self.admitted.share(),
+            service: self.service.clone(),
+            sent: self.sent,
+            passed: self.passed,
+            tried: self.tried.clone(),
+            first: self.first,
+            told: true,
+        };
+        self.told = true;
+        let head = coming.head.clone();
+        let body = relay::body(run, coming);
+        pass_on(head, None, body)
+    }
+
+    /// Says in the log that the caller got all there is.
+    pub(super) fn log_end(&self, status: u16, how: &str) {
+        Line::new(Kind::Ended)
+            .request(self.admitted.call.id.as_ref())
+            .with("status", status)
+            .with("how", how)
+            .with("sent", self.sent + self.passed)
+            .with("server", self.tried.last().map(|server| &**server))
+            .with("first_ms", self.first.map(millis))
+            .after(self.admitted.arrived)
+            .write();
+        let seconds = self.admitted.arrived.elapsed().as_secs_f64();
+        metrics::histogram!("curlewlift_answer_seconds").record(seconds);
+    }
+}
+
+/// The head as the caller gets it: the server's own, but for what concerns one connection only.
+fn pass_on(head: response::Parts, length: Option<usize>, body: Reply) -> Answer {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    let mut headers = head.headers;
+    sending::strip(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    if let Some(length) = length {
+        headers.insert(header::CONTENT_LENGTH, length.into());
+    }
+    *answer.headers_mut() = headers;
+    answer
+}
--- a/crates/curlewlift/src/gateway/refuse.rs
+++ b/crates/curlewlift/src/gateway/refuse.rs
@@ -49,12 +49,6 @@
         }
     }
 
-    /// Says that it has not run: with the status that promises so.
-    pub(super) fn not_run(mut self) -> Self {
-        self.refusal = Refusal::new(Code::RetryBudget, self.refusal.get_detail());
-        self
-    }
-
     pub(super) fn again(mut self, again: Duration) -> Self {
         self.again = Some(again);
         self
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -1,11 +1,10 @@
 //! Passes a stream on as it comes, and takes it up at another server where it breaks and may be.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::http::StatusCode;
-use bytes::Buf;
 use bytes::Bytes;
-use bytes::BytesMut;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::End;
 use curlewlift_core::route;
@@ -17,16 +16,14 @@
 
 use super::body::Cut;
 use super::body::Reply;
+use super::events::Events;
 use super::exchange;
 use super::exchange::Coming;
 use super::exchange::Guard;
 use super::log::Line;
-use super::request::Run;
+use super::run::Run;
 use super::turn::Place;
 
-/// The longest event, in bytes: one that never ends must not fill the memory.
-const LONGEST: usize = 1 << 20;
-
 /// A stream that is being passed on.
 struct Relay {
     run: Run,
@@ -69,10 +66,7 @@
             Line::new(Kind::CallerLeft)
                 .request(self.run.admitted.call.id.as_ref())
                 .with("pieces", self.pieces)
-                .with(
-                    "after_ms",
-                    super::request::millis(self.run.admitted.arrived.elapsed()),
-                )
+                .after(self.run.admitted.arrived)
                 .write();
         }
     }
@@ -148,10 +142,7 @@
             .with("how", "cut")
             .with("why", why.as_str())
             .with("pieces", self.pieces)
-            .with(
-                "after_ms",
-                super::request::millis(self.run.admitted.arrived.elapsed()),
-            )
+            .after(self.run.admitted.arrived)
             .write();
         metrics::counter!("curlewlift_cut").increment(1);
         Cut(why)
@@ -193,12 +184,12 @@
     async fn other(&mut self, after: Option<&str>) -> Option<Coming> {
         self.run.passed += 1;
         let place = self.run.turn().await.ok()?;
-        if !self.run.may_repeat() {
+        if !self.run.take_budget() {
             self.run.sent = u8::MAX / 2;
             return None;
         }
         let request = self.run.request(&place, after);
-        let server = std::sync::Arc::clone(&place.server.incarnation);
+        let server = Arc::clone(&place.server.incarnation);
         self.run.tried.push(server);
         let until = self.run.admitted.until;
         let quiet = self.run.quiet();
@@ -220,91 +211,3 @@
         Some(coming)
     }
 }
-
-/// Splits a stream into events, and remembers the last one that was passed on.
-#[derive(Debug, Default)]
-struct Events {
-    partial: BytesMut,
-    /// Where to look on for the end of an event.
-    looked: usize,
-    last: Option<String>,
-    /// The highest number that was passed on, where events are numbered.
-    highest: Option<u64>,
-}
-
-impl Events {
-    /// Takes in bytes; gives the whole events among them that the caller does not have yet.
-    fn take(&mut self, data: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(data);
-        let mut whole = BytesMut::new();
-        while let Some(end) = self.end() {
-            let event = self.partial.split_to(end).freeze();
-            self.looked = 0;
-            if self.is_new(&event) {
-                whole.extend_from_slice(&event);
-            }
-        }
-        if self.partial.len() > LONGEST {
-            whole.extend_from_slice(&self.partial.split());
-            self.looked = 0;
-        }
-        whole.freeze()
-    }
-
-    /// The end of the first event that is there whole.
-    fn end(&mut self) -> Option<usize> {
-        let bytes = &self.partial[..];
-        let from = self.looked;
-        for place in from..bytes.len() {
-            if bytes[place] != b'\n' {
-                continue;
-            }
-            let rest = &bytes[place + 1..];
-            if rest.first() == Some(&b'\n') {
-                return Some(place + 2);
-            }
-            if rest.starts_with(b"\r\n") {
-                return Some(place + 3);
-            }
-        }
-        self.looked = bytes.len().saturating_sub(2);
-        None
-    }
-
-    /// Whether the event comes after those that were passed on; if so it is the last one now.
-    fn is_new(&mut self, event: &Bytes) -> bool {
-        let Some(id) = id(event) else {
-            return true;
-        };
-        let number: Option<u64> = id.parse().ok();
-        if let (Some(number), Some(highest)) = (number, self.highest)
-            && number <= highest
-        {
-            return false;
-        }
-        self.highest = number.or(self.highest);
-        self.last = Some(id);
-        true
-    }
-
-    /// The stream broke: what is there of an event is dropped; gives the last event's name.
-    fn broke(&mut self) -> Option<String> {
-        self.partial.clear();
-        self.looked = 0;
-        self.last.clone()
-    }
-
-    /// What is there at the stream's own end.
-    fn rest(&mut self) -> Bytes {
-        let rest = self.partial.split();
-        rest.freeze()
-    }
-}
-
-/// The name of an event.
-fn id(event: &Bytes) -> Option<String> {
-    let mut lines = event.chunk().split(|byte| *byte == b'\n');
-    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let text = std::str::from_utf8(line).ok()?;
-    Some(text.trim().to_owned())
-}
--- /dev/null
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -0,0 +1,234 @@
+//! A request on its way: waits for a turn at a backend server, is sent, and sent again where it may
+//! be.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::http::Request;
+use bytes::Bytes;
+use curlewlift_core::event::Kind;
+use curlewlift_core::id;
+use curlewlift_core::pool::Ask;
+use curlewlift_core::pool::End;
+use curlewlift_core::unit::Tokens;
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use super::admit::Admitted;
+use super::body::Answer;
+use super::dialect::Hand;
+use super::exchange;
+use super::exchange::Coming;
+use super::exchange::Failure;
+use super::log::Line;
+use super::node::Node;
+use super::refuse::Refused;
+use super::sending;
+use super::turn;
+use super::turn::Place;
+
+/// How long a server may say nothing before it is thought to be silent: three times the time
+/// within which an answer is wanted, and no less than this.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// The part of the time within which an answer is wanted that a request may wait in line before
+/// it is refused: an answer is still in time after that wait, and a caller that comes back has
+/// lost little.
+const IN_LINE: f64 = 0.25;
+
+/// The part of what is left of its time that a request may wait in line at the most.
+const LEFT: f64 = 0.5;
+
+/// A request on its way.
+pub(super) struct Run {
+    pub(super) node: Rc<Node>,
+    pub(super) admitted: Admitted,
+    pub(super) service: id::Service,
+    /// How often it was sent to a server that may have begun it.
+    pub(super) sent: u8,
+    /// How often a server said that it did not run it, or could not be reached.
+    pub(super) passed: u8,
+    /// Where it was sent.
+    pub(super) tried: Vec<Arc<str>>,
+    /// From the last sending to the head of the answer.
+    pub(super) first: Option<Duration>,
+    /// Whether its end is told, here or where its stream is passed on.
+    pub(super) told: bool,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        if !self.told {
+            Line::new(Kind::CallerLeft)
+                .request(self.admitted.call.id.as_ref())
+                .with("sent", self.sent + self.passed)
+                .with("server", self.tried.last().map(|server| &**server))
+                .after(self.admitted.arrived)
+                .write();
+        }
+    }
+}
+
+/// What a sending came to.
+pub(super) enum Step {
+    /// The answer for the caller.
+    Answer(Answer),
+    /// The request is to be sent again.
+    Again,
+}
+
+impl Run {
+    /// A request that was not sent yet.
+    pub(super) fn new(node: Rc<Node>, admitted: Admitted, service: id::Service) -> Self {
+        Self {
+            node,
+            admitted,
+            service,
+            sent: 0,
+            passed: 0,
+            tried: Vec::new(),
+            first: None,
+            told: false,
+        }
+    }
+
+    /// Sends it until there is an answer.
+    pub(super) async fn drive(mut self) -> Answer {
+        let now = self.node.now();
+        self.node
+            .with_pool(&self.service, |service| service.budget.first(now));
+        loop {
+            let place = match self.turn().await {
+                Ok(place) => place,
+                Err(refusal) => return self.refuse(&refusal),
+            };
+            if self.sent + self.passed > 0 && !self.take_budget() {
+                drop(place);
+                let refusal = self.exhausted();
+                return self.refuse(&refusal);
+            }
+            match self.send(place).await {
+                Ok(Step::Answer(answer)) => return answer,
+                Ok(Step::Again) => {}
+                Err(refusal) => return self.refuse(&refusal),
+            }
+        }
+    }
+
+    /// Whether the service's budget has a further sending left; if so it is counted.
+    pub(super) fn take_budget(&self) -> bool {
+        let now = self.node.now();
+        let gateways = self.node.hub.borrow().count;
+        let taken = self
+            .node
+            .with_pool(&self.service, |service| service.budget.take(gateways, now));
+        taken.unwrap_or(false)
+    }
+
+    /// Waits for a server.
+    pub(super) async fn turn(&self) -> Result<Place, Refused> {
+        let admitted = &self.admitted;
+        let left = admitted.until.saturating_duration_since(Instant::now());
+        let ask = Ask {
+            rank: self.rank(),
+            arrived: self.admitted.since,
+            prompt: Tokens(admitted.call.tokens.map_or(0, |(prompt, _)| prompt)),
+            tried: self.tried.clone(),
+        };
+        let wanted = admitted.rule.objective.mul_f64(IN_LINE);
+        let patience = left.mul_f64(LEFT).min(wanted);
+        let turn = turn::wait(&self.node, &self.service, ask, patience).await;
+        turn.map_err(|why| self.no_turn(why))
+    }
+
+    fn rank(&self) -> u8 {
+        let account = self.admitted.account.as_ref();
+        let rank = account.and_then(|account| account.rank);
+        rank.unwrap_or(self.admitted.rule.rank)
+    }
+
+    /// The request for one server, with what is left of its time.
+    pub(super) fn request(&self, place: &Place, after: Option<&str>) -> Request<Full<Bytes>> {
+        let admitted = &self.admitted;
+        let account = admitted.account.as_ref();
+        let hand = Hand {
+            patience: admitted.until.saturating_duration_since(Instant::now()),
+            incarnation: &place.server.incarnation,
+            customer: account.map(|account| account.name.as_str()),
+            after,
+        };
+        sending::request(&admitted.head, &admitted.body, self.node.dialect, &hand)
+    }
+
+    /// How long the server may say nothing.
+    pub(super) fn quiet(&self) -> Duration {
+        (self.admitted.rule.objective * 3).max(QUIET)
+    }
+
+    async fn send(&mut self, place: Place) -> Result<Step, Refused> {
+        let request = self.request(&place, None);
+        Line::new(Kind::Sent)
+            .request(self.admitted.call.id.as_ref())
+            .with("rule", &*self.admitted.rule.name)
+            .with("table", self.admitted.table)
+            .with("server", &*place.server.incarnation)
+            .with("sent", self.sent + self.passed + 1)
+            .after(self.admitted.arrived)
+            .write();
+        self.tried.push(Arc::clone(&place.server.incarnation));
+        let until = self.admitted.until;
+        let dialect = self.node.dialect;
+        let sent = exchange::send(request, place, dialect, until, self.quiet()).await;
+        match sent {
+            Ok(coming) => self.take(coming).await,
+            Err((failure, place)) => self.failed(&failure, place),
+        }
+    }
+
+    /// Takes the head of an answer.
+    async fn take(&mut self, mut coming: Coming) -> Result<Step, Refused> {
+        if let Some(why) = coming.foreign(self.admitted.call.id.as_ref()) {
+            let failure = Failure::Unknown(why.to_owned());
+            return self.failed(&failure, coming.place);
+        }
+        if let Some(refusal) = coming.refusal() {
+            return self.failed(&refusal, coming.place);
+        }
+        self.sent += 1;
+        self.first = Some(coming.first);
+        let status = coming.head.status;
+        metrics::histogram!("curlewlift_first_seconds").record(coming.first.as_secs_f64());
+        if status.is_success() && self.admitted.rule.kind.is_stream() {
+            return Ok(Step::Answer(self.stream(coming)));
+        }
+        if !coming.is_small() {
+            let first = coming.first;
+            coming.place.end(End::Good { first, gap: None });
+            return Ok(Step::Answer(self.stream(coming)));
+        }
+        self.take_whole(coming).await
+    }
+
+    /// Takes an answer that is read whole before any of it is passed on.
+    async fn take_whole(&mut self, coming: Coming) -> Result<Step, Refused> {
+        let (head, body, mut place, first) = coming.whole(self.admitted.until).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(failure) => {
+                self.sent -= 1;
+                return self.failed(&failure, place);
+            }
+        };
+        let failed = head.status.is_server_error();
+        place.end(if failed {
+            End::Failed
+        } else {
+            End::Good { first, gap: None }
+        });
+        if failed && self.may_run_again() {
+            return Ok(Step::Again);
+        }
+        Ok(Step::Answer(self.whole(head, body)))
+    }
+}
