Move a control replica's set and its hub's table out of its state

Change: members.rs keeps the set, as the configuration names hosts or as replicas ask (tend_named, tend_asking, admit_named, admit_asking), and notes each change in one place; the hub takes up tables in hub.rs.

--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -1,4 +1,4 @@
-//! Answers what gateways ask the leader.
+//! The hub beside the leader: takes up routing tables, and answers what gateways ask.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -50,6 +50,24 @@
     }
 }
 
+impl State {
+    /// Gives the hub the table in force, and wakes those who wait for it.
+    pub(super) fn take_up(&mut self) {
+        let publication = self.machine.get_publication();
+        let (Some(hub), Some(gateways)) = (&mut self.hub, &self.gateways) else {
+            return;
+        };
+        if publication.number == 0 {
+            return;
+        }
+        match (gateways.decode)(&publication.document) {
+            Ok(table) => hub.adopt(&table, self.clock.now()),
+            Err(why) => log::error!("table {} cannot be read: {why}", publication.number),
+        }
+        self.news.notify_waiters();
+    }
+}
+
 /// The answer of a replica that does not surely lead.
 fn elsewhere(state: &State) -> Option<HubReply> {
     if state.leads().is_ok() {
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod gateways;
 mod hub;
+mod members;
 mod platform;
 mod query;
 mod replica;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -1,4 +1,4 @@
-//! The state of a control replica, and what it does with the machine's outputs.
+//! The state of a control replica, and what it does with the log's outputs.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -11,14 +11,12 @@
 use curlewlift_core::clock::Instant;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
-use curlewlift_core::config;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::id;
 use curlewlift_core::log::Body;
 use curlewlift_core::log::Entry;
-use curlewlift_core::log::Kept;
 use curlewlift_core::log::Message;
 use curlewlift_core::log::Replica;
 use curlewlift_core::log::Role;
@@ -36,13 +34,12 @@
 use crate::process::Clock;
 use crate::rpc;
 use crate::rpc::Method;
-use crate::rpc::RenewCall;
 use crate::timeline::Timeline;
 
 use super::gateways::Gateways;
 
 /// How long a message of the log may take.
-const STEP: Duration = Duration::from_millis(500);
+pub(super) const STEP: Duration = Duration::from_millis(500);
 
 /// Entries after which the log is replaced by a snapshot.
 const COMPACT: usize = 1_000;
@@ -51,9 +48,6 @@
 /// hundred rules, which must not fill a small host's memory.
 const COMPACT_BYTES: usize = 256 << 10;
 
-/// How long no leader is heard before a replica asks to be taken in again: several elections.
-const LEFT_OUT: Duration = Duration::from_millis(2_500);
-
 /// The answer to a command.
 pub(super) type Answer = Result<id::Revision, Refusal>;
 
@@ -65,25 +59,25 @@
     pub(super) timeline: Timeline,
     pub(super) clock: Clock,
     writer: Writer,
-    client: rpc::Client,
+    pub(super) client: rpc::Client,
     lease: Lease,
     address: Option<SocketAddr>,
-    peers: BTreeMap<id::Host, SocketAddr>,
+    pub(super) peers: BTreeMap<id::Host, SocketAddr>,
     learned: HashMap<id::Host, SocketAddr>,
     waiting: HashMap<id::Index, (id::Term, oneshot::Sender<Answer>)>,
     role: Role,
     proposed: id::View,
     /// Hosts whose replicas must be taken out.
-    removed: BTreeSet<id::Host>,
+    pub(super) removed: BTreeSet<id::Host>,
     pub(super) gateways: Option<Gateways>,
     /// What the gateways tell, while this replica leads.
     pub(super) hub: Option<Hub>,
     /// Wakes those who wait for a newer table or list.
     pub(super) news: Rc<Notify>,
     /// Keeps the replica set whole, where replicas are taken in as they ask.
-    upkeep: Upkeep,
+    pub(super) upkeep: Upkeep,
     /// Since when no leader is heard.
-    alone: Option<Instant>,
+    pub(super) alone: Option<Instant>,
 }
 
 /// # Making
@@ -255,7 +249,7 @@
     }
 
     /// Where the control replica on `host` is reached.
-    fn locate(&self, host: &id::Host) -> Option<SocketAddr> {
+    pub(super) fn locate(&self, host: &id::Host) -> Option<SocketAddr> {
         let configured = self
             .machine
             .get_snapshot()
@@ -312,11 +306,11 @@
             return;
         }
         if self.gateways.is_some() {
-            self.tend_replicas();
+            self.tend_asking();
             return;
         }
         self.tend_view();
-        self.tend_members();
+        self.tend_named();
     }
 
     fn tend_view(&mut self) {
@@ -337,150 +331,6 @@
         self.proposed = roster.number;
         let _ = self.propose(&Record::Roster(roster));
     }
-
-    fn tend_members(&mut self) {
-        let now = self.clock.now();
-        for host in self.replica.whole_learners() {
-            if self.replica.promote(&host, now).is_ok() {
-                self.timeline
-                    .note(Line::new(Kind::ReplicaCounts).detail(&host));
-            }
-        }
-        let snapshot = self.machine.get_snapshot();
-        let hosts = &snapshot.hosts;
-        let wanted = |host: &id::Host| {
-            hosts
-                .get(host)
-                .is_some_and(|known| known.role == config::Role::Control)
-        };
-        let members = self.replica.members().0.iter();
-        let regressed = self.replica.regressed();
-        let is_extra = |host: &&id::Host| !wanted(host) || self.removed.contains(*host);
-        let extra = members.map(|member| &member.host).filter(is_extra);
-        let out: BTreeSet<_> = extra.chain(regressed).cloned().collect();
-        for host in out {
-            let own = self.replica.get_leader() == Some(&host);
-            if !own && self.replica.expel(&host, now).is_ok() {
-                self.timeline
-                    .note(Line::new(Kind::ReplicaExpelled).detail(&host));
-            }
-        }
-        self.settle();
-    }
-
-    /// Takes in a replica with a blank disk, if the configuration names its host.
-    pub(super) fn admit(&mut self, host: &id::Host, disk: id::Disk) -> Result<(), Refusal> {
-        self.leads()?;
-        if self.gateways.is_some() {
-            return self.take_in(host, disk);
-        }
-        let known = self.machine.get_snapshot().hosts.get(host);
-        if known.is_none_or(|known| known.role != config::Role::Control) {
-            let why = format!("the configuration has no control host `{host}`");
-            return Err(Refusal::new(Code::Unknown, why));
-        }
-        if self.replica.members().has(host, disk) {
-            return Ok(());
-        }
-        self.replica.admit(host, disk, self.clock.now())?;
-        self.timeline
-            .note(Line::new(Kind::ReplicaAdmitted).detail(host));
-        self.settle();
-        Ok(())
-    }
-
-    /// Asks the leader to be taken in, where this replica is no member or no leader is heard.
-    pub(super) fn join(&mut self) {
-        let disk = self.replica.get_disk();
-        let host = self.replica.get_host().clone();
-        if self.replica.members().has(&host, disk) && !self.is_left_out() {
-            return;
-        }
-        for (peer, address) in self.peers_known() {
-            if peer == host {
-                continue;
-            }
-            let client = self.client.clone();
-            let call = RenewCall::Replica {
-                host: host.clone(),
-                disk,
-            };
-            tokio::task::spawn_local(async move {
-                let answer: Result<(), Refusal> =
-                    client.call(address, Method::Renew, &call, STEP).await;
-                if let Err(why) = answer {
-                    log::debug!("the replica at {address} does not take this one in: {why}");
-                }
-            });
-        }
-    }
-
-    /// Whether no leader has been heard for so long that others may have taken this one out.
-    fn is_left_out(&mut self) -> bool {
-        if self.gateways.is_none() || self.replica.get_leader().is_some() {
-            self.alone = None;
-            return false;
-        }
-        let now = self.clock.now();
-        let since = *self.alone.get_or_insert(now);
-        now.since(since) > LEFT_OUT
-    }
-
-    fn peers_known(&self) -> BTreeMap<id::Host, SocketAddr> {
-        let mut peers = self.peers.clone();
-        for member in &self.replica.members().0 {
-            if let Some(address) = self.locate(&member.host) {
-                peers.insert(member.host.clone(), address);
-            }
-        }
-        peers
-    }
-}
-
-/// # Replicas that are taken in as they ask
-impl State {
-    /// Takes in a replica that nobody has named.
-    fn take_in(&mut self, host: &id::Host, disk: id::Disk) -> Result<(), Refusal> {
-        let now = self.clock.now();
-        let kept = self.upkeep.admit(&mut self.replica, host, disk, now)?;
-        self.note_kept(kept);
-        self.settle();
-        Ok(())
-    }
-
-    fn tend_replicas(&mut self) {
-        let now = self.clock.now();
-        let kept = self.upkeep.tend(&mut self.replica, now);
-        self.note_kept(kept);
-        self.settle();
-    }
-
-    fn note_kept(&self, kept: impl IntoIterator<Item = Kept>) {
-        for kept in kept {
-            let (kind, host) = match kept {
-                Kept::Admitted(host) => (Kind::ReplicaAdmitted, host),
-                Kept::Counts(host) => (Kind::ReplicaCounts, host),
-                Kept::Expelled(host) => (Kind::ReplicaExpelled, host),
-            };
-            self.timeline.note(Line::new(kind).detail(host));
-        }
-    }
-
-    /// Gives the hub the table in force, and wakes those who wait for it.
-    fn take_up(&mut self) {
-        let publication = self.machine.get_publication();
-        let (Some(hub), Some(gateways)) = (&mut self.hub, &self.gateways) else {
-            return;
-        };
-        if publication.number == 0 {
-            return;
-        }
-        match (gateways.decode)(&publication.document) {
-            Ok(table) => hub.adopt(&table, self.clock.now()),
-            Err(why) => log::error!("table {} cannot be read: {why}", publication.number),
-        }
-        self.news.notify_waiters();
-    }
 }
 
 /// The bytes that an entry carries.
