Give a gateway's replica and its open requests modules, one refusal body

Cause: gateway/daemon.rs held the replica beside it and the count of open requests, and run was longer than a screen; the JSON body of a refusal was built twice, and so was the refusal of an address that cannot be had. Change: beside.rs keeps the replica, open.rs counts requests; the platform's refusals are the gateway's with the time to ask again; process::bind and body::json stand once; the fields of Gateway say what they hold.

--- a/crates/curlewlift/src/gateway/body.rs
+++ b/crates/curlewlift/src/gateway/body.rs
@@ -5,7 +5,9 @@
 use std::task::Context;
 use std::task::Poll;
 
+use axum::http::HeaderValue;
 use axum::http::Response;
+use axum::http::header;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -38,6 +40,14 @@
 /// An answer whose body is there already.
 pub(crate) type Answer = Response<Reply>;
 
+/// An answer with a JSON body.
+pub(crate) fn json(body: String) -> Answer {
+    let mut answer = Response::new(whole(body));
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
 /// A body that keeps something until it has gone out or is given up.
 struct Keeping<T> {
     body: Reply,
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! from the hub beside the leading control replica, and it serves on without.
 
 mod admit;
+mod beside;
 mod body;
 mod daemon;
 mod dialect;
@@ -14,6 +15,7 @@
 mod lists;
 mod log;
 mod node;
+mod open;
 mod outcome;
 mod refuse;
 mod relay;
@@ -25,10 +27,11 @@
 mod sync;
 mod turn;
 
+pub(crate) use beside::Beside;
 pub(crate) use body::Answer;
+pub(crate) use body::json;
 pub(crate) use body::whole;
 pub(crate) use daemon::Beginning;
-pub(crate) use daemon::Beside;
 pub(crate) use daemon::Gateway;
 pub(crate) use daemon::Surroundings;
 pub(crate) use dialect::Call;
@@ -39,6 +42,7 @@
 pub(crate) use log::TARGET;
 pub(crate) use log::note;
 pub(crate) use node::Node;
+pub(crate) use refuse::refuse;
 pub(crate) use serve::serve;
 pub(crate) use stop::Grace;
 pub(crate) use sync::publish;
--- /dev/null
+++ b/crates/curlewlift/src/gateway/open.rs
@@ -0,0 +1,42 @@
+//! Requests that are open: counted, so that a planned stop knows when all are finished.
+
+use std::rc::Rc;
+
+use axum::http::HeaderValue;
+use axum::http::Request;
+use axum::http::header;
+use hyper::body::Incoming;
+
+use super::body::Answer;
+use super::body::keeping;
+use super::node::Node;
+use super::request;
+
+/// Counts open requests; those that a caller has left too.
+struct Open(Rc<Node>);
+
+impl Open {
+    fn new(node: &Rc<Node>) -> Self {
+        node.open.set(node.open.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.finished.set(self.0.finished.get() + 1);
+    }
+}
+
+/// Answers a request, and counts it until its answer's body has gone out.
+pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let open = Open::new(&node);
+    let stopping = Rc::clone(&node);
+    let mut answer = request::answer(node, request).await;
+    if stopping.stopping.get().is_some() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer.map(|body| keeping(body, open))
+}
--- a/crates/curlewlift/src/gateway/refuse.rs
+++ b/crates/curlewlift/src/gateway/refuse.rs
@@ -3,29 +3,26 @@
 use std::time::Duration;
 
 use axum::http::HeaderValue;
-use axum::http::Response;
 use axum::http::StatusCode;
 use axum::http::header;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use serde_json::json;
 
+use super::body;
 use super::body::Answer;
-use super::body::whole;
 
 /// An answer that tells why, and when to come back where that is known.
-pub(super) fn answer(refusal: &Refusal, again: Option<Duration>) -> Answer {
+pub(crate) fn refuse(refusal: &Refusal, again: Option<Duration>) -> Answer {
     let code = refusal.get_code();
     let body = json!({
         "code": code.number(),
         "name": code.name(),
         "error": refusal.get_detail(),
     });
-    let mut answer = Response::new(whole(body.to_string()));
+    let mut answer = body::json(body.to_string());
     *answer.status_mut() =
         StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let json = HeaderValue::from_static("application/json");
-    answer.headers_mut().insert(header::CONTENT_TYPE, json);
     if let Some(again) = again
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", again.as_secs_f64()))
     {
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -57,5 +57,5 @@
         .with("again_ms", refused.again.map(millis))
         .write();
     metrics::counter!("curlewlift_refused", "code" => code.name()).increment(1);
-    refuse::answer(&refused.refusal, refused.again)
+    refuse::refuse(&refused.refusal, refused.again)
 }
--- a/crates/curlewlift/src/platform/directory.rs
+++ b/crates/curlewlift/src/platform/directory.rs
@@ -9,6 +9,7 @@
 use rand::seq::SliceRandom;
 use serde_json::json;
 
+use crate::gateway;
 use crate::gateway::Answer;
 use crate::gateway::Node;
 
@@ -33,7 +34,7 @@
     }
     addresses.shuffle(&mut rand::rng());
     addresses.truncate(MOST);
-    http::json(json!({ "addresses": addresses, "ttl_s": keep }).to_string())
+    gateway::json(json!({ "addresses": addresses, "ttl_s": keep }).to_string())
 }
 
 /// Answers whether callers may be sent here.
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -66,14 +66,16 @@
         .with("why", why)
         .write();
     match published {
-        Ok(()) => http::json(format!("{{\"version\":{number}}}")),
+        Ok(()) => gateway::json(format!("{{\"version\":{number}}}")),
         Err(refusal) => http::refused(&unclear(refusal)),
     }
 }
 
 async fn get(node: &Node, around: &Surroundings) -> Answer {
     match gateway::read(node, around).await {
-        Ok(publication) if publication.number > 0 => http::json(publication.document.to_string()),
+        Ok(publication) if publication.number > 0 => {
+            gateway::json(publication.document.to_string())
+        }
         Ok(_) => {
             let why = "no configuration was accepted yet";
             http::refused(&Refusal::new(Code::NoTable, why))
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -94,11 +94,11 @@
 
 fn start(path: PathBuf, settings: Settings) -> Result<Process, Refusal> {
     let listen = &settings.listen;
-    let callers = bind(listen.callers)?;
+    let callers = process::bind(listen.callers)?;
     let listeners = Listeners {
-        readiness: bind(listen.readiness)?,
-        operators: bind(listen.operators)?,
-        directory: bind(listen.directory)?,
+        readiness: process::bind(listen.readiness)?,
+        operators: process::bind(listen.operators)?,
+        directory: process::bind(listen.directory)?,
     };
     let keep = KEEP.min(settings.bounds.answer_seconds);
     let bounds = settings.bounds;
@@ -130,15 +130,6 @@
     })
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
-    TcpListener::bind(address).map_err(|why| {
-        Refusal::new(
-            Code::BadSetting,
-            format!("cannot listen at {address}: {why}"),
-        )
-    })
-}
-
 /// A host's name: its address, so that whoever knows the name can reach it.
 fn host(ip: IpAddr) -> Result<id::Host, Refusal> {
     let name = ip.to_string().parse();
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -1,10 +1,12 @@
 //! A process of the system on a thread of its own: started, stopped, killed, waited for.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use std::time::Instant;
 
 use curlewlift_core::clock;
@@ -157,9 +159,21 @@
     })
 }
 
+/// Listens at `address`.
+///
+/// # Errors
+///
+/// [`Code::BadSetting`] where the address cannot be had.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
+    TcpListener::bind(address).map_err(|why| {
+        let why = format!("cannot listen at {address}: {why}");
+        Refusal::new(Code::BadSetting, why)
+    })
+}
+
 /// How long bytes may go unacknowledged before a connection counts as dead: a peer that lost its
 /// power or is cut off says nothing.
-const UNACKNOWLEDGED: std::time::Duration = std::time::Duration::from_secs(4);
+const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
 
 /// Sends small pieces at once, and finds out when the peer has gone silently.
 pub(crate) fn watch_connection(stream: &tokio::net::TcpStream) {
