Write the doubled logic of pools, shares and the hub once

Cause: counts were cast in four places, each with its own exception to the lints; a server's pace, its leaving and the break's part of failures stood twice each, as did a content's version and whether a gateway is live; choose.rs held the tuning and the judgement of ends too; mean_gap is of paces. Change: quota::amount, Known::pace, Known::leave, gateway::version and Hub::is_live stand once; Share::admit is split; Tuning has a file; the bounds of a pace are named.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -1,13 +1,9 @@
 //! The hub: what the gateways tell, summed up.
 
 use std::collections::BTreeMap;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Duration;
 
-use twox_hash::XxHash64;
-
 use crate::clock::Instant;
 use crate::id;
 use crate::quota::Desk;
@@ -20,6 +16,7 @@
 use super::Question;
 use super::Reply;
 use super::Roll;
+use super::version::version;
 
 /// How long silence means what.
 #[derive(Clone, Copy, Debug)]
@@ -144,11 +141,10 @@
         self.desk.fill(self.silent(now), now);
         let roll = self.roll(now);
         let listing = &self.listing;
-        let other_list = listing.version != 0 && listing.version != question.listing;
         Reply {
             table: document,
             held: listing.version,
-            listing: other_list.then(|| Listing::clone(listing)),
+            listing: self.has_news(question).then(|| Listing::clone(listing)),
             count: self.count(),
             roll: (roll.version != question.roll).then_some(roll),
             loads: self.others(question),
@@ -160,7 +156,7 @@
     /// The gateway that fetches the list for all: the one on `beside`, or the first that is heard.
     #[must_use]
     pub fn fetcher(&self, beside: &id::Host, now: Instant) -> Option<id::Host> {
-        let live = |seen: &Seen| now.since(seen.heard) < self.tuning.silent;
+        let live = |seen: &Seen| self.is_live(seen, now);
         if self.seen.get(beside).is_some_and(live) {
             return Some(beside.clone());
         }
@@ -184,11 +180,14 @@
     /// The part of the gateways that is not heard and not forgotten, 0 to 1.
     fn silent(&self, now: Instant) -> f64 {
         let silent = self.seen.values();
-        let silent = silent.filter(|seen| now.since(seen.heard) >= self.tuning.silent);
-        #[allow(clippy::cast_precision_loss)]
-        {
-            silent.count() as f64 / self.seen.len().max(1) as f64
-        }
+        let silent = silent.filter(|seen| !self.is_live(seen, now)).count();
+        let silent = u32::try_from(silent).unwrap_or(u32::MAX);
+        f64::from(silent) / f64::from(self.count().max(1))
+    }
+
+    /// Whether a gateway was heard so lately that it is not silent.
+    fn is_live(&self, seen: &Seen, now: Instant) -> bool {
+        now.since(seen.heard) < self.tuning.silent
     }
 
     fn forget(&mut self, now: Instant) {
@@ -228,12 +227,10 @@
 
     fn roll(&self, now: Instant) -> Roll {
         let live = self.seen.values();
-        let live = live.filter(|seen| seen.ready && now.since(seen.heard) < self.tuning.silent);
+        let live = live.filter(|seen| seen.ready && self.is_live(seen, now));
         let gateways: Vec<_> = live.map(|seen| seen.gateway.clone()).collect();
-        let mut hasher = XxHash64::default();
-        gateways.hash(&mut hasher);
         Roll {
-            version: hasher.finish(),
+            version: version(&gateways),
             gateways,
         }
     }
--- a/crates/core/src/gateway/listing.rs
+++ b/crates/core/src/gateway/listing.rs
@@ -1,16 +1,15 @@
 //! The platform's list of backend servers, as gateways use it.
 
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
-use twox_hash::XxHash64;
 
 use crate::id;
 
+use super::version::version;
+
 /// One incarnation of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Server {
@@ -42,10 +41,8 @@
     #[must_use]
     pub fn new(mut servers: Vec<Server>) -> Self {
         servers.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
-        let mut hasher = XxHash64::default();
-        servers.hash(&mut hasher);
         // 0 stands for no list at all.
-        let version = hasher.finish().max(1);
+        let version = version(&servers).max(1);
         Self { version, servers }
     }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod hub;
 mod listing;
 mod sync;
+mod version;
 
 pub use hub::Hub;
 pub use hub::Tuning;
--- /dev/null
+++ b/crates/core/src/gateway/version.rs
@@ -0,0 +1,13 @@
+//! Versions that tell one content from another.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+/// The same number for the same content, on every host.
+pub(super) fn version(content: &impl Hash) -> u64 {
+    let mut hasher = XxHash64::default();
+    content.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -1,4 +1,4 @@
-//! The choice.
+//! The pool: which backend server a request is sent to, and whose turn it is.
 
 use std::sync::Arc;
 
@@ -14,6 +14,7 @@
 use super::Ask;
 use super::End;
 use super::Ticket;
+use super::Tuning;
 use super::Turn;
 use super::server::Known;
 use super::waiting::Waiting;
@@ -22,38 +23,12 @@
 /// same are told apart by it.
 const LOT: f64 = 0.3;
 
-/// How a pool chooses.
-#[derive(Clone, Copy, Debug)]
-pub struct Tuning {
-    /// Requests beyond a server's slots that may be in flight there: what other gateways have
-    /// ended is heard late, and an engine that finds nothing waiting rests meanwhile.
-    pub over: u32,
-    /// What a request itself counts, in requests beside it: tokens of one are hardly slowed by
-    /// others beside it, so a fast server is better than an empty slow one until it is full.
-    pub own: f64,
-    /// What a thousand tokens of its prompt count, in requests beside it: reading a long prompt
-    /// takes longest, and holds up all beside it.
-    pub prompt: f64,
-    /// By how much more a server in another data hall must be free to be taken, in requests.
-    pub distance: f64,
-    /// By how much the failed part of a server's answers makes it less wanted.
-    pub distrust: f64,
-    /// How many may wait; beyond it the last one in order is turned away.
-    pub waiting: usize,
-}
+/// The least that a server's pace counts, against the mean of all: a few odd answers must not draw
+/// every request to it.
+const FASTEST: f64 = 0.2;
 
-impl Default for Tuning {
-    fn default() -> Self {
-        Self {
-            over: 1,
-            own: 4.0,
-            prompt: 1.0,
-            distance: 0.2,
-            distrust: 4.0,
-            waiting: 400,
-        }
-    }
-}
+/// The most that it counts: a few odd answers must not keep all requests away.
+const SLOWEST: f64 = 5.0;
 
 /// The backend servers of one service, and the requests that wait for one.
 #[derive(Debug)]
@@ -97,9 +72,7 @@
         // What has gone but still runs requests from here stays until they end, and takes no more.
         for mut known in former {
             if known.own > 0 {
-                let mut server = Server::clone(&known.server);
-                server.leaving = true;
-                known.server = Arc::new(server);
+                known.leave();
                 self.servers.push(known);
             }
         }
@@ -214,7 +187,7 @@
     /// Two that look the same are told apart by lot, so that gateways with the same word do not
     /// all send to the same one.
     fn choose(&mut self, tried: &[Arc<str>], prompt: Tokens, now: Instant) -> Option<usize> {
-        let mean = self.mean_gap();
+        let mean = self.mean_pace();
         let mut best: Option<(f64, usize)> = None;
         for place in 0..self.servers.len() {
             let lot: f64 = self.random.random();
@@ -236,8 +209,9 @@
     /// How long a request with `prompt` is likely to take there, in the time of one request at a
     /// server of the usual pace.
     fn score(&self, known: &Known, prompt: Tokens, mean: f64) -> f64 {
-        let pace = known.gap.mean().or(known.first.mean());
-        let pace = pace.map_or(1.0, |pace| pace / mean.max(f64::MIN_POSITIVE));
+        let pace = known
+            .pace()
+            .map_or(1.0, |pace| pace / mean.max(f64::MIN_POSITIVE));
         let far = if known.server.hall == self.hall {
             0.0
         } else {
@@ -245,37 +219,14 @@
         };
         let distrust = 1.0 + self.tuning.distrust * known.trust.failures();
         let itself = self.tuning.own + self.tuning.prompt * prompt.as_f64() / 1_000.0;
-        (f64::from(known.in_flight()) + itself + far) * pace.clamp(0.2, 5.0) * distrust
+        (f64::from(known.in_flight()) + itself + far) * pace.clamp(FASTEST, SLOWEST) * distrust
     }
 
     /// The mean pace of all servers.
-    fn mean_gap(&self) -> f64 {
+    fn mean_pace(&self) -> f64 {
         let paces = self.servers.iter();
-        let paces = paces.filter_map(|known| known.gap.mean().or(known.first.mean()));
+        let paces = paces.filter_map(Known::pace);
         let (sum, count) = paces.fold((0.0, 0.0), |(sum, count), pace| (sum + pace, count + 1.0));
         if count > 0.0 { sum / count } else { 1.0 }
     }
 }
-
-impl Known {
-    fn judge(&mut self, end: End, now: Instant) {
-        match end {
-            End::Good { first, gap } => {
-                self.trust.good();
-                self.first.add(first);
-                if let Some(gap) = gap {
-                    self.gap.add(gap);
-                }
-            }
-            End::Full => self.trust.full(now),
-            End::Failed => self.trust.failed(),
-            End::Broken | End::Silent => self.trust.broke(now),
-            End::Gone => {
-                let mut server = Server::clone(&self.server);
-                server.leaving = true;
-                self.server = Arc::new(server);
-            }
-            End::Nothing => {}
-        }
-    }
-}
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -6,6 +6,7 @@
 mod pace;
 mod server;
 mod trust;
+mod tuning;
 mod waiting;
 
 pub use ask::Ask;
@@ -15,6 +16,6 @@
 pub use budget::Allowed;
 pub use budget::Budget;
 pub use choose::Pool;
-pub use choose::Tuning;
 pub use pace::Pace;
 pub use trust::Trust;
+pub use tuning::Tuning;
--- a/crates/core/src/pool/trust.rs
+++ b/crates/core/src/pool/trust.rs
@@ -39,7 +39,7 @@
 
     /// It broke off, was silent or could not be reached.
     pub fn broke(&mut self, now: Instant) {
-        self.failures += (1.0 - self.failures) * WEIGHT;
+        self.failed();
         self.breaks = self.breaks.saturating_add(1);
         let doubled = FIRST * 2_u32.saturating_pow(self.breaks.min(8) - 1);
         self.until = Some(now + doubled.min(LONGEST));
--- /dev/null
+++ b/crates/core/src/pool/tuning.rs
@@ -0,0 +1,34 @@
+//! What weighs how much in the choice.
+
+/// How a pool chooses.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Requests beyond a server's slots that may be in flight there: what other gateways have
+    /// ended is heard late, and an engine that finds nothing waiting rests meanwhile.
+    pub over: u32,
+    /// What a request itself counts, in requests beside it: tokens of one are hardly slowed by
+    /// others beside it, so a fast server is better than an empty slow one until it is full.
+    pub own: f64,
+    /// What a thousand tokens of its prompt count, in requests beside it: reading a long prompt
+    /// takes longest, and holds up all beside it.
+    pub prompt: f64,
+    /// By how much more a server in another data hall must be free to be taken, in requests.
+    pub distance: f64,
+    /// By how much the failed part of a server's answers makes it less wanted.
+    pub distrust: f64,
+    /// How many may wait; beyond it the last one in order is turned away.
+    pub waiting: usize,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            over: 1,
+            own: 4.0,
+            prompt: 1.0,
+            distance: 0.2,
+            distrust: 4.0,
+            waiting: 400,
+        }
+    }
+}
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -13,6 +13,10 @@
 use super::Bucket;
 use super::Tolerance;
 use super::Window;
+use super::amount;
+
+/// The time in which what was let in fades to a third, in seconds: some rounds of questions.
+const FADES: f64 = 0.4;
 
 /// What is left of a customer's allowance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -37,9 +41,6 @@
     faded: Instant,
 }
 
-/// The time in which what was let in fades to a third, in seconds: some rounds of questions.
-const FADES: f64 = 0.4;
-
 /// One bucket a customer.
 ///
 /// It begins with each leader. What an entry last heard of the former desk lowers the level, so
@@ -120,12 +121,11 @@
         }
     }
 
-    /// Takes note that an entry let in `amount`.
-    pub fn spent(&mut self, customer: &id::Customer, amount: u64, now: Instant) {
+    /// Takes note that an entry let in `count` of an allowance's unit.
+    pub fn spent(&mut self, customer: &id::Customer, count: u64, now: Instant) {
         let length = self.tolerance.window;
         if let Some(held) = self.held.get_mut(customer) {
-            #[allow(clippy::cast_precision_loss)]
-            let amount = amount as f64;
+            let amount = amount(count);
             held.bucket.draw(amount);
             held.window.add(amount, length, now);
             held.lately += amount;
--- a/crates/core/src/quota/share.rs
+++ b/crates/core/src/quota/share.rs
@@ -10,6 +10,7 @@
 use super::Bucket;
 use super::Level;
 use super::Tolerance;
+use super::amount;
 
 /// After how long without word from the desk an entry keeps to its own part.
 ///
@@ -48,6 +49,29 @@
             reported: 0,
         }
     }
+
+    /// What others are likely to have let in since the desk's word, which came `age` ago.
+    fn others(&self, age: Duration) -> f64 {
+        (self.pace * (age.as_secs_f64() + ON_ITS_WAY) - self.since).max(0.0)
+    }
+
+    fn let_in(&mut self, cost: u64) {
+        let wanted = amount(cost);
+        self.since += wanted;
+        self.whole.draw(wanted);
+        self.own.draw(wanted);
+        self.unreported += cost;
+    }
+
+    /// What was reported already is not given back: the desk may have counted it.
+    fn give_back(&mut self, cost: u64) {
+        let kept = self.unreported.saturating_sub(cost);
+        let back = amount(self.unreported - kept);
+        self.unreported = kept;
+        self.since = (self.since - back).max(0.0);
+        self.whole.draw(-back);
+        self.own.draw(-back);
+    }
 }
 
 /// What an entry may let in, by what the desk last told it.
@@ -83,44 +107,29 @@
         let rate = self.tolerance.rate(allowance);
         let depth = allowance.burst;
         let part = 1.0 / f64::from(self.entries.max(1));
-        let fresh = self.heard.is_some_and(|heard| now.since(heard) < STALE);
+        let age = self.heard.map(|heard| now.since(heard));
         let known = self
             .known
             .entry(customer.clone())
             .or_insert_with(|| Known::new(depth, depth * part, now));
-        #[allow(clippy::cast_precision_loss)]
-        let wanted = cost as f64;
         let whole = known.whole.fill(rate, depth, now);
         let own = known.own.fill(rate * part, depth * part, now);
-        let age = self
-            .heard
-            .map_or(0.0, |heard| now.since(heard).as_secs_f64());
-        let others = (known.pace * (age + ON_ITS_WAY) - known.since).max(0.0);
-        let left = if fresh {
-            whole - others
-        } else {
-            own.min(whole)
+        let (left, depth) = match age {
+            Some(age) if age < STALE => (whole - known.others(age), depth),
+            _ => (own.min(whole), depth * part),
         };
-        if left < wanted.min(depth * if fresh { 1.0 } else { part }) {
+        // A request that counts more than a bucket holds needs a full one.
+        if left < amount(cost).min(depth) {
             return false;
         }
-        known.since += wanted;
-        known.whole.draw(wanted);
-        known.own.draw(wanted);
-        known.unreported += cost;
+        known.let_in(cost);
         true
     }
 
     /// Gives back what a request counted that surely did not run.
     pub fn give_back(&mut self, customer: &id::Customer, cost: u64) {
         if let Some(known) = self.known.get_mut(customer) {
-            let kept = known.unreported.saturating_sub(cost);
-            #[allow(clippy::cast_precision_loss)]
-            let back = (known.unreported - kept) as f64;
-            known.unreported = kept;
-            known.since = (known.since - back).max(0.0);
-            known.whole.draw(-back);
-            known.own.draw(-back);
+            known.give_back(cost);
         }
     }
 
@@ -162,8 +171,7 @@
             known.whole = Bucket::new(level.left, now);
             known.pace = level.pace;
             known.since = 0.0;
-            #[allow(clippy::cast_precision_loss)]
-            known.whole.draw(known.unreported as f64);
+            known.whole.draw(amount(known.unreported));
         }
     }
 }
