Keep a gateway's services apart from what its tasks share

Cause: gateway/node.rs held what the tasks share, each service's pool, budget and line, and the turns; with_pool gave the whole service; no field of Node said what it holds. Change: services.rs has the services and the turns; with_pool is with_service; the fields are described; the bounds of the wait for an allowance are named.

--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -11,6 +11,7 @@
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::quota;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Rule;
@@ -37,8 +38,11 @@
 /// Between two looks whether a first table has come.
 const LOOK: Duration = Duration::from_millis(15);
 
-/// The longest wait that is named to a customer that has used up its allowance.
-const ALLOWANCE: Duration = Duration::from_secs(1);
+/// The shortest wait that is named to a customer that has used up its allowance.
+const SHORTEST: Duration = Duration::from_millis(100);
+
+/// The longest wait that is named to it.
+const LONGEST: Duration = Duration::from_secs(1);
 
 /// A request that is taken.
 pub(super) struct Admitted {
@@ -174,9 +178,8 @@
 
 /// Says when an allowance will have filled up enough.
 fn used_up(account: &Account, cost: u64) -> Refused {
-    #[allow(clippy::cast_precision_loss)]
-    let wait = cost as f64 / account.allowance.rate.max(1.0);
-    let wait = Duration::from_secs_f64(wait.min(ALLOWANCE.as_secs_f64()));
+    let wait = quota::amount(cost) / account.allowance.rate.max(1.0);
+    let wait = Duration::from_secs_f64(wait.min(LONGEST.as_secs_f64()));
     let why = format!("customer {} has used up its allowance", account.name);
-    Refused::new(Code::Allowance, why).again(wait.max(Duration::from_millis(100)))
+    Refused::new(Code::Allowance, why).again(wait.max(SHORTEST))
 }
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod run;
 mod sending;
 mod serve;
+mod services;
 mod stop;
 mod sync;
 mod turn;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -3,39 +3,33 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::clock;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::Listing;
-use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::Roll;
-use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
-use curlewlift_core::pool;
 use curlewlift_core::pool::Allowed;
-use curlewlift_core::pool::Budget;
-use curlewlift_core::pool::End;
-use curlewlift_core::pool::Pool;
-use curlewlift_core::pool::Ticket;
-use curlewlift_core::pool::Turn;
 use curlewlift_core::quota::Share;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Table;
 use rand::Rng;
 use tokio::sync::Notify;
-use tokio::sync::oneshot;
 
 use crate::process::Clock;
 use crate::rpc;
 
 use super::dialect::Dialect;
 use super::log::Line;
+use super::services::Service;
+
+/// How many gateways a caller's own data hall must have for it to be sent to those only: one that
+/// fails leaves another.
+const NEAR: usize = 2;
 
 /// What a gateway knows of the hub.
 #[derive(Debug, Default)]
@@ -54,33 +48,44 @@
     pub(super) fetches: bool,
 }
 
-/// A service's pool and budget, and who waits for a turn.
-pub(super) struct Service {
-    pub(super) pool: Pool,
-    pub(super) budget: Budget,
-    waiters: HashMap<Ticket, oneshot::Sender<Turn>>,
-}
-
 /// What the tasks of a gateway share; one task at a time has it, and none holds a part over a wait.
 pub(crate) struct Node {
+    /// The host that it runs on.
     pub(super) host: id::Host,
+    /// Drawn at its start: tells it from an earlier one on the same host.
     pub(super) incarnation: u64,
+    /// What callers and other gateways know it as.
     pub(super) gateway: gateway::Gateway,
+    /// How heads are read and written.
     pub(super) dialect: Dialect,
+    /// How many sendings past the first are allowed.
     pub(super) allowed: Allowed,
     pub(super) clock: Clock,
+    /// The way to the control replicas.
     pub(super) rpc: rpc::Client,
+    /// The routing table in force here; none before the first one has come.
     pub(super) table: RefCell<Option<Rc<Table>>>,
+    /// What the table names as services.
     pub(super) services: RefCell<BTreeMap<id::Service, Service>>,
+    /// The list of backend servers in force here.
     pub(super) listing: RefCell<Listing>,
+    /// When a list last came, changed or not.
     pub(super) listed: Cell<Option<clock::Instant>>,
+    /// The gateways that live, by the last word of the hub.
     pub(super) roll: RefCell<Roll>,
+    /// What customers may still ask for here.
     pub(super) share: RefCell<Share>,
+    /// What is known of the hub.
     pub(super) hub: RefCell<Hub>,
+    /// Since when it is told to stop.
     pub(super) stopping: Cell<Option<clock::Instant>>,
+    /// Whether callers that still come are turned away.
     pub(super) closed: Cell<bool>,
+    /// Requests that are open.
     pub(super) open: Cell<usize>,
+    /// Requests that were open and have ended.
     pub(super) finished: Cell<u64>,
+    /// Wakes the question to the hub where there is something to tell it at once.
     pub(super) changed: Notify,
 }
 
@@ -154,10 +159,6 @@
     }
 }
 
-/// How many gateways a caller's own data hall must have for it to be sent to those only: one that
-/// fails leaves another.
-const NEAR: usize = 2;
-
 /// # What it takes up
 impl Node {
     /// Puts a table in force that is newer than the one held.
@@ -190,138 +191,4 @@
         *self.listing.borrow_mut() = listing;
         self.spread();
     }
-
-    /// Gives every service its servers.
-    fn spread(&self) {
-        let listing = self.listing.borrow();
-        let mut by_service: BTreeMap<id::Service, Vec<Arc<Server>>> = BTreeMap::new();
-        for server in &listing.servers {
-            let servers = by_service.entry(server.service.clone()).or_default();
-            servers.push(Arc::new(server.clone()));
-        }
-        drop(listing);
-        let mut services = self.services.borrow_mut();
-        if let Some(table) = &*self.table.borrow() {
-            for name in table.get_services().keys() {
-                if !services.contains_key(name) {
-                    services.insert(name.clone(), self.service());
-                }
-            }
-        }
-        for (name, service) in services.iter_mut() {
-            let servers = by_service.remove(name).unwrap_or_default();
-            service.pool.adopt(servers);
-        }
-        drop(services);
-        self.serve_all();
-    }
-
-    fn service(&self) -> Service {
-        let hall = Arc::clone(&self.gateway.hall);
-        let seed = rand::rng().next_u64();
-        Service {
-            pool: Pool::new(hall, pool::Tuning::default(), seed),
-            budget: Budget::new(self.allowed),
-            waiters: HashMap::new(),
-        }
-    }
-
-    /// Takes up what other gateways have in flight.
-    pub(super) fn hear(&self, loads: &[Load]) {
-        let mut services = self.services.borrow_mut();
-        for service in services.values_mut() {
-            service.pool.hear(loads);
-        }
-        drop(services);
-        self.serve_all();
-    }
-
-    /// What is in flight from here.
-    pub(super) fn loads(&self) -> Vec<Load> {
-        let services = self.services.borrow();
-        let services = services.values();
-        services.flat_map(|service| service.pool.loads()).collect()
-    }
-}
-
-/// # Turns
-impl Node {
-    /// Puts a request in line; none where there is no such service.
-    pub(super) fn ask(
-        &self,
-        name: &id::Service,
-        ask: pool::Ask,
-    ) -> Option<(Ticket, oneshot::Receiver<Turn>)> {
-        let mut services = self.services.borrow_mut();
-        let service = services.get_mut(name)?;
-        let (ticket, turned_away) = service.pool.ask(ask);
-        let (sender, receiver) = oneshot::channel();
-        service.waiters.insert(ticket, sender);
-        if let Some(last) = turned_away {
-            // Dropping the sender tells the waiter that it lost its place.
-            service.waiters.remove(&last);
-        }
-        drop(services);
-        self.serve(name);
-        Some((ticket, receiver))
-    }
-
-    /// Takes a request out of line.
-    pub(super) fn leave(&self, name: &id::Service, ticket: Ticket) {
-        if let Some(service) = self.services.borrow_mut().get_mut(name) {
-            service.pool.leave(ticket);
-            service.waiters.remove(&ticket);
-        }
-    }
-
-    /// Takes note of how a sending ended, and gives turns for the room that it made.
-    pub(super) fn ended(&self, name: &id::Service, incarnation: &str, end: End) {
-        let now = self.now();
-        if let Some(service) = self.services.borrow_mut().get_mut(name) {
-            service.pool.ended(incarnation, end, now);
-        }
-        self.serve(name);
-    }
-
-    /// Does something with a service's pool.
-    pub(super) fn with_pool<T>(
-        &self,
-        name: &id::Service,
-        work: impl FnOnce(&mut Service) -> T,
-    ) -> Option<T> {
-        self.services.borrow_mut().get_mut(name).map(work)
-    }
-
-    /// Gives turns at every service.
-    pub(super) fn serve_all(&self) {
-        let names: Vec<_> = self.services.borrow().keys().cloned().collect();
-        for name in names {
-            self.serve(&name);
-        }
-    }
-
-    fn serve(&self, name: &id::Service) {
-        let now = self.now();
-        let mut services = self.services.borrow_mut();
-        let Some(service) = services.get_mut(name) else {
-            return;
-        };
-        for turn in service.pool.serve(now) {
-            let incarnation = Arc::clone(&turn.server.incarnation);
-            let waiter = service.waiters.remove(&turn.ticket);
-            let taken = waiter.is_some_and(|waiter| waiter.send(turn).is_ok());
-            if !taken {
-                service.pool.ended(&incarnation, End::Nothing, now);
-            }
-        }
-    }
-
-    /// How many wait for a turn.
-    pub(super) fn waiting(&self) -> usize {
-        let services = self.services.borrow();
-        services
-            .values()
-            .map(|service| service.pool.waiting())
-            .sum()
-    }
 }
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -97,7 +97,7 @@
     pub(super) async fn drive(mut self) -> Answer {
         let now = self.node.now();
         self.node
-            .with_pool(&self.service, |service| service.budget.first(now));
+            .with_service(&self.service, |service| service.budget.first(now));
         loop {
             let place = match self.turn().await {
                 Ok(place) => place,
@@ -122,7 +122,7 @@
         let gateways = self.node.hub.borrow().count;
         let taken = self
             .node
-            .with_pool(&self.service, |service| service.budget.take(gateways, now));
+            .with_service(&self.service, |service| service.budget.take(gateways, now));
         taken.unwrap_or(false)
     }
 
--- /dev/null
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -0,0 +1,166 @@
+//! The services of a gateway: their backend servers, and whose turn it is at them.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use curlewlift_core::gateway::Load;
+use curlewlift_core::gateway::Server;
+use curlewlift_core::id;
+use curlewlift_core::pool;
+use curlewlift_core::pool::Budget;
+use curlewlift_core::pool::End;
+use curlewlift_core::pool::Pool;
+use curlewlift_core::pool::Ticket;
+use curlewlift_core::pool::Turn;
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use super::node::Node;
+
+/// A service's pool and budget, and who waits for a turn.
+pub(super) struct Service {
+    /// Its backend servers, and the requests in line for them.
+    pub(super) pool: Pool,
+    /// What is left for sendings past the first.
+    pub(super) budget: Budget,
+    /// How each request in line is told of its turn.
+    waiters: HashMap<Ticket, oneshot::Sender<Turn>>,
+}
+
+/// # Servers
+impl Node {
+    /// Gives every service its servers.
+    pub(super) fn spread(&self) {
+        let listing = self.listing.borrow();
+        let mut by_service: BTreeMap<id::Service, Vec<Arc<Server>>> = BTreeMap::new();
+        for server in &listing.servers {
+            let servers = by_service.entry(server.service.clone()).or_default();
+            servers.push(Arc::new(server.clone()));
+        }
+        drop(listing);
+        let mut services = self.services.borrow_mut();
+        if let Some(table) = &*self.table.borrow() {
+            for name in table.get_services().keys() {
+                if !services.contains_key(name) {
+                    services.insert(name.clone(), self.service());
+                }
+            }
+        }
+        for (name, service) in services.iter_mut() {
+            let servers = by_service.remove(name).unwrap_or_default();
+            service.pool.adopt(servers);
+        }
+        drop(services);
+        self.serve_all();
+    }
+
+    fn service(&self) -> Service {
+        let hall = Arc::clone(&self.gateway.hall);
+        let seed = rand::rng().next_u64();
+        Service {
+            pool: Pool::new(hall, pool::Tuning::default(), seed),
+            budget: Budget::new(self.allowed),
+            waiters: HashMap::new(),
+        }
+    }
+
+    /// Takes up what other gateways have in flight.
+    pub(super) fn hear(&self, loads: &[Load]) {
+        let mut services = self.services.borrow_mut();
+        for service in services.values_mut() {
+            service.pool.hear(loads);
+        }
+        drop(services);
+        self.serve_all();
+    }
+
+    /// What is in flight from here.
+    pub(super) fn loads(&self) -> Vec<Load> {
+        let services = self.services.borrow();
+        let services = services.values();
+        services.flat_map(|service| service.pool.loads()).collect()
+    }
+}
+
+/// # Turns
+impl Node {
+    /// Puts a request in line; none where there is no such service.
+    pub(super) fn ask(
+        &self,
+        name: &id::Service,
+        ask: pool::Ask,
+    ) -> Option<(Ticket, oneshot::Receiver<Turn>)> {
+        let mut services = self.services.borrow_mut();
+        let service = services.get_mut(name)?;
+        let (ticket, turned_away) = service.pool.ask(ask);
+        let (sender, receiver) = oneshot::channel();
+        service.waiters.insert(ticket, sender);
+        if let Some(last) = turned_away {
+            // Dropping the sender tells the waiter that it lost its place.
+            service.waiters.remove(&last);
+        }
+        drop(services);
+        self.serve(name);
+        Some((ticket, receiver))
+    }
+
+    /// Takes a request out of line.
+    pub(super) fn leave(&self, name: &id::Service, ticket: Ticket) {
+        if let Some(service) = self.services.borrow_mut().get_mut(name) {
+            service.pool.leave(ticket);
+            service.waiters.remove(&ticket);
+        }
+    }
+
+    /// Takes note of how a sending ended, and gives turns for the room that it made.
+    pub(super) fn ended(&self, name: &id::Service, incarnation: &str, end: End) {
+        let now = self.now();
+        if let Some(service) = self.services.borrow_mut().get_mut(name) {
+            service.pool.ended(incarnation, end, now);
+        }
+        self.serve(name);
+    }
+
+    /// Does something with a service; none where there is no such service.
+    pub(super) fn with_service<T>(
+        &self,
+        name: &id::Service,
+        work: impl FnOnce(&mut Service) -> T,
+    ) -> Option<T> {
+        self.services.borrow_mut().get_mut(name).map(work)
+    }
+
+    /// Gives turns at every service.
+    pub(super) fn serve_all(&self) {
+        let names: Vec<_> = self.services.borrow().keys().cloned().collect();
+        for name in names {
+            self.serve(&name);
+        }
+    }
+
+    fn serve(&self, name: &id::Service) {
+        let now = self.now();
+        let mut services = self.services.borrow_mut();
+        let Some(service) = services.get_mut(name) else {
+            return;
+        };
+        for turn in service.pool.serve(now) {
+            let incarnation = Arc::clone(&turn.server.incarnation);
+            let waiter = service.waiters.remove(&turn.ticket);
+            let taken = waiter.is_some_and(|waiter| waiter.send(turn).is_ok());
+            if !taken {
+                service.pool.ended(&incarnation, End::Nothing, now);
+            }
+        }
+    }
+
+    /// How many wait for a turn.
+    pub(super) fn waiting(&self) -> usize {
+        let services = self.services.borrow();
+        services
+            .values()
+            .map(|service| service.pool.waiting())
+            .sum()
+    }
+}
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -32,7 +32,7 @@
     pub(super) fn seen(&self, end: End) {
         let now = self.node.now();
         let incarnation = &self.server.incarnation;
-        self.node.with_pool(&self.service, |service| {
+        self.node.with_service(&self.service, |service| {
             service.pool.seen(incarnation, end, now);
         });
     }
@@ -40,7 +40,7 @@
     /// What an answer told of the server's load.
     pub(super) fn told(&self, in_flight: u32) {
         let incarnation = &self.server.incarnation;
-        self.node.with_pool(&self.service, |service| {
+        self.node.with_service(&self.service, |service| {
             service.pool.told(incarnation, in_flight);
         });
     }
