Split sending from connecting, and operators' orders from the hub's news

Cause: exchange::send made the connection, sent and waited in one function; sync.rs asked for news and carried operators' orders; Admitted and Run were copied by hand, field by field.

--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -45,6 +45,7 @@
 const LONGEST: Duration = Duration::from_secs(1);
 
 /// A request that is taken.
+#[derive(Clone)]
 pub(super) struct Admitted {
     pub(super) call: Call,
     pub(super) rule: Arc<Rule>,
@@ -62,24 +63,6 @@
     pub(super) table: u64,
 }
 
-impl Admitted {
-    /// The same request, for the part that goes on after its head was answered.
-    pub(super) fn share(&self) -> Self {
-        Self {
-            call: self.call.clone(),
-            rule: Arc::clone(&self.rule),
-            account: self.account.clone(),
-            cost: self.cost,
-            head: self.head.clone(),
-            body: self.body.clone(),
-            arrived: self.arrived,
-            since: self.since,
-            until: self.until,
-            table: self.table,
-        }
-    }
-}
-
 /// Takes a request, or says why not; nothing of it has run then.
 pub(super) async fn admit(
     node: &Node,
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -3,16 +3,22 @@
 //! A connection that carries one request only cannot bring it the late rest of another's answer,
 //! and closing it tells the server that nobody waits any more.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use axum::http::HeaderValue;
 use axum::http::Request;
 use axum::http::Response;
 use axum::http::StatusCode;
 use axum::http::response;
 use bytes::Bytes;
+use curlewlift_core::pool::End;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -41,6 +47,9 @@
     }
 }
 
+/// Keeps a connection until it is dropped.
+pub(super) struct Guard(#[allow(dead_code, reason = "it is kept to be dropped")] Connection);
+
 /// Why there is no answer.
 #[derive(Debug)]
 pub(super) enum Failure {
@@ -77,44 +86,60 @@
     until: Instant,
     quiet: Duration,
 ) -> Result<Coming, (Failure, Place)> {
-    let address = place.server.address;
     let left = until.saturating_duration_since(Instant::now());
-    let connect = tokio::time::timeout(CONNECT.min(left), TcpStream::connect(address)).await;
-    let stream = match connect {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(why)) => return Err((Failure::NotSent(why.to_string()), place)),
-        Err(_) => return Err((Failure::NotSent("no connection in time".to_owned()), place)),
-    };
-    crate::process::watch_connection(&stream);
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = match handshake {
+    let made = connect(place.server.address, CONNECT.min(left)).await;
+    let (mut sender, connection) = match made {
         Ok(made) => made,
-        Err(why) => return Err((Failure::NotSent(why.to_string()), place)),
+        Err(failure) => return Err((failure, place)),
     };
+    let began = Instant::now();
+    match ask(&mut sender, request, &place, until, quiet).await {
+        Ok(answer) => Ok(coming(answer, place, connection, dialect, began.elapsed())),
+        Err(failure) => Err((failure, place)),
+    }
+}
+
+/// A connection to `address`, made within `patience`.
+async fn connect(
+    address: SocketAddr,
+    patience: Duration,
+) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure> {
+    let connect = tokio::time::timeout(patience, TcpStream::connect(address)).await;
+    let stream = connect
+        .map_err(|_| Failure::NotSent("no connection in time".to_owned()))?
+        .map_err(|why| Failure::NotSent(why.to_string()))?;
+    crate::process::watch_connection(&stream);
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|why| Failure::NotSent(why.to_string()))?;
     let connection = Connection(tokio::task::spawn_local(async move {
         if let Err(why) = connection.await {
             log::debug!("a connection to {address} has ended: {why}");
         }
     }));
-    let began = Instant::now();
-    let answer = sender.send_request(request);
-    let mut answer = std::pin::pin!(answer);
-    let early = tokio::time::timeout_at(until.min(began + quiet), &mut answer).await;
-    let answer = if let Ok(answer) = early {
+    Ok((sender, connection))
+}
+
+/// Sends `request` and waits for the head; a server that is silent for longer than `quiet` is known
+/// as such meanwhile.
+async fn ask(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    place: &Place,
+    until: Instant,
+    quiet: Duration,
+) -> Result<Response<Incoming>, Failure> {
+    let early = until.min(Instant::now() + quiet);
+    let mut answer = std::pin::pin!(sender.send_request(request));
+    let answer = if let Ok(answer) = tokio::time::timeout_at(early, &mut answer).await {
         answer
     } else {
         if Instant::now() < until {
-            place.seen(curlewlift_core::pool::End::Silent);
-        }
-        match tokio::time::timeout_at(until, answer).await {
-            Ok(answer) => answer,
-            Err(_) => return Err((Failure::Late, place)),
+            place.seen(End::Silent);
         }
+        let late = tokio::time::timeout_at(until, answer).await;
+        late.map_err(|_| Failure::Late)?
     };
-    match answer {
-        Ok(answer) => Ok(coming(answer, place, connection, dialect, began.elapsed())),
-        Err(why) => Err((Failure::Unknown(why.to_string()), place)),
-    }
+    answer.map_err(|why| Failure::Unknown(why.to_string()))
 }
 
 fn coming(
@@ -148,7 +173,7 @@
     }
 
     /// Why the head cannot be an answer to the request with the name `id`, if so.
-    pub(super) fn foreign(&self, id: Option<&axum::http::HeaderValue>) -> Option<&'static str> {
+    pub(super) fn foreign(&self, id: Option<&HeaderValue>) -> Option<&'static str> {
         if self.marks.id.as_ref() != id {
             return Some("the answer is to another request");
         }
@@ -165,7 +190,6 @@
 
     /// Whether the body is small enough to be read before it is passed on.
     pub(super) fn is_small(&self) -> bool {
-        use hyper::body::Body;
         self.body
             .size_hint()
             .upper()
@@ -192,9 +216,6 @@
     }
 }
 
-/// Keeps a connection until it is dropped.
-pub(super) struct Guard(#[allow(dead_code, reason = "it is kept to be dropped")] Connection);
-
 async fn read(body: &mut Incoming) -> Result<Bytes, Failure> {
     let collected = body.collect().await;
     let collected = collected.map_err(|why| Failure::Unknown(why.to_string()))?;
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -1,7 +1,5 @@
 //! How a request ends: with a refusal, a server's whole answer, or a stream.
 
-use std::rc::Rc;
-
 use axum::http::Response;
 use axum::http::header;
 use axum::http::response;
@@ -44,19 +42,9 @@
 
     /// A server's answer that is passed on as it comes.
     pub(super) fn stream(&mut self, coming: Coming) -> Answer {
-        let run = Run {
-            node: Rc::clone(&self.node),
-            admitted: self.admitted.share(),
-            service: self.service.clone(),
-            sent: self.sent,
-            passed: self.passed,
-            tried: self.tried.clone(),
-            first: self.first,
-            told: true,
-        };
         self.told = true;
         let head = coming.head.clone();
-        let body = relay::body(run, coming);
+        let body = relay::body(self.clone(), coming);
         pass_on(head, None, body)
     }
 
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -41,6 +41,7 @@
 const LEFT: f64 = 0.5;
 
 /// A request on its way.
+#[derive(Clone)]
 pub(super) struct Run {
     pub(super) node: Rc<Node>,
     pub(super) admitted: Admitted,
--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -20,6 +20,10 @@
 /// The most headers in one head.
 const HEADERS: usize = 128;
 
+/// The least that a connection's buffer holds for a head, and beside the largest one, in bytes: the
+/// HTTP library takes no smaller buffer.
+const LEAST: usize = 8 << 10;
+
 /// Between two attempts to take a connection after one failed, for descriptors to come free.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -60,7 +64,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.header_time)
         .max_headers(HEADERS)
-        .max_buf_size(limits.header_bytes.max(8 << 10) + (8 << 10))
+        .max_buf_size(limits.header_bytes.max(LEAST) + LEAST)
         .serve_connection(TokioIo::new(stream), service);
     if let Err(why) = connection.await {
         log::debug!("a caller's connection has ended: {why}");
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -4,13 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Reply;
-use curlewlift_core::id;
-use curlewlift_core::state::Publication;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
@@ -30,12 +27,6 @@
 /// After a control replica that does not lead or does not answer.
 const NEXT: Duration = Duration::from_millis(60);
 
-/// How long a routing table may take to be put in force, or read.
-const PUBLISH: Duration = Duration::from_millis(1_500);
-
-/// How often another control replica is asked where the first does not lead.
-const HOPS: usize = 4;
-
 /// After how long the hub counts as lost, for the log.
 const LOST: Duration = Duration::from_millis(1_500);
 
@@ -96,7 +87,7 @@
 }
 
 /// Where to ask: at the leader, or in turn at each that may know it.
-fn address(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
+pub(super) fn address(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
     let hub = node.hub.borrow();
     if let Some(leader) = &hub.leader
         && let Some(address) = (around.locate)(leader)
@@ -167,56 +158,3 @@
         .heard(&reply.levels, count, node.now());
     node.hear(&reply.loads);
 }
-
-/// Puts a routing table in force.
-///
-/// # Errors
-///
-/// The leader's refusal; [`Code::Unreachable`] where what became of it is not known.
-pub(crate) async fn publish(
-    node: &Node,
-    around: &Surroundings,
-    publication: Publication,
-) -> Result<(), Refusal> {
-    match ask(node, around, HubCall::Publish(publication)).await? {
-        HubReply::Published => Ok(()),
-        _ => Err(no_leader()),
-    }
-}
-
-/// The routing table in force, surely the newest.
-///
-/// # Errors
-///
-/// [`Code::Unreachable`] where nobody can be sure.
-pub(crate) async fn read(node: &Node, around: &Surroundings) -> Result<Publication, Refusal> {
-    match ask(node, around, HubCall::Read).await? {
-        HubReply::Table(publication) => Ok(publication),
-        _ => Err(no_leader()),
-    }
-}
-
-/// Asks the leader, where it can be found within a few steps.
-async fn ask(node: &Node, around: &Surroundings, call: HubCall) -> Result<HubReply, Refusal> {
-    let call = RenewCall::Hub(call);
-    let mut named: Option<id::Host> = node.hub.borrow().leader.clone();
-    for hop in 0..HOPS {
-        let leader = named.as_ref().and_then(|leader| (around.locate)(leader));
-        let Some(address) = leader.or_else(|| address(node, around, hop)) else {
-            continue;
-        };
-        let reply = node
-            .rpc
-            .call(address, Method::Renew, &call, PUBLISH)
-            .await?;
-        match reply {
-            HubReply::Elsewhere(next) => named = next,
-            reply => return Ok(reply),
-        }
-    }
-    Err(no_leader())
-}
-
-fn no_leader() -> Refusal {
-    Refusal::new(Code::Unreachable, "no control replica surely leads")
-}
