--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -7,6 +7,7 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::id;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Allowance;
 use curlewlift_core::route::Kind;
@@ -111,50 +112,64 @@
 }
 
 fn rule(route: Route) -> Result<Rule, Refusal> {
-    let kind = match (route.kind.as_str(), route.resumable) {
-        ("safe", _) => Kind::Safe,
-        ("unsafe", _) => Kind::Unsafe,
-        ("streaming", false) => Kind::Streaming,
-        ("streaming", true) => Kind::Resumable,
-        (other, _) => {
-            let why = format!("route {}: `{other}` is no kind of requests", route.name);
-            return Err(Refusal::new(Code::BadValue, why));
-        }
-    };
-    let targets = match (route.backends, route.service) {
-        (Some(backends), _) if !backends.is_empty() => backends,
-        (_, Some(service)) => vec![Backend {
-            service,
-            weight: 1.0,
-        }],
-        _ => {
-            let why = format!("route {}: it names no service", route.name);
-            return Err(Refusal::new(Code::BadValue, why));
-        }
-    };
-    let targets = targets.into_iter().map(|backend| {
-        Ok(Target {
-            service: name(&backend.service)?,
-            weight: backend.weight,
-        })
-    });
+    let kind = kind(&route)?;
+    let backends = backends(&route.name, route.backends, route.service)?;
     let timeout = millis(route.timeout_ms)?;
     let objective = route.target_latency_ms.map_or(Ok(timeout), millis)?;
     Ok(Rule {
-        name: route.name.into(),
-        host: route.host.to_ascii_lowercase().into(),
-        prefix: route.path_prefix.into(),
         kind,
         timeout,
         objective,
+        targets: backends.iter().map(target).collect::<Result<_, _>>()?,
+        name: route.name.into(),
+        host: route.host.to_ascii_lowercase().into(),
+        prefix: route.path_prefix.into(),
         rank: route.priority,
-        targets: targets.collect::<Result<_, Refusal>>()?,
         attempts: route.max_attempts.unwrap_or(1),
         public: route.public,
     })
 }
 
-fn service(service: Service) -> Result<(curlewlift_core::id::Service, Provider), Refusal> {
+fn kind(route: &Route) -> Result<Kind, Refusal> {
+    match (route.kind.as_str(), route.resumable) {
+        ("safe", _) => Ok(Kind::Safe),
+        ("unsafe", _) => Ok(Kind::Unsafe),
+        ("streaming", false) => Ok(Kind::Streaming),
+        ("streaming", true) => Ok(Kind::Resumable),
+        (other, _) => {
+            let why = format!("route {}: `{other}` is no kind of requests", route.name);
+            Err(Refusal::new(Code::BadValue, why))
+        }
+    }
+}
+
+/// Where a route's requests go: to its backends by weight, else to its one service.
+fn backends(
+    route: &str,
+    backends: Option<Vec<Backend>>,
+    service: Option<String>,
+) -> Result<Vec<Backend>, Refusal> {
+    match (backends, service) {
+        (Some(backends), _) if !backends.is_empty() => Ok(backends),
+        (_, Some(service)) => Ok(vec![Backend {
+            service,
+            weight: 1.0,
+        }]),
+        _ => {
+            let why = format!("route {route}: it names no service");
+            Err(Refusal::new(Code::BadValue, why))
+        }
+    }
+}
+
+fn target(backend: &Backend) -> Result<Target, Refusal> {
+    Ok(Target {
+        service: name(&backend.service)?,
+        weight: backend.weight,
+    })
+}
+
+fn service(service: Service) -> Result<(id::Service, Provider), Refusal> {
     let provider = Provider {
         connections: service.max_conns.unwrap_or(u32::MAX),
         health: service.health_path.unwrap_or_default().into(),
