Write the servers with paces once in the pool's tests

Cause: two tests set up the same two servers with other paces, line by line. Change: paced sets them up; what is asserted stays as it was. Conclusion: no behaviour changed; suites run: curlewlift-core (109 tests passed).

--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -154,17 +154,24 @@
     );
 }
 
-#[test]
-fn fast_one_gets_more() {
-    let mut pool = pool(&["s1", "s2"]);
-    let now = Instant::default();
-    for (name, gap) in [("s1", 10), ("s2", 40)] {
+/// Servers that have answered, with so many milliseconds between the pieces of their streams.
+fn paced(gaps: &[(&str, u64)], now: Instant) -> Pool {
+    let names: Vec<_> = gaps.iter().map(|(name, _)| *name).collect();
+    let mut pool = pool(&names);
+    for (name, gap) in gaps {
         for _ in 0..20 {
-            let gap = Some(Duration::from_millis(gap));
+            let gap = Some(Duration::from_millis(*gap));
             let first = Duration::from_millis(50);
             pool.seen(name, End::Good { first, gap }, now);
         }
     }
+    pool
+}
+
+#[test]
+fn fast_one_gets_more() {
+    let now = Instant::default();
+    let mut pool = paced(&[("s1", 10), ("s2", 40)], now);
     let mut first = 0;
     for place in 0..50 {
         ask(&mut pool, 0, place);
@@ -178,15 +185,8 @@
 /// A long prompt waits for none: it goes to the fast one even where that is busier.
 #[test]
 fn long_prompt_to_fast() {
-    let mut pool = pool(&["s1", "s2"]);
     let now = Instant::default();
-    for (name, gap) in [("s1", 10), ("s2", 30)] {
-        for _ in 0..20 {
-            let gap = Some(Duration::from_millis(gap));
-            let first = Duration::from_millis(50);
-            pool.seen(name, End::Good { first, gap }, now);
-        }
-    }
+    let mut pool = paced(&[("s1", 10), ("s2", 30)], now);
     let load = Load {
         incarnation: "s1".into(),
         requests: 1,
