End the search for another server plainly where the budget is used up

Cause: a relay without budget set the count of sendings to 127 so that its loop would end, which reads as a count; its fields said nothing. Change: take_up waits for the turn, takes from the budget and returns; go_on takes the new stream; the fields are described.

--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -29,11 +29,17 @@
     run: Run,
     body: Incoming,
     place: Option<Place>,
+    /// The connection that `body` comes over.
     guard: Option<Guard>,
+    /// Splits a stream that can be taken up; none for any other.
     events: Option<Events>,
+    /// From the last sending to the head of its answer.
     first: Duration,
+    /// When the last head came.
     began: Instant,
+    /// Pieces that came since.
     pieces: u32,
+    /// Whether the caller has been told its end, or that there is none.
     ended: bool,
 }
 
@@ -159,7 +165,14 @@
         // The former server must have stopped before another goes on.
         self.guard = None;
         while self.run.sent + self.run.passed < self.run.admitted.rule.attempts {
-            let Some(coming) = self.other(after.as_deref()).await else {
+            self.run.passed += 1;
+            let Ok(place) = self.run.turn().await else {
+                continue;
+            };
+            if !self.run.take_budget() {
+                return false;
+            }
+            let Some(coming) = self.other(place, after.as_deref()).await else {
                 continue;
             };
             Line::new(Kind::Resumed)
@@ -168,26 +181,25 @@
                 .with("after_event", after.as_deref())
                 .with("why", why)
                 .write();
-            self.began = Instant::now();
-            self.pieces = 0;
-            self.first = coming.first;
-            let (_, body, place, guard) = coming.open();
-            self.body = body;
-            self.place = Some(place);
-            self.guard = Some(guard);
+            self.go_on(coming);
             return true;
         }
         false
     }
 
-    /// Asks another server for the stream after the event `after`; counts the try.
-    async fn other(&mut self, after: Option<&str>) -> Option<Coming> {
-        self.run.passed += 1;
-        let place = self.run.turn().await.ok()?;
-        if !self.run.take_budget() {
-            self.run.sent = u8::MAX / 2;
-            return None;
-        }
+    /// Takes `coming` for the stream from now on.
+    fn go_on(&mut self, coming: Coming) {
+        self.began = Instant::now();
+        self.pieces = 0;
+        self.first = coming.first;
+        let (_, body, place, guard) = coming.open();
+        self.body = body;
+        self.place = Some(place);
+        self.guard = Some(guard);
+    }
+
+    /// Asks the server of `place` for the stream after the event `after`.
+    async fn other(&mut self, place: Place, after: Option<&str>) -> Option<Coming> {
         let request = self.run.request(&place, after);
         let server = Arc::clone(&place.server.incarnation);
         self.run.tried.push(server);
