Import what the platform's listeners name

Cause: two types stood with their whole paths within a function's bounds. Change: they are imported, one a line.

--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::Request;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::gateway;
@@ -16,6 +17,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::route::Limits;
+use hyper::body::Incoming;
 
 use crate::control::Gateways;
 use crate::control::Locate;
@@ -214,7 +216,7 @@
 
 fn listen<F, A>(listener: TcpListener, answer: F) -> Result<(), Refusal>
 where
-    F: Fn(axum::http::Request<hyper::body::Incoming>) -> A + 'static,
+    F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
 {
     let listener = process::listener(listener)?;
