--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -11,6 +11,7 @@
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::quota;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Rule;
@@ -41,10 +42,14 @@
 /// Between two looks whether a first table has come, or an allowance has filled up.
 const LOOK: Duration = Duration::from_millis(15);
 
-/// The longest wait that is named to a customer that has used up its allowance.
-const ALLOWANCE: Duration = Duration::from_secs(1);
+/// The shortest wait that is named to a customer that has used up its allowance.
+const SHORTEST: Duration = Duration::from_millis(100);
+
+/// The longest wait that is named to it.
+const LONGEST: Duration = Duration::from_secs(1);
 
 /// A request that is taken.
+#[derive(Clone)]
 pub(super) struct Admitted {
     pub(super) call: Call,
     pub(super) rule: Arc<Rule>,
@@ -62,24 +67,6 @@
     pub(super) table: u64,
 }
 
-impl Admitted {
-    /// The same request, for the part that goes on after its head was answered.
-    pub(super) fn share(&self) -> Self {
-        Self {
-            call: self.call.clone(),
-            rule: Arc::clone(&self.rule),
-            account: self.account.clone(),
-            cost: self.cost,
-            head: self.head.clone(),
-            body: self.body.clone(),
-            arrived: self.arrived,
-            since: self.since,
-            until: self.until,
-            table: self.table,
-        }
-    }
-}
-
 /// Takes a request, or says why not; nothing of it has run then.
 pub(super) async fn admit(
     node: &Node,
@@ -194,9 +181,8 @@
 
 /// Says when an allowance will have filled up enough.
 fn used_up(account: &Account, cost: u64) -> Refused {
-    #[allow(clippy::cast_precision_loss)]
-    let wait = cost as f64 / account.allowance.rate.max(1.0);
-    let wait = Duration::from_secs_f64(wait.min(ALLOWANCE.as_secs_f64()));
+    let wait = quota::amount(cost) / account.allowance.rate.max(1.0);
+    let wait = Duration::from_secs_f64(wait.min(LONGEST.as_secs_f64()));
     let why = format!("customer {} has used up its allowance", account.name);
-    Refused::new(Code::Allowance, why).again(wait.max(Duration::from_millis(100)))
+    Refused::new(Code::Allowance, why).again(wait.max(SHORTEST))
 }
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -5,26 +5,35 @@
 //! from the hub beside the leading control replica, and it serves on without.
 
 mod admit;
+mod beside;
 mod body;
 mod daemon;
 mod dialect;
+mod events;
 mod exchange;
+mod judge;
 mod lists;
 mod log;
 mod node;
+mod open;
+mod orders;
+mod outcome;
 mod refuse;
 mod relay;
 mod request;
+mod run;
 mod sending;
 mod serve;
+mod services;
 mod stop;
 mod sync;
 mod turn;
 
+pub(crate) use beside::Beside;
 pub(crate) use body::Answer;
+pub(crate) use body::json;
 pub(crate) use body::whole;
 pub(crate) use daemon::Beginning;
-pub(crate) use daemon::Beside;
 pub(crate) use daemon::Gateway;
 pub(crate) use daemon::Surroundings;
 pub(crate) use dialect::Call;
@@ -35,7 +44,8 @@
 pub(crate) use log::TARGET;
 pub(crate) use log::note;
 pub(crate) use node::Node;
+pub(crate) use orders::publish;
+pub(crate) use orders::read;
+pub(crate) use refuse::refuse;
 pub(crate) use serve::serve;
 pub(crate) use stop::Grace;
-pub(crate) use sync::publish;
-pub(crate) use sync::read;
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::Request;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::gateway;
@@ -16,6 +17,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::route::Limits;
+use hyper::body::Incoming;
 
 use crate::control::Gateways;
 use crate::control::Locate;
@@ -94,11 +96,11 @@
 
 fn start(path: PathBuf, settings: Settings) -> Result<Process, Refusal> {
     let listen = &settings.listen;
-    let callers = bind(listen.callers)?;
+    let callers = process::bind(listen.callers)?;
     let listeners = Listeners {
-        readiness: bind(listen.readiness)?,
-        operators: bind(listen.operators)?,
-        directory: bind(listen.directory)?,
+        readiness: process::bind(listen.readiness)?,
+        operators: process::bind(listen.operators)?,
+        directory: process::bind(listen.directory)?,
     };
     let keep = KEEP.min(settings.bounds.answer_seconds);
     let bounds = settings.bounds;
@@ -130,15 +132,6 @@
     })
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
-    TcpListener::bind(address).map_err(|why| {
-        Refusal::new(
-            Code::BadSetting,
-            format!("cannot listen at {address}: {why}"),
-        )
-    })
-}
-
 /// A host's name: its address, so that whoever knows the name can reach it.
 fn host(ip: IpAddr) -> Result<id::Host, Refusal> {
     let name = ip.to_string().parse();
@@ -222,7 +215,7 @@
 
 fn listen<F, A>(listener: TcpListener, answer: F) -> Result<(), Refusal>
 where
-    F: Fn(axum::http::Request<hyper::body::Incoming>) -> A + 'static,
+    F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
 {
     let listener = process::listener(listener)?;
