Bear numbers beyond measure, and name failed sendings in the log

Cause: found by reading: token counts that add up beyond 64 bits cost nothing; times beyond measure ended a request's task or the start; a founder that lost its folder while it ran would have founded a second log; a failed sending was logged as tried again although it was not; a moved server counted as full. Change: counts saturate, times are capped or refused with their name, only the first start founds; event 213 sending-failed; sent has cost and hub_ms.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -74,6 +74,7 @@
     TriedAgain = 210, "tried-again", "Surely nothing ran; the request asks for another server.";
     ClaimKept = 211, "claim-kept", "This entry keeps the request's claim as a replica of its shard.";
     Queued = 212, "queued", "The request is in the queue of the service, at its owner.";
+    SendingFailed = 213, "sending-failed", "A backend server did not answer the request, or refused it; the detail has why.";
     Shed = 220, "shed", "The owner has shed a waiting request.";
     Owns = 221, "owns", "This entry has become the owner of a service's queue.";
     ViewHeld = 300, "view-held", "The entry has adopted a view and acts no more under the former.";
--- a/crates/core/src/quota/share.rs
+++ b/crates/core/src/quota/share.rs
@@ -60,7 +60,7 @@
         self.since += wanted;
         self.whole.draw(wanted);
         self.own.draw(wanted);
-        self.unreported += cost;
+        self.unreported = self.unreported.saturating_add(cost);
     }
 
     /// What was reported already is not given back: the desk may have counted it.
@@ -137,7 +137,8 @@
     pub fn report(&mut self) -> Vec<(id::Customer, u64)> {
         let mut report = Vec::new();
         for (customer, known) in &mut self.known {
-            known.reported += std::mem::take(&mut known.unreported);
+            let unreported = std::mem::take(&mut known.unreported);
+            known.reported = known.reported.saturating_add(unreported);
             if known.reported > 0 {
                 report.push((customer.clone(), known.reported));
             }
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -86,7 +86,9 @@
     let body = read(body, limits, until).await?;
     let mut cost = 0;
     if let Some(account) = &account {
-        let tokens = call.tokens.map(|(prompt, made)| prompt + made);
+        let tokens = call
+            .tokens
+            .map(|(prompt, made)| prompt.saturating_add(made));
         cost = account.allowance.cost(tokens);
         if !allowed(node, &rule, account, cost, arrived).await {
             return Err(used_up(account, cost));
--- a/crates/curlewlift/src/gateway/beside.rs
+++ b/crates/curlewlift/src/gateway/beside.rs
@@ -50,10 +50,12 @@
 
 /// Keeps a control replica running: one that its disk has failed begins anew with what the disk
 /// holds, and the gateway goes on meanwhile.
-pub(super) async fn keep(host: id::Host, beside: Beside) {
+pub(super) async fn keep(host: id::Host, mut beside: Beside) {
     loop {
         match start(&host, &beside) {
             Ok(process) => {
+                // A folder that is lost while it runs must not found a second log.
+                beside.found = false;
                 let mut replica = Replica(Some(process));
                 while !replica.is_ended() {
                     tokio::time::sleep(REVIVE).await;
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -27,7 +27,7 @@
     pub(super) fn failed(&mut self, failure: &Failure, mut place: Place) -> Result<Step, Refused> {
         let (end, why) = meaning(failure);
         place.end(end);
-        Line::new(Kind::TriedAgain)
+        Line::new(Kind::SendingFailed)
             .request(self.admitted.call.id.as_ref())
             .with("server", &*place.server.incarnation)
             .with("why", why.as_str())
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -19,6 +19,7 @@
 use super::events::Events;
 use super::exchange;
 use super::exchange::Coming;
+use super::exchange::Failure;
 use super::exchange::Guard;
 use super::log::Line;
 use super::run::Run;
@@ -216,8 +217,11 @@
         };
         let foreign = coming.foreign(self.run.admitted.call.id.as_ref()).is_some();
         if foreign || coming.head.status != StatusCode::OK {
-            let full = coming.refusal().is_some();
-            coming.place.end(if full { End::Full } else { End::Broken });
+            coming.place.end(match coming.refusal() {
+                Some(Failure::NotRun { moved: true, .. }) => End::Gone,
+                Some(_) => End::Full,
+                None => End::Broken,
+            });
             return None;
         }
         Some(coming)
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -22,6 +22,7 @@
 use super::exchange::Coming;
 use super::exchange::Failure;
 use super::log::Line;
+use super::log::millis;
 use super::node::Node;
 use super::refuse::Refused;
 use super::sending;
@@ -175,6 +176,8 @@
             .with("table", self.admitted.table)
             .with("server", &*place.server.incarnation)
             .with("sent", self.sent + self.passed + 1)
+            .with("cost", self.admitted.cost)
+            .with("hub_ms", self.node.hub_silence().map(millis))
             .after(self.admitted.arrived)
             .write();
         self.tried.push(Arc::clone(&place.server.incarnation));
--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -24,6 +24,9 @@
 /// HTTP library takes no smaller buffer.
 const LEAST: usize = 8 << 10;
 
+/// The most that a head may take, in bytes, whatever a table allows.
+const MOST: usize = 1 << 20;
+
 /// Between two attempts to take a connection after one failed, for descriptors to come free.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -64,7 +67,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.header_time)
         .max_headers(HEADERS)
-        .max_buf_size(limits.header_bytes.max(LEAST) + LEAST)
+        .max_buf_size(limits.header_bytes.clamp(LEAST, MOST) + LEAST)
         .serve_connection(TokioIo::new(stream), service);
     if let Err(why) = connection.await {
         log::debug!("a caller's connection has ended: {why}");
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -223,8 +223,14 @@
         .map_err(|why: T::Err| Refusal::new(Code::BadValue, why.to_string()))
 }
 
-/// A time in milliseconds; days are more than any request is held.
+/// The longest time that is kept: more than any request is held or connection rests.
+const LONGEST: Duration = Duration::from_hours(24);
+
+/// A time in milliseconds, [`LONGEST`] at the most.
 fn millis(number: f64) -> Result<Duration, Refusal> {
+    if number.is_finite() && number > LONGEST.as_secs_f64() * 1_000.0 {
+        return Ok(LONGEST);
+    }
     Duration::try_from_secs_f64(number / 1_000.0)
         .map_err(|why| Refusal::new(Code::BadValue, format!("{number} ms: {why}")))
 }
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -139,5 +139,5 @@
     let mut parts = headers.get(LOAD)?.to_str().ok()?.split(',');
     let running: u32 = parts.next()?.trim().parse().ok()?;
     let waiting: u32 = parts.next()?.trim().parse().ok()?;
-    Some(running + waiting)
+    Some(running.saturating_add(waiting))
 }
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -116,6 +116,27 @@
     pub(super) answer_seconds: f64,
 }
 
+/// The longest time that a bound may name, in seconds.
+const LONGEST: f64 = 86_400.0;
+
+impl Bounds {
+    /// Whether all times are such.
+    fn check(self) -> Result<(), String> {
+        let times = [
+            ("grace_s", self.stop_seconds),
+            ("budget_window_s", self.retry_seconds),
+            ("quota_window_s", self.use_seconds),
+            ("ttl_max_s", self.answer_seconds),
+        ];
+        for (name, seconds) in times {
+            if !(0.0..=LONGEST).contains(&seconds) {
+                return Err(format!("{name} is {seconds}, not from 0 to {LONGEST}"));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Where the platform is reached.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub(super) struct Reached {
@@ -124,7 +145,7 @@
 }
 
 fn no_bound() -> f64 {
-    f64::MAX
+    LONGEST
 }
 
 impl Settings {
@@ -136,7 +157,9 @@
     pub(crate) fn read(path: &Path) -> Result<Self, Refusal> {
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|why| bad(path, &why))?;
-        Self::parse(&text).map_err(|why| bad(path, &why))
+        let settings = Self::parse(&text).map_err(|why| bad(path, &why))?;
+        settings.bounds.check().map_err(|why| bad(path, &why))?;
+        Ok(settings)
     }
 
     /// Reads the file's text.
--- a/crates/curlewlift/tests/platform_requests.rs
+++ b/crates/curlewlift/tests/platform_requests.rs
@@ -231,6 +231,19 @@
     );
 }
 
+/// Counts that add up beyond any number must not come out as none.
+#[test]
+fn counts_beyond_numbers() {
+    let world = World::start("counts_beyond_numbers");
+    let head = "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\n\
+                X-Token-Counts: 18446744073709551615,2\r\nAuthorization: Bearer key-ben";
+    let statuses: Vec<_> = (0..4)
+        .map(|_| ask(world.hosts.callers(0), head, "").status)
+        .collect();
+    let refused = statuses.iter().filter(|status| **status == 429).count();
+    assert!(refused >= 3, "{statuses:?}");
+}
+
 #[test]
 fn drained_takes_none() {
     let world = World::start("drained_takes_none");
--- a/crates/curlewlift/tests/platform_settings.rs
+++ b/crates/curlewlift/tests/platform_settings.rs
@@ -93,6 +93,22 @@
     }
 }
 
+#[test]
+fn impossible_times() {
+    for field in ["grace_s", "budget_window_s", "quota_window_s", "ttl_max_s"] {
+        for seconds in [-1.0, 1e300] {
+            let mut settings = settings();
+            settings["bounds"][field] = json!(seconds);
+            let (code, said) = check(&format!("impossible_{field}"), &settings.to_string());
+            assert_eq!(code, Some(2), "{field}: {said}");
+            assert!(
+                said.contains("8001") && said.contains(field),
+                "{field}: {said}"
+            );
+        }
+    }
+}
+
 #[test]
 fn no_file() {
     let (code, said) = run("/nowhere/settings.json");
--- a/crates/curlewlift/tests/platform_tables.rs
+++ b/crates/curlewlift/tests/platform_tables.rs
@@ -89,6 +89,21 @@
     assert_eq!(read_back(&hosts, 2), Some(document(7)));
 }
 
+/// Times beyond all measure are taken, and nothing ends by them.
+#[test]
+fn endless_times() {
+    let hosts = start("endless_times");
+    let mut document = document(7);
+    document["routes"][0]["timeout_ms"] = json!(1e300);
+    document["routes"][0]["target_latency_ms"] = json!(1e300);
+    document["limits"]["idle_timeout_ms"] = json!(1e300);
+    document["limits"]["max_header_bytes"] = json!(u64::MAX);
+    hosts.configure(&document.to_string());
+    let head = "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\n\
+                X-Deadline-Ms: 18446744073709551615\r\nAuthorization: Bearer key-ann";
+    assert_eq!(ask(hosts.callers(0), head, "").status, 200);
+}
+
 #[test]
 fn all_killed() {
     let mut hosts = start("all_killed");
