--- /dev/null
+++ b/crates/curlewlift/tests/platform_session.rs
@@ -0,0 +1,91 @@
+//! A whole session in the platform's words, against its golden file.
+
+#[path = "support/golden.rs"]
+#[allow(dead_code)]
+mod golden;
+mod platform;
+
+use platform::Answer;
+use platform::Engine;
+use platform::Hosts;
+use platform::ask;
+use platform::document;
+use platform::folder;
+use platform::wait;
+
+use golden::Session;
+
+/// The headers that the session shows.
+const SHOWN: [&str; 5] = [
+    "content-type",
+    "retry-after",
+    "x-attempt-id",
+    "x-response-signature",
+    "connection",
+];
+
+/// Writes down what was asked and what came.
+fn tell(session: &mut Session, asked: &str, answer: &Answer) {
+    session.did(asked);
+    session.said(&answer.status.to_string());
+    for name in SHOWN {
+        if let Some(value) = answer.header(name) {
+            session.said(&format!("{name}: {value}"));
+        }
+    }
+    let end = if answer.whole { "" } else { " (cut)" };
+    session.said(&format!("{}{end}", answer.body.trim_end()));
+}
+
+fn request(route: &str, play: &str, key: &str) -> String {
+    format!(
+        "POST /{route}/a HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {route}-{play}\r\n\
+         X-Play: {play}\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer {key}"
+    )
+}
+
+#[test]
+fn whole_session() {
+    let engines = [Engine::start("i-1"), Engine::start("i-2")];
+    let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
+    let hosts = Hosts::start(folder("whole_session"), &listed);
+    hosts.configure(&document(7).to_string());
+    let mut session = Session::default();
+    let resolve = "GET /api/resolve?name=shop.example&zone=none HTTP/1.1\r\nHost: x";
+    wait("all are named", || {
+        ask(hosts.directory(0), resolve, "")
+            .body
+            .matches(':')
+            .count()
+            == 5
+    });
+    let plays = [
+        ("safe", "answer", "key-ann"),
+        ("safe", "first=close", "key-ann"),
+        ("safe", "fail", "key-ann"),
+        ("once", "close", "key-ann"),
+        ("once", "shed", "key-ann"),
+        ("stream", "events", "key-ann"),
+        ("resume", "break", "key-ann"),
+        ("brief", "hang", "key-ann"),
+        ("safe", "answer", "no-key"),
+        ("none", "answer", "key-ann"),
+    ];
+    for (route, play, key) in plays {
+        let answer = ask(hosts.callers(0), &request(route, play, key), "question");
+        tell(&mut session, &format!("{route}, {play}, {key}"), &answer);
+    }
+    let put = "POST /api/config/put HTTP/1.1\r\nHost: x";
+    let mut invalid = document(9);
+    invalid["routes"][0]["service"] = serde_json::json!("none");
+    let answer = ask(hosts.control(1), put, &invalid.to_string());
+    tell(&mut session, "put 9, with an unknown service", &answer);
+    let answer = ask(hosts.control(1), put, &document(8).to_string());
+    tell(&mut session, "put 8", &answer);
+    let answer = ask(hosts.control(2), put, &document(6).to_string());
+    tell(&mut session, "put 6, which is older", &answer);
+    let get = "GET /api/config/get HTTP/1.1\r\nHost: x";
+    let answer = ask(hosts.control(0), get, "");
+    assert_eq!(answer.body, document(8).to_string());
+    session.check("platform_session");
+}
