Write once what a failure says of a server, drop two doubled states

Cause: read again: a stream that is taken up judged a failed sending by a copy of judge::meaning; a guard only wrapped a connection; whether a list has come was kept beside the list, whose version tells it. Change: relay calls judge::meaning, the connection is its own guard, is_ready asks the list's version.

--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -43,8 +43,8 @@
 /// must not fill a small host's memory.
 const LARGEST: usize = 4 << 20;
 
-/// Ends a connection's task, and with it the connection.
-struct Connection(JoinHandle<()>);
+/// A connection, open until this is dropped: that ends its task, and with it the connection.
+pub(super) struct Connection(JoinHandle<()>);
 
 impl Drop for Connection {
     fn drop(&mut self) {
@@ -52,9 +52,6 @@
     }
 }
 
-/// Keeps a connection until it is dropped.
-pub(super) struct Guard(#[allow(dead_code, reason = "it is kept to be dropped")] Connection);
-
 /// Why there is no answer.
 #[derive(Debug)]
 pub(super) enum Failure {
@@ -215,9 +212,9 @@
         (self.head, body, self.place, self.first)
     }
 
-    /// The parts for a body that is passed on as it comes; the connection ends with the guard.
-    pub(super) fn open(self) -> (response::Parts, Incoming, Place, Guard) {
-        (self.head, self.body, self.place, Guard(self.connection))
+    /// The parts for a body that is passed on as it comes; the connection ends with it.
+    pub(super) fn open(self) -> (response::Parts, Incoming, Place, Connection) {
+        (self.head, self.body, self.place, self.connection)
     }
 }
 
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -102,7 +102,7 @@
 }
 
 /// What a failure says of the server, and why, for the log and the caller.
-fn meaning(failure: &Failure) -> (End, String) {
+pub(super) fn meaning(failure: &Failure) -> (End, String) {
     match failure {
         Failure::NotSent(why) | Failure::Unknown(why) => (End::Broken, why.clone()),
         Failure::NotRun { moved: true, .. } => (End::Gone, "another has its address".to_owned()),
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -67,10 +67,8 @@
     pub(super) table: RefCell<Option<Rc<Table>>>,
     /// What the table names as services.
     pub(super) services: RefCell<BTreeMap<id::Service, Service>>,
-    /// The list of backend servers in force here.
+    /// The list of backend servers in force here; version 0 before the first one has come.
     pub(super) listing: RefCell<Listing>,
-    /// When a list last came, changed or not.
-    pub(super) listed: Cell<Option<clock::Instant>>,
     /// The gateways that live, by the last word of the hub.
     pub(super) roll: RefCell<Roll>,
     /// What customers may still ask for here.
@@ -109,7 +107,6 @@
             table: RefCell::default(),
             services: RefCell::default(),
             listing: RefCell::default(),
-            listed: Cell::new(None),
             roll: RefCell::default(),
             share: RefCell::new(Share::new(tolerance)),
             hub: RefCell::default(),
@@ -134,7 +131,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.get().is_none()
             && self.table.borrow().is_some()
-            && self.listed.get().is_some()
+            && self.listing.borrow().version != 0
     }
 
     /// The gateways that live, nearest ones for a caller in `hall`, by the last word of the hub.
@@ -178,7 +175,6 @@
 
     /// Puts a list in force.
     pub(super) fn adopt_listing(&self, listing: Listing) {
-        self.listed.set(Some(self.now()));
         if listing.version == self.listing.borrow().version {
             return;
         }
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -19,8 +19,8 @@
 use super::events::Events;
 use super::exchange;
 use super::exchange::Coming;
-use super::exchange::Failure;
-use super::exchange::Guard;
+use super::exchange::Connection;
+use super::judge;
 use super::log::Line;
 use super::run::Run;
 use super::turn::Place;
@@ -31,7 +31,7 @@
     body: Incoming,
     place: Option<Place>,
     /// The connection that `body` comes over.
-    guard: Option<Guard>,
+    connection: Option<Connection>,
     /// Splits a stream that can be taken up; none for any other.
     events: Option<Events>,
     /// From the last sending to the head of its answer.
@@ -48,12 +48,12 @@
 pub(super) fn body(run: Run, coming: Coming) -> Reply {
     let first = coming.first;
     let resumable = run.admitted.rule.kind == route::Kind::Resumable;
-    let (_, body, place, guard) = coming.open();
+    let (_, body, place, connection) = coming.open();
     let relay = Relay {
         run,
         body,
         place: Some(place),
-        guard: Some(guard),
+        connection: Some(connection),
         events: resumable.then(Events::default),
         first,
         began: Instant::now(),
@@ -143,7 +143,7 @@
             place.end(End::Broken);
         }
         self.place = None;
-        self.guard = None;
+        self.connection = None;
         Line::new(Kind::Ended)
             .request(self.run.admitted.call.id.as_ref())
             .with("how", "cut")
@@ -164,7 +164,7 @@
             place.end(End::Broken);
         }
         // The former server must have stopped before another goes on.
-        self.guard = None;
+        self.connection = None;
         while self.run.sent + self.run.passed < self.run.admitted.rule.attempts {
             self.run.passed += 1;
             let Ok(place) = self.run.turn().await else {
@@ -193,10 +193,10 @@
         self.began = Instant::now();
         self.pieces = 0;
         self.first = coming.first;
-        let (_, body, place, guard) = coming.open();
+        let (_, body, place, connection) = coming.open();
         self.body = body;
         self.place = Some(place);
-        self.guard = Some(guard);
+        self.connection = Some(connection);
     }
 
     /// Asks the server of `place` for the stream after the event `after`.
@@ -210,18 +210,16 @@
         let sent = exchange::send(request, place, dialect, until, quiet).await;
         let mut coming = match sent {
             Ok(coming) => coming,
-            Err((_, mut place)) => {
-                place.end(End::Broken);
+            Err((failure, mut place)) => {
+                place.end(judge::meaning(&failure).0);
                 return None;
             }
         };
         let foreign = coming.foreign(self.run.admitted.call.id.as_ref()).is_some();
         if foreign || coming.head.status != StatusCode::OK {
-            coming.place.end(match coming.refusal() {
-                Some(Failure::NotRun { moved: true, .. }) => End::Gone,
-                Some(_) => End::Full,
-                None => End::Broken,
-            });
+            let refusal = coming.refusal();
+            let end = refusal.map_or(End::Broken, |refusal| judge::meaning(&refusal).0);
+            coming.place.end(end);
             return None;
         }
         Some(coming)
