Try servers that broke once where every server is left alone

Change: where all that take work are left alone, those that broke just once are tried. Conclusion: a break that all share tells nothing; two in a row still do.

--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -182,11 +182,25 @@
         servers.find(|known| &*known.server.incarnation == incarnation)
     }
 
-    /// The place of the best server with room.
+    /// The place of the best server with room; where all are left alone, of those that broke once.
+    fn choose(&mut self, tried: &[Arc<str>], prompt: Tokens, now: Instant) -> Option<usize> {
+        let mut taking = self.servers.iter().filter(|known| !known.server.leaving);
+        let all_suspect = taking.all(|known| known.trust.is_suspect(now));
+        self.best(tried, prompt, |known| {
+            !known.trust.is_suspect(now) || (all_suspect && known.trust.is_last_resort())
+        })
+    }
+
+    /// The place of the best server with room among those that are `trusted`.
     ///
     /// Two that look the same are told apart by lot, so that gateways with the same word do not
     /// all send to the same one.
-    fn choose(&mut self, tried: &[Arc<str>], prompt: Tokens, now: Instant) -> Option<usize> {
+    fn best(
+        &mut self,
+        tried: &[Arc<str>],
+        prompt: Tokens,
+        trusted: impl Fn(&Known) -> bool,
+    ) -> Option<usize> {
         let mean = self.mean_pace();
         let mut best: Option<(f64, usize)> = None;
         for place in 0..self.servers.len() {
@@ -195,7 +209,7 @@
             let server = &known.server;
             let room = known.in_flight() < server.slots.max(1) + self.tuning.over;
             let again = tried.contains(&server.incarnation);
-            if server.leaving || again || !room || known.trust.is_suspect(now) {
+            if server.leaving || again || !room || !trusted(known) {
                 continue;
             }
             let score = self.score(known, prompt, mean) + lot * LOT;
--- a/crates/core/src/pool/trust.rs
+++ b/crates/core/src/pool/trust.rs
@@ -56,6 +56,13 @@
         self.until.is_some_and(|until| now < until)
     }
 
+    /// Whether it may be tried all the same where every other server is left alone too: a single
+    /// break tells nothing then.
+    #[must_use]
+    pub fn is_last_resort(&self) -> bool {
+        self.breaks == 1
+    }
+
     /// The part of its last answers that failed, 0 to 1.
     #[must_use]
     pub fn failures(&self) -> f64 {
--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -223,3 +223,21 @@
         "it holds up nobody else"
     );
 }
+
+/// Where every server has broken once, a break tells none from another.
+#[test]
+fn all_broke_once() {
+    let mut pool = pool(&["s1", "s2"]);
+    for now in [Instant(0), Instant(1)] {
+        ask(&mut pool, 0, 1);
+        let server = served(&mut pool, now)[0].1.clone();
+        pool.ended(&server, End::Broken, now);
+    }
+    ask(&mut pool, 0, 2);
+    let again = served(&mut pool, Instant(2));
+    assert_eq!(again.len(), 1, "it is tried all the same");
+    pool.ended(&again[0].1, End::Broken, Instant(2));
+    let other = if again[0].1 == "s1" { "s2" } else { "s1" };
+    ask(&mut pool, 0, 3);
+    assert_eq!(served(&mut pool, Instant(3))[0].1, other, "it broke twice");
+}
