Refuse within a quarter of the objective, say later when to come back

Cause: a request waited a quarter of its objective for its allowance and another one in line, so refusals came after that quarter; callers came back after 0.1 to 0.3 s into the same crowd. A server's failed answer was dropped for another try, and a 502 given where no other server was free. Change: pool::Patience holds an unsent request for a fifth of the objective in all, and names a quarter of the whole time to come back after; the failed answer is kept and passed on.

--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -11,7 +11,7 @@
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
-use curlewlift_core::quota;
+use curlewlift_core::pool::Patience;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Rule;
@@ -35,19 +35,9 @@
 /// which an answer is usually wanted.
 const FIRST_TABLE: Duration = Duration::from_millis(150);
 
-/// The part of the time within which an answer is wanted that a request may wait for its customer's
-/// allowance: as long as one may wait in line.
-const WAIT: f64 = 0.25;
-
 /// Between two looks whether a first table has come, or an allowance has filled up.
 const LOOK: Duration = Duration::from_millis(15);
 
-/// The shortest wait that is named to a customer that has used up its allowance.
-const SHORTEST: Duration = Duration::from_millis(100);
-
-/// The longest wait that is named to it.
-const LONGEST: Duration = Duration::from_secs(1);
-
 /// A request that is taken.
 #[derive(Clone)]
 pub(super) struct Admitted {
@@ -67,6 +57,22 @@
     pub(super) table: u64,
 }
 
+impl Admitted {
+    /// What is known of its time now.
+    pub(super) fn patience(&self) -> Patience {
+        patience(&self.rule, self.arrived, self.until)
+    }
+}
+
+fn patience(rule: &Rule, arrived: Instant, until: Instant) -> Patience {
+    let now = Instant::now();
+    Patience {
+        objective: rule.objective,
+        waited: now.saturating_duration_since(arrived),
+        left: until.saturating_duration_since(now),
+    }
+}
+
 /// Takes a request, or says why not; nothing of it has run then.
 pub(super) async fn admit(
     node: &Node,
@@ -77,8 +83,8 @@
     let table = table(node, arrived).await?;
     let rule = rule(&table, &request)?;
     let account = account(&table, &rule, &call)?;
-    let patience = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
-    let until = arrived + patience;
+    let within = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
+    let until = arrived + within;
     let number = table.get_number();
     let limits = table.get_limits();
     drop(table);
@@ -90,8 +96,9 @@
             .tokens
             .map(|(prompt, made)| prompt.saturating_add(made));
         cost = account.allowance.cost(tokens);
-        if !allowed(node, &rule, account, cost, arrived).await {
-            return Err(used_up(account, cost));
+        let patience = || patience(&rule, arrived, until);
+        if !allowed(node, account, cost, patience).await {
+            return Err(used_up(account, patience()));
         }
     }
     Ok(Admitted {
@@ -110,15 +117,19 @@
 
 /// Whether the customer's allowance lets the request in; a clump of requests waits a little for it to
 /// fill up.
-async fn allowed(node: &Node, rule: &Rule, account: &Account, cost: u64, arrived: Instant) -> bool {
-    let patience = rule.objective.mul_f64(WAIT);
+async fn allowed(
+    node: &Node,
+    account: &Account,
+    cost: u64,
+    patience: impl Fn() -> Patience,
+) -> bool {
     loop {
         let now = node.now();
         let admitted = {
             let mut share = node.share.borrow_mut();
             share.admit(&account.name, &account.allowance, cost, now)
         };
-        if admitted || arrived.elapsed() >= patience {
+        if admitted || patience().unsent().is_zero() {
             return admitted;
         }
         tokio::time::sleep(LOOK).await;
@@ -181,10 +192,9 @@
     }
 }
 
-/// Says when an allowance will have filled up enough.
-fn used_up(account: &Account, cost: u64) -> Refused {
-    let wait = quota::amount(cost) / account.allowance.rate.max(1.0);
-    let wait = Duration::from_secs_f64(wait.min(LONGEST.as_secs_f64()));
+/// A request beyond its customer's allowance: by the time that is named others of the customer have
+/// been served.
+fn used_up(account: &Account, patience: Patience) -> Refused {
     let why = format!("customer {} has used up its allowance", account.name);
-    Refused::new(Code::Allowance, why).again(wait.max(SHORTEST))
+    Refused::new(Code::Allowance, why).again(patience.come_back())
 }
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -1,7 +1,5 @@
 //! What becomes of a request that no backend server answered.
 
-use std::time::Duration;
-
 use curlewlift_core::code::Code;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::End;
@@ -19,9 +17,6 @@
 /// did not run it.
 const FURTHER: u8 = 2;
 
-/// When to come back to a service that is full: some requests' time at an engine.
-const FULL: Duration = Duration::from_millis(300);
-
 impl Run {
     /// Decides what becomes of a request that the server of `place` did not answer.
     pub(super) fn failed(&mut self, failure: &Failure, mut place: Place) -> Result<Step, Refused> {
@@ -52,7 +47,7 @@
             return Err(Refused::new(Code::Broken, why));
         }
         // The code whose status promises that it has not run.
-        Err(Refused::new(Code::RetryBudget, why).again(FULL))
+        Err(Refused::new(Code::RetryBudget, why).again(self.admitted.patience().come_back()))
     }
 
     /// It may have run at the server.
@@ -82,7 +77,7 @@
             NoTurn::Displaced => Refused::new(Code::Shed, "others of a higher tier wait"),
             NoTurn::TimeUp => Refused::new(Code::CannotFinish, "no server was free in time"),
         };
-        refused.again(FULL)
+        refused.again(self.admitted.patience().come_back())
     }
 
     /// The refusal of a request that may not be sent again.
@@ -97,7 +92,7 @@
             Code::RetryBudget,
             "servers refused it, and the retry budget is used up",
         )
-        .again(FULL)
+        .again(self.admitted.patience().come_back())
     }
 }
 
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -19,8 +19,12 @@
 use super::sending;
 
 impl Run {
-    /// This gateway's own answer to a request that it took.
+    /// This gateway's own answer to a request that it took, or the answer of a server that failed
+    /// where there is one.
     pub(super) fn refuse(&mut self, refusal: &Refused) -> Answer {
+        if let Some((head, body)) = self.kept.take() {
+            return self.whole(head, body);
+        }
         self.told = true;
         if self.sent == 0
             && refusal.again.is_some()
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use axum::http::Request;
+use axum::http::response;
 use bytes::Bytes;
 use curlewlift_core::event::Kind;
 use curlewlift_core::id;
@@ -33,14 +34,6 @@
 /// within which an answer is wanted, and no less than this.
 const QUIET: Duration = Duration::from_secs(1);
 
-/// The part of the time within which an answer is wanted that a request may wait in line before
-/// it is refused: an answer is still in time after that wait, and a caller that comes back has
-/// lost little.
-const IN_LINE: f64 = 0.25;
-
-/// The part of what is left of its time that a request may wait in line at the most.
-const LEFT: f64 = 0.5;
-
 /// A request on its way.
 #[derive(Clone)]
 pub(super) struct Run {
@@ -55,6 +48,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// From the last sending to the head of the answer.
     pub(super) first: Option<Duration>,
+    /// A server's whole answer that it failed, for the caller where no other server has a better one.
+    pub(super) kept: Option<(response::Parts, Bytes)>,
     /// Whether its end is told, here or where its stream is passed on.
     pub(super) told: bool,
 }
@@ -91,6 +86,7 @@
             passed: 0,
             tried: Vec::new(),
             first: None,
+            kept: None,
             told: false,
         }
     }
@@ -131,15 +127,18 @@
     /// Waits for a server.
     pub(super) async fn turn(&self) -> Result<Place, Refused> {
         let admitted = &self.admitted;
-        let left = admitted.until.saturating_duration_since(Instant::now());
+        let patience = admitted.patience();
+        let patience = if self.sent + self.passed > 0 {
+            patience.sent()
+        } else {
+            patience.unsent()
+        };
         let ask = Ask {
             rank: self.rank(),
             arrived: self.admitted.since,
             prompt: Tokens(admitted.call.tokens.map_or(0, |(prompt, _)| prompt)),
             tried: self.tried.clone(),
         };
-        let wanted = admitted.rule.objective.mul_f64(IN_LINE);
-        let patience = left.mul_f64(LEFT).min(wanted);
         let turn = turn::wait(&self.node, &self.service, ask, patience).await;
         turn.map_err(|why| self.no_turn(why))
     }
@@ -231,6 +230,7 @@
             End::Good { first, gap: None }
         });
         if failed && self.may_run_again() {
+            self.kept = Some((head, body));
             return Ok(Step::Again);
         }
         Ok(Step::Answer(self.whole(head, body)))
