--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::ops::Add;
+use std::ops::Sub;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -41,6 +42,16 @@
     }
 }
 
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    /// The moment before by `length`; no earlier than the clock's beginning.
+    fn sub(self, length: Duration) -> Self {
+        let micros = u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
 impl fmt::Display for Instant {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{:06}s", self.0 / 1_000_000, self.0 % 1_000_000)
--- /dev/null
+++ b/crates/core/src/gateway/dispatch.rs
@@ -0,0 +1,163 @@
+//! Gives the requests of all gateways their places at the backend servers, in one order.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::clock::Instant;
+use crate::id;
+use crate::pool;
+use crate::pool::Ask;
+use crate::pool::Pool;
+
+use super::Ended;
+use super::Grant;
+use super::Listing;
+use super::Load;
+use super::Mark;
+use super::Server;
+use super::Want;
+use super::occupancy::Occupancy;
+
+/// A request in the line of its service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    service: id::Service,
+    number: pool::Ticket,
+}
+
+/// Gives the requests of all gateways their places at the backend servers.
+///
+/// It knows of each server what all gateways together have in flight there, but for what is on its
+/// way between two hosts, so requests wait in its line by rank and arrival, not in the servers'
+/// own, which know no ranks.
+#[derive(Debug, Default)]
+pub(super) struct Dispatcher {
+    hub: u64,
+    pools: BTreeMap<id::Service, Pool>,
+    asking: HashMap<Ticket, id::Host>,
+    occupancy: Occupancy,
+}
+
+impl Dispatcher {
+    /// A dispatcher of the hub that drew the number `hub`.
+    pub(super) fn new(hub: u64) -> Self {
+        Self {
+            hub,
+            ..Self::default()
+        }
+    }
+
+    /// Takes up a list of backend servers.
+    pub(super) fn adopt(&mut self, listing: &Listing) {
+        let mut by_service: BTreeMap<id::Service, Vec<Arc<Server>>> = BTreeMap::new();
+        for server in &listing.servers {
+            let servers = by_service.entry(server.service.clone()).or_default();
+            servers.push(Arc::new(server.clone()));
+        }
+        for (service, pool) in &mut self.pools {
+            pool.adopt(by_service.remove(service).unwrap_or_default());
+        }
+        for (service, servers) in by_service {
+            let mut pool = Pool::new(tuning(), self.hub);
+            pool.adopt(servers);
+            self.pools.insert(service, pool);
+        }
+    }
+
+    /// Takes up what a gateway has in flight.
+    pub(super) fn report(&mut self, host: &id::Host, mark: Mark, loads: &[Load]) {
+        let seen = if mark.hub == self.hub { mark.number } else { 0 };
+        self.occupancy.report(host, seen, loads);
+    }
+
+    /// Takes note of how sendings ended.
+    pub(super) fn ended(&mut self, ends: &[Ended], now: Instant) {
+        for ended in ends {
+            if let Some(pool) = self.pools.get_mut(&ended.service) {
+                pool.seen(&ended.incarnation, ended.end, now);
+            }
+        }
+    }
+
+    /// Drops what a gateway that is silent had in flight.
+    pub(super) fn drop_host(&mut self, host: &id::Host) {
+        self.occupancy.drop_host(host);
+    }
+
+    /// What gateways other than `host` have in flight.
+    pub(super) fn others(&self, host: &id::Host) -> Vec<Load> {
+        self.occupancy.others(host)
+    }
+
+    /// Puts a request in line; tells who is turned away for want of room. None where the service
+    /// has no servers here.
+    pub(super) fn want(&mut self, want: Want, now: Instant) -> Option<(Ticket, Option<Ticket>)> {
+        let pool = self.pools.get_mut(&want.service)?;
+        let (number, last) = pool.ask(Ask {
+            rank: want.rank,
+            arrived: now - want.waited,
+            prompt: want.prompt,
+            hall: want.hall,
+            tried: want.avoid,
+        });
+        let ticket = |number| Ticket {
+            service: want.service.clone(),
+            number,
+        };
+        let (asked, last) = (ticket(number), last.map(ticket));
+        self.asking.insert(asked.clone(), want.host);
+        if let Some(last) = &last {
+            self.asking.remove(last);
+        }
+        Some((asked, last))
+    }
+
+    /// Takes a request out of line.
+    pub(super) fn leave(&mut self, ticket: &Ticket) {
+        self.asking.remove(ticket);
+        if let Some(pool) = self.pools.get_mut(&ticket.service) {
+            pool.leave(ticket.number);
+        }
+    }
+
+    /// Gives places to those in line for whom there is room.
+    pub(super) fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
+        self.occupancy.expire(now);
+        let mut grants = Vec::new();
+        for (service, pool) in &mut self.pools {
+            if pool.waiting() == 0 {
+                continue;
+            }
+            pool.occupy(|incarnation| self.occupancy.get(incarnation));
+            for turn in pool.serve(now) {
+                let ticket = Ticket {
+                    service: service.clone(),
+                    number: turn.ticket,
+                };
+                let Some(host) = self.asking.remove(&ticket) else {
+                    continue;
+                };
+                let server = Server::clone(&turn.server);
+                let number = self.occupancy.grant(&host, &server.incarnation, now);
+                let mark = Mark {
+                    hub: self.hub,
+                    number,
+                };
+                grants.push((ticket, Grant { mark, server }));
+            }
+        }
+        grants
+    }
+}
+
+/// Requests beyond a server's slots that it gives out: one, so that a server need not rest for the
+/// round trip in which the next is sent.
+const OVER: u32 = 1;
+
+fn tuning() -> pool::Tuning {
+    pool::Tuning {
+        over: OVER,
+        ..pool::Tuning::default()
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/grant.rs
@@ -0,0 +1,77 @@
+//! What gateways and hub say to each other of single requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id;
+use crate::pool::End;
+use crate::unit::Tokens;
+
+use super::Load;
+use super::Server;
+
+/// A request that wants a backend server.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Want {
+    /// The gateway's host.
+    pub host: id::Host,
+    /// The gateway's data hall.
+    pub hall: Arc<str>,
+    /// The service.
+    pub service: id::Service,
+    /// The request's rank, 0 first.
+    pub rank: u8,
+    /// The time since it arrived.
+    pub waited: Duration,
+    /// How much longer it waits.
+    pub patience: Duration,
+    /// The length of its prompt; 0 where it has none.
+    pub prompt: Tokens,
+    /// Incarnations that it must not be sent to.
+    pub avoid: Vec<Arc<str>>,
+}
+
+/// A place at a backend server, given to one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Which grant it is.
+    pub mark: Mark,
+    /// Where the request is to be sent.
+    pub server: Server,
+}
+
+/// Tells grants apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The hub that gave it, by a number drawn when it began; 0 for none.
+    pub hub: u64,
+    /// Rises with each grant of that hub.
+    pub number: u64,
+}
+
+/// How a sending ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The service.
+    pub service: id::Service,
+    /// Where it was sent.
+    pub incarnation: Arc<str>,
+    /// What it says of the backend server.
+    pub end: End,
+}
+
+/// What a gateway tells as soon as a sending has ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// The gateway's host.
+    pub host: id::Host,
+    /// The last grant that it has got.
+    pub mark: Mark,
+    /// What it has in flight.
+    pub loads: Vec<Load>,
+    /// What has ended since its last report.
+    pub ends: Vec<Ended>,
+}
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -11,11 +11,15 @@
 use crate::route::Table;
 
 use super::Gateway;
+use super::Grant;
 use super::Listing;
-use super::Load;
 use super::Question;
 use super::Reply;
+use super::Report;
 use super::Roll;
+use super::Ticket;
+use super::Want;
+use super::dispatch::Dispatcher;
 use super::version::version;
 
 /// How long silence means what.
@@ -48,7 +52,6 @@
     incarnation: u64,
     gateway: Gateway,
     ready: bool,
-    loads: Vec<Load>,
     heard: Instant,
 }
 
@@ -56,11 +59,11 @@
 ///
 /// It begins empty with each leader. Memory is linear in the gateways and in what they have in
 /// flight; a question costs time linear in the backend servers in use.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Hub {
     tuning: Tuning,
     seen: BTreeMap<id::Host, Seen>,
-    sums: BTreeMap<Arc<str>, u32>,
+    dispatcher: Dispatcher,
     desk: Desk,
     table: u64,
     listing: Arc<Listing>,
@@ -73,13 +76,20 @@
         Self {
             tuning,
             seen: BTreeMap::new(),
-            sums: BTreeMap::new(),
+            dispatcher: Dispatcher::default(),
             desk: Desk::new(tuning.tolerance, now),
             table: 0,
             listing: Arc::default(),
         }
     }
 
+    /// Its own number, drawn when it begins: it tells its grants from those of other hubs.
+    #[must_use]
+    pub fn drawn(mut self, number: u64) -> Self {
+        self.dispatcher = Dispatcher::new(number);
+        self
+    }
+
     /// Takes up a newer table's allowances.
     pub fn adopt(&mut self, table: &Table, now: Instant) {
         if table.get_number() > self.table {
@@ -92,6 +102,7 @@
 
     /// Takes up a newer list of backend servers.
     pub fn list(&mut self, listing: Arc<Listing>) {
+        self.dispatcher.adopt(&listing);
         self.listing = listing;
     }
 
@@ -119,15 +130,11 @@
             incarnation: question.incarnation,
             gateway: question.gateway.clone(),
             ready: question.ready,
-            loads: question.loads.clone(),
             heard: now,
         };
-        if let Some(former) = self.seen.insert(question.host.clone(), seen) {
-            self.take_off(&former.loads);
-        }
-        for load in &question.loads {
-            *self.sums.entry(Arc::clone(&load.incarnation)).or_default() += load.requests;
-        }
+        self.seen.insert(question.host.clone(), seen);
+        self.dispatcher
+            .report(&question.host, question.mark, &question.loads);
     }
 
     /// The answer to a question that was heard, with the document of a newer table.
@@ -147,7 +154,7 @@
             listing: self.has_news(question).then(|| Listing::clone(listing)),
             count: self.count(),
             roll: (roll.version != question.roll).then_some(roll),
-            loads: self.others(question),
+            loads: self.dispatcher.others(&question.host),
             levels: self.desk.levels(),
             ..Reply::default()
         }
@@ -191,38 +198,9 @@
     }
 
     fn forget(&mut self, now: Instant) {
+        self.tick(now);
         let forget = self.tuning.forget;
-        let gone = self
-            .seen
-            .extract_if(.., |_, seen| now.since(seen.heard) >= forget);
-        let gone: Vec<_> = gone.collect();
-        for (_, seen) in gone {
-            self.take_off(&seen.loads);
-        }
-    }
-
-    fn take_off(&mut self, loads: &[Load]) {
-        for load in loads {
-            if let Some(sum) = self.sums.get_mut(&load.incarnation) {
-                *sum = sum.saturating_sub(load.requests);
-            }
-        }
-        self.sums.retain(|_, sum| *sum > 0);
-    }
-
-    /// What all others have in flight.
-    fn others(&self, question: &Question) -> Vec<Load> {
-        let own = |incarnation: &Arc<str>| {
-            let mut own = question.loads.iter();
-            let own = own.find(|load| load.incarnation == *incarnation);
-            own.map_or(0, |load| load.requests)
-        };
-        let sums = self.sums.iter();
-        let others = sums.map(|(incarnation, sum)| Load {
-            incarnation: Arc::clone(incarnation),
-            requests: sum.saturating_sub(own(incarnation)),
-        });
-        others.filter(|load| load.requests > 0).collect()
+        self.seen.retain(|_, seen| now.since(seen.heard) < forget);
     }
 
     fn roll(&self, now: Instant) -> Roll {
@@ -235,3 +213,41 @@
         }
     }
 }
+
+/// # Places at backend servers
+impl Hub {
+    /// Puts a request in line; tells who is turned away for want of room. None where the service
+    /// has no servers here.
+    pub fn want(&mut self, want: Want, now: Instant) -> Option<(Ticket, Option<Ticket>)> {
+        self.dispatcher.want(want, now)
+    }
+
+    /// Takes a request out of line.
+    pub fn leave(&mut self, ticket: &Ticket) {
+        self.dispatcher.leave(ticket);
+    }
+
+    /// Takes note of what a gateway tells as soon as a sending has ended.
+    pub fn report(&mut self, report: &Report, now: Instant) {
+        self.dispatcher
+            .report(&report.host, report.mark, &report.loads);
+        self.dispatcher.ended(&report.ends, now);
+    }
+
+    /// Gives places to those in line for whom there is room.
+    pub fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
+        self.dispatcher.serve(now)
+    }
+
+    /// Drops what silent gateways had in flight.
+    pub fn tick(&mut self, now: Instant) {
+        let silent = self.tuning.silent;
+        let silent = self
+            .seen
+            .iter()
+            .filter(|(_, seen)| now.since(seen.heard) >= silent);
+        for (host, _) in silent {
+            self.dispatcher.drop_host(host);
+        }
+    }
+}
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -10,6 +10,7 @@
 use crate::quota::Level;
 
 use super::Listing;
+use super::Mark;
 
 /// A gateway that callers can be sent to.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -55,6 +56,8 @@
     pub listing: u64,
     /// The version of the roll that it holds.
     pub roll: u64,
+    /// The last grant that it has got.
+    pub mark: Mark,
     /// What it has in flight.
     pub loads: Vec<Load>,
     /// What it let in since the last report that was taken, by customer.
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::clock::Instant;
 use crate::gateway::Server;
 use crate::unit::Tokens;
@@ -20,6 +23,8 @@
     pub arrived: Instant,
     /// The length of its prompt; 0 where it has none.
     pub prompt: Tokens,
+    /// The data hall that it is sent from.
+    pub hall: Arc<str>,
     /// Incarnations that it was sent to before.
     pub tried: Vec<Arc<str>>,
 }
@@ -34,7 +39,7 @@
 }
 
 /// How a sending ended, as far as it says something of the backend server.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum End {
     /// Answered; with the time to the first byte, and between the pieces of a stream.
     Good {
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -9,7 +9,6 @@
 use crate::clock::Instant;
 use crate::gateway::Load;
 use crate::gateway::Server;
-use crate::unit::Tokens;
 
 use super::Ask;
 use super::End;
@@ -33,7 +32,6 @@
 /// The backend servers of one service, and the requests that wait for one.
 #[derive(Debug)]
 pub struct Pool {
-    hall: Arc<str>,
     tuning: Tuning,
     servers: Vec<Known>,
     waiting: Waiting,
@@ -42,11 +40,10 @@
 }
 
 impl Pool {
-    /// An empty pool of a gateway in `hall`.
+    /// An empty pool.
     #[must_use]
-    pub fn new(hall: Arc<str>, tuning: Tuning, seed: u64) -> Self {
+    pub fn new(tuning: Tuning, seed: u64) -> Self {
         Self {
-            hall,
             tuning,
             servers: Vec::new(),
             waiting: Waiting::default(),
@@ -88,6 +85,41 @@
         }
     }
 
+    /// Takes up what all gateways together have in flight, by incarnation; whoever gives it out
+    /// counts what is sent, so nothing is in flight from here.
+    pub fn occupy(&mut self, in_flight: impl Fn(&str) -> u32) {
+        for known in &mut self.servers {
+            known.own = 0;
+            known.others = in_flight(&known.server.incarnation);
+        }
+    }
+
+    /// Counts a request that is sent to `server` by the word of another; false where the server is
+    /// to take no new work.
+    pub fn take(&mut self, server: &Arc<Server>) -> bool {
+        let place = self
+            .servers
+            .iter()
+            .position(|known| known.server.incarnation == server.incarnation);
+        let place = place.unwrap_or_else(|| {
+            self.servers.push(Known::new(Arc::clone(server)));
+            self.servers.len() - 1
+        });
+        let known = &mut self.servers[place];
+        if known.server.leaving {
+            return false;
+        }
+        known.own += 1;
+        true
+    }
+
+    /// The servers that are left alone at `now`.
+    pub fn suspects(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
+        let suspects = self.servers.iter();
+        let suspects = suspects.filter(move |known| known.trust.is_suspect(now));
+        suspects.map(|known| &known.server.incarnation)
+    }
+
     /// Takes up what an answer of a server told of its load.
     pub fn told(&mut self, incarnation: &str, in_flight: u32) {
         if let Some(known) = self.get(incarnation) {
@@ -137,15 +169,16 @@
     /// Gives turns to those in line for whom there is room.
     pub fn serve(&mut self, now: Instant) -> Vec<Turn> {
         let mut turns = Vec::new();
-        let line: Vec<_> = self
-            .waiting
-            .iter()
-            .map(|(ticket, ask)| (ticket, ask.tried.clone(), ask.prompt))
-            .collect();
-        for (ticket, tried, prompt) in line {
-            let Some(place) = self.choose(&tried, prompt, now) else {
+        let mut last = None;
+        while let Some((at, ask)) = self.waiting.after(last) {
+            if !self.has_room() {
+                break;
+            }
+            let (ticket, ask) = (at.2, ask.clone());
+            last = Some(at);
+            let Some(place) = self.choose(&ask, now) else {
                 // Who has tried some servers may wait for others; the next in line may not.
-                if tried.is_empty() {
+                if ask.tried.is_empty() {
                     break;
                 }
                 continue;
@@ -182,11 +215,21 @@
         servers.find(|known| &*known.server.incarnation == incarnation)
     }
 
+    /// Whether any server has room at all.
+    fn has_room(&self) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|known| !known.server.leaving && self.is_free(known))
+    }
+
+    fn is_free(&self, known: &Known) -> bool {
+        known.in_flight() < known.server.slots.max(1) + self.tuning.over
+    }
+
     /// The place of the best server with room; where all are left alone, of those that broke once.
-    fn choose(&mut self, tried: &[Arc<str>], prompt: Tokens, now: Instant) -> Option<usize> {
+    fn choose(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
         let mut taking = self.servers.iter().filter(|known| !known.server.leaving);
         let all_suspect = taking.all(|known| known.trust.is_suspect(now));
-        self.best(tried, prompt, |known| {
+        self.best(ask, |known| {
             !known.trust.is_suspect(now) || (all_suspect && known.trust.is_last_resort())
         })
     }
@@ -195,24 +238,19 @@
     ///
     /// Two that look the same are told apart by lot, so that gateways with the same word do not
     /// all send to the same one.
-    fn best(
-        &mut self,
-        tried: &[Arc<str>],
-        prompt: Tokens,
-        trusted: impl Fn(&Known) -> bool,
-    ) -> Option<usize> {
+    fn best(&mut self, ask: &Ask, trusted: impl Fn(&Known) -> bool) -> Option<usize> {
         let mean = self.mean_pace();
         let mut best: Option<(f64, usize)> = None;
         for place in 0..self.servers.len() {
             let lot: f64 = self.random.random();
             let known = &self.servers[place];
             let server = &known.server;
-            let room = known.in_flight() < server.slots.max(1) + self.tuning.over;
-            let again = tried.contains(&server.incarnation);
+            let room = self.is_free(known);
+            let again = ask.tried.contains(&server.incarnation);
             if server.leaving || again || !room || !trusted(known) {
                 continue;
             }
-            let score = self.score(known, prompt, mean) + lot * LOT;
+            let score = self.score(known, ask, mean) + lot * LOT;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, place));
             }
@@ -220,19 +258,19 @@
         best.map(|(_, place)| place)
     }
 
-    /// How long a request with `prompt` is likely to take there, in the time of one request at a
+    /// How long a request is likely to take there, in the time of one request at a
     /// server of the usual pace.
-    fn score(&self, known: &Known, prompt: Tokens, mean: f64) -> f64 {
+    fn score(&self, known: &Known, ask: &Ask, mean: f64) -> f64 {
         let pace = known
             .pace()
             .map_or(1.0, |pace| pace / mean.max(f64::MIN_POSITIVE));
-        let far = if known.server.hall == self.hall {
+        let far = if known.server.hall == ask.hall {
             0.0
         } else {
             self.tuning.distance
         };
         let distrust = 1.0 + self.tuning.distrust * known.trust.failures();
-        let itself = self.tuning.own + self.tuning.prompt * prompt.as_f64() / 1_000.0;
+        let itself = self.tuning.own + self.tuning.prompt * ask.prompt.as_f64() / 1_000.0;
         (f64::from(known.in_flight()) + itself + far) * pace.clamp(FASTEST, SLOWEST) * distrust
     }
 
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -1,6 +1,7 @@
 //! Who waits, in order: by rank, then by arrival.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use crate::clock::Instant;
 
@@ -8,7 +9,7 @@
 use super::Ticket;
 
 /// A place in line: by rank, then by arrival.
-type Place = (u8, Instant, Ticket);
+pub(super) type Place = (u8, Instant, Ticket);
 
 /// Requests that wait.
 #[derive(Clone, Debug, Default)]
@@ -40,10 +41,10 @@
             .map(|((_, _, ticket), _)| *ticket)
     }
 
-    /// In order.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (Ticket, &Ask)> {
-        self.order
-            .iter()
-            .map(|((_, _, ticket), ask)| (*ticket, ask))
+    /// The first one, or the next after a place in line.
+    pub(super) fn after(&self, place: Option<Place>) -> Option<(Place, &Ask)> {
+        let from = place.map_or(Bound::Unbounded, Bound::Excluded);
+        let next = self.order.range((from, Bound::Unbounded)).next();
+        next.map(|(place, ask)| (*place, ask))
     }
 }
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Listing;
 use curlewlift_core::gateway::Load;
+use curlewlift_core::gateway::Mark;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::Tuning;
@@ -30,6 +31,7 @@
         table: 0,
         listing: 0,
         roll: 0,
+        mark: Mark::default(),
         loads: vec![load],
         spent: Vec::new(),
         levels: Vec::new(),
--- /dev/null
+++ b/crates/core/tests/hub_places.rs
@@ -0,0 +1,284 @@
+//! Places at backend servers that the hub gives: one order, room over all gateways, lost words.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::Ended;
+use curlewlift_core::gateway::Gateway;
+use curlewlift_core::gateway::Grant;
+use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::Load;
+use curlewlift_core::gateway::Mark;
+use curlewlift_core::gateway::Question;
+use curlewlift_core::gateway::Report;
+use curlewlift_core::gateway::Server;
+use curlewlift_core::gateway::Ticket;
+use curlewlift_core::gateway::Tuning;
+use curlewlift_core::gateway::Want;
+use curlewlift_core::pool::End;
+use curlewlift_core::unit::Tokens;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Slots of each server; one more is given out.
+const SLOTS: u32 = 2;
+
+const HUB: u64 = 77;
+
+fn ms(count: u64) -> Instant {
+    Instant::default() + Duration::from_millis(count)
+}
+
+fn hub(names: &[&str]) -> Hub {
+    let servers = names.iter().map(|name| Server {
+        incarnation: (*name).into(),
+        service: "chat".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "a".into(),
+        slots: SLOTS,
+        leaving: false,
+    });
+    let mut hub = Hub::new(Tuning::default(), ms(0)).drawn(HUB);
+    hub.list(Arc::new(Listing::new(servers.collect())));
+    hub
+}
+
+fn want(host: &str, rank: u8) -> Want {
+    Want {
+        host: host.parse().expect("a name"),
+        hall: "a".into(),
+        service: "chat".parse().expect("a name"),
+        rank,
+        waited: Duration::ZERO,
+        patience: Duration::from_millis(200),
+        prompt: Tokens(10),
+        avoid: Vec::new(),
+    }
+}
+
+fn asks(hub: &mut Hub, host: &str, rank: u8, now: Instant) -> Ticket {
+    hub.want(want(host, rank), now).expect("it has servers").0
+}
+
+fn report(host: &str, number: u64, in_flight: u32) -> Report {
+    Report {
+        host: host.parse().expect("a name"),
+        mark: Mark { hub: HUB, number },
+        loads: vec![Load {
+            incarnation: "s1".into(),
+            requests: in_flight,
+        }],
+        ends: Vec::new(),
+    }
+}
+
+/// A hub whose only server is full with what `g` was granted; the last grant's mark.
+fn full() -> (Hub, Mark) {
+    let mut hub = hub(&["s1"]);
+    for _ in 0..=SLOTS {
+        asks(&mut hub, "g", 1, ms(1));
+    }
+    let grants = hub.serve(ms(1));
+    assert_eq!(grants.len(), 3, "its slots and one");
+    let mark = grants[2].1.mark;
+    (hub, mark)
+}
+
+#[test]
+fn one_order() {
+    let (mut hub, mark) = full();
+    let low = asks(&mut hub, "g", 2, ms(2));
+    let high = asks(&mut hub, "gg", 0, ms(3));
+    assert!(hub.serve(ms(3)).is_empty(), "no room");
+    hub.report(&report("g", mark.number, 2), ms(4));
+    assert_eq!(hub.serve(ms(4))[0].0, high, "whatever gateway it came to");
+    hub.report(&report("g", mark.number, 1), ms(5));
+    assert_eq!(hub.serve(ms(5))[0].0, low);
+}
+
+#[test]
+fn waited_counts() {
+    let (mut hub, mark) = full();
+    asks(&mut hub, "g", 1, ms(500));
+    let mut elder = want("gg", 1);
+    elder.waited = Duration::from_millis(300);
+    let elder = hub.want(elder, ms(501)).expect("it has servers").0;
+    hub.report(&report("g", mark.number, 2), ms(502));
+    assert_eq!(hub.serve(ms(502))[0].0, elder);
+}
+
+#[test]
+fn grants_count_until_reported() {
+    let (mut hub, mark) = full();
+    asks(&mut hub, "gg", 1, ms(2));
+    // It was written before the second grant had come.
+    hub.report(&report("g", mark.number - 2, 1), ms(3));
+    assert!(hub.serve(ms(3)).is_empty());
+    // All three have come, and one has ended.
+    hub.report(&report("g", mark.number, 2), ms(4));
+    assert_eq!(hub.serve(ms(4)).len(), 1);
+}
+
+#[test]
+fn marks_of_another_hub() {
+    let (mut hub, _) = full();
+    asks(&mut hub, "gg", 1, ms(2));
+    let mut foreign = report("g", 1_000, 0);
+    foreign.mark.hub = HUB + 1;
+    hub.report(&foreign, ms(3));
+    assert!(hub.serve(ms(3)).is_empty(), "what it granted still counts");
+}
+
+#[test]
+fn lost_grant_expires() {
+    let (mut hub, _) = full();
+    asks(&mut hub, "gg", 1, ms(2));
+    assert!(hub.serve(ms(400)).is_empty());
+    assert_eq!(hub.serve(ms(502)).len(), 1, "nobody has taken them up");
+}
+
+#[test]
+fn silent_gateway_dropped() {
+    let mut hub = hub(&["s1"]);
+    let question = Question {
+        host: "g".parse().expect("a name"),
+        incarnation: 1,
+        gateway: Gateway {
+            hall: "a".into(),
+            callers: "127.0.0.1:80".parse().expect("an address"),
+        },
+        ready: true,
+        table: 0,
+        listing: 0,
+        roll: 0,
+        mark: Mark::default(),
+        loads: report("g", 0, 3).loads,
+        spent: Vec::new(),
+        levels: Vec::new(),
+        fetched: None,
+    };
+    hub.hear(&question, ms(0));
+    asks(&mut hub, "gg", 1, ms(10));
+    hub.tick(ms(1_100));
+    assert!(hub.serve(ms(1_100)).is_empty());
+    hub.tick(ms(1_300));
+    assert_eq!(hub.serve(ms(1_300)).len(), 1, "its requests have ended");
+}
+
+#[test]
+fn gone_gets_none() {
+    let (mut hub, mark) = full();
+    let gone = asks(&mut hub, "gg", 0, ms(2));
+    let next = asks(&mut hub, "gg", 1, ms(3));
+    hub.leave(&gone);
+    hub.report(&report("g", mark.number, 2), ms(4));
+    assert_eq!(hub.serve(ms(4))[0].0, next);
+}
+
+#[test]
+fn broken_avoided_by_all() {
+    let mut hub = hub(&["s1", "s2"]);
+    let mut broke = report("g", 0, 0);
+    broke.ends.push(Ended {
+        service: "chat".parse().expect("a name"),
+        incarnation: "s1".into(),
+        end: End::Broken,
+    });
+    hub.report(&broke, ms(1));
+    for _ in 0..3 {
+        asks(&mut hub, "gg", 1, ms(2));
+    }
+    let grants = hub.serve(ms(2));
+    let elsewhere = |(_, grant): &(Ticket, Grant)| &*grant.server.incarnation == "s2";
+    assert_eq!((grants.len(), grants.iter().all(elsewhere)), (3, true));
+}
+
+#[test]
+fn unknown_service() {
+    let mut hub = hub(&["s1"]);
+    let mut other = want("g", 1);
+    other.service = "none".parse().expect("a name");
+    assert!(hub.want(other, ms(1)).is_none());
+}
+
+/// A gateway as the hub meets it: words take their time, and come in order.
+#[derive(Default)]
+struct Side {
+    mark: Mark,
+    running: BTreeMap<Arc<str>, u32>,
+    to_it: VecDeque<(u64, Grant)>,
+    to_hub: VecDeque<(u64, Report)>,
+}
+
+/// However late words are, no server ever has more in flight than its slots and one.
+#[test]
+fn never_beyond_room() {
+    for seed in 0..60 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut hub = hub(&["s1", "s2", "s3"]);
+        let mut sides: BTreeMap<&str, Side> = ["g", "gg", "ggg"]
+            .map(|host| (host, Side::default()))
+            .into();
+        let mut asked: BTreeMap<&str, Vec<Ticket>> = BTreeMap::new();
+        let mut given = 0;
+        for now in 0..600 {
+            for (host, side) in &mut sides {
+                if random.random_bool(0.4) {
+                    let ticket = asks(&mut hub, host, random.random_range(0..3), ms(now));
+                    asked.entry(host).or_default().push(ticket);
+                }
+                while side.to_it.front().is_some_and(|(due, _)| *due <= now) {
+                    let (_, grant) = side.to_it.pop_front().expect("looked at");
+                    side.mark = grant.mark;
+                    *side.running.entry(grant.server.incarnation).or_default() += 1;
+                }
+                let ends = random.random_bool(0.3);
+                let busy = side.running.values_mut().find(|count| **count > 0);
+                if let Some(busy) = busy.filter(|_| ends) {
+                    *busy -= 1;
+                    let loads = side.running.iter().map(|(incarnation, requests)| Load {
+                        incarnation: Arc::clone(incarnation),
+                        requests: *requests,
+                    });
+                    let report = Report {
+                        mark: side.mark,
+                        loads: loads.collect(),
+                        ..report(host, 0, 0)
+                    };
+                    side.to_hub
+                        .push_back((now + random.random_range(1..20), report));
+                }
+                while side.to_hub.front().is_some_and(|(due, _)| *due <= now) {
+                    let (_, report) = side.to_hub.pop_front().expect("looked at");
+                    hub.report(&report, ms(now));
+                }
+            }
+            for (ticket, grant) in hub.serve(ms(now)) {
+                given += 1;
+                let mut all = asked.iter();
+                let (host, _) = all
+                    .find(|(_, tickets)| tickets.contains(&ticket))
+                    .expect("it asked");
+                let side = sides.get_mut(host).expect("one of them");
+                side.to_it
+                    .push_back((now + random.random_range(1..20), grant));
+            }
+            let mut sums: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+            for side in sides.values() {
+                for (incarnation, count) in &side.running {
+                    *sums.entry(Arc::clone(incarnation)).or_default() += count;
+                }
+            }
+            assert!(
+                sums.values().all(|sum| *sum <= SLOTS + 1),
+                "{seed}: {sums:?}"
+            );
+        }
+        assert!(given > 50, "{seed}: {given} places were given");
+    }
+}
--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -30,7 +30,7 @@
         waiting: 4,
         ..Tuning::default()
     };
-    let mut pool = Pool::new("a".into(), tuning, 7);
+    let mut pool = Pool::new(tuning, 7);
     pool.adopt(names.iter().map(|name| server(name, false)).collect());
     pool
 }
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -45,6 +45,8 @@
     }
     match call {
         HubCall::Ask(question) => ask(state, *question).await,
+        HubCall::Want(want) => super::places::want(state, *want).await,
+        HubCall::Tell(report) => super::places::tell(state, &report),
         HubCall::Publish(publication) => publish(state, publication).await,
         HubCall::Read => read(state).await,
     }
@@ -69,7 +71,7 @@
 }
 
 /// The answer of a replica that does not surely lead.
-fn elsewhere(state: &State) -> Option<HubReply> {
+pub(super) fn elsewhere(state: &State) -> Option<HubReply> {
     if state.leads().is_ok() {
         return None;
     }
@@ -117,14 +119,15 @@
     let newer = state.machine.get_publication().number > question.table;
     let hub = state.hub.as_mut().ok_or_else(begun)?;
     hub.hear(question, now);
-    if let Some(listing) = &question.fetched
-        && hub.get_listing().version != listing.version
-    {
+    let fetched = question.fetched.as_ref();
+    let fetched = fetched.filter(|listing| hub.get_listing().version != listing.version);
+    if let Some(listing) = fetched {
         hub.list(Arc::new(listing.clone()));
         state.news.notify_waiters();
-        return Ok(true);
     }
-    Ok(newer || hub.has_news(question))
+    let known = newer || fetched.is_some() || hub.has_news(question);
+    state.serve();
+    Ok(known)
 }
 
 /// The newest table, once a majority has confirmed after the question that this replica leads.
@@ -174,6 +177,6 @@
     Ok(HubReply::Published)
 }
 
-fn begun() -> Refusal {
+pub(super) fn begun() -> Refusal {
     Refusal::new(Code::NotLeader, "it has only begun to lead")
 }
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod gateways;
 mod hub;
 mod members;
+mod places;
 mod platform;
 mod query;
 mod replica;
--- /dev/null
+++ b/crates/curlewlift/src/control/places.rs
@@ -0,0 +1,99 @@
+//! Places at backend servers, given to the requests of all gateways.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use curlewlift_core::code::Refusal;
+use curlewlift_core::gateway::Report;
+use curlewlift_core::gateway::Ticket;
+use curlewlift_core::gateway::Want;
+use tokio::sync::oneshot;
+
+use crate::rpc::HubReply;
+
+use super::hub;
+use super::replica::State;
+
+type Shared = Rc<RefCell<State>>;
+
+/// A place in line; left when it is dropped.
+struct InLine {
+    state: Shared,
+    ticket: Ticket,
+}
+
+impl Drop for InLine {
+    fn drop(&mut self) {
+        let mut state = self.state.borrow_mut();
+        state.places.remove(&self.ticket);
+        if let Some(hub) = &mut state.hub {
+            hub.leave(&self.ticket);
+        }
+    }
+}
+
+/// Waits for a place for as long as the request may.
+pub(super) async fn want(state: &Shared, want: Want) -> Result<HubReply, Refusal> {
+    let patience = want.patience;
+    let (line, place) = {
+        let mut borrowed = state.borrow_mut();
+        let now = borrowed.clock.now();
+        let hub = borrowed.hub.as_mut().ok_or_else(super::hub::begun)?;
+        if hub.get_listing().version == 0 {
+            return Err(super::hub::begun());
+        }
+        let Some((ticket, last)) = hub.want(want, now) else {
+            return Ok(HubReply::Place(None));
+        };
+        let (sender, place) = oneshot::channel();
+        borrowed.places.insert(ticket.clone(), sender);
+        if let Some(last) = last {
+            // Dropping the sender tells who waits that it lost its place.
+            borrowed.places.remove(&last);
+        }
+        borrowed.serve();
+        let state = Rc::clone(state);
+        (InLine { state, ticket }, place)
+    };
+    let place = tokio::time::timeout(patience, place).await;
+    drop(line);
+    if let Some(elsewhere) = hub::elsewhere(&state.borrow()) {
+        return Ok(elsewhere);
+    }
+    Ok(HubReply::Place(place.ok().and_then(Result::ok)))
+}
+
+/// Takes note of what a gateway tells of its sendings.
+pub(super) fn tell(state: &Shared, report: &Report) -> Result<HubReply, Refusal> {
+    let mut state = state.borrow_mut();
+    let now = state.clock.now();
+    let hub = state.hub.as_mut().ok_or_else(hub::begun)?;
+    hub.report(report, now);
+    state.serve();
+    Ok(HubReply::Told)
+}
+
+impl State {
+    /// Gives places to those in line for whom there is room.
+    pub(super) fn serve(&mut self) {
+        let now = self.clock.now();
+        let Some(hub) = &mut self.hub else {
+            return;
+        };
+        for (ticket, grant) in hub.serve(now) {
+            // A grant whose request has gone is in no report, and soon counts no more.
+            if let Some(place) = self.places.remove(&ticket) {
+                let _ = place.send(grant);
+            }
+        }
+    }
+
+    /// What only the passing of time has made possible.
+    pub(super) fn tick_places(&mut self) {
+        let now = self.clock.now();
+        if let Some(hub) = &mut self.hub {
+            hub.tick(now);
+        }
+        self.serve();
+    }
+}
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -13,7 +13,9 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
+use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Ticket;
 use curlewlift_core::id;
 use curlewlift_core::log::Body;
 use curlewlift_core::log::Entry;
@@ -26,6 +28,7 @@
 use curlewlift_core::state::Record;
 use curlewlift_core::view::Grantor;
 use curlewlift_core::view::Lease;
+use rand::Rng;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -72,6 +75,8 @@
     pub(super) gateways: Option<Gateways>,
     /// What the gateways tell, while this replica leads.
     pub(super) hub: Option<Hub>,
+    /// Who waits for a place at a backend server, while this replica leads.
+    pub(super) places: HashMap<Ticket, oneshot::Sender<Grant>>,
     /// Wakes those who wait for a newer table or list.
     pub(super) news: Rc<Notify>,
     /// Keeps the replica set whole, where replicas are taken in as they ask.
@@ -108,6 +113,7 @@
             removed: BTreeSet::new(),
             gateways: None,
             hub: None,
+            places: HashMap::new(),
             news: Rc::new(Notify::new()),
             upkeep: Upkeep::default(),
             alone: None,
@@ -144,6 +150,7 @@
         self.replica.tick(now);
         self.settle();
         self.tend();
+        self.tick_places();
     }
 
     pub(super) fn synced(&mut self, sync: Sync) {
@@ -278,7 +285,8 @@
             let now = self.clock.now();
             self.grantor = Some(Grantor::new(self.lease, now));
             if let Some(gateways) = &self.gateways {
-                self.hub = Some(Hub::new(gateways.tuning, now));
+                let number = rand::rng().next_u64();
+                self.hub = Some(Hub::new(gateways.tuning, now).drawn(number));
                 self.take_up();
             }
         } else if self.role == Role::Leader {
@@ -286,6 +294,7 @@
                 .note(Line::new(Kind::Follows).detail(format_args!("term={term}")));
             self.grantor = None;
             self.hub = None;
+            self.places.clear();
             // Whoever waits is told nothing: the command may still be committed.
             self.waiting.clear();
         }
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -31,6 +31,7 @@
 use super::log::Line;
 use super::node::Node;
 use super::open;
+use super::places;
 use super::serve;
 use super::stop;
 use super::stop::Grace;
@@ -128,6 +129,7 @@
         tokio::task::spawn_local(serve_callers(Rc::clone(&node), listener));
         tokio::task::spawn_local(sync::keep(Rc::clone(&node), Rc::clone(&around)));
         tokio::task::spawn_local(lists::keep(Rc::clone(&node), fetch));
+        tokio::task::spawn_local(places::report(Rc::clone(&node)));
         tokio::task::spawn_local(tick(Rc::clone(&node)));
         also(&node, &around)?;
         if signal.next().await == Order::Stop {
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod open;
 mod orders;
 mod outcome;
+mod places;
 mod refuse;
 mod relay;
 mod request;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -10,7 +10,9 @@
 use curlewlift_core::clock;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
+use curlewlift_core::gateway::Ended;
 use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::Mark;
 use curlewlift_core::gateway::Roll;
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
@@ -36,8 +38,14 @@
 pub(super) struct Hub {
     /// The host that leads, by the last word.
     pub(super) leader: Option<id::Host>,
+    /// Where it was reached when it last answered.
+    pub(super) address: Option<SocketAddr>,
     /// When it last answered.
     pub(super) heard: Option<clock::Instant>,
+    /// When it last gave no word on a place in time.
+    pub(super) doubted: Option<clock::Instant>,
+    /// The last grant of a place that has come.
+    pub(super) mark: Mark,
     /// The hosts of the control replicas.
     pub(super) control: Vec<id::Host>,
     /// The version of the list that it held at its last word.
@@ -79,6 +87,10 @@
     pub(super) stopping: Cell<Option<clock::Instant>>,
     /// Whether callers that still come are turned away.
     pub(super) closed: Cell<bool>,
+    /// Sendings that have ended and that the hub was not told of.
+    pub(super) ends: RefCell<Vec<Ended>>,
+    /// Wakes the report to the hub where a sending has ended.
+    pub(super) reports: Notify,
     /// Requests that are open.
     pub(super) open: Cell<usize>,
     /// Requests that were open and have ended.
@@ -112,6 +124,8 @@
             hub: RefCell::default(),
             stopping: Cell::new(None),
             closed: Cell::new(false),
+            ends: RefCell::default(),
+            reports: Notify::new(),
             open: Cell::new(0),
             finished: Cell::new(0),
             changed: Notify::new(),
--- /dev/null
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -0,0 +1,162 @@
+//! Places at backend servers that the hub gives, in one order over all gateways.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
+use curlewlift_core::gateway::Ended;
+use curlewlift_core::gateway::Grant;
+use curlewlift_core::gateway::Report;
+use curlewlift_core::gateway::Server;
+use curlewlift_core::gateway::Want;
+use curlewlift_core::id;
+use curlewlift_core::pool::Ask;
+use curlewlift_core::pool::End;
+
+use crate::rpc::HubCall;
+use crate::rpc::HubReply;
+use crate::rpc::Method;
+use crate::rpc::RenewCall;
+
+use super::log::Line;
+use super::node::Node;
+
+/// How old the hub's last word may be for it to be asked: twice the longest time between two.
+const HEARD: Duration = Duration::from_millis(500);
+
+/// What the hub's word may take beyond the time that the request waits there: two ways between data
+/// halls, and a busy host's delay.
+const ON_ITS_WAY: Duration = Duration::from_millis(40);
+
+/// How long a gateway chooses by itself after the hub gave no word in time.
+const DOUBT: Duration = Duration::from_millis(400);
+
+/// How long a call may take before its connection is given up; the request has gone on by then.
+const CALL: Duration = Duration::from_secs(2);
+
+/// What the hub said.
+pub(super) enum Word {
+    /// The request is to be sent there.
+    Place(Arc<Server>),
+    /// There was no place in time.
+    NoPlace,
+    /// Nothing, or nothing that can be used: this gateway has to choose by itself.
+    Nothing,
+}
+
+/// Asks the hub for a place for at most `patience`.
+pub(super) async fn ask(node: &Node, service: &id::Service, ask: &Ask, patience: Duration) -> Word {
+    let Some(address) = node.hub_address() else {
+        return Word::Nothing;
+    };
+    let want = node.want(service, ask, patience);
+    let call = RenewCall::Hub(HubCall::Want(Box::new(want)));
+    let call = node
+        .rpc
+        .call(address, Method::Renew, &call, CALL + patience);
+    let reply: Option<Result<HubReply, Refusal>> =
+        tokio::time::timeout(patience + ON_ITS_WAY, call).await.ok();
+    match reply {
+        Some(Ok(HubReply::Place(Some(grant)))) => node.take(service, grant),
+        Some(Ok(HubReply::Place(None))) => Word::NoPlace,
+        Some(Ok(_)) => node.doubt("it does not lead"),
+        Some(Err(why)) => node.doubt(&why.to_string()),
+        None => node.doubt("no word in time"),
+    }
+}
+
+impl Node {
+    /// Where the hub is asked for places; none where it is not heard or is doubted.
+    fn hub_address(&self) -> Option<SocketAddr> {
+        let now = self.now();
+        let hub = self.hub.borrow();
+        let lately = |when: Option<_>, length| when.is_some_and(|when| now.since(when) < length);
+        if !lately(hub.heard, HEARD) || lately(hub.doubted, DOUBT) {
+            return None;
+        }
+        hub.address
+    }
+
+    fn want(&self, service: &id::Service, ask: &Ask, patience: Duration) -> Want {
+        let now = self.now();
+        let mut avoid = ask.tried.clone();
+        self.with_service(service, |service| {
+            avoid.extend(service.pool.suspects(now).cloned());
+        });
+        Want {
+            host: self.host.clone(),
+            hall: Arc::clone(&self.gateway.hall),
+            service: service.clone(),
+            rank: ask.rank,
+            waited: now.since(ask.arrived),
+            patience,
+            prompt: ask.prompt,
+            avoid,
+        }
+    }
+
+    /// Takes up a grant.
+    fn take(&self, service: &id::Service, grant: Grant) -> Word {
+        let mut hub = self.hub.borrow_mut();
+        let newer = hub.mark.hub != grant.mark.hub || hub.mark.number < grant.mark.number;
+        if newer {
+            hub.mark = grant.mark;
+        }
+        drop(hub);
+        let server = Arc::new(grant.server);
+        let taken = self.with_service(service, |service| service.pool.take(&server));
+        if taken == Some(true) {
+            return Word::Place(server);
+        }
+        self.tell(service, &server.incarnation, End::Nothing);
+        Word::Nothing
+    }
+
+    fn doubt(&self, why: &str) -> Word {
+        let now = self.now();
+        let mut hub = self.hub.borrow_mut();
+        Line::new(Kind::HubDoubted)
+            .with("leader", hub.leader.as_ref().map(ToString::to_string))
+            .with("why", why)
+            .write();
+        hub.doubted = Some(now);
+        Word::Nothing
+    }
+
+    /// Tells the hub how a sending ended.
+    pub(super) fn tell(&self, service: &id::Service, incarnation: &str, end: End) {
+        self.ends.borrow_mut().push(Ended {
+            service: service.clone(),
+            incarnation: incarnation.into(),
+            end,
+        });
+        self.reports.notify_one();
+    }
+}
+
+/// Reports how sendings ended, as soon as they do; one report at a time.
+pub(super) async fn report(node: Rc<Node>) {
+    loop {
+        node.reports.notified().await;
+        let ends = node.ends.take();
+        let Some(address) = node.hub_address() else {
+            // The next question tells what is in flight.
+            continue;
+        };
+        let report = Report {
+            host: node.host.clone(),
+            mark: node.hub.borrow().mark,
+            loads: node.loads(),
+            ends,
+        };
+        let call = RenewCall::Hub(HubCall::Tell(report));
+        let told: Result<HubReply, Refusal> =
+            node.rpc.call(address, Method::Renew, &call, HEARD).await;
+        if let Err(why) = told {
+            log::debug!("a report did not reach the hub: {why}");
+        }
+    }
+}
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -137,6 +137,7 @@
             rank: self.rank(),
             arrived: self.admitted.since,
             prompt: Tokens(admitted.call.tokens.map_or(0, |(prompt, _)| prompt)),
+            hall: Arc::clone(&self.node.gateway.hall),
             tried: self.tried.clone(),
         };
         let turn = turn::wait(&self.node, &self.service, ask, patience).await;
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -56,10 +56,9 @@
     }
 
     fn service(&self) -> Service {
-        let hall = Arc::clone(&self.gateway.hall);
         let seed = rand::rng().next_u64();
         Service {
-            pool: Pool::new(hall, pool::Tuning::default(), seed),
+            pool: Pool::new(pool::Tuning::default(), seed),
             budget: Budget::new(self.allowed),
             waiters: HashMap::new(),
         }
@@ -119,6 +118,7 @@
         if let Some(service) = self.services.borrow_mut().get_mut(name) {
             service.pool.ended(incarnation, end, now);
         }
+        self.tell(name, incarnation, end);
         self.serve(name);
     }
 
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -65,7 +65,7 @@
     let reply: Result<HubReply, Refusal> = node.rpc.call(address, Method::Renew, &call, CALL).await;
     match reply {
         Ok(HubReply::News(reply)) => {
-            take(node, around, *reply);
+            take(node, around, address, *reply);
             true
         }
         Ok(HubReply::Elsewhere(leader)) => {
@@ -120,6 +120,7 @@
         table: node.table().map_or(0, |table| table.get_number()),
         listing: listing.version,
         roll: node.roll.borrow().version,
+        mark: hub.mark,
         loads: node.loads(),
         spent: share.report(),
         levels: share.levels(),
@@ -127,7 +128,7 @@
     }
 }
 
-fn take(node: &Node, around: &Surroundings, reply: Reply) {
+fn take(node: &Node, around: &Surroundings, address: SocketAddr, reply: Reply) {
     if let Some((number, document)) = reply.table {
         match (around.decode)(&document) {
             Ok(table) => node.adopt_table(table),
@@ -137,6 +138,7 @@
     {
         let mut hub = node.hub.borrow_mut();
         hub.heard = Some(node.now());
+        hub.address = Some(address);
         hub.leader = reply.leader;
         hub.control = reply.control;
         hub.count = reply.count;
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -11,8 +11,11 @@
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::node::Node;
+use super::places;
+use super::places::Word;
 
 /// A place at a backend server; given back when it is dropped.
 pub(super) struct Place {
@@ -23,6 +26,15 @@
 }
 
 impl Place {
+    fn new(node: &Rc<Node>, service: &id::Service, server: Arc<Server>) -> Self {
+        Self {
+            node: Rc::clone(node),
+            service: service.clone(),
+            server,
+            end: End::Nothing,
+        }
+    }
+
     /// How it ended, told when it is given back.
     pub(super) fn end(&mut self, end: End) {
         self.end = end;
@@ -84,12 +96,30 @@
     TimeUp,
 }
 
-/// Waits for a turn for at most `patience`.
+/// Waits for a turn for at most `patience`: at the hub, or here while it is not to be had.
 pub(super) async fn wait(
     node: &Rc<Node>,
     service: &id::Service,
     ask: Ask,
     patience: Duration,
+) -> Result<Place, NoTurn> {
+    let until = Instant::now() + patience;
+    match places::ask(node, service, &ask, patience).await {
+        Word::Place(server) => Ok(Place::new(node, service, server)),
+        Word::NoPlace => Err(NoTurn::TimeUp),
+        Word::Nothing => {
+            let left = until.saturating_duration_since(Instant::now());
+            wait_here(node, service, ask, left).await
+        }
+    }
+}
+
+/// Waits for a turn by what this gateway knows itself.
+async fn wait_here(
+    node: &Rc<Node>,
+    service: &id::Service,
+    ask: Ask,
+    patience: Duration,
 ) -> Result<Place, NoTurn> {
     let (ticket, turn) = node.ask(service, ask).ok_or(NoTurn::NoServer)?;
     let mut line = Line {
@@ -104,10 +134,5 @@
         Ok(Err(_)) => return Err(NoTurn::Displaced),
         Err(_) => return Err(NoTurn::TimeUp),
     };
-    Ok(Place {
-        node: Rc::clone(node),
-        service: service.clone(),
-        server: turn.server,
-        end: End::Nothing,
-    })
+    Ok(Place::new(node, service, turn.server))
 }
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -39,6 +39,10 @@
 pub(crate) enum HubCall {
     /// What is new; answered at once where something is, else after a while.
     Ask(Box<gateway::Question>),
+    /// Wants a place at a backend server; answered once there is one, or not in time.
+    Want(Box<gateway::Want>),
+    /// Tells how sendings ended.
+    Tell(gateway::Report),
     /// Puts a routing table in force.
     Publish(Publication),
     /// Asks for the routing table in force.
@@ -50,6 +54,10 @@
 pub(crate) enum HubReply {
     /// What is new.
     News(Box<gateway::Reply>),
+    /// A place at a backend server; none where there was none in time.
+    Place(Option<gateway::Grant>),
+    /// A report was taken.
+    Told,
     /// It is in force, or a higher number is.
     Published,
     /// The table in force; number 0 where there is none.
--- /dev/null
+++ b/crates/curlewlift/tests/platform_places.rs
@@ -0,0 +1,43 @@
+//! Places at engines: given by the hub, chosen by each gateway where no hub is to be had.
+
+mod platform;
+
+use platform::Answer;
+use platform::Engine;
+use platform::Hosts;
+use platform::ask;
+use platform::document;
+use platform::folder;
+use platform::wait;
+
+fn get(hosts: &Hosts, place: usize, round: usize) -> Answer {
+    let head = format!(
+        "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {place}-{round}\r\n\
+         X-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann"
+    );
+    ask(hosts.callers(place), &head, "")
+}
+
+#[test]
+fn served_without_hub() {
+    let engines = [Engine::start("i-1"), Engine::start("i-2")];
+    let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
+    let mut hosts = Hosts::start(folder("served_without_hub"), &listed);
+    hosts.configure(&document(7).to_string());
+    for place in 0..3 {
+        assert_eq!(get(&hosts, place, 0).status, 200, "{place}");
+    }
+    // What is left is no majority: nobody leads, before it knows that and after.
+    hosts.kill(0);
+    hosts.kill(1);
+    for round in 1..30 {
+        assert_eq!(get(&hosts, 2, round).status, 200, "{round}");
+    }
+    let read = "GET /api/config/get HTTP/1.1\r\nHost: x";
+    wait("nobody leads", || {
+        ask(hosts.control(2), read, "").status == 503
+    });
+    for round in 30..60 {
+        assert_eq!(get(&hosts, 2, round).status, 200, "{round}");
+    }
+}
