--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -58,6 +58,12 @@
 }
 
 impl Admitted {
+    /// Its customer, for the log.
+    pub(super) fn customer(&self) -> Option<&str> {
+        let account = self.account.as_ref();
+        account.map(|account| account.name.as_str())
+    }
+
     /// What is known of its time now.
     pub(super) fn patience(&self) -> Patience {
         patience(&self.rule, self.arrived, self.until)
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -176,6 +176,7 @@
             .with("table", self.admitted.table)
             .with("server", &*place.server.incarnation)
             .with("sent", self.sent + self.passed + 1)
+            .with("customer", self.admitted.customer())
             .with("cost", self.admitted.cost)
             .with("hub_ms", self.node.hub_silence().map(millis))
             .after(self.admitted.arrived)
