Charge no customer for what was set aside while a gateway was cut off

Change: a question says in what time its report was let in; the desk draws only what was not set aside. All of it still counts in the window.

--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -62,6 +63,8 @@
     pub loads: Vec<Load>,
     /// What it let in since the last report that was taken, by customer.
     pub spent: Vec<(id::Customer, u64)>,
+    /// The time in which it let that in: since the hub's last word.
+    pub over: Duration,
     /// What it last heard of the allowances, for a hub that has only begun.
     pub levels: Vec<Level>,
     /// The list as it was last fetched here, where this gateway is the one that fetches it.
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -121,14 +121,22 @@
         }
     }
 
-    /// Takes note that an entry let in `count` of an allowance's unit.
+    /// Takes note that an entry let in `count` of an allowance's unit, lately.
     pub fn spent(&mut self, customer: &id::Customer, count: u64, now: Instant) {
+        self.spent_late(customer, count, 1.0, now);
+    }
+
+    /// Takes note of what an entry let in of which only `unset` (0 to 1) was not set aside when
+    /// [`Desk::fill`] was told that it is silent.
+    ///
+    /// What was set aside is no debt. In the window all of it counts, as if let in now.
+    pub fn spent_late(&mut self, customer: &id::Customer, count: u64, unset: f64, now: Instant) {
         let length = self.tolerance.window;
         if let Some(held) = self.held.get_mut(customer) {
             let amount = amount(count);
-            held.bucket.draw(amount);
+            held.bucket.draw(amount * unset);
             held.window.add(amount, length, now);
-            held.lately += amount;
+            held.lately += amount * unset;
         }
     }
 
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -21,6 +21,9 @@
 /// How long a question and its answer take.
 const ROUND: u32 = 20;
 
+/// After how long a gateway's part is set aside.
+const SILENT: Duration = Duration::from_millis(1_200);
+
 const ALLOWANCE: Allowance = Allowance {
     unit: Unit::Tokens(200),
     rate: 60_000.0,
@@ -42,6 +45,7 @@
     share: Share,
     answer: Option<(u32, Vec<Level>)>,
     cut: bool,
+    heard: Instant,
     offset: u32,
 }
 
@@ -66,6 +70,7 @@
             share: Share::new(TOLERANCE),
             answer: None,
             cut: false,
+            heard: Instant::default(),
             offset: place % ROUND,
         });
         let mut world = Self {
@@ -120,11 +125,14 @@
             if let Some((due, levels)) = &gateway.answer {
                 if *due <= self.step {
                     gateway.share.heard(levels, count, self.now);
+                    gateway.heard = self.now;
                     gateway.answer = None;
                 }
             } else if self.step % ROUND == gateway.offset {
+                let over = self.now.since(gateway.heard).max(SILENT);
+                let unset = SILENT.as_secs_f64() / over.as_secs_f64();
                 for (customer, amount) in gateway.share.report() {
-                    self.desk.spent(&customer, amount, self.now);
+                    self.desk.spent_late(&customer, amount, unset, self.now);
                 }
                 self.desk.fill(silent, self.now);
                 gateway.answer = Some((self.step + ROUND / 2, self.desk.levels()));
@@ -217,6 +225,26 @@
     }
 }
 
+/// What gateways let in of their own parts while they were cut off is no debt for all.
+#[test]
+fn cut_off_no_debt() {
+    for seed in 0..20 {
+        let mut world = World::new(12, seed);
+        world.go_on(Duration::from_secs(10), 30_000.0);
+        for gateway in &mut world.gateways[..6] {
+            gateway.cut = true;
+        }
+        world.go_on(Duration::from_secs(7), 30_000.0);
+        for gateway in &mut world.gateways {
+            gateway.cut = false;
+        }
+        let before = world.total;
+        world.go_on(Duration::from_secs(2), 30_000.0);
+        let let_in = world.total - before;
+        assert!(let_in > 50_000, "seed {seed}: {let_in} of 60000");
+    }
+}
+
 #[test]
 fn leader_changes() {
     for seed in 0..40 {
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -16,6 +16,7 @@
 
 use super::daemon::Surroundings;
 use super::log::Line;
+use super::node::Hub;
 use super::node::Node;
 
 /// How long an answer may take: the hub's own wait, and a busy host's delay.
@@ -123,11 +124,17 @@
         mark: hub.mark,
         loads: node.loads(),
         spent: share.report(),
+        over: over(node, &hub),
         levels: share.levels(),
         fetched: fetched.then(|| listing.clone()),
     }
 }
 
+/// The time since the hub's last word, or since the start.
+fn over(node: &Node, hub: &Hub) -> Duration {
+    node.now().since(hub.heard.unwrap_or_default())
+}
+
 fn take(node: &Node, around: &Surroundings, address: SocketAddr, reply: Reply) {
     if let Some((number, document)) = reply.table {
         match (around.decode)(&document) {
