Count the prompts that servers still read, and try suspect ones at the last

Cause: a request behind a long prompt waits for it, and its server held up all beside it, unseen by the choice. And a stream that broke, or a request whose first server failed, was given up with the only other server left alone after two breaks; the gateways' list of servers to avoid kept the hub from the rule for that. Change: Load has the tokens of prompts whose answer has not begun; gateways report when one begins. Where all servers that a request may still go to are suspect, those that broke once or twice in a row are tried.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -139,7 +139,12 @@
                     continue;
                 };
                 let server = Server::clone(&turn.server);
-                let number = self.occupancy.grant(&host, &server.incarnation, now);
+                let load = Load {
+                    incarnation: Arc::clone(&server.incarnation),
+                    requests: 1,
+                    reading: turn.prompt,
+                };
+                let number = self.occupancy.grant(&host, load, now);
                 let mark = Mark {
                     hub: self.hub,
                     number,
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug)]
 struct Granted {
     number: u64,
-    incarnation: Arc<str>,
+    load: Load,
     at: Instant,
 }
 
@@ -29,6 +29,14 @@
     granted: VecDeque<Granted>,
 }
 
+impl Held {
+    /// All that counts as in flight.
+    fn all(&self) -> impl Iterator<Item = &Load> {
+        let granted = self.granted.iter().map(|granted| &granted.load);
+        self.loads.iter().chain(granted)
+    }
+}
+
 /// What all gateways have in flight: what each last reported, and what it was granted since.
 ///
 /// A report counts whole, so lost and doubled ones do no lasting harm. Memory is linear in what is
@@ -36,7 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Occupancy {
     held: BTreeMap<id::Host, Held>,
-    sums: BTreeMap<Arc<str>, u32>,
+    sums: BTreeMap<Arc<str>, Load>,
     last: u64,
 }
 
@@ -54,27 +62,27 @@
             over.extend(held.granted.pop_front());
         }
         for load in loads {
-            *self.sums.entry(Arc::clone(&load.incarnation)).or_default() += load.requests;
+            self.add(load);
         }
-        for load in former {
-            self.take_off(&load.incarnation, load.requests);
+        for load in &former {
+            self.take_off(load);
         }
         for granted in over {
-            self.take_off(&granted.incarnation, 1);
+            self.take_off(&granted.load);
         }
     }
 
-    /// Counts a place that `host` is given at `incarnation`; gives the grant's number.
-    pub(super) fn grant(&mut self, host: &id::Host, incarnation: &Arc<str>, now: Instant) -> u64 {
+    /// Counts a place that `host` is given for a request; gives the grant's number.
+    pub(super) fn grant(&mut self, host: &id::Host, load: Load, now: Instant) -> u64 {
         self.last += 1;
+        self.add(&load);
         let granted = Granted {
             number: self.last,
-            incarnation: Arc::clone(incarnation),
+            load,
             at: now,
         };
         let held = self.held.entry(host.clone()).or_default();
         held.granted.push_back(granted);
-        *self.sums.entry(Arc::clone(incarnation)).or_default() += 1;
         self.last
     }
 
@@ -91,7 +99,7 @@
             }
         }
         for granted in over {
-            self.take_off(&granted.incarnation, 1);
+            self.take_off(&granted.load);
         }
     }
 
@@ -101,44 +109,47 @@
         let Some(held) = self.held.remove(host) else {
             return;
         };
-        for load in held.loads {
-            self.take_off(&load.incarnation, load.requests);
-        }
-        for granted in held.granted {
-            self.take_off(&granted.incarnation, 1);
+        for load in held.all() {
+            self.take_off(load);
         }
     }
 
-    /// What is in flight at `incarnation`.
-    pub(super) fn get(&self, incarnation: &str) -> u32 {
-        self.sums.get(incarnation).copied().unwrap_or_default()
+    /// What is in flight at `incarnation`; none where nothing is.
+    pub(super) fn get(&self, incarnation: &str) -> Option<&Load> {
+        self.sums.get(incarnation)
     }
 
     /// What gateways other than `host` have in flight.
     pub(super) fn others(&self, host: &id::Host) -> Vec<Load> {
-        let own = |incarnation: &Arc<str>| {
-            let Some(held) = self.held.get(host) else {
-                return 0;
-            };
-            let loads = held.loads.iter();
-            let loads = loads.filter(|load| load.incarnation == *incarnation);
-            let granted = held.granted.iter();
-            let granted = granted.filter(|granted| granted.incarnation == *incarnation);
-            let granted = u32::try_from(granted.count()).unwrap_or(u32::MAX);
-            granted.saturating_add(loads.map(|load| load.requests).sum())
-        };
-        let others = self.sums.iter().map(|(incarnation, sum)| Load {
-            incarnation: Arc::clone(incarnation),
-            requests: sum.saturating_sub(own(incarnation)),
+        let held = self.held.get(host);
+        let others = self.sums.values().map(|sum| {
+            let mut others = sum.clone();
+            let own = held.into_iter().flat_map(Held::all);
+            for load in own.filter(|load| load.incarnation == sum.incarnation) {
+                others.requests = others.requests.saturating_sub(load.requests);
+                others.reading.0 = others.reading.0.saturating_sub(load.reading.0);
+            }
+            others
         });
         others.filter(|load| load.requests > 0).collect()
     }
 
-    fn take_off(&mut self, incarnation: &Arc<str>, requests: u32) {
-        if let Some(sum) = self.sums.get_mut(incarnation) {
-            *sum = sum.saturating_sub(requests);
-            if *sum == 0 {
-                self.sums.remove(incarnation);
+    fn add(&mut self, load: &Load) {
+        let sum = self.sums.entry(Arc::clone(&load.incarnation));
+        let sum = sum.or_insert_with(|| Load {
+            incarnation: Arc::clone(&load.incarnation),
+            ..Load::default()
+        });
+        sum.requests = sum.requests.saturating_add(load.requests);
+        sum.reading.0 = sum.reading.0.saturating_add(load.reading.0);
+    }
+
+    fn take_off(&mut self, load: &Load) {
+        if let Some(sum) = self.sums.get_mut(&load.incarnation) {
+            sum.requests = sum.requests.saturating_sub(load.requests);
+            sum.reading.0 = sum.reading.0.saturating_sub(load.reading.0);
+            if sum.requests == 0 {
+                self.sums.remove(&load.incarnation);
             }
         }
     }
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -9,6 +9,7 @@
 
 use crate::id;
 use crate::quota::Level;
+use crate::unit::Tokens;
 
 use super::Listing;
 use super::Mark;
@@ -22,13 +23,15 @@
     pub callers: SocketAddr,
 }
 
-/// How many requests are in flight at one incarnation of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What is in flight at one incarnation of a backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// The incarnation.
     pub incarnation: Arc<str>,
     /// Requests sent there and not ended.
     pub requests: u32,
+    /// Tokens of the prompts among them whose answer has not begun.
+    pub reading: Tokens,
 }
 
 /// The gateways that live.
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -36,6 +36,8 @@
     pub ticket: Ticket,
     /// Where to send it.
     pub server: Arc<Server>,
+    /// The length of its prompt.
+    pub prompt: Tokens,
 }
 
 /// How a sending ended, as far as it says something of the backend server.
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -9,6 +9,7 @@
 use crate::clock::Instant;
 use crate::gateway::Load;
 use crate::gateway::Server;
+use crate::unit::Tokens;
 
 use super::Ask;
 use super::End;
@@ -81,22 +82,23 @@
             let load = loads
                 .iter()
                 .find(|load| load.incarnation == known.server.incarnation);
-            known.others = load.map_or(0, |load| load.requests);
+            known.hear(load);
         }
     }
 
     /// Takes up what all gateways together have in flight, by incarnation; whoever gives it out
     /// counts what is sent, so nothing is in flight from here.
-    pub fn occupy(&mut self, in_flight: impl Fn(&str) -> u32) {
+    pub fn occupy<'a>(&mut self, in_flight: impl Fn(&str) -> Option<&'a Load>) {
         for known in &mut self.servers {
             known.own = 0;
-            known.others = in_flight(&known.server.incarnation);
+            known.own_reading = 0;
+            known.hear(in_flight(&known.server.incarnation));
         }
     }
 
     /// Counts a request that is sent to `server` by the word of another; false where the server is
     /// to take no new work.
-    pub fn take(&mut self, server: &Arc<Server>) -> bool {
+    pub fn take(&mut self, server: &Arc<Server>, prompt: Tokens) -> bool {
         let place = self
             .servers
             .iter()
@@ -109,15 +111,16 @@
         if known.server.leaving {
             return false;
         }
-        known.own += 1;
+        known.begin(prompt);
         true
     }
 
-    /// The servers that are left alone at `now`.
-    pub fn suspects(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
-        let suspects = self.servers.iter();
-        let suspects = suspects.filter(move |known| known.trust.is_suspect(now));
-        suspects.map(|known| &known.server.incarnation)
+    /// The servers that are left alone at `now` by a request that has `tried` some.
+    pub fn avoided(&self, tried: &[Arc<str>], now: Instant) -> impl Iterator<Item = &Arc<str>> {
+        let all_suspect = self.is_suspect(tried, now);
+        let avoided = self.servers.iter();
+        let avoided = avoided.filter(move |known| !known.trust.is_trusted(all_suspect, now));
+        avoided.map(|known| &known.server.incarnation)
     }
 
     /// Takes up what an answer of a server told of its load.
@@ -145,6 +148,7 @@
         busy.map(|known| Load {
             incarnation: Arc::clone(&known.server.incarnation),
             requests: known.own,
+            reading: Tokens(known.own_reading),
         })
     }
 
@@ -184,19 +188,30 @@
                 continue;
             };
             self.waiting.remove(ticket);
-            self.servers[place].own += 1;
-            let server = Arc::clone(&self.servers[place].server);
-            turns.push(Turn { ticket, server });
+            let known = &mut self.servers[place];
+            known.begin(ask.prompt);
+            turns.push(Turn {
+                ticket,
+                server: Arc::clone(&known.server),
+                prompt: ask.prompt,
+            });
         }
         turns
     }
 
+    /// Takes note that a server has read a request's prompt, or will not.
+    pub fn begun(&mut self, incarnation: &str, prompt: Tokens) {
+        if let Some(known) = self.get(incarnation) {
+            known.own_reading = known.own_reading.saturating_sub(prompt.0);
+        }
+    }
+
     /// Takes note of how a sending ended.
     pub fn ended(&mut self, incarnation: &str, end: End, now: Instant) {
         let Some(known) = self.get(incarnation) else {
             return;
         };
-        known.own = known.own.saturating_sub(1);
+        known.end();
         known.judge(end, now);
         let gone = |known: &Known| known.server.leaving && known.own == 0;
         self.servers
@@ -225,13 +240,20 @@
         known.in_flight() < known.server.slots.max(1) + self.tuning.over
     }
 
-    /// The place of the best server with room; where all are left alone, of those that broke once.
+    /// The place of the best server with room; where all are left alone, of those that have
+    /// hardly broken.
     fn choose(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
-        let mut taking = self.servers.iter().filter(|known| !known.server.leaving);
-        let all_suspect = taking.all(|known| known.trust.is_suspect(now));
-        self.best(ask, |known| {
-            !known.trust.is_suspect(now) || (all_suspect && known.trust.is_last_resort())
-        })
+        let all_suspect = self.is_suspect(&ask.tried, now);
+        self.best(ask, |known| known.trust.is_trusted(all_suspect, now))
+    }
+
+    /// Whether every server that a request which has `tried` some may go to is suspect.
+    fn is_suspect(&self, tried: &[Arc<str>], now: Instant) -> bool {
+        let mut taking = self.servers.iter().filter(|known| {
+            let server = &known.server;
+            !server.leaving && !tried.contains(&server.incarnation)
+        });
+        taking.all(|known| known.trust.is_suspect(now))
     }
 
     /// The place of the best server with room among those that are `trusted`.
@@ -270,7 +292,8 @@
             self.tuning.distance
         };
         let distrust = 1.0 + self.tuning.distrust * known.trust.failures();
-        let itself = self.tuning.own + self.tuning.prompt * ask.prompt.as_f64() / 1_000.0;
+        let reading = ask.prompt.as_f64() + known.reading().as_f64();
+        let itself = self.tuning.own + self.tuning.prompt * reading / 1_000.0;
         (f64::from(known.in_flight()) + itself + far) * pace.clamp(FASTEST, SLOWEST) * distrust
     }
 
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use crate::clock::Instant;
+use crate::gateway::Load;
 use crate::gateway::Server;
+use crate::unit::Tokens;
 
 use super::End;
 use super::Pace;
@@ -17,6 +19,10 @@
     pub(super) own: u32,
     /// What other gateways have in flight there, by the last word.
     pub(super) others: u32,
+    /// Tokens of the prompts sent from here whose answer has not begun.
+    pub(super) own_reading: u64,
+    /// The same of other gateways, by the last word.
+    pub(super) others_reading: u64,
     /// The time to the first byte of an answer.
     pub(super) first: Pace,
     /// The time between two pieces of a stream.
@@ -30,6 +36,8 @@
             server,
             own: 0,
             others: 0,
+            own_reading: 0,
+            others_reading: 0,
             first: Pace::default(),
             gap: Pace::default(),
             trust: Trust::default(),
@@ -39,11 +47,37 @@
     pub(super) fn in_flight(&self) -> u32 {
         self.own + self.others
     }
+
+    /// The tokens of prompts that it has not read to their end.
+    pub(super) fn reading(&self) -> Tokens {
+        Tokens(self.own_reading.saturating_add(self.others_reading))
+    }
+
+    /// Counts a request that is sent there.
+    pub(super) fn begin(&mut self, prompt: Tokens) {
+        self.own += 1;
+        self.own_reading = self.own_reading.saturating_add(prompt.0);
+    }
+
     /// How long it lately took: between two pieces of a stream, else to the first byte, in seconds.
     pub(super) fn pace(&self) -> Option<f64> {
         self.gap.mean().or(self.first.mean())
     }
 
+    /// Counts a request that was sent there as ended.
+    pub(super) fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+        if self.own == 0 {
+            self.own_reading = 0;
+        }
+    }
+
+    /// Takes up what other gateways have in flight there.
+    pub(super) fn hear(&mut self, load: Option<&Load>) {
+        self.others = load.map_or(0, |load| load.requests);
+        self.others_reading = load.map_or(0, |load| load.reading.0);
+    }
+
     /// It takes no new work from now on.
     pub(super) fn leave(&mut self) {
         let mut server = Server::clone(&self.server);
--- a/crates/core/src/pool/trust.rs
+++ b/crates/core/src/pool/trust.rs
@@ -13,6 +13,9 @@
 /// How long a server that has no room is left alone: some requests' time at a fast engine.
 const FULL: Duration = Duration::from_millis(120);
 
+/// How often in a row a server may have broken for it to be tried where no other is better.
+const LAST_RESORT: u32 = 2;
+
 /// The weight of one answer in the part of failures.
 const WEIGHT: f64 = 0.15;
 
@@ -56,11 +59,11 @@
         self.until.is_some_and(|until| now < until)
     }
 
-    /// Whether it may be tried all the same where every other server is left alone too: a single
-    /// break tells nothing then.
+    /// Whether it may be sent something at `now`. Where all servers are suspect, a break or two
+    /// tell none from another, and trying is better than refusing.
     #[must_use]
-    pub fn is_last_resort(&self) -> bool {
-        self.breaks == 1
+    pub fn is_trusted(&self, all_suspect: bool, now: Instant) -> bool {
+        !self.is_suspect(now) || (all_suspect && (1..=LAST_RESORT).contains(&self.breaks))
     }
 
     /// The part of its last answers that failed, 0 to 1.
--- a/crates/core/src/pool/tuning.rs
+++ b/crates/core/src/pool/tuning.rs
@@ -9,8 +9,8 @@
     /// What a request itself counts, in requests beside it: tokens of one are hardly slowed by
     /// others beside it, so a fast server is better than an empty slow one until it is full.
     pub own: f64,
-    /// What a thousand tokens of its prompt count, in requests beside it: reading a long prompt
-    /// takes longest, and holds up all beside it.
+    /// What a thousand tokens of its prompt count, and of those that the server still reads, in
+    /// requests beside it: reading a long prompt takes longest, and holds up all beside it.
     pub prompt: f64,
     /// By how much more a server in another data hall must be free to be taken, in requests.
     pub distance: f64,
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -12,11 +12,13 @@
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::Tuning;
+use curlewlift_core::unit::Tokens;
 
 fn question(host: &str, in_flight: u32) -> Question {
     let load = Load {
         incarnation: "s1".into(),
         requests: in_flight,
+        reading: Tokens(0),
     };
     Question {
         host: host.parse().expect("a name"),
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -72,6 +72,7 @@
         loads: vec![Load {
             incarnation: "s1".into(),
             requests: in_flight,
+            reading: Tokens(0),
         }],
         ends: Vec::new(),
     }
@@ -245,6 +246,7 @@
                     let loads = side.running.iter().map(|(incarnation, requests)| Load {
                         incarnation: Arc::clone(incarnation),
                         requests: *requests,
+                        reading: Tokens(0),
                     });
                     let report = Report {
                         mark: side.mark,
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -146,11 +146,12 @@
 
 fn coming(
     answer: Response<Incoming>,
-    place: Place,
+    mut place: Place,
     connection: Connection,
     dialect: Dialect,
     first: Duration,
 ) -> Coming {
+    place.begun();
     let (head, body) = answer.into_parts();
     let marks = (dialect.marks)(head.status.as_u16(), &head.headers);
     if let Some(in_flight) = marks.in_flight {
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
+use curlewlift_core::unit::Tokens;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
@@ -60,7 +61,7 @@
     let reply: Option<Result<HubReply, Refusal>> =
         tokio::time::timeout(patience + ON_ITS_WAY, call).await.ok();
     match reply {
-        Some(Ok(HubReply::Place(Some(grant)))) => node.take(service, grant),
+        Some(Ok(HubReply::Place(Some(grant)))) => node.take(service, grant, ask.prompt),
         Some(Ok(HubReply::Place(None))) => Word::NoPlace,
         Some(Ok(_)) => node.doubt("it does not lead"),
         Some(Err(why)) => node.doubt(&why.to_string()),
@@ -84,7 +85,7 @@
         let now = self.now();
         let mut avoid = ask.tried.clone();
         self.with_service(service, |service| {
-            avoid.extend(service.pool.suspects(now).cloned());
+            avoid.extend(service.pool.avoided(&ask.tried, now).cloned());
         });
         Want {
             host: self.host.clone(),
@@ -99,7 +100,7 @@
     }
 
     /// Takes up a grant.
-    fn take(&self, service: &id::Service, grant: Grant) -> Word {
+    fn take(&self, service: &id::Service, grant: Grant, prompt: Tokens) -> Word {
         let mut hub = self.hub.borrow_mut();
         let newer = hub.mark.hub != grant.mark.hub || hub.mark.number < grant.mark.number;
         if newer {
@@ -107,7 +108,7 @@
         }
         drop(hub);
         let server = Arc::new(grant.server);
-        let taken = self.with_service(service, |service| service.pool.take(&server));
+        let taken = self.with_service(service, |service| service.pool.take(&server, prompt));
         if taken == Some(true) {
             return Word::Place(server);
         }
@@ -137,7 +138,7 @@
     }
 }
 
-/// Reports how sendings ended, as soon as they do; one report at a time.
+/// Reports what is in flight as soon as an answer begins or a sending ends; one report at a time.
 pub(super) async fn report(node: Rc<Node>) {
     loop {
         node.reports.notified().await;
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::pool::Pool;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
+use curlewlift_core::unit::Tokens;
 use rand::Rng;
 use tokio::sync::oneshot;
 
@@ -112,6 +113,12 @@
         }
     }
 
+    /// Takes note that a server has read a request's prompt, or will not.
+    pub(super) fn begun(&self, name: &id::Service, incarnation: &str, prompt: Tokens) {
+        self.with_service(name, |service| service.pool.begun(incarnation, prompt));
+        self.reports.notify_one();
+    }
+
     /// Takes note of how a sending ended, and gives turns for the room that it made.
     pub(super) fn ended(&self, name: &id::Service, incarnation: &str, end: End) {
         let now = self.now();
@@ -147,9 +154,11 @@
         };
         for turn in service.pool.serve(now) {
             let incarnation = Arc::clone(&turn.server.incarnation);
+            let prompt = turn.prompt;
             let waiter = service.waiters.remove(&turn.ticket);
             let taken = waiter.is_some_and(|waiter| waiter.send(turn).is_ok());
             if !taken {
+                service.pool.begun(&incarnation, prompt);
                 service.pool.ended(&incarnation, End::Nothing, now);
             }
         }
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::pool::End;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
+use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -22,19 +23,30 @@
     node: Rc<Node>,
     service: id::Service,
     pub(super) server: Arc<Server>,
+    /// The prompt that the server has not read yet.
+    unread: Option<Tokens>,
     end: End,
 }
 
 impl Place {
-    fn new(node: &Rc<Node>, service: &id::Service, server: Arc<Server>) -> Self {
+    fn new(node: &Rc<Node>, service: &id::Service, server: Arc<Server>, prompt: Tokens) -> Self {
         Self {
             node: Rc::clone(node),
             service: service.clone(),
             server,
+            unread: Some(prompt),
             end: End::Nothing,
         }
     }
 
+    /// The answer has begun: the server has read the prompt.
+    pub(super) fn begun(&mut self) {
+        if let Some(prompt) = self.unread.take() {
+            let incarnation = &self.server.incarnation;
+            self.node.begun(&self.service, incarnation, prompt);
+        }
+    }
+
     /// How it ended, told when it is given back.
     pub(super) fn end(&mut self, end: End) {
         self.end = end;
@@ -60,6 +72,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        self.begun();
         self.node
             .ended(&self.service, &self.server.incarnation, self.end);
     }
@@ -80,6 +93,7 @@
         self.turn.close();
         if let Ok(turn) = self.turn.try_recv() {
             let incarnation = &turn.server.incarnation;
+            self.node.begun(&self.service, incarnation, turn.prompt);
             self.node.ended(&self.service, incarnation, End::Nothing);
         }
     }
@@ -104,8 +118,9 @@
     patience: Duration,
 ) -> Result<Place, NoTurn> {
     let until = Instant::now() + patience;
+    let prompt = ask.prompt;
     match places::ask(node, service, &ask, patience).await {
-        Word::Place(server) => Ok(Place::new(node, service, server)),
+        Word::Place(server) => Ok(Place::new(node, service, server, prompt)),
         Word::NoPlace => Err(NoTurn::TimeUp),
         Word::Nothing => {
             let left = until.saturating_duration_since(Instant::now());
@@ -134,5 +149,5 @@
         Ok(Err(_)) => return Err(NoTurn::Displaced),
         Err(_) => return Err(NoTurn::TimeUp),
     };
-    Ok(Place::new(node, service, turn.server))
+    Ok(Place::new(node, service, turn.server, turn.prompt))
 }
