Split the test of late words at the hub into short steps

Cause: never_beyond_room was one function of sixty lines, five levels deep. Change: a world of gateways with a function a step; the lots are drawn in the same order and every assertion is kept.

--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -1,7 +1,9 @@
 //! Places at backend servers that the hub gives: one order, room over all gateways, lost words.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -217,71 +219,136 @@
     to_hub: VecDeque<(u64, Report)>,
 }
 
+impl Side {
+    /// Takes up the grants that have come.
+    fn take(&mut self, now: u64) {
+        while let Some((_, grant)) = self.to_it.pop_front_if(|(due, _)| *due <= now) {
+            self.mark = grant.mark;
+            *self.running.entry(grant.server.incarnation).or_default() += 1;
+        }
+    }
+
+    /// Ends one of its requests; false where it has none.
+    fn end(&mut self) -> bool {
+        let mut running = self.running.values_mut();
+        let Some(busy) = running.find(|count| **count > 0) else {
+            return false;
+        };
+        *busy -= 1;
+        true
+    }
+
+    fn report(&self, host: &str) -> Report {
+        let running = self.running.iter();
+        let loads = running.map(|(incarnation, requests)| Load {
+            incarnation: Arc::clone(incarnation),
+            requests: *requests,
+            reading: Tokens(0),
+        });
+        Report {
+            mark: self.mark,
+            loads: loads.collect(),
+            ..report(host, 0, 0)
+        }
+    }
+}
+
+const HOSTS: [&str; 3] = ["g", "gg", "ggg"];
+
+/// How long a word is on its way, in milliseconds.
+const WAY: Range<u64> = 1..20;
+
+/// A hub and its gateways.
+struct World {
+    random: SmallRng,
+    hub: Hub,
+    sides: BTreeMap<&'static str, Side>,
+    asked: HashMap<Ticket, &'static str>,
+    given: u32,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            hub: hub(&["s1", "s2", "s3"]),
+            sides: HOSTS.map(|host| (host, Side::default())).into(),
+            asked: HashMap::new(),
+            given: 0,
+        }
+    }
+
+    fn step(&mut self, now: u64) {
+        for host in HOSTS {
+            self.ask(host, now);
+            self.work(host, now);
+            self.hear(host, now);
+        }
+        self.serve(now);
+    }
+
+    /// A request may come to `host`.
+    fn ask(&mut self, host: &'static str, now: u64) {
+        if self.random.random_bool(0.4) {
+            let rank = self.random.random_range(0..3);
+            let ticket = asks(&mut self.hub, host, rank, ms(now));
+            self.asked.insert(ticket, host);
+        }
+    }
+
+    /// `host` takes up what has come, and may end a request and tell of it.
+    fn work(&mut self, host: &str, now: u64) {
+        let side = self.sides.get_mut(host).expect("one of them");
+        side.take(now);
+        if self.random.random_bool(0.3) && side.end() {
+            let due = now + self.random.random_range(WAY);
+            side.to_hub.push_back((due, side.report(host)));
+        }
+    }
+
+    /// The hub takes the reports of `host` that have come.
+    fn hear(&mut self, host: &str, now: u64) {
+        let side = self.sides.get_mut(host).expect("one of them");
+        while let Some((_, report)) = side.to_hub.pop_front_if(|(due, _)| *due <= now) {
+            self.hub.report(&report, ms(now));
+        }
+    }
+
+    fn serve(&mut self, now: u64) {
+        for (ticket, grant) in self.hub.serve(ms(now)) {
+            self.given += 1;
+            let host = self.asked.get(&ticket).expect("it asked");
+            let side = self.sides.get_mut(host).expect("one of them");
+            let due = now + self.random.random_range(WAY);
+            side.to_it.push_back((due, grant));
+        }
+    }
+
+    /// What runs at each server.
+    fn sums(&self) -> BTreeMap<Arc<str>, u32> {
+        let mut sums: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        let running = self.sides.values().flat_map(|side| &side.running);
+        for (incarnation, count) in running {
+            *sums.entry(Arc::clone(incarnation)).or_default() += count;
+        }
+        sums
+    }
+}
+
 /// However late words are, no server ever has more in flight than its slots and one.
 #[test]
 fn never_beyond_room() {
     for seed in 0..60 {
-        let mut random = SmallRng::seed_from_u64(seed);
-        let mut hub = hub(&["s1", "s2", "s3"]);
-        let mut sides: BTreeMap<&str, Side> = ["g", "gg", "ggg"]
-            .map(|host| (host, Side::default()))
-            .into();
-        let mut asked: BTreeMap<&str, Vec<Ticket>> = BTreeMap::new();
-        let mut given = 0;
+        let mut world = World::new(seed);
         for now in 0..600 {
-            for (host, side) in &mut sides {
-                if random.random_bool(0.4) {
-                    let ticket = asks(&mut hub, host, random.random_range(0..3), ms(now));
-                    asked.entry(host).or_default().push(ticket);
-                }
-                while side.to_it.front().is_some_and(|(due, _)| *due <= now) {
-                    let (_, grant) = side.to_it.pop_front().expect("looked at");
-                    side.mark = grant.mark;
-                    *side.running.entry(grant.server.incarnation).or_default() += 1;
-                }
-                let ends = random.random_bool(0.3);
-                let busy = side.running.values_mut().find(|count| **count > 0);
-                if let Some(busy) = busy.filter(|_| ends) {
-                    *busy -= 1;
-                    let loads = side.running.iter().map(|(incarnation, requests)| Load {
-                        incarnation: Arc::clone(incarnation),
-                        requests: *requests,
-                        reading: Tokens(0),
-                    });
-                    let report = Report {
-                        mark: side.mark,
-                        loads: loads.collect(),
-                        ..report(host, 0, 0)
-                    };
-                    side.to_hub
-                        .push_back((now + random.random_range(1..20), report));
-                }
-                while side.to_hub.front().is_some_and(|(due, _)| *due <= now) {
-                    let (_, report) = side.to_hub.pop_front().expect("looked at");
-                    hub.report(&report, ms(now));
-                }
-            }
-            for (ticket, grant) in hub.serve(ms(now)) {
-                given += 1;
-                let mut all = asked.iter();
-                let (host, _) = all
-                    .find(|(_, tickets)| tickets.contains(&ticket))
-                    .expect("it asked");
-                let side = sides.get_mut(host).expect("one of them");
-                side.to_it
-                    .push_back((now + random.random_range(1..20), grant));
-            }
-            let mut sums: BTreeMap<Arc<str>, u32> = BTreeMap::new();
-            for side in sides.values() {
-                for (incarnation, count) in &side.running {
-                    *sums.entry(Arc::clone(incarnation)).or_default() += count;
-                }
-            }
+            world.step(now);
+            let sums = world.sums();
             assert!(
                 sums.values().all(|sum| *sum <= SLOTS + 1),
                 "{seed}: {sums:?}"
             );
         }
+        let given = world.given;
         assert!(given > 50, "{seed}: {given} places were given");
     }
 }
