Group a list's servers by service in one place

Cause: the dispatcher and the gateway's services both grouped a listing by service, line for line the same. Change: Listing::by_service serves both.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -50,11 +50,7 @@
 
     /// Takes up a list of backend servers.
     pub(super) fn adopt(&mut self, listing: &Listing) {
-        let mut by_service: BTreeMap<id::Service, Vec<Arc<Server>>> = BTreeMap::new();
-        for server in &listing.servers {
-            let servers = by_service.entry(server.service.clone()).or_default();
-            servers.push(Arc::new(server.clone()));
-        }
+        let mut by_service = listing.by_service();
         for (service, pool) in &mut self.pools {
             pool.adopt(by_service.remove(service).unwrap_or_default());
         }
--- a/crates/core/src/gateway/listing.rs
+++ b/crates/core/src/gateway/listing.rs
@@ -1,5 +1,6 @@
 //! The platform's list of backend servers, as gateways use it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -45,4 +46,15 @@
         let version = version(&servers).max(1);
         Self { version, servers }
     }
+
+    /// The servers of each service.
+    #[must_use]
+    pub fn by_service(&self) -> BTreeMap<id::Service, Vec<Arc<Server>>> {
+        let mut by_service: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for server in &self.servers {
+            let servers = by_service.entry(server.service.clone()).or_default();
+            servers.push(Arc::new(server.clone()));
+        }
+        by_service
+    }
 }
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -1,11 +1,9 @@
 //! The services of a gateway: their backend servers, and whose turn it is at them.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use curlewlift_core::gateway::Load;
-use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::Budget;
@@ -33,13 +31,7 @@
 impl Node {
     /// Gives every service its servers.
     pub(super) fn spread(&self) {
-        let listing = self.listing.borrow();
-        let mut by_service: BTreeMap<id::Service, Vec<Arc<Server>>> = BTreeMap::new();
-        for server in &listing.servers {
-            let servers = by_service.entry(server.service.clone()).or_default();
-            servers.push(Arc::new(server.clone()));
-        }
-        drop(listing);
+        let mut by_service = self.listing.borrow().by_service();
         let mut services = self.services.borrow_mut();
         if let Some(table) = &*self.table.borrow() {
             for name in table.get_services().keys() {
