Give a dispatcher's turns and grants functions of their own

Cause: Dispatcher::serve did four things in three levels. Change: wanted, turns and grant; the services are served in the same order, each by what is in flight after the one before.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -121,35 +121,50 @@
     pub(super) fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
         self.occupancy.expire(now);
         let mut grants = Vec::new();
-        for (service, pool) in &mut self.pools {
-            if pool.waiting() == 0 {
-                continue;
-            }
-            pool.occupy(|incarnation| self.occupancy.get(incarnation));
-            for turn in pool.serve(now) {
+        for service in self.wanted() {
+            for turn in self.turns(&service, now) {
                 let ticket = Ticket {
                     service: service.clone(),
                     number: turn.ticket,
                 };
-                let Some(host) = self.asking.remove(&ticket) else {
-                    continue;
-                };
-                let server = Server::clone(&turn.server);
-                let load = Load {
-                    incarnation: Arc::clone(&server.incarnation),
-                    requests: 1,
-                    reading: turn.prompt,
-                };
-                let number = self.occupancy.grant(&host, load, now);
-                let mark = Mark {
-                    hub: self.hub,
-                    number,
-                };
-                grants.push((ticket, Grant { mark, server }));
+                let grant = self.grant(&ticket, &turn, now);
+                grants.extend(grant.map(|grant| (ticket, grant)));
             }
         }
         grants
     }
+
+    /// The services that somebody waits for.
+    fn wanted(&self) -> Vec<id::Service> {
+        let pools = self.pools.iter();
+        let wanted = pools.filter(|(_, pool)| pool.waiting() > 0);
+        wanted.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// The turns that a service has, by what is in flight now.
+    fn turns(&mut self, service: &id::Service, now: Instant) -> Vec<pool::Turn> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return Vec::new();
+        };
+        pool.occupy(|incarnation| self.occupancy.get(incarnation));
+        pool.serve(now)
+    }
+
+    /// Makes a grant of a turn; none where nobody asks for it any more.
+    fn grant(&mut self, ticket: &Ticket, turn: &pool::Turn, now: Instant) -> Option<Grant> {
+        let host = self.asking.remove(ticket)?;
+        let server = Server::clone(&turn.server);
+        let load = Load {
+            incarnation: Arc::clone(&server.incarnation),
+            requests: 1,
+            reading: turn.prompt,
+        };
+        let mark = Mark {
+            hub: self.hub,
+            number: self.occupancy.grant(&host, load, now),
+        };
+        Some(Grant { mark, server })
+    }
 }
 
 /// Requests beyond a server's slots that it gives out: one, so that a server need not rest for the
