--- /dev/null
+++ b/crates/core/src/pool/servers.rs
@@ -0,0 +1,226 @@
+//! The pool: what is known of the backend servers of a service, and who waits for them.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::clock::Instant;
+use crate::gateway::Load;
+use crate::gateway::Server;
+use crate::unit::Tokens;
+
+use super::Ask;
+use super::End;
+use super::Ticket;
+use super::Tuning;
+use super::Turn;
+use super::server::Known;
+use super::waiting::Waiting;
+
+/// The backend servers of one service, and the requests that wait for one.
+#[derive(Debug)]
+pub struct Pool {
+    pub(super) tuning: Tuning,
+    pub(super) servers: Vec<Known>,
+    waiting: Waiting,
+    next: u64,
+    pub(super) random: SmallRng,
+}
+
+impl Pool {
+    /// An empty pool.
+    #[must_use]
+    pub fn new(tuning: Tuning, seed: u64) -> Self {
+        Self {
+            tuning,
+            servers: Vec::new(),
+            waiting: Waiting::default(),
+            next: 0,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+}
+
+/// # Servers
+impl Pool {
+    /// Takes up a list; what is known of an incarnation that stays is kept.
+    pub fn adopt(&mut self, servers: Vec<Arc<Server>>) {
+        let mut former = std::mem::take(&mut self.servers);
+        for server in servers {
+            let place = former
+                .iter()
+                .position(|known| known.server.incarnation == server.incarnation);
+            let mut known = match place {
+                Some(place) => former.swap_remove(place),
+                None => Known::new(Arc::clone(&server)),
+            };
+            known.server = server;
+            self.servers.push(known);
+        }
+        // What has gone but still runs requests from here stays until they end, and takes no more.
+        for mut known in former {
+            if known.own > 0 {
+                known.leave();
+                self.servers.push(known);
+            }
+        }
+    }
+
+    /// Takes up what other gateways have in flight.
+    pub fn hear(&mut self, loads: &[Load]) {
+        for known in &mut self.servers {
+            let load = loads
+                .iter()
+                .find(|load| load.incarnation == known.server.incarnation);
+            known.hear(load);
+        }
+    }
+
+    /// Takes up what all gateways together have in flight, by incarnation; whoever gives it out
+    /// counts what is sent, so nothing is in flight from here.
+    pub fn occupy<'a>(&mut self, in_flight: impl Fn(&str) -> Option<&'a Load>) {
+        for known in &mut self.servers {
+            known.own = 0;
+            known.own_reading = 0;
+            known.hear(in_flight(&known.server.incarnation));
+        }
+    }
+
+    /// Counts a request that is sent to `server` by the word of another; false where the server is
+    /// to take no new work.
+    pub fn take(&mut self, server: &Arc<Server>, prompt: Tokens) -> bool {
+        let place = self
+            .servers
+            .iter()
+            .position(|known| known.server.incarnation == server.incarnation);
+        let place = place.unwrap_or_else(|| {
+            self.servers.push(Known::new(Arc::clone(server)));
+            self.servers.len() - 1
+        });
+        let known = &mut self.servers[place];
+        if known.server.leaving {
+            return false;
+        }
+        known.begin(prompt);
+        true
+    }
+
+    /// The servers that are left alone at `now` by a request that has `tried` some.
+    pub fn avoided(&self, tried: &[Arc<str>], now: Instant) -> impl Iterator<Item = &Arc<str>> {
+        let all_suspect = self.is_suspect(tried, now);
+        let avoided = self.servers.iter();
+        let avoided = avoided.filter(move |known| !known.trust.is_trusted(all_suspect, now));
+        avoided.map(|known| &known.server.incarnation)
+    }
+
+    /// Takes up what an answer of a server told of its load.
+    pub fn told(&mut self, incarnation: &str, in_flight: u32) {
+        if let Some(known) = self.get(incarnation) {
+            known.others = in_flight.saturating_sub(known.own);
+        }
+    }
+
+    /// Whether it has a server that takes new work.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.servers.iter().any(|known| !known.server.leaving)
+    }
+
+    /// What is in flight from here.
+    pub fn loads(&self) -> impl Iterator<Item = Load> {
+        let busy = self.servers.iter().filter(|known| known.own > 0);
+        busy.map(|known| Load {
+            incarnation: Arc::clone(&known.server.incarnation),
+            requests: known.own,
+            reading: Tokens(known.own_reading),
+        })
+    }
+
+    /// Takes note that a server has read a request's prompt, or will not.
+    pub fn begun(&mut self, incarnation: &str, prompt: Tokens) {
+        if let Some(known) = self.get(incarnation) {
+            known.own_reading = known.own_reading.saturating_sub(prompt.0);
+        }
+    }
+
+    /// Takes note of how a sending ended.
+    pub fn ended(&mut self, incarnation: &str, end: End, now: Instant) {
+        let Some(known) = self.get(incarnation) else {
+            return;
+        };
+        known.end();
+        known.judge(end, now);
+        let gone = |known: &Known| known.server.leaving && known.own == 0;
+        self.servers
+            .retain(|known| &*known.server.incarnation != incarnation || !gone(known));
+    }
+
+    /// Takes note of something that is seen while a request still runs.
+    pub fn seen(&mut self, incarnation: &str, end: End, now: Instant) {
+        if let Some(known) = self.get(incarnation) {
+            known.judge(end, now);
+        }
+    }
+
+    fn get(&mut self, incarnation: &str) -> Option<&mut Known> {
+        let mut servers = self.servers.iter_mut();
+        servers.find(|known| &*known.server.incarnation == incarnation)
+    }
+}
+
+/// # Turns
+impl Pool {
+    /// How many wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Puts a request in line; tells who is turned away for want of room.
+    pub fn ask(&mut self, ask: Ask) -> (Ticket, Option<Ticket>) {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        self.waiting.add(ticket, ask);
+        let crowded = self.waiting.len() > self.tuning.waiting;
+        let last = if crowded { self.waiting.last() } else { None };
+        if let Some(last) = last {
+            self.waiting.remove(last);
+        }
+        (ticket, last)
+    }
+
+    /// Takes a request out of line; false where it does not wait any more.
+    pub fn leave(&mut self, ticket: Ticket) -> bool {
+        self.waiting.remove(ticket)
+    }
+
+    /// Gives turns to those in line for whom there is room.
+    pub fn serve(&mut self, now: Instant) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        let mut last = None;
+        while let Some((at, ask)) = self.waiting.after(last) {
+            if !self.has_room() {
+                break;
+            }
+            let (ticket, ask) = (at.2, ask.clone());
+            last = Some(at);
+            let Some(place) = self.choose(&ask, now) else {
+                // Who has tried some servers may wait for others; the next in line may not.
+                if ask.tried.is_empty() {
+                    break;
+                }
+                continue;
+            };
+            self.waiting.remove(ticket);
+            let known = &mut self.servers[place];
+            known.begin(ask.prompt);
+            turns.push(Turn {
+                ticket,
+                server: Arc::clone(&known.server),
+                prompt: ask.prompt,
+            });
+        }
+        turns
+    }
+}
