Take grants out of the count in one function

Cause: Occupancy::report and expire had the same loop over the first grants. Change: Held::take_out serves both.

--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -35,6 +35,15 @@
         let granted = self.granted.iter().map(|granted| &granted.load);
         self.loads.iter().chain(granted)
     }
+
+    /// Takes out the first grants, up to one that is not `over`.
+    fn take_out(&mut self, over: impl Fn(&Granted) -> bool) -> Vec<Load> {
+        let mut out = Vec::new();
+        while let Some(granted) = self.granted.pop_front_if(|granted| over(granted)) {
+            out.push(granted.load);
+        }
+        out
+    }
 }
 
 /// What all gateways have in flight: what each last reported, and what it was granted since.
@@ -53,23 +62,13 @@
     pub(super) fn report(&mut self, host: &id::Host, seen: u64, loads: &[Load]) {
         let held = self.held.entry(host.clone()).or_default();
         let former = std::mem::replace(&mut held.loads, loads.to_vec());
-        let mut over = Vec::new();
-        while held
-            .granted
-            .front()
-            .is_some_and(|granted| granted.number <= seen)
-        {
-            over.extend(held.granted.pop_front());
-        }
+        let taken_up = held.take_out(|granted| granted.number <= seen);
         for load in loads {
             self.add(load);
         }
-        for load in &former {
+        for load in former.iter().chain(&taken_up) {
             self.take_off(load);
         }
-        for granted in over {
-            self.take_off(&granted.load);
-        }
     }
 
     /// Counts a place that `host` is given for a request; gives the grant's number.
@@ -88,18 +87,11 @@
 
     /// Drops grants that were not taken up in time.
     pub(super) fn expire(&mut self, now: Instant) {
-        let mut over = Vec::new();
-        for held in self.held.values_mut() {
-            while held
-                .granted
-                .front()
-                .is_some_and(|granted| now.since(granted.at) >= TAKEN_UP)
-            {
-                over.extend(held.granted.pop_front());
-            }
-        }
-        for granted in over {
-            self.take_off(&granted.load);
+        let late = |granted: &Granted| now.since(granted.at) >= TAKEN_UP;
+        let held = self.held.values_mut();
+        let late: Vec<_> = held.flat_map(|held| held.take_out(late)).collect();
+        for load in &late {
+            self.take_off(load);
         }
     }
 
