Say whose requests the hub gives places

Cause: the module's header said "their" of gateways that it had not named, and was broken off in the middle of a line. Change: the header names them.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -1,9 +1,9 @@
 //! Gateways: entries that pass requests on by a routing table, and the hub that keeps them together.
 //!
-//! The hub lives beside the leading control replica, and gives their requests places at backend
-//! servers. Each gateway asks it several times a second
-//! and tells what it has in flight and what it let in; the answer has what is new: the routing
-//! table, the list of backend servers, the gateways that live, the sums over all of them.
+//! The hub lives beside the leading control replica, and gives the gateways' requests places at
+//! backend servers. Each gateway asks it several times a second and tells what it has in flight and
+//! what it let in; the answer has what is new: the routing table, the list of backend servers, the
+//! gateways that live, the sums over all of them.
 
 mod dispatch;
 mod grant;
