Name the time of a report and the part that is due

Cause: Question::over and the desk's unset did not tell what they are. Change: Question::spent_within, in the same place of what is encoded; due, for the part of an amount that the desk still has to draw.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -123,9 +123,9 @@
                 self.desk.heard(level);
             }
         }
-        let unset = self.unset(question.over);
+        let due = self.due(question.spent_within);
         for (customer, amount) in &question.spent {
-            self.desk.spent_late(customer, *amount, unset, now);
+            self.desk.spent_late(customer, *amount, due, now);
         }
         let seen = Seen {
             incarnation: question.incarnation,
@@ -185,11 +185,11 @@
         self.listing.version != 0 && self.listing.version != question.listing
     }
 
-    /// The part (0 to 1) of what a gateway let in within `over` that was not set aside for it:
-    /// once it counts as silent, it is.
-    fn unset(&self, over: Duration) -> f64 {
+    /// The part (0 to 1) of what a gateway let in within some time that is still to be drawn: the
+    /// rest was set aside, from when it counted as silent.
+    fn due(&self, within: Duration) -> f64 {
         let heard = self.tuning.silent.as_secs_f64();
-        (heard / over.as_secs_f64().max(heard)).min(1.0)
+        (heard / within.as_secs_f64().max(heard)).min(1.0)
     }
 
     /// The part of the gateways that is not heard and not forgotten, 0 to 1.
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -67,7 +67,7 @@
     /// What it let in since the last report that was taken, by customer.
     pub spent: Vec<(id::Customer, u64)>,
     /// The time in which it let that in: since the hub's last word.
-    pub over: Duration,
+    pub spent_within: Duration,
     /// What it last heard of the allowances, for a hub that has only begun.
     pub levels: Vec<Level>,
     /// The list as it was last fetched here, where this gateway is the one that fetches it.
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -126,17 +126,17 @@
         self.spent_late(customer, count, 1.0, now);
     }
 
-    /// Takes note of what an entry let in of which only `unset` (0 to 1) was not set aside when
-    /// [`Desk::fill`] was told that it is silent.
+    /// Takes note of what an entry let in, of which only the part `due` (0 to 1) is to be drawn: the
+    /// rest was set aside when [`Desk::fill`] was told that it is silent.
     ///
     /// What was set aside is no debt. In the window all of it counts, as if let in now.
-    pub fn spent_late(&mut self, customer: &id::Customer, count: u64, unset: f64, now: Instant) {
+    pub fn spent_late(&mut self, customer: &id::Customer, count: u64, due: f64, now: Instant) {
         let length = self.tolerance.window;
         if let Some(held) = self.held.get_mut(customer) {
             let amount = amount(count);
-            held.bucket.draw(amount * unset);
+            held.bucket.draw(amount * due);
             held.window.add(amount, length, now);
-            held.lately += amount * unset;
+            held.lately += amount * due;
         }
     }
 
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -129,10 +129,10 @@
                     gateway.answer = None;
                 }
             } else if self.step % ROUND == gateway.offset {
-                let over = self.now.since(gateway.heard).max(SILENT);
-                let unset = SILENT.as_secs_f64() / over.as_secs_f64();
+                let within = self.now.since(gateway.heard).max(SILENT);
+                let due = SILENT.as_secs_f64() / within.as_secs_f64();
                 for (customer, amount) in gateway.share.report() {
-                    self.desk.spent_late(&customer, amount, unset, self.now);
+                    self.desk.spent_late(&customer, amount, due, self.now);
                 }
                 self.desk.fill(silent, self.now);
                 gateway.answer = Some((self.step + ROUND / 2, self.desk.levels()));
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -36,7 +36,7 @@
         mark: Mark::default(),
         loads: vec![load],
         spent: Vec::new(),
-        over: Duration::ZERO,
+        spent_within: Duration::ZERO,
         levels: Vec::new(),
         fetched: None,
     }
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -162,7 +162,7 @@
         mark: Mark::default(),
         loads: report("g", 0, 3).loads,
         spent: Vec::new(),
-        over: Duration::ZERO,
+        spent_within: Duration::ZERO,
         levels: Vec::new(),
         fetched: None,
     };
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -124,14 +124,14 @@
         mark: hub.mark,
         loads: node.loads(),
         spent: share.report(),
-        over: over(node, &hub),
+        spent_within: spent_within(node, &hub),
         levels: share.levels(),
         fetched: fetched.then(|| listing.clone()),
     }
 }
 
 /// The time since the hub's last word, or since the start.
-fn over(node: &Node, hub: &Hub) -> Duration {
+fn spent_within(node: &Node, hub: &Hub) -> Duration {
     node.now().since(hub.heard.unwrap_or_default())
 }
 
