--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use curlewlift_core::code::Refusal;
+use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Want;
@@ -35,25 +36,8 @@
 /// Waits for a place for as long as the request may.
 pub(super) async fn want(state: &Shared, want: Want) -> Result<HubReply, Refusal> {
     let patience = want.patience;
-    let (line, place) = {
-        let mut borrowed = state.borrow_mut();
-        let now = borrowed.clock.now();
-        let hub = borrowed.hub.as_mut().ok_or_else(super::hub::begun)?;
-        if hub.get_listing().version == 0 {
-            return Err(super::hub::begun());
-        }
-        let Some((ticket, last)) = hub.want(want, now) else {
-            return Ok(HubReply::Place(None));
-        };
-        let (sender, place) = oneshot::channel();
-        borrowed.places.insert(ticket.clone(), sender);
-        if let Some(last) = last {
-            // Dropping the sender tells who waits that it lost its place.
-            borrowed.places.remove(&last);
-        }
-        borrowed.serve();
-        let state = Rc::clone(state);
-        (InLine { state, ticket }, place)
+    let Some((line, place)) = line_up(state, want)? else {
+        return Ok(HubReply::Place(None));
     };
     let place = tokio::time::timeout(patience, place).await;
     drop(line);
@@ -63,6 +47,31 @@
     Ok(HubReply::Place(place.ok().and_then(Result::ok)))
 }
 
+/// Puts a request in line; none where its service has no servers.
+fn line_up(
+    state: &Shared,
+    want: Want,
+) -> Result<Option<(InLine, oneshot::Receiver<Grant>)>, Refusal> {
+    let mut borrowed = state.borrow_mut();
+    let now = borrowed.clock.now();
+    let hub = borrowed.hub.as_mut().ok_or_else(hub::begun)?;
+    if hub.get_listing().version == 0 {
+        return Err(hub::begun());
+    }
+    let Some((ticket, last)) = hub.want(want, now) else {
+        return Ok(None);
+    };
+    let (sender, place) = oneshot::channel();
+    borrowed.places.insert(ticket.clone(), sender);
+    if let Some(last) = last {
+        // Dropping the sender tells who waits that it lost its place.
+        borrowed.places.remove(&last);
+    }
+    borrowed.serve();
+    let state = Rc::clone(state);
+    Ok(Some((InLine { state, ticket }, place)))
+}
+
 /// Takes note of what a gateway tells of its sendings.
 pub(super) fn tell(state: &Shared, report: &Report) -> Result<HubReply, Refusal> {
     let mut state = state.borrow_mut();
