Write once how often a request was sent and when to come back

Cause: the sum of sent and passed stood in seven places, the time to come back in three. Change: Run::sendings and Admitted::come_back.

--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -68,6 +68,11 @@
     pub(super) fn patience(&self) -> Patience {
         patience(&self.rule, self.arrived, self.until)
     }
+
+    /// After how long its caller is to come back if it is turned away now.
+    pub(super) fn come_back(&self) -> Duration {
+        self.patience().come_back()
+    }
 }
 
 fn patience(rule: &Rule, arrived: Instant, until: Instant) -> Patience {
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -40,14 +40,14 @@
     fn passed_over(&mut self, why: String) -> Result<Step, Refused> {
         self.passed += 1;
         let most = self.admitted.rule.attempts.saturating_add(FURTHER);
-        if self.sent + self.passed < most {
+        if self.sendings() < most {
             return Ok(Step::Again);
         }
         if self.sent > 0 {
             return Err(Refused::new(Code::Broken, why));
         }
         // The code whose status promises that it has not run.
-        Err(Refused::new(Code::RetryBudget, why).again(self.admitted.patience().come_back()))
+        Err(Refused::new(Code::RetryBudget, why).again(self.admitted.come_back()))
     }
 
     /// It may have run at the server.
@@ -77,7 +77,7 @@
             NoTurn::Displaced => Refused::new(Code::Shed, "others of a higher tier wait"),
             NoTurn::TimeUp => Refused::new(Code::CannotFinish, "no server was free in time"),
         };
-        refused.again(self.admitted.patience().come_back())
+        refused.again(self.admitted.come_back())
     }
 
     /// The refusal of a request that may not be sent again.
@@ -92,7 +92,7 @@
             Code::RetryBudget,
             "servers refused it, and the retry budget is used up",
         )
-        .again(self.admitted.patience().come_back())
+        .again(self.admitted.come_back())
     }
 }
 
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -58,7 +58,7 @@
             .request(self.admitted.call.id.as_ref())
             .with("status", status)
             .with("how", how)
-            .with("sent", self.sent + self.passed)
+            .with("sent", self.sendings())
             .with("server", self.tried.last().map(|server| &**server))
             .with("first_ms", self.first.map(millis))
             .after(self.admitted.arrived)
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -165,7 +165,7 @@
         }
         // The former server must have stopped before another goes on.
         self.connection = None;
-        while self.run.sent + self.run.passed < self.run.admitted.rule.attempts {
+        while self.run.sendings() < self.run.admitted.rule.attempts {
             self.run.passed += 1;
             let Ok(place) = self.run.turn().await else {
                 continue;
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -59,7 +59,7 @@
         if !self.told {
             Line::new(Kind::CallerLeft)
                 .request(self.admitted.call.id.as_ref())
-                .with("sent", self.sent + self.passed)
+                .with("sent", self.sendings())
                 .with("server", self.tried.last().map(|server| &**server))
                 .after(self.admitted.arrived)
                 .write();
@@ -101,7 +101,7 @@
                 Ok(place) => place,
                 Err(refusal) => return self.refuse(&refusal),
             };
-            if self.sent + self.passed > 0 && !self.take_budget() {
+            if self.sendings() > 0 && !self.take_budget() {
                 drop(place);
                 let refusal = self.exhausted();
                 return self.refuse(&refusal);
@@ -124,23 +124,28 @@
         taken.unwrap_or(false)
     }
 
+    /// How often it was sent, whatever came of it.
+    pub(super) fn sendings(&self) -> u8 {
+        self.sent + self.passed
+    }
+
     /// Waits for a server.
     pub(super) async fn turn(&self) -> Result<Place, Refused> {
         let admitted = &self.admitted;
         let patience = admitted.patience();
-        let patience = if self.sent + self.passed > 0 {
+        let held = if self.sendings() > 0 {
             patience.sent()
         } else {
             patience.unsent()
         };
         let ask = Ask {
             rank: self.rank(),
-            arrived: self.admitted.since,
+            arrived: admitted.since,
             prompt: Tokens(admitted.call.tokens.map_or(0, |(prompt, _)| prompt)),
             hall: Arc::clone(&self.node.gateway.hall),
             tried: self.tried.clone(),
         };
-        let turn = turn::wait(&self.node, &self.service, ask, patience).await;
+        let turn = turn::wait(&self.node, &self.service, ask, held).await;
         turn.map_err(|why| self.no_turn(why))
     }
 
@@ -175,7 +180,7 @@
             .with("rule", &*self.admitted.rule.name)
             .with("table", self.admitted.table)
             .with("server", &*place.server.incarnation)
-            .with("sent", self.sent + self.passed + 1)
+            .with("sent", self.sendings() + 1)
             .with("customer", self.admitted.customer())
             .with("cost", self.admitted.cost)
             .with("hub_ms", self.node.hub_silence().map(millis))
