Take up what is in flight in one loop of the pool

Cause: Pool::hear and Pool::occupy both went through the servers with a look-up each, and the line's place was read by its number in a tuple. Change: hear_each and Known::forget_own; the ticket is named; Known's pace stands after what counts requests, not between.

--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -44,6 +44,7 @@
         }
     }
 
+    /// Requests in flight there, over all gateways.
     pub(super) fn in_flight(&self) -> u32 {
         self.own + self.others
     }
@@ -59,11 +60,6 @@
         self.own_reading = self.own_reading.saturating_add(prompt.0);
     }
 
-    /// How long it lately took: between two pieces of a stream, else to the first byte, in seconds.
-    pub(super) fn pace(&self) -> Option<f64> {
-        self.gap.mean().or(self.first.mean())
-    }
-
     /// Counts a request that was sent there as ended.
     pub(super) fn end(&mut self) {
         self.own = self.own.saturating_sub(1);
@@ -72,12 +68,23 @@
         }
     }
 
+    /// Counts nothing as sent from here.
+    pub(super) fn forget_own(&mut self) {
+        self.own = 0;
+        self.own_reading = 0;
+    }
+
     /// Takes up what other gateways have in flight there.
     pub(super) fn hear(&mut self, load: Option<&Load>) {
         self.others = load.map_or(0, |load| load.requests);
         self.others_reading = load.map_or(0, |load| load.reading.0);
     }
 
+    /// How long it lately took: between two pieces of a stream, else to the first byte, in seconds.
+    pub(super) fn pace(&self) -> Option<f64> {
+        self.gap.mean().or(self.first.mean())
+    }
+
     /// It takes no new work from now on.
     pub(super) fn leave(&mut self) {
         let mut server = Server::clone(&self.server);
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -69,20 +69,23 @@
 
     /// Takes up what other gateways have in flight.
     pub fn hear(&mut self, loads: &[Load]) {
-        for known in &mut self.servers {
-            let load = loads
-                .iter()
-                .find(|load| load.incarnation == known.server.incarnation);
-            known.hear(load);
-        }
+        self.hear_each(|incarnation| {
+            let mut loads = loads.iter();
+            loads.find(|load| &*load.incarnation == incarnation)
+        });
     }
 
     /// Takes up what all gateways together have in flight, by incarnation; whoever gives it out
     /// counts what is sent, so nothing is in flight from here.
     pub fn occupy<'a>(&mut self, in_flight: impl Fn(&str) -> Option<&'a Load>) {
         for known in &mut self.servers {
-            known.own = 0;
-            known.own_reading = 0;
+            known.forget_own();
+        }
+        self.hear_each(in_flight);
+    }
+
+    fn hear_each<'a>(&mut self, in_flight: impl Fn(&str) -> Option<&'a Load>) {
+        for known in &mut self.servers {
             known.hear(in_flight(&known.server.incarnation));
         }
     }
@@ -199,12 +202,12 @@
     pub fn serve(&mut self, now: Instant) -> Vec<Turn> {
         let mut turns = Vec::new();
         let mut last = None;
-        while let Some((at, ask)) = self.waiting.after(last) {
+        while let Some((in_line, ask)) = self.waiting.after(last) {
             if !self.has_room() {
                 break;
             }
-            let (ticket, ask) = (at.2, ask.clone());
-            last = Some(at);
+            let ((_, _, ticket), ask) = (in_line, ask.clone());
+            last = Some(in_line);
             let Some(place) = self.choose(&ask, now) else {
                 // Who has tried some servers may wait for others; the next in line may not.
                 if ask.tried.is_empty() {
