--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -101,17 +101,10 @@
     drop(table);
     let (head, body) = request.into_parts();
     let body = read(body, limits, until).await?;
-    let mut cost = 0;
-    if let Some(account) = &account {
-        let tokens = call
-            .tokens
-            .map(|(prompt, made)| prompt.saturating_add(made));
-        cost = account.allowance.cost(tokens);
-        let patience = || patience(&rule, arrived, until);
-        if !allowed(node, account, cost, patience).await {
-            return Err(used_up(account, patience()));
-        }
-    }
+    let cost = match &account {
+        Some(account) => charge(node, account, &call, || patience(&rule, arrived, until)).await?,
+        None => 0,
+    };
     Ok(Admitted {
         call,
         rule,
@@ -126,6 +119,23 @@
     })
 }
 
+/// Draws what a request costs from its customer's allowance.
+async fn charge(
+    node: &Node,
+    account: &Account,
+    call: &Call,
+    patience: impl Fn() -> Patience,
+) -> Result<u64, Refused> {
+    let tokens = call
+        .tokens
+        .map(|(prompt, made)| prompt.saturating_add(made));
+    let cost = account.allowance.cost(tokens);
+    if allowed(node, account, cost, &patience).await {
+        return Ok(cost);
+    }
+    Err(used_up(account, patience()))
+}
+
 /// Whether the customer's allowance lets the request in; a clump of requests waits a little for it to
 /// fill up.
 async fn allowed(
