--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -99,10 +99,10 @@
 
     /// Takes a request out of line.
     pub(super) fn leave(&self, name: &id::Service, ticket: Ticket) {
-        if let Some(service) = self.services.borrow_mut().get_mut(name) {
+        self.with_service(name, |service| {
             service.pool.leave(ticket);
             service.waiters.remove(&ticket);
-        }
+        });
     }
 
     /// Takes note that a server has read a request's prompt, or will not.
@@ -114,9 +114,7 @@
     /// Takes note of how a sending ended, and gives turns for the room that it made.
     pub(super) fn ended(&self, name: &id::Service, incarnation: &str, end: End) {
         let now = self.now();
-        if let Some(service) = self.services.borrow_mut().get_mut(name) {
-            service.pool.ended(incarnation, end, now);
-        }
+        self.with_service(name, |service| service.pool.ended(incarnation, end, now));
         self.tell(name, incarnation, end);
         self.serve(name);
     }
