Give back a turn that came too late as a place

Cause: a line that was left gave its turn back by hand, as a place does when it is dropped. Change: it makes a place of it and drops that.

--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -92,9 +92,12 @@
         // A turn that came in the moment in which its request went away is given back.
         self.turn.close();
         if let Ok(turn) = self.turn.try_recv() {
-            let incarnation = &turn.server.incarnation;
-            self.node.begun(&self.service, incarnation, turn.prompt);
-            self.node.ended(&self.service, incarnation, End::Nothing);
+            drop(Place::new(
+                &self.node,
+                &self.service,
+                turn.server,
+                turn.prompt,
+            ));
         }
     }
 }
