Let a grant's mark tell what it follows

Cause: the order of grants, and that another hub's begin anew, was known to the gateway only as a comparison of fields. Change: Mark::follows.

--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -52,6 +52,14 @@
     pub number: u64,
 }
 
+impl Mark {
+    /// Whether its grant was given after that of `former`, or by another hub.
+    #[must_use]
+    pub fn follows(self, former: Self) -> bool {
+        self.hub != former.hub || self.number > former.number
+    }
+}
+
 /// How a sending ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -102,8 +102,7 @@
     /// Takes up a grant.
     fn take(&self, service: &id::Service, grant: Grant, prompt: Tokens) -> Word {
         let mut hub = self.hub.borrow_mut();
-        let newer = hub.mark.hub != grant.mark.hub || hub.mark.number < grant.mark.number;
-        if newer {
+        if grant.mark.follows(hub.mark) {
             hub.mark = grant.mark;
         }
         drop(hub);
