--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -1,11 +1,9 @@
 //! The services of a gateway: their backend servers, and whose turn it is at them.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use curlewlift_core::gateway::Load;
-use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::Budget;
@@ -33,13 +31,7 @@
 impl Node {
     /// Gives every service its servers.
     pub(super) fn spread(&self) {
-        let listing = self.listing.borrow();
-        let mut by_service: BTreeMap<id::Service, Vec<Arc<Server>>> = BTreeMap::new();
-        for server in &listing.servers {
-            let servers = by_service.entry(server.service.clone()).or_default();
-            servers.push(Arc::new(server.clone()));
-        }
-        drop(listing);
+        let mut by_service = self.listing.borrow().by_service();
         let mut services = self.services.borrow_mut();
         if let Some(table) = &*self.table.borrow() {
             for name in table.get_services().keys() {
@@ -107,10 +99,10 @@
 
     /// Takes a request out of line.
     pub(super) fn leave(&self, name: &id::Service, ticket: Ticket) {
-        if let Some(service) = self.services.borrow_mut().get_mut(name) {
+        self.with_service(name, |service| {
             service.pool.leave(ticket);
             service.waiters.remove(&ticket);
-        }
+        });
     }
 
     /// Takes note that a server has read a request's prompt, or will not.
@@ -122,9 +114,7 @@
     /// Takes note of how a sending ended, and gives turns for the room that it made.
     pub(super) fn ended(&self, name: &id::Service, incarnation: &str, end: End) {
         let now = self.now();
-        if let Some(service) = self.services.borrow_mut().get_mut(name) {
-            service.pool.ended(incarnation, end, now);
-        }
+        self.with_service(name, |service| service.pool.ended(incarnation, end, now));
         self.tell(name, incarnation, end);
         self.serve(name);
     }
