Give each test's hosts addresses of their own

Cause: tests of one process shared addresses (by the process's number only), and looked for free ports one after the other: another test could take a port between the look and the use. allowance_used_up failed so once: cannot listen at 127.83.30.1:39255, in use. Change: the addresses go by the test as well, so no two tests look at the same one. Conclusion: by its cause it cannot happen any more within a process.

--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -8,6 +8,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +37,8 @@
 /// Three hosts with a disk, and the platform's list.
 pub(crate) struct Hosts {
     folder: PathBuf,
+    /// The last number of the first host's address.
+    first: u8,
     ports: Ports,
     processes: Vec<Option<Process>>,
     list: SocketAddr,
@@ -47,9 +51,11 @@
             .iter()
             .map(|(engine, service)| entry(engine, service, "ready"));
         let listed = Arc::new(Mutex::new(listed.collect::<Vec<_>>()));
+        let first = NEXT.fetch_add(HOSTS, Ordering::Relaxed);
         let mut hosts = Self {
             folder,
-            ports: ports(),
+            first,
+            ports: ports(first),
             processes: vec![None, None, None],
             list: serve_list(Arc::clone(&listed)),
             listed,
@@ -96,20 +102,20 @@
     }
 
     pub(crate) fn callers(&self, place: usize) -> SocketAddr {
-        address(place, self.ports.callers)
+        address(self.first, place, self.ports.callers)
     }
 
     pub(crate) fn control(&self, place: usize) -> SocketAddr {
-        address(place, self.ports.control)
+        address(self.first, place, self.ports.control)
     }
 
     pub(crate) fn directory(&self, place: usize) -> SocketAddr {
-        address(place, self.ports.directory)
+        address(self.first, place, self.ports.directory)
     }
 
     /// Whether a host takes callers.
     pub(crate) fn is_ready(&self, place: usize) -> bool {
-        let address = address(place, self.ports.ready);
+        let address = address(self.first, place, self.ports.ready);
         std::net::TcpStream::connect(address).is_ok()
             && ask(address, "GET /api/readiness HTTP/1.1\r\nHost: x", "").status == 200
     }
@@ -134,9 +140,9 @@
         let folder = self.folder.join(format!("host-{place}"));
         std::fs::create_dir_all(&folder).expect("a folder");
         let seeds: Vec<_> = (0..3).map(|place| self.control(place)).collect();
-        let ready = address(place, self.ports.ready);
+        let ready = address(self.first, place, self.ports.ready);
         let settings = json!({
-            "ip": address(place, 0).ip(), "zone": format!("hall-{place}"),
+            "ip": address(self.first, place, 0).ip(), "zone": format!("hall-{place}"),
             "internal_ports": [self.ports.own, self.ports.own],
             "seeds": seeds, "bootstrap": first, "data_dir": folder.join("data"),
             "listen": {
@@ -166,18 +172,25 @@
     }
 }
 
-/// Each test's hosts have addresses of their own, by the process's number.
-fn address(place: usize, port: u16) -> SocketAddr {
+/// How many hosts each test has.
+const HOSTS: u8 = 3;
+
+/// The first of the addresses that the next test's hosts have, within the process.
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// Each test's hosts have addresses of their own, by the process's number and the test's: a port
+/// that is free there when it is looked for stays free.
+fn address(first: u8, place: usize, port: u16) -> SocketAddr {
     let process = std::process::id();
     let [_, high, low, _] = (process << 8).to_be_bytes();
-    let place = u8::try_from(place + 1).expect("few");
-    SocketAddr::from(([127, high.max(1), low, place], port))
+    let place = u8::try_from(place).expect("few");
+    SocketAddr::from(([127, high.max(1), low, first + place], port))
 }
 
 /// Five ports that are free now.
-fn ports() -> Ports {
+fn ports(first: u8) -> Ports {
     let listeners: Vec<_> = (0..5)
-        .map(|_| TcpListener::bind(address(0, 0)).expect("a port"))
+        .map(|_| TcpListener::bind(address(first, 0, 0)).expect("a port"))
         .collect();
     let ports: Vec<_> = listeners
         .iter()
