Let a ticket mean nothing at another hub

Cause: found by reading: tickets of each hub began at 1, so who still waited at a former hub of the same replica could take a new one's request out of line. And a failed answer that was kept for the caller lived as long as the stream that came instead. Change: a ticket has its hub's number; what is kept is dropped when a stream begins. Figures: hub_places/tickets_of_another_hub fails where tickets have no hub.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -22,6 +22,8 @@
 /// A request in the line of its service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket {
+    /// Of another hub it means nothing.
+    hub: u64,
     service: id::Service,
     number: pool::Ticket,
 }
@@ -97,7 +99,9 @@
             hall: want.hall,
             tried: want.avoid,
         });
+        let hub = self.hub;
         let ticket = |number| Ticket {
+            hub,
             service: want.service.clone(),
             number,
         };
@@ -111,7 +115,9 @@
 
     /// Takes a request out of line.
     pub(super) fn leave(&mut self, ticket: &Ticket) {
-        self.asking.remove(ticket);
+        if self.asking.remove(ticket).is_none() {
+            return;
+        }
         if let Some(pool) = self.pools.get_mut(&ticket.service) {
             pool.leave(ticket.number);
         }
@@ -124,6 +130,7 @@
         for service in self.wanted() {
             for turn in self.turns(&service, now) {
                 let ticket = Ticket {
+                    hub: self.hub,
                     service: service.clone(),
                     number: turn.ticket,
                 };
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -36,15 +36,19 @@
     Instant::default() + Duration::from_millis(count)
 }
 
-fn hub(names: &[&str]) -> Hub {
-    let servers = names.iter().map(|name| Server {
-        incarnation: (*name).into(),
+fn server(name: &str) -> Server {
+    Server {
+        incarnation: name.into(),
         service: "chat".parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
         hall: "a".into(),
         slots: SLOTS,
         leaving: false,
-    });
+    }
+}
+
+fn hub(names: &[&str]) -> Hub {
+    let servers = names.iter().map(|name| server(name));
     let mut hub = Hub::new(Tuning::default(), ms(0)).drawn(HUB);
     hub.list(Arc::new(Listing::new(servers.collect())));
     hub
@@ -184,6 +188,18 @@
     assert_eq!(hub.serve(ms(4))[0].0, next);
 }
 
+/// Who waited at a former hub takes nobody out of the next one's line.
+#[test]
+fn tickets_of_another_hub() {
+    let mut former = hub(&["s1"]).drawn(HUB + 1);
+    former.list(Arc::new(Listing::new(vec![server("s1")])));
+    let left = asks(&mut former, "g", 1, ms(1));
+    let mut hub = hub(&["s1"]);
+    asks(&mut hub, "g", 1, ms(1));
+    hub.leave(&left);
+    assert_eq!(hub.serve(ms(2)).len(), 1);
+}
+
 #[test]
 fn broken_avoided_by_all() {
     let mut hub = hub(&["s1", "s2"]);
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -47,6 +47,7 @@
     /// A server's answer that is passed on as it comes.
     pub(super) fn stream(&mut self, coming: Coming) -> Answer {
         self.told = true;
+        self.kept = None;
         let head = coming.head.clone();
         let body = relay::body(self.clone(), coming);
         pass_on(head, None, body)
