Write once who is silent, and how far beyond the slots places go

Cause: read once more: the hub compared silence in two places, and its dispatcher had a setting of its own with the value that a pool has anyway; three comments still said that reports come at the end of a sending only. Change: Seen::is_live serves both; the dispatcher takes the pool's tuning, whose comment has both reasons; the comments say when reports come. No change of behaviour.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -57,7 +57,7 @@
             pool.adopt(by_service.remove(service).unwrap_or_default());
         }
         for (service, servers) in by_service {
-            let mut pool = Pool::new(tuning(), self.hub);
+            let mut pool = Pool::new(pool::Tuning::default(), self.hub);
             pool.adopt(servers);
             self.pools.insert(service, pool);
         }
@@ -173,14 +173,3 @@
         Some(Grant { mark, server })
     }
 }
-
-/// Requests beyond a server's slots that it gives out: one, so that a server need not rest for the
-/// round trip in which the next is sent.
-const OVER: u32 = 1;
-
-fn tuning() -> pool::Tuning {
-    pool::Tuning {
-        over: OVER,
-        ..pool::Tuning::default()
-    }
-}
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -71,7 +71,7 @@
     pub end: End,
 }
 
-/// What a gateway tells as soon as a sending has ended.
+/// What a gateway tells as soon as an answer begins or a sending has ended.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// The gateway's host.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -55,6 +55,13 @@
     heard: Instant,
 }
 
+impl Seen {
+    /// Whether it was heard less than `silent` before `now`.
+    fn is_live(&self, silent: Duration, now: Instant) -> bool {
+        now.since(self.heard) < silent
+    }
+}
+
 /// What the gateways tell, summed up.
 ///
 /// It begins empty with each leader. Memory is linear in the gateways and in what they have in
@@ -202,7 +209,7 @@
 
     /// Whether a gateway was heard so lately that it is not silent.
     fn is_live(&self, seen: &Seen, now: Instant) -> bool {
-        now.since(seen.heard) < self.tuning.silent
+        seen.is_live(self.tuning.silent, now)
     }
 
     fn forget(&mut self, now: Instant) {
@@ -235,7 +242,7 @@
         self.dispatcher.leave(ticket);
     }
 
-    /// Takes note of what a gateway tells as soon as a sending has ended.
+    /// Takes note of what a gateway tells as soon as an answer begins or a sending has ended.
     pub fn report(&mut self, report: &Report, now: Instant) {
         self.dispatcher
             .report(&report.host, report.mark, &report.loads);
@@ -253,7 +260,7 @@
         let silent = self
             .seen
             .iter()
-            .filter(|(_, seen)| now.since(seen.heard) >= silent);
+            .filter(|(_, seen)| !seen.is_live(silent, now));
         for (host, _) in silent {
             self.dispatcher.drop_host(host);
         }
--- a/crates/core/src/pool/tuning.rs
+++ b/crates/core/src/pool/tuning.rs
@@ -3,8 +3,9 @@
 /// How a pool chooses.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
-    /// Requests beyond a server's slots that may be in flight there: what other gateways have
-    /// ended is heard late, and an engine that finds nothing waiting rests meanwhile.
+    /// Requests beyond a server's slots that may be in flight there: what has ended is heard late, by
+    /// a round trip at the hub and by more at other gateways, and an engine that finds nothing
+    /// waiting rests meanwhile.
     pub over: u32,
     /// What a request itself counts, in requests beside it: tokens of one are hardly slowed by
     /// others beside it, so a fast server is better than an empty slow one until it is full.
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -89,7 +89,7 @@
     pub(super) closed: Cell<bool>,
     /// Sendings that have ended and that the hub was not told of.
     pub(super) ends: RefCell<Vec<Ended>>,
-    /// Wakes the report to the hub where a sending has ended.
+    /// Wakes the report to the hub where an answer begins or a sending has ended.
     pub(super) reports: Notify,
     /// Requests that are open.
     pub(super) open: Cell<usize>,
