Compare ranks of customers first, then those of their rules

Cause: a customer's rank replaced its rule's.

Change: route::Rank, the customer's rank and then the rule's. Logs say rank, size, objective and the longest pause, for refusals too.

--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -8,6 +8,7 @@
 
 use crate::id;
 use crate::pool::End;
+use crate::route::Rank;
 use crate::unit::Tokens;
 
 use super::Load;
@@ -22,8 +23,8 @@
     pub hall: Arc<str>,
     /// The service.
     pub service: id::Service,
-    /// The request's rank, 0 first.
-    pub rank: u8,
+    /// How urgent the request is.
+    pub rank: Rank,
     /// The time since it arrived.
     pub waited: Duration,
     /// How much longer it waits.
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Instant;
 use crate::gateway::Server;
+use crate::route::Rank;
 use crate::unit::Tokens;
 
 /// The number of a request that waits or runs.
@@ -17,8 +18,8 @@
 /// A request that wants a backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
-    /// Its rank, 0 first.
-    pub rank: u8,
+    /// How urgent it is.
+    pub rank: Rank,
     /// When it arrived: one that comes back from a server keeps its place.
     pub arrived: Instant,
     /// The length of its prompt; 0 where it has none.
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -4,12 +4,13 @@
 use std::ops::Bound;
 
 use crate::clock::Instant;
+use crate::route::Rank;
 
 use super::Ask;
 use super::Ticket;
 
 /// A place in line: by rank, then by arrival.
-pub(super) type Place = (u8, Instant, Ticket);
+pub(super) type Place = (Rank, Instant, Ticket);
 
 /// Requests that wait.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/route/customer.rs
+++ b/crates/core/src/route/customer.rs
@@ -46,7 +46,7 @@
     pub name: id::Customer,
     /// The keys by which its requests are known.
     pub keys: Vec<String>,
-    /// The rank of its requests, which goes before a rule's.
+    /// The rank of its requests, which is compared before their rules'.
     pub rank: Option<u8>,
     /// How much it may ask for.
     pub allowance: Allowance,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 mod customer;
 mod kind;
+mod rank;
 mod rule;
 mod table;
 
@@ -9,6 +10,7 @@
 pub use customer::Allowance;
 pub use customer::Unit;
 pub use kind::Kind;
+pub use rank::Rank;
 pub use rule::Rule;
 pub use rule::Target;
 pub use table::Limits;
--- a/crates/core/src/route/rule.rs
+++ b/crates/core/src/route/rule.rs
@@ -31,6 +31,9 @@
     pub timeout: Duration,
     /// Within what time an answer (of a stream, its first event) is wanted.
     pub objective: Duration,
+    /// The longest pause between the pieces of a stream that is still in time; none where nothing is
+    /// said of it.
+    pub pause: Option<Duration>,
     /// The rank of its requests, 0 first.
     pub rank: u8,
     /// Where they go; the weights add up to more than 0.
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -59,7 +59,7 @@
         host: host.parse().expect("a name"),
         hall: "a".into(),
         service: "chat".parse().expect("a name"),
-        rank,
+        rank: rank.into(),
         waited: Duration::ZERO,
         patience: Duration::from_millis(200),
         prompt: Tokens(10),
--- a/crates/core/tests/route_tables.rs
+++ b/crates/core/tests/route_tables.rs
@@ -29,6 +29,7 @@
         kind: Kind::Safe,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(150),
+        pause: None,
         rank: 0,
         targets: vec![target("chat", 1.0)],
         attempts: 1,
--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -37,7 +37,7 @@
 
 fn ask(pool: &mut Pool, rank: u8, arrived: u64) -> Ticket {
     let ask = Ask {
-        rank,
+        rank: rank.into(),
         arrived: Instant(arrived),
         ..Ask::default()
     };
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -11,11 +11,14 @@
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
 use curlewlift_core::pool::Patience;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Limits;
+use curlewlift_core::route::Rank;
 use curlewlift_core::route::Rule;
 use curlewlift_core::route::Table;
+use curlewlift_core::unit::Tokens;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -24,6 +27,8 @@
 use tokio::time::Instant;
 
 use super::dialect::Call;
+use super::log::Line;
+use super::log::millis;
 use super::node::Node;
 use super::refuse::Refused;
 
@@ -58,10 +63,30 @@
 }
 
 impl Admitted {
-    /// Its customer, for the log.
-    pub(super) fn customer(&self) -> Option<&str> {
+    /// How urgent it is.
+    pub(super) fn rank(&self) -> Rank {
+        Rank::new(&self.rule, self.account.as_deref())
+    }
+
+    /// The length of its prompt; 0 where it has none.
+    pub(super) fn prompt(&self) -> Tokens {
+        Tokens(self.call.tokens.map_or(0, |(prompt, _)| prompt))
+    }
+
+    /// A line about it: what it is, whose, how large, and by what time it is wanted.
+    pub(super) fn line(&self, kind: Kind) -> Line {
         let account = self.account.as_ref();
-        account.map(|account| account.name.as_str())
+        Line::new(kind)
+            .request(self.call.id.as_ref())
+            .with("rule", &*self.rule.name)
+            .with("table", self.table)
+            .with("customer", account.map(|account| account.name.as_str()))
+            .with("rank", self.rank().to_string())
+            .with("cost", self.cost)
+            .with("prompt", self.prompt().0)
+            .with("objective_ms", millis(self.rule.objective))
+            .with("pause_ms", self.rule.pause.map(millis))
+            .after(self.arrived)
     }
 
     /// What is known of its time now.
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -1,5 +1,7 @@
 //! How a request ends: with a refusal, a server's whole answer, or a stream.
 
+use std::time::Duration;
+
 use axum::http::Response;
 use axum::http::header;
 use axum::http::response;
@@ -34,13 +36,13 @@
             let mut share = self.node.share.borrow_mut();
             share.give_back(&account.name, self.admitted.cost);
         }
-        request::refused(self.admitted.call.id.as_ref(), refusal)
+        request::refused(self.admitted.line(Kind::Refused), refusal)
     }
 
     /// A server's answer that is there whole.
     pub(super) fn whole(&mut self, head: response::Parts, body: Bytes) -> Answer {
         self.told = true;
-        self.log_end(head.status.as_u16(), "whole");
+        self.log_end(head.status.as_u16(), "whole", None);
         pass_on(head, Some(body.len()), body::whole(body))
     }
 
@@ -53,8 +55,9 @@
         pass_on(head, None, body)
     }
 
-    /// Says in the log that the caller got all there is.
-    pub(super) fn log_end(&self, status: u16, how: &str) {
+    /// Says in the log that the caller got all there is; of a stream with the `longest` pause between
+    /// two pieces.
+    pub(super) fn log_end(&self, status: u16, how: &str, longest: Option<Duration>) {
         Line::new(Kind::Ended)
             .request(self.admitted.call.id.as_ref())
             .with("status", status)
@@ -62,6 +65,7 @@
             .with("sent", self.sendings())
             .with("server", self.tried.last().map(|server| &**server))
             .with("first_ms", self.first.map(millis))
+            .with("longest_ms", longest.map(millis))
             .after(self.admitted.arrived)
             .write();
         let seconds = self.admitted.arrived.elapsed().as_secs_f64();
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -40,6 +40,10 @@
     began: Instant,
     /// Pieces that came since.
     pieces: u32,
+    /// When the last piece went to the caller; none before the first.
+    last: Option<Instant>,
+    /// The longest time between two pieces for the caller.
+    longest: Duration,
     /// Whether the caller has been told its end, or that there is none.
     ended: bool,
 }
@@ -58,6 +62,8 @@
         first,
         began: Instant::now(),
         pieces: 0,
+        last: None,
+        longest: Duration::ZERO,
         ended: false,
     };
     let pieces = futures::stream::unfold(relay, |mut relay| async move {
@@ -93,6 +99,7 @@
                         continue;
                     };
                     if let Some(piece) = self.piece(data) {
+                        self.pass();
                         return Some(Ok(piece));
                     }
                 }
@@ -117,6 +124,14 @@
         (!whole.is_empty()).then_some(whole)
     }
 
+    /// Takes note that a piece goes to the caller.
+    fn pass(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last.replace(now) {
+            self.longest = self.longest.max(now - last);
+        }
+    }
+
     /// The stream has come to its end.
     fn finish(&mut self) -> Option<Bytes> {
         self.ended = true;
@@ -129,7 +144,8 @@
             });
         }
         self.place = None;
-        self.run.log_end(StatusCode::OK.as_u16(), "stream");
+        let status = StatusCode::OK.as_u16();
+        self.run.log_end(status, "stream", Some(self.longest));
         let rest = self.events.as_mut().map(Events::rest)?;
         (!rest.is_empty()).then_some(rest)
     }
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use axum::http::HeaderValue;
 use axum::http::Request;
 use curlewlift_core::code::Code;
 use curlewlift_core::event::Kind;
@@ -26,33 +25,31 @@
     metrics::counter!("curlewlift_requests").increment(1);
     let call = match (node.dialect.read)(request.headers()) {
         Ok(call) => call,
-        Err(why) => return refused(None, &why.into()),
+        Err(why) => return refused(Line::new(Kind::Refused), &why.into()),
     };
-    let id = call.id.clone();
+    let line = Line::new(Kind::Refused).request(call.id.as_ref());
     if let Some(again) = stop::turns_away(&node) {
         let refusal = Refused::new(Code::Leaving, "this gateway is stopping").again(again);
-        return refused(id.as_ref(), &refusal);
+        return refused(line, &refusal);
     }
     let admitted = match admit::admit(&node, request, arrived, call).await {
         Ok(admitted) => admitted,
-        Err(refusal) => return refused(id.as_ref(), &refusal),
+        Err(refusal) => return refused(line, &refusal),
     };
     let lot = rand::rng().random();
     let Some(service) = admitted.rule.target(lot).cloned() else {
         return refused(
-            id.as_ref(),
+            line,
             &Refused::new(Code::NoServer, "the rule has no service"),
         );
     };
     Run::new(node, admitted, service).drive().await
 }
 
-/// Answers that a request is refused, and says so in the log.
-pub(super) fn refused(id: Option<&HeaderValue>, refused: &Refused) -> Answer {
+/// Answers that a request is refused, and says so in the log with the `line` about it.
+pub(super) fn refused(line: Line, refused: &Refused) -> Answer {
     let code = refused.refusal.get_code();
-    Line::new(Kind::Refused)
-        .request(id)
-        .with("code", code.number())
+    line.with("code", code.number())
         .with("why", refused.refusal.get_detail())
         .with("again_ms", refused.again.map(millis))
         .write();
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -12,7 +12,6 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
-use curlewlift_core::unit::Tokens;
 use http_body_util::Full;
 use tokio::time::Instant;
 
@@ -139,9 +138,9 @@
             patience.unsent()
         };
         let ask = Ask {
-            rank: self.rank(),
+            rank: admitted.rank(),
             arrived: admitted.since,
-            prompt: Tokens(admitted.call.tokens.map_or(0, |(prompt, _)| prompt)),
+            prompt: admitted.prompt(),
             hall: Arc::clone(&self.node.gateway.hall),
             tried: self.tried.clone(),
         };
@@ -149,12 +148,6 @@
         turn.map_err(|why| self.no_turn(why))
     }
 
-    fn rank(&self) -> u8 {
-        let account = self.admitted.account.as_ref();
-        let rank = account.and_then(|account| account.rank);
-        rank.unwrap_or(self.admitted.rule.rank)
-    }
-
     /// The request for one server, with what is left of its time.
     pub(super) fn request(&self, place: &Place, after: Option<&str>) -> Request<Full<Bytes>> {
         let admitted = &self.admitted;
@@ -175,16 +168,11 @@
 
     async fn send(&mut self, place: Place) -> Result<Step, Refused> {
         let request = self.request(&place, None);
-        Line::new(Kind::Sent)
-            .request(self.admitted.call.id.as_ref())
-            .with("rule", &*self.admitted.rule.name)
-            .with("table", self.admitted.table)
+        self.admitted
+            .line(Kind::Sent)
             .with("server", &*place.server.incarnation)
             .with("sent", self.sendings() + 1)
-            .with("customer", self.admitted.customer())
-            .with("cost", self.admitted.cost)
             .with("hub_ms", self.node.hub_silence().map(millis))
-            .after(self.admitted.arrived)
             .write();
         self.tried.push(Arc::clone(&place.server.incarnation));
         let until = self.admitted.until;
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -38,6 +38,7 @@
     kind: String,
     timeout_ms: f64,
     target_latency_ms: Option<f64>,
+    gap_target_ms: Option<f64>,
     #[serde(default)]
     priority: u8,
     service: Option<String>,
@@ -116,10 +117,12 @@
     let backends = backends(&route.name, route.backends, route.service)?;
     let timeout = millis(route.timeout_ms)?;
     let objective = route.target_latency_ms.map_or(Ok(timeout), millis)?;
+    let pause = route.gap_target_ms.map(millis).transpose()?;
     Ok(Rule {
         kind,
         timeout,
         objective,
+        pause,
         targets: backends.iter().map(target).collect::<Result<_, _>>()?,
         name: route.name.into(),
         host: route.host.to_ascii_lowercase().into(),
