Hold who may still be served, and tell the others at once

Cause: a request was held for a fifth of its objective, whatever stood in line before it: the most urgent for the shortest time, and the least urgent for the longest though no turn would come.

Change: the line forecasts a request's wait by the turns that are given and by what the higher ranks take of them; whoever cannot have a turn within a second, or half of its time, hears so at once, also later when the service shrinks. Whose answer would begin too late (mean and deviation of the time to the first byte, by rule) waits on behind the others of its rank. Who has lost its server goes first in its rank; who has tried every server does not wait. What a gateway leaves alone is left alone at the hub for as long only: a broken stream was cut where the other server had been full for 120 ms.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -92,13 +92,19 @@
     /// has no servers here.
     pub(super) fn want(&mut self, want: Want, now: Instant) -> Option<(Ticket, Option<Ticket>)> {
         let pool = self.pools.get_mut(&want.service)?;
-        let (number, last) = pool.ask(Ask {
+        let avoid = want.avoid.into_iter();
+        let avoid = avoid.map(|(incarnation, left)| (incarnation, now + left));
+        let ask = Ask {
             rank: want.rank,
             arrived: now - want.waited,
+            wanted: now + want.wanted,
+            until: now + want.patience,
             prompt: want.prompt,
             hall: want.hall,
-            tried: want.avoid,
-        });
+            tried: want.tried,
+            avoid: avoid.collect(),
+        };
+        let (number, last) = pool.ask(ask, now);
         let hub = self.hub;
         let ticket = |number| Ticket {
             hub,
@@ -141,6 +147,23 @@
         grants
     }
 
+    /// Takes those out of line who are not likely to get a place in time.
+    pub(super) fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut hopeless = Vec::new();
+        for (service, pool) in &mut self.pools {
+            let numbers = pool.give_up(now).into_iter();
+            hopeless.extend(numbers.map(|number| Ticket {
+                hub: self.hub,
+                service: service.clone(),
+                number,
+            }));
+        }
+        for ticket in &hopeless {
+            self.asking.remove(ticket);
+        }
+        hopeless
+    }
+
     /// The services that somebody waits for.
     fn wanted(&self) -> Vec<id::Service> {
         let pools = self.pools.iter();
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -27,12 +27,16 @@
     pub rank: Rank,
     /// The time since it arrived.
     pub waited: Duration,
+    /// For how much longer an answer to it can still begin in time.
+    pub wanted: Duration,
     /// How much longer it waits.
     pub patience: Duration,
     /// The length of its prompt; 0 where it has none.
     pub prompt: Tokens,
-    /// Incarnations that it must not be sent to.
-    pub avoid: Vec<Arc<str>>,
+    /// Incarnations that it was sent to before.
+    pub tried: Vec<Arc<str>>,
+    /// Others that its gateway leaves alone, and for how much longer.
+    pub avoid: Vec<(Arc<str>, Duration)>,
 }
 
 /// A place at a backend server, given to one request.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -254,6 +254,11 @@
         self.dispatcher.serve(now)
     }
 
+    /// Takes those out of line who are not likely to get a place in time.
+    pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
+        self.dispatcher.give_up(now)
+    }
+
     /// Drops what silent gateways had in flight.
     pub fn tick(&mut self, now: Instant) {
         let silent = self.tuning.silent;
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -22,12 +22,28 @@
     pub rank: Rank,
     /// When it arrived: one that comes back from a server keeps its place.
     pub arrived: Instant,
+    /// Until when it must be sent for its answer to begin in time.
+    pub wanted: Instant,
+    /// Until when it waits.
+    pub until: Instant,
     /// The length of its prompt; 0 where it has none.
     pub prompt: Tokens,
     /// The data hall that it is sent from.
     pub hall: Arc<str>,
     /// Incarnations that it was sent to before.
     pub tried: Vec<Arc<str>>,
+    /// Others that it must not be sent to before then.
+    pub avoid: Vec<(Arc<str>, Instant)>,
+}
+
+impl Ask {
+    /// Whether it may be sent to `server` at `now`.
+    pub(super) fn may_go_to(&self, server: &Server, now: Instant) -> bool {
+        let incarnation = &server.incarnation;
+        let mut avoid = self.avoid.iter();
+        let avoided = avoid.any(|(other, until)| other == incarnation && now < *until);
+        !avoided && !self.tried.contains(incarnation)
+    }
 }
 
 /// A request's turn.
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -1,10 +1,9 @@
 //! Which backend server of a pool a request is sent to.
 
-use std::sync::Arc;
-
 use rand::RngExt;
 
 use crate::clock::Instant;
+use crate::gateway::Server;
 
 use super::Ask;
 use super::Pool;
@@ -28,22 +27,24 @@
         servers.any(|known| !known.server.leaving && self.is_free(known))
     }
 
-    fn is_free(&self, known: &Known) -> bool {
+    pub(super) fn is_free(&self, known: &Known) -> bool {
         known.in_flight() < known.server.slots.max(1) + self.tuning.over
     }
 
     /// The place of the best server with room; where all are left alone, of those that have
     /// hardly broken.
     pub(super) fn choose(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
-        let all_suspect = self.is_suspect(&ask.tried, now);
-        self.best(ask, |known| known.trust.is_trusted(all_suspect, now))
+        let all_suspect = self.is_suspect(|server| ask.may_go_to(server, now), now);
+        self.best(ask, |known| {
+            ask.may_go_to(&known.server, now) && known.trust.is_trusted(all_suspect, now)
+        })
     }
 
-    /// Whether every server that a request which has `tried` some may go to is suspect.
-    pub(super) fn is_suspect(&self, tried: &[Arc<str>], now: Instant) -> bool {
+    /// Whether every server that a request `may` go to is suspect.
+    pub(super) fn is_suspect(&self, may: impl Fn(&Server) -> bool, now: Instant) -> bool {
         let mut taking = self.servers.iter().filter(|known| {
             let server = &known.server;
-            !server.leaving && !tried.contains(&server.incarnation)
+            !server.leaving && may(server)
         });
         taking.all(|known| known.trust.is_suspect(now))
     }
@@ -60,8 +61,7 @@
             let known = &self.servers[place];
             let server = &known.server;
             let room = self.is_free(known);
-            let again = ask.tried.contains(&server.incarnation);
-            if server.leaving || again || !room || !trusted(known) {
+            if server.leaving || !room || !trusted(known) {
                 continue;
             }
             let score = self.score(known, ask, mean) + lot * LOT;
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -3,6 +3,8 @@
 mod ask;
 mod budget;
 mod choose;
+mod forecast;
+mod lead;
 mod pace;
 mod patience;
 mod server;
@@ -17,6 +19,7 @@
 pub use ask::Turn;
 pub use budget::Allowed;
 pub use budget::Budget;
+pub use lead::Lead;
 pub use pace::Pace;
 pub use patience::Patience;
 pub use servers::Pool;
--- a/crates/core/src/pool/patience.rs
+++ b/crates/core/src/pool/patience.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-/// The part of the time within which an answer is wanted that a request may be held unsent: less
-/// than a quarter, with the way to the caller and back. Whoever is refused by then has lost
-/// little, and an answer after that wait is still in time.
-const HELD: f64 = 0.2;
+/// How long a request is held at the most: callers leave a stream after two seconds without an event,
+/// and what is sent by the half of them is answered before.
+const HELD: Duration = Duration::from_secs(1);
 
 /// The part of what is left of its time that a request is held at the most.
 const LEFT: f64 = 0.5;
@@ -31,8 +30,9 @@
 ///     objective: Duration::from_millis(1_000),
 ///     waited: Duration::from_millis(150),
 ///     left: Duration::from_millis(7_850),
+///     lead: Duration::from_millis(250),
 /// };
-/// assert_eq!(patience.unsent(), Duration::from_millis(50));
+/// assert_eq!(patience.in_time(), Duration::from_millis(600));
 /// assert_eq!(patience.come_back(), Duration::from_secs(2));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,21 +43,21 @@
     pub waited: Duration,
     /// The time until its deadline.
     pub left: Duration,
+    /// How long an answer takes to begin once it is sent.
+    pub lead: Duration,
 }
 
 impl Patience {
-    /// How much longer a request that was sent nowhere yet is held.
+    /// For how much longer an answer can still begin in time.
     #[must_use]
-    pub fn unsent(&self) -> Duration {
-        let held = self.objective.mul_f64(HELD);
-        self.bound(held.saturating_sub(self.waited))
+    pub fn in_time(&self) -> Duration {
+        self.objective.saturating_sub(self.waited + self.lead)
     }
 
-    /// How much longer a request is held that a server has failed: it has begun to cost something,
-    /// so its wait begins anew.
+    /// How much longer a request is held.
     #[must_use]
-    pub fn sent(&self) -> Duration {
-        self.bound(self.objective.mul_f64(HELD))
+    pub fn held(&self) -> Duration {
+        HELD.min(self.left.mul_f64(LEFT))
     }
 
     /// After how long a caller that is turned away is to come back.
@@ -69,8 +69,4 @@
             .min(self.left / HEEDED)
             .max(SOONEST)
     }
-
-    fn bound(&self, held: Duration) -> Duration {
-        held.min(self.left.mul_f64(LEFT))
-    }
 }
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -1,6 +1,7 @@
 //! The pool: what is known of the backend servers of a service, and who waits for them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -15,6 +16,7 @@
 use super::Ticket;
 use super::Tuning;
 use super::Turn;
+use super::forecast::Forecast;
 use super::server::Known;
 use super::waiting::Waiting;
 
@@ -24,6 +26,7 @@
     pub(super) tuning: Tuning,
     pub(super) servers: Vec<Known>,
     waiting: Waiting,
+    forecast: Forecast,
     next: u64,
     pub(super) random: SmallRng,
 }
@@ -36,6 +39,7 @@
             tuning,
             servers: Vec::new(),
             waiting: Waiting::default(),
+            forecast: Forecast::default(),
             next: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -109,12 +113,20 @@
         true
     }
 
-    /// The servers that are left alone at `now` by a request that has `tried` some.
-    pub fn avoided(&self, tried: &[Arc<str>], now: Instant) -> impl Iterator<Item = &Arc<str>> {
-        let all_suspect = self.is_suspect(tried, now);
+    /// The servers that are left alone at `now` by a request that has `tried` some, and for how much
+    /// longer.
+    pub fn avoided(
+        &self,
+        tried: &[Arc<str>],
+        now: Instant,
+    ) -> impl Iterator<Item = (Arc<str>, Duration)> {
+        let all_suspect = self.is_suspect(|server| !tried.contains(&server.incarnation), now);
         let avoided = self.servers.iter();
         let avoided = avoided.filter(move |known| !known.trust.is_trusted(all_suspect, now));
-        avoided.map(|known| &known.server.incarnation)
+        avoided.map(move |known| {
+            let left = known.trust.left_alone(now);
+            (Arc::clone(&known.server.incarnation), left)
+        })
     }
 
     /// Takes up what an answer of a server told of its load.
@@ -180,11 +192,12 @@
         self.waiting.len()
     }
 
-    /// Puts a request in line; tells who is turned away for want of room.
-    pub fn ask(&mut self, ask: Ask) -> (Ticket, Option<Ticket>) {
+    /// Puts a request in line at `now`; tells who is turned away for want of room.
+    pub fn ask(&mut self, ask: Ask, now: Instant) -> (Ticket, Option<Ticket>) {
         self.next += 1;
         let ticket = Ticket(self.next);
-        self.waiting.add(ticket, ask);
+        self.forecast.asked(ask.rank, now);
+        self.waiting.add(ticket, ask, now);
         let crowded = self.waiting.len() > self.tuning.waiting;
         let last = if crowded { self.waiting.last() } else { None };
         if let Some(last) = last {
@@ -202,20 +215,22 @@
     pub fn serve(&mut self, now: Instant) -> Vec<Turn> {
         let mut turns = Vec::new();
         let mut last = None;
+        self.waiting.age(now);
         while let Some((in_line, ask)) = self.waiting.after(last) {
             if !self.has_room() {
                 break;
             }
-            let ((_, _, ticket), ask) = (in_line, ask.clone());
+            let (ticket, ask) = (in_line.ticket, ask.clone());
             last = Some(in_line);
             let Some(place) = self.choose(&ask, now) else {
-                // Who has tried some servers may wait for others; the next in line may not.
-                if ask.tried.is_empty() {
+                // Who may not go to some servers may wait for others; the next in line may not.
+                if ask.tried.is_empty() && ask.avoid.is_empty() {
                     break;
                 }
                 continue;
             };
             self.waiting.remove(ticket);
+            self.forecast.turn(now);
             let known = &mut self.servers[place];
             known.begin(ask.prompt);
             turns.push(Turn {
@@ -226,4 +241,42 @@
         }
         turns
     }
+
+    /// Takes those out of line whose turn is not likely to come before they stop waiting, and those
+    /// who have tried every server.
+    pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut hopeless = Vec::new();
+        let mut ahead = 0;
+        let full = self.is_full(now);
+        for (place, ask) in self.waiting.all() {
+            let wait = self.forecast.wait(place, ahead, now);
+            let too_long = wait.is_some_and(|wait| now + wait > ask.until);
+            if (full && too_long) || self.has_tried_all(ask) {
+                hopeless.push(place.ticket);
+            } else {
+                ahead += 1;
+            }
+        }
+        for ticket in &hopeless {
+            self.waiting.remove(*ticket);
+        }
+        hopeless
+    }
+
+    /// Whether it is for want of room that requests wait, not for servers that are left alone.
+    fn is_full(&self, now: Instant) -> bool {
+        let mut trusted = self.servers.iter().filter(|known| {
+            let suspect = known.trust.is_suspect(now);
+            !known.server.leaving && !suspect
+        });
+        let first = trusted.next();
+        first.is_some_and(|first| !self.is_free(first)) && trusted.all(|known| !self.is_free(known))
+    }
+
+    /// Whether there is no server left that a request has not tried.
+    fn has_tried_all(&self, ask: &Ask) -> bool {
+        let mut taking = self.servers.iter().filter(|known| !known.server.leaving);
+        let tried = |known: &Known| ask.tried.contains(&known.server.incarnation);
+        !ask.tried.is_empty() && taking.all(tried)
+    }
 }
--- a/crates/core/src/pool/trust.rs
+++ b/crates/core/src/pool/trust.rs
@@ -59,6 +59,12 @@
         self.until.is_some_and(|until| now < until)
     }
 
+    /// For how much longer it is to be left alone.
+    #[must_use]
+    pub fn left_alone(&self, now: Instant) -> Duration {
+        self.until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Whether it may be sent something at `now`. Where all servers are suspect, a break or two
     /// tell none from another, and trying is better than refusing.
     #[must_use]
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -1,4 +1,4 @@
-//! Who waits, in order: by rank, then by arrival.
+//! Who waits, in order: by rank, those who can still be answered in time, then by arrival.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -9,8 +9,22 @@
 use super::Ask;
 use super::Ticket;
 
-/// A place in line: by rank, then by arrival.
-pub(super) type Place = (Rank, Instant, Ticket);
+/// A place in line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    pub(super) rank: Rank,
+    /// Whether its answer would begin too late by now.
+    pub(super) late: bool,
+    pub(super) arrived: Instant,
+    pub(super) ticket: Ticket,
+}
+
+impl Place {
+    /// Whether a request of `rank` that arrives now goes before it.
+    pub(super) fn goes_after(&self, rank: Rank) -> bool {
+        rank < self.rank || (self.late && rank == self.rank)
+    }
+}
 
 /// Requests that wait.
 #[derive(Clone, Debug, Default)]
@@ -19,16 +33,22 @@
 }
 
 impl Waiting {
-    pub(super) fn add(&mut self, ticket: Ticket, ask: Ask) {
-        self.order.insert((ask.rank, ask.arrived, ticket), ask);
+    pub(super) fn add(&mut self, ticket: Ticket, ask: Ask, now: Instant) {
+        let place = Place {
+            rank: ask.rank,
+            late: ask.wanted <= now,
+            arrived: ask.arrived,
+            ticket,
+        };
+        self.order.insert(place, ask);
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> bool {
-        let key = self.order.keys().find(|(_, _, other)| *other == ticket);
-        let Some(key) = key.copied() else {
+        let mut places = self.order.keys();
+        let Some(place) = places.find(|place| place.ticket == ticket).copied() else {
             return false;
         };
-        self.order.remove(&key).is_some()
+        self.order.remove(&place).is_some()
     }
 
     pub(super) fn len(&self) -> usize {
@@ -37,9 +57,7 @@
 
     /// The one that is last: of the lowest rank, and there the newest.
     pub(super) fn last(&self) -> Option<Ticket> {
-        self.order
-            .last_key_value()
-            .map(|((_, _, ticket), _)| *ticket)
+        self.order.last_key_value().map(|(place, _)| place.ticket)
     }
 
     /// The first one, or the next after a place in line.
@@ -48,4 +66,25 @@
         let next = self.order.range((from, Bound::Unbounded)).next();
         next.map(|(place, ask)| (*place, ask))
     }
+
+    /// All of them, in order.
+    pub(super) fn all(&self) -> impl Iterator<Item = (&Place, &Ask)> {
+        self.order.iter()
+    }
+
+    /// Puts those whose answers would begin too late by now behind the others of their rank.
+    pub(super) fn age(&mut self, now: Instant) {
+        let late = self.order.iter();
+        let late = late.filter(|(place, ask)| !place.late && ask.wanted <= now);
+        let late: Vec<_> = late.map(|(place, _)| *place).collect();
+        for place in late {
+            if let Some(ask) = self.order.remove(&place) {
+                let place = Place {
+                    late: true,
+                    ..place
+                };
+                self.order.insert(place, ask);
+            }
+        }
+    }
 }
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -124,6 +124,11 @@
         &self.services
     }
 
+    /// The rules, in no order.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<Rule>> {
+        self.hosts.values().flatten()
+    }
+
     /// The customers.
     pub fn accounts(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.accounts.iter().flatten()
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -61,8 +61,10 @@
         service: "chat".parse().expect("a name"),
         rank: rank.into(),
         waited: Duration::ZERO,
+        wanted: Duration::from_millis(100),
         patience: Duration::from_millis(200),
         prompt: Tokens(10),
+        tried: Vec::new(),
         avoid: Vec::new(),
     }
 }
--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -95,6 +95,10 @@
                 let _ = place.send(grant);
             }
         }
+        for ticket in hub.give_up(now) {
+            // Dropping the sender tells who waits that there will be no place.
+            self.places.remove(&ticket);
+        }
     }
 
     /// What only the passing of time has made possible.
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -90,22 +90,23 @@
     }
 
     /// What is known of its time now.
-    pub(super) fn patience(&self) -> Patience {
-        patience(&self.rule, self.arrived, self.until)
+    pub(super) fn patience(&self, node: &Node) -> Patience {
+        patience(node, &self.rule, self.arrived, self.until)
     }
 
     /// After how long its caller is to come back if it is turned away now.
-    pub(super) fn come_back(&self) -> Duration {
-        self.patience().come_back()
+    pub(super) fn come_back(&self, node: &Node) -> Duration {
+        self.patience(node).come_back()
     }
 }
 
-fn patience(rule: &Rule, arrived: Instant, until: Instant) -> Patience {
+fn patience(node: &Node, rule: &Rule, arrived: Instant, until: Instant) -> Patience {
     let now = Instant::now();
     Patience {
         objective: rule.objective,
         waited: now.saturating_duration_since(arrived),
         left: until.saturating_duration_since(now),
+        lead: node.lead(&rule.name),
     }
 }
 
@@ -127,7 +128,12 @@
     let (head, body) = request.into_parts();
     let body = read(body, limits, until).await?;
     let cost = match &account {
-        Some(account) => charge(node, account, &call, || patience(&rule, arrived, until)).await?,
+        Some(account) => {
+            charge(node, account, &call, || {
+                patience(node, &rule, arrived, until)
+            })
+            .await?
+        }
         None => 0,
     };
     Ok(Admitted {
@@ -175,7 +181,7 @@
             let mut share = node.share.borrow_mut();
             share.admit(&account.name, &account.allowance, cost, now)
         };
-        if admitted || patience().unsent().is_zero() {
+        if admitted || patience().in_time().is_zero() {
             return admitted;
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -3,8 +3,10 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::clock;
@@ -16,6 +18,7 @@
 use curlewlift_core::gateway::Roll;
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
+use curlewlift_core::pool::Lead;
 use curlewlift_core::quota::Share;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Table;
@@ -79,6 +82,8 @@
     pub(super) listing: RefCell<Listing>,
     /// The gateways that live, by the last word of the hub.
     pub(super) roll: RefCell<Roll>,
+    /// How long answers take to begin, by rule.
+    pub(super) leads: RefCell<BTreeMap<Arc<str>, Lead>>,
     /// What customers may still ask for here.
     pub(super) share: RefCell<Share>,
     /// What is known of the hub.
@@ -120,6 +125,7 @@
             services: RefCell::default(),
             listing: RefCell::default(),
             roll: RefCell::default(),
+            leads: RefCell::default(),
             share: RefCell::new(Share::new(tolerance)),
             hub: RefCell::default(),
             stopping: Cell::new(None),
@@ -170,6 +176,29 @@
     }
 }
 
+/// # How long answers take
+impl Node {
+    /// How long answers to requests of a rule take to begin, once they are sent.
+    pub(super) fn lead(&self, rule: &str) -> Duration {
+        let leads = self.leads.borrow();
+        leads.get(rule).map_or(Duration::ZERO, Lead::get)
+    }
+
+    /// Takes note that an answer to a request of `rule` began `first` after it was sent.
+    pub(super) fn answered(&self, rule: &Arc<str>, first: Duration) {
+        let mut leads = self.leads.borrow_mut();
+        leads.entry(Arc::clone(rule)).or_default().add(first);
+    }
+
+    /// Forgets the rules that a table does not have.
+    fn keep_leads(&self, table: &Table) {
+        let rules = table.rules();
+        let names: BTreeSet<_> = rules.map(|rule| &rule.name).collect();
+        let mut leads = self.leads.borrow_mut();
+        leads.retain(|name, _| names.contains(name));
+    }
+}
+
 /// # What it takes up
 impl Node {
     /// Puts a table in force that is newer than the one held.
@@ -183,6 +212,7 @@
             .with("table", number)
             .with("former", held)
             .write();
+        self.keep_leads(&table);
         *self.table.borrow_mut() = Some(Rc::new(table));
         self.spread();
     }
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -55,9 +55,9 @@
         pass_on(head, None, body)
     }
 
-    /// Says in the log that the caller got all there is; of a stream with the `longest` pause between
-    /// two pieces.
-    pub(super) fn log_end(&self, status: u16, how: &str, longest: Option<Duration>) {
+    /// Says in the log that the caller got all there is; of a stream with the number of its pieces, and
+    /// the longest pause between two of them.
+    pub(super) fn log_end(&self, status: u16, how: &str, pieces: Option<(u32, Duration)>) {
         Line::new(Kind::Ended)
             .request(self.admitted.call.id.as_ref())
             .with("status", status)
@@ -65,7 +65,8 @@
             .with("sent", self.sendings())
             .with("server", self.tried.last().map(|server| &**server))
             .with("first_ms", self.first.map(millis))
-            .with("longest_ms", longest.map(millis))
+            .with("pieces", pieces.map(|(count, _)| count))
+            .with("longest_ms", pieces.map(|(_, longest)| millis(longest)))
             .after(self.admitted.arrived)
             .write();
         let seconds = self.admitted.arrived.elapsed().as_secs_f64();
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -83,9 +83,9 @@
 
     fn want(&self, service: &id::Service, ask: &Ask, patience: Duration) -> Want {
         let now = self.now();
-        let mut avoid = ask.tried.clone();
-        self.with_service(service, |service| {
-            avoid.extend(service.pool.avoided(&ask.tried, now).cloned());
+        let avoid = self.with_service(service, |service| {
+            let avoided = service.pool.avoided(&ask.tried, now);
+            avoided.collect()
         });
         Want {
             host: self.host.clone(),
@@ -93,9 +93,11 @@
             service: service.clone(),
             rank: ask.rank,
             waited: now.since(ask.arrived),
+            wanted: ask.wanted.since(now),
             patience,
             prompt: ask.prompt,
-            avoid,
+            tried: ask.tried.clone(),
+            avoid: avoid.unwrap_or_default(),
         }
     }
 
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -145,7 +145,8 @@
         }
         self.place = None;
         let status = StatusCode::OK.as_u16();
-        self.run.log_end(status, "stream", Some(self.longest));
+        self.run
+            .log_end(status, "stream", Some((self.pieces, self.longest)));
         let rest = self.events.as_mut().map(Events::rest)?;
         (!rest.is_empty()).then_some(rest)
     }
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -131,18 +131,24 @@
     /// Waits for a server.
     pub(super) async fn turn(&self) -> Result<Place, Refused> {
         let admitted = &self.admitted;
-        let patience = admitted.patience();
-        let held = if self.sendings() > 0 {
-            patience.sent()
+        let now = self.node.now();
+        let patience = admitted.patience(&self.node);
+        let held = patience.held();
+        // Who has lost its server goes before all others of its rank: it has cost something already.
+        let in_time = if self.sendings() > 0 {
+            held
         } else {
-            patience.unsent()
+            patience.in_time()
         };
         let ask = Ask {
             rank: admitted.rank(),
             arrived: admitted.since,
+            wanted: now + in_time,
+            until: now + held,
             prompt: admitted.prompt(),
             hall: Arc::clone(&self.node.gateway.hall),
             tried: self.tried.clone(),
+            avoid: Vec::new(),
         };
         let turn = turn::wait(&self.node, &self.service, ask, held).await;
         turn.map_err(|why| self.no_turn(why))
@@ -195,6 +201,7 @@
         }
         self.sent += 1;
         self.first = Some(coming.first);
+        self.node.answered(&self.admitted.rule.name, coming.first);
         let status = coming.head.status;
         metrics::histogram!("curlewlift_first_seconds").record(coming.first.as_secs_f64());
         if status.is_success() && self.admitted.rule.kind.is_stream() {
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -83,9 +83,10 @@
         name: &id::Service,
         ask: pool::Ask,
     ) -> Option<(Ticket, oneshot::Receiver<Turn>)> {
+        let now = self.now();
         let mut services = self.services.borrow_mut();
         let service = services.get_mut(name)?;
-        let (ticket, turned_away) = service.pool.ask(ask);
+        let (ticket, turned_away) = service.pool.ask(ask, now);
         let (sender, receiver) = oneshot::channel();
         service.waiters.insert(ticket, sender);
         if let Some(last) = turned_away {
@@ -152,6 +153,10 @@
                 service.pool.ended(&incarnation, End::Nothing, now);
             }
         }
+        for ticket in service.pool.give_up(now) {
+            // Dropping the sender tells the waiter that its turn will not come.
+            service.waiters.remove(&ticket);
+        }
     }
 
     /// How many wait for a turn.
