--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -36,9 +36,11 @@
 /// its gateways by then.
 const NO_TABLE: Duration = Duration::from_millis(800);
 
-/// How long a request waits for a first table, at the most: a quarter of the shortest time within
-/// which an answer is usually wanted.
-const FIRST_TABLE: Duration = Duration::from_millis(150);
+/// How long a request waits for a first table, at the most, and what part of its time: after a loss of
+/// all hosts a table comes 0.3 s after the start, and whoever is turned away meanwhile may have no
+/// further try.
+const FIRST_TABLE: Duration = Duration::from_secs(1);
+const FIRST_TABLE_PART: f64 = 0.25;
 
 /// Between two looks whether a first table has come, or an allowance has filled up.
 const LOOK: Duration = Duration::from_millis(15);
@@ -117,7 +119,7 @@
     arrived: Instant,
     call: Call,
 ) -> Result<Admitted, Refused> {
-    let table = table(node, arrived).await?;
+    let table = table(node, arrived, &call).await?;
     let rule = rule(&table, &request)?;
     let account = account(&table, &rule, &call)?;
     let within = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
@@ -189,8 +191,12 @@
 }
 
 /// The table in force; a gateway that has only begun waits a little for its first one.
-async fn table(node: &Node, arrived: Instant) -> Result<Rc<Table>, Refused> {
-    while node.table().is_none() && arrived.elapsed() < FIRST_TABLE {
+async fn table(node: &Node, arrived: Instant, call: &Call) -> Result<Rc<Table>, Refused> {
+    let part = call
+        .patience
+        .map(|patience| patience.mul_f64(FIRST_TABLE_PART));
+    let most = part.map_or(FIRST_TABLE, |part| part.min(FIRST_TABLE));
+    while node.table().is_none() && arrived.elapsed() < most {
         tokio::time::sleep(LOOK).await;
     }
     node.table()
