--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -2,19 +2,27 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use curlewlift_core::code::Refusal;
 use curlewlift_core::gateway::Grant;
+use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Want;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::rpc::HubReply;
 
 use super::hub;
 use super::replica::State;
 
+/// How long a request waits for a new hub's first list: three words between the hub and the gateway
+/// that fetches the list, and a busy host's delay. Turned away at once, all gateways would choose by
+/// themselves just when a crowd has gathered, each unaware of the others.
+const FIRST_LIST: Duration = Duration::from_millis(200);
+
 type Shared = Rc<RefCell<State>>;
 
 /// A place in line; left when it is dropped.
@@ -35,11 +43,13 @@
 
 /// Waits for a place for as long as the request may.
 pub(super) async fn want(state: &Shared, want: Want) -> Result<HubReply, Refusal> {
-    let patience = want.patience;
+    let until = Instant::now() + want.patience;
+    let listed = until.min(Instant::now() + FIRST_LIST);
+    let _ = tokio::time::timeout_at(listed, first_list(state)).await;
     let Some((line, place)) = line_up(state, want)? else {
         return Ok(HubReply::Place(None));
     };
-    let place = tokio::time::timeout(patience, place).await;
+    let place = tokio::time::timeout_at(until, place).await;
     drop(line);
     if let Some(elsewhere) = hub::elsewhere(&state.borrow()) {
         return Ok(elsewhere);
@@ -47,6 +57,19 @@
     Ok(HubReply::Place(place.ok().and_then(Result::ok)))
 }
 
+/// Waits until the hub has a list of servers.
+async fn first_list(state: &Shared) {
+    let news = Rc::clone(&state.borrow().news);
+    loop {
+        let listed = news.notified();
+        let hub_listed = |hub: &Hub| hub.get_listing().version != 0;
+        if state.borrow().hub.as_ref().is_none_or(hub_listed) {
+            return;
+        }
+        listed.await;
+    }
+}
+
 /// Puts a request in line; none where its service has no servers.
 fn line_up(
     state: &Shared,
