Let nobody wait for an allowance, nor take back what was reported

Two ways by which more is let in than the hub counts: of requests that wait for an allowance to fill up, each gateway lets in one at the same word of the hub; they waited for as long as an answer could be in time. And the cost of a request that was refused after its report was taken off what others had used since, so it was missing in the window in which they ran: by what is refused in the time that requests are held. Ruled out: the hub's silence (its words were at most 0.05 s old there).

Change: whoever is beyond the allowance hears so at once; a cost that was reported is not given back.

--- a/crates/core/src/quota/share.rs
+++ b/crates/core/src/quota/share.rs
@@ -63,7 +63,6 @@
         self.unreported = self.unreported.saturating_add(cost);
     }
 
-    /// What was reported already is not given back: the desk may have counted it.
     fn give_back(&mut self, cost: u64) {
         let kept = self.unreported.saturating_sub(cost);
         let back = amount(self.unreported - kept);
@@ -81,6 +80,8 @@
     known: BTreeMap<id::Customer, Known>,
     heard: Option<Instant>,
     entries: u32,
+    /// How many reports were taken.
+    reports: u64,
 }
 
 impl Share {
@@ -126,8 +127,21 @@
         true
     }
 
-    /// Gives back what a request counted that surely did not run.
-    pub fn give_back(&mut self, customer: &id::Customer, cost: u64) {
+    /// The report that what is let in now will be told in.
+    #[must_use]
+    pub fn get_report(&self) -> u64 {
+        self.reports
+    }
+
+    /// Gives back what a request counted that surely did not run, where `report`, in which it is told,
+    /// was not taken yet.
+    ///
+    /// Taken off what others count in a later report, it would be missing in the window in which they
+    /// run: by what is refused in the time that requests are held.
+    pub fn give_back(&mut self, customer: &id::Customer, cost: u64, report: u64) {
+        if report != self.reports {
+            return;
+        }
         if let Some(known) = self.known.get_mut(customer) {
             known.give_back(cost);
         }
@@ -135,6 +149,7 @@
 
     /// What was let in since the last report that the desk took.
     pub fn report(&mut self) -> Vec<(id::Customer, u64)> {
+        self.reports += 1;
         let mut report = Vec::new();
         for (customer, known) in &mut self.known {
             let unreported = std::mem::take(&mut known.unreported);
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -296,6 +296,27 @@
     share.heard(&[level], 1, now);
     assert!(share.admit(&ann(), &ALLOWANCE, 800, now));
     assert!(!share.admit(&ann(), &ALLOWANCE, 800, now));
-    share.give_back(&ann(), 800);
+    share.give_back(&ann(), 800, share.get_report());
     assert!(share.admit(&ann(), &ALLOWANCE, 800, now));
 }
+
+/// What was reported is not taken off what others have used since: the hub would know of less than
+/// runs now.
+#[test]
+fn reported_stays() {
+    let now = Instant::default();
+    let mut share = Share::new(Tolerance::default());
+    let level = Level {
+        customer: ann(),
+        left: 2_000.0,
+        pace: 0.0,
+    };
+    share.heard(std::slice::from_ref(&level), 1, now);
+    assert!(share.admit(&ann(), &ALLOWANCE, 800, now));
+    let held = share.get_report();
+    assert_eq!(share.report(), [(ann(), 800)]);
+    share.heard(&[level], 1, now);
+    assert!(share.admit(&ann(), &ALLOWANCE, 500, now));
+    share.give_back(&ann(), 800, held);
+    assert_eq!(share.report(), [(ann(), 500)]);
+}
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -42,7 +42,7 @@
 const FIRST_TABLE: Duration = Duration::from_secs(1);
 const FIRST_TABLE_PART: f64 = 0.25;
 
-/// Between two looks whether a first table has come, or an allowance has filled up.
+/// Between two looks whether a first table has come.
 const LOOK: Duration = Duration::from_millis(15);
 
 /// A request that is taken.
@@ -52,6 +52,8 @@
     pub(super) rule: Arc<Rule>,
     pub(super) account: Option<Arc<Account>>,
     pub(super) cost: u64,
+    /// The report to the hub that tells of its cost.
+    pub(super) report: u64,
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
     /// When it arrived.
@@ -130,15 +132,14 @@
     let (head, body) = request.into_parts();
     let body = read(body, limits, until).await?;
     let cost = match &account {
-        Some(account) => {
-            charge(node, account, &call, || {
-                patience(node, &rule, arrived, until)
-            })
-            .await?
-        }
+        Some(account) => charge(node, account, &call, || {
+            patience(node, &rule, arrived, until)
+        })?,
         None => 0,
     };
+    let report = node.share.borrow().get_report();
     Ok(Admitted {
+        report,
         call,
         rule,
         account,
@@ -153,7 +154,10 @@
 }
 
 /// Draws what a request costs from its customer's allowance.
-async fn charge(
+///
+/// Nobody waits for an allowance to fill up: of those who do, all gateways let in one each at the same
+/// word of the hub, and more is let in than the customer may have.
+fn charge(
     node: &Node,
     account: &Account,
     call: &Call,
@@ -163,33 +167,14 @@
         .tokens
         .map(|(prompt, made)| prompt.saturating_add(made));
     let cost = account.allowance.cost(tokens);
-    if allowed(node, account, cost, &patience).await {
+    let now = node.now();
+    let mut share = node.share.borrow_mut();
+    if share.admit(&account.name, &account.allowance, cost, now) {
         return Ok(cost);
     }
     Err(used_up(account, patience()))
 }
 
-/// Whether the customer's allowance lets the request in; a clump of requests waits a little for it to
-/// fill up.
-async fn allowed(
-    node: &Node,
-    account: &Account,
-    cost: u64,
-    patience: impl Fn() -> Patience,
-) -> bool {
-    loop {
-        let now = node.now();
-        let admitted = {
-            let mut share = node.share.borrow_mut();
-            share.admit(&account.name, &account.allowance, cost, now)
-        };
-        if admitted || patience().in_time().is_zero() {
-            return admitted;
-        }
-        tokio::time::sleep(LOOK).await;
-    }
-}
-
 /// The table in force; a gateway that has only begun waits a little for its first one.
 async fn table(node: &Node, arrived: Instant, call: &Call) -> Result<Rc<Table>, Refused> {
     let part = call
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -34,7 +34,7 @@
         {
             // It surely did not run: the customer is not charged.
             let mut share = self.node.share.borrow_mut();
-            share.give_back(&account.name, self.admitted.cost);
+            share.give_back(&account.name, self.admitted.cost, self.admitted.report);
         }
         request::refused(self.admitted.line(Kind::Refused), refusal)
     }
