Part who waits in vain from who waits, and say why in plainer words

No change of behaviour: Pool::give_up has a file of its own; constants with a comment each; a gateway that chooses by itself says that no turn would come in time, not that a higher tier waits.

--- a/crates/core/src/pool/lead.rs
+++ b/crates/core/src/pool/lead.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-/// The weight of a new measurement in the mean, and in the deviation: those of RFC 6298, which
-/// follow a change within some eight answers.
+/// The weight of a new measurement in the mean (RFC 6298): it follows a change within some eight answers.
 const MEAN: f64 = 0.125;
+
+/// The weight of a new measurement in the deviation (RFC 6298).
 const DEVIATION: f64 = 0.25;
 
 /// How many deviations are added to the mean: most answers have begun by then.
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choose;
 mod forecast;
+mod hopeless;
 mod lead;
 mod pace;
 mod patience;
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -25,8 +25,8 @@
 pub struct Pool {
     pub(super) tuning: Tuning,
     pub(super) servers: Vec<Known>,
-    waiting: Waiting,
-    forecast: Forecast,
+    pub(super) waiting: Waiting,
+    pub(super) forecast: Forecast,
     next: u64,
     pub(super) random: SmallRng,
 }
@@ -223,7 +223,7 @@
             let (ticket, ask) = (in_line.ticket, ask.clone());
             last = Some(in_line);
             let Some(place) = self.choose(&ask, now) else {
-                // Who may not go to some servers may wait for others; the next in line may not.
+                // Only some servers are closed to it: the next in line may go to one of those.
                 if ask.tried.is_empty() && ask.avoid.is_empty() {
                     break;
                 }
@@ -241,42 +241,4 @@
         }
         turns
     }
-
-    /// Takes those out of line whose turn is not likely to come before they stop waiting, and those
-    /// who have tried every server.
-    pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
-        let mut hopeless = Vec::new();
-        let mut ahead = 0;
-        let full = self.is_full(now);
-        for (place, ask) in self.waiting.all() {
-            let wait = self.forecast.wait(place, ahead, now);
-            let too_long = wait.is_some_and(|wait| now + wait > ask.until);
-            if (full && too_long) || self.has_tried_all(ask) {
-                hopeless.push(place.ticket);
-            } else {
-                ahead += 1;
-            }
-        }
-        for ticket in &hopeless {
-            self.waiting.remove(*ticket);
-        }
-        hopeless
-    }
-
-    /// Whether it is for want of room that requests wait, not for servers that are left alone.
-    fn is_full(&self, now: Instant) -> bool {
-        let mut trusted = self.servers.iter().filter(|known| {
-            let suspect = known.trust.is_suspect(now);
-            !known.server.leaving && !suspect
-        });
-        let first = trusted.next();
-        first.is_some_and(|first| !self.is_free(first)) && trusted.all(|known| !self.is_free(known))
-    }
-
-    /// Whether there is no server left that a request has not tried.
-    fn has_tried_all(&self, ask: &Ask) -> bool {
-        let mut taking = self.servers.iter().filter(|known| !known.server.leaving);
-        let tried = |known: &Known| ask.tried.contains(&known.server.incarnation);
-        !ask.tried.is_empty() && taking.all(tried)
-    }
 }
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -36,10 +36,12 @@
 /// its gateways by then.
 const NO_TABLE: Duration = Duration::from_millis(800);
 
-/// How long a request waits for a first table, at the most, and what part of its time: after a loss of
-/// all hosts a table comes 0.3 s after the start, and whoever is turned away meanwhile may have no
-/// further try.
+/// How long a request waits for a first table at the most: after a loss of all hosts a table comes 0.3 s
+/// after the start (by the gateways' logs), and whoever is turned away meanwhile may have no further try.
 const FIRST_TABLE: Duration = Duration::from_secs(1);
+
+/// The part of the time that its caller gives it that a request waits for a first table at the most: what
+/// is left must do for its answer.
 const FIRST_TABLE_PART: f64 = 0.25;
 
 /// Between two looks whether a first table has come.
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -74,7 +74,10 @@
         }
         let refused = match why {
             NoTurn::NoServer => Refused::new(Code::NoServer, "the service has no server"),
-            NoTurn::Displaced => Refused::new(Code::Shed, "others of a higher tier wait"),
+            NoTurn::Displaced => Refused::new(
+                Code::Shed,
+                "others go before it, and no turn would come in time",
+            ),
             NoTurn::TimeUp => Refused::new(Code::CannotFinish, "no server was free in time"),
         };
         refused.again(self.admitted.come_back(&self.node))
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -107,7 +107,7 @@
 pub(super) enum NoTurn {
     /// There is no such service here, or no server of it.
     NoServer,
-    /// Others of a higher rank have taken its place in line.
+    /// Others go before it, and its turn would not come in time.
     Displaced,
     /// Its time was up.
     TimeUp,
--- a/crates/curlewlift/tests/platform_start.rs
+++ b/crates/curlewlift/tests/platform_start.rs
@@ -5,11 +5,13 @@
 use std::thread;
 use std::time::Duration;
 
+use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
 use platform::ask;
 use platform::document;
 use platform::folder;
+use platform::wait;
 
 /// How long before the table the request comes: longer than a caller was once left to wait.
 const BEFORE: Duration = Duration::from_millis(250);
@@ -28,7 +30,8 @@
     });
     thread::sleep(BEFORE);
     hosts.configure(&document(7).to_string());
-    let answer = early.join().expect("it was answered");
+    wait("the caller is answered", || early.is_finished());
+    let answer: Answer = early.join().expect("it was answered");
     assert_eq!((answer.status, answer.body.as_str()), (200, "done"));
 }
 
