--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::pool;
 use crate::pool::Ask;
 use crate::pool::Pool;
+use crate::quota::Charge;
 
 use super::Ended;
 use super::Grant;
@@ -28,6 +29,17 @@
     number: pool::Ticket,
 }
 
+/// Who is out of line again, and what it counted.
+pub(super) type Left = (Ticket, Option<Charge>);
+
+/// Who waits in line.
+#[derive(Clone, Debug)]
+struct Asking {
+    host: id::Host,
+    /// What is to be given back if it gets no place.
+    charge: Option<Charge>,
+}
+
 /// Gives the requests of all gateways their places at the backend servers.
 ///
 /// It knows of each server what all gateways together have in flight there, but for what is on its
@@ -37,7 +49,7 @@
 pub(super) struct Dispatcher {
     hub: u64,
     pools: BTreeMap<id::Service, Pool>,
-    asking: HashMap<Ticket, id::Host>,
+    asking: HashMap<Ticket, Asking>,
     occupancy: Occupancy,
 }
 
@@ -88,9 +100,14 @@
         self.occupancy.others(host)
     }
 
-    /// Puts a request in line; tells who is turned away for want of room. None where the service
-    /// has no servers here.
-    pub(super) fn want(&mut self, want: Want, now: Instant) -> Option<(Ticket, Option<Ticket>)> {
+    /// Whether a service has servers here.
+    pub(super) fn has(&self, service: &id::Service) -> bool {
+        self.pools.contains_key(service)
+    }
+
+    /// Puts a request in line; tells who is turned away for want of room, and what that one counted.
+    /// None where the service has no servers here.
+    pub(super) fn want(&mut self, want: Want, now: Instant) -> Option<(Ticket, Option<Left>)> {
         let pool = self.pools.get_mut(&want.service)?;
         let avoid = want.avoid.into_iter();
         let avoid = avoid.map(|(incarnation, left)| (incarnation, now + left));
@@ -112,25 +129,29 @@
             number,
         };
         let (asked, last) = (ticket(number), last.map(ticket));
-        self.asking.insert(asked.clone(), want.host);
-        if let Some(last) = &last {
-            self.asking.remove(last);
-        }
+        let asking = Asking {
+            host: want.host,
+            charge: want.charge,
+        };
+        self.asking.insert(asked.clone(), asking);
+        let last = last.map(|last| {
+            let asking = self.asking.remove(&last);
+            (last, asking.and_then(|asking| asking.charge))
+        });
         Some((asked, last))
     }
 
-    /// Takes a request out of line.
-    pub(super) fn leave(&mut self, ticket: &Ticket) {
-        if self.asking.remove(ticket).is_none() {
-            return;
-        }
+    /// Takes a request out of line; gives what it counted, where it was in line.
+    pub(super) fn leave(&mut self, ticket: &Ticket) -> Option<Charge> {
+        let asking = self.asking.remove(ticket)?;
         if let Some(pool) = self.pools.get_mut(&ticket.service) {
             pool.leave(ticket.number);
         }
+        asking.charge
     }
 
-    /// Gives places to those in line for whom there is room.
-    pub(super) fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
+    /// Gives places to those in line for whom there is room; tells what each counted.
+    pub(super) fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant, Option<Charge>)> {
         self.occupancy.expire(now);
         let mut grants = Vec::new();
         for service in self.wanted() {
@@ -141,14 +162,14 @@
                     number: turn.ticket,
                 };
                 let grant = self.grant(&ticket, &turn, now);
-                grants.extend(grant.map(|grant| (ticket, grant)));
+                grants.extend(grant.map(|(grant, charge)| (ticket, grant, charge)));
             }
         }
         grants
     }
 
-    /// Takes those out of line who are not likely to get a place in time.
-    pub(super) fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
+    /// Takes those out of line who are not likely to get a place in time, with what they counted.
+    pub(super) fn give_up(&mut self, now: Instant) -> Vec<Left> {
         let mut hopeless = Vec::new();
         for (service, pool) in &mut self.pools {
             let numbers = pool.give_up(now).into_iter();
@@ -158,10 +179,11 @@
                 number,
             }));
         }
-        for ticket in &hopeless {
-            self.asking.remove(ticket);
-        }
-        hopeless
+        let asking = hopeless.into_iter().map(|ticket| {
+            let asking = self.asking.remove(&ticket);
+            (ticket, asking.and_then(|asking| asking.charge))
+        });
+        asking.collect()
     }
 
     /// The services that somebody waits for.
@@ -181,8 +203,13 @@
     }
 
     /// Makes a grant of a turn; none where nobody asks for it any more.
-    fn grant(&mut self, ticket: &Ticket, turn: &pool::Turn, now: Instant) -> Option<Grant> {
-        let host = self.asking.remove(ticket)?;
+    fn grant(
+        &mut self,
+        ticket: &Ticket,
+        turn: &pool::Turn,
+        now: Instant,
+    ) -> Option<(Grant, Option<Charge>)> {
+        let Asking { host, charge } = self.asking.remove(ticket)?;
         let server = Server::clone(&turn.server);
         let load = Load {
             incarnation: Arc::clone(&server.incarnation),
@@ -193,6 +220,6 @@
             hub: self.hub,
             number: self.occupancy.grant(&host, load, now),
         };
-        Some(Grant { mark, server })
+        Some((Grant { mark, server }, charge))
     }
 }
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -8,6 +8,7 @@
 
 use crate::id;
 use crate::pool::End;
+use crate::quota::Charge;
 use crate::route::Rank;
 use crate::unit::Tokens;
 
@@ -33,6 +34,8 @@
     pub patience: Duration,
     /// The length of its prompt; 0 where it has none.
     pub prompt: Tokens,
+    /// What it counts, where that was not drawn yet.
+    pub charge: Option<Charge>,
     /// Incarnations that it was sent to before.
     pub tried: Vec<Arc<str>>,
     /// Others that its gateway leaves alone, and for how much longer.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -6,13 +6,18 @@
 
 use crate::clock::Instant;
 use crate::id;
+use crate::quota::Charge;
 use crate::quota::Desk;
 use crate::quota::Tolerance;
 use crate::route::Table;
+use crate::state::Publication;
 
 use super::Gateway;
 use super::Grant;
+use super::Handout;
+use super::Keeper;
 use super::Listing;
+use super::Parts;
 use super::Question;
 use super::Reply;
 use super::Report;
@@ -30,7 +35,7 @@
     /// Several of the waits that a question takes at most, so that one lost answer takes nobody
     /// out.
     pub silent: Duration,
-    /// After how long it is forgotten, and its part of the allowances is the others' again.
+    /// After how long it is forgotten.
     pub forget: Duration,
     /// How much more than an allowance may be let in.
     pub tolerance: Tolerance,
@@ -49,7 +54,6 @@
 /// What is known of one gateway.
 #[derive(Clone, Debug)]
 struct Seen {
-    incarnation: u64,
     gateway: Gateway,
     ready: bool,
     heard: Instant,
@@ -62,6 +66,20 @@
     }
 }
 
+/// The largest packed table that goes along with an answer, in bytes; others are fetched in pieces.
+const ALONG: usize = 4 << 10;
+
+/// What becomes of a request that wants a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// It waits in line; another may have lost its place for want of room.
+    Line(Ticket, Option<Ticket>),
+    /// The service has no servers here.
+    NoServers,
+    /// Its customer has used up its allowance; there is enough after this time, if nobody else draws.
+    Beyond(Duration),
+}
+
 /// What the gateways tell, summed up.
 ///
 /// It begins empty with each leader. Memory is linear in the gateways and in what they have in
@@ -72,6 +90,10 @@
     seen: BTreeMap<id::Host, Seen>,
     dispatcher: Dispatcher,
     desk: Desk,
+    keeper: Keeper,
+    handout: Handout,
+    /// The number of its last answer.
+    answers: u64,
     table: u64,
     listing: Arc<Listing>,
 }
@@ -84,16 +106,20 @@
             tuning,
             seen: BTreeMap::new(),
             dispatcher: Dispatcher::default(),
-            desk: Desk::new(tuning.tolerance, now),
+            desk: Desk::new(tuning.tolerance),
+            keeper: Keeper::new(now),
+            handout: Handout::default(),
+            answers: 0,
             table: 0,
             listing: Arc::default(),
         }
     }
 
-    /// Its own number, drawn when it begins: it tells its grants from those of other hubs.
+    /// Its own number, drawn when it begins: it tells its grants and answers from those of other hubs.
     #[must_use]
     pub fn drawn(mut self, number: u64) -> Self {
         self.dispatcher = Dispatcher::new(number);
+        self.answers = number;
         self
     }
 
@@ -107,6 +133,12 @@
         }
     }
 
+    /// Says that the table that was taken up is the first of all, so that nobody has used anything.
+    pub fn first_table(&mut self, now: Instant) {
+        self.set_present(now);
+        self.desk.begin_full(now);
+    }
+
     /// Takes up a newer list of backend servers.
     pub fn list(&mut self, listing: Arc<Listing>) {
         self.dispatcher.adopt(&listing);
@@ -121,21 +153,8 @@
 
     /// Takes note of what a gateway tells.
     pub fn hear(&mut self, question: &Question, now: Instant) {
-        let new = self
-            .seen
-            .get(&question.host)
-            .is_none_or(|seen| seen.incarnation != question.incarnation);
-        if new {
-            for level in &question.levels {
-                self.desk.heard(level);
-            }
-        }
-        let due = self.due(question.spent_within);
-        for (customer, amount) in &question.spent {
-            self.desk.spent_late(customer, *amount, due, now);
-        }
+        self.keeper.hear(&question.host, question.got);
         let seen = Seen {
-            incarnation: question.incarnation,
             gateway: question.gateway.clone(),
             ready: question.ready,
             heard: now,
@@ -145,25 +164,29 @@
             .report(&question.host, question.mark, &question.loads);
     }
 
-    /// The answer to a question that was heard, with the document of a newer table.
+    /// The answer to a question that was heard; `publication` is the table in force.
     pub fn answer(
         &mut self,
         question: &Question,
-        document: Option<(u64, String)>,
+        publication: &Publication,
         now: Instant,
     ) -> Reply {
         self.forget(now);
-        self.desk.fill(self.silent(now), now);
         let roll = self.roll(now);
+        self.answers = self.answers.wrapping_add(1);
+        let part = self.keeper.tell(&question.host, self.answers, now);
+        let small = publication.document.as_packed().len() <= ALONG;
+        let along = small && publication.number > question.table;
         let listing = &self.listing;
         Reply {
-            table: document,
+            number: self.answers,
+            part,
+            newest: publication.number,
+            table: along.then(|| publication.clone()),
             held: listing.version,
             listing: self.has_news(question).then(|| Listing::clone(listing)),
-            count: self.count(),
             roll: (roll.version != question.roll).then_some(roll),
             loads: self.dispatcher.others(&question.host),
-            levels: self.desk.levels(),
             ..Reply::default()
         }
     }
@@ -192,21 +215,6 @@
         self.listing.version != 0 && self.listing.version != question.listing
     }
 
-    /// The part (0 to 1) of what a gateway let in within some time that is still to be drawn: the
-    /// rest was set aside, from when it counted as silent.
-    fn due(&self, within: Duration) -> f64 {
-        let heard = self.tuning.silent.as_secs_f64();
-        (heard / within.as_secs_f64().max(heard)).min(1.0)
-    }
-
-    /// The part of the gateways that is not heard and not forgotten, 0 to 1.
-    fn silent(&self, now: Instant) -> f64 {
-        let silent = self.seen.values();
-        let silent = silent.filter(|seen| !self.is_live(seen, now)).count();
-        let silent = u32::try_from(silent).unwrap_or(u32::MAX);
-        f64::from(silent) / f64::from(self.count().max(1))
-    }
-
     /// Whether a gateway was heard so lately that it is not silent.
     fn is_live(&self, seen: &Seen, now: Instant) -> bool {
         seen.is_live(self.tuning.silent, now)
@@ -231,15 +239,31 @@
 
 /// # Places at backend servers
 impl Hub {
-    /// Puts a request in line; tells who is turned away for want of room. None where the service
-    /// has no servers here.
-    pub fn want(&mut self, want: Want, now: Instant) -> Option<(Ticket, Option<Ticket>)> {
-        self.dispatcher.want(want, now)
+    /// Draws what a request counts, and puts it in line.
+    pub fn want(&mut self, want: Want, now: Instant) -> Wanted {
+        if !self.dispatcher.has(&want.service) {
+            return Wanted::NoServers;
+        }
+        self.set_present(now);
+        if let Some(charge) = &want.charge
+            && let Err(wait) = self.desk.draw(charge, now)
+        {
+            return Wanted::Beyond(wait);
+        }
+        let Some((ticket, last)) = self.dispatcher.want(want, now) else {
+            return Wanted::NoServers;
+        };
+        let last = last.map(|(last, charge)| {
+            self.give_back(charge);
+            last
+        });
+        Wanted::Line(ticket, last)
     }
 
     /// Takes a request out of line.
     pub fn leave(&mut self, ticket: &Ticket) {
-        self.dispatcher.leave(ticket);
+        let charge = self.dispatcher.leave(ticket);
+        self.give_back(charge);
     }
 
     /// Takes note of what a gateway tells as soon as an answer begins or a sending has ended.
@@ -251,16 +275,42 @@
 
     /// Gives places to those in line for whom there is room.
     pub fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
-        self.dispatcher.serve(now)
+        let served = self.dispatcher.serve(now).into_iter();
+        let served = served.map(|(ticket, grant, charge)| {
+            if let Some(charge) = charge {
+                self.desk.spent(&charge);
+            }
+            (ticket, grant)
+        });
+        served.collect()
     }
 
     /// Takes those out of line who are not likely to get a place in time.
     pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
-        self.dispatcher.give_up(now)
+        let hopeless = self.dispatcher.give_up(now).into_iter();
+        let hopeless = hopeless.map(|(ticket, charge)| {
+            self.give_back(charge);
+            ticket
+        });
+        hopeless.collect()
+    }
+
+    /// Gives back what a request counted that got no place.
+    fn give_back(&mut self, charge: Option<Charge>) {
+        if let Some(charge) = charge {
+            self.desk.give_back(&charge);
+        }
+    }
+
+    /// Sets aside what gateways that are not heard may be letting in by themselves.
+    fn set_present(&mut self, now: Instant) {
+        let present = self.keeper.present(self.tuning.silent, now);
+        self.desk.set_present(present, now);
     }
 
-    /// Drops what silent gateways had in flight.
+    /// Drops what silent gateways had in flight, and sets their parts aside.
     pub fn tick(&mut self, now: Instant) {
+        self.set_present(now);
         let silent = self.tuning.silent;
         let silent = self
             .seen
@@ -271,3 +321,21 @@
         }
     }
 }
+
+/// # Parts and tables
+impl Hub {
+    /// Takes up the parts as they stand in the log.
+    pub fn adopt_parts(&mut self, parts: &Parts, now: Instant) {
+        self.keeper.adopt(parts, now);
+    }
+
+    /// The parts as they are to be, where they are to change.
+    pub fn tend_parts(&mut self, now: Instant) -> Option<Parts> {
+        self.keeper.tend(now)
+    }
+
+    /// Whose turn it is to be handed the table.
+    pub fn handout(&mut self) -> &mut Handout {
+        &mut self.handout
+    }
+}
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -1,15 +1,17 @@
 //! Gateways: entries that pass requests on by a routing table, and the hub that keeps them together.
 //!
 //! The hub lives beside the leading control replica, and gives the gateways' requests places at
-//! backend servers. Each gateway asks it several times a second and tells what it has in flight and
-//! what it let in; the answer has what is new: the routing table, the list of backend servers, the
+//! backend servers. Each gateway asks it several times a second and tells what it has in flight; the answer
+//! has what is new: the routing table, the list of backend servers, the
 //! gateways that live, the sums over all of them.
 
 mod dispatch;
 mod grant;
+mod handout;
 mod hub;
 mod listing;
 mod occupancy;
+mod parts;
 mod sync;
 mod version;
 
@@ -19,10 +21,15 @@
 pub use grant::Mark;
 pub use grant::Report;
 pub use grant::Want;
+pub use handout::Handout;
+pub use handout::Piece;
 pub use hub::Hub;
 pub use hub::Tuning;
+pub use hub::Wanted;
 pub use listing::Listing;
 pub use listing::Server;
+pub use parts::Keeper;
+pub use parts::Parts;
 pub use sync::Gateway;
 pub use sync::Load;
 pub use sync::Question;
--- /dev/null
+++ b/crates/core/src/gateway/parts.rs
@@ -0,0 +1,188 @@
+//! Which gateways hold a part of what all of them may let in or send again by themselves.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Instant;
+use crate::id::Host;
+use crate::quota;
+
+/// Between two changes of the parts, and before a leader's first: each is an entry of the log, and after a
+/// start of all, gateways come within some 300 ms.
+const APART: Duration = Duration::from_millis(300);
+
+/// One further part for so many gateways, so that one that comes need not wait until all others have heard
+/// that the parts are smaller.
+const FURTHER: u32 = 8;
+
+/// In how many parts what gateways may do by themselves is cut, and who holds one; kept in the log.
+///
+/// It holds that the parts by which hosts go are never more than one together, though a host goes by a
+/// word for as long as [`quota::HELD`]: one is added only once all holders have got a word of there being
+/// parts enough, and one is taken out only once it has had no word for so long. A leader that has only
+/// begun counts from its own beginning.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Parts {
+    /// How many parts there are.
+    pub count: u32,
+    /// The hosts that hold one.
+    pub holders: BTreeSet<Host>,
+}
+
+impl Parts {
+    /// The part that `host` holds, 0 to 1.
+    #[must_use]
+    pub fn of(&self, host: &Host) -> f64 {
+        if self.holders.contains(host) {
+            self.share(1)
+        } else {
+            0.0
+        }
+    }
+
+    /// So many parts, 0 to 1.
+    #[must_use]
+    pub fn share(&self, parts: usize) -> f64 {
+        let parts = u32::try_from(parts).unwrap_or(u32::MAX);
+        f64::from(parts.min(self.count)) / f64::from(self.count.max(1))
+    }
+}
+
+/// When a gateway was last answered, and which answer it has surely got.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    /// The number of the last answer, and when it was given.
+    last: (u64, Instant),
+    /// When the newest answer was given that the gateway says it has got.
+    got: Option<Instant>,
+}
+
+/// A leader's care of the parts.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    began: Instant,
+    parts: Parts,
+    /// Since when there are at least as many parts as now.
+    grown: Instant,
+    /// The change that is on its way into the log.
+    proposed: Option<Parts>,
+    /// When the last change was begun.
+    changed: Instant,
+    told: BTreeMap<Host, Told>,
+}
+
+impl Keeper {
+    /// A leader begins at `now`.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            began: now,
+            parts: Parts::default(),
+            grown: now,
+            proposed: None,
+            changed: now,
+            told: BTreeMap::new(),
+        }
+    }
+
+    /// Takes up the parts as they stand in the log at `now`.
+    pub fn adopt(&mut self, parts: &Parts, now: Instant) {
+        if *parts == self.parts {
+            return;
+        }
+        if parts.count > self.parts.count {
+            self.grown = now;
+        }
+        self.parts = parts.clone();
+        self.proposed = None;
+    }
+
+    /// The parts in force.
+    #[must_use]
+    pub fn get_parts(&self) -> &Parts {
+        &self.parts
+    }
+
+    /// A gateway asks, and says which answer it has got last.
+    pub fn hear(&mut self, host: &Host, got: u64) {
+        if let Some(told) = self.told.get_mut(host)
+            && told.last.0 == got
+        {
+            told.got = Some(told.last.1);
+        }
+    }
+
+    /// A gateway is answered: gives the answer's number and the part that it holds.
+    pub fn tell(&mut self, host: &Host, number: u64, now: Instant) -> f64 {
+        let got = self.got(host);
+        let last = (number, now);
+        self.told.insert(host.clone(), Told { last, got });
+        let stays = |next: &Parts| next.holders.contains(host);
+        if self.proposed.as_ref().is_none_or(stays) {
+            self.parts.of(host)
+        } else {
+            0.0
+        }
+    }
+
+    /// The part (0 to 1) of the allowances that is the hub's: not that of holders that have not said for
+    /// `silent` that they got an answer.
+    #[must_use]
+    pub fn present(&self, silent: Duration, now: Instant) -> f64 {
+        let hears = |host: &&Host| {
+            let got = self.got(host);
+            got.is_some_and(|got| now.since(got) < silent)
+        };
+        let aside = self.parts.holders.iter().filter(|host| !hears(host));
+        1.0 - self.parts.share(aside.count())
+    }
+
+    /// When the newest answer was given that `host` says it has got.
+    fn got(&self, host: &Host) -> Option<Instant> {
+        self.told.get(host).and_then(|told| told.got)
+    }
+
+    /// The parts as they are to be, where they are to change.
+    pub fn tend(&mut self, now: Instant) -> Option<Parts> {
+        if now.since(self.changed) < APART || self.proposed.is_some() {
+            return None;
+        }
+        let next = self.next(now);
+        if next == self.parts {
+            return None;
+        }
+        self.changed = now;
+        self.proposed = Some(next.clone());
+        Some(next)
+    }
+
+    fn next(&self, now: Instant) -> Parts {
+        let goes_by = |host: &Host| {
+            let last = self.told.get(host).map_or(self.began, |told| told.last.1);
+            now.since(last) < quota::HELD
+        };
+        let holders = self.parts.holders.iter().filter(|host| goes_by(host));
+        let mut holders: BTreeSet<_> = holders.cloned().collect();
+        let comes = |host: &&Host| !holders.contains(*host) && goes_by(host);
+        let come: BTreeSet<_> = self.told.keys().filter(comes).cloned().collect();
+        let wanted = u32::try_from(holders.len() + come.len()).unwrap_or(u32::MAX);
+        if wanted > self.parts.count {
+            let count = wanted + wanted / FURTHER + 1;
+            // Where nobody holds a part, nobody goes by a larger one.
+            let holders = if holders.is_empty() { come } else { holders };
+            return Parts { count, holders };
+        }
+        let heard_of_it = |host: &Host| self.got(host).is_some_and(|got| got >= self.grown);
+        if holders.iter().all(heard_of_it) {
+            holders.extend(come);
+        }
+        Parts {
+            count: self.parts.count,
+            holders,
+        }
+    }
+}
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -2,13 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::id;
-use crate::quota::Level;
+use crate::state::Publication;
 use crate::unit::Tokens;
 
 use super::Listing;
@@ -54,7 +53,7 @@
     pub gateway: Gateway,
     /// Whether it takes callers: it has a table and a list, and is not stopping.
     pub ready: bool,
-    /// The number of the table that it holds.
+    /// The number of the newest table that it knows of: it holds it, or is fetching it.
     pub table: u64,
     /// The version of the list that it holds.
     pub listing: u64,
@@ -64,12 +63,8 @@
     pub mark: Mark,
     /// What it has in flight.
     pub loads: Vec<Load>,
-    /// What it let in since the last report that was taken, by customer.
-    pub spent: Vec<(id::Customer, u64)>,
-    /// The time in which it let that in: since the hub's last word.
-    pub spent_within: Duration,
-    /// What it last heard of the allowances, for a hub that has only begun.
-    pub levels: Vec<Level>,
+    /// The number of the hub's answer that it has got last.
+    pub got: u64,
     /// The list as it was last fetched here, where this gateway is the one that fetches it.
     pub fetched: Option<Listing>,
 }
@@ -77,20 +72,22 @@
 /// What the hub answers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
-    /// The document of a newer table, and its number.
-    pub table: Option<(u64, String)>,
+    /// Its number; rises with each answer of a hub, and differs from those of other hubs.
+    pub number: u64,
+    /// The number of the table in force.
+    pub newest: u64,
+    /// That table, where the asker does not know of it and it is small.
+    pub table: Option<Publication>,
     /// Another list of backend servers.
     pub listing: Option<Listing>,
     /// The version of the list that the hub holds.
     pub held: u64,
     /// Another roll of the gateways.
     pub roll: Option<Roll>,
-    /// How many gateways there are, to share an allowance among them.
-    pub count: u32,
+    /// The part (0 to 1) that the asker holds of what gateways may do by themselves.
+    pub part: f64,
     /// What the other gateways have in flight.
     pub loads: Vec<Load>,
-    /// What is left of the allowances.
-    pub levels: Vec<Level>,
     /// The hosts of the control replicas.
     pub control: Vec<id::Host>,
     /// The host that leads them.
--- a/crates/core/src/pool/budget.rs
+++ b/crates/core/src/pool/budget.rs
@@ -54,18 +54,15 @@
         self.step(now).firsts += 1;
     }
 
-    /// Whether a further sending is allowed now, with `gateways` in all; if so it is counted.
-    pub fn take(&mut self, gateways: u32, now: Instant) -> bool {
+    /// Whether a further sending is allowed now to a gateway that holds `part` (0 to 1) of the floor; if
+    /// so it is counted.
+    pub fn take(&mut self, part: f64, now: Instant) -> bool {
         self.step(now);
         let sums = self.steps.iter();
         let (firsts, further) = sums.fold((0, 0), |(firsts, further), step| {
             (firsts + step.firsts, further + step.further)
         });
-        let floor = if gateways == 0 {
-            0.0
-        } else {
-            self.allowed.floor * SHARED_OUT / f64::from(gateways)
-        };
+        let floor = self.allowed.floor * SHARED_OUT * part;
         let most = floor + self.allowed.ratio * f64::from(firsts);
         if f64::from(further) + 1.0 > most {
             return false;
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -1,64 +1,65 @@
-//! The desk: one bucket a customer, kept where all entries report.
+//! The desk: one bucket a customer, at the hub.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::clock::Instant;
 use crate::id;
 use crate::route::Allowance;
 
 use super::Bucket;
+use super::Charge;
 use super::Tolerance;
-use super::Window;
 use super::amount;
 
-/// The time in which what was let in fades to a third, in seconds: some rounds of questions.
-const FADES: f64 = 0.4;
-
-/// What is left of a customer's allowance.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Level {
-    /// The customer.
-    pub customer: id::Customer,
-    /// What its bucket holds; below zero where too much was let in.
-    pub left: f64,
-    /// How much all gateways together have lately let in, a second.
-    pub pace: f64,
-}
+/// When to come back where nothing is filled at present: a gateway that is set aside is heard again, or
+/// counts as gone, within some such times.
+const NOTHING_FILLS: Duration = Duration::from_secs(1);
+
+/// Beyond the life of any process.
+const FOREVER: Instant = Instant(u64::MAX);
 
 /// What is kept for one customer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Held {
     allowance: Allowance,
     bucket: Bucket,
-    /// What was let in within the tolerance's window.
-    window: Window,
-    /// What was let in, fading away; divided by [`FADES`] it is a pace.
-    lately: f64,
-    faded: Instant,
+    /// Drawn, and neither spent nor given back yet.
+    waiting: f64,
+    /// From when on it is known that a window has passed since others may have let anything in.
+    known: Instant,
+}
+
+impl Held {
+    /// What the bucket holds at the most, where `present` of the allowance is the desk's: with what
+    /// waits, no more than the allowance gives at once.
+    fn depth(&self, present: f64) -> f64 {
+        self.allowance.burst * present - self.waiting
+    }
 }
 
-/// One bucket a customer.
+/// One bucket a customer, of which each request that the hub hears of is drawn before it is sent.
 ///
-/// It begins with each leader. What an entry last heard of the former desk lowers the level, so
-/// that a change of the leader gives nobody a second burst.
-#[derive(Clone, Debug, Default)]
+/// What it lets through in any time is at most what it held and what has been filled since. A part is
+/// set aside for gateways that may be letting in by themselves ([`super::Reserve`]). It begins empty, as
+/// what the desk before it let through is not known, and holds all that it may once that is a window ago.
+/// So all desks and gateways together let in no more in a window than one bucket would.
+#[derive(Clone, Debug)]
 pub struct Desk {
     tolerance: Tolerance,
-    began: Instant,
+    present: f64,
     held: BTreeMap<id::Customer, Held>,
 }
 
 impl Desk {
-    /// A desk that begins at `now`, where so much more than an allowance may be let in.
+    /// A desk with nothing in its buckets, where so much more than an allowance may be let in.
+    ///
+    /// It fills nothing before [`Desk::set_present`] was told who is there.
     #[must_use]
-    pub fn new(tolerance: Tolerance, now: Instant) -> Self {
+    pub fn new(tolerance: Tolerance) -> Self {
         Self {
             tolerance,
-            began: now,
+            present: 0.0,
             held: BTreeMap::new(),
         }
     }
@@ -69,93 +70,86 @@
         accounts: impl Iterator<Item = (&'a id::Customer, Allowance)>,
         now: Instant,
     ) {
-        let mut next = BTreeMap::new();
-        for (customer, allowance) in accounts.filter(|(_, allowance)| allowance.is_limited()) {
-            let mut held = self.held.get(customer).cloned().unwrap_or_else(|| Held {
+        self.fill(now);
+        let limited = accounts.filter(|(_, allowance)| allowance.is_limited());
+        let next = limited.map(|(customer, allowance)| {
+            let mut held = self.held.get(customer).copied().unwrap_or(Held {
                 allowance,
-                bucket: Bucket::new(allowance.burst, now),
-                window: Window::default(),
-                lately: 0.0,
-                faded: now,
+                bucket: Bucket::new(0.0, now),
+                waiting: 0.0,
+                known: now + self.tolerance.window,
             });
-            let former = held.allowance;
-            held.bucket.fill(former.rate, former.burst, now);
-            held.bucket.lower(allowance.burst);
-            // What was let in under a higher limit is no debt under a lower one.
-            let (new, old) = (
-                self.tolerance.most(&allowance),
-                self.tolerance.most(&former),
-            );
-            if new < old {
-                held.window.scale(new / old);
-            }
             held.allowance = allowance;
-            next.insert(customer.clone(), held);
-        }
-        self.held = next;
+            held.bucket.lower(held.depth(self.present));
+            (customer.clone(), held)
+        });
+        self.held = next.collect();
     }
 
-    /// Fills all buckets; `silent` is the part of the entries (0 to 1) that may be spending their
-    /// own shares unheard.
-    pub fn fill(&mut self, silent: f64, now: Instant) {
-        let tolerance = self.tolerance;
-        // What was let in before it began is not known: the tolerance may be used up.
-        let knows = now.since(self.began) >= tolerance.window;
+    /// Says that nobody can have let anything in before `now`.
+    pub fn begin_full(&mut self, now: Instant) {
         for held in self.held.values_mut() {
-            let allowance = held.allowance;
-            let rate = if knows {
-                tolerance.rate(&allowance)
-            } else {
-                allowance.rate
-            };
-            let heard = 1.0 - silent;
-            held.bucket.fill(rate * heard, allowance.burst, now);
-            if tolerance.window > Duration::ZERO {
-                let used = held.window.sum(tolerance.window, now);
-                let left = tolerance.most(&allowance) * heard - used;
-                held.bucket.lower(left);
-            }
-            let time = now.since(held.faded).as_secs_f64();
-            held.lately *= (-time / FADES).exp();
-            held.faded = now;
+            held.known = now;
         }
+        self.fill(now);
     }
 
-    /// Takes note that an entry let in `count` of an allowance's unit, lately.
-    pub fn spent(&mut self, customer: &id::Customer, count: u64, now: Instant) {
-        self.spent_late(customer, count, 1.0, now);
+    /// Says which part (0 to 1) of the allowances is the desk's own at `now`; the rest is set aside.
+    pub fn set_present(&mut self, present: f64, now: Instant) {
+        // Of the time since it was last told the smaller part is meant.
+        self.present = self.present.min(present);
+        self.fill(now);
+        self.present = present;
     }
 
-    /// Takes note of what an entry let in, of which only the part `due` (0 to 1) is to be drawn: the
-    /// rest was set aside when [`Desk::fill`] was told that it is silent.
+    /// Draws what a request counts; whether that is spent is told later.
+    ///
+    /// # Errors
     ///
-    /// What was set aside is no debt. In the window all of it counts, as if let in now.
-    pub fn spent_late(&mut self, customer: &id::Customer, count: u64, due: f64, now: Instant) {
-        let length = self.tolerance.window;
-        if let Some(held) = self.held.get_mut(customer) {
-            let amount = amount(count);
-            held.bucket.draw(amount * due);
-            held.window.add(amount, length, now);
-            held.lately += amount * due;
+    /// After how long there is enough, if nobody else draws.
+    pub fn draw(&mut self, charge: &Charge, now: Instant) -> Result<(), Duration> {
+        self.fill(now);
+        let Some(held) = self.held.get_mut(&charge.customer) else {
+            return Ok(());
+        };
+        let cost = amount(charge.cost);
+        // A request that counts more than a bucket holds needs a full one.
+        let missing = cost.min(held.allowance.burst) - held.bucket.level();
+        if missing > 0.0 {
+            let rate = self.tolerance.rate(&held.allowance) * self.present;
+            let wait = Duration::try_from_secs_f64(missing / rate);
+            return Err(wait.unwrap_or(NOTHING_FILLS).min(NOTHING_FILLS));
         }
+        held.bucket.draw(cost);
+        held.waiting += cost;
+        Ok(())
     }
 
-    /// Takes note of what an entry had last heard from another desk.
-    pub fn heard(&mut self, level: &Level) {
-        if let Some(held) = self.held.get_mut(&level.customer) {
-            held.bucket.lower(level.left);
+    /// Takes note that a request is sent whose count was drawn here.
+    pub fn spent(&mut self, charge: &Charge) {
+        if let Some(held) = self.held.get_mut(&charge.customer) {
+            held.waiting = (held.waiting - amount(charge.cost)).max(0.0);
         }
     }
 
-    /// What is left of each.
-    #[must_use]
-    pub fn levels(&self) -> Vec<Level> {
-        let held = self.held.iter();
-        held.map(|(customer, held)| Level {
-            customer: customer.clone(),
-            left: held.bucket.level(),
-            pace: held.lately / FADES,
-        })
-        .collect()
+    /// Gives back what a request counted that was drawn here and surely is not sent.
+    pub fn give_back(&mut self, charge: &Charge) {
+        if let Some(held) = self.held.get_mut(&charge.customer) {
+            held.waiting = (held.waiting - amount(charge.cost)).max(0.0);
+            held.bucket.draw(-amount(charge.cost));
+            held.bucket.lower(held.depth(self.present));
+        }
+    }
+
+    fn fill(&mut self, now: Instant) {
+        for held in self.held.values_mut() {
+            let rate = self.tolerance.rate(&held.allowance) * self.present;
+            let depth = held.depth(self.present);
+            held.bucket.fill(rate, depth, now);
+            if held.known <= now {
+                held.known = FOREVER;
+                held.bucket = Bucket::new(depth, now);
+            }
+        }
     }
 }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -1,16 +1,18 @@
-//! Allowances over all entries together: a desk that knows the total, and shares at the entries.
+//! Allowances over all gateways together: a desk at the hub that draws each request, and reserves at the
+//! gateways for when the hub gives no word.
 
 mod amount;
 mod bucket;
+mod charge;
 mod desk;
-mod share;
+mod reserve;
 mod tolerance;
-mod window;
 
 pub use amount::amount;
 pub use bucket::Bucket;
+pub use charge::Charge;
 pub use desk::Desk;
-pub use desk::Level;
-pub use share::Share;
+pub use reserve::ALONE;
+pub use reserve::HELD;
+pub use reserve::Reserve;
 pub use tolerance::Tolerance;
-pub use window::Window;
--- a/crates/core/src/quota/tolerance.rs
+++ b/crates/core/src/quota/tolerance.rs
@@ -4,13 +4,16 @@
 
 use crate::route::Allowance;
 
-/// The part of the tolerance that is given out; the rest is for what gateways let in before they
-/// hear of each other, and for gateways and desks that begin anew.
-const GIVEN_OUT: f64 = 0.8;
+/// The part of the tolerance that the hub gives out, evenly over time.
+const GIVEN_OUT: f64 = 0.4;
 
-/// The part of the tolerance that a window may use up in all: what is let in late beyond it is
-/// little by then, as the bucket's rate is low.
-const WINDOW: f64 = 0.9;
+/// The part that gateways hold, for the time in which the hub gives no word. What is left is for what is
+/// let in at one moment and runs at a later one.
+const SPARE: f64 = 0.5;
+
+/// The part of what gateways hold that they may let in at once: a leader's end leaves them some 1 s
+/// without a hub.
+const AT_ONCE: f64 = 0.75;
 
 /// How much more than an allowance may be let in, in any window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -24,8 +27,8 @@
 }
 
 impl Tolerance {
-    /// At what rate a customer's bucket fills: above its own rate, so that a window's tolerance is
-    /// used evenly. The bucket holds its burst, no more: what a desk forgets is small.
+    /// At what rate a customer's bucket fills at the hub: above its own rate, so that a part of a window's
+    /// tolerance is used evenly. The bucket holds its burst, no more.
     ///
     /// # Examples
     ///
@@ -36,7 +39,7 @@
     /// use curlewlift_core::route::Unit;
     /// let allowance = Allowance { unit: Unit::Requests, rate: 10.0, burst: 20.0 };
     /// let tolerance = Tolerance { window: Duration::from_secs(8), part: 0.1, slack: 0.0 };
-    /// assert!((tolerance.rate(&allowance) - 11.0).abs() < 1e-9);
+    /// assert!((tolerance.rate(&allowance) - 10.5).abs() < 1e-9);
     /// assert!((Tolerance::default().rate(&allowance) - 10.0).abs() < 1e-9);
     /// ```
     #[must_use]
@@ -48,10 +51,16 @@
         allowance.rate + self.tolerated(allowance) * GIVEN_OUT / window
     }
 
-    /// How much a window may have in all.
+    /// What all gateways together hold for the time in which the hub gives no word: at what rate it
+    /// fills, and how much it is at the most.
     #[must_use]
-    pub fn most(&self, allowance: &Allowance) -> f64 {
-        self.gives(allowance) + self.tolerated(allowance) * WINDOW
+    pub fn spare(&self, allowance: &Allowance) -> (f64, f64) {
+        let window = self.window.as_secs_f64();
+        if window <= 0.0 {
+            return (0.0, 0.0);
+        }
+        let spare = self.tolerated(allowance) * SPARE;
+        (spare * (1.0 - AT_ONCE) / window, spare * AT_ONCE)
     }
 
     /// What the allowance itself gives in a window.
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -10,6 +10,7 @@
 use crate::code::Refusal;
 use crate::config::Right;
 use crate::config::Snapshot;
+use crate::gateway::Parts;
 use crate::id;
 use crate::lang;
 use crate::lang::Statement;
@@ -65,6 +66,8 @@
     recent: VecDeque<Step>,
     #[serde(default)]
     publication: Publication,
+    #[serde(default)]
+    parts: Parts,
 }
 
 impl Machine {
@@ -86,6 +89,10 @@
                 self.publish(publication);
                 Ok(self.snapshot.revision)
             }
+            Record::Parts(parts) => {
+                self.parts = parts.clone();
+                Ok(self.snapshot.revision)
+            }
         }
     }
 
@@ -147,6 +154,12 @@
         &self.publication
     }
 
+    /// Which gateways hold a part of what they may do by themselves.
+    #[must_use]
+    pub fn get_parts(&self) -> &Parts {
+        &self.parts
+    }
+
     /// The newest view.
     #[must_use]
     pub fn get_roster(&self) -> &Roster {
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -1,13 +1,14 @@
 //! What the log carries for the machine.
 
-use std::sync::Arc;
-
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::Parts;
 use crate::id;
 use crate::view::Roster;
 
+use super::Document;
+
 /// An operator's command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Command {
@@ -25,7 +26,7 @@
     /// Its number; the highest is in force.
     pub number: u64,
     /// The document as it was sent, kept to the byte.
-    pub document: Arc<str>,
+    pub document: Document,
 }
 
 /// What one entry of the log carries.
@@ -37,6 +38,8 @@
     Roster(Roster),
     /// A routing table.
     Publication(Publication),
+    /// Which gateways hold a part of what they may do by themselves.
+    Parts(Parts),
 }
 
 impl Record {
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -12,6 +12,7 @@
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::Tuning;
+use curlewlift_core::state::Publication;
 use curlewlift_core::unit::Tokens;
 
 fn question(host: &str, in_flight: u32) -> Question {
@@ -35,9 +36,7 @@
         roll: 0,
         mark: Mark::default(),
         loads: vec![load],
-        spent: Vec::new(),
-        spent_within: Duration::ZERO,
-        levels: Vec::new(),
+        got: 0,
         fetched: None,
     }
 }
@@ -52,9 +51,9 @@
     for (host, in_flight) in [("g", 3), ("gg", 4), ("gg", 5)] {
         hub.hear(&question(host, in_flight), seconds(1));
     }
-    let reply = hub.answer(&question("g", 3), None, seconds(1));
+    let reply = hub.answer(&question("g", 3), &Publication::default(), seconds(1));
     assert_eq!(reply.loads[0].requests, 5);
-    let reply = hub.answer(&question("gg", 5), None, seconds(1));
+    let reply = hub.answer(&question("gg", 5), &Publication::default(), seconds(1));
     assert_eq!(reply.loads[0].requests, 3);
 }
 
@@ -66,14 +65,18 @@
     let mut stopping = question("ggg", 0);
     stopping.ready = false;
     hub.hear(&stopping, seconds(1));
-    let both = hub.answer(&question("g", 0), None, seconds(1)).roll;
+    let both = hub
+        .answer(&question("g", 0), &Publication::default(), seconds(1))
+        .roll;
     assert_eq!(
         both.expect("new").gateways.len(),
         2,
         "a stopping one takes no callers"
     );
     hub.hear(&question("g", 0), seconds(4));
-    let one = hub.answer(&question("g", 0), None, seconds(4)).roll;
+    let one = hub
+        .answer(&question("g", 0), &Publication::default(), seconds(4))
+        .roll;
     assert_eq!(one.expect("new").gateways.len(), 1);
 }
 
@@ -83,8 +86,8 @@
     hub.hear(&question("g", 0), seconds(1));
     hub.hear(&question("gg", 2), seconds(1));
     hub.hear(&question("g", 0), seconds(20));
-    let reply = hub.answer(&question("g", 0), None, seconds(20));
-    assert_eq!(reply.count, 1);
+    let reply = hub.answer(&question("g", 0), &Publication::default(), seconds(20));
+    assert_eq!(hub.count(), 1);
     assert!(reply.loads.is_empty(), "what it had in flight is over");
 }
 
@@ -105,10 +108,10 @@
     assert!(!hub.has_news(&asked), "no list is no news");
     hub.list(Arc::clone(&listing));
     assert!(hub.has_news(&asked));
-    let reply = hub.answer(&asked, None, seconds(1));
+    let reply = hub.answer(&asked, &Publication::default(), seconds(1));
     assert_eq!(reply.listing.as_ref(), Some(&*listing));
     asked.listing = listing.version;
-    let reply = hub.answer(&asked, None, seconds(1));
+    let reply = hub.answer(&asked, &Publication::default(), seconds(1));
     assert_eq!((reply.listing, reply.held), (None, listing.version));
 }
 
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -21,6 +21,7 @@
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::gateway::Want;
+use curlewlift_core::gateway::Wanted;
 use curlewlift_core::pool::End;
 use curlewlift_core::unit::Tokens;
 use rand::RngExt;
@@ -64,13 +65,21 @@
         wanted: Duration::from_millis(100),
         patience: Duration::from_millis(200),
         prompt: Tokens(10),
+        charge: None,
         tried: Vec::new(),
         avoid: Vec::new(),
     }
 }
 
+fn line(wanted: Wanted) -> Ticket {
+    match wanted {
+        Wanted::Line(ticket, _) => ticket,
+        other => panic!("no place in line: {other:?}"),
+    }
+}
+
 fn asks(hub: &mut Hub, host: &str, rank: u8, now: Instant) -> Ticket {
-    hub.want(want(host, rank), now).expect("it has servers").0
+    line(hub.want(want(host, rank), now))
 }
 
 fn report(host: &str, number: u64, in_flight: u32) -> Report {
@@ -116,7 +125,7 @@
     asks(&mut hub, "g", 1, ms(500));
     let mut elder = want("gg", 1);
     elder.waited = Duration::from_millis(300);
-    let elder = hub.want(elder, ms(501)).expect("it has servers").0;
+    let elder = line(hub.want(elder, ms(501)));
     hub.report(&report("g", mark.number, 2), ms(502));
     assert_eq!(hub.serve(ms(502))[0].0, elder);
 }
@@ -167,9 +176,7 @@
         roll: 0,
         mark: Mark::default(),
         loads: report("g", 0, 3).loads,
-        spent: Vec::new(),
-        spent_within: Duration::ZERO,
-        levels: Vec::new(),
+        got: 0,
         fetched: None,
     };
     hub.hear(&question, ms(0));
@@ -225,7 +232,7 @@
     let mut hub = hub(&["s1"]);
     let mut other = want("g", 1);
     other.service = "none".parse().expect("a name");
-    assert!(hub.want(other, ms(1)).is_none());
+    assert_eq!(hub.want(other, ms(1)), Wanted::NoServers);
 }
 
 /// A gateway as the hub meets it: words take their time, and come in order.
--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -25,7 +25,7 @@
             for budget in &mut budgets {
                 budget.first(now);
                 for _ in 0..2 {
-                    if budget.take(GATEWAYS, now) {
+                    if budget.take(1.0 / f64::from(GATEWAYS), now) {
                         further.push(now.0);
                     }
                 }
@@ -48,14 +48,14 @@
     let mut budget = Budget::new(ALLOWED);
     let now = Instant::default();
     budget.first(now);
-    assert!(!budget.take(0, now), "without word of the others no floor");
-    assert!(budget.take(1, now));
+    assert!(!budget.take(0.0, now), "no floor without a part");
+    assert!(budget.take(1.0, now));
 }
 
 #[test]
 fn forgets() {
     let mut budget = Budget::new(ALLOWED);
-    let taken = |budget: &mut Budget, now| (0..100).filter(|_| budget.take(1, now)).count();
+    let taken = |budget: &mut Budget, now| (0..100).filter(|_| budget.take(1.0, now)).count();
     assert_eq!(taken(&mut budget, Instant::default()), 42);
     assert_eq!(taken(&mut budget, Instant(5_000_000)), 0);
     assert_eq!(taken(&mut budget, Instant(10_000_001)), 42);
--- /dev/null
+++ b/crates/core/tests/support/gateways.rs
@@ -0,0 +1,407 @@
+//! Gateways and a hub in one thread, on links that delay, lose and cut, with a log that remembers the parts.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::Gateway;
+use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::Mark;
+use curlewlift_core::gateway::Parts;
+use curlewlift_core::gateway::Question;
+use curlewlift_core::gateway::Reply;
+use curlewlift_core::gateway::Server;
+use curlewlift_core::gateway::Tuning;
+use curlewlift_core::gateway::Want;
+use curlewlift_core::gateway::Wanted;
+use curlewlift_core::id;
+use curlewlift_core::quota::Charge;
+use curlewlift_core::quota::Reserve;
+use curlewlift_core::quota::Tolerance;
+use curlewlift_core::route::Account;
+use curlewlift_core::route::Allowance;
+use curlewlift_core::route::Limits;
+use curlewlift_core::route::Rank;
+use curlewlift_core::route::Table;
+use curlewlift_core::route::Unit;
+use curlewlift_core::state::Publication;
+use curlewlift_core::unit::Tokens;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+/// A step of the simulation.
+const STEP: Duration = Duration::from_millis(10);
+
+/// After how long an answer is not waited for any more.
+const CALL: Duration = Duration::from_millis(600);
+
+/// How old the hub's last word may be for it to be asked about a request.
+const HEARD: Duration = Duration::from_millis(500);
+
+/// How long a change of the parts takes to stand in the log.
+const COMMIT: Duration = Duration::from_millis(30);
+
+pub(crate) const ALLOWANCE: Allowance = Allowance {
+    unit: Unit::Tokens(200),
+    rate: 60_000.0,
+    burst: 60_000.0,
+};
+
+pub(crate) const TOLERANCE: Tolerance = Tolerance {
+    window: Duration::from_secs(8),
+    part: 0.1,
+    slack: 72_000.0,
+};
+
+pub(crate) fn ann() -> id::Customer {
+    "ann".parse().expect("a name")
+}
+
+/// One gateway, and the answer that is on its way to it.
+struct Node {
+    host: id::Host,
+    reserve: Reserve,
+    got: u64,
+    heard: Option<Instant>,
+    asked: Instant,
+    answer: Option<(Instant, Reply)>,
+    cut: bool,
+}
+
+impl Node {
+    fn new(place: usize, now: Instant) -> Self {
+        Self {
+            host: format!("g{place}").parse().expect("a name"),
+            reserve: Reserve::new(TOLERANCE),
+            got: 0,
+            heard: None,
+            asked: now,
+            answer: None,
+            cut: false,
+        }
+    }
+
+    fn question(&self) -> Question {
+        Question {
+            host: self.host.clone(),
+            incarnation: 1,
+            gateway: Gateway {
+                hall: "a".into(),
+                callers: "127.0.0.1:80".parse().expect("an address"),
+            },
+            ready: true,
+            table: 1,
+            listing: 1,
+            roll: 0,
+            mark: Mark::default(),
+            loads: Vec::new(),
+            got: self.got,
+            fetched: None,
+        }
+    }
+}
+
+/// Gateways, a hub, a log, and what was let in within the window.
+pub(crate) struct World {
+    nodes: Vec<Node>,
+    hub: Option<Hub>,
+    /// When the next hub begins, where there is none.
+    next_hub: Option<Instant>,
+    parts: Parts,
+    commit: Option<(Instant, Parts)>,
+    now: Instant,
+    random: ChaCha8Rng,
+    /// Of a hundred answers so many are lost.
+    lost: u64,
+    /// Of a hundred requests so many wait for a place and get none.
+    pub(crate) no_place: u64,
+    table: u64,
+    let_in: VecDeque<(Instant, u64)>,
+    pub(crate) most: u64,
+    pub(crate) total: u64,
+    /// What is still to be asked for.
+    asked: f64,
+    allowance: Allowance,
+}
+
+impl World {
+    pub(crate) fn new(count: usize, seed: u64) -> Self {
+        Self::with(count, seed, ALLOWANCE)
+    }
+
+    pub(crate) fn with(count: usize, seed: u64, allowance: Allowance) -> Self {
+        let now = Instant::default();
+        let mut world = Self {
+            nodes: (0..count).map(|place| Node::new(place, now)).collect(),
+            hub: None,
+            next_hub: None,
+            parts: Parts::default(),
+            commit: None,
+            now,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            lost: 0,
+            no_place: 0,
+            table: 1,
+            let_in: VecDeque::new(),
+            most: 0,
+            total: 0,
+            asked: 0.0,
+            allowance,
+        };
+        world.begin_hub();
+        if let Some(hub) = &mut world.hub {
+            hub.first_table(now);
+        }
+        world
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random.next_u64() % below
+    }
+
+    fn adopt(&mut self) {
+        let account = Account {
+            name: ann(),
+            keys: Vec::new(),
+            rank: None,
+            allowance: self.allowance,
+        };
+        let table = Table::new(curlewlift_core::route::Parts {
+            number: self.table,
+            rules: Vec::new(),
+            services: [].into(),
+            limits: Limits::default(),
+            accounts: Some(vec![account]),
+        });
+        if let Some(hub) = &mut self.hub {
+            hub.adopt(&table.expect("a table"), self.now);
+        }
+    }
+
+    /// Another limit is in force everywhere.
+    pub(crate) fn limit(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+        self.table += 1;
+        self.adopt();
+    }
+
+    fn begin_hub(&mut self) {
+        let tuning = Tuning {
+            tolerance: TOLERANCE,
+            ..Tuning::default()
+        };
+        let number = self.random.next_u64();
+        let mut hub = Hub::new(tuning, self.now).drawn(number);
+        let server = Server {
+            incarnation: "s".into(),
+            service: "chat".parse().expect("a name"),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            hall: "a".into(),
+            slots: 1_000_000,
+            leaving: false,
+        };
+        hub.list(Arc::new(Listing::new(vec![server])));
+        hub.adopt_parts(&self.parts, self.now);
+        self.hub = Some(hub);
+        self.adopt();
+    }
+
+    /// The hub ends, and no other begins.
+    pub(crate) fn end_hub(&mut self) {
+        self.hub = None;
+        self.next_hub = None;
+        // What is on its way into the log may get there or not.
+        if self.draw(2) == 0 {
+            self.commit = None;
+        }
+    }
+
+    /// The hub ends, and another begins soon.
+    pub(crate) fn new_hub(&mut self) {
+        self.end_hub();
+        let pause = Duration::from_millis(self.draw(1_200));
+        self.next_hub = Some(self.now + pause);
+    }
+
+    pub(crate) fn cut(&mut self, place: usize, cut: bool) {
+        self.nodes[place].cut = cut;
+        self.nodes[place].answer = None;
+    }
+
+    /// Something happens.
+    pub(crate) fn disturb(&mut self) {
+        let count = self.nodes.len() as u64;
+        let place = usize::try_from(self.draw(count)).expect("few");
+        match self.draw(8) {
+            0 => self.new_hub(),
+            1 => self.lost = self.draw(60),
+            // Its process is started anew.
+            2 => self.nodes[place] = Node::new(place, self.now),
+            // All of them are.
+            3 if self.draw(4) == 0 => {
+                for place in 0..self.nodes.len() {
+                    self.nodes[place] = Node::new(place, self.now);
+                }
+                self.new_hub();
+            }
+            // Another host comes in its place, for good.
+            4 => {
+                let name = 1_000 + usize::try_from(self.draw(1_000_000)).expect("few");
+                self.nodes[place] = Node::new(name, self.now);
+            }
+            5 => {
+                for place in 0..self.nodes.len() {
+                    let cut = self.draw(3) == 0;
+                    self.cut(place, cut);
+                }
+            }
+            6 => (0..self.nodes.len()).for_each(|place| self.cut(place, false)),
+            _ => self.cut(place, true),
+        }
+    }
+
+    /// Time passes, with `load` tokens a second asked for in all.
+    pub(crate) fn go_on(&mut self, time: Duration, load: f64) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = self.now + STEP;
+            self.lead();
+            (0..self.nodes.len()).for_each(|place| self.sync(place));
+            self.ask(load);
+        }
+    }
+
+    fn lead(&mut self) {
+        let now = self.now;
+        if self.next_hub.is_some_and(|at| at <= now) {
+            self.next_hub = None;
+            // A new leader has applied all that stands in the log.
+            if let Some((_, parts)) = self.commit.take() {
+                self.parts = parts;
+            }
+            self.begin_hub();
+        }
+        let Some(hub) = &mut self.hub else {
+            return;
+        };
+        if let Some((due, _)) = &self.commit
+            && *due <= now
+            && let Some((_, parts)) = self.commit.take()
+        {
+            self.parts = parts;
+            hub.adopt_parts(&self.parts, now);
+        }
+        hub.tick(now);
+        if let Some(parts) = hub.tend_parts(now) {
+            self.commit = Some((now + COMMIT, parts));
+        }
+    }
+
+    /// A gateway takes an answer that has come, gives up one that is late, asks anew.
+    fn sync(&mut self, place: usize) {
+        let (now, lost) = (self.now, self.lost);
+        let (is_lost, delay) = (self.draw(100) < lost, self.draw(100));
+        let slow = self.draw(40) == 0;
+        let allowance = self.allowance;
+        let node = &mut self.nodes[place];
+        node.reserve.fill([(&ann(), allowance)].into_iter(), now);
+        if let Some((due, reply)) = node.answer.take() {
+            if due <= now && !node.cut {
+                node.got = reply.number;
+                node.heard = Some(now);
+                node.reserve.heard(reply.part, node.asked, now);
+            } else if now.since(node.asked) < CALL {
+                node.answer = Some((due, reply));
+            }
+            return;
+        }
+        let (Some(hub), false) = (&mut self.hub, node.cut) else {
+            return;
+        };
+        node.asked = now;
+        let question = node.question();
+        hub.hear(&question, now);
+        let reply = hub.answer(&question, &Publication::default(), now);
+        let delay = if slow { delay * 8 } else { delay };
+        let due = if is_lost {
+            now + CALL * 2
+        } else {
+            now + Duration::from_millis(40 + delay)
+        };
+        node.answer = Some((due, reply));
+    }
+
+    fn ask(&mut self, load: f64) {
+        self.asked += load * STEP.as_secs_f64();
+        while self.asked > 0.0 {
+            let cost = 200 + self.draw(5_000);
+            let place = usize::try_from(self.draw(self.nodes.len() as u64)).expect("few");
+            #[allow(clippy::cast_precision_loss)]
+            {
+                self.asked -= cost as f64;
+            }
+            if self.lets_in(place, cost) {
+                self.let_in.push_back((self.now, cost));
+                self.total += cost;
+            }
+        }
+        while let Some((at, _)) = self.let_in.front()
+            && self.now.since(*at) >= TOLERANCE.window
+        {
+            self.let_in.pop_front();
+        }
+        let sum = self.let_in.iter().map(|(_, cost)| cost).sum();
+        self.most = self.most.max(sum);
+    }
+
+    /// Whether a request is let in: by the hub where it is heard, else by the gateway alone.
+    fn lets_in(&mut self, place: usize, cost: u64) -> bool {
+        let now = self.now;
+        let gets_none = self.draw(100) < self.no_place;
+        let node = &mut self.nodes[place];
+        let charge = Charge {
+            customer: ann(),
+            cost,
+        };
+        let heard = node.heard.is_some_and(|heard| now.since(heard) < HEARD);
+        let (Some(hub), true) = (&mut self.hub, heard && !node.cut) else {
+            return node.reserve.draw(&charge, now);
+        };
+        let Wanted::Line(ticket, _) = hub.want(want(&node.host, charge), now) else {
+            return false;
+        };
+        if gets_none {
+            hub.leave(&ticket);
+            return false;
+        }
+        hub.serve(now).iter().any(|(served, _)| *served == ticket)
+    }
+
+    /// Whether no window had more than the deployment bears.
+    pub(crate) fn is_kept(&self) -> bool {
+        let window = self.allowance.rate * TOLERANCE.window.as_secs_f64() + self.allowance.burst;
+        let bound = window * (1.0 + TOLERANCE.part) + TOLERANCE.slack;
+        #[allow(clippy::cast_precision_loss)]
+        let most = self.most as f64;
+        most <= bound
+    }
+}
+
+fn want(host: &id::Host, charge: Charge) -> Want {
+    Want {
+        host: host.clone(),
+        hall: "a".into(),
+        service: "chat".parse().expect("a name"),
+        rank: Rank::default(),
+        waited: Duration::ZERO,
+        wanted: Duration::from_secs(1),
+        patience: Duration::from_secs(1),
+        prompt: Tokens(0),
+        charge: Some(charge),
+        tried: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod asks;
+pub(crate) mod gateways;
 pub(crate) mod history;
 pub(crate) mod members;
 pub(crate) mod replicas;
--- a/crates/curlewlift/src/control/gateways.rs
+++ b/crates/curlewlift/src/control/gateways.rs
@@ -8,9 +8,12 @@
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::route::Table;
+use curlewlift_core::state::Publication;
 
-/// Reads the document of a routing table.
-pub(crate) type Decode = fn(&str) -> Result<Table, Refusal>;
+use super::Known;
+
+/// Reads a routing table.
+pub(crate) type Decode = fn(&Publication) -> Result<Table, Refusal>;
 
 /// Tells where the control replica on a host is reached.
 pub(crate) type Locate = Arc<dyn Fn(&id::Host) -> Option<SocketAddr> + Send + Sync>;
@@ -18,10 +21,12 @@
 /// What a control replica needs to serve gateways, where hosts are not configured by name.
 #[derive(Clone)]
 pub(crate) struct Gateways {
-    /// Reads the document of a routing table.
+    /// Reads a routing table.
     pub(crate) decode: Decode,
     /// Where the replica on a host is reached that nobody has named.
     pub(crate) locate: Locate,
+    /// The hosts that are known to keep a replica.
+    pub(crate) known: Known,
     /// How many replicas must count before a first table is accepted: what is accepted must
     /// outlive the loss of as many disks as the deployment says.
     pub(crate) replicas: usize,
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -11,6 +11,7 @@
 use curlewlift_core::event::Line;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Question;
+use curlewlift_core::id;
 use curlewlift_core::state::Publication;
 use curlewlift_core::state::Record;
 
@@ -40,6 +41,9 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 pub(super) async fn answer(state: &Shared, call: HubCall) -> Result<HubReply, Refusal> {
+    if let HubCall::Introduce(hosts) = call {
+        return Ok(meet(&state.borrow(), hosts));
+    }
     if let Some(elsewhere) = elsewhere(&state.borrow()) {
         return Ok(elsewhere);
     }
@@ -47,8 +51,12 @@
         HubCall::Ask(question) => ask(state, *question).await,
         HubCall::Want(want) => super::places::want(state, *want).await,
         HubCall::Tell(report) => super::places::tell(state, &report),
+        HubCall::Piece { host, number, from } => {
+            super::handout::piece(state, &host, number, from).await
+        }
         HubCall::Publish(publication) => publish(state, publication).await,
         HubCall::Read => read(state).await,
+        HubCall::Introduce(hosts) => Ok(meet(&state.borrow(), hosts)),
     }
 }
 
@@ -62,7 +70,7 @@
         if publication.number == 0 {
             return;
         }
-        match (gateways.decode)(&publication.document) {
+        match (gateways.decode)(publication) {
             Ok(table) => hub.adopt(&table, self.clock.now()),
             Err(why) => log::error!("table {} cannot be read: {why}", publication.number),
         }
@@ -70,6 +78,16 @@
     }
 }
 
+impl State {
+    /// Tells the hub that nobody can have used anything yet.
+    pub(super) fn first_table(&mut self) {
+        let now = self.clock.now();
+        if let Some(hub) = &mut self.hub {
+            hub.first_table(now);
+        }
+    }
+}
+
 /// The answer of a replica that does not surely lead.
 pub(super) fn elsewhere(state: &State) -> Option<HubReply> {
     if state.leads().is_ok() {
@@ -77,7 +95,24 @@
     }
     let leader = state.replica.get_leader();
     let other = leader.filter(|leader| *leader != state.replica.get_host());
-    Some(HubReply::Elsewhere(other.cloned()))
+    Some(HubReply::Elsewhere {
+        leader: other.cloned(),
+        control: members(state),
+    })
+}
+
+/// The hosts of the control replicas.
+fn members(state: &State) -> Vec<id::Host> {
+    let members = state.replica.members().0.iter();
+    members.map(|member| member.host.clone()).collect()
+}
+
+/// Takes note of hosts that keep a replica.
+fn meet(state: &State, hosts: Vec<id::Host>) -> HubReply {
+    if let Some(gateways) = &state.gateways {
+        gateways.known.add(hosts);
+    }
+    HubReply::Told
 }
 
 async fn ask(state: &Shared, question: Question) -> Result<HubReply, Refusal> {
@@ -93,14 +128,11 @@
         return Ok(elsewhere);
     }
     let now = state.clock.now();
-    let publication = state.machine.get_publication();
-    let newer = publication.number > question.table;
-    let document = newer.then(|| (publication.number, publication.document.to_string()));
-    let control = state.replica.members().0.iter();
-    let control = control.map(|member| member.host.clone()).collect();
+    let publication = state.machine.get_publication().clone();
+    let control = members(&state);
     let host = state.replica.get_host().clone();
     let hub = state.hub.as_mut().ok_or_else(begun)?;
-    let mut reply = hub.answer(&question, document, now);
+    let mut reply = hub.answer(&question, &publication, now);
     reply.control = control;
     reply.fetches = hub.fetcher(&host, now).as_ref() == Some(&question.host);
     reply.leader = Some(host);
@@ -149,7 +181,7 @@
 
 async fn publish(state: &Shared, publication: Publication) -> Result<HubReply, Refusal> {
     let number = publication.number;
-    let bytes = publication.document.len();
+    let bytes = publication.document.as_packed().len();
     let wait = {
         let mut state = state.borrow_mut();
         // Leading surely and settled, what is applied here is what is committed.
--- a/crates/curlewlift/src/control/members.rs
+++ b/crates/curlewlift/src/control/members.rs
@@ -155,6 +155,12 @@
 
     fn peers_known(&self) -> BTreeMap<id::Host, SocketAddr> {
         let mut peers = self.peers.clone();
+        let known = self.gateways.as_ref().map(|gateways| gateways.known.get());
+        for host in known.into_iter().flatten() {
+            if let Some(address) = self.locate(&host) {
+                peers.insert(host, address);
+            }
+        }
         for member in &self.replica.members().0 {
             if let Some(address) = self.locate(&member.host) {
                 peers.insert(member.host.clone(), address);
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -3,7 +3,9 @@
 mod answers;
 mod daemon;
 mod gateways;
+mod handout;
 mod hub;
+mod known;
 mod members;
 mod places;
 mod platform;
@@ -14,3 +16,4 @@
 pub(crate) use gateways::Decode;
 pub(crate) use gateways::Gateways;
 pub(crate) use gateways::Locate;
+pub(crate) use known::Known;
--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Want;
+use curlewlift_core::gateway::Wanted;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -46,8 +47,9 @@
     let until = Instant::now() + want.patience;
     let listed = until.min(Instant::now() + FIRST_LIST);
     let _ = tokio::time::timeout_at(listed, first_list(state)).await;
-    let Some((line, place)) = line_up(state, want)? else {
-        return Ok(HubReply::Place(None));
+    let (line, place) = match line_up(state, want)? {
+        Ok(line) => line,
+        Err(reply) => return Ok(reply),
     };
     let place = tokio::time::timeout_at(until, place).await;
     drop(line);
@@ -70,19 +72,21 @@
     }
 }
 
-/// Puts a request in line; none where its service has no servers.
+/// Puts a request in line, or gives the answer that there is at once.
 fn line_up(
     state: &Shared,
     want: Want,
-) -> Result<Option<(InLine, oneshot::Receiver<Grant>)>, Refusal> {
+) -> Result<Result<(InLine, oneshot::Receiver<Grant>), HubReply>, Refusal> {
     let mut borrowed = state.borrow_mut();
     let now = borrowed.clock.now();
     let hub = borrowed.hub.as_mut().ok_or_else(hub::begun)?;
     if hub.get_listing().version == 0 {
         return Err(hub::begun());
     }
-    let Some((ticket, last)) = hub.want(want, now) else {
-        return Ok(None);
+    let (ticket, last) = match hub.want(want, now) {
+        Wanted::Line(ticket, last) => (ticket, last),
+        Wanted::NoServers => return Ok(Err(HubReply::Place(None))),
+        Wanted::Beyond(filled) => return Ok(Err(HubReply::Beyond(filled))),
     };
     let (sender, place) = oneshot::channel();
     borrowed.places.insert(ticket.clone(), sender);
@@ -92,7 +96,7 @@
     }
     borrowed.serve();
     let state = Rc::clone(state);
-    Ok(Some((InLine { state, ticket }, place)))
+    Ok(Ok((InLine { state, ticket }, place)))
 }
 
 /// Takes note of what a gateway tells of its sendings.
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -214,7 +214,7 @@
 
     fn apply(&mut self, entry: &Entry) {
         let answer = match &entry.body {
-            Body::Data(data) => self.apply_record(data),
+            Body::Data(data) => self.apply_record(data, entry.term),
             Body::Members(members) => {
                 self.removed.retain(|host| members.get(host).is_some());
                 Ok(self.machine.get_snapshot().revision)
@@ -230,12 +230,21 @@
 
     /// Applies a record; a host that it takes out of the configuration loses its replica too, even
     /// where the next command names the host again.
-    fn apply_record(&mut self, data: &[u8]) -> Answer {
+    fn apply_record(&mut self, data: &[u8], term: id::Term) -> Answer {
         let record = Record::decode(data).map_err(|why| Refusal::new(Code::Internal, why))?;
         let before = Arc::clone(self.machine.get_snapshot());
+        let had_table = self.machine.get_publication().number > 0;
         let answer = self.machine.apply(&record);
-        if matches!(record, Record::Publication(_)) {
-            self.take_up();
+        match record {
+            Record::Publication(_) => {
+                self.take_up();
+                // One of an earlier term may have been handed out by an earlier leader.
+                if !had_table && term == self.replica.get_term() {
+                    self.first_table();
+                }
+            }
+            Record::Parts(_) => self.take_up_parts(),
+            Record::Command(_) | Record::Roster(_) => {}
         }
         let after = &self.machine.get_snapshot().hosts;
         let gone = before.hosts.keys().filter(|host| !after.contains_key(host));
@@ -288,6 +297,7 @@
                 let number = rand::rng().next_u64();
                 self.hub = Some(Hub::new(gateways.tuning, now).drawn(number));
                 self.take_up();
+                self.take_up_parts();
             }
         } else if self.role == Role::Leader {
             self.timeline
@@ -316,12 +326,38 @@
         }
         if self.gateways.is_some() {
             self.tend_asking();
+            self.tend_parts();
             return;
         }
         self.tend_view();
         self.tend_named();
     }
 
+    /// Gives the hub the parts as they stand in the log.
+    fn take_up_parts(&mut self) {
+        let now = self.clock.now();
+        let Some(hub) = &mut self.hub else {
+            return;
+        };
+        let parts = self.machine.get_parts();
+        hub.adopt_parts(parts, now);
+        let detail = format!("parts={} held={}", parts.count, parts.holders.len());
+        self.timeline
+            .note(Line::new(Kind::PartsHeld).detail(detail));
+        self.news.notify_waiters();
+    }
+
+    fn tend_parts(&mut self) {
+        let now = self.clock.now();
+        let Some(parts) = self.hub.as_mut().and_then(|hub| hub.tend_parts(now)) else {
+            return;
+        };
+        // A change that is lost goes with this leader, and with it the hub that waits for it.
+        if let Err(why) = self.propose(&Record::Parts(parts)) {
+            log::warn!("the parts stay as they are: {why}");
+        }
+    }
+
     fn tend_view(&mut self) {
         let now = self.clock.now();
         let Some(grantor) = &mut self.grantor else {
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::Patience;
+use curlewlift_core::quota::Charge;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Rank;
@@ -54,8 +55,8 @@
     pub(super) rule: Arc<Rule>,
     pub(super) account: Option<Arc<Account>>,
     pub(super) cost: u64,
-    /// The report to the hub that tells of its cost.
-    pub(super) report: u64,
+    /// What is still to be drawn from its customer's allowance.
+    pub(super) charge: Option<Charge>,
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
     /// When it arrived.
@@ -97,7 +98,13 @@
 
     /// What is known of its time now.
     pub(super) fn patience(&self, node: &Node) -> Patience {
-        patience(node, &self.rule, self.arrived, self.until)
+        let now = Instant::now();
+        Patience {
+            objective: self.rule.objective,
+            waited: now.saturating_duration_since(self.arrived),
+            left: self.until.saturating_duration_since(now),
+            lead: node.lead(&self.rule.name),
+        }
     }
 
     /// After how long its caller is to come back if it is turned away now.
@@ -106,16 +113,6 @@
     }
 }
 
-fn patience(node: &Node, rule: &Rule, arrived: Instant, until: Instant) -> Patience {
-    let now = Instant::now();
-    Patience {
-        objective: rule.objective,
-        waited: now.saturating_duration_since(arrived),
-        left: until.saturating_duration_since(now),
-        lead: node.lead(&rule.name),
-    }
-}
-
 /// Takes a request, or says why not; nothing of it has run then.
 pub(super) async fn admit(
     node: &Node,
@@ -133,15 +130,11 @@
     drop(table);
     let (head, body) = request.into_parts();
     let body = read(body, limits, until).await?;
-    let cost = match &account {
-        Some(account) => charge(node, account, &call, || {
-            patience(node, &rule, arrived, until)
-        })?,
-        None => 0,
-    };
-    let report = node.share.borrow().get_report();
+    let cost = account.as_ref().map_or(0, |account| cost(account, &call));
+    let charge = account.as_ref();
+    let charge = charge.and_then(|account| self::charge(account, cost));
     Ok(Admitted {
-        report,
+        charge,
         call,
         rule,
         account,
@@ -155,26 +148,20 @@
     })
 }
 
-/// Draws what a request costs from its customer's allowance.
-///
-/// Nobody waits for an allowance to fill up: of those who do, all gateways let in one each at the same
-/// word of the hub, and more is let in than the customer may have.
-fn charge(
-    node: &Node,
-    account: &Account,
-    call: &Call,
-    patience: impl Fn() -> Patience,
-) -> Result<u64, Refused> {
+/// What a request counts towards its customer's allowance; none where that has no limit.
+fn charge(account: &Account, cost: u64) -> Option<Charge> {
+    account.allowance.is_limited().then(|| Charge {
+        customer: account.name.clone(),
+        cost,
+    })
+}
+
+/// What a request counts in its customer's unit.
+fn cost(account: &Account, call: &Call) -> u64 {
     let tokens = call
         .tokens
         .map(|(prompt, made)| prompt.saturating_add(made));
-    let cost = account.allowance.cost(tokens);
-    let now = node.now();
-    let mut share = node.share.borrow_mut();
-    if share.admit(&account.name, &account.allowance, cost, now) {
-        return Ok(cost);
-    }
-    Err(used_up(account, patience()))
+    account.allowance.cost(tokens)
 }
 
 /// The table in force; a gateway that has only begun waits a little for its first one.
@@ -236,10 +223,3 @@
         )),
     }
 }
-
-/// A request beyond its customer's allowance: by the time that is named others of the customer have
-/// been served.
-fn used_up(account: &Account, patience: Patience) -> Refused {
-    let why = format!("customer {} has used up its allowance", account.name);
-    Refused::new(Code::Allowance, why).again(patience.come_back())
-}
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::route::Limits;
 
 use crate::control::Decode;
+use crate::control::Known;
 use crate::control::Locate;
 use crate::process;
 use crate::process::Order;
@@ -29,6 +30,7 @@
 use super::lists;
 use super::lists::Fetch;
 use super::log::Line;
+use super::meet;
 use super::node::Node;
 use super::open;
 use super::places;
@@ -36,6 +38,7 @@
 use super::stop;
 use super::stop::Grace;
 use super::sync;
+use super::tables;
 
 /// Between two looks at those who wait for a turn: a server that was left alone is tried again.
 const TICK: Duration = Duration::from_millis(50);
@@ -46,8 +49,10 @@
     pub(crate) seeds: Box<dyn Fn() -> Vec<SocketAddr>>,
     /// Where the control replica on a host is reached.
     pub(crate) locate: Locate,
-    /// Reads the document of a routing table.
+    /// Reads a routing table.
     pub(crate) decode: Decode,
+    /// Where the control replica in this process is reached, where there is one.
+    pub(crate) beside: Option<SocketAddr>,
 }
 
 /// A gateway, to be started.
@@ -68,6 +73,10 @@
     pub(crate) grace: Grace,
     /// The control replica beside it, where the host has one.
     pub(crate) beside: Option<Beside>,
+    /// Where it tells others of control, where it has none.
+    pub(crate) meets: SocketAddr,
+    /// The hosts that are known to keep a control replica.
+    pub(crate) known: Known,
 }
 
 impl fmt::Debug for Gateway {
@@ -115,6 +124,7 @@
             self.dialect,
             self.allowed,
             self.tolerance,
+            self.known,
             client,
         ));
         Line::new(Kind::Started)
@@ -125,9 +135,13 @@
             .write();
         if let Some(beside) = self.beside {
             tokio::task::spawn_local(beside::keep(self.host, beside));
+            tokio::task::spawn_local(meet::introduce(Rc::clone(&node), Rc::clone(&around)));
+        } else {
+            meet::serve(&node, self.meets)?;
         }
         tokio::task::spawn_local(serve_callers(Rc::clone(&node), listener));
         tokio::task::spawn_local(sync::keep(Rc::clone(&node), Rc::clone(&around)));
+        tokio::task::spawn_local(tables::keep(Rc::clone(&node), Rc::clone(&around)));
         tokio::task::spawn_local(lists::keep(Rc::clone(&node), fetch));
         tokio::task::spawn_local(places::report(Rc::clone(&node)));
         tokio::task::spawn_local(tick(Rc::clone(&node)));
@@ -152,10 +166,11 @@
     .await;
 }
 
-/// Gives turns that only the passing of time has made possible.
+/// Fills the reserve, and gives turns that only the passing of time has made possible.
 async fn tick(node: Rc<Node>) {
     loop {
         tokio::time::sleep(TICK).await;
+        node.fill_reserve();
         if node.waiting() > 0 {
             node.serve_all();
         }
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -1,5 +1,7 @@
 //! What becomes of a request that no backend server answered.
 
+use std::time::Duration;
+
 use curlewlift_core::code::Code;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::End;
@@ -79,8 +81,25 @@
                 "others go before it, and no turn would come in time",
             ),
             NoTurn::TimeUp => Refused::new(Code::CannotFinish, "no server was free in time"),
+            NoTurn::Beyond(_) => Refused::new(Code::Allowance, self.used_up("has used up")),
+            NoTurn::NoWord => {
+                let why = "has used up, as far as this gateway knows without the hub's word,";
+                Refused::new(Code::Allowance, self.used_up(why))
+            }
+        };
+        let come_back = self.admitted.come_back(&self.node);
+        let filled = match why {
+            NoTurn::Beyond(wait) => wait,
+            _ => Duration::ZERO,
         };
-        refused.again(self.admitted.come_back(&self.node))
+        refused.again(come_back.max(filled))
+    }
+
+    /// That a request is beyond its customer's allowance.
+    fn used_up(&self, how: &str) -> String {
+        let account = self.admitted.account.as_ref();
+        let name = account.map_or("nobody", |account| account.name.as_str());
+        format!("customer {name} {how} its allowance")
     }
 
     /// The refusal of a request that may not be sent again.
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod judge;
 mod lists;
 mod log;
+mod meet;
 mod node;
 mod open;
 mod orders;
@@ -28,6 +29,7 @@
 mod services;
 mod stop;
 mod sync;
+mod tables;
 mod turn;
 
 pub(crate) use beside::Beside;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -19,12 +19,14 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::pool::Lead;
-use curlewlift_core::quota::Share;
+use curlewlift_core::quota::Charge;
+use curlewlift_core::quota::Reserve;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Table;
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::control::Known;
 use crate::process::Clock;
 use crate::rpc;
 
@@ -49,12 +51,12 @@
     pub(super) doubted: Option<clock::Instant>,
     /// The last grant of a place that has come.
     pub(super) mark: Mark,
-    /// The hosts of the control replicas.
-    pub(super) control: Vec<id::Host>,
+    /// The number of its last answer.
+    pub(super) got: u64,
+    /// The number of the newest table that it told of.
+    pub(super) newest: u64,
     /// The version of the list that it held at its last word.
     pub(super) listing: u64,
-    /// How many gateways there are.
-    pub(super) count: u32,
     /// Whether this gateway fetches the list for all.
     pub(super) fetches: bool,
 }
@@ -84,8 +86,10 @@
     pub(super) roll: RefCell<Roll>,
     /// How long answers take to begin, by rule.
     pub(super) leads: RefCell<BTreeMap<Arc<str>, Lead>>,
-    /// What customers may still ask for here.
-    pub(super) share: RefCell<Share>,
+    /// What customers may still ask for where the hub gives no word.
+    pub(super) reserve: RefCell<Reserve>,
+    /// The hosts that are known to keep a control replica.
+    pub(super) known: Known,
     /// What is known of the hub.
     pub(super) hub: RefCell<Hub>,
     /// Since when it is told to stop.
@@ -102,6 +106,8 @@
     pub(super) finished: Cell<u64>,
     /// Wakes the question to the hub where there is something to tell it at once.
     pub(super) changed: Notify,
+    /// Wakes the fetching of a newer table.
+    pub(super) newer: Notify,
 }
 
 impl Node {
@@ -111,6 +117,7 @@
         dialect: Dialect,
         allowed: Allowed,
         tolerance: Tolerance,
+        known: Known,
         rpc: rpc::Client,
     ) -> Self {
         Self {
@@ -126,7 +133,8 @@
             listing: RefCell::default(),
             roll: RefCell::default(),
             leads: RefCell::default(),
-            share: RefCell::new(Share::new(tolerance)),
+            reserve: RefCell::new(Reserve::new(tolerance)),
+            known,
             hub: RefCell::default(),
             stopping: Cell::new(None),
             closed: Cell::new(false),
@@ -135,6 +143,7 @@
             open: Cell::new(0),
             finished: Cell::new(0),
             changed: Notify::new(),
+            newer: Notify::new(),
         }
     }
 
@@ -176,6 +185,30 @@
     }
 }
 
+/// # What customers may still ask for
+impl Node {
+    /// Fills what customers may ask for by the word of this gateway alone.
+    pub(super) fn fill_reserve(&self) {
+        if let Some(table) = self.table() {
+            let accounts = table.accounts();
+            let accounts = accounts.map(|account| (&account.name, account.allowance));
+            self.reserve.borrow_mut().fill(accounts, self.now());
+        }
+    }
+
+    /// Whether a request is let in by the word of this gateway alone; if so it is counted.
+    pub(super) fn draw(&self, charge: &Charge) -> bool {
+        self.fill_reserve();
+        self.reserve.borrow_mut().draw(charge, self.now())
+    }
+
+    /// The number of the newest table that it knows of.
+    pub(super) fn newest_table(&self) -> u64 {
+        let held = self.table().map_or(0, |table| table.get_number());
+        held.max(self.hub.borrow().newest)
+    }
+}
+
 /// # How long answers take
 impl Node {
     /// How long answers to requests of a rule take to begin, once they are sent.
--- a/crates/curlewlift/src/gateway/orders.rs
+++ b/crates/curlewlift/src/gateway/orders.rs
@@ -54,21 +54,25 @@
 async fn ask(node: &Node, around: &Surroundings, call: HubCall) -> Result<HubReply, Refusal> {
     let call = RenewCall::Hub(call);
     let mut named: Option<id::Host> = node.hub.borrow().leader.clone();
+    let mut last = no_leader();
     for hop in 0..HOPS {
-        let leader = named.as_ref().and_then(|leader| (around.locate)(leader));
+        let leader = named.take().and_then(|leader| (around.locate)(&leader));
         let Some(address) = leader.or_else(|| sync::address(node, around, hop)) else {
             continue;
         };
-        let reply = node
-            .rpc
-            .call(address, Method::Renew, &call, PUBLISH)
-            .await?;
+        let reply = node.rpc.call(address, Method::Renew, &call, PUBLISH).await;
         match reply {
-            HubReply::Elsewhere(next) => named = next,
-            reply => return Ok(reply),
+            Ok(HubReply::Elsewhere { leader, control }) => {
+                node.known.add(control);
+                named = leader;
+            }
+            Ok(reply) => return Ok(reply),
+            // Who is not there refuses at once; all orders may be given again.
+            Err(why) if hop + 1 < HOPS => last = why,
+            Err(why) => return Err(why),
         }
     }
-    Err(no_leader())
+    Err(last)
 }
 
 fn no_leader() -> Refusal {
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -28,14 +28,6 @@
             return self.whole(head, body);
         }
         self.told = true;
-        if self.sent == 0
-            && refusal.again.is_some()
-            && let Some(account) = &self.admitted.account
-        {
-            // It surely did not run: the customer is not charged.
-            let mut share = self.node.share.borrow_mut();
-            share.give_back(&account.name, self.admitted.cost, self.admitted.report);
-        }
         request::refused(self.admitted.line(Kind::Refused), refusal)
     }
 
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
+use curlewlift_core::quota::Charge;
 use curlewlift_core::unit::Tokens;
 
 use crate::rpc::HubCall;
@@ -44,16 +45,25 @@
     Place(Arc<Server>),
     /// There was no place in time.
     NoPlace,
+    /// Its customer has used up its allowance; there is enough after this time.
+    Beyond(Duration),
     /// Nothing, or nothing that can be used: this gateway has to choose by itself.
     Nothing,
 }
 
-/// Asks the hub for a place for at most `patience`.
-pub(super) async fn ask(node: &Node, service: &id::Service, ask: &Ask, patience: Duration) -> Word {
+/// Asks the hub for a place for at most `patience`, and to draw what the request counts.
+pub(super) async fn ask(
+    node: &Node,
+    service: &id::Service,
+    ask: &Ask,
+    charge: Option<&Charge>,
+    patience: Duration,
+) -> Word {
     let Some(address) = node.hub_address() else {
         return Word::Nothing;
     };
-    let want = node.want(service, ask, patience);
+    let mut want = node.want(service, ask, patience);
+    want.charge = charge.cloned();
     let call = RenewCall::Hub(HubCall::Want(Box::new(want)));
     let call = node
         .rpc
@@ -63,6 +73,7 @@
     match reply {
         Some(Ok(HubReply::Place(Some(grant)))) => node.take(service, grant, ask.prompt),
         Some(Ok(HubReply::Place(None))) => Word::NoPlace,
+        Some(Ok(HubReply::Beyond(filled))) => Word::Beyond(filled),
         Some(Ok(_)) => node.doubt("it does not lead"),
         Some(Err(why)) => node.doubt(&why.to_string()),
         None => node.doubt("no word in time"),
@@ -96,6 +107,7 @@
             wanted: ask.wanted.since(now),
             patience,
             prompt: ask.prompt,
+            charge: None,
             tried: ask.tried.clone(),
             avoid: avoid.unwrap_or_default(),
         }
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -116,10 +116,10 @@
     /// Whether the service's budget has a further sending left; if so it is counted.
     pub(super) fn take_budget(&self) -> bool {
         let now = self.node.now();
-        let gateways = self.node.hub.borrow().count;
+        let part = self.node.reserve.borrow().get_part(now);
         let taken = self
             .node
-            .with_service(&self.service, |service| service.budget.take(gateways, now));
+            .with_service(&self.service, |service| service.budget.take(part, now));
         taken.unwrap_or(false)
     }
 
@@ -129,7 +129,7 @@
     }
 
     /// Waits for a server.
-    pub(super) async fn turn(&self) -> Result<Place, Refused> {
+    pub(super) async fn turn(&mut self) -> Result<Place, Refused> {
         let admitted = &self.admitted;
         let now = self.node.now();
         let patience = admitted.patience(&self.node);
@@ -150,8 +150,15 @@
             tried: self.tried.clone(),
             avoid: Vec::new(),
         };
-        let turn = turn::wait(&self.node, &self.service, ask, held).await;
-        turn.map_err(|why| self.no_turn(why))
+        let charge = self.admitted.charge.as_ref();
+        match turn::wait(&self.node, &self.service, ask, charge, held).await {
+            Ok(place) => {
+                // What it counts is drawn once, however often it is sent.
+                self.admitted.charge = None;
+                Ok(place)
+            }
+            Err(why) => Err(self.no_turn(why)),
+        }
     }
 
     /// The request for one server, with what is left of its time.
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use curlewlift_core::clock;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Question;
@@ -16,8 +17,8 @@
 
 use super::daemon::Surroundings;
 use super::log::Line;
-use super::node::Hub;
 use super::node::Node;
+use super::tables;
 
 /// How long an answer may take: the hub's own wait, and a busy host's delay.
 const CALL: Duration = Duration::from_millis(600);
@@ -33,61 +34,74 @@
 
 /// Asks for as long as the process lives.
 pub(super) async fn keep(node: Rc<Node>, around: Rc<Surroundings>) {
+    let began = node.now();
     let mut place = 0;
-    let mut known = false;
+    let mut known = None;
     loop {
         let asked = once(&node, &around, &mut place).await;
-        let silent = node.hub_silence().is_none_or(|silence| silence > LOST);
-        if known == silent {
-            known = !silent;
-            let kind = if silent {
-                Kind::HubLost
-            } else {
-                Kind::HubFound
-            };
-            let leader = node.hub.borrow().leader.clone();
-            let line = Line::new(kind).with("leader", leader.map(|leader| leader.to_string()));
-            line.write();
+        let silence = node.hub_silence();
+        let silence = silence.unwrap_or_else(|| node.now().since(began).min(LOST));
+        let hears = node.hub_silence().is_some() && silence <= LOST;
+        if known != Some(hears) && (hears || silence >= LOST) {
+            known = Some(hears);
+            tell_of_hub(&node, hears, &asked);
         }
-        let pause = if asked { PAUSE } else { NEXT };
+        let pause = if asked.is_ok() { PAUSE } else { NEXT };
         // A gateway that stops, or that has fetched another list, says so at once.
         let _ = tokio::time::timeout(pause, node.changed.notified()).await;
     }
 }
 
-/// One question; true where the leader answered it.
-async fn once(node: &Rc<Node>, around: &Surroundings, place: &mut usize) -> bool {
+/// Writes that the hub is heard, or no more; what the last question came to says where it was sought.
+fn tell_of_hub(node: &Node, hears: bool, asked: &Result<(), String>) {
+    let kind = if hears { Kind::HubFound } else { Kind::HubLost };
+    let leader = node.hub.borrow().leader.clone();
+    let known = node.known.get();
+    let known: Vec<_> = known.iter().map(ToString::to_string).collect();
+    Line::new(kind)
+        .with("leader", leader.map(|leader| leader.to_string()))
+        .with("known", known)
+        .with("why", asked.as_ref().err().cloned())
+        .write();
+}
+
+/// One question; whether the leader answered it, else why not.
+async fn once(node: &Rc<Node>, around: &Surroundings, place: &mut usize) -> Result<(), String> {
     let Some(address) = address(node, around, *place) else {
         *place += 1;
-        return false;
+        return Err("nobody is known whom to ask".to_owned());
     };
+    let asked = node.now();
     let question = question(node);
     let call = RenewCall::Hub(HubCall::Ask(Box::new(question)));
     let reply: Result<HubReply, Refusal> = node.rpc.call(address, Method::Renew, &call, CALL).await;
     match reply {
         Ok(HubReply::News(reply)) => {
-            take(node, around, address, *reply);
-            true
+            take(node, around, address, asked, *reply);
+            Ok(())
         }
-        Ok(HubReply::Elsewhere(leader)) => {
+        Ok(HubReply::Elsewhere { leader, control }) => {
+            node.known.add(control);
+            let why = format!("{address} does not lead");
             let same = leader == node.hub.borrow().leader;
             if same || leader.is_none() {
                 *place += 1;
             }
             node.hub.borrow_mut().leader = if same { None } else { leader };
-            false
+            Err(why)
         }
-        Ok(_) => false,
+        Ok(_) => Err(format!("{address} gave another answer")),
         Err(why) => {
             log::debug!("no word from {address}: {why}");
             node.hub.borrow_mut().leader = None;
             *place += 1;
-            false
+            Err(why.get_detail().to_owned())
         }
     }
 }
 
-/// Where to ask: at the leader, or in turn at each that may know it.
+/// Where to ask: at the leader, or in turn at each that may know it: the replica in this process, the
+/// hosts that are known to keep one, and those that the settings name, which may not.
 pub(super) fn address(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
     let hub = node.hub.borrow();
     if let Some(leader) = &hub.leader
@@ -95,11 +109,9 @@
     {
         return Some(address);
     }
-    let mut all: Vec<_> = hub
-        .control
-        .iter()
-        .filter_map(|host| (around.locate)(host))
-        .collect();
+    let known = node.known.get();
+    let known = known.iter().filter_map(|host| (around.locate)(host));
+    let mut all: Vec<_> = around.beside.into_iter().chain(known).collect();
     for seed in (around.seeds)() {
         if !all.contains(&seed) {
             all.push(seed);
@@ -112,43 +124,39 @@
     let hub = node.hub.borrow();
     let listing = node.listing.borrow();
     let fetched = hub.fetches && listing.version != hub.listing;
-    let mut share = node.share.borrow_mut();
     Question {
         host: node.host.clone(),
         incarnation: node.incarnation,
         gateway: node.gateway.clone(),
         ready: node.is_ready(),
-        table: node.table().map_or(0, |table| table.get_number()),
+        table: node.newest_table(),
         listing: listing.version,
         roll: node.roll.borrow().version,
         mark: hub.mark,
         loads: node.loads(),
-        spent: share.report(),
-        spent_within: spent_within(node, &hub),
-        levels: share.levels(),
+        got: hub.got,
         fetched: fetched.then(|| listing.clone()),
     }
 }
 
-/// The time since the hub's last word, or since the start.
-fn spent_within(node: &Node, hub: &Hub) -> Duration {
-    node.now().since(hub.heard.unwrap_or_default())
-}
-
-fn take(node: &Node, around: &Surroundings, address: SocketAddr, reply: Reply) {
-    if let Some((number, document)) = reply.table {
-        match (around.decode)(&document) {
-            Ok(table) => node.adopt_table(table),
-            Err(why) => log::error!("table {number} cannot be read: {why}"),
-        }
+/// Takes up the answer to a question that was sent at `asked`.
+fn take(
+    node: &Node,
+    around: &Surroundings,
+    address: SocketAddr,
+    asked: clock::Instant,
+    reply: Reply,
+) {
+    if let Some(publication) = reply.table {
+        tables::adopt(node, around, &publication);
     }
     {
         let mut hub = node.hub.borrow_mut();
         hub.heard = Some(node.now());
         hub.address = Some(address);
         hub.leader = reply.leader;
-        hub.control = reply.control;
-        hub.count = reply.count;
+        hub.got = reply.number;
+        hub.newest = hub.newest.max(reply.newest);
         hub.fetches = reply.fetches;
         hub.listing = reply.held;
     }
@@ -161,9 +169,10 @@
     if let Some(roll) = reply.roll {
         *node.roll.borrow_mut() = roll;
     }
-    let count = reply.count;
-    node.share
+    node.known.set(reply.control);
+    node.reserve
         .borrow_mut()
-        .heard(&reply.levels, count, node.now());
+        .heard(reply.part, asked, node.now());
+    node.newer.notify_one();
     node.hear(&reply.loads);
 }
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::pool::End;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
+use curlewlift_core::quota::Charge;
 use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -18,6 +19,9 @@
 use super::places;
 use super::places::Word;
 
+/// Between two looks whether the hub is heard again, of a request that only it can let in.
+const LOOK: Duration = Duration::from_millis(30);
+
 /// A place at a backend server; given back when it is dropped.
 pub(super) struct Place {
     node: Rc<Node>,
@@ -111,24 +115,38 @@
     Displaced,
     /// Its time was up.
     TimeUp,
+    /// Its customer has used up its allowance, by the hub's word; there is enough after this time.
+    Beyond(Duration),
+    /// Its customer has used up what this gateway may let in without the hub's word.
+    NoWord,
 }
 
-/// Waits for a turn for at most `patience`: at the hub, or here while it is not to be had.
+/// Waits for a turn for at most `patience`: at the hub, or here while it is not to be had; what the
+/// request counts is drawn there or here.
 pub(super) async fn wait(
     node: &Rc<Node>,
     service: &id::Service,
     ask: Ask,
+    charge: Option<&Charge>,
     patience: Duration,
 ) -> Result<Place, NoTurn> {
     let until = Instant::now() + patience;
-    let prompt = ask.prompt;
-    match places::ask(node, service, &ask, patience).await {
-        Word::Place(server) => Ok(Place::new(node, service, server, prompt)),
-        Word::NoPlace => Err(NoTurn::TimeUp),
-        Word::Nothing => {
-            let left = until.saturating_duration_since(Instant::now());
-            wait_here(node, service, ask, left).await
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        match places::ask(node, service, &ask, charge, left).await {
+            Word::Place(server) => return Ok(Place::new(node, service, server, ask.prompt)),
+            Word::NoPlace => return Err(NoTurn::TimeUp),
+            Word::Beyond(wait) => return Err(NoTurn::Beyond(wait)),
+            Word::Nothing => {}
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if charge.is_none_or(|charge| node.draw(charge)) {
+            return wait_here(node, service, ask, left).await;
+        }
+        if left < LOOK {
+            return Err(NoTurn::NoWord);
         }
+        tokio::time::sleep(LOOK).await;
     }
 }
 
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -18,6 +18,7 @@
 use curlewlift_core::route::Table;
 use curlewlift_core::route::Target;
 use curlewlift_core::route::Unit;
+use curlewlift_core::state::Publication;
 use serde::Deserialize;
 
 /// The whole document.
@@ -85,6 +86,15 @@
     burst: f64,
 }
 
+/// Reads the routing table of a publication.
+///
+/// # Errors
+///
+/// Those of [`decode`], and [`Code::Damaged`] where the document was not packed by this system.
+pub(super) fn table(publication: &Publication) -> Result<Table, Refusal> {
+    decode(&publication.document.unpack()?)
+}
+
 /// Decodes a document; it is taken whole or refused whole.
 ///
 /// # Errors
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -8,6 +8,8 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
+use curlewlift_core::state::Document;
+use curlewlift_core::state::LARGEST;
 use curlewlift_core::state::Publication;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -23,9 +25,6 @@
 use super::document;
 use super::http;
 
-/// The largest configuration, in bytes: some ten thousand routes.
-const LARGEST: usize = 8 << 20;
-
 pub(super) async fn answer(
     node: Rc<Node>,
     around: Rc<Surroundings>,
@@ -56,7 +55,7 @@
     };
     let publication = Publication {
         number,
-        document: text.into(),
+        document: Document::pack(&text),
     };
     let published = gateway::publish(node, around, publication).await;
     let why = published.as_ref().err().map(ToString::to_string);
@@ -73,9 +72,10 @@
 
 async fn get(node: &Node, around: &Surroundings) -> Answer {
     match gateway::read(node, around).await {
-        Ok(publication) if publication.number > 0 => {
-            gateway::json(publication.document.to_string())
-        }
+        Ok(publication) if publication.number > 0 => match publication.document.unpack() {
+            Ok(text) => gateway::json(text),
+            Err(refusal) => http::refused(&unclear(refusal)),
+        },
         Ok(_) => {
             let why = "no configuration was accepted yet";
             http::refused(&Refusal::new(Code::NoTable, why))
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 
 use crate::control::Gateways;
+use crate::control::Known;
 use crate::control::Locate;
 use crate::gateway::Answer;
 use crate::gateway::Beginning;
@@ -104,6 +105,7 @@
     };
     let keep = KEEP.min(settings.bounds.answer_seconds);
     let bounds = settings.bounds;
+    let known = Known::default();
     let gateway = Gateway {
         host: host(settings.ip)?,
         known_as: gateway::Gateway {
@@ -122,7 +124,9 @@
             held: Duration::from_secs_f64(keep * KEPT) + WORD,
             grace: settings.stop_time(),
         },
-        beside: beside(&settings)?,
+        beside: beside(&settings, &known)?,
+        meets: settings.replica(settings.ip),
+        known,
     };
     gateway.start(move || {
         let around = surroundings(path, &settings);
@@ -148,7 +152,7 @@
 }
 
 /// The control replica, on a host with a disk.
-fn beside(settings: &Settings) -> Result<Option<Beside>, Refusal> {
+fn beside(settings: &Settings, known: &Known) -> Result<Option<Beside>, Refusal> {
     let Some(data) = &settings.data_dir else {
         return Ok(None);
     };
@@ -163,7 +167,8 @@
         found: settings.founds(),
         peers,
         gateways: Gateways {
-            decode: document::decode,
+            decode: document::table,
+            known: known.clone(),
             locate: locate(settings),
             replicas,
             tuning: Tuning {
@@ -187,7 +192,11 @@
             seeds.map(|seed| settings.replica(seed.ip())).collect()
         }),
         locate: locate(settings),
-        decode: document::decode,
+        decode: document::table,
+        beside: settings
+            .data_dir
+            .as_ref()
+            .map(|_| settings.replica(settings.ip)),
     }
 }
 
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -43,6 +43,15 @@
     Want(Box<gateway::Want>),
     /// Tells how sendings ended.
     Tell(gateway::Report),
+    /// Wants the piece of table `number` that follows its first `from` bytes; with its whole length, says
+    /// that it has got it.
+    Piece {
+        host: id::Host,
+        number: u64,
+        from: usize,
+    },
+    /// Tells of hosts that keep a control replica.
+    Introduce(Vec<id::Host>),
     /// Puts a routing table in force.
     Publish(Publication),
     /// Asks for the routing table in force.
@@ -56,14 +65,21 @@
     News(Box<gateway::Reply>),
     /// A place at a backend server; none where there was none in time.
     Place(Option<gateway::Grant>),
-    /// A report was taken.
+    /// The request's customer has used up its allowance; there is enough after this time.
+    Beyond(Duration),
+    /// It was taken note of.
     Told,
+    /// A piece of the table in force; none while it is the turn of others.
+    Piece(Option<gateway::Piece>),
     /// It is in force, or a higher number is.
     Published,
     /// The table in force; number 0 where there is none.
     Table(Publication),
-    /// This replica does not lead; that one may.
-    Elsewhere(Option<id::Host>),
+    /// Who answers does not lead; that host may, and these keep control replicas.
+    Elsewhere {
+        leader: Option<id::Host>,
+        control: Vec<id::Host>,
+    },
 }
 
 /// `claim`: what concerns request keys.
--- a/crates/curlewlift/src/rpc/client.rs
+++ b/crates/curlewlift/src/rpc/client.rs
@@ -42,6 +42,7 @@
 #[derive(Clone)]
 pub(crate) struct Client {
     jobs: mpsc::UnboundedSender<Job>,
+    timeline: Timeline,
 }
 
 type Connections = Rc<RefCell<HashMap<SocketAddr, node::Client>>>;
@@ -51,12 +52,18 @@
     pub(crate) fn new(timeline: Timeline) -> Self {
         let (jobs, mut queue) = mpsc::unbounded_channel::<Job>();
         let connections = Connections::default();
+        let stamps = timeline.clone();
         tokio::task::spawn_local(async move {
             while let Some(job) = queue.recv().await {
-                tokio::task::spawn_local(run(job, Rc::clone(&connections), timeline.clone()));
+                tokio::task::spawn_local(run(job, Rc::clone(&connections), stamps.clone()));
             }
         });
-        Self { jobs }
+        Self { jobs, timeline }
+    }
+
+    /// The time line whose clock its calls carry.
+    pub(crate) fn get_timeline(&self) -> &Timeline {
+        &self.timeline
     }
 
     /// Asks the process at `address`.
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -16,6 +16,7 @@
 
 use curlewlift::Platform;
 use curlewlift::Process;
+use curlewlift::core::event;
 use curlewlift::core::event::Filter;
 use curlewlift::core::event::Kind;
 use serde_json::Value;
@@ -28,6 +29,9 @@
 /// How long anything may take to come about; no test asserts a time below it.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Within what time a gateway is told what stands in the log: a question waits no longer for news.
+const TOLD: Duration = Duration::from_millis(300);
+
 /// Ports, alike on all hosts.
 #[derive(Clone, Copy)]
 struct Ports {
@@ -153,15 +157,31 @@
     /// Whether the replica on a host was let count since the last start of those that run, by their
     /// time lines.
     pub(crate) fn counts_again(&self, place: usize) -> bool {
+        let host = address(self.first, place, 0).ip().to_string();
+        let lines = self.time_line(Kind::ReplicaCounts);
+        lines.iter().any(|line| line.detail == host)
+    }
+
+    /// Whether all hosts that run hold a part of what gateways may do without the hub's word.
+    fn hold_parts(&self) -> bool {
+        let run = self.processes.iter().flatten().count();
+        let lines = self.time_line(Kind::PartsHeld);
+        let held = lines
+            .last()
+            .and_then(|line| line.detail.split_once("held="));
+        held.is_some_and(|(_, held)| held.parse().is_ok_and(|held: usize| held >= run))
+    }
+
+    /// The lines of a kind at the control replicas that run.
+    fn time_line(&self, kind: Kind) -> Vec<event::Line> {
         let filter = Filter {
-            number: Some(Kind::ReplicaCounts.number()),
+            number: Some(kind.number()),
             ..Filter::default()
         };
         let replicas = (0..DISKS.into()).map(|place| address(self.first, place, self.ports.own));
         let replicas: Vec<_> = replicas.collect();
         let (lines, _) = curlewlift::collect(&replicas, &filter).expect("collected");
-        let host = address(self.first, place, 0).ip().to_string();
-        lines.iter().any(|line| line.detail == host)
+        lines
     }
 
     /// Whether a host takes callers.
@@ -177,7 +197,8 @@
         ask(self.control(place), head, document).status
     }
 
-    /// Puts a configuration until it is taken, and waits until it is in force at all hosts.
+    /// Puts a configuration until it is taken, and waits until it is in force at all hosts and they
+    /// hold their parts.
     pub(crate) fn configure(&self, document: &str) {
         wait("the configuration is taken", || {
             self.put(0, document) == 200
@@ -186,6 +207,8 @@
             self.places()
                 .all(|place| self.processes[place].is_none() || self.is_ready(place))
         });
+        wait("all hold a part", || self.hold_parts());
+        std::thread::sleep(TOLD);
     }
 
     fn settings(&self, place: usize, first: bool) -> PathBuf {
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -1,6 +1,6 @@
 //! The platform's side for tests: its list, engines that behave as they are told, hosts.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod client;
 mod document;
--- a/crates/curlewlift/tests/platform_places.rs
+++ b/crates/curlewlift/tests/platform_places.rs
@@ -31,7 +31,8 @@
     hosts.kill(0);
     hosts.kill(1);
     for round in 1..30 {
-        assert_eq!(get(&hosts, 2, round).status, 200, "{round}");
+        let answer = get(&hosts, 2, round);
+        assert_eq!(answer.status, 200, "{round}: {}", answer.body);
     }
     let read = "GET /api/config/get HTTP/1.1\r\nHost: x";
     wait("nobody leads", || {
--- a/crates/curlewlift/tests/platform_seeds.rs
+++ b/crates/curlewlift/tests/platform_seeds.rs
@@ -41,6 +41,16 @@
     hosts
 }
 
+/// One host is restarted while the others run.
+#[test]
+fn one_restarted() {
+    let mut hosts = start("one_restarted");
+    hosts.name_seeds(&[4, 5]);
+    hosts.kill(3);
+    hosts.boot(3, false);
+    wait("it is served again", || served(&hosts, 3));
+}
+
 /// All are restarted, and nobody remembers anything but what the disks hold.
 #[test]
 fn all_restarted() {
@@ -52,3 +62,19 @@
         hosts.places().all(|place| served(&hosts, place))
     });
 }
+
+/// A host that lost its disk counts again: a newer table is taken only then.
+#[test]
+fn lost_disk() {
+    let mut hosts = start("seeds_lost_disk");
+    hosts.name_seeds(&[3, 4, 5]);
+    hosts.kill(0);
+    hosts.wipe(0);
+    hosts.boot(0, false);
+    wait("it is served again", || served(&hosts, 0));
+    wait("the blank one counts", || hosts.counts_again(0));
+    hosts.kill(1);
+    wait("a newer one is taken with it", || {
+        hosts.put(2, &document(9).to_string()) == 200
+    });
+}
