Fill an allowance only where it is drawn from, and count what waits to the sign

Change: a bucket is filled where it is drawn from, and before what waits is spent or given back, as the time in which it waited is not made up for (test waited_is_full). The histories now hold requests that wait and leave, and ask for what hub and gateways claim (0.9 of the tolerance), not only for the deployment's bound.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -254,16 +254,16 @@
             return Wanted::NoServers;
         };
         let last = last.map(|(last, charge)| {
-            self.give_back(charge);
+            self.give_back(charge, now);
             last
         });
         Wanted::Line(ticket, last)
     }
 
     /// Takes a request out of line.
-    pub fn leave(&mut self, ticket: &Ticket) {
+    pub fn leave(&mut self, ticket: &Ticket, now: Instant) {
         let charge = self.dispatcher.leave(ticket);
-        self.give_back(charge);
+        self.give_back(charge, now);
     }
 
     /// Takes note of what a gateway tells as soon as an answer begins or a sending has ended.
@@ -278,7 +278,7 @@
         let served = self.dispatcher.serve(now).into_iter();
         let served = served.map(|(ticket, grant, charge)| {
             if let Some(charge) = charge {
-                self.desk.spent(&charge);
+                self.desk.spent(&charge, now);
             }
             (ticket, grant)
         });
@@ -289,16 +289,16 @@
     pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
         let hopeless = self.dispatcher.give_up(now).into_iter();
         let hopeless = hopeless.map(|(ticket, charge)| {
-            self.give_back(charge);
+            self.give_back(charge, now);
             ticket
         });
         hopeless.collect()
     }
 
     /// Gives back what a request counted that got no place.
-    fn give_back(&mut self, charge: Option<Charge>) {
+    fn give_back(&mut self, charge: Option<Charge>, now: Instant) {
         if let Some(charge) = charge {
-            self.desk.give_back(&charge);
+            self.desk.give_back(&charge, now);
         }
     }
 
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -24,6 +24,11 @@
         self.level
     }
 
+    /// Says that it is filled from `since` on, and was not before.
+    pub fn begin(&mut self, since: Instant) {
+        self.at = self.at.max(since);
+    }
+
     /// What it held when it was last filled or drawn from.
     #[must_use]
     pub fn level(&self) -> f64 {
--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -36,6 +36,16 @@
     fn depth(&self, present: f64) -> f64 {
         self.allowance.burst * present - self.waiting
     }
+
+    fn fill(&mut self, tolerance: &Tolerance, present: f64, now: Instant) {
+        let depth = self.depth(present);
+        let rate = tolerance.rate(&self.allowance) * present;
+        self.bucket.fill(rate, depth, now);
+        if self.known <= now {
+            self.known = FOREVER;
+            self.bucket = Bucket::new(depth, now);
+        }
+    }
 }
 
 /// One bucket a customer, of which each request that the hub hears of is drawn before it is sent.
@@ -96,6 +106,9 @@
 
     /// Says which part (0 to 1) of the allowances is the desk's own at `now`; the rest is set aside.
     pub fn set_present(&mut self, present: f64, now: Instant) {
+        if (present - self.present).abs() < f64::EPSILON {
+            return;
+        }
         // Of the time since it was last told the smaller part is meant.
         self.present = self.present.min(present);
         self.fill(now);
@@ -108,10 +121,10 @@
     ///
     /// After how long there is enough, if nobody else draws.
     pub fn draw(&mut self, charge: &Charge, now: Instant) -> Result<(), Duration> {
-        self.fill(now);
         let Some(held) = self.held.get_mut(&charge.customer) else {
             return Ok(());
         };
+        held.fill(&self.tolerance, self.present, now);
         let cost = amount(charge.cost);
         // A request that counts more than a bucket holds needs a full one.
         let missing = cost.min(held.allowance.burst) - held.bucket.level();
@@ -126,15 +139,17 @@
     }
 
     /// Takes note that a request is sent whose count was drawn here.
-    pub fn spent(&mut self, charge: &Charge) {
+    pub fn spent(&mut self, charge: &Charge, now: Instant) {
         if let Some(held) = self.held.get_mut(&charge.customer) {
+            held.fill(&self.tolerance, self.present, now);
             held.waiting = (held.waiting - amount(charge.cost)).max(0.0);
         }
     }
 
     /// Gives back what a request counted that was drawn here and surely is not sent.
-    pub fn give_back(&mut self, charge: &Charge) {
+    pub fn give_back(&mut self, charge: &Charge, now: Instant) {
         if let Some(held) = self.held.get_mut(&charge.customer) {
+            held.fill(&self.tolerance, self.present, now);
             held.waiting = (held.waiting - amount(charge.cost)).max(0.0);
             held.bucket.draw(-amount(charge.cost));
             held.bucket.lower(held.depth(self.present));
@@ -143,13 +158,7 @@
 
     fn fill(&mut self, now: Instant) {
         for held in self.held.values_mut() {
-            let rate = self.tolerance.rate(&held.allowance) * self.present;
-            let depth = held.depth(self.present);
-            held.bucket.fill(rate, depth, now);
-            if held.known <= now {
-                held.known = FOREVER;
-                held.bucket = Bucket::new(depth, now);
-            }
+            held.fill(&self.tolerance, self.present, now);
         }
     }
 }
--- a/crates/core/src/quota/reserve.rs
+++ b/crates/core/src/quota/reserve.rs
@@ -28,12 +28,26 @@
 /// A customer's two buckets.
 #[derive(Clone, Copy, Debug)]
 struct Own {
+    allowance: Allowance,
     /// Of the tolerance, which is never the hub's.
     spare: Bucket,
     /// Of the allowance, while the hub sets it aside.
     alone: Bucket,
 }
 
+impl Own {
+    /// Fills both for a gateway that holds `part`; `alone` tells since when the other one is filled too.
+    fn fill(&mut self, tolerance: &Tolerance, part: f64, alone: Option<Instant>, now: Instant) {
+        let (rate, depth) = tolerance.spare(&self.allowance);
+        self.spare.fill(rate * part, depth * part, now);
+        if let Some(since) = alone {
+            self.alone.begin(since);
+            let (rate, depth) = (self.allowance.rate, self.allowance.burst);
+            self.alone.fill(rate * part, depth * part, now);
+        }
+    }
+}
+
 /// What a gateway may let in by itself, where the hub gives no word on a request.
 ///
 /// It has a part of the tolerance at all times, and once the hub has been silent for [`ALONE`], a part
@@ -43,8 +57,8 @@
 pub struct Reserve {
     tolerance: Tolerance,
     part: f64,
-    /// The part that it had when the buckets were last filled.
-    filled: f64,
+    /// Since when it holds a part.
+    since: Instant,
     /// When the question was sent that the hub answered last.
     asked: Option<Instant>,
     own: BTreeMap<id::Customer, Own>,
@@ -63,11 +77,22 @@
     /// Takes up the hub's answer to a question that was sent at `asked`: the gateway has this part (0 to
     /// 1) from now on, and what it held of the allowances themselves is the hub's again.
     pub fn heard(&mut self, part: f64, asked: Instant, now: Instant) {
+        let former = self.get_part(now);
+        if former <= 0.0 {
+            self.since = now;
+            self.own.clear();
+        } else if (part - former).abs() > f64::EPSILON {
+            for own in self.own.values_mut() {
+                own.fill(&self.tolerance, former, None, now);
+            }
+        }
+        if self.alone(now).is_some() {
+            for own in self.own.values_mut() {
+                own.alone = Bucket::new(0.0, now);
+            }
+        }
         self.part = part;
         self.asked = Some(asked);
-        for own in self.own.values_mut() {
-            own.alone = Bucket::new(0.0, now);
-        }
     }
 
     /// The part that it holds at `now`; 0 where it holds none any more.
@@ -77,40 +102,27 @@
         if held { self.part } else { 0.0 }
     }
 
-    /// Fills the buckets of the customers that a table limits; to be called several times a second.
-    pub fn fill<'a>(
-        &mut self,
-        accounts: impl Iterator<Item = (&'a id::Customer, Allowance)>,
-        now: Instant,
-    ) {
-        let part = self.get_part(now);
-        // A part that has grown meanwhile was not held for all of the time.
-        let lately = part.min(std::mem::replace(&mut self.filled, part));
-        let alone = self.asked.is_some_and(|asked| now.since(asked) >= ALONE);
-        let limited = accounts.filter(|(_, allowance)| allowance.is_limited());
-        let next = limited.map(|(customer, allowance)| {
-            let mut own = self.own.get(customer).copied().unwrap_or(Own {
-                spare: Bucket::new(0.0, now),
-                alone: Bucket::new(0.0, now),
-            });
-            let (rate, depth) = self.tolerance.spare(&allowance);
-            own.spare.fill(rate * lately, depth * part, now);
-            let of_alone = |whole: f64| if alone { whole } else { 0.0 };
-            let (rate, depth) = (allowance.rate * lately, allowance.burst * part);
-            own.alone.fill(of_alone(rate), of_alone(depth), now);
-            (customer.clone(), own)
-        });
-        self.own = next.collect();
+    /// Since when it lets in by its part of the allowances themselves.
+    fn alone(&self, now: Instant) -> Option<Instant> {
+        let asked = self.asked?;
+        (now.since(asked) >= ALONE).then(|| asked + ALONE)
     }
 
-    /// Whether a request is let in; if so it is counted. A customer without a limit needs not ask.
-    pub fn draw(&mut self, charge: &Charge, now: Instant) -> bool {
-        if self.get_part(now) <= 0.0 {
+    /// Whether a request is let in; if so it is counted.
+    pub fn draw(&mut self, charge: &Charge, allowance: &Allowance, now: Instant) -> bool {
+        let part = self.get_part(now);
+        if part <= 0.0 {
             return false;
         }
-        let Some(own) = self.own.get_mut(&charge.customer) else {
-            return false;
-        };
+        let (alone, since) = (self.alone(now), self.since);
+        let own = self.own.entry(charge.customer.clone());
+        let own = own.or_insert_with(|| Own {
+            allowance: *allowance,
+            spare: Bucket::new(0.0, since),
+            alone: Bucket::new(0.0, since),
+        });
+        own.allowance = *allowance;
+        own.fill(&self.tolerance, part, alone, now);
         let cost = amount(charge.cost);
         let spare = own.spare.level().max(0.0);
         if spare + own.alone.level().max(0.0) < cost {
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -185,9 +185,9 @@
     desk.begin_full(at(5_000));
     assert!(desk.draw(&charge(60_000), at(5_000)).is_ok());
     assert!(desk.draw(&charge(800), at(5_000)).is_err());
-    desk.give_back(&charge(60_000));
+    desk.give_back(&charge(60_000), at(5_000));
     assert!(desk.draw(&charge(60_000), at(5_000)).is_ok());
-    desk.spent(&charge(60_000));
+    desk.spent(&charge(60_000), at(5_000));
     assert!(desk.draw(&charge(60_000), at(5_500)).is_err());
 }
 
@@ -199,7 +199,7 @@
     desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
     assert!(desk.draw(&charge(1_000), at(10)).is_err());
     assert!(desk.draw(&charge(30_000), at(500)).is_ok());
-    desk.spent(&charge(30_000));
+    desk.spent(&charge(30_000), at(500));
     assert!(desk.draw(&charge(60_000), at(8_000)).is_ok());
 }
 
@@ -212,11 +212,24 @@
     assert!(desk.draw(&charge(40_000), at(5_000)).is_ok());
     assert!(desk.draw(&charge(20_001), at(9_000)).is_err());
     assert!(desk.draw(&charge(20_000), at(9_000)).is_ok());
-    desk.give_back(&charge(40_000));
+    desk.give_back(&charge(40_000), at(9_000));
     assert!(desk.draw(&charge(40_001), at(9_000)).is_err());
     assert!(desk.draw(&charge(40_000), at(9_000)).is_ok());
 }
 
+/// Nor is the time in which it waited made up for once it is spent.
+#[test]
+fn waited_is_full() {
+    let mut desk = Desk::new(TOLERANCE);
+    desk.set_present(1.0, at(0));
+    desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    desk.begin_full(at(0));
+    assert!(desk.draw(&charge(60_000), at(0)).is_ok());
+    desk.spent(&charge(60_000), at(900));
+    assert!(desk.draw(&charge(10_000), at(900)).is_err());
+    assert!(desk.draw(&charge(10_000), at(1_100)).is_ok());
+}
+
 /// A customer is told when there is enough.
 #[test]
 fn when_to_return() {
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -192,7 +192,7 @@
     let (mut hub, mark) = full();
     let gone = asks(&mut hub, "gg", 0, ms(2));
     let next = asks(&mut hub, "gg", 1, ms(3));
-    hub.leave(&gone);
+    hub.leave(&gone, ms(1));
     hub.report(&report("g", mark.number, 2), ms(4));
     assert_eq!(hub.serve(ms(4))[0].0, next);
 }
@@ -205,7 +205,7 @@
     let left = asks(&mut former, "g", 1, ms(1));
     let mut hub = hub(&["s1"]);
     asks(&mut hub, "g", 1, ms(1));
-    hub.leave(&left);
+    hub.leave(&left, ms(1));
     assert_eq!(hub.serve(ms(2)).len(), 1);
 }
 
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Reply;
 use curlewlift_core::gateway::Server;
+use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::gateway::Want;
 use curlewlift_core::gateway::Wanted;
@@ -56,6 +57,10 @@
     slack: 72_000.0,
 };
 
+/// The part of the tolerance that the hub and the gateways give out between them; beyond it nothing is let
+/// in, and so the deployment's own bound is never met.
+const CLAIMED: f64 = 0.9;
+
 pub(crate) fn ann() -> id::Customer {
     "ann".parse().expect("a name")
 }
@@ -116,8 +121,10 @@
     random: ChaCha8Rng,
     /// Of a hundred answers so many are lost.
     lost: u64,
-    /// Of a hundred requests so many wait for a place and get none.
+    /// Of a hundred requests so many find no server, and wait for one until they leave.
     pub(crate) no_place: u64,
+    /// Those, with the moment at which they leave, and what they count.
+    waiting: Vec<(Instant, Ticket, u64)>,
     table: u64,
     let_in: VecDeque<(Instant, u64)>,
     pub(crate) most: u64,
@@ -144,6 +151,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             lost: 0,
             no_place: 0,
+            waiting: Vec::new(),
             table: 1,
             let_in: VecDeque::new(),
             most: 0,
@@ -212,6 +220,7 @@
     /// The hub ends, and no other begins.
     pub(crate) fn end_hub(&mut self) {
         self.hub = None;
+        self.waiting.clear();
         self.next_hub = None;
         // What is on its way into the log may get there or not.
         if self.draw(2) == 0 {
@@ -270,6 +279,7 @@
             self.now = self.now + STEP;
             self.lead();
             (0..self.nodes.len()).for_each(|place| self.sync(place));
+            self.wait();
             self.ask(load);
         }
     }
@@ -305,9 +315,7 @@
         let (now, lost) = (self.now, self.lost);
         let (is_lost, delay) = (self.draw(100) < lost, self.draw(100));
         let slow = self.draw(40) == 0;
-        let allowance = self.allowance;
         let node = &mut self.nodes[place];
-        node.reserve.fill([(&ann(), allowance)].into_iter(), now);
         if let Some((due, reply)) = node.answer.take() {
             if due <= now && !node.cut {
                 node.got = reply.number;
@@ -344,8 +352,7 @@
                 self.asked -= cost as f64;
             }
             if self.lets_in(place, cost) {
-                self.let_in.push_back((self.now, cost));
-                self.total += cost;
+                self.count(cost);
             }
         }
         while let Some((at, _)) = self.let_in.front()
@@ -357,10 +364,43 @@
         self.most = self.most.max(sum);
     }
 
+    fn count(&mut self, cost: u64) {
+        self.let_in.push_back((self.now, cost));
+        self.total += cost;
+    }
+
+    /// Those that wait get a place after all, or leave.
+    fn wait(&mut self) {
+        let now = self.now;
+        let Some(hub) = &mut self.hub else {
+            return;
+        };
+        let served: Vec<_> = hub
+            .serve(now)
+            .into_iter()
+            .map(|(ticket, _)| ticket)
+            .collect();
+        let mut spent = Vec::new();
+        self.waiting.retain(|(leaves, ticket, cost)| {
+            if served.contains(ticket) {
+                spent.push(*cost);
+                return false;
+            }
+            if *leaves <= now {
+                hub.leave(ticket, now);
+            }
+            *leaves > now
+        });
+        for cost in spent {
+            self.count(cost);
+        }
+    }
+
     /// Whether a request is let in: by the hub where it is heard, else by the gateway alone.
     fn lets_in(&mut self, place: usize, cost: u64) -> bool {
         let now = self.now;
         let gets_none = self.draw(100) < self.no_place;
+        let leaves = now + Duration::from_millis(self.draw(1_000));
         let node = &mut self.nodes[place];
         let charge = Charge {
             customer: ann(),
@@ -368,22 +408,27 @@
         };
         let heard = node.heard.is_some_and(|heard| now.since(heard) < HEARD);
         let (Some(hub), true) = (&mut self.hub, heard && !node.cut) else {
-            return node.reserve.draw(&charge, now);
+            return node.reserve.draw(&charge, &self.allowance, now);
         };
-        let Wanted::Line(ticket, _) = hub.want(want(&node.host, charge), now) else {
+        let mut want = want(&node.host, charge);
+        if gets_none {
+            want.tried = vec!["s".into()];
+            want.avoid = vec![("s".into(), Duration::from_secs(10))];
+        }
+        let Wanted::Line(ticket, _) = hub.want(want, now) else {
             return false;
         };
         if gets_none {
-            hub.leave(&ticket);
+            self.waiting.push((leaves, ticket, cost));
             return false;
         }
         hub.serve(now).iter().any(|(served, _)| *served == ticket)
     }
 
-    /// Whether no window had more than the deployment bears.
+    /// Whether no window had more than the hub and the gateways claim to let in.
     pub(crate) fn is_kept(&self) -> bool {
         let window = self.allowance.rate * TOLERANCE.window.as_secs_f64() + self.allowance.burst;
-        let bound = window * (1.0 + TOLERANCE.part) + TOLERANCE.slack;
+        let bound = window + (window * TOLERANCE.part + TOLERANCE.slack) * CLAIMED;
         #[allow(clippy::cast_precision_loss)]
         let most = self.most as f64;
         most <= bound
--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -36,8 +36,9 @@
     fn drop(&mut self) {
         let mut state = self.state.borrow_mut();
         state.places.remove(&self.ticket);
+        let now = state.clock.now();
         if let Some(hub) = &mut state.hub {
-            hub.leave(&self.ticket);
+            hub.leave(&self.ticket, now);
         }
     }
 }
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -166,11 +166,10 @@
     .await;
 }
 
-/// Fills the reserve, and gives turns that only the passing of time has made possible.
+/// Gives turns that only the passing of time has made possible.
 async fn tick(node: Rc<Node>) {
     loop {
         tokio::time::sleep(TICK).await;
-        node.fill_reserve();
         if node.waiting() > 0 {
             node.serve_all();
         }
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -187,19 +187,15 @@
 
 /// # What customers may still ask for
 impl Node {
-    /// Fills what customers may ask for by the word of this gateway alone.
-    pub(super) fn fill_reserve(&self) {
-        if let Some(table) = self.table() {
-            let accounts = table.accounts();
-            let accounts = accounts.map(|account| (&account.name, account.allowance));
-            self.reserve.borrow_mut().fill(accounts, self.now());
-        }
-    }
-
     /// Whether a request is let in by the word of this gateway alone; if so it is counted.
     pub(super) fn draw(&self, charge: &Charge) -> bool {
-        self.fill_reserve();
-        self.reserve.borrow_mut().draw(charge, self.now())
+        let table = self.table();
+        let mut accounts = table.iter().flat_map(|table| table.accounts());
+        let Some(account) = accounts.find(|account| account.name == charge.customer) else {
+            return false;
+        };
+        let mut reserve = self.reserve.borrow_mut();
+        reserve.draw(charge, &account.allowance, self.now())
     }
 
     /// The number of the newest table that it knows of.
