Say where the hub is sought in one place, and give up an order in time

Reading: whether the hub is heard was worked out twice; a table that cannot be read was fetched anew for ever; an order that no leader answered could be tried for four times 1.5 s; a customer was told that its allowance was used up where only the hub was not heard.

--- a/crates/core/src/gateway/parts.rs
+++ b/crates/core/src/gateway/parts.rs
@@ -101,12 +101,6 @@
         self.proposed = None;
     }
 
-    /// The parts in force.
-    #[must_use]
-    pub fn get_parts(&self) -> &Parts {
-        &self.parts
-    }
-
     /// A gateway asks, and says which answer it has got last.
     pub fn hear(&mut self, host: &Host, got: u64) {
         if let Some(told) = self.told.get_mut(host)
@@ -151,6 +145,9 @@
         if now.since(self.changed) < APART || self.proposed.is_some() {
             return None;
         }
+        let holders = &self.parts.holders;
+        self.told
+            .retain(|host, told| holders.contains(host) || now.since(told.last.1) < quota::HELD);
         let next = self.next(now);
         if next == self.parts {
             return None;
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -81,10 +81,13 @@
                 "others go before it, and no turn would come in time",
             ),
             NoTurn::TimeUp => Refused::new(Code::CannotFinish, "no server was free in time"),
-            NoTurn::Beyond(_) => Refused::new(Code::Allowance, self.used_up("has used up")),
+            NoTurn::Beyond(_) => {
+                let why = format!("customer {} has used up its allowance", self.customer());
+                Refused::new(Code::Allowance, why)
+            }
             NoTurn::NoWord => {
-                let why = "has used up, as far as this gateway knows without the hub's word,";
-                Refused::new(Code::Allowance, self.used_up(why))
+                let why = "the hub is not heard, and this gateway's part is used up of customer";
+                Refused::new(Code::Unreachable, format!("{why} {}", self.customer()))
             }
         };
         let come_back = self.admitted.come_back(&self.node);
@@ -95,11 +98,9 @@
         refused.again(come_back.max(filled))
     }
 
-    /// That a request is beyond its customer's allowance.
-    fn used_up(&self, how: &str) -> String {
+    fn customer(&self) -> &str {
         let account = self.admitted.account.as_ref();
-        let name = account.map_or("nobody", |account| account.name.as_str());
-        format!("customer {name} {how} its allowance")
+        account.map_or("nobody", |account| account.name.as_str())
     }
 
     /// The refusal of a request that may not be sent again.
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -198,10 +198,14 @@
         reserve.draw(charge, &account.allowance, self.now())
     }
 
+    /// The number of the table in force here; 0 before the first one has come.
+    pub(super) fn held_table(&self) -> u64 {
+        self.table().map_or(0, |table| table.get_number())
+    }
+
     /// The number of the newest table that it knows of.
     pub(super) fn newest_table(&self) -> u64 {
-        let held = self.table().map_or(0, |table| table.get_number());
-        held.max(self.hub.borrow().newest)
+        self.held_table().max(self.hub.borrow().newest)
     }
 }
 
@@ -233,7 +237,7 @@
     /// Puts a table in force that is newer than the one held.
     pub(super) fn adopt_table(&self, table: Table) {
         let number = table.get_number();
-        let held = self.table().map_or(0, |table| table.get_number());
+        let held = self.held_table();
         if number <= held {
             return;
         }
--- a/crates/curlewlift/src/gateway/orders.rs
+++ b/crates/curlewlift/src/gateway/orders.rs
@@ -6,6 +6,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::id;
 use curlewlift_core::state::Publication;
+use tokio::time::Instant;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
@@ -53,14 +54,16 @@
 /// Asks the leader, where it can be found within a few steps.
 async fn ask(node: &Node, around: &Surroundings, call: HubCall) -> Result<HubReply, Refusal> {
     let call = RenewCall::Hub(call);
+    let until = Instant::now() + PUBLISH;
     let mut named: Option<id::Host> = node.hub.borrow().leader.clone();
     let mut last = no_leader();
     for hop in 0..HOPS {
         let leader = named.take().and_then(|leader| (around.locate)(&leader));
-        let Some(address) = leader.or_else(|| sync::address(node, around, hop)) else {
+        let Some(address) = leader.or_else(|| sync::elsewhere(node, around, hop)) else {
             continue;
         };
-        let reply = node.rpc.call(address, Method::Renew, &call, PUBLISH).await;
+        let left = until.saturating_duration_since(Instant::now());
+        let reply = node.rpc.call(address, Method::Renew, &call, left).await;
         match reply {
             Ok(HubReply::Elsewhere { leader, control }) => {
                 node.known.add(control);
@@ -68,8 +71,7 @@
             }
             Ok(reply) => return Ok(reply),
             // Who is not there refuses at once; all orders may be given again.
-            Err(why) if hop + 1 < HOPS => last = why,
-            Err(why) => return Err(why),
+            Err(why) => last = why,
         }
     }
     Err(last)
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -39,12 +39,10 @@
     let mut known = None;
     loop {
         let asked = once(&node, &around, &mut place).await;
-        let silence = node.hub_silence();
-        let silence = silence.unwrap_or_else(|| node.now().since(began).min(LOST));
-        let hears = node.hub_silence().is_some() && silence <= LOST;
-        if known != Some(hears) && (hears || silence >= LOST) {
-            known = Some(hears);
-            tell_of_hub(&node, hears, &asked);
+        let hears = hears(&node, began);
+        if hears.is_some() && hears != known {
+            known = hears;
+            tell_of_hub(&node, &asked);
         }
         let pause = if asked.is_ok() { PAUSE } else { NEXT };
         // A gateway that stops, or that has fetched another list, says so at once.
@@ -52,9 +50,20 @@
     }
 }
 
+/// Whether the hub is heard; none where that is not known yet, as the gateway has only begun.
+fn hears(node: &Node, began: clock::Instant) -> Option<bool> {
+    match node.hub_silence() {
+        Some(silence) => Some(silence <= LOST),
+        None => (node.now().since(began) > LOST).then_some(false),
+    }
+}
+
 /// Writes that the hub is heard, or no more; what the last question came to says where it was sought.
-fn tell_of_hub(node: &Node, hears: bool, asked: &Result<(), String>) {
-    let kind = if hears { Kind::HubFound } else { Kind::HubLost };
+fn tell_of_hub(node: &Node, asked: &Result<(), String>) {
+    let kind = match asked {
+        Ok(()) => Kind::HubFound,
+        Err(_) => Kind::HubLost,
+    };
     let leader = node.hub.borrow().leader.clone();
     let known = node.known.get();
     let known: Vec<_> = known.iter().map(ToString::to_string).collect();
@@ -102,13 +111,15 @@
 
 /// Where to ask: at the leader, or in turn at each that may know it: the replica in this process, the
 /// hosts that are known to keep one, and those that the settings name, which may not.
-pub(super) fn address(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
+fn address(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
     let hub = node.hub.borrow();
-    if let Some(leader) = &hub.leader
-        && let Some(address) = (around.locate)(leader)
-    {
-        return Some(address);
-    }
+    let leader = hub.leader.as_ref();
+    let leader = leader.and_then(|leader| (around.locate)(leader));
+    leader.or_else(|| elsewhere(node, around, place))
+}
+
+/// Where to ask in turn, whoever is said to lead.
+pub(super) fn elsewhere(node: &Node, around: &Surroundings, place: usize) -> Option<SocketAddr> {
     let known = node.known.get();
     let known = known.iter().filter_map(|host| (around.locate)(host));
     let mut all: Vec<_> = around.beside.into_iter().chain(known).collect();
--- a/crates/curlewlift/src/gateway/tables.rs
+++ b/crates/curlewlift/src/gateway/tables.rs
@@ -28,11 +28,18 @@
 /// What has come stays when a call fails or another leads: a slow link makes it late, not endless.
 pub(super) async fn keep(node: Rc<Node>, around: Rc<Surroundings>) {
     let mut come = Come::default();
+    // A table that cannot be read is not fetched over and over.
+    let mut done = 0;
     loop {
         node.newer.notified().await;
-        while is_behind(&node) {
-            if !come.go_on(&node, &around).await {
-                tokio::time::sleep(AGAIN).await;
+        while node.newest_table() > node.held_table().max(done) {
+            match come.go_on(&node).await {
+                Progress::Piece => {}
+                Progress::None => tokio::time::sleep(AGAIN).await,
+                Progress::Whole(publication) => {
+                    done = publication.number;
+                    adopt(&node, &around, &publication);
+                }
             }
         }
     }
@@ -46,9 +53,14 @@
     }
 }
 
-fn is_behind(node: &Node) -> bool {
-    let held = node.table().map_or(0, |table| table.get_number());
-    node.newest_table() > held
+/// What asking for a piece came to.
+enum Progress {
+    /// None came.
+    None,
+    /// One came, and others follow.
+    Piece,
+    /// The last one came.
+    Whole(Publication),
 }
 
 /// What has come of a table.
@@ -59,32 +71,30 @@
 }
 
 impl Come {
-    /// Asks for the next piece; false where none came.
-    async fn go_on(&mut self, node: &Node, around: &Surroundings) -> bool {
+    /// Asks for the next piece.
+    async fn go_on(&mut self, node: &Node) -> Progress {
         let Some(piece) = self.ask(node).await else {
-            return false;
+            return Progress::None;
         };
-        if piece.number != self.number || piece.from != self.text.len() {
+        if piece.number != self.number {
             self.number = piece.number;
             self.text.clear();
         }
         if piece.from != self.text.len() {
-            return false;
+            self.text.clear();
+            return Progress::None;
         }
         self.text.push_str(&piece.text);
         if self.text.len() < piece.whole {
-            return true;
+            return Progress::Piece;
         }
-        let publication = Publication {
-            number: self.number,
-            document: Document::from_packed(&self.text),
-        };
         // Says that it has the whole: it is the next one's turn.
         let _ = self.ask(node).await;
-        adopt(node, around, &publication);
-        *self = Self::default();
-        // One that cannot be read is not asked for over and over.
-        !is_behind(node)
+        let text = std::mem::take(&mut self.text);
+        Progress::Whole(Publication {
+            number: self.number,
+            document: Document::from_packed(&text),
+        })
     }
 
     async fn ask(&self, node: &Node) -> Option<Piece> {
