--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -186,6 +186,7 @@
             .with("server", &*place.server.incarnation)
             .with("sent", self.sendings() + 1)
             .with("hub_ms", self.node.hub_silence().map(millis))
+            .with("by", if place.by_hub { "hub" } else { "gateway" })
             .write();
         self.tried.push(Arc::clone(&place.server.incarnation));
         let until = self.admitted.until;
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -27,6 +27,8 @@
     node: Rc<Node>,
     service: id::Service,
     pub(super) server: Arc<Server>,
+    /// Whether the hub gave it, and drew what the request counts.
+    pub(super) by_hub: bool,
     /// The prompt that the server has not read yet.
     unread: Option<Tokens>,
     end: End,
@@ -38,11 +40,17 @@
             node: Rc::clone(node),
             service: service.clone(),
             server,
+            by_hub: false,
             unread: Some(prompt),
             end: End::Nothing,
         }
     }
 
+    fn by_hub(mut self) -> Self {
+        self.by_hub = true;
+        self
+    }
+
     /// The answer has begun: the server has read the prompt.
     pub(super) fn begun(&mut self) {
         if let Some(prompt) = self.unread.take() {
@@ -134,7 +142,9 @@
     loop {
         let left = until.saturating_duration_since(Instant::now());
         match places::ask(node, service, &ask, charge, left).await {
-            Word::Place(server) => return Ok(Place::new(node, service, server, ask.prompt)),
+            Word::Place(server) => {
+                return Ok(Place::new(node, service, server, ask.prompt).by_hub());
+            }
             Word::NoPlace => return Err(NoTurn::TimeUp),
             Word::Beyond(wait) => return Err(NoTurn::Beyond(wait)),
             Word::Nothing => {}
