Name what asking for a place comes to, and drop a field that nobody reads

Reading: a result in a result, a charge under the name of the function that makes it, and a gateway's incarnation that no hub reads any more. No behaviour changes; all tests pass.

--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -47,8 +47,6 @@
 pub struct Question {
     /// Its host.
     pub host: id::Host,
-    /// Drawn at its start.
-    pub incarnation: u64,
     /// Where callers reach it, and its data hall.
     pub gateway: Gateway,
     /// Whether it takes callers: it has a table and a list, and is not stopping.
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -23,7 +23,6 @@
     };
     Question {
         host: host.parse().expect("a name"),
-        incarnation: 1,
         gateway: Gateway {
             hall: "a".into(),
             callers: format!("127.0.0.{}:80", host.len())
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -165,7 +165,6 @@
     let mut hub = hub(&["s1"]);
     let question = Question {
         host: "g".parse().expect("a name"),
-        incarnation: 1,
         gateway: Gateway {
             hall: "a".into(),
             callers: "127.0.0.1:80".parse().expect("an address"),
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -92,7 +92,6 @@
     fn question(&self) -> Question {
         Question {
             host: self.host.clone(),
-            incarnation: 1,
             gateway: Gateway {
                 hall: "a".into(),
                 callers: "127.0.0.1:80".parse().expect("an address"),
--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -43,14 +43,22 @@
     }
 }
 
+/// What asking for a place comes to at once.
+enum Lined {
+    /// It waits in line, and is told here.
+    Up(InLine, oneshot::Receiver<Grant>),
+    /// It need not wait for this answer.
+    Answered(HubReply),
+}
+
 /// Waits for a place for as long as the request may.
 pub(super) async fn want(state: &Shared, want: Want) -> Result<HubReply, Refusal> {
     let until = Instant::now() + want.patience;
     let listed = until.min(Instant::now() + FIRST_LIST);
     let _ = tokio::time::timeout_at(listed, first_list(state)).await;
     let (line, place) = match line_up(state, want)? {
-        Ok(line) => line,
-        Err(reply) => return Ok(reply),
+        Lined::Up(line, place) => (line, place),
+        Lined::Answered(reply) => return Ok(reply),
     };
     let place = tokio::time::timeout_at(until, place).await;
     drop(line);
@@ -74,10 +82,7 @@
 }
 
 /// Puts a request in line, or gives the answer that there is at once.
-fn line_up(
-    state: &Shared,
-    want: Want,
-) -> Result<Result<(InLine, oneshot::Receiver<Grant>), HubReply>, Refusal> {
+fn line_up(state: &Shared, want: Want) -> Result<Lined, Refusal> {
     let mut borrowed = state.borrow_mut();
     let now = borrowed.clock.now();
     let hub = borrowed.hub.as_mut().ok_or_else(hub::begun)?;
@@ -86,8 +91,8 @@
     }
     let (ticket, last) = match hub.want(want, now) {
         Wanted::Line(ticket, last) => (ticket, last),
-        Wanted::NoServers => return Ok(Err(HubReply::Place(None))),
-        Wanted::Beyond(filled) => return Ok(Err(HubReply::Beyond(filled))),
+        Wanted::NoServers => return Ok(Lined::Answered(HubReply::Place(None))),
+        Wanted::Beyond(filled) => return Ok(Lined::Answered(HubReply::Beyond(filled))),
     };
     let (sender, place) = oneshot::channel();
     borrowed.places.insert(ticket.clone(), sender);
@@ -97,7 +102,7 @@
     }
     borrowed.serve();
     let state = Rc::clone(state);
-    Ok(Ok((InLine { state, ticket }, place)))
+    Ok(Lined::Up(InLine { state, ticket }, place))
 }
 
 /// Takes note of what a gateway tells of its sendings.
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -131,8 +131,7 @@
     let (head, body) = request.into_parts();
     let body = read(body, limits, until).await?;
     let cost = account.as_ref().map_or(0, |account| cost(account, &call));
-    let charge = account.as_ref();
-    let charge = charge.and_then(|account| self::charge(account, cost));
+    let charge = account.as_deref().and_then(|account| charge(account, cost));
     Ok(Admitted {
         charge,
         call,
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -90,12 +90,12 @@
                 Refused::new(Code::Unreachable, format!("{why} {}", self.customer()))
             }
         };
-        let come_back = self.admitted.come_back(&self.node);
+        // Not before there is enough of the allowance.
         let filled = match why {
-            NoTurn::Beyond(wait) => wait,
+            NoTurn::Beyond(filled) => filled,
             _ => Duration::ZERO,
         };
-        refused.again(come_back.max(filled))
+        refused.again(self.admitted.come_back(&self.node).max(filled))
     }
 
     fn customer(&self) -> &str {
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -23,7 +23,6 @@
 use curlewlift_core::quota::Reserve;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Table;
-use rand::Rng;
 use tokio::sync::Notify;
 
 use crate::control::Known;
@@ -65,8 +64,6 @@
 pub(crate) struct Node {
     /// The host that it runs on.
     pub(super) host: id::Host,
-    /// Drawn at its start: tells it from an earlier one on the same host.
-    pub(super) incarnation: u64,
     /// What callers and other gateways know it as.
     pub(super) gateway: gateway::Gateway,
     /// How heads are read and written.
@@ -122,7 +119,6 @@
     ) -> Self {
         Self {
             host,
-            incarnation: rand::rng().next_u64(),
             gateway,
             dialect,
             allowed,
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -137,7 +137,6 @@
     let fetched = hub.fetches && listing.version != hub.listing;
     Question {
         host: node.host.clone(),
-        incarnation: node.incarnation,
         gateway: node.gateway.clone(),
         ready: node.is_ready(),
         table: node.newest_table(),
