Fill a hub's buckets at their rate only

Cause: a desk that had begun empty filled every bucket up a window later, on the ground that nothing let in before its beginning was in the window any more; but a bucket that was full by then, and drained, gave its burst twice in one window. Ruled out: gateways by themselves (16,428 of 3,457,202 tokens in the window by their word), sendings again (60,052), a change of the leader in the window (its hub began 7 s before). Change: it fills at its rate; the first table's buckets are full at once, as nobody can have used any.

--- a/crates/core/src/quota/desk.rs
+++ b/crates/core/src/quota/desk.rs
@@ -16,9 +16,6 @@
 /// counts as gone, within some such times.
 const NOTHING_FILLS: Duration = Duration::from_secs(1);
 
-/// Beyond the life of any process.
-const FOREVER: Instant = Instant(u64::MAX);
-
 /// What is kept for one customer.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -26,8 +23,6 @@
     bucket: Bucket,
     /// Drawn, and neither spent nor given back yet.
     waiting: f64,
-    /// From when on it is known that a window has passed since others may have let anything in.
-    known: Instant,
 }
 
 impl Held {
@@ -41,10 +36,6 @@
         let depth = self.depth(present);
         let rate = tolerance.rate(&self.allowance) * present;
         self.bucket.fill(rate, depth, now);
-        if self.known <= now {
-            self.known = FOREVER;
-            self.bucket = Bucket::new(depth, now);
-        }
     }
 }
 
@@ -52,8 +43,8 @@
 ///
 /// What it lets through in any time is at most what it held and what has been filled since. A part is
 /// set aside for gateways that may be letting in by themselves ([`super::Reserve`]). It begins empty, as
-/// what the desk before it let through is not known, and holds all that it may once that is a window ago.
-/// So all desks and gateways together let in no more in a window than one bucket would.
+/// what the desk before it let through is not known; so all desks and gateways together let in no more
+/// than one bucket would. Filled up at any later time it would let in a burst twice.
 #[derive(Clone, Debug)]
 pub struct Desk {
     tolerance: Tolerance,
@@ -87,7 +78,6 @@
                 allowance,
                 bucket: Bucket::new(0.0, now),
                 waiting: 0.0,
-                known: now + self.tolerance.window,
             });
             held.allowance = allowance;
             held.bucket.lower(held.depth(self.present));
@@ -99,9 +89,9 @@
     /// Says that nobody can have let anything in before `now`.
     pub fn begin_full(&mut self, now: Instant) {
         for held in self.held.values_mut() {
-            held.known = now;
+            let depth = held.depth(self.present);
+            held.bucket = Bucket::new(depth, now);
         }
-        self.fill(now);
     }
 
     /// Says which part (0 to 1) of the allowances is the desk's own at `now`; the rest is set aside.
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -192,7 +192,7 @@
     assert!(desk.draw(&charge(60_000), at(5_500)).is_err());
 }
 
-/// What was let in before it began is not known; a window later it is no matter.
+/// What was let in before it began is not known.
 #[test]
 fn begins_empty() {
     let mut desk = Desk::new(TOLERANCE);
