--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -134,10 +134,7 @@
             charge: want.charge,
         };
         self.asking.insert(asked.clone(), asking);
-        let last = last.map(|last| {
-            let asking = self.asking.remove(&last);
-            (last, asking.and_then(|asking| asking.charge))
-        });
+        let last = last.map(|last| self.take_out(last));
         Some((asked, last))
     }
 
@@ -179,11 +176,14 @@
                 number,
             }));
         }
-        let asking = hopeless.into_iter().map(|ticket| {
-            let asking = self.asking.remove(&ticket);
-            (ticket, asking.and_then(|asking| asking.charge))
-        });
-        asking.collect()
+        let hopeless = hopeless.into_iter();
+        hopeless.map(|ticket| self.take_out(ticket)).collect()
+    }
+
+    /// Forgets a request that its pool has out of line already.
+    fn take_out(&mut self, ticket: Ticket) -> Left {
+        let asking = self.asking.remove(&ticket);
+        (ticket, asking.and_then(|asking| asking.charge))
     }
 
     /// The services that somebody waits for.
--- a/crates/core/src/gateway/handout.rs
+++ b/crates/core/src/gateway/handout.rs
@@ -44,8 +44,8 @@
         } else {
             0
         };
-        let from = floor(text, wanted);
-        let end = floor(text, from + SIZE);
+        let from = text.floor_char_boundary(wanted);
+        let end = text.floor_char_boundary(from + SIZE);
         Self {
             number: publication.number,
             whole: text.len(),
@@ -55,15 +55,6 @@
     }
 }
 
-/// The last place in `text` that is not above `place` and where it can be cut.
-fn floor(text: &str, place: usize) -> usize {
-    let mut place = place.min(text.len());
-    while !text.is_char_boundary(place) {
-        place -= 1;
-    }
-    place
-}
-
 /// Whose turn it is to be handed the table.
 ///
 /// All at once fill the leader's link for longer than any question waits, so that none of them gets the
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -178,11 +178,17 @@
     }
 }
 
-#[test]
-fn given_back() {
+/// A desk that has only begun, with so much of the allowance for its own.
+fn desk(present: f64) -> Desk {
     let mut desk = Desk::new(TOLERANCE);
-    desk.set_present(1.0, at(0));
+    desk.set_present(present, at(0));
     desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    desk
+}
+
+#[test]
+fn given_back() {
+    let mut desk = desk(1.0);
     desk.begin_full(at(5_000));
     assert!(desk.draw(&charge(60_000), at(5_000)).is_ok());
     assert!(desk.draw(&charge(800), at(5_000)).is_err());
@@ -195,9 +201,7 @@
 /// What was let in before it began is not known.
 #[test]
 fn begins_empty() {
-    let mut desk = Desk::new(TOLERANCE);
-    desk.set_present(1.0, at(0));
-    desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    let mut desk = desk(1.0);
     assert!(desk.draw(&charge(1_000), at(10)).is_err());
     assert!(desk.draw(&charge(30_000), at(500)).is_ok());
     desk.spent(&charge(30_000), at(500));
@@ -208,9 +212,7 @@
 /// bucket that had been filled, and was drained, once more in full a window after its beginning.
 #[test]
 fn filled_once() {
-    let mut desk = Desk::new(TOLERANCE);
-    desk.set_present(1.0, at(0));
-    desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    let mut desk = desk(1.0);
     assert!(desk.draw(&charge(60_000), at(7_900)).is_ok());
     desk.spent(&charge(60_000), at(7_900));
     assert!(desk.draw(&charge(60_000), at(8_100)).is_err());
@@ -219,9 +221,7 @@
 /// What waits for a place is not filled up beside it, or it would come on top when it is given back.
 #[test]
 fn waiting_counts() {
-    let mut desk = Desk::new(TOLERANCE);
-    desk.set_present(1.0, at(0));
-    desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    let mut desk = desk(1.0);
     assert!(desk.draw(&charge(40_000), at(5_000)).is_ok());
     assert!(desk.draw(&charge(20_001), at(9_000)).is_err());
     assert!(desk.draw(&charge(20_000), at(9_000)).is_ok());
@@ -233,9 +233,7 @@
 /// Nor is the time in which it waited made up for once it is spent.
 #[test]
 fn waited_is_full() {
-    let mut desk = Desk::new(TOLERANCE);
-    desk.set_present(1.0, at(0));
-    desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    let mut desk = desk(1.0);
     desk.begin_full(at(0));
     assert!(desk.draw(&charge(60_000), at(0)).is_ok());
     desk.spent(&charge(60_000), at(900));
@@ -246,9 +244,7 @@
 /// A customer is told when there is enough.
 #[test]
 fn when_to_return() {
-    let mut desk = Desk::new(TOLERANCE);
-    desk.set_present(0.5, at(0));
-    desk.adopt([(&ann(), ALLOWANCE)].into_iter(), at(0));
+    let mut desk = desk(0.5);
     let wait = desk.draw(&charge(9_000), at(100)).expect_err("too little");
     assert!(desk.draw(&charge(9_000), at(100) + wait / 2).is_err());
     assert!(desk.draw(&charge(9_000), at(101) + wait).is_ok());
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -41,10 +41,9 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 pub(super) async fn answer(state: &Shared, call: HubCall) -> Result<HubReply, Refusal> {
-    if let HubCall::Introduce(hosts) = call {
-        return Ok(meet(&state.borrow(), hosts));
-    }
-    if let Some(elsewhere) = elsewhere(&state.borrow()) {
+    // Whoever leads, all may hear of hosts that keep a replica.
+    let of_leader = !matches!(call, HubCall::Introduce(_));
+    if of_leader && let Some(elsewhere) = elsewhere(&state.borrow()) {
         return Ok(elsewhere);
     }
     match call {
@@ -76,9 +75,7 @@
         }
         self.news.notify_waiters();
     }
-}
 
-impl State {
     /// Tells the hub that nobody can have used anything yet.
     pub(super) fn first_table(&mut self) {
         let now = self.clock.now();
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -62,8 +62,7 @@
     let Some(address) = node.hub_address() else {
         return Word::Nothing;
     };
-    let mut want = node.want(service, ask, patience);
-    want.charge = charge.cloned();
+    let want = node.want(service, ask, charge, patience);
     let call = RenewCall::Hub(HubCall::Want(Box::new(want)));
     let call = node
         .rpc
@@ -92,7 +91,13 @@
         hub.address
     }
 
-    fn want(&self, service: &id::Service, ask: &Ask, patience: Duration) -> Want {
+    fn want(
+        &self,
+        service: &id::Service,
+        ask: &Ask,
+        charge: Option<&Charge>,
+        patience: Duration,
+    ) -> Want {
         let now = self.now();
         let avoid = self.with_service(service, |service| {
             let avoided = service.pool.avoided(&ask.tried, now);
@@ -107,7 +112,7 @@
             wanted: ask.wanted.since(now),
             patience,
             prompt: ask.prompt,
-            charge: None,
+            charge: charge.cloned(),
             tried: ask.tried.clone(),
             avoid: avoid.unwrap_or_default(),
         }
