Work out the hub's part of the allowances when it can have changed

Ruled out: looking only at ticks, which would let the hub go by a part that is set aside already. The values are the same.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -153,7 +153,7 @@
 
     /// Takes note of what a gateway tells.
     pub fn hear(&mut self, question: &Question, now: Instant) {
-        self.keeper.hear(&question.host, question.got);
+        self.keeper.hear(&question.host, question.got, now);
         let seen = Seen {
             gateway: question.gateway.clone(),
             ready: question.ready,
--- a/crates/core/src/gateway/parts.rs
+++ b/crates/core/src/gateway/parts.rs
@@ -73,6 +73,8 @@
     /// When the last change was begun.
     changed: Instant,
     told: BTreeMap<Host, Told>,
+    /// What [`Keeper::present`] last came to, and until when that stands.
+    present: Option<(f64, Instant)>,
 }
 
 impl Keeper {
@@ -86,6 +88,7 @@
             proposed: None,
             changed: now,
             told: BTreeMap::new(),
+            present: None,
         }
     }
 
@@ -99,14 +102,19 @@
         }
         self.parts = parts.clone();
         self.proposed = None;
+        self.present = None;
     }
 
     /// A gateway asks, and says which answer it has got last.
-    pub fn hear(&mut self, host: &Host, got: u64) {
+    pub fn hear(&mut self, host: &Host, got: u64, now: Instant) {
         if let Some(told) = self.told.get_mut(host)
             && told.last.0 == got
         {
+            let was_aside = told.got.is_none_or(|got| got + quota::ASIDE <= now);
             told.got = Some(told.last.1);
+            if was_aside {
+                self.present = None;
+            }
         }
     }
 
@@ -125,14 +133,23 @@
 
     /// The part (0 to 1) of the allowances that is the hub's: not that of holders that have not said for
     /// [`quota::ASIDE`] that they got an answer.
-    #[must_use]
-    pub fn present(&self, now: Instant) -> f64 {
-        let hears = |host: &&Host| {
-            let got = self.got(host);
-            got.is_some_and(|got| now.since(got) < quota::ASIDE)
-        };
-        let aside = self.parts.holders.iter().filter(|host| !hears(host));
-        1.0 - self.parts.share(aside.count())
+    ///
+    /// It is asked for at each request, and worked out again only when it can have changed: that costs time
+    /// linear in the holders.
+    pub fn present(&mut self, now: Instant) -> f64 {
+        if let Some((present, until)) = self.present
+            && now < until
+        {
+            return present;
+        }
+        let heard = self.parts.holders.iter().filter_map(|host| self.got(host));
+        let ends = heard.map(|got| got + quota::ASIDE).filter(|end| now < *end);
+        let (count, until) = ends.fold((0, now + quota::ASIDE), |(count, until), end| {
+            (count + 1, until.min(end))
+        });
+        let present = 1.0 - self.parts.share(self.parts.holders.len() - count);
+        self.present = Some((present, until));
+        present
     }
 
     /// When the newest answer was given that `host` says it has got.
