Tell each gateway its subset of the servers, and what has changed of the rest

Cause: at 300 gateways and 3,000 servers the hub sent the whole list (84 KB) to each of them whenever one server changed, all servers' loads (48 KB) with each answer, and the whole roll (2.4 KB) for each gateway that came or went: 25 MB a change, some 50 MB/s of loads. With the bytes mended alone, a leader still stepped down every 0.7 s: the subsets of 300 gateways took 169 ms of a processor of which a small host has a third, and no heartbeat went out.

Ruled out: the table's hand-out (3 KB here), the elections (quiet once the hub answers), connections.

Change: a gateway is told all servers of a small service (128 at most), and 32 of a larger one by rendezvous hashing: the hub names the server with each place, so a list is needed for the time without a hub only. Loads come for that subset. Rolls come as changes, checked by the version of their content. Subsets are worked out from hashes kept for a list. A pool keeps at hand which servers have room and the mean pace; of more than 128 with room it looks at 64. A gateway that has never heard the hub does not fetch the list, unless it runs beside a replica.

--- /dev/null
+++ b/crates/core/benches/places.rs
@@ -0,0 +1,172 @@
+//! Speed of a hub's turn: a request that asks for a place, a gateway's report that another has ended, and
+//! the places that are given, with all servers full and 400 requests waiting.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::Load;
+use curlewlift_core::gateway::Mark;
+use curlewlift_core::gateway::Report;
+use curlewlift_core::gateway::Server;
+use curlewlift_core::gateway::Ticket;
+use curlewlift_core::gateway::Tuning;
+use curlewlift_core::gateway::Want;
+use curlewlift_core::gateway::Wanted;
+use curlewlift_core::id;
+use curlewlift_core::unit::Tokens;
+
+const GATEWAYS: usize = 300;
+
+const WAITING: usize = 400;
+
+const SLOTS: u32 = 2;
+
+struct Fleet {
+    hub: Hub,
+    hosts: Vec<id::Host>,
+    /// What each gateway has in flight.
+    in_flight: Vec<BTreeMap<Arc<str>, u32>>,
+    marks: Vec<Mark>,
+    /// Whose request waits.
+    waiting: HashMap<Ticket, usize>,
+    running: VecDeque<(usize, Arc<str>)>,
+    asked: usize,
+    now: Instant,
+}
+
+impl Fleet {
+    fn new(servers: usize) -> Self {
+        let listing = Listing::new((0..servers).map(server).collect());
+        let now = Instant::default();
+        let mut hub = Hub::new(Tuning::default(), now).drawn(7);
+        hub.list(Arc::new(listing));
+        let hosts = (0..GATEWAYS).map(|place| format!("g{place}").parse().expect("a name"));
+        let mut fleet = Self {
+            hub,
+            hosts: hosts.collect(),
+            in_flight: vec![BTreeMap::new(); GATEWAYS],
+            marks: vec![Mark::default(); GATEWAYS],
+            waiting: HashMap::new(),
+            running: VecDeque::new(),
+            asked: 0,
+            now,
+        };
+        let room = servers * (SLOTS as usize + 1);
+        for number in 0..room + WAITING {
+            fleet.ask();
+            if number % 300 == 0 || number + WAITING > room {
+                fleet.serve();
+            }
+        }
+        for place in 0..GATEWAYS {
+            fleet.report(place);
+        }
+        fleet
+    }
+
+    fn ask(&mut self) {
+        self.asked += 1;
+        let place = self.asked % GATEWAYS;
+        let want = Want {
+            host: self.hosts[place].clone(),
+            hall: "a".into(),
+            service: "chat".parse().expect("a name"),
+            rank: u8::try_from(self.asked % 4).expect("small").into(),
+            waited: Duration::ZERO,
+            wanted: Duration::from_secs(100_000),
+            patience: Duration::from_secs(100_000),
+            prompt: Tokens(500),
+            charge: None,
+            tried: Vec::new(),
+            avoid: Vec::new(),
+        };
+        let Wanted::Line(ticket, last) = self.hub.want(want, self.now) else {
+            panic!("no place in line");
+        };
+        self.waiting.insert(ticket, place);
+        if let Some(last) = last {
+            self.waiting.remove(&last);
+        }
+    }
+
+    fn serve(&mut self) {
+        for (ticket, grant) in self.hub.serve(self.now) {
+            let place = self.waiting.remove(&ticket).expect("it waits");
+            let incarnation = grant.server.incarnation;
+            *self.in_flight[place]
+                .entry(Arc::clone(&incarnation))
+                .or_default() += 1;
+            self.marks[place] = grant.mark;
+            self.running.push_back((place, incarnation));
+        }
+    }
+
+    fn report(&mut self, place: usize) {
+        let loads = self.in_flight[place].iter();
+        let loads = loads.map(|(incarnation, requests)| Load {
+            incarnation: Arc::clone(incarnation),
+            requests: *requests,
+            reading: Tokens(0),
+        });
+        let report = Report {
+            host: self.hosts[place].clone(),
+            mark: self.marks[place],
+            loads: loads.collect(),
+            ends: Vec::new(),
+        };
+        self.hub.report(&report, self.now);
+    }
+
+    /// One request comes, and one ends.
+    fn turn(&mut self) {
+        self.now = self.now + Duration::from_micros(260);
+        self.ask();
+        self.serve();
+        black_box(self.hub.give_up(self.now));
+        let Some((place, incarnation)) = self.running.pop_front() else {
+            return;
+        };
+        if let Some(requests) = self.in_flight[place].get_mut(&incarnation) {
+            *requests -= 1;
+        }
+        self.in_flight[place].retain(|_, requests| *requests > 0);
+        self.report(place);
+        self.serve();
+        black_box(self.hub.give_up(self.now));
+    }
+}
+
+fn server(place: usize) -> Server {
+    Server {
+        incarnation: format!("i-{place:010}").into(),
+        service: "chat".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "a".into(),
+        slots: SLOTS,
+        leaving: false,
+    }
+}
+
+fn turns(c: &mut Criterion) {
+    let mut group = c.benchmark_group("place");
+    for servers in [100, 1_000, 3_000, 10_000] {
+        let mut fleet = Fleet::new(servers);
+        let name = BenchmarkId::from_parameter(servers);
+        group.bench_function(name, |b| b.iter(|| fleet.turn()));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, turns);
+criterion_main!(benches);
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -73,6 +73,13 @@
             pool.adopt(servers);
             self.pools.insert(service, pool);
         }
+        // What is in flight may have been told before the server was on the list.
+        for pool in self.pools.values_mut() {
+            let incarnations: Vec<_> = pool.incarnations().cloned().collect();
+            for incarnation in incarnations {
+                pool.occupy(&incarnation, self.occupancy.get(&incarnation));
+            }
+        }
     }
 
     /// Takes up what a gateway has in flight.
@@ -95,9 +102,9 @@
         self.occupancy.drop_host(host);
     }
 
-    /// What gateways other than `host` have in flight.
-    pub(super) fn others(&self, host: &id::Host) -> Vec<Load> {
-        self.occupancy.others(host)
+    /// What gateways other than `host` have in flight at some `incarnations`.
+    pub(super) fn others(&self, host: &id::Host, incarnations: &[Arc<str>]) -> Vec<Load> {
+        self.occupancy.others(host, incarnations)
     }
 
     /// Whether a service has servers here.
@@ -150,6 +157,7 @@
     /// Gives places to those in line for whom there is room; tells what each counted.
     pub(super) fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant, Option<Charge>)> {
         self.occupancy.expire(now);
+        self.occupy();
         let mut grants = Vec::new();
         for service in self.wanted() {
             for turn in self.turns(&service, now) {
@@ -193,13 +201,27 @@
         wanted.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Tells the pools what is in flight, where that has changed.
+    fn occupy(&mut self) {
+        for incarnation in self.occupancy.changed() {
+            let in_flight = self.occupancy.get(&incarnation);
+            for pool in self.pools.values_mut() {
+                pool.occupy(&incarnation, in_flight);
+            }
+        }
+    }
+
     /// The turns that a service has, by what is in flight now.
     fn turns(&mut self, service: &id::Service, now: Instant) -> Vec<pool::Turn> {
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
-        pool.occupy(|incarnation| self.occupancy.get(incarnation));
-        pool.serve(now)
+        let turns = pool.serve(now);
+        for turn in &turns {
+            // The pool has counted the turn itself; what is granted of it counts instead.
+            self.occupancy.touch(&turn.server.incarnation);
+        }
+        turns
     }
 
     /// Makes a grant of a turn; none where nobody asks for it any more.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -21,11 +21,12 @@
 use super::Question;
 use super::Reply;
 use super::Report;
-use super::Roll;
 use super::Ticket;
 use super::Want;
 use super::dispatch::Dispatcher;
-use super::version::version;
+use super::listing;
+use super::listing::Subsets;
+use super::roll::Rolls;
 
 /// How long silence means what.
 #[derive(Clone, Copy, Debug)]
@@ -57,6 +58,34 @@
     gateway: Gateway,
     ready: bool,
     heard: Instant,
+    subset: Subset,
+}
+
+/// A gateway's subset of the list of backend servers, without the servers themselves.
+#[derive(Clone, Debug, Default)]
+struct Subset {
+    /// The version of the whole list that it was taken from.
+    of: u64,
+    /// Its own version.
+    version: u64,
+    /// The incarnations in it.
+    incarnations: Vec<Arc<str>>,
+}
+
+impl Subset {
+    /// The subset of `listing` that the gateway on `host` is told.
+    fn take(listing: &Listing, subsets: &Subsets, host: &id::Host) -> Self {
+        let servers = subsets.take(host).map(|place| &listing.servers[place]);
+        let mut servers: Vec<_> = servers.collect();
+        servers.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
+        let incarnations = servers.iter();
+        let incarnations = incarnations.map(|server| Arc::clone(&server.incarnation));
+        Self {
+            of: listing.version,
+            incarnations: incarnations.collect(),
+            version: listing::version_of(&servers),
+        }
+    }
 }
 
 impl Seen {
@@ -66,6 +95,9 @@
     }
 }
 
+/// Between two looks at all gateways: a twentieth of the silence that makes one count as gone, or less.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// The largest packed table that goes along with an answer, in bytes; others are fetched in pieces.
 const ALONG: usize = 4 << 10;
 
@@ -82,8 +114,9 @@
 
 /// What the gateways tell, summed up.
 ///
-/// It begins empty with each leader. Memory is linear in the gateways and in what they have in
-/// flight; a question costs time linear in the backend servers in use.
+/// It begins empty with each leader. Memory is linear in the gateways, the servers and what is in flight;
+/// a question costs time linear in the asker's subset of the servers, and once more in all of them when
+/// the list has changed.
 #[derive(Debug)]
 pub struct Hub {
     tuning: Tuning,
@@ -96,6 +129,10 @@
     answers: u64,
     table: u64,
     listing: Arc<Listing>,
+    subsets: Subsets,
+    rolls: Rolls,
+    /// When silent gateways were last looked for.
+    looked: Option<Instant>,
 }
 
 impl Hub {
@@ -112,6 +149,9 @@
             answers: 0,
             table: 0,
             listing: Arc::default(),
+            subsets: Subsets::default(),
+            rolls: Rolls::default(),
+            looked: None,
         }
     }
 
@@ -142,6 +182,7 @@
     /// Takes up a newer list of backend servers.
     pub fn list(&mut self, listing: Arc<Listing>) {
         self.dispatcher.adopt(&listing);
+        self.subsets = Subsets::of(&listing);
         self.listing = listing;
     }
 
@@ -154,10 +195,12 @@
     /// Takes note of what a gateway tells.
     pub fn hear(&mut self, question: &Question, now: Instant) {
         self.keeper.hear(&question.host, question.got, now);
+        let former = self.seen.remove(&question.host);
         let seen = Seen {
             gateway: question.gateway.clone(),
             ready: question.ready,
             heard: now,
+            subset: former.map(|seen| seen.subset).unwrap_or_default(),
         };
         self.seen.insert(question.host.clone(), seen);
         self.dispatcher
@@ -171,22 +214,23 @@
         publication: &Publication,
         now: Instant,
     ) -> Reply {
-        self.forget(now);
-        let roll = self.roll(now);
+        self.look(now);
+        let news = self.has_news(question);
         self.answers = self.answers.wrapping_add(1);
         let part = self.keeper.tell(&question.host, self.answers, now);
         let small = publication.document.as_packed().len() <= ALONG;
         let along = small && publication.number > question.table;
-        let listing = &self.listing;
+        let incarnations = self.seen.get(&question.host);
+        let incarnations = incarnations.map_or(&[][..], |seen| &seen.subset.incarnations);
         Reply {
             number: self.answers,
             part,
             newest: publication.number,
             table: along.then(|| publication.clone()),
-            held: listing.version,
-            listing: self.has_news(question).then(|| Listing::clone(listing)),
-            roll: (roll.version != question.roll).then_some(roll),
-            loads: self.dispatcher.others(&question.host),
+            held: self.listing.version,
+            listing: news.then(|| self.subset(&question.host)),
+            roll: self.rolls.news(question.roll),
+            loads: self.dispatcher.others(&question.host, incarnations),
             ..Reply::default()
         }
     }
@@ -209,10 +253,26 @@
         u32::try_from(self.seen.len()).unwrap_or(u32::MAX)
     }
 
+    /// A gateway's subset of the list.
+    fn subset(&self, host: &id::Host) -> Listing {
+        let chosen = self.subsets.take(host);
+        let servers = chosen.map(|place| self.listing.servers[place].clone());
+        Listing::new(servers.collect())
+    }
+
     /// Whether there is something that the asker does not hold yet, worth an answer at once.
     #[must_use]
-    pub fn has_news(&self, question: &Question) -> bool {
-        self.listing.version != 0 && self.listing.version != question.listing
+    pub fn has_news(&mut self, question: &Question) -> bool {
+        if self.listing.version == 0 {
+            return false;
+        }
+        let Some(seen) = self.seen.get_mut(&question.host) else {
+            return false;
+        };
+        if seen.subset.of != self.listing.version {
+            seen.subset = Subset::take(&self.listing, &self.subsets, &question.host);
+        }
+        seen.subset.version != question.listing
     }
 
     /// Whether a gateway was heard so lately that it is not silent.
@@ -220,19 +280,30 @@
         seen.is_live(self.tuning.silent, now)
     }
 
-    fn forget(&mut self, now: Instant) {
-        self.tick(now);
+    /// Looks which gateways live, at most once in [`LOOK`].
+    fn look(&mut self, now: Instant) {
+        if self.looked.is_some_and(|looked| now.since(looked) < LOOK) {
+            return;
+        }
+        self.looked = Some(now);
+        self.drop_silent(now);
         let forget = self.tuning.forget;
         self.seen.retain(|_, seen| now.since(seen.heard) < forget);
-    }
-
-    fn roll(&self, now: Instant) -> Roll {
         let live = self.seen.values();
         let live = live.filter(|seen| seen.ready && self.is_live(seen, now));
-        let gateways: Vec<_> = live.map(|seen| seen.gateway.clone()).collect();
-        Roll {
-            version: version(&gateways),
-            gateways,
+        let gateways = live.map(|seen| seen.gateway.clone()).collect();
+        self.rolls.set(gateways);
+    }
+
+    /// Drops what silent gateways had in flight.
+    fn drop_silent(&mut self, now: Instant) {
+        let silent = self.tuning.silent;
+        let silent = self
+            .seen
+            .iter()
+            .filter(|(_, seen)| !seen.is_live(silent, now));
+        for (host, _) in silent {
+            self.dispatcher.drop_host(host);
         }
     }
 }
@@ -308,17 +379,10 @@
         self.desk.set_present(present, now);
     }
 
-    /// Drops what silent gateways had in flight, and sets their parts aside.
+    /// What only the passing of time brings: gateways fall silent, and their parts are set aside.
     pub fn tick(&mut self, now: Instant) {
         self.set_present(now);
-        let silent = self.tuning.silent;
-        let silent = self
-            .seen
-            .iter()
-            .filter(|(_, seen)| !seen.is_live(silent, now));
-        for (host, _) in silent {
-            self.dispatcher.drop_host(host);
-        }
+        self.look(now);
     }
 }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The hub lives beside the leading control replica, and gives the gateways' requests places at
 //! backend servers. Each gateway asks it several times a second and tells what it has in flight; the answer
-//! has what is new: the routing table, the list of backend servers, the
+//! has what is new: the routing table, the gateway's subset of the backend servers, the
 //! gateways that live, the sums over all of them.
 
 mod dispatch;
@@ -12,6 +12,7 @@
 mod listing;
 mod occupancy;
 mod parts;
+mod roll;
 mod sync;
 mod version;
 
@@ -30,8 +31,10 @@
 pub use listing::Server;
 pub use parts::Keeper;
 pub use parts::Parts;
+pub use roll::Change;
+pub use roll::News;
+pub use roll::Roll;
 pub use sync::Gateway;
 pub use sync::Load;
 pub use sync::Question;
 pub use sync::Reply;
-pub use sync::Roll;
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -1,6 +1,7 @@
 //! What all gateways have in flight at each backend server.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,6 +55,8 @@
 pub(super) struct Occupancy {
     held: BTreeMap<id::Host, Held>,
     sums: BTreeMap<Arc<str>, Load>,
+    /// Incarnations whose sums have changed since that was last asked for.
+    changed: BTreeSet<Arc<str>>,
     last: u64,
 }
 
@@ -111,10 +114,12 @@
         self.sums.get(incarnation)
     }
 
-    /// What gateways other than `host` have in flight.
-    pub(super) fn others(&self, host: &id::Host) -> Vec<Load> {
+    /// What gateways other than `host` have in flight at some `incarnations`, where that is anything.
+    pub(super) fn others(&self, host: &id::Host, incarnations: &[Arc<str>]) -> Vec<Load> {
         let held = self.held.get(host);
-        let others = self.sums.values().map(|sum| {
+        let sums = incarnations.iter();
+        let sums = sums.filter_map(|incarnation| self.sums.get(incarnation));
+        let others = sums.map(|sum| {
             let mut others = sum.clone();
             let own = held.into_iter().flat_map(Held::all);
             for load in own.filter(|load| load.incarnation == sum.incarnation) {
@@ -126,7 +131,18 @@
         others.filter(|load| load.requests > 0).collect()
     }
 
+    /// The incarnations whose sums have changed since this was last asked.
+    pub(super) fn changed(&mut self) -> BTreeSet<Arc<str>> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Takes the sum of an incarnation for changed.
+    pub(super) fn touch(&mut self, incarnation: &Arc<str>) {
+        self.changed.insert(Arc::clone(incarnation));
+    }
+
     fn add(&mut self, load: &Load) {
+        self.touch(&load.incarnation);
         let sum = self.sums.entry(Arc::clone(&load.incarnation));
         let sum = sum.or_insert_with(|| Load {
             incarnation: Arc::clone(&load.incarnation),
@@ -137,6 +153,7 @@
     }
 
     fn take_off(&mut self, load: &Load) {
+        self.touch(&load.incarnation);
         if let Some(sum) = self.sums.get_mut(&load.incarnation) {
             sum.requests = sum.requests.saturating_sub(load.requests);
             sum.reading.0 = sum.reading.0.saturating_sub(load.reading.0);
--- /dev/null
+++ b/crates/core/src/gateway/roll.rs
@@ -0,0 +1,127 @@
+//! The gateways that live, and how a change of them is told.
+
+use std::cmp::Ordering;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Gateway;
+use super::version::version;
+
+/// How many former rolls are kept, for gateways that hold one of them: with one change at each look of the
+/// hub (20 ms) those of 1.3 s, twice what a question may take; 1 MB with 300 gateways.
+const KEPT: usize = 64;
+
+/// The gateways that live.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roll {
+    /// Tells one content from another; not an order.
+    pub version: u64,
+    /// Those that take callers.
+    pub gateways: Vec<Gateway>,
+}
+
+impl Roll {
+    /// The roll of `gateways`, in whatever order they come.
+    #[must_use]
+    pub fn new(mut gateways: Vec<Gateway>) -> Self {
+        gateways.sort_by(order);
+        let version = version(&gateways);
+        Self { version, gateways }
+    }
+
+    /// The roll after `news`; none where they are not about this one.
+    ///
+    /// The version tells: it comes from the content, so that what was missed or told twice shows.
+    #[must_use]
+    pub fn after(&self, news: News) -> Option<Self> {
+        let roll = match news {
+            News::Whole(roll) => return Some(roll),
+            News::Change(change) => change,
+        };
+        let stays = |gateway: &&Gateway| !roll.gone.contains(gateway);
+        let stay = self.gateways.iter().filter(stays).cloned();
+        let after = Self::new(stay.chain(roll.come).collect());
+        (after.version == roll.version).then_some(after)
+    }
+
+    /// Whether a gateway is on it.
+    fn has(&self, gateway: &Gateway) -> bool {
+        let found = self
+            .gateways
+            .binary_search_by(|other| order(other, gateway));
+        found.is_ok()
+    }
+
+    /// What makes `next` of this one.
+    fn change(&self, next: &Self) -> Change {
+        let come = next.gateways.iter().filter(|other| !self.has(other));
+        let gone = self.gateways.iter().filter(|other| !next.has(other));
+        Change {
+            version: next.version,
+            come: come.cloned().collect(),
+            gone: gone.cloned().collect(),
+        }
+    }
+}
+
+/// The order of the gateways of a roll.
+fn order(a: &Gateway, b: &Gateway) -> Ordering {
+    (a.callers, &a.hall).cmp(&(b.callers, &b.hall))
+}
+
+/// What makes one roll of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version of the roll that comes of it.
+    pub version: u64,
+    /// Gateways that have come.
+    pub come: Vec<Gateway>,
+    /// Gateways that have gone.
+    pub gone: Vec<Gateway>,
+}
+
+/// What a gateway is told of the roll.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// All of it.
+    Whole(Roll),
+    /// What has changed since the roll that it holds.
+    Change(Change),
+}
+
+/// The present roll, and those before it by their versions.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Rolls {
+    present: Roll,
+    former: VecDeque<Roll>,
+}
+
+impl Rolls {
+    /// Takes up which gateways live now.
+    pub(super) fn set(&mut self, gateways: Vec<Gateway>) {
+        let roll = Roll::new(gateways);
+        if roll.version == self.present.version {
+            return;
+        }
+        let former = std::mem::replace(&mut self.present, roll);
+        self.former.push_back(former);
+        if self.former.len() > KEPT {
+            self.former.pop_front();
+        }
+    }
+
+    /// What a gateway is told that holds the roll with the version `held`; none where that is this one.
+    pub(super) fn news(&self, held: u64) -> Option<News> {
+        if held == self.present.version {
+            return None;
+        }
+        let mut former = self.former.iter().rev();
+        let former = former.find(|roll| roll.version == held && held != 0);
+        Some(match former {
+            Some(former) => News::Change(former.change(&self.present)),
+            None => News::Whole(self.present.clone()),
+        })
+    }
+}
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -12,6 +12,7 @@
 
 use super::Listing;
 use super::Mark;
+use super::News;
 
 /// A gateway that callers can be sent to.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -33,15 +34,6 @@
     pub reading: Tokens,
 }
 
-/// The gateways that live.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Roll {
-    /// Tells one content from another; not an order.
-    pub version: u64,
-    /// Those that take callers.
-    pub gateways: Vec<Gateway>,
-}
-
 /// What a gateway asks and tells.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Question {
@@ -53,7 +45,7 @@
     pub ready: bool,
     /// The number of the newest table that it knows of: it holds it, or is fetching it.
     pub table: u64,
-    /// The version of the list that it holds.
+    /// The version of its subset of the list of backend servers, as it holds it.
     pub listing: u64,
     /// The version of the roll that it holds.
     pub roll: u64,
@@ -63,7 +55,7 @@
     pub loads: Vec<Load>,
     /// The number of the hub's answer that it has got last.
     pub got: u64,
-    /// The list as it was last fetched here, where this gateway is the one that fetches it.
+    /// The whole list as it was last fetched here, where this gateway is the one that fetches it.
     pub fetched: Option<Listing>,
 }
 
@@ -76,15 +68,15 @@
     pub newest: u64,
     /// That table, where the asker does not know of it and it is small.
     pub table: Option<Publication>,
-    /// Another list of backend servers.
+    /// The asker's subset of the list of backend servers, where it holds another.
     pub listing: Option<Listing>,
-    /// The version of the list that the hub holds.
+    /// The version of the whole list that the hub holds.
     pub held: u64,
-    /// Another roll of the gateways.
-    pub roll: Option<Roll>,
+    /// What is new of the gateways that live.
+    pub roll: Option<News>,
     /// The part (0 to 1) that the asker holds of what gateways may do by themselves.
     pub part: f64,
-    /// What the other gateways have in flight.
+    /// What the other gateways have in flight at the servers of the asker's subset.
     pub loads: Vec<Load>,
     /// The hosts of the control replicas.
     pub control: Vec<id::Host>,
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -20,48 +20,66 @@
 /// The most that it counts: a few odd answers must not keep all requests away.
 const SLOWEST: f64 = 5.0;
 
+/// How many servers with room are looked at for a request, where there are more: the best of so many is of
+/// the best tenth of all in 998 cases of 1,000.
+const LOOKED_AT: usize = 64;
+
+/// Up to how many servers with room all are looked at.
+const ALL: usize = 128;
+
 impl Pool {
     /// Whether any server has room at all.
     pub(super) fn has_room(&self) -> bool {
-        let mut servers = self.servers.iter();
-        servers.any(|known| !known.server.leaving && self.is_free(known))
-    }
-
-    pub(super) fn is_free(&self, known: &Known) -> bool {
-        known.in_flight() < known.server.slots.max(1) + self.tuning.over
+        !self.servers.free().is_empty()
     }
 
     /// The place of the best server with room; where all are left alone, of those that have
-    /// hardly broken.
+    /// hardly broken. Of many some are looked at, and all where none of those will do.
     pub(super) fn choose(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
         let all_suspect = self.is_suspect(|server| ask.may_go_to(server, now), now);
-        self.best(ask, |known| {
+        let trusted = |known: &Known| {
             ask.may_go_to(&known.server, now) && known.trust.is_trusted(all_suspect, now)
-        })
+        };
+        let free = self.servers.free();
+        if free.len() > ALL {
+            let last = free.last().copied().unwrap_or_default();
+            let from = self.random.random_range(0..=last);
+            let around = free.range(from..).chain(free.range(..from));
+            let some = around.take(LOOKED_AT).copied().collect();
+            let best = self.best(ask, some, trusted);
+            if best.is_some() {
+                return best;
+            }
+        }
+        let all = self.servers.free().iter().copied().collect();
+        self.best(ask, all, trusted)
     }
 
     /// Whether every server that a request `may` go to is suspect.
     pub(super) fn is_suspect(&self, may: impl Fn(&Server) -> bool, now: Instant) -> bool {
-        let mut taking = self.servers.iter().filter(|known| {
-            let server = &known.server;
-            !server.leaving && may(server)
-        });
+        let mut taking = self
+            .servers
+            .all()
+            .filter(|known| known.takes_work() && may(&known.server));
         taking.all(|known| known.trust.is_suspect(now))
     }
 
-    /// The place of the best server with room among those that are `trusted`.
+    /// The place of the best server among `places` that is `trusted`.
     ///
     /// Two that look the same are told apart by lot, so that gateways with the same word do not
     /// all send to the same one.
-    fn best(&mut self, ask: &Ask, trusted: impl Fn(&Known) -> bool) -> Option<usize> {
-        let mean = self.mean_pace();
+    fn best(
+        &mut self,
+        ask: &Ask,
+        places: Vec<usize>,
+        trusted: impl Fn(&Known) -> bool,
+    ) -> Option<usize> {
+        let mean = self.servers.mean_pace();
         let mut best: Option<(f64, usize)> = None;
-        for place in 0..self.servers.len() {
+        for place in places {
             let lot: f64 = self.random.random();
-            let known = &self.servers[place];
-            let server = &known.server;
-            let room = self.is_free(known);
-            if server.leaving || !room || !trusted(known) {
+            let known = self.servers.at(place);
+            if !trusted(known) {
                 continue;
             }
             let score = self.score(known, ask, mean) + lot * LOT;
@@ -88,12 +106,4 @@
         let itself = self.tuning.own + self.tuning.prompt * reading / 1_000.0;
         (f64::from(known.in_flight()) + itself + far) * pace.clamp(FASTEST, SLOWEST) * distrust
     }
-
-    /// The mean pace of all servers.
-    fn mean_pace(&self) -> f64 {
-        let paces = self.servers.iter();
-        let paces = paces.filter_map(Known::pace);
-        let (sum, count) = paces.fold((0.0, 0.0), |(sum, count), pace| (sum + pace, count + 1.0));
-        if count > 0.0 { sum / count } else { 1.0 }
-    }
 }
--- a/crates/core/src/pool/forecast.rs
+++ b/crates/core/src/pool/forecast.rs
@@ -58,16 +58,34 @@
         self.turns.add(now);
     }
 
+    /// The rates at `now`.
+    pub(super) fn rates(&self, now: Instant) -> Rates {
+        let asked = self.asked.iter();
+        Rates {
+            turns: (self.turns.faded(now) >= LEAST).then(|| self.turns.per_second(now)),
+            asked: asked
+                .map(|(rank, rate)| (*rank, rate.per_second(now)))
+                .collect(),
+        }
+    }
+}
+
+/// How often turns come and requests of each rank do, by the second.
+#[derive(Clone, Debug)]
+pub(super) struct Rates {
+    /// None where nothing is known.
+    turns: Option<f64>,
+    asked: Vec<(Rank, f64)>,
+}
+
+impl Rates {
     /// How long the request at `place` is likely to wait, with `ahead` others before it: those who
     /// will come and go before it take their part of the turns. None where nothing is known.
-    pub(super) fn wait(&self, place: &Place, ahead: usize, now: Instant) -> Option<Duration> {
-        if self.turns.faded(now) < LEAST {
-            return None;
-        }
+    pub(super) fn wait(&self, place: &Place, ahead: usize) -> Option<Duration> {
         let before = self.asked.iter();
-        let before = before.filter(|(rank, _)| place.goes_after(**rank));
-        let taken: f64 = before.map(|(_, rate)| rate.per_second(now)).sum();
-        let left = self.turns.per_second(now) - taken;
+        let before = before.filter(|(rank, _)| place.goes_after(*rank));
+        let taken: f64 = before.map(|(_, rate)| rate).sum();
+        let left = self.turns? - taken;
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
         let wait = if left > 0.0 {
             ahead / left
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -8,6 +8,7 @@
 mod lead;
 mod pace;
 mod patience;
+mod roster;
 mod server;
 mod servers;
 mod trust;
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Known {
     pub(super) server: Arc<Server>,
+    /// Whether it is on the list; others take only what they are named for with a place.
+    pub(super) listed: bool,
     /// Sent from here and not ended.
     pub(super) own: u32,
     /// What other gateways have in flight there, by the last word.
@@ -31,9 +33,11 @@
 }
 
 impl Known {
+    /// A server that is on the list.
     pub(super) fn new(server: Arc<Server>) -> Self {
         Self {
             server,
+            listed: true,
             own: 0,
             others: 0,
             own_reading: 0,
@@ -44,6 +48,29 @@
         }
     }
 
+    /// The same, off the list.
+    pub(super) fn unlisted(self) -> Self {
+        Self {
+            listed: false,
+            ..self
+        }
+    }
+
+    /// Whether it may be chosen for new work.
+    pub(super) fn takes_work(&self) -> bool {
+        self.listed && !self.server.leaving
+    }
+
+    /// Whether it may be chosen for new work and has room, with `over` requests beyond its slots.
+    pub(super) fn has_room(&self, over: u32) -> bool {
+        self.takes_work() && self.in_flight() < self.server.slots.max(1) + over
+    }
+
+    /// Whether nothing of it is needed any more.
+    pub(super) fn is_done(&self) -> bool {
+        self.own == 0 && !self.takes_work()
+    }
+
     /// Requests in flight there, over all gateways.
     pub(super) fn in_flight(&self) -> u32 {
         self.own + self.others
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -17,6 +17,7 @@
 use super::Tuning;
 use super::Turn;
 use super::forecast::Forecast;
+use super::roster::Roster;
 use super::server::Known;
 use super::waiting::Waiting;
 
@@ -24,7 +25,7 @@
 #[derive(Debug)]
 pub struct Pool {
     pub(super) tuning: Tuning,
-    pub(super) servers: Vec<Known>,
+    pub(super) servers: Roster,
     pub(super) waiting: Waiting,
     pub(super) forecast: Forecast,
     next: u64,
@@ -37,7 +38,7 @@
     pub fn new(tuning: Tuning, seed: u64) -> Self {
         Self {
             tuning,
-            servers: Vec::new(),
+            servers: Roster::new(tuning.over),
             waiting: Waiting::default(),
             forecast: Forecast::default(),
             next: 0,
@@ -50,67 +51,46 @@
 impl Pool {
     /// Takes up a list; what is known of an incarnation that stays is kept.
     pub fn adopt(&mut self, servers: Vec<Arc<Server>>) {
-        let mut former = std::mem::take(&mut self.servers);
-        for server in servers {
-            let place = former
-                .iter()
-                .position(|known| known.server.incarnation == server.incarnation);
-            let mut known = match place {
-                Some(place) => former.swap_remove(place),
-                None => Known::new(Arc::clone(&server)),
-            };
-            known.server = server;
-            self.servers.push(known);
-        }
-        // What has gone but still runs requests from here stays until they end, and takes no more.
-        for mut known in former {
-            if known.own > 0 {
-                known.leave();
-                self.servers.push(known);
-            }
-        }
+        self.servers.adopt(servers);
     }
 
     /// Takes up what other gateways have in flight.
     pub fn hear(&mut self, loads: &[Load]) {
-        self.hear_each(|incarnation| {
-            let mut loads = loads.iter();
-            loads.find(|load| &*load.incarnation == incarnation)
-        });
+        self.servers.update_all(|known| known.hear(None));
+        for load in loads {
+            let hear = |known: &mut Known| known.hear(Some(load));
+            self.servers.update(&load.incarnation, hear);
+        }
     }
 
-    /// Takes up what all gateways together have in flight, by incarnation; whoever gives it out
+    /// Takes up what all gateways together have in flight at one incarnation; whoever gives it out
     /// counts what is sent, so nothing is in flight from here.
-    pub fn occupy<'a>(&mut self, in_flight: impl Fn(&str) -> Option<&'a Load>) {
-        for known in &mut self.servers {
+    pub fn occupy(&mut self, incarnation: &str, in_flight: Option<&Load>) {
+        self.servers.update(incarnation, |known| {
             known.forget_own();
-        }
-        self.hear_each(in_flight);
+            known.hear(in_flight);
+        });
     }
 
-    fn hear_each<'a>(&mut self, in_flight: impl Fn(&str) -> Option<&'a Load>) {
-        for known in &mut self.servers {
-            known.hear(in_flight(&known.server.incarnation));
-        }
+    /// The incarnations that it knows.
+    pub fn incarnations(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.servers.all().map(|known| &known.server.incarnation)
     }
 
     /// Counts a request that is sent to `server` by the word of another; false where the server is
     /// to take no new work.
     pub fn take(&mut self, server: &Arc<Server>, prompt: Tokens) -> bool {
-        let place = self
-            .servers
-            .iter()
-            .position(|known| known.server.incarnation == server.incarnation);
-        let place = place.unwrap_or_else(|| {
-            self.servers.push(Known::new(Arc::clone(server)));
-            self.servers.len() - 1
-        });
-        let known = &mut self.servers[place];
-        if known.server.leaving {
-            return false;
+        if !self.servers.has(&server.incarnation) {
+            self.servers.add_named(Arc::clone(server));
         }
-        known.begin(prompt);
-        true
+        let taken = self.servers.update(&server.incarnation, |known| {
+            let takes = !known.server.leaving;
+            if takes {
+                known.begin(prompt);
+            }
+            takes
+        });
+        taken == Some(true)
     }
 
     /// The servers that are left alone at `now` by a request that has `tried` some, and for how much
@@ -121,7 +101,7 @@
         now: Instant,
     ) -> impl Iterator<Item = (Arc<str>, Duration)> {
         let all_suspect = self.is_suspect(|server| !tried.contains(&server.incarnation), now);
-        let avoided = self.servers.iter();
+        let avoided = self.servers.all();
         let avoided = avoided.filter(move |known| !known.trust.is_trusted(all_suspect, now));
         avoided.map(move |known| {
             let left = known.trust.left_alone(now);
@@ -131,20 +111,20 @@
 
     /// Takes up what an answer of a server told of its load.
     pub fn told(&mut self, incarnation: &str, in_flight: u32) {
-        if let Some(known) = self.get(incarnation) {
+        self.servers.update(incarnation, |known| {
             known.others = in_flight.saturating_sub(known.own);
-        }
+        });
     }
 
     /// Whether it has a server that takes new work.
     #[must_use]
     pub fn is_served(&self) -> bool {
-        self.servers.iter().any(|known| !known.server.leaving)
+        self.servers.all().any(Known::takes_work)
     }
 
     /// What is in flight from here.
     pub fn loads(&self) -> impl Iterator<Item = Load> {
-        let busy = self.servers.iter().filter(|known| known.own > 0);
+        let busy = self.servers.all().filter(|known| known.own > 0);
         busy.map(|known| Load {
             incarnation: Arc::clone(&known.server.incarnation),
             requests: known.own,
@@ -154,33 +134,27 @@
 
     /// Takes note that a server has read a request's prompt, or will not.
     pub fn begun(&mut self, incarnation: &str, prompt: Tokens) {
-        if let Some(known) = self.get(incarnation) {
+        self.servers.update(incarnation, |known| {
             known.own_reading = known.own_reading.saturating_sub(prompt.0);
-        }
+        });
     }
 
     /// Takes note of how a sending ended.
     pub fn ended(&mut self, incarnation: &str, end: End, now: Instant) {
-        let Some(known) = self.get(incarnation) else {
-            return;
-        };
-        known.end();
-        known.judge(end, now);
-        let gone = |known: &Known| known.server.leaving && known.own == 0;
-        self.servers
-            .retain(|known| &*known.server.incarnation != incarnation || !gone(known));
-    }
-
-    /// Takes note of something that is seen while a request still runs.
-    pub fn seen(&mut self, incarnation: &str, end: End, now: Instant) {
-        if let Some(known) = self.get(incarnation) {
+        let is_done = self.servers.update(incarnation, |known| {
+            known.end();
             known.judge(end, now);
+            known.is_done()
+        });
+        if is_done == Some(true) {
+            self.servers.remove(incarnation);
         }
     }
 
-    fn get(&mut self, incarnation: &str) -> Option<&mut Known> {
-        let mut servers = self.servers.iter_mut();
-        servers.find(|known| &*known.server.incarnation == incarnation)
+    /// Takes note of something that is seen while a request still runs.
+    pub fn seen(&mut self, incarnation: &str, end: End, now: Instant) {
+        self.servers
+            .update(incarnation, |known| known.judge(end, now));
     }
 }
 
@@ -231,11 +205,11 @@
             };
             self.waiting.remove(ticket);
             self.forecast.turn(now);
-            let known = &mut self.servers[place];
-            known.begin(ask.prompt);
+            self.servers
+                .update_at(place, |known| known.begin(ask.prompt));
             turns.push(Turn {
                 ticket,
-                server: Arc::clone(&known.server),
+                server: Arc::clone(&self.servers.at(place).server),
                 prompt: ask.prompt,
             });
         }
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::Mark;
 use curlewlift_core::gateway::Question;
+use curlewlift_core::gateway::Roll;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::state::Publication;
@@ -40,6 +41,18 @@
     }
 }
 
+fn listing() -> Arc<Listing> {
+    let server = Server {
+        incarnation: "s1".into(),
+        service: "chat".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "a".into(),
+        slots: 2,
+        leaving: false,
+    };
+    Arc::new(Listing::new(vec![server]))
+}
+
 fn seconds(seconds: u64) -> Instant {
     Instant::default() + Duration::from_secs(seconds)
 }
@@ -47,6 +60,7 @@
 #[test]
 fn sums_of_others() {
     let mut hub = Hub::new(Tuning::default(), seconds(0));
+    hub.list(listing());
     for (host, in_flight) in [("g", 3), ("gg", 4), ("gg", 5)] {
         hub.hear(&question(host, in_flight), seconds(1));
     }
@@ -67,21 +81,20 @@
     let both = hub
         .answer(&question("g", 0), &Publication::default(), seconds(1))
         .roll;
-    assert_eq!(
-        both.expect("new").gateways.len(),
-        2,
-        "a stopping one takes no callers"
-    );
+    let both = Roll::default().after(both.expect("new")).expect("whole");
+    assert_eq!(both.gateways.len(), 2, "a stopping one takes no callers");
     hub.hear(&question("g", 0), seconds(4));
     let one = hub
         .answer(&question("g", 0), &Publication::default(), seconds(4))
         .roll;
-    assert_eq!(one.expect("new").gateways.len(), 1);
+    let one = Roll::default().after(one.expect("new")).expect("whole");
+    assert_eq!(one.gateways.len(), 1);
 }
 
 #[test]
 fn forgotten_in_time() {
     let mut hub = Hub::new(Tuning::default(), seconds(0));
+    hub.list(listing());
     hub.hear(&question("g", 0), seconds(1));
     hub.hear(&question("gg", 2), seconds(1));
     hub.hear(&question("g", 0), seconds(20));
@@ -92,15 +105,7 @@
 
 #[test]
 fn list_given_out() {
-    let server = Server {
-        incarnation: "s1".into(),
-        service: "chat".parse().expect("a name"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        hall: "a".into(),
-        slots: 2,
-        leaving: false,
-    };
-    let listing = Arc::new(Listing::new(vec![server]));
+    let listing = listing();
     let mut hub = Hub::new(Tuning::default(), seconds(0));
     let mut asked = question("g", 0);
     hub.hear(&asked, seconds(1));
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -127,11 +127,12 @@
             self.known,
             client,
         ));
+        let kept = self.beside.is_some();
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
             .with("hall", &*node.gateway.hall)
             .with("callers", node.gateway.callers.to_string())
-            .with("replica", self.beside.is_some())
+            .with("replica", kept)
             .write();
         if let Some(beside) = self.beside {
             tokio::task::spawn_local(beside::keep(self.host, beside));
@@ -142,7 +143,7 @@
         tokio::task::spawn_local(serve_callers(Rc::clone(&node), listener));
         tokio::task::spawn_local(sync::keep(Rc::clone(&node), Rc::clone(&around)));
         tokio::task::spawn_local(tables::keep(Rc::clone(&node), Rc::clone(&around)));
-        tokio::task::spawn_local(lists::keep(Rc::clone(&node), fetch));
+        tokio::task::spawn_local(lists::keep(Rc::clone(&node), fetch, kept));
         tokio::task::spawn_local(places::report(Rc::clone(&node)));
         tokio::task::spawn_local(tick(Rc::clone(&node)));
         also(&node, &around)?;
--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -1,5 +1,5 @@
 //! Fetches the platform's list of backend servers: one gateway for all, and each for itself while
-//! it hears no hub.
+//! it hears no hub any more.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -29,11 +29,11 @@
 /// After how long without the hub's word a gateway fetches for itself.
 const SILENT: Duration = Duration::from_millis(800);
 
-/// Fetches for as long as the process lives.
-pub(super) async fn keep(node: Rc<Node>, fetch: Fetch) {
+/// Fetches for as long as the process lives; `beside` a replica also before the hub is heard.
+pub(super) async fn keep(node: Rc<Node>, fetch: Fetch, beside: bool) {
     let mut answered = true;
     loop {
-        let Some(pause) = due(&node) else {
+        let Some(pause) = due(&node, beside) else {
             tokio::time::sleep(LOOK).await;
             continue;
         };
@@ -43,7 +43,7 @@
                     Line::new(Kind::PlatformFound).write();
                 }
                 answered = true;
-                node.adopt_listing(listing);
+                node.adopt_fetched(listing);
                 node.changed.notify_one();
             }
             Err(why) => {
@@ -60,9 +60,14 @@
 }
 
 /// The pause after the next fetch; none where none is due.
-fn due(node: &Node) -> Option<Duration> {
-    let silence = node.hub_silence();
-    if silence.is_none_or(|silence| silence > SILENT) {
+///
+/// A gateway that has never heard the hub has no routing table either. Were it to fetch, 300 that start at
+/// the same moment would ask the platform for 18,000 pages of a list of 3,000 servers.
+fn due(node: &Node, beside: bool) -> Option<Duration> {
+    let Some(silence) = node.hub_silence() else {
+        return beside.then_some(ALONE);
+    };
+    if silence > SILENT {
         return Some(ALONE);
     }
     node.hub.borrow().fetches.then_some(FOR_ALL)
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -54,7 +54,7 @@
     pub(super) got: u64,
     /// The number of the newest table that it told of.
     pub(super) newest: u64,
-    /// The version of the list that it held at its last word.
+    /// The version of the whole list that it held at its last word.
     pub(super) listing: u64,
     /// Whether this gateway fetches the list for all.
     pub(super) fetches: bool,
@@ -77,8 +77,10 @@
     pub(super) table: RefCell<Option<Rc<Table>>>,
     /// What the table names as services.
     pub(super) services: RefCell<BTreeMap<id::Service, Service>>,
-    /// The list of backend servers in force here; version 0 before the first one has come.
+    /// Its subset of the list of backend servers; version 0 before the first one has come.
     pub(super) listing: RefCell<Listing>,
+    /// The whole list as it was last fetched here, until the hub holds it.
+    pub(super) fetched: RefCell<Option<Listing>>,
     /// The gateways that live, by the last word of the hub.
     pub(super) roll: RefCell<Roll>,
     /// How long answers take to begin, by rule.
@@ -127,6 +129,7 @@
             table: RefCell::default(),
             services: RefCell::default(),
             listing: RefCell::default(),
+            fetched: RefCell::default(),
             roll: RefCell::default(),
             leads: RefCell::default(),
             reserve: RefCell::new(Reserve::new(tolerance)),
@@ -246,7 +249,23 @@
         self.spread();
     }
 
-    /// Puts a list in force.
+    /// Takes up what is new of the gateways that live.
+    pub(super) fn adopt_roll(&self, news: gateway::News) {
+        let mut roll = self.roll.borrow_mut();
+        match roll.after(news) {
+            Some(after) => *roll = after,
+            // The news are about another roll: the whole one comes with the next answer.
+            None => roll.version = 0,
+        }
+    }
+
+    /// Puts its subset of a whole list in force that was fetched here.
+    pub(super) fn adopt_fetched(&self, whole: Listing) {
+        self.adopt_listing(whole.subset(&self.host));
+        *self.fetched.borrow_mut() = Some(whole);
+    }
+
+    /// Puts its subset of the list in force.
     pub(super) fn adopt_listing(&self, listing: Listing) {
         if listing.version == self.listing.borrow().version {
             return;
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -7,6 +7,7 @@
 use curlewlift_core::clock;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
+use curlewlift_core::gateway::Listing;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Reply;
 
@@ -133,19 +134,19 @@
 
 fn question(node: &Node) -> Question {
     let hub = node.hub.borrow();
-    let listing = node.listing.borrow();
-    let fetched = hub.fetches && listing.version != hub.listing;
+    let fetched = node.fetched.borrow();
+    let news = |listing: &&Listing| hub.fetches && listing.version != hub.listing;
     Question {
         host: node.host.clone(),
         gateway: node.gateway.clone(),
         ready: node.is_ready(),
         table: node.newest_table(),
-        listing: listing.version,
+        listing: node.listing.borrow().version,
         roll: node.roll.borrow().version,
         mark: hub.mark,
         loads: node.loads(),
         got: hub.got,
-        fetched: fetched.then(|| listing.clone()),
+        fetched: fetched.as_ref().filter(news).cloned(),
     }
 }
 
@@ -176,8 +177,8 @@
     {
         node.adopt_listing(listing);
     }
-    if let Some(roll) = reply.roll {
-        *node.roll.borrow_mut() = roll;
+    if let Some(news) = reply.roll {
+        node.adopt_roll(news);
     }
     node.known.set(reply.control);
     node.reserve
