Give a new leader the whole list at once, and never an old one

Cause: after a loss of nearly all of 300 hosts nobody got a place for 1.1 s while 3,000 servers were free: the gateway beside the new leader told it the list that it had fetched before there were any servers. Others that lead have to fetch 60 pages first. Ruled out: the platform's rate, the election (0.07 s).

Change: what a gateway holds of the list is one pure part (gateway::Holding). A gateway beside a replica is told the whole list, so that the next leader has it; another forgets a list that it fetched as soon as others fetch.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -228,7 +228,7 @@
             newest: publication.number,
             table: along.then(|| publication.clone()),
             held: self.listing.version,
-            listing: news.then(|| self.subset(&question.host)),
+            listing: news.then(|| self.told(question)),
             roll: self.rolls.news(question.roll),
             loads: self.dispatcher.others(&question.host, incarnations),
             ..Reply::default()
@@ -253,9 +253,12 @@
         u32::try_from(self.seen.len()).unwrap_or(u32::MAX)
     }
 
-    /// A gateway's subset of the list.
-    fn subset(&self, host: &id::Host) -> Listing {
-        let chosen = self.subsets.take(host);
+    /// What a gateway is told of the list.
+    fn told(&self, question: &Question) -> Listing {
+        if question.whole {
+            return Listing::clone(&self.listing);
+        }
+        let chosen = self.subsets.take(&question.host);
         let servers = chosen.map(|place| self.listing.servers[place].clone());
         Listing::new(servers.collect())
     }
@@ -272,7 +275,12 @@
         if seen.subset.of != self.listing.version {
             seen.subset = Subset::take(&self.listing, &self.subsets, &question.host);
         }
-        seen.subset.version != question.listing
+        let told = if question.whole {
+            self.listing.version
+        } else {
+            seen.subset.version
+        };
+        told != question.listing
     }
 
     /// Whether a gateway was heard so lately that it is not silent.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod grant;
 mod handout;
+mod holding;
 mod hub;
 mod listing;
 mod occupancy;
@@ -24,6 +25,7 @@
 pub use grant::Want;
 pub use handout::Handout;
 pub use handout::Piece;
+pub use holding::Holding;
 pub use hub::Hub;
 pub use hub::Tuning;
 pub use hub::Wanted;
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -45,7 +45,9 @@
     pub ready: bool,
     /// The number of the newest table that it knows of: it holds it, or is fetching it.
     pub table: u64,
-    /// The version of its subset of the list of backend servers, as it holds it.
+    /// Whether it is told the whole list of backend servers, not its subset only.
+    pub whole: bool,
+    /// The version of that, as it holds it.
     pub listing: u64,
     /// The version of the roll that it holds.
     pub roll: u64,
@@ -55,7 +57,7 @@
     pub loads: Vec<Load>,
     /// The number of the hub's answer that it has got last.
     pub got: u64,
-    /// The whole list as it was last fetched here, where this gateway is the one that fetches it.
+    /// The whole list, where this gateway is the one that fetches it and the hub held another.
     pub fetched: Option<Listing>,
 }
 
@@ -68,7 +70,7 @@
     pub newest: u64,
     /// That table, where the asker does not know of it and it is small.
     pub table: Option<Publication>,
-    /// The asker's subset of the list of backend servers, where it holds another.
+    /// The asker's subset of the list of backend servers, or all of it, where it holds another.
     pub listing: Option<Listing>,
     /// The version of the whole list that the hub holds.
     pub held: u64,
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -32,6 +32,7 @@
         },
         ready: true,
         table: 0,
+        whole: false,
         listing: 0,
         roll: 0,
         mark: Mark::default(),
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -171,6 +171,7 @@
         },
         ready: true,
         table: 0,
+        whole: false,
         listing: 0,
         roll: 0,
         mark: Mark::default(),
--- a/crates/core/tests/large_fleets.rs
+++ b/crates/core/tests/large_fleets.rs
@@ -5,6 +5,7 @@
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Gateway;
+use curlewlift_core::gateway::Holding;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Listing;
 use curlewlift_core::gateway::Load;
@@ -60,6 +61,7 @@
             },
             ready: self.ready,
             table: 0,
+            whole: false,
             listing: self.listing.version,
             roll: self.roll.version,
             mark: Mark::default(),
@@ -237,3 +239,39 @@
     );
     assert!(counts.values().all(|count| *count <= 14));
 }
+
+#[test]
+fn whole_beside_replicas() {
+    let listing = Listing::new(servers(SERVERS));
+    let mut hub = Hub::new(Tuning::default(), ms(0));
+    hub.list(Arc::new(listing.clone()));
+    let mut question = Asker::default().question(Vec::new());
+    question.whole = true;
+    hub.hear(&question, ms(1));
+    let told = hub.answer(&question, &Publication::default(), ms(1));
+    assert_eq!(told.listing.as_ref(), Some(&listing));
+    question.listing = listing.version;
+    hub.hear(&question, ms(2));
+    let told = hub.answer(&question, &Publication::default(), ms(2));
+    assert_eq!(told.listing, None);
+}
+
+#[test]
+fn old_list_kept_back() {
+    // The first list that a gateway fetched, before there were servers, was told to a later hub in place
+    // of the present one, and nobody got a place for 0.7 s.
+    let present = Listing::new(servers(SERVERS));
+    let host: curlewlift_core::id::Host = "g".parse().expect("a name");
+    let mut holding = Holding::new(host.clone(), false);
+    holding.fetched(Listing::new(Vec::new()));
+    holding.others_fetch();
+    holding.told(present.subset(&host));
+    assert_eq!(holding.for_hub(0), None);
+    let mut beside = Holding::new(host, true);
+    beside.fetched(Listing::new(Vec::new()));
+    beside.others_fetch();
+    beside.told(present.clone());
+    assert_eq!(beside.for_hub(0), Some(&present));
+    assert_eq!(beside.for_hub(present.version), None);
+    assert_eq!(beside.get_subset().servers.len(), 32);
+}
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -98,6 +98,7 @@
             },
             ready: true,
             table: 1,
+            whole: false,
             listing: 1,
             roll: 0,
             mark: Mark::default(),
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
+use curlewlift_core::gateway::Holding;
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::quota::Tolerance;
@@ -118,8 +119,9 @@
         let timeline = Timeline::new(self.host.as_str());
         let client = rpc::Client::new(timeline);
         let listener = process::listener(self.callers)?;
+        let kept = self.beside.is_some();
         let node = Rc::new(Node::new(
-            self.host.clone(),
+            Holding::new(self.host.clone(), kept),
             self.known_as,
             self.dialect,
             self.allowed,
@@ -127,7 +129,6 @@
             self.known,
             client,
         ));
-        let kept = self.beside.is_some();
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
             .with("hall", &*node.gateway.hall)
--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -43,7 +43,7 @@
                     Line::new(Kind::PlatformFound).write();
                 }
                 answered = true;
-                node.adopt_fetched(listing);
+                node.adopt_list(|holding| holding.fetched(listing));
                 node.changed.notify_one();
             }
             Err(why) => {
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -13,7 +13,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::Ended;
-use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::Holding;
 use curlewlift_core::gateway::Mark;
 use curlewlift_core::gateway::Roll;
 use curlewlift_core::id;
@@ -77,10 +77,8 @@
     pub(super) table: RefCell<Option<Rc<Table>>>,
     /// What the table names as services.
     pub(super) services: RefCell<BTreeMap<id::Service, Service>>,
-    /// Its subset of the list of backend servers; version 0 before the first one has come.
-    pub(super) listing: RefCell<Listing>,
-    /// The whole list as it was last fetched here, until the hub holds it.
-    pub(super) fetched: RefCell<Option<Listing>>,
+    /// What it holds of the list of backend servers.
+    pub(super) holding: RefCell<Holding>,
     /// The gateways that live, by the last word of the hub.
     pub(super) roll: RefCell<Roll>,
     /// How long answers take to begin, by rule.
@@ -111,7 +109,7 @@
 
 impl Node {
     pub(super) fn new(
-        host: id::Host,
+        holding: Holding,
         gateway: gateway::Gateway,
         dialect: Dialect,
         allowed: Allowed,
@@ -120,7 +118,8 @@
         rpc: rpc::Client,
     ) -> Self {
         Self {
-            host,
+            host: holding.get_host().clone(),
+            holding: RefCell::new(holding),
             gateway,
             dialect,
             allowed,
@@ -128,8 +127,6 @@
             rpc,
             table: RefCell::default(),
             services: RefCell::default(),
-            listing: RefCell::default(),
-            fetched: RefCell::default(),
             roll: RefCell::default(),
             leads: RefCell::default(),
             reserve: RefCell::new(Reserve::new(tolerance)),
@@ -159,7 +156,7 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.get().is_none()
             && self.table.borrow().is_some()
-            && self.listing.borrow().version != 0
+            && self.holding.borrow().get_subset().version != 0
     }
 
     /// The gateways that live, nearest ones for a caller in `hall`, by the last word of the hub.
@@ -259,24 +256,22 @@
         }
     }
 
-    /// Puts its subset of a whole list in force that was fetched here.
-    pub(super) fn adopt_fetched(&self, whole: Listing) {
-        self.adopt_listing(whole.subset(&self.host));
-        *self.fetched.borrow_mut() = Some(whole);
-    }
-
-    /// Puts its subset of the list in force.
-    pub(super) fn adopt_listing(&self, listing: Listing) {
-        if listing.version == self.listing.borrow().version {
+    /// Takes up a list of backend servers, as `take` does it.
+    pub(super) fn adopt_list(&self, take: impl FnOnce(&mut Holding)) {
+        let mut holding = self.holding.borrow_mut();
+        let former = holding.get_subset().version;
+        take(&mut holding);
+        let subset = holding.get_subset();
+        if subset.version == former {
             return;
         }
-        let leaving = listing.servers.iter().filter(|server| server.leaving);
+        let leaving = subset.servers.iter().filter(|server| server.leaving);
         Line::new(Kind::ListHeld)
-            .with("version", listing.version)
-            .with("servers", listing.servers.len())
+            .with("version", subset.version)
+            .with("servers", subset.servers.len())
             .with("leaving", leaving.count())
             .write();
-        *self.listing.borrow_mut() = listing;
+        drop(holding);
         self.spread();
     }
 }
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -31,7 +31,7 @@
 impl Node {
     /// Gives every service its servers.
     pub(super) fn spread(&self) {
-        let mut by_service = self.listing.borrow().by_service();
+        let mut by_service = self.holding.borrow().get_subset().by_service();
         let mut services = self.services.borrow_mut();
         if let Some(table) = &*self.table.borrow() {
             for name in table.get_services().keys() {
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -7,7 +7,6 @@
 use curlewlift_core::clock;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
-use curlewlift_core::gateway::Listing;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Reply;
 
@@ -134,19 +133,20 @@
 
 fn question(node: &Node) -> Question {
     let hub = node.hub.borrow();
-    let fetched = node.fetched.borrow();
-    let news = |listing: &&Listing| hub.fetches && listing.version != hub.listing;
+    let holding = node.holding.borrow();
+    let fetched = holding.for_hub(hub.listing).filter(|_| hub.fetches);
     Question {
         host: node.host.clone(),
         gateway: node.gateway.clone(),
         ready: node.is_ready(),
         table: node.newest_table(),
-        listing: node.listing.borrow().version,
+        whole: holding.keeps_whole(),
+        listing: holding.get_version(),
         roll: node.roll.borrow().version,
         mark: hub.mark,
         loads: node.loads(),
         got: hub.got,
-        fetched: fetched.as_ref().filter(news).cloned(),
+        fetched: fetched.cloned(),
     }
 }
 
@@ -171,11 +171,14 @@
         hub.fetches = reply.fetches;
         hub.listing = reply.held;
     }
+    if !reply.fetches {
+        node.holding.borrow_mut().others_fetch();
+    }
     // The one that fetches the list has it first hand.
     if let Some(listing) = reply.listing
         && !reply.fetches
     {
-        node.adopt_listing(listing);
+        node.adopt_list(|holding| holding.told(listing));
     }
     if let Some(news) = reply.roll {
         node.adopt_roll(news);
