Stop waiting for a hub's word once it has fallen silent

Cause: a hub whose host loses power resets nothing, and who had asked it for a place waited for as long as the request is held. Ruled out: the gateways' own choice (it begins at once where it is tried).

Change: the wait ends when the hub has not been heard for 0.5 s, as it does for who asks later.

--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -67,8 +67,10 @@
     let call = node
         .rpc
         .call(address, Method::Renew, &call, CALL + patience);
-    let reply: Option<Result<HubReply, Refusal>> =
-        tokio::time::timeout(patience + ON_ITS_WAY, call).await.ok();
+    let reply: Option<Result<HubReply, Refusal>> = tokio::select! {
+        reply = tokio::time::timeout(patience + ON_ITS_WAY, call) => reply.ok(),
+        () = node.hub_falls_silent() => None,
+    };
     match reply {
         Some(Ok(HubReply::Place(Some(grant)))) => node.take(service, grant, ask.prompt),
         Some(Ok(HubReply::Place(None))) => Word::NoPlace,
@@ -91,6 +93,18 @@
         hub.address
     }
 
+    /// Waits until the hub has not been heard for [`HEARD`].
+    ///
+    /// A hub whose host has lost power resets nothing: waiting for its word for as long as a request is
+    /// held, gateways began nothing for 0.4 s, and most of their streams for up to 1 s.
+    async fn hub_falls_silent(&self) {
+        while let Some(silence) = self.hub_silence()
+            && silence < HEARD
+        {
+            tokio::time::sleep(HEARD.saturating_sub(silence)).await;
+        }
+    }
+
     fn want(
         &self,
         service: &id::Service,
