--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -86,7 +86,7 @@
     TableHeld = 306, "table-held", "A routing table is in force at this gateway.";
     ListHeld = 307, "list-held", "A list of backend servers is in force at this gateway.";
     HubFound = 308, "hub-found", "The gateway hears the leading control replica.";
-    HubLost = 309, "hub-lost", "The gateway does not hear the leading control replica; it keeps to its own parts of the allowances. Tells where it was sought, and why in vain.";
+    HubLost = 309, "hub-lost", "The gateway does not hear the leading control replica; requests of customers with limits are let in by parts of the allowances, here or at a deputy. Tells where it was sought, and why in vain.";
     PlatformFound = 310, "platform-found", "The platform's list is answered again.";
     PlatformLost = 311, "platform-lost", "The platform's list is not answered.";
     Reloaded = 312, "reloaded", "The settings were read again.";
@@ -100,5 +100,5 @@
     ReplicaExpelled = 406, "replica-expelled", "A control replica was taken out.";
     DiskFailed = 407, "disk-failed", "A write or sync has failed; the process ends.";
     Published = 408, "published", "A routing table is in force; the detail has its number.";
-    PartsHeld = 409, "parts-held", "Other gateways hold a part of what they may do without the hub's word; the detail counts them.";
+    PartsHeld = 409, "parts-held", "Other gateways hold a part of what they may do without the hub's word; the detail counts the parts of further sendings, who holds one, and the deputies, who let requests in.";
 }
