Choose a gateway's subset in one place, and know the deputies once

Change: gateway/subset.rs has all that chooses a subset, in the list's own order; the hub keeps the deputies as it tells them; a new list marks its servers as changed, and the one loop does the rest. Behaviour stays: no test is touched.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -74,11 +74,8 @@
             self.pools.insert(service, pool);
         }
         // What is in flight may have been told before the server was on the list.
-        for pool in self.pools.values_mut() {
-            let incarnations: Vec<_> = pool.incarnations().cloned().collect();
-            for incarnation in incarnations {
-                pool.occupy(&incarnation, self.occupancy.get(&incarnation));
-            }
+        for incarnation in self.pools.values().flat_map(Pool::incarnations) {
+            self.occupancy.touch(incarnation);
         }
     }
 
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -25,9 +25,9 @@
 use super::Ticket;
 use super::Want;
 use super::dispatch::Dispatcher;
-use super::listing;
-use super::listing::Subsets;
 use super::roll::Rolls;
+use super::subset::Subset;
+use super::subset::Subsets;
 
 /// How long silence means what.
 #[derive(Clone, Copy, Debug)]
@@ -62,33 +62,6 @@
     subset: Subset,
 }
 
-/// A gateway's subset of the list of backend servers, without the servers themselves.
-#[derive(Clone, Debug, Default)]
-struct Subset {
-    /// The version of the whole list that it was taken from.
-    of: u64,
-    /// Its own version.
-    version: u64,
-    /// The incarnations in it.
-    incarnations: Vec<Arc<str>>,
-}
-
-impl Subset {
-    /// The subset of `listing` that the gateway on `host` is told.
-    fn take(listing: &Listing, subsets: &Subsets, host: &id::Host) -> Self {
-        let servers = subsets.take(host).map(|place| &listing.servers[place]);
-        let mut servers: Vec<_> = servers.collect();
-        servers.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
-        let incarnations = servers.iter();
-        let incarnations = incarnations.map(|server| Arc::clone(&server.incarnation));
-        Self {
-            of: listing.version,
-            incarnations: incarnations.collect(),
-            version: listing::version_of(&servers),
-        }
-    }
-}
-
 impl Seen {
     /// Whether it was heard less than `silent` before `now`.
     fn is_live(&self, silent: Duration, now: Instant) -> bool {
@@ -138,6 +111,8 @@
     keeper: Keeper,
     /// Of the parts of what is let in without its word.
     deputies: Keeper,
+    /// Who holds those, as gateways are told.
+    holders: Deputies,
     handout: Handout,
     /// The number of its last answer.
     answers: u64,
@@ -160,6 +135,7 @@
             desk: Desk::new(tuning.tolerance),
             keeper: Keeper::new(now),
             deputies: Keeper::new(now),
+            holders: Deputies::default(),
             handout: Handout::default(),
             answers: 0,
             table: 0,
@@ -277,9 +253,7 @@
         if question.whole {
             return Listing::clone(&self.listing);
         }
-        let chosen = self.subsets.take(&question.host);
-        let servers = chosen.map(|place| self.listing.servers[place].clone());
-        Listing::new(servers.collect())
+        self.subsets.cut(&self.listing, &question.host)
     }
 
     /// Whether there is something that the asker does not hold yet, worth an answer at once.
@@ -428,6 +402,7 @@
     /// Takes up the deputies as they stand in the log.
     pub fn adopt_deputies(&mut self, parts: &Parts, now: Instant) {
         self.deputies.adopt(parts, now);
+        self.holders = Deputies::new(parts.holders.iter().cloned().collect());
     }
 
     /// The deputies as they are to be, where they are to change.
@@ -453,9 +428,7 @@
 
     /// The deputies, where the asker knows others.
     fn deputies_for(&self, question: &Question) -> Option<Deputies> {
-        let holders = self.deputies.get_holders().iter();
-        let deputies = Deputies::new(holders.cloned().collect());
-        (deputies.version != question.deputies).then_some(deputies)
+        (self.holders.version != question.deputies).then(|| self.holders.clone())
     }
 
     /// Whose turn it is to be handed the table.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod occupancy;
 mod parts;
 mod roll;
+mod subset;
 mod sync;
 mod version;
 
--- a/crates/core/src/gateway/parts.rs
+++ b/crates/core/src/gateway/parts.rs
@@ -159,12 +159,6 @@
         self.told.get(host).and_then(|told| told.got)
     }
 
-    /// Which hosts hold a part.
-    #[must_use]
-    pub fn get_holders(&self) -> &BTreeSet<Host> {
-        &self.parts.holders
-    }
-
     /// The parts as they are to be, where they are to change; none is added to `most` holders or more.
     pub fn tend(&mut self, most: usize, now: Instant) -> Option<Parts> {
         if now.since(self.changed) < APART || self.proposed.is_some() {
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -90,7 +90,7 @@
     /// Who else may let their requests in then.
     pub(super) deputies: RefCell<Deputies>,
     /// The part of the sendings past the first that this gateway may do by itself.
-    pub(super) part: Cell<Part>,
+    pub(super) part: RefCell<Part>,
     /// The hosts that are known to keep a control replica.
     pub(super) known: Known,
     /// What is known of the hub.
@@ -137,7 +137,7 @@
             leads: RefCell::default(),
             reserve: RefCell::new(Reserve::new(tolerance)),
             deputies: RefCell::default(),
-            part: Cell::default(),
+            part: RefCell::default(),
             known,
             hub: RefCell::default(),
             stopping: Cell::new(None),
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -116,7 +116,7 @@
     /// Whether the service's budget has a further sending left; if so it is counted.
     pub(super) fn take_budget(&self) -> bool {
         let now = self.node.now();
-        let part = self.node.part.get().get(now);
+        let part = self.node.part.borrow().get(now);
         let taken = self
             .node
             .with_service(&self.service, |service| service.budget.take(part, now));
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -173,14 +173,14 @@
         hub.fetches = reply.fetches;
         hub.listing = reply.held;
     }
-    if !reply.fetches {
-        node.holding.borrow_mut().others_fetch();
-    }
     // The one that fetches the list has it first hand.
-    if let Some(listing) = reply.listing
-        && !reply.fetches
-    {
-        node.adopt_list(|holding| holding.told(listing));
+    if !reply.fetches {
+        node.adopt_list(|holding| {
+            holding.others_fetch();
+            if let Some(listing) = reply.listing {
+                holding.told(listing);
+            }
+        });
     }
     if let Some(news) = reply.roll {
         node.adopt_roll(news);
@@ -189,9 +189,7 @@
     if let Some(told) = reply.deputies {
         *node.deputies.borrow_mut() = Deputies::told(&told, node, around);
     }
-    let mut part = node.part.get();
-    part.heard(reply.part, asked);
-    node.part.set(part);
+    node.part.borrow_mut().heard(reply.part, asked);
     node.reserve
         .borrow_mut()
         .heard(reply.deputy, asked, node.now());
