Read the list's entries one by one, and tell births of a name apart

Cause: a page of the platform's list was read as one typed document, so one entry with a field missing, a field of another type or an address that is none failed the whole list for as long as it was there; and a server's identity was the name that it gives itself, which it may keep over a restart. Ruled out: defaults for missing fields (an entry that lacks its slots or its version would still be sent requests); skipping bad bytes by hand-written scanning (the JSON reader itself is asked at each place instead). Change: platform/entries.rs reads each entry by itself, also of a page that is no document as a whole (cut entries, bytes that are no text); a bad one is counted (curlewlift_list_unreadable) and written once with its place (event 314). An incarnation is the name and the birth; the server is addressed by its name, and believed by its incarnation. The list-held line names versions.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -150,6 +150,9 @@
 fn server(place: usize) -> Server {
     Server {
         incarnation: format!("i-{place:010}").into(),
+        name: format!("i-{place:010}").into(),
+        born: 0,
+        version: "v1".parse().expect("a version"),
         service: "chat".parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
         hall: "a".into(),
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -91,6 +91,7 @@
     PlatformLost = 311, "platform-lost", "The platform's list is not answered.";
     Reloaded = 312, "reloaded", "The settings were read again.";
     HubDoubted = 313, "hub-doubted", "The hub gave no place in time; this gateway chooses by itself for a while.";
+    EntryUnreadable = 314, "entry-unreadable", "An entry of the platform's list names no server, as it cannot be read; the others hold.";
     Leads = 400, "leads", "This control replica has become the leader.";
     Follows = 401, "follows", "This control replica follows a leader or has none.";
     Command = 402, "command", "An operator's command was answered.";
--- a/crates/core/src/gateway/listing.rs
+++ b/crates/core/src/gateway/listing.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::id;
+use crate::rollout::Version;
 
 use super::subset::Subsets;
 use super::version::version;
@@ -18,6 +19,12 @@
 pub struct Server {
     /// The incarnation's own name: another start of the same server has another.
     pub incarnation: Arc<str>,
+    /// What the server calls itself; another start may keep it.
+    pub name: Arc<str>,
+    /// When the incarnation began, in milliseconds by the server's own clock; 0 where it does not tell.
+    pub born: u64,
+    /// The version of its software.
+    pub version: Version,
     /// The service that it serves.
     pub service: id::Service,
     /// Where it is reached; once it has ended, the address may be another server's.
@@ -40,10 +47,11 @@
 }
 
 impl Listing {
-    /// A list of `servers`, in whatever order they come.
+    /// A list of `servers`, in whatever order they come; of two entries of one incarnation the first counts.
     #[must_use]
     pub fn new(mut servers: Vec<Server>) -> Self {
         servers.sort_by(|a, b| a.incarnation.cmp(&b.incarnation));
+        servers.dedup_by(|a, b| a.incarnation == b.incarnation);
         let version = version_of(&servers);
         Self { version, servers }
     }
@@ -73,6 +81,9 @@
     /// use curlewlift_core::gateway::Server;
     /// let server = Server {
     ///     incarnation: "i-1".into(),
+    ///     name: "i-1".into(),
+    ///     born: 0,
+    ///     version: "v1".parse()?,
     ///     service: "chat".parse()?,
     ///     address: "127.0.0.1:80".parse()?,
     ///     hall: "a".into(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 pub mod queue;
 pub mod quota;
+pub mod rollout;
 pub mod route;
 pub mod state;
 mod text;
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -46,6 +46,9 @@
 fn listing() -> Arc<Listing> {
     let server = Server {
         incarnation: "s1".into(),
+        name: "s1".into(),
+        born: 0,
+        version: "v1".parse().expect("a version"),
         service: "chat".parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
         hall: "a".into(),
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -40,6 +40,9 @@
 fn server(name: &str) -> Server {
     Server {
         incarnation: name.into(),
+        name: name.into(),
+        born: 0,
+        version: "v1".parse().expect("a version"),
         service: "chat".parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
         hall: "a".into(),
--- a/crates/core/tests/line_forecast.rs
+++ b/crates/core/tests/line_forecast.rs
@@ -30,6 +30,9 @@
     let mut pool = Pool::new(tuning, 7);
     pool.adopt(vec![Arc::new(Server {
         incarnation: "s1".into(),
+        name: "s1".into(),
+        born: 0,
+        version: "v1".parse().expect("a version"),
         service: "chat".parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
         hall: "a".into(),
--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -16,6 +16,9 @@
 fn server(name: &str, leaving: bool) -> Arc<Server> {
     Arc::new(Server {
         incarnation: name.into(),
+        name: name.into(),
+        born: 0,
+        version: "v1".parse().expect("a version"),
         service: "chat".parse().expect("a name"),
         address: "127.0.0.1:1".parse().expect("an address"),
         hall: "a".into(),
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -209,6 +209,9 @@
         let mut hub = Hub::new(tuning, self.now).drawn(number);
         let server = Server {
             incarnation: "s".into(),
+            name: "s".into(),
+            born: 0,
+            version: "v1".parse().expect("a version"),
             service: "chat".parse().expect("a name"),
             address: "127.0.0.1:1".parse().expect("an address"),
             hall: "a".into(),
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -24,8 +24,8 @@
 pub(crate) struct Hand<'a> {
     /// How much time is left.
     pub(crate) patience: Duration,
-    /// The incarnation that is meant; any other refuses.
-    pub(crate) incarnation: &'a str,
+    /// The server that is meant, as it calls itself; any other refuses.
+    pub(crate) server: &'a str,
     /// The customer.
     pub(crate) customer: Option<&'a str>,
     /// The last event that the caller has, where a stream is taken up.
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -16,6 +16,7 @@
 use curlewlift_core::gateway::Holding;
 use curlewlift_core::gateway::Mark;
 use curlewlift_core::gateway::Roll;
+use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::pool::Lead;
@@ -278,8 +279,22 @@
             .with("version", subset.version)
             .with("servers", subset.servers.len())
             .with("leaving", leaving.count())
+            .with("software", versions(&subset.servers))
             .write();
         drop(holding);
         self.spread();
     }
 }
+
+/// Each version that runs somewhere, with the number of its servers.
+fn versions(servers: &[Server]) -> Vec<String> {
+    let mut counts = BTreeMap::new();
+    for server in servers {
+        *counts
+            .entry((&server.service, &server.version))
+            .or_insert(0_usize) += 1;
+    }
+    let counts = counts.into_iter();
+    let told = counts.map(|((service, version), count)| format!("{service} {version} {count}"));
+    told.collect()
+}
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -167,7 +167,7 @@
         let account = admitted.account.as_ref();
         let hand = Hand {
             patience: admitted.until.saturating_duration_since(Instant::now()),
-            incarnation: &place.server.incarnation,
+            server: &place.server.name,
             customer: account.map(|account| account.name.as_str()),
             after,
         };
--- /dev/null
+++ b/crates/curlewlift/src/platform/entries/tests.rs
@@ -0,0 +1,161 @@
+//! Entries of other writers: each bad one costs itself only, whatever its bytes.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::Page;
+
+/// Random pages for each kind of damage.
+const SEEDS: u64 = 2_000;
+
+fn entry(name: &str) -> String {
+    format!(
+        "{{\"service\":\"chat\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":4,\
+         \"state\":\"ready\",\"cold_left_ms\":0,\"models\":[{{\"name\":\"m\",\"version\":1}}],\"id\":\"{name}\",\
+         \"born\":1700000000000}}"
+    )
+}
+
+fn page(entries: &[Vec<u8>]) -> Vec<u8> {
+    let mut page = b"{\"instances\":[".to_vec();
+    page.extend(entries.join(&b','));
+    page.extend(b"],\"next_token\":\"p-50\"}");
+    page
+}
+
+fn names(page: &Page) -> Vec<&str> {
+    page.servers.iter().map(|server| &*server.name).collect()
+}
+
+/// Entries that name no server, each in another way.
+fn malformed() -> Vec<Vec<u8>> {
+    let good = entry("i-x");
+    let with = |from: &str, to: &str| good.replace(from, to).into_bytes();
+    let mut entries = vec![
+        b"null".to_vec(),
+        b"7".to_vec(),
+        b"[]".to_vec(),
+        b"{}".to_vec(),
+        with("\"slots\":4,", ""),
+        with("\"slots\":4", "\"slots\":\"4\""),
+        with("\"slots\":4", "\"slots\":-4"),
+        with("10.0.0.9:80", "nowhere"),
+        with("\"ready\"", "\"sleeping\""),
+        with("\"chat\"", "\"No Service\""),
+        with("\"v1\"", "1"),
+        with("\"i-x\"", "\"i x\\u0007\""),
+        with("1700000000000", "1700000000000.5"),
+        with("1700000000000", "\"1700000000000\""),
+    ];
+    let mut no_text = good.clone().into_bytes();
+    let at = good.find("chat").expect("its service");
+    no_text[at] = 0xff;
+    entries.push(no_text);
+    entries
+}
+
+#[test]
+fn others_hold() {
+    let mut entries = vec![entry("i-1").into_bytes()];
+    let count = malformed().len();
+    entries.extend(malformed());
+    entries.push(entry("i-2").into_bytes());
+    let page = Page::read(&page(&entries)).expect("a page");
+    assert_eq!(names(&page), ["i-1", "i-2"]);
+    assert_eq!(page.next.as_deref(), Some("p-50"));
+    let places: Vec<_> = page.unreadable.iter().map(|entry| entry.place).collect();
+    assert_eq!(places, (1..=count).collect::<Vec<_>>());
+}
+
+#[test]
+fn only_malformed() {
+    let page = Page::read(&page(&malformed())).expect("a page");
+    assert!(page.servers.is_empty());
+    assert_eq!(page.unreadable.len(), malformed().len());
+}
+
+#[test]
+fn cut_entries() {
+    let good = entry("i-1").into_bytes();
+    for cut in 0..good.len() {
+        let entries = [
+            entry("i-0").into_bytes(),
+            good[..cut].to_vec(),
+            entry("i-2").into_bytes(),
+        ];
+        let page = Page::read(&page(&entries)).expect("a page");
+        let names = names(&page);
+        assert!(names.contains(&"i-0"), "cut at {cut}: {names:?}");
+        assert!(names.contains(&"i-2"), "cut at {cut}: {names:?}");
+        assert!(!names.contains(&"i-1"), "cut at {cut}: {names:?}");
+    }
+}
+
+#[test]
+fn foreign_bytes() {
+    for seed in 0..SEEDS {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut bytes: Vec<u8> = (0..random.random_range(0..200_usize))
+            .map(|_| random.random())
+            .collect();
+        // What would be an entry of its own, or end the text around it, is another test's matter.
+        bytes.retain(|byte| !b"{}[]\"\\".contains(byte));
+        let entries = [entry("i-0").into_bytes(), bytes, entry("i-2").into_bytes()];
+        let page = Page::read(&page(&entries)).expect("a page");
+        assert_eq!(names(&page), ["i-0", "i-2"], "seed {seed}");
+    }
+}
+
+/// Whatever the bytes: it ends, and names only servers that an entry names.
+#[test]
+fn any_damage() {
+    let entries: Vec<_> = (0..5)
+        .map(|n| entry(&format!("i-{n}")).into_bytes())
+        .collect();
+    for seed in 0..SEEDS {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut page = page(&entries);
+        for _ in 0..random.random_range(1..8) {
+            let at = random.random_range(0..page.len());
+            match random.random_range(0..3) {
+                0 => page[at] = random.random(),
+                1 => page.truncate(at + 1),
+                _ => {
+                    let end = (at + random.random_range(0..300_usize)).min(page.len());
+                    page.drain(at..end);
+                }
+            }
+            if page.is_empty() {
+                break;
+            }
+        }
+        if let Ok(page) = Page::read(&page) {
+            assert!(page.servers.len() <= 5, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn no_end() {
+    assert!(Page::read(b"{\"instances\":[]").is_err());
+    assert!(Page::read(b"").is_err());
+    assert!(Page::read(b"{\"instances\":[],\"next_token\":7}").is_err());
+    let open = b"{\"a".repeat(100_000);
+    assert!(Page::read(&[b"{\"instances\":[", &*open].concat()).is_err());
+}
+
+#[test]
+fn births() {
+    let again = entry("i-1").replace("1700000000000", "1700000000001");
+    let older = entry("i-1").replace(",\"born\":1700000000000", "");
+    let entries = [entry("i-1"), again, older].map(String::into_bytes);
+    let page = Page::read(&page(&entries)).expect("a page");
+    let lives: Vec<_> = page
+        .servers
+        .iter()
+        .map(|server| &*server.incarnation)
+        .collect();
+    assert_eq!(lives, ["i-1/1700000000000", "i-1/1700000000001", "i-1"]);
+    assert_eq!(names(&page), ["i-1", "i-1", "i-1"]);
+}
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -22,7 +22,7 @@
 const TOKENS: HeaderName = HeaderName::from_static("x-token-counts");
 /// The customer's name, for the backend server.
 const CUSTOMER: HeaderName = HeaderName::from_static("x-tenant");
-/// The incarnation that is meant.
+/// The backend server that is meant, as it calls itself.
 const MEANT: HeaderName = HeaderName::from_static("x-expect-instance");
 /// The last event that is there already.
 const AFTER: HeaderName = HeaderName::from_static("last-event-id");
@@ -107,7 +107,7 @@
         headers.remove(name);
     }
     set(headers, PATIENCE, &hand.patience.as_millis().to_string());
-    set(headers, MEANT, hand.incarnation);
+    set(headers, MEANT, hand.server);
     if let Some(customer) = hand.customer {
         set(headers, CUSTOMER, customer);
     }
--- a/crates/curlewlift/src/platform/instances.rs
+++ b/crates/curlewlift/src/platform/instances.rs
@@ -1,5 +1,7 @@
 //! The platform's list of backend servers.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,71 +11,64 @@
 use axum::http::StatusCode;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Listing;
-use curlewlift_core::gateway::Server;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use serde::Deserialize;
 
+use crate::gateway;
 use crate::gateway::Fetch;
 
+use super::entries::Page;
+
 /// How long one page may take.
 const PATIENCE: Duration = Duration::from_millis(800);
 
 /// The largest page, in bytes.
 const LARGEST: usize = 4 << 20;
 
+/// The most unreadable entries that one fetch writes of.
+const NOTED: usize = 20;
+
 /// The most pages of a list: more than any fleet has, and an end where the platform names none.
 const PAGES: usize = 200;
 
-/// A page of the list.
-#[derive(Deserialize)]
-struct Page {
-    instances: Vec<Instance>,
-    next_token: Option<String>,
-}
-
-/// A backend server on the list.
-#[derive(Deserialize)]
-struct Instance {
-    /// The incarnation.
-    id: String,
-    service: String,
-    address: SocketAddr,
-    /// The data hall.
-    zone: String,
-    #[serde(default)]
-    slots: u32,
-    /// Whether it takes new work.
-    state: String,
-}
+/// Which entries were unreadable at the last fetch, and why: each is written once, not at every fetch.
+type Noted = Rc<RefCell<BTreeSet<String>>>;
 
 /// What fetches the list from the platform at `platform`.
 pub(super) fn fetch(platform: SocketAddr) -> Fetch {
     let client = Client::builder(TokioExecutor::new()).build_http();
+    let noted = Noted::default();
     Rc::new(move || {
         let client = client.clone();
-        Box::pin(async move { all(&client, platform).await })
+        let noted = Rc::clone(&noted);
+        Box::pin(async move { all(&client, platform, &noted).await })
     })
 }
 
 async fn all(
     client: &Client<HttpConnector, Body>,
     platform: SocketAddr,
+    noted: &Noted,
 ) -> Result<Listing, Refusal> {
     let mut servers = Vec::new();
+    let mut unreadable = BTreeSet::new();
     let mut from = String::new();
     for _ in 0..PAGES {
         let page = tokio::time::timeout(PATIENCE, page(client, platform, &from)).await;
         let page = page.map_err(|_| lost("no answer in time"))??;
-        servers.extend(page.instances.into_iter().filter_map(server));
-        match page.next_token {
-            Some(next) => from = format!("?page_token={next}"),
-            None => return Ok(Listing::new(servers)),
-        }
+        servers.extend(page.servers);
+        let places = page.unreadable.iter();
+        unreadable.extend(places.map(|entry| format!("{from}#{}: {}", entry.place, entry.why)));
+        let Some(next) = page.next else {
+            note_unreadable(unreadable, noted);
+            return Ok(Listing::new(servers));
+        };
+        from = format!("?page_token={next}");
     }
     Err(lost("its pages have no end"))
 }
@@ -92,25 +87,19 @@
     }
     let body = Limited::new(answer.into_body(), LARGEST).collect().await;
     let body = body.map_err(|why| lost(&why))?.to_bytes();
-    serde_json::from_slice(&body).map_err(|why| lost(&why))
+    Page::read(&body).map_err(|why| lost(&why))
 }
 
-fn server(instance: Instance) -> Option<Server> {
-    let service = match instance.service.parse() {
-        Ok(service) => service,
-        Err(why) => {
-            log::warn!("the platform's list: {}: {why}", instance.id);
-            return None;
-        }
-    };
-    Some(Server {
-        incarnation: instance.id.into(),
-        service,
-        address: instance.address,
-        hall: instance.zone.into(),
-        slots: instance.slots,
-        leaving: instance.state != "ready",
-    })
+/// Counts the entries that name no server, and writes those that are new.
+fn note_unreadable(unreadable: BTreeSet<String>, noted: &Noted) {
+    let count = u64::try_from(unreadable.len()).unwrap_or(u64::MAX);
+    metrics::counter!("curlewlift_list_unreadable").increment(count);
+    let former = noted.replace(unreadable);
+    for entry in noted.borrow().difference(&former).take(NOTED) {
+        gateway::note(Kind::EntryUnreadable)
+            .with("entry", entry.as_str())
+            .write();
+    }
 }
 
 fn lost(why: impl std::fmt::Display) -> Refusal {
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 mod directory;
 mod document;
+mod entries;
 mod heads;
 mod http;
 mod instances;
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// The platform's list has these entries from now on.
+    pub(crate) fn list(&self, entries: Vec<Value>) {
+        *self.listed.lock().expect("a lock") = entries;
+    }
+
     /// Starts a host with what its disk holds.
     pub(crate) fn boot(&mut self, place: usize, first: bool) {
         let path = self.settings(place, first);
@@ -289,7 +294,8 @@
     }
 }
 
-fn entry(engine: &Engine, service: &str, state: &str) -> Value {
+/// An entry of the list.
+pub(crate) fn entry(engine: &Engine, service: &str, state: &str) -> Value {
     json!({
         "id": engine.id, "service": service, "address": engine.address, "zone": "hall-0",
         "version": "v1", "slots": 4, "state": state, "cold_left_ms": 0,
@@ -341,7 +347,7 @@
 }
 
 /// Waits for something to come about.
-pub(crate) fn wait(what: &str, come: impl Fn() -> bool) {
+pub(crate) fn wait(what: &str, mut come: impl FnMut() -> bool) {
     let began = Instant::now();
     while !come() {
         assert!(
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use document::document;
 pub(crate) use engine::Engine;
 pub(crate) use hosts::Hosts;
+pub(crate) use hosts::entry;
 pub(crate) use hosts::folder;
 pub(crate) use hosts::wait;
 pub(crate) use line::Line;
