Keep late copies of the list from bringing back a former start

Cause: the list lags and repeats itself, so a copy may name the former start of a server after the new one was told of: what was believed of the former one would be taken up again, and the new one dropped. Ruled out: the order of births (hosts' clocks go back: a server started again under a lower birth would never be used). Change: gateway::Lives remembers eight former starts of each listed name; a copy that names one is passed over, unless three in a row do. Measured: 1,000 random histories of restarts and late copies; what the pool believed of the former start is not believed of the next.

--- a/crates/core/src/gateway/holding.rs
+++ b/crates/core/src/gateway/holding.rs
@@ -3,6 +3,7 @@
 use crate::id;
 
 use super::Listing;
+use super::Lives;
 
 /// What a gateway holds of the list of backend servers: its subset, and the whole where it keeps that.
 ///
@@ -15,6 +16,8 @@
     keeps_whole: bool,
     whole: Option<Listing>,
     subset: Listing,
+    /// Which incarnations of the servers are the present ones, by the copies so far.
+    lives: Lives,
 }
 
 impl Holding {
@@ -26,6 +29,7 @@
             keeps_whole,
             whole: None,
             subset: Listing::default(),
+            lives: Lives::default(),
         }
     }
 
@@ -64,8 +68,9 @@
         whole.filter(|whole| whole.version != held)
     }
 
-    /// Takes up the whole list as it was fetched here.
-    pub fn fetched(&mut self, whole: Listing) {
+    /// Takes up a copy of the whole list.
+    pub fn fetched(&mut self, copy: Listing) {
+        let whole = self.lives.take(copy);
         self.subset = whole.subset(&self.host);
         self.whole = Some(whole);
     }
--- /dev/null
+++ b/crates/core/src/gateway/lives.rs
@@ -0,0 +1,110 @@
+//! Which incarnation of each backend server is the present one.
+//!
+//! Load pattern: servers crash and start again under the name that they had, several at once, while the
+//! platform's list lags, repeats an older copy, or is read by another host. A copy that names the former
+//! incarnation must not bring back what was believed of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::Listing;
+use super::Server;
+
+/// How many former incarnations of a server are remembered: one that crashes every few seconds has that
+/// many within the time by which the platform's list lags.
+const FORMER: usize = 8;
+
+/// How many copies of the list in a row must name a former incarnation for it to be the present one after
+/// all: what one copy repeats, a second repeats too, but a server that is there is named by all.
+const STEADY: u32 = 3;
+
+/// What is known of the incarnations of one server.
+#[derive(Clone, Debug)]
+struct Life {
+    /// The present one, as the list last had it.
+    present: Server,
+    /// Those before it, newest last.
+    former: Vec<Arc<str>>,
+    /// How many copies in a row have named a former one.
+    contradicted: u32,
+}
+
+impl Life {
+    /// What stands for the server on a list that names `server`.
+    fn take(&mut self, server: Server) -> Server {
+        let is_former = self.former.contains(&server.incarnation);
+        self.contradicted = if is_former { self.contradicted + 1 } else { 0 };
+        if is_former && self.contradicted < STEADY {
+            return self.present.clone();
+        }
+        if server.incarnation != self.present.incarnation {
+            self.former.retain(|former| *former != server.incarnation);
+            self.former.push(Arc::clone(&self.present.incarnation));
+            if self.former.len() > FORMER {
+                self.former.remove(0);
+            }
+            self.contradicted = 0;
+        }
+        self.present = server.clone();
+        server
+    }
+}
+
+/// The present incarnation of each server on the list; memory is linear in the list.
+///
+/// # Examples
+///
+/// ```
+/// use curlewlift_core::gateway::Listing;
+/// use curlewlift_core::gateway::Lives;
+/// let mut lives = Lives::default();
+/// assert!(lives.take(Listing::default()).servers.is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Lives {
+    known: HashMap<Arc<str>, Life>,
+}
+
+impl Lives {
+    /// Takes up a copy of the list; gives it with each server once, in its present incarnation.
+    ///
+    /// A server that the copy leaves out is forgotten: what comes under its name later is a start anew.
+    pub fn take(&mut self, listing: Listing) -> Listing {
+        let mut known = HashMap::with_capacity(listing.servers.len());
+        let mut servers = Vec::with_capacity(listing.servers.len());
+        for server in self.once_each(listing) {
+            let name = Arc::clone(&server.name);
+            let life = self.known.remove(&name);
+            let mut life = life.unwrap_or_else(|| Life {
+                present: server.clone(),
+                former: Vec::new(),
+                contradicted: 0,
+            });
+            servers.push(life.take(server));
+            known.insert(name, life);
+        }
+        self.known = known;
+        Listing::new(servers)
+    }
+
+    /// The servers of a copy, each once: of two incarnations the one that is not known as a former one,
+    /// else the one that began last.
+    fn once_each(&self, listing: Listing) -> Vec<Server> {
+        let mut each: HashMap<Arc<str>, Server> = HashMap::new();
+        for server in listing.servers {
+            let goes_before = |other: &Server| {
+                let order = |server: &Server| (!self.is_former(server), server.born);
+                order(&server) > order(other)
+            };
+            if each.get(&server.name).is_none_or(goes_before) {
+                each.insert(Arc::clone(&server.name), server);
+            }
+        }
+        each.into_values().collect()
+    }
+
+    fn is_former(&self, server: &Server) -> bool {
+        let life = self.known.get(&server.name);
+        life.is_some_and(|life| life.former.contains(&server.incarnation))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/server_lives.rs
@@ -0,0 +1,118 @@
+//! Servers that start again under the name that they had: nothing of the former start comes back.
+
+use std::time::Duration;
+
+use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::Lives;
+use curlewlift_core::gateway::Server;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SEEDS: u64 = 1_000;
+
+fn server(name: &str, born: u64) -> Server {
+    Server {
+        incarnation: format!("{name}/{born}").into(),
+        name: name.into(),
+        born,
+        version: "v1".parse().expect("a version"),
+        service: "chat".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        hall: "a".into(),
+        slots: 2,
+        leaving: false,
+    }
+}
+
+fn births(listing: &Listing) -> Vec<u64> {
+    listing.servers.iter().map(|server| server.born).collect()
+}
+
+#[test]
+fn late_copies() {
+    let mut lives = Lives::default();
+    let copy = |born| Listing::new(vec![server("s1", born)]);
+    assert_eq!(births(&lives.take(copy(10))), [10]);
+    assert_eq!(births(&lives.take(copy(20))), [20]);
+    assert_eq!(births(&lives.take(copy(10))), [20], "a late copy");
+    assert_eq!(births(&lives.take(copy(20))), [20]);
+    // A server whose clock went back still has begun anew.
+    assert_eq!(births(&lives.take(copy(5))), [5]);
+    assert_eq!(births(&lives.take(copy(20))), [5]);
+}
+
+#[test]
+fn two_entries() {
+    let mut lives = Lives::default();
+    let both = || Listing::new(vec![server("s1", 10), server("s1", 20)]);
+    assert_eq!(births(&lives.take(both())), [20]);
+    lives.take(Listing::new(vec![server("s1", 5)]));
+    assert_eq!(births(&lives.take(both())), [10], "20 has ended");
+}
+
+/// Restarts between any two copies, of which two in a row may be late ones: what is given is the life that was
+/// begun last.
+#[test]
+fn any_order() {
+    for seed in 0..SEEDS {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut lives = Lives::default();
+        let mut told = vec![100];
+        let mut late = 0;
+        lives.take(Listing::new(vec![server("s1", 100)]));
+        for _ in 0..60 {
+            let newest = *told.last().expect("one");
+            let is_late = late < 2 && random.random_ratio(1, 3);
+            late = if is_late { late + 1 } else { 0 };
+            let born = if is_late {
+                told[told.len().saturating_sub(random.random_range(1..6))]
+            } else if random.random_ratio(1, 4) {
+                // The clock of a host may go back: births have no order.
+                random.random_range(1..1_000_000)
+            } else {
+                newest
+            };
+            let given = lives.take(Listing::new(vec![server("s1", born)]));
+            let present = if is_late { newest } else { born };
+            assert_eq!(births(&given), [present], "seed {seed}");
+            if !is_late && born != newest {
+                told.push(born);
+            }
+        }
+    }
+}
+
+/// What was believed of the former start is not believed of the next.
+#[test]
+fn nothing_believed() {
+    use std::sync::Arc;
+
+    use curlewlift_core::pool::End;
+    use curlewlift_core::pool::Pool;
+    use curlewlift_core::pool::Tuning;
+    use curlewlift_core::unit::Tokens;
+    let now = Instant::default() + Duration::from_secs(1);
+    let mut pool = Pool::new(Tuning::default(), 1);
+    let former = Arc::new(server("s1", 10));
+    let other = Arc::new(server("s2", 10));
+    pool.adopt(vec![Arc::clone(&former), Arc::clone(&other)]);
+    assert!(pool.take(&former, Tokens(100)));
+    pool.seen(&former.incarnation, End::Silent, now);
+    assert_eq!(pool.avoided(&[], now).count(), 1);
+    pool.adopt(vec![Arc::new(server("s1", 20)), other]);
+    let avoided = |pool: &Pool| {
+        let mut avoided = pool.avoided(&[], now);
+        avoided.any(|(incarnation, _)| *incarnation == *"s1/20")
+    };
+    assert!(!avoided(&pool), "trusted as any new one");
+    assert_eq!(pool.loads().count(), 1, "what runs at the former one");
+    pool.ended(&former.incarnation, End::Broken, now);
+    assert_eq!(
+        pool.avoided(&[], now).count(),
+        0,
+        "a late word of the former"
+    );
+    assert_eq!(pool.loads().count(), 0);
+}
