Roll a service out to another version, or back, by evidence

Cause: orders to move a service to another version were answered with 404, and the list's versions were not read: servers of a version that nobody ordered got requests like any others, and a bad version would have got all of them. Ruled out: shares of gateways' own traffic (a sum over hosts would be an estimate), judging by fixed windows (docs/design/rollouts.md), completion while something still runs at the former version (it is stopped at once). Change: orders and their phases are agreed in the log (state::Record::Rollout, rollout::Plans); gateways are told which versions they may send to by their own choice (rollout::Policy); the hub gives places at a version on trial out of an exposure earned by requests that reached the other one, compares the answers (Yardstick, Judge: a sequential test, per rule and in all) and moves the service over, or back (Trial). platform/rollouts.rs has the two calls. Without the deployment's bounds for it nothing changes.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -102,4 +102,6 @@
     DiskFailed = 407, "disk-failed", "A write or sync has failed; the process ends.";
     Published = 408, "published", "A routing table is in force; the detail has its number.";
     PartsHeld = 409, "parts-held", "Other gateways hold a part of what they may do without the hub's word; the detail counts the parts of further sendings, who holds one, and the deputies, who let requests in.";
+    RolloutOrdered = 410, "rollout-ordered", "An operator's order to move a service to another version was answered.";
+    RolloutAdvanced = 411, "rollout-advanced", "A roll-out is to come to another phase; the detail has the evidence that decided it.";
 }
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -8,8 +8,10 @@
 use crate::id;
 use crate::pool;
 use crate::pool::Ask;
+use crate::pool::OnTrial;
 use crate::pool::Pool;
 use crate::quota::Charge;
+use crate::rollout::Version;
 
 use super::Ended;
 use super::Grant;
@@ -79,6 +81,33 @@
         }
     }
 
+    /// The versions that get no more than so many requests, by service.
+    pub(super) fn set_on_trial<'a>(
+        &mut self,
+        credits: impl Iterator<Item = (&'a id::Service, &'a Version, u32)>,
+    ) {
+        let mut on_trial: BTreeMap<_, _> = credits
+            .map(|(service, version, credit)| {
+                let version = version.clone();
+                (service, OnTrial { version, credit })
+            })
+            .collect();
+        for (service, pool) in &mut self.pools {
+            pool.set_on_trial(on_trial.remove(service));
+        }
+    }
+
+    /// The server of a service that has an incarnation.
+    pub(super) fn server(&self, service: &id::Service, incarnation: &str) -> Option<&Arc<Server>> {
+        self.pools.get(service)?.get(incarnation)
+    }
+
+    /// How many requests run at an incarnation.
+    pub(super) fn in_flight(&self, incarnation: &str) -> u32 {
+        let load = self.occupancy.get(incarnation);
+        load.map_or(0, |load| load.requests)
+    }
+
     /// Takes up what a gateway has in flight.
     pub(super) fn report(&mut self, host: &id::Host, mark: Mark, loads: &[Load]) {
         let seen = if mark.hub == self.hub { mark.number } else { 0 };
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::pool::End;
 use crate::quota::Charge;
+use crate::rollout::Version;
 use crate::route::Rank;
 use crate::unit::Tokens;
 
@@ -68,6 +69,16 @@
     }
 }
 
+/// What is told of a sending for a roll-out of its service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watched {
+    /// The rule that its request came under.
+    pub rule: Arc<str>,
+    /// The version that is rolled out, as it was known when the sending began: what began before the order
+    /// earns nothing.
+    pub target: Version,
+}
+
 /// How a sending ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ended {
@@ -75,6 +86,8 @@
     pub service: id::Service,
     /// Where it was sent.
     pub incarnation: Arc<str>,
+    /// For the roll-out that was under way when it began, where one was.
+    pub watched: Option<Watched>,
     /// What it says of the backend server.
     pub end: End,
 }
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -9,6 +9,8 @@
 use crate::quota::Charge;
 use crate::quota::Desk;
 use crate::quota::Tolerance;
+use crate::rollout;
+use crate::rollout::Trials;
 use crate::route::Table;
 use crate::state::Publication;
 
@@ -41,6 +43,8 @@
     pub forget: Duration,
     /// How much more than an allowance may be let in.
     pub tolerance: Tolerance,
+    /// What is borne of a version that is on trial; none where roll-outs are not to be had.
+    pub rollouts: Option<rollout::Bounds>,
 }
 
 impl Default for Tuning {
@@ -49,15 +53,18 @@
             silent: Duration::from_millis(1_200),
             forget: Duration::from_secs(10),
             tolerance: Tolerance::default(),
+            rollouts: None,
         }
     }
 }
 
 /// What is known of one gateway.
 #[derive(Clone, Debug)]
-struct Seen {
+pub(super) struct Seen {
     gateway: Gateway,
     ready: bool,
+    /// The version of the policy on versions that it goes by.
+    pub(super) policy: u64,
     heard: Instant,
     subset: Subset,
 }
@@ -103,9 +110,9 @@
 /// the list has changed.
 #[derive(Debug)]
 pub struct Hub {
-    tuning: Tuning,
-    seen: BTreeMap<id::Host, Seen>,
-    dispatcher: Dispatcher,
+    pub(super) tuning: Tuning,
+    pub(super) seen: BTreeMap<id::Host, Seen>,
+    pub(super) dispatcher: Dispatcher,
     desk: Desk,
     /// Of the parts of the sendings past the first.
     keeper: Keeper,
@@ -117,9 +124,12 @@
     /// The number of its last answer.
     answers: u64,
     table: u64,
-    listing: Arc<Listing>,
+    pub(super) listing: Arc<Listing>,
     subsets: Subsets,
     rolls: Rolls,
+    pub(super) trials: Trials,
+    /// When it began.
+    pub(super) began: Instant,
     /// When silent gateways were last looked for.
     looked: Option<Instant>,
 }
@@ -142,6 +152,8 @@
             listing: Arc::default(),
             subsets: Subsets::default(),
             rolls: Rolls::default(),
+            trials: Trials::new(tuning.rollouts),
+            began: now,
             looked: None,
         }
     }
@@ -172,7 +184,7 @@
 
     /// Takes up a newer list of backend servers.
     pub fn list(&mut self, listing: Arc<Listing>) {
-        self.dispatcher.adopt(&listing);
+        self.dispatcher.adopt(&self.admitted(&listing));
         self.subsets = Subsets::of(&listing);
         self.listing = listing;
     }
@@ -191,6 +203,7 @@
         let seen = Seen {
             gateway: question.gateway.clone(),
             ready: question.ready,
+            policy: question.policy,
             heard: now,
             subset: former.map(|seen| seen.subset).unwrap_or_default(),
         };
@@ -225,6 +238,7 @@
             held: self.listing.version,
             listing: news.then(|| self.told(question)),
             roll: self.rolls.news(question.roll),
+            policy: self.policy_for(question),
             loads: self.dispatcher.others(&question.host, incarnations),
             ..Reply::default()
         }
@@ -262,6 +276,7 @@
         if self.listing.version == 0 {
             return false;
         }
+        let has_other_policy = self.has_other_policy(question);
         let Some(seen) = self.seen.get_mut(&question.host) else {
             return false;
         };
@@ -273,11 +288,11 @@
         } else {
             seen.subset.version
         };
-        told != question.listing
+        has_other_policy || told != question.listing
     }
 
     /// Whether a gateway was heard so lately that it is not silent.
-    fn is_live(&self, seen: &Seen, now: Instant) -> bool {
+    pub(super) fn is_live(&self, seen: &Seen, now: Instant) -> bool {
         seen.is_live(self.tuning.silent, now)
     }
 
@@ -343,12 +358,15 @@
         self.dispatcher
             .report(&report.host, report.mark, &report.loads);
         self.dispatcher.ended(&report.ends, now);
+        self.watch(&report.ends);
     }
 
     /// Gives places to those in line for whom there is room.
     pub fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
+        self.dispatcher.set_on_trial(self.trials.credits());
         let served = self.dispatcher.serve(now).into_iter();
         let served = served.map(|(ticket, grant, charge)| {
+            self.trials.given(&grant.server);
             if let Some(charge) = charge {
                 self.desk.spent(&charge, now);
             }
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::id;
+use crate::rollout::Policy;
 use crate::state::Publication;
 use crate::unit::Tokens;
 
@@ -72,6 +73,8 @@
     pub roll: u64,
     /// The version of the deputies that it knows.
     pub deputies: u64,
+    /// The version of the policy on versions that it goes by; 0 before it has one.
+    pub policy: u64,
     /// The last grant that it has got.
     pub mark: Mark,
     /// What it has in flight.
@@ -104,6 +107,8 @@
     pub deputy: f64,
     /// The hosts that hold such a part, where the asker knows others.
     pub deputies: Option<Deputies>,
+    /// Which versions gateways may send to by their own choice, where the asker goes by another policy.
+    pub policy: Option<Policy>,
     /// What the other gateways have in flight at the servers of the asker's subset.
     pub loads: Vec<Load>,
     /// The hosts of the control replicas.
--- a/crates/core/src/gateway/version.rs
+++ b/crates/core/src/gateway/version.rs
@@ -6,7 +6,7 @@
 use twox_hash::XxHash64;
 
 /// The same number for the same content, on every host.
-pub(super) fn version(content: &impl Hash) -> u64 {
+pub(crate) fn version(content: &impl Hash) -> u64 {
     let mut hasher = XxHash64::default();
     content.hash(&mut hasher);
     hasher.finish()
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -21,6 +21,7 @@
 pub use ask::Turn;
 pub use budget::Allowed;
 pub use budget::Budget;
+pub use choose::OnTrial;
 pub use lead::Lead;
 pub use pace::Pace;
 pub use patience::Patience;
--- a/crates/core/src/pool/roster.rs
+++ b/crates/core/src/pool/roster.rs
@@ -56,6 +56,12 @@
         self.paces.mean()
     }
 
+    /// What is known of an incarnation.
+    pub(super) fn get(&self, incarnation: &str) -> Option<&Known> {
+        let place = self.places.get(incarnation)?;
+        self.servers.get(*place)
+    }
+
     /// Whether it has an incarnation.
     pub(super) fn has(&self, incarnation: &str) -> bool {
         self.places.contains_key(incarnation)
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -16,6 +16,7 @@
 use super::Ticket;
 use super::Tuning;
 use super::Turn;
+use super::choose::OnTrial;
 use super::forecast::Forecast;
 use super::roster::Roster;
 use super::server::Known;
@@ -28,6 +29,8 @@
     pub(super) servers: Roster,
     pub(super) waiting: Waiting,
     pub(super) forecast: Forecast,
+    /// The version that gets no more than so many requests.
+    pub(super) on_trial: Option<OnTrial>,
     next: u64,
     pub(super) random: SmallRng,
 }
@@ -41,6 +44,7 @@
             servers: Roster::new(tuning.over),
             waiting: Waiting::default(),
             forecast: Forecast::default(),
+            on_trial: None,
             next: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -72,6 +76,17 @@
         });
     }
 
+    /// The version that gets no more than some requests; none where all versions are alike.
+    pub fn set_on_trial(&mut self, on_trial: Option<OnTrial>) {
+        self.on_trial = on_trial;
+    }
+
+    /// A server that it knows.
+    #[must_use]
+    pub fn get(&self, incarnation: &str) -> Option<&Arc<Server>> {
+        self.servers.get(incarnation).map(|known| &known.server)
+    }
+
     /// The incarnations that it knows.
     pub fn incarnations(&self) -> impl Iterator<Item = &Arc<str>> {
         self.servers.all().map(|known| &known.server.incarnation)
@@ -205,6 +220,7 @@
             };
             self.waiting.remove(ticket);
             self.forecast.turn(now);
+            self.spend_at(place);
             self.servers
                 .update_at(place, |known| known.begin(ask.prompt));
             turns.push(Turn {
--- a/crates/core/src/pool/trust.rs
+++ b/crates/core/src/pool/trust.rs
@@ -72,6 +72,17 @@
         !self.is_suspect(now) || (all_suspect && (1..=LAST_RESORT).contains(&self.breaks))
     }
 
+    /// How little it is to be preferred among servers that are otherwise alike, 0 to 4.
+    pub(super) fn grade(&self) -> u8 {
+        match self.failures {
+            failures if failures < 0.05 => 0,
+            failures if failures < 0.15 => 1,
+            failures if failures < 0.35 => 2,
+            failures if failures < 0.6 => 3,
+            _ => 4,
+        }
+    }
+
     /// The part of its last answers that failed, 0 to 1.
     #[must_use]
     pub fn failures(&self) -> f64 {
--- /dev/null
+++ b/crates/core/src/rollout/trials.rs
@@ -0,0 +1,198 @@
+//! The roll-outs under way, as the hub sees them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::gateway::Ended;
+use crate::gateway::Server;
+use crate::id;
+
+use super::Bounds;
+use super::Order;
+use super::Plans;
+use super::Policy;
+use super::Sample;
+use super::Scene;
+use super::Step;
+use super::Trial;
+use super::Version;
+
+/// After how long a step that was proposed and is not agreed is proposed again: some elections.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// A roll-out under way.
+#[derive(Clone, Debug)]
+struct UnderWay {
+    target: Version,
+    /// How old the order was when this hub first knew of it, and when that was.
+    known: (Duration, Instant),
+    trial: Trial,
+    /// When a step of it was proposed that is not agreed yet.
+    proposed: Option<Instant>,
+}
+
+/// The roll-outs under way; without bounds there are none, and every version serves.
+#[derive(Clone, Debug, Default)]
+pub struct Trials {
+    bounds: Option<Bounds>,
+    plans: Plans,
+    policy: Policy,
+    under_way: BTreeMap<id::Service, UnderWay>,
+    /// The services whose versions are to be established, and since when.
+    establishing: BTreeMap<id::Service, Instant>,
+}
+
+impl Trials {
+    /// No roll-outs yet; none ever, where no `bounds` say what is borne of a version on trial.
+    #[must_use]
+    pub fn new(bounds: Option<Bounds>) -> Self {
+        Self {
+            bounds,
+            ..Self::default()
+        }
+    }
+
+    /// Takes up what is agreed. `now_ms` is the Unix time; `own` the order that was taken under this hub.
+    pub fn adopt(&mut self, plans: &Plans, own: Option<&Order>, now_ms: u64, now: Instant) {
+        let Some(bounds) = self.bounds else { return };
+        self.plans = plans.clone();
+        self.policy = Policy::of(plans);
+        self.establishing
+            .retain(|service, _| plans.serving(service).is_none());
+        let mut former = std::mem::take(&mut self.under_way);
+        for (order, phase) in plans.under_way() {
+            let known = former.remove(&order.service);
+            let known = known.filter(|known| known.target == order.target);
+            let mut under_way = known.unwrap_or_else(|| UnderWay {
+                target: order.target.clone(),
+                known: (order.age(now_ms), now),
+                trial: Trial::new(order.length, phase, bounds, own == Some(order)),
+                proposed: None,
+            });
+            under_way.trial.advance(phase);
+            under_way.proposed = None;
+            self.under_way.insert(order.service.clone(), under_way);
+        }
+    }
+
+    /// What gateways may send to by their own choice.
+    #[must_use]
+    pub fn get_policy(&self) -> &Policy {
+        &self.policy
+    }
+
+    /// Whether the hub may give places at `server`.
+    #[must_use]
+    pub fn admits(&self, server: &Server) -> bool {
+        let under_way = self.under_way.get(&server.service);
+        let is_target = under_way.is_some_and(|under_way| under_way.target == server.version);
+        is_target || self.policy.is_open(server)
+    }
+
+    /// The services with a version on trial, that version, and how many requests it may get now.
+    pub fn credits(&self) -> impl Iterator<Item = (&id::Service, &Version, u32)> {
+        self.under_way.iter().filter_map(|(service, under_way)| {
+            let credit = under_way.trial.credit()?;
+            Some((service, &under_way.target, credit))
+        })
+    }
+
+    /// A request is given a place at `server`.
+    pub fn given(&mut self, server: &Server) {
+        if let Some(under_way) = self.under_way.get_mut(&server.service)
+            && under_way.target == server.version
+        {
+            under_way.trial.spend();
+        }
+    }
+
+    /// Whether what answers of a service show is asked for.
+    #[must_use]
+    pub fn is_under_way(&self, service: &id::Service) -> bool {
+        self.under_way.contains_key(service)
+    }
+
+    /// Takes up how a sending ended at a server of `version`; the target has so many `servers`.
+    pub fn ended(&mut self, ended: &Ended, version: &Version, servers: usize) {
+        let Some(under_way) = self.under_way.get_mut(&ended.service) else {
+            return;
+        };
+        let watched = ended.watched.as_ref();
+        let Some(watched) = watched.filter(|watched| watched.target == under_way.target) else {
+            return;
+        };
+        let sample = Sample {
+            rule: Arc::clone(&watched.rule),
+            server: Arc::clone(&ended.incarnation),
+            end: ended.end,
+        };
+        if under_way.target == *version {
+            under_way.trial.target(&sample, servers);
+        } else {
+            under_way.trial.former(&sample);
+        }
+    }
+
+    /// The steps that are to be agreed now, with what speaks for each; `scene` tells what there is around a
+    /// service whose target is this version.
+    pub fn tend(
+        &mut self,
+        scene: impl Fn(&id::Service, &Version) -> Scene,
+        now: Instant,
+    ) -> Vec<(Step, String)> {
+        let mut steps = Vec::new();
+        for (service, under_way) in &mut self.under_way {
+            if under_way.proposed.is_some_and(|at| now.since(at) < AGAIN) {
+                continue;
+            }
+            let mut scene = scene(service, &under_way.target);
+            let (age, since) = under_way.known;
+            scene.age = age + now.since(since);
+            if let Some((phase, why)) = under_way.trial.next(&scene) {
+                under_way.proposed = Some(now);
+                let step = Step::Advanced {
+                    service: service.clone(),
+                    target: under_way.target.clone(),
+                    phase,
+                };
+                steps.push((step, why));
+            }
+        }
+        steps
+    }
+
+    /// The steps that establish the versions of services on a list for the first time.
+    ///
+    /// Whatever runs when a service is first seen serves it, but for a version that was ordered before: the
+    /// platform starts the servers of that one for the order.
+    pub fn establish(&mut self, servers: &[Server], now: Instant) -> Vec<Step> {
+        if self.bounds.is_none() {
+            return Vec::new();
+        }
+        let mut seen: BTreeMap<&id::Service, BTreeSet<Version>> = BTreeMap::new();
+        for server in servers {
+            let ordered = self.plans.get(&server.service);
+            let is_target = ordered.is_some_and(|(order, _)| order.target == server.version);
+            if self.plans.serving(&server.service).is_none() && !is_target {
+                let versions = seen.entry(&server.service).or_default();
+                versions.insert(server.version.clone());
+            }
+        }
+        let mut steps = Vec::new();
+        for (service, versions) in seen {
+            let since = self.establishing.get(service);
+            if since.is_some_and(|since| now.since(*since) < AGAIN) {
+                continue;
+            }
+            self.establishing.insert(service.clone(), now);
+            steps.push(Step::Established {
+                service: service.clone(),
+                versions,
+            });
+        }
+        steps
+    }
+}
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -14,6 +14,7 @@
 use crate::id;
 use crate::lang;
 use crate::lang::Statement;
+use crate::rollout::Plans;
 use crate::view::Roster;
 
 use super::Command;
@@ -70,6 +71,8 @@
     parts: Parts,
     #[serde(default)]
     deputies: Parts,
+    #[serde(default)]
+    plans: Plans,
 }
 
 impl Machine {
@@ -99,6 +102,10 @@
                 self.deputies = parts.clone();
                 Ok(self.snapshot.revision)
             }
+            Record::Rollout(step) => {
+                self.plans.apply(step)?;
+                Ok(self.snapshot.revision)
+            }
         }
     }
 
@@ -172,6 +179,12 @@
         &self.deputies
     }
 
+    /// The roll-outs.
+    #[must_use]
+    pub fn get_plans(&self) -> &Plans {
+        &self.plans
+    }
+
     /// The newest view.
     #[must_use]
     pub fn get_roster(&self) -> &Roster {
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::Parts;
 use crate::id;
+use crate::rollout;
 use crate::view::Roster;
 
 use super::Document;
@@ -42,6 +43,8 @@
     Parts(Parts),
     /// Which gateways hold a part of what may be let in without the hub's word.
     Deputies(Parts),
+    /// A step of a roll-out.
+    Rollout(rollout::Step),
 }
 
 impl Record {
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -36,6 +36,7 @@
         listing: 0,
         roll: 0,
         deputies: 0,
+        policy: 0,
         mark: Mark::default(),
         loads: vec![load],
         got: 0,
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -178,6 +178,7 @@
         listing: 0,
         roll: 0,
         deputies: 0,
+        policy: 0,
         mark: Mark::default(),
         loads: report("g", 0, 3).loads,
         got: 0,
@@ -220,6 +221,7 @@
     broke.ends.push(Ended {
         service: "chat".parse().expect("a name"),
         incarnation: "s1".into(),
+        watched: None,
         end: End::Broken,
     });
     hub.report(&broke, ms(1));
--- a/crates/core/tests/large_fleets.rs
+++ b/crates/core/tests/large_fleets.rs
@@ -68,6 +68,7 @@
             listing: self.listing.version,
             roll: self.roll.version,
             deputies: 0,
+            policy: 0,
             mark: Mark::default(),
             loads,
             got: 0,
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -105,6 +105,7 @@
             listing: 1,
             roll: 0,
             deputies: 0,
+            policy: 0,
             mark: Mark::default(),
             loads: Vec::new(),
             got: self.got,
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -57,6 +57,8 @@
         // Of many gateways those beside a replica are no deputies.
         HubCall::Draw(_) => Ok(HubReply::Drawn(false)),
         HubCall::Read => read(state).await,
+        HubCall::Rollout(order) => super::rollouts::order(state, order).await,
+        HubCall::RolloutOf(service) => super::rollouts::read(state, &service).await,
         HubCall::Introduce(hosts) => Ok(meet(&state.borrow(), hosts)),
     }
 }
@@ -78,6 +80,18 @@
         self.news.notify_waiters();
     }
 
+    /// Whether so many replicas count that what is accepted outlives the losses that the deployment names.
+    pub(super) fn outlives_losses(&self) -> Result<(), Refusal> {
+        let replicas = self.replica.members().voters().count();
+        let needed = self.gateways.as_ref();
+        let needed = needed.map_or(1, |gateways| gateways.replicas);
+        if replicas < needed {
+            let why = format!("{replicas} control replicas count, {needed} must");
+            return Err(Refusal::new(Code::NotLeader, why));
+        }
+        Ok(())
+    }
+
     /// Tells the hub that nobody can have used anything yet.
     pub(super) fn first_table(&mut self) {
         let now = self.clock.now();
@@ -161,8 +175,16 @@
     Ok(known)
 }
 
-/// The newest table, once a majority has confirmed after the question that this replica leads.
+/// The newest table, surely.
 async fn read(state: &Shared) -> Result<HubReply, Refusal> {
+    confirm(state).await?;
+    let publication = state.borrow().machine.get_publication().clone();
+    Ok(HubReply::Table(publication))
+}
+
+/// Waits until a majority has confirmed after the question that this replica leads: what it holds then is the
+/// newest that was accepted before.
+pub(super) async fn confirm(state: &Shared) -> Result<(), Refusal> {
     let asked = state.borrow().clock.now();
     let confirmed = || state.borrow().replica.is_confirmed_since(asked);
     let wait = async {
@@ -174,8 +196,7 @@
         let why = "no majority confirms that this replica leads";
         return Err(Refusal::new(Code::NotLeader, why));
     }
-    let publication = state.borrow().machine.get_publication().clone();
-    Ok(HubReply::Table(publication))
+    Ok(())
 }
 
 async fn publish(state: &Shared, publication: Publication) -> Result<HubReply, Refusal> {
@@ -187,15 +208,7 @@
         if number <= state.machine.get_publication().number {
             return Ok(HubReply::Published);
         }
-        let replicas = state.replica.members().voters().count();
-        let needed = state
-            .gateways
-            .as_ref()
-            .map_or(1, |gateways| gateways.replicas);
-        if replicas < needed {
-            let why = format!("{replicas} control replicas count, {needed} must");
-            return Err(Refusal::new(Code::NotLeader, why));
-        }
+        state.outlives_losses()?;
         state.propose(&Record::Publication(publication))?
     };
     let lost = "the leader changed; send the same table again to learn what became of it";
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod query;
 mod replica;
+mod rollouts;
 
 pub use daemon::Control;
 pub(crate) use gateways::Decode;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -234,6 +234,7 @@
         let record = Record::decode(data).map_err(|why| Refusal::new(Code::Internal, why))?;
         let before = Arc::clone(self.machine.get_snapshot());
         let had_table = self.machine.get_publication().number > 0;
+        let plans = self.machine.get_plans().clone();
         let answer = self.machine.apply(&record);
         match record {
             Record::Publication(_) => {
@@ -244,6 +245,7 @@
                 }
             }
             Record::Parts(_) | Record::Deputies(_) => self.take_up_parts(),
+            Record::Rollout(step) => self.take_up_step(&step, &plans, term),
             Record::Command(_) | Record::Roster(_) => {}
         }
         let after = &self.machine.get_snapshot().hosts;
@@ -298,6 +300,7 @@
                 self.hub = Some(Hub::new(gateways.tuning, now).drawn(number));
                 self.take_up();
                 self.take_up_parts();
+                self.take_up_plans(None);
             }
         } else if self.role == Role::Leader {
             self.timeline
@@ -327,6 +330,7 @@
         if self.gateways.is_some() {
             self.tend_asking();
             self.tend_parts();
+            self.tend_rollouts();
             return;
         }
         self.tend_view();
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -50,6 +50,8 @@
 pub(crate) use node::Node;
 pub(crate) use orders::publish;
 pub(crate) use orders::read;
+pub(crate) use orders::roll_out;
+pub(crate) use orders::rollout_of;
 pub(crate) use refuse::refuse;
 pub(crate) use serve::serve;
 pub(crate) use stop::Grace;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -24,6 +24,7 @@
 use curlewlift_core::quota::Part;
 use curlewlift_core::quota::Reserve;
 use curlewlift_core::quota::Tolerance;
+use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Table;
 use tokio::sync::Notify;
 
@@ -82,6 +83,8 @@
     pub(super) services: RefCell<BTreeMap<id::Service, Service>>,
     /// What it holds of the list of backend servers.
     pub(super) holding: RefCell<Holding>,
+    /// The versions of servers that it may send to by its own choice, by the last word of the hub.
+    pub(super) policy: RefCell<Policy>,
     /// The gateways that live, by the last word of the hub.
     pub(super) roll: RefCell<Roll>,
     /// How long answers take to begin, by rule.
@@ -134,6 +137,7 @@
             rpc,
             table: RefCell::default(),
             services: RefCell::default(),
+            policy: RefCell::default(),
             roll: RefCell::default(),
             leads: RefCell::default(),
             reserve: RefCell::new(Reserve::new(tolerance)),
@@ -265,6 +269,12 @@
         }
     }
 
+    /// Takes up which versions of servers it may send to by its own choice.
+    pub(super) fn adopt_policy(&self, policy: Policy) {
+        *self.policy.borrow_mut() = policy;
+        self.spread();
+    }
+
     /// Takes up a list of backend servers, as `take` does it.
     pub(super) fn adopt_list(&self, take: impl FnOnce(&mut Holding)) {
         let mut holding = self.holding.borrow_mut();
--- a/crates/curlewlift/src/gateway/orders.rs
+++ b/crates/curlewlift/src/gateway/orders.rs
@@ -5,6 +5,9 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::id;
+use curlewlift_core::rollout::Order;
+use curlewlift_core::rollout::Phase;
+use curlewlift_core::rollout::Version;
 use curlewlift_core::state::Publication;
 use tokio::time::Instant;
 
@@ -51,6 +54,38 @@
     }
 }
 
+/// Gives an order to move a service to another version.
+///
+/// # Errors
+///
+/// The leader's refusal; [`Code::Unreachable`] where what became of it is not known.
+pub(crate) async fn roll_out(
+    node: &Node,
+    around: &Surroundings,
+    order: Order,
+) -> Result<(), Refusal> {
+    match ask(node, around, HubCall::Rollout(order)).await? {
+        HubReply::Ordered => Ok(()),
+        _ => Err(no_leader()),
+    }
+}
+
+/// The target of the last roll-out of a service, and how far it has come, surely; none where none was ordered.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] where nobody can be sure.
+pub(crate) async fn rollout_of(
+    node: &Node,
+    around: &Surroundings,
+    service: id::Service,
+) -> Result<Option<(Version, Phase)>, Refusal> {
+    match ask(node, around, HubCall::RolloutOf(service)).await? {
+        HubReply::Rollout(last) => Ok(last),
+        _ => Err(no_leader()),
+    }
+}
+
 /// Asks the leader, where it can be found within a few steps.
 async fn ask(node: &Node, around: &Surroundings, call: HubCall) -> Result<HubReply, Refusal> {
     let call = RenewCall::Hub(call);
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -12,6 +12,7 @@
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::Want;
+use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
@@ -39,6 +40,15 @@
 /// How long a call may take before its connection is given up; the request has gone on by then.
 const CALL: Duration = Duration::from_secs(2);
 
+/// What a request wants a place for.
+#[derive(Clone, Copy)]
+pub(super) struct Wanted<'a> {
+    /// The service.
+    pub(super) service: &'a id::Service,
+    /// The rule that the request came under.
+    pub(super) rule: &'a Arc<str>,
+}
+
 /// What the hub said.
 pub(super) enum Word {
     /// The request is to be sent there.
@@ -54,7 +64,7 @@
 /// Asks the hub for a place for at most `patience`, and to draw what the request counts.
 pub(super) async fn ask(
     node: &Node,
-    service: &id::Service,
+    wanted: Wanted<'_>,
     ask: &Ask,
     charge: Option<&Charge>,
     patience: Duration,
@@ -62,7 +72,7 @@
     let Some(address) = node.hub_address() else {
         return Word::Nothing;
     };
-    let want = node.want(service, ask, charge, patience);
+    let want = node.want(wanted.service, ask, charge, patience);
     let call = RenewCall::Hub(HubCall::Want(Box::new(want)));
     let call = node
         .rpc
@@ -72,7 +82,7 @@
         () = node.hub_falls_silent() => None,
     };
     match reply {
-        Some(Ok(HubReply::Place(Some(grant)))) => node.take(service, grant, ask.prompt),
+        Some(Ok(HubReply::Place(Some(grant)))) => node.take(wanted, grant, ask.prompt),
         Some(Ok(HubReply::Place(None))) => Word::NoPlace,
         Some(Ok(HubReply::Beyond(filled))) => Word::Beyond(filled),
         Some(Ok(_)) => node.doubt("it does not lead"),
@@ -133,7 +143,8 @@
     }
 
     /// Takes up a grant.
-    fn take(&self, service: &id::Service, grant: Grant, prompt: Tokens) -> Word {
+    fn take(&self, wanted: Wanted<'_>, grant: Grant, prompt: Tokens) -> Word {
+        let service = wanted.service;
         let mut hub = self.hub.borrow_mut();
         if grant.mark.follows(hub.mark) {
             hub.mark = grant.mark;
@@ -144,7 +155,7 @@
         if taken == Some(true) {
             return Word::Place(server);
         }
-        self.tell(service, &server.incarnation, End::Nothing);
+        self.tell(service, &server.incarnation, End::Nothing, None);
         Word::Nothing
     }
 
@@ -159,11 +170,28 @@
         Word::Nothing
     }
 
+    /// What is to be told of a sending that begins now, for a roll-out under way.
+    pub(super) fn watched(&self, wanted: Wanted<'_>) -> Option<Watched> {
+        let policy = self.policy.borrow();
+        let target = policy.watched(wanted.service)?;
+        Some(Watched {
+            rule: Arc::clone(wanted.rule),
+            target: target.clone(),
+        })
+    }
+
     /// Tells the hub how a sending ended.
-    pub(super) fn tell(&self, service: &id::Service, incarnation: &str, end: End) {
+    pub(super) fn tell(
+        &self,
+        service: &id::Service,
+        incarnation: &str,
+        end: End,
+        watched: Option<Watched>,
+    ) {
         self.ends.borrow_mut().push(Ended {
             service: service.clone(),
             incarnation: incarnation.into(),
+            watched,
             end,
         });
         self.reports.notify_one();
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -24,6 +24,7 @@
 use super::log::Line;
 use super::log::millis;
 use super::node::Node;
+use super::places::Wanted;
 use super::refuse::Refused;
 use super::sending;
 use super::turn;
@@ -151,7 +152,11 @@
             avoid: Vec::new(),
         };
         let charge = self.admitted.charge.as_ref();
-        match turn::wait(&self.node, &self.service, ask, charge, held).await {
+        let wanted = Wanted {
+            service: &self.service,
+            rule: &self.admitted.rule.name,
+        };
+        match turn::wait(&self.node, wanted, ask, charge, held).await {
             Ok(place) => {
                 // What it counts is drawn once, however often it is sent.
                 self.admitted.charge = None;
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use curlewlift_core::gateway::Load;
+use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::Budget;
@@ -40,10 +41,13 @@
                 }
             }
         }
+        let policy = self.policy.borrow();
         for (name, service) in services.iter_mut() {
-            let servers = by_service.remove(name).unwrap_or_default();
+            let mut servers = by_service.remove(name).unwrap_or_default();
+            servers.retain(|server| policy.is_open(server));
             service.pool.adopt(servers);
         }
+        drop(policy);
         drop(services);
         self.serve_all();
     }
@@ -113,10 +117,16 @@
     }
 
     /// Takes note of how a sending ended, and gives turns for the room that it made.
-    pub(super) fn ended(&self, name: &id::Service, incarnation: &str, end: End) {
+    pub(super) fn ended(
+        &self,
+        name: &id::Service,
+        incarnation: &str,
+        end: End,
+        watched: Option<Watched>,
+    ) {
         let now = self.now();
         self.with_service(name, |service| service.pool.ended(incarnation, end, now));
-        self.tell(name, incarnation, end);
+        self.tell(name, incarnation, end, watched);
         self.serve(name);
     }
 
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -145,6 +145,7 @@
         listing: holding.get_version(),
         roll: node.roll.borrow().version,
         deputies: node.deputies.borrow().version,
+        policy: node.policy.borrow().version,
         mark: hub.mark,
         loads: node.loads(),
         got: hub.got,
@@ -173,6 +174,10 @@
         hub.fetches = reply.fetches;
         hub.listing = reply.held;
     }
+    // Before the list: what is new on it may be of a version that gets nothing by this gateway's own choice.
+    if let Some(policy) = reply.policy {
+        node.adopt_policy(policy);
+    }
     // The one that fetches the list has it first hand.
     if !reply.fetches {
         node.adopt_list(|holding| {
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use curlewlift_core::gateway::Server;
+use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
@@ -18,6 +19,7 @@
 use super::deputies;
 use super::node::Node;
 use super::places;
+use super::places::Wanted;
 use super::places::Word;
 
 /// Between two looks whether the hub is heard again, of a request that only it can let in.
@@ -32,6 +34,8 @@
 pub(super) struct Place {
     node: Rc<Node>,
     service: id::Service,
+    /// For the roll-out that was under way when it was given.
+    watched: Option<Watched>,
     pub(super) server: Arc<Server>,
     /// Whether the hub gave it, and drew what the request counts.
     pub(super) by_hub: bool,
@@ -41,10 +45,11 @@
 }
 
 impl Place {
-    fn new(node: &Rc<Node>, service: &id::Service, server: Arc<Server>, prompt: Tokens) -> Self {
+    fn new(node: &Rc<Node>, wanted: Wanted<'_>, server: Arc<Server>, prompt: Tokens) -> Self {
         Self {
             node: Rc::clone(node),
-            service: service.clone(),
+            service: wanted.service.clone(),
+            watched: node.watched(wanted),
             server,
             by_hub: false,
             unread: Some(prompt),
@@ -91,8 +96,10 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.begun();
+        let incarnation = &self.server.incarnation;
+        let watched = self.watched.take();
         self.node
-            .ended(&self.service, &self.server.incarnation, self.end);
+            .ended(&self.service, incarnation, self.end, watched);
     }
 }
 
@@ -100,6 +107,7 @@
 struct Line {
     node: Rc<Node>,
     service: id::Service,
+    rule: Arc<str>,
     ticket: Ticket,
     turn: oneshot::Receiver<Turn>,
 }
@@ -110,12 +118,11 @@
         // A turn that came in the moment in which its request went away is given back.
         self.turn.close();
         if let Ok(turn) = self.turn.try_recv() {
-            drop(Place::new(
-                &self.node,
-                &self.service,
-                turn.server,
-                turn.prompt,
-            ));
+            let wanted = Wanted {
+                service: &self.service,
+                rule: &self.rule,
+            };
+            drop(Place::new(&self.node, wanted, turn.server, turn.prompt));
         }
     }
 }
@@ -139,7 +146,7 @@
 /// request counts is drawn there or here.
 pub(super) async fn wait(
     node: &Rc<Node>,
-    service: &id::Service,
+    wanted: Wanted<'_>,
     ask: Ask,
     charge: Option<&Charge>,
     patience: Duration,
@@ -149,9 +156,9 @@
     let word = ask.wanted.since(node.now()) / WORD_PART;
     loop {
         let left = until.saturating_duration_since(Instant::now());
-        match places::ask(node, service, &ask, charge, left).await {
+        match places::ask(node, wanted, &ask, charge, left).await {
             Word::Place(server) => {
-                return Ok(Place::new(node, service, server, ask.prompt).by_hub());
+                return Ok(Place::new(node, wanted, server, ask.prompt).by_hub());
             }
             Word::NoPlace => return Err(NoTurn::TimeUp),
             Word::Beyond(wait) => return Err(NoTurn::Beyond(wait)),
@@ -163,7 +170,7 @@
         };
         let left = until.saturating_duration_since(Instant::now());
         if is_let_in {
-            return wait_here(node, service, ask, left).await;
+            return wait_here(node, wanted, ask, left).await;
         }
         if left < LOOK || began.elapsed() + LOOK > word {
             return Err(NoTurn::NoWord);
@@ -175,14 +182,15 @@
 /// Waits for a turn by what this gateway knows itself.
 async fn wait_here(
     node: &Rc<Node>,
-    service: &id::Service,
+    wanted: Wanted<'_>,
     ask: Ask,
     patience: Duration,
 ) -> Result<Place, NoTurn> {
-    let (ticket, turn) = node.ask(service, ask).ok_or(NoTurn::NoServer)?;
+    let (ticket, turn) = node.ask(wanted.service, ask).ok_or(NoTurn::NoServer)?;
     let mut line = Line {
         node: Rc::clone(node),
-        service: service.clone(),
+        service: wanted.service.clone(),
+        rule: Arc::clone(wanted.rule),
         ticket,
         turn,
     };
@@ -192,5 +200,5 @@
         Ok(Err(_)) => return Err(NoTurn::Displaced),
         Err(_) => return Err(NoTurn::TimeUp),
     };
-    Ok(Place::new(node, service, turn.server, turn.prompt))
+    Ok(Place::new(node, wanted, turn.server, turn.prompt))
 }
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod http;
 mod instances;
 mod operator;
+mod rollouts;
 mod settings;
 mod start;
 
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -1,4 +1,4 @@
-//! The operators' calls: put a configuration, read the newest one.
+//! The operators' calls: put a configuration, read the newest one, roll a version out.
 
 use std::rc::Rc;
 
@@ -24,6 +24,7 @@
 
 use super::document;
 use super::http;
+use super::rollouts;
 
 pub(super) async fn answer(
     node: Rc<Node>,
@@ -34,6 +35,10 @@
     match (request.method(), path) {
         (&Method::POST, "/api/config/put") => put(&node, &around, request).await,
         (&Method::GET, "/api/config/get") => get(&node, &around).await,
+        (&Method::POST, "/api/rollouts/start") => rollouts::start(&node, &around, request).await,
+        (&Method::GET, _) if let Some(service) = rollouts::asked(path) => {
+            rollouts::get(&node, &around, &service).await
+        }
         _ => http::empty(StatusCode::NOT_FOUND),
     }
 }
@@ -84,19 +89,20 @@
     }
 }
 
-async fn text(request: Request<Incoming>) -> Result<String, Refusal> {
+/// The body of an order, as text.
+pub(super) async fn text(request: Request<Incoming>) -> Result<String, Refusal> {
     let body = Limited::new(request.into_body(), LARGEST).collect().await;
     let body = body.map_err(|why| {
         let large = why.is::<LengthLimitError>();
         let code = if large { Code::TooLarge } else { Code::BadJson };
-        Refusal::new(code, format!("the configuration: {why}"))
+        Refusal::new(code, format!("the body: {why}"))
     })?;
     String::from_utf8(body.to_bytes().to_vec())
-        .map_err(|why| Refusal::new(Code::BadJson, format!("the configuration: {why}")))
+        .map_err(|why| Refusal::new(Code::BadJson, format!("the body: {why}")))
 }
 
 /// Whatever went wrong inside: the order may be in force or not, and is to be sent again.
-fn unclear(refusal: Refusal) -> Refusal {
+pub(super) fn unclear(refusal: Refusal) -> Refusal {
     if refusal.get_code().status() == StatusCode::SERVICE_UNAVAILABLE.as_u16() {
         return refusal;
     }
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::quota::Tolerance;
+use curlewlift_core::rollout;
 use serde::Deserialize;
 
 /// The settings of one process, as the platform's file has them.
@@ -41,6 +42,9 @@
     /// Where the platform itself is reached.
     #[serde(rename = "cloud")]
     pub(super) platform: Reached,
+    /// The parts of the platform's rules that are in force.
+    #[serde(rename = "contracts", default)]
+    pub(super) in_force: Vec<String>,
 }
 
 /// Where a process listens.
@@ -111,11 +115,20 @@
     /// What is borne on top, in the allowance's unit.
     #[serde(rename = "quota_slack", default)]
     pub(super) use_slack: f64,
+    /// The part (0 to 1) of a service's requests that a version may get before it is trusted.
+    #[serde(rename = "exposure_share", default)]
+    pub(super) trial_part: f64,
+    /// The requests that it may get on top.
+    #[serde(rename = "exposure_slack", default)]
+    pub(super) trial_on_top: f64,
     /// How long an address answer may be kept at most, in seconds.
     #[serde(rename = "ttl_max_s", default = "no_bound")]
     pub(super) answer_seconds: f64,
 }
 
+/// The part of the platform's rules under which versions are rolled out.
+const ROLLOUTS: &str = "rollout";
+
 /// The longest time that a bound may name, in seconds.
 const LONGEST: f64 = 86_400.0;
 
@@ -133,6 +146,14 @@
                 return Err(format!("{name} is {seconds}, not from 0 to {LONGEST}"));
             }
         }
+        if !(0.0..=1.0).contains(&self.trial_part) {
+            let part = self.trial_part;
+            return Err(format!("exposure_share is {part}, not from 0 to 1"));
+        }
+        if !(self.trial_on_top >= 0.0 && self.trial_on_top.is_finite()) {
+            let on_top = self.trial_on_top;
+            return Err(format!("exposure_slack is {on_top}, not 0 or more"));
+        }
         Ok(())
     }
 }
@@ -187,6 +208,15 @@
         }
     }
 
+    /// What is borne of a version that is not trusted yet; none where versions are all alike.
+    pub(super) fn rollouts(&self) -> Option<rollout::Bounds> {
+        let is_in_force = self.in_force.iter().any(|part| part == ROLLOUTS);
+        is_in_force.then_some(rollout::Bounds {
+            share: self.bounds.trial_part,
+            on_top: self.bounds.trial_on_top,
+        })
+    }
+
     /// The time after which the platform ends a process that was told to stop.
     pub(super) fn stop_time(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.stop_seconds)
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -173,6 +173,7 @@
             replicas,
             tuning: Tuning {
                 tolerance: settings.tolerance(),
+                rollouts: settings.rollouts(),
                 ..Tuning::default()
             },
         },
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::id;
 use curlewlift_core::queue::Report;
 use curlewlift_core::quota::Charge;
+use curlewlift_core::rollout;
 use curlewlift_core::state::Publication;
 use curlewlift_core::unit::Tokens;
 use curlewlift_core::view::Renewal;
@@ -59,6 +60,10 @@
     Publish(Publication),
     /// Asks for the routing table in force.
     Read,
+    /// Gives an order to move a service to another version.
+    Rollout(rollout::Order),
+    /// Asks how far the last roll-out of a service has come.
+    RolloutOf(id::Service),
 }
 
 /// The answers to [`HubCall`].
@@ -80,6 +85,10 @@
     Published,
     /// The table in force; number 0 where there is none.
     Table(Publication),
+    /// The order was taken, now or before.
+    Ordered,
+    /// The target of the last roll-out, and how far it has come; none where none was ordered.
+    Rollout(Option<(rollout::Version, rollout::Phase)>),
     /// Who answers does not lead; that host may, and these keep control replicas.
     Elsewhere {
         leader: Option<id::Host>,
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -35,16 +35,28 @@
     pub address: SocketAddr,
     came: Arc<Mutex<Vec<Came>>>,
     left: Arc<Mutex<u32>>,
+    /// What it does with every request, whatever that says.
+    always: Option<&'static str>,
 }
 
 impl Engine {
     pub(crate) fn start(id: &str) -> Self {
+        Self::start_with(id, None)
+    }
+
+    /// An engine that does the same with every request.
+    pub(crate) fn start_always(id: &str, play: &'static str) -> Self {
+        Self::start_with(id, Some(play))
+    }
+
+    fn start_with(id: &str, always: Option<&'static str>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let engine = Self {
             id: id.to_owned(),
             address: listener.local_addr().expect("an address"),
             came: Arc::default(),
             left: Arc::default(),
+            always,
         };
         let serving = engine.clone();
         std::thread::spawn(move || {
@@ -73,7 +85,8 @@
         };
         let meant = came.header("x-expect-instance").map(ToOwned::to_owned);
         let id = came.header("x-attempt-id").unwrap_or_default().to_owned();
-        let play = came.header("x-play").unwrap_or("answer").to_owned();
+        let play = self.always.or_else(|| came.header("x-play"));
+        let play = play.unwrap_or("answer").to_owned();
         let after = came.header("last-event-id").and_then(|id| id.parse().ok());
         if meant.as_deref() != Some(&self.id) {
             answer(stream, 421, &id, "", "");
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -55,9 +55,16 @@
     processes: Vec<Option<Process>>,
     list: SocketAddr,
     listed: Arc<Mutex<Vec<Value>>>,
+    /// The parts of the platform's rules that are in force.
+    in_force: &'static [&'static str],
 }
 
 impl Hosts {
+    /// Three hosts with a disk, where versions are rolled out.
+    pub(crate) fn start_rollouts(folder: PathBuf, engines: &[(&Engine, &str)]) -> Self {
+        Self::start_with(folder, engines, 0, None, &["base", "rollout"])
+    }
+
     /// Three hosts with a disk.
     pub(crate) fn start(folder: PathBuf, engines: &[(&Engine, &str)]) -> Self {
         Self::start_more(folder, engines, 0, None)
@@ -69,6 +76,16 @@
         engines: &[(&Engine, &str)],
         more: u8,
         line: Option<u64>,
+    ) -> Self {
+        Self::start_with(folder, engines, more, line, &["base"])
+    }
+
+    fn start_with(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        more: u8,
+        line: Option<u64>,
+        in_force: &'static [&'static str],
     ) -> Self {
         let listed = engines
             .iter()
@@ -87,6 +104,7 @@
             processes: (0..DISKS + more).map(|_| None).collect(),
             list: serve_list(Arc::clone(&listed)),
             listed,
+            in_force,
         };
         for place in hosts.places() {
             hosts.boot(place, true);
@@ -182,6 +200,12 @@
         held("held=") && held("deputies=")
     }
 
+    /// What decided the steps of roll-outs, by the time lines of the replicas that run.
+    pub(crate) fn rollout_steps(&self) -> Vec<String> {
+        let lines = self.time_line(Kind::RolloutAdvanced);
+        lines.into_iter().map(|line| line.detail).collect()
+    }
+
     /// The lines of a kind at the control replicas that run.
     fn time_line(&self, kind: Kind) -> Vec<event::Line> {
         let filter = Filter {
@@ -242,10 +266,10 @@
             "bounds": {
                 "grace_s": 8, "retry_budget_ratio": 0.2, "budget_min_retries": 60,
                 "budget_window_s": 10, "quota_window_s": 8, "quota_overage": 0.1,
-                "quota_slack": 0, "ttl_max_s": 5,
+                "quota_slack": 0, "ttl_max_s": 5, "exposure_share": 0.1, "exposure_slack": 50,
             },
             "cloud": { "address": self.list },
-            "some_later_field": true,
+            "contracts": self.in_force, "some_later_field": true,
         });
         let path = folder.join("settings.json");
         std::fs::write(&path, settings.to_string()).expect("a file");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod client;
 pub mod gauge;
 pub mod measure;
+pub mod rollout;
 pub mod site;
 pub mod standin;
