Judge by failures alone once all new requests go to the target

Cause: beside busy processes a good version was rolled back while it was moving (tests/platform_rollouts good_version, 2 of 15 runs: rule=all answers=624 bad=17 odds=13.1): its answers were compared with what was usual before all of the load came to it, and nothing tells any more how slow the load alone is. Ruled out: a higher threshold (a burst slows all answers, not some). Change: while moving, an answer that is only slow is good.

--- a/crates/core/src/gateway/rollouts.rs
+++ b/crates/core/src/gateway/rollouts.rs
@@ -27,8 +27,7 @@
 
     /// The steps of roll-outs that are to be agreed now, with what speaks for each.
     pub fn tend_rollouts(&mut self, now: Instant) -> Vec<(Step, String)> {
-        let servers = &self.listing.servers;
-        let established = self.trials.establish(servers, now).into_iter();
+        let established = self.trials.establish(&self.listing, now).into_iter();
         let mut steps: Vec<_> = established.map(|step| (step, String::new())).collect();
         let is_known = self.is_known(now);
         let mut trials = std::mem::take(&mut self.trials);
--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -102,7 +102,7 @@
 /// for server in ["s1", "s2", "s1", "s2"] {
 ///     let end = End::Failed;
 ///     let sample = Sample { rule: "chat".into(), server: server.into(), end };
-///     judge.take(&sample, &usual, 2);
+///     judge.take(&sample, &usual, 2, true);
 /// }
 /// assert!(judge.against().is_some(), "four failures of two servers, where one in a hundred is usual");
 /// ```
@@ -113,9 +113,10 @@
 }
 
 impl Judge {
-    /// Takes up an answer of the version, which has so many `servers`.
-    pub fn take(&mut self, sample: &Sample, usual: &Yardstick, servers: usize) {
-        let Some((is_bad, often)) = usual.measure(sample) else {
+    /// Takes up an answer of the version, which has so many `servers`; where times do not count, one that is only
+    /// slow is good.
+    pub fn take(&mut self, sample: &Sample, usual: &Yardstick, servers: usize, times_count: bool) {
+        let Some((is_bad, often)) = usual.measure(sample, times_count) else {
             return;
         };
         let shift = shift(is_bad, often);
--- a/crates/core/src/rollout/trial.rs
+++ b/crates/core/src/rollout/trial.rs
@@ -95,7 +95,10 @@
 
     /// Takes up an answer of the target, which has so many `servers`.
     pub fn target(&mut self, sample: &Sample, servers: usize) {
-        self.judge.take(sample, &self.usual, servers);
+        // Once all new requests go there, nothing tells any more how slow the load alone makes answers: beside
+        // busy hosts good versions were rolled back for it.
+        let times_count = self.phase == Phase::Trial;
+        self.judge.take(sample, &self.usual, servers, times_count);
     }
 
     /// How many requests the target may get now; none where it has no bound any more.
--- a/crates/core/src/rollout/yardstick.rs
+++ b/crates/core/src/rollout/yardstick.rs
@@ -176,14 +176,15 @@
         true
     }
 
-    /// Whether an answer is bad by this measure, and the part of usual answers that are; none where it shows
-    /// nothing.
+    /// Whether an answer is bad by this measure, for being slow only where times count; and the part of usual
+    /// answers that are. None where it shows nothing.
     #[must_use]
-    pub fn measure(&self, sample: &Sample) -> Option<(bool, f64)> {
+    pub fn measure(&self, sample: &Sample, times_count: bool) -> Option<(bool, f64)> {
         let shown = Shown::of(sample.end)?;
         let usual = self.rules.get(&sample.rule).map(|kept| kept.usual);
         let usual = usual.unwrap_or_default();
-        Some((shown.is_bad(usual), usual.bad.clamp(USUAL.0, USUAL.1)))
+        let is_bad = shown == Shown::Failed || (times_count && shown.is_bad(usual));
+        Some((is_bad, usual.bad.clamp(USUAL.0, USUAL.1)))
     }
 
     /// The rules that answers often belong to.
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -72,6 +72,8 @@
     mark: Mark,
     policy: Policy,
     ends: Vec<Ended>,
+    /// Whether what it has in flight has changed since its last report.
+    has_news: bool,
 }
 
 /// A request at a server.
@@ -150,6 +152,7 @@
             mark: Mark::default(),
             policy: Policy::default(),
             ends: Vec::new(),
+            has_news: false,
         });
         Self {
             scenario,
@@ -444,6 +447,7 @@
         if !is_down {
             self.count(is_new);
         }
+        self.askers[gateway].has_news = true;
         self.runs.push(Run {
             gateway,
             engine: place,
@@ -480,6 +484,7 @@
             let engine = &mut self.engines[run.engine];
             engine.running -= 1;
             let asker = &mut self.askers[run.gateway];
+            asker.has_news = true;
             asker.ends.push(Ended {
                 service: service(),
                 incarnation: Arc::clone(&engine.server.incarnation),
@@ -503,10 +508,14 @@
             if !self.hears(gateway) {
                 continue;
             }
-            let loads = self.loads(gateway);
             let asks = (self.now / TICK + gateway as u64).is_multiple_of(ASKS / TICK);
+            if !asks && !self.askers[gateway].has_news {
+                continue;
+            }
+            let loads = self.loads(gateway);
             let now = self.clock();
             let asker = &mut self.askers[gateway];
+            asker.has_news = false;
             let Some(hub) = &mut self.hub else { return };
             let report = Report {
                 host: asker.host.clone(),
