--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -81,6 +81,7 @@
         let want = Want {
             host: self.hosts[place].clone(),
             hall: "a".into(),
+            rule: None,
             service: "chat".parse().expect("a name"),
             rank: u8::try_from(self.asked % 4).expect("small").into(),
             waited: Duration::ZERO,
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -11,7 +11,6 @@
 use crate::pool::OnTrial;
 use crate::pool::Pool;
 use crate::quota::Charge;
-use crate::rollout::Version;
 
 use super::Ended;
 use super::Grant;
@@ -84,14 +83,9 @@
     /// The versions that get no more than so many requests, by service.
     pub(super) fn set_on_trial<'a>(
         &mut self,
-        credits: impl Iterator<Item = (&'a id::Service, &'a Version, u32)>,
+        on_trial: impl Iterator<Item = (&'a id::Service, OnTrial)>,
     ) {
-        let mut on_trial: BTreeMap<_, _> = credits
-            .map(|(service, version, credit)| {
-                let version = version.clone();
-                (service, OnTrial { version, credit })
-            })
-            .collect();
+        let mut on_trial: BTreeMap<_, _> = on_trial.collect();
         for (service, pool) in &mut self.pools {
             pool.set_on_trial(on_trial.remove(service));
         }
@@ -145,6 +139,7 @@
         let avoid = want.avoid.into_iter();
         let avoid = avoid.map(|(incarnation, left)| (incarnation, now + left));
         let ask = Ask {
+            rule: want.rule,
             rank: want.rank,
             arrived: now - want.waited,
             wanted: now + want.wanted,
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -25,6 +25,8 @@
     pub hall: Arc<str>,
     /// The service.
     pub service: id::Service,
+    /// The rule that the request came under, where a roll-out of the service is under way.
+    pub rule: Option<Arc<str>>,
     /// How urgent the request is.
     pub rank: Rank,
     /// The time since it arrived.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -363,7 +363,7 @@
 
     /// Gives places to those in line for whom there is room.
     pub fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
-        self.dispatcher.set_on_trial(self.trials.credits());
+        self.dispatcher.set_on_trial(self.trials.on_trial());
         let served = self.dispatcher.serve(now).into_iter();
         let served = served.map(|(ticket, grant, charge)| {
             self.trials.given(&grant.server);
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -18,6 +18,8 @@
 /// A request that wants a backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
+    /// The rule that it came under, where that is of use.
+    pub rule: Option<Arc<str>>,
     /// How urgent it is.
     pub rank: Rank,
     /// When it arrived: one that comes back from a server keeps its place.
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -1,6 +1,7 @@
 //! Which backend server of a pool a request is sent to.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 
 use rand::RngExt;
 
@@ -31,6 +32,10 @@
 /// Up to how many servers with room all are looked at.
 const ALL: usize = 128;
 
+/// One of so many requests of other rules is tried while too little is known under some: with none of them, a
+/// version that turned slow meanwhile got all requests in one trial of ten.
+const OTHERS: u32 = 8;
+
 /// A version that gets no more than some of the requests.
 #[derive(Clone, Debug)]
 pub struct OnTrial {
@@ -38,13 +43,24 @@
     pub version: Version,
     /// How many requests it may get now.
     pub credit: u32,
+    /// The rules under which too little is known of it: where there are any, it gets few requests of others.
+    pub lacking: Vec<Arc<str>>,
+}
+
+impl OnTrial {
+    /// Whether a request is of those that are to be tried first.
+    fn lacks(&self, ask: &Ask) -> bool {
+        let is_lacking = |rule: &Arc<str>| self.lacking.contains(rule);
+        self.lacking.is_empty() || ask.rule.as_ref().is_some_and(is_lacking)
+    }
 }
 
 /// # Versions on trial
 ///
 /// Load pattern: a version may be bad only under load, and what it gets is a tenth of the requests at most.
 /// Spread over all its servers that leaves them idle. So it is given to few of them, which run as many
-/// requests as other servers do: answers are then compared at equal load.
+/// requests as other servers do: answers are then compared at equal load. A rule that is asked for rarely would
+/// be tried last, so it goes first where too little is known under it.
 impl Pool {
     /// Whether requests go to `server` without a bound.
     fn is_open(on_trial: Option<&OnTrial>, server: &Server) -> bool {
@@ -53,10 +69,11 @@
 
     /// The place of the server that a request is tried at, where it is.
     fn choose_on_trial(&mut self, ask: &Ask, now: Instant) -> Option<usize> {
-        let on_trial = self
-            .on_trial
-            .as_ref()
-            .filter(|on_trial| on_trial.credit > 0);
+        let on_trial = self.on_trial.as_ref();
+        let on_trial = on_trial.filter(|on_trial| {
+            let is_first = on_trial.lacks(ask) || self.random.random_ratio(1, OTHERS);
+            is_first && on_trial.credit > 0
+        });
         let on_trial = on_trial.cloned()?;
         let usual = self.usual_load(&on_trial);
         let free = self
--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -138,13 +138,17 @@
         })
     }
 
-    /// Whether its answers speak for it, over all and under each of `rules`.
+    /// Whether its answers, over all rules, speak for it.
     #[must_use]
-    pub fn is_trusted<'a>(&self, rules: impl Iterator<Item = &'a Arc<str>>) -> bool {
-        let good = |rule| self.rules.get(rule).map_or(0.0, |odds| odds.good);
-        let mut rules = rules.peekable();
-        let is_compared = rules.peek().is_some();
-        is_compared && self.all.good >= GOOD && rules.all(|rule| good(rule) >= GOOD_RULE)
+    pub fn is_trusted(&self) -> bool {
+        self.all.good >= GOOD
+    }
+
+    /// Those of `rules` under which its answers do not speak for it yet.
+    pub fn lacking<'a>(&self, rules: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
+        let good = |rule: &Arc<str>| self.rules.get(rule).map_or(0.0, |odds| odds.good);
+        let lacking = rules.filter(|rule| good(rule) < GOOD_RULE);
+        lacking.cloned().collect()
     }
 
     /// How many answers have counted.
--- a/crates/core/src/rollout/trial.rs
+++ b/crates/core/src/rollout/trial.rs
@@ -4,6 +4,7 @@
 //! what runs at the former version lets it; and whoever gets a bad answer is a caller, so no more go there than
 //! it takes. Beyond the bound nothing goes there, whatever the load.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::Evidence;
@@ -16,10 +17,10 @@
 /// The part of a roll-out's time after which a version that is trusted gets all new requests: what runs at the
 /// former one has the rest to end in, and a version that turns bad has shown it by then or does not matter any
 /// more.
-const TRIED: f64 = 0.6;
+const TRIED: f64 = 0.7;
 
 /// The part after which less room is enough.
-const PRESSED: f64 = 0.8;
+const PRESSED: f64 = 0.85;
 
 /// How many times its time a roll-out may last without being trusted: where leaders changed, what the one before
 /// saw is not known to the next.
@@ -111,6 +112,12 @@
         }
     }
 
+    /// The rules that are often asked and under which the target is not trusted yet.
+    #[must_use]
+    pub fn lacking(&self) -> Vec<Arc<str>> {
+        self.judge.lacking(self.usual.busy_rules())
+    }
+
     /// A request is given a place at the target.
     pub fn spend(&mut self) {
         if self.phase == Phase::Trial {
@@ -157,7 +164,9 @@
         } else {
             slots > 0 && f64::from(slots) >= f64::from(former) * ROOM
         };
-        is_past(TRIED) && has_room && self.judge.is_trusted(self.usual.busy_rules())
+        let is_compared = self.usual.busy_rules().next().is_some();
+        let is_trusted = is_compared && self.judge.is_trusted() && self.lacking().is_empty();
+        is_past(TRIED) && has_room && is_trusted
     }
 
     /// Whoever stops the former version once the roll-out is completed cuts off what still runs there.
--- a/crates/core/src/rollout/trials.rs
+++ b/crates/core/src/rollout/trials.rs
@@ -10,6 +10,7 @@
 use crate::gateway::Listing;
 use crate::gateway::Server;
 use crate::id;
+use crate::pool::OnTrial;
 
 use super::Bounds;
 use super::Order;
@@ -97,11 +98,15 @@
         is_target || self.policy.is_open(server)
     }
 
-    /// The services with a version on trial, that version, and how many requests it may get now.
-    pub fn credits(&self) -> impl Iterator<Item = (&id::Service, &Version, u32)> {
+    /// The services with a version on trial, and what it may get now.
+    pub fn on_trial(&self) -> impl Iterator<Item = (&id::Service, OnTrial)> {
         self.under_way.iter().filter_map(|(service, under_way)| {
-            let credit = under_way.trial.credit()?;
-            Some((service, &under_way.target, credit))
+            let on_trial = OnTrial {
+                version: under_way.target.clone(),
+                credit: under_way.trial.credit()?,
+                lacking: under_way.trial.lacking(),
+            };
+            Some((service, on_trial))
         })
     }
 
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -62,6 +62,7 @@
     Want {
         host: host.parse().expect("a name"),
         hall: "a".into(),
+        rule: None,
         service: "chat".parse().expect("a name"),
         rank: rank.into(),
         waited: Duration::ZERO,
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -470,6 +470,7 @@
     Want {
         host: host.clone(),
         hall: "a".into(),
+        rule: None,
         service: "chat".parse().expect("a name"),
         rank: Rank::default(),
         waited: Duration::ZERO,
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -72,7 +72,7 @@
     let Some(address) = node.hub_address() else {
         return Word::Nothing;
     };
-    let want = node.want(wanted.service, ask, charge, patience);
+    let want = node.want(wanted, ask, charge, patience);
     let call = RenewCall::Hub(HubCall::Want(Box::new(want)));
     let call = node
         .rpc
@@ -117,12 +117,14 @@
 
     fn want(
         &self,
-        service: &id::Service,
+        wanted: Wanted<'_>,
         ask: &Ask,
         charge: Option<&Charge>,
         patience: Duration,
     ) -> Want {
         let now = self.now();
+        let service = wanted.service;
+        let watched = self.policy.borrow().watched(service).is_some();
         let avoid = self.with_service(service, |service| {
             let avoided = service.pool.avoided(&ask.tried, now);
             avoided.collect()
@@ -131,6 +133,7 @@
             host: self.host.clone(),
             hall: Arc::clone(&self.gateway.hall),
             service: service.clone(),
+            rule: watched.then(|| Arc::clone(wanted.rule)),
             rank: ask.rank,
             waited: now.since(ask.arrived),
             wanted: ask.wanted.since(now),
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -142,6 +142,7 @@
             patience.in_time()
         };
         let ask = Ask {
+            rule: None,
             rank: admitted.rank(),
             arrived: admitted.since,
             wanted: now + in_time,
--- a/crates/lab/examples/rollouts.rs
+++ b/crates/lab/examples/rollouts.rs
@@ -21,6 +21,9 @@
     /// seeds of each kind (100)
     #[argh(option, default = "100")]
     seeds: u64,
+    /// threads (as many as there are processors)
+    #[argh(option)]
+    threads: Option<u64>,
     /// only the version with this fault, or `good`
     #[argh(option)]
     only: Option<String>,
@@ -28,6 +31,8 @@
 
 fn main() {
     let args: Args = argh::from_env();
+    let processors = std::thread::available_parallelism().map_or(1, |count| count.get() as u64);
+    let threads = args.threads.unwrap_or(processors).max(1);
     println!(
         "| version | trouble | completed in time | rolled back | exposed of bound, most | ms after the 50th bad, most | cut |"
     );
@@ -36,7 +41,7 @@
     for fault in faults {
         let is_wanted = args.only.as_ref().is_none_or(|only| *only == name(fault));
         for trouble in Trouble::ALL.into_iter().filter(|_| is_wanted) {
-            line(fault, trouble, args.seeds);
+            line(fault, trouble, args.seeds, threads);
         }
     }
 }
@@ -45,9 +50,8 @@
     fault.map_or("good".to_owned(), |fault| format!("{fault:?}"))
 }
 
-/// Plays all seeds, on as many threads as there are processors.
-fn play(fault: Option<Fault>, trouble: Trouble, seeds: u64) -> Vec<Outcome> {
-    let threads = std::thread::available_parallelism().map_or(1, |count| count.get() as u64);
+/// Plays all seeds, on so many threads.
+fn play(fault: Option<Fault>, trouble: Trouble, seeds: u64, threads: u64) -> Vec<Outcome> {
     std::thread::scope(|scope| {
         let parts = (0..threads).map(|thread| {
             let seeds = (0..seeds).filter(move |seed| seed % threads == thread);
@@ -63,9 +67,9 @@
     })
 }
 
-fn line(fault: Option<Fault>, trouble: Trouble, seeds: u64) {
+fn line(fault: Option<Fault>, trouble: Trouble, seeds: u64, threads: u64) {
     let limit = Scenario::new(fault, trouble, 0).length_ms;
-    let outcomes = play(fault, trouble, seeds);
+    let outcomes = play(fault, trouble, seeds, threads);
     let part = |is: &dyn Fn(&Outcome) -> bool| {
         let count = outcomes.iter().filter(|outcome| is(outcome)).count();
         count as f64 / seeds as f64
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -384,6 +384,7 @@
             host: self.askers[gateway].host.clone(),
             hall: "a".into(),
             service: service(),
+            rule: Some(RULES[rule].name.into()),
             rank: 0.into(),
             waited: Duration::ZERO,
             wanted: Duration::from_millis(200),
