--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -15,9 +15,7 @@
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Limits;
 
-use crate::control::Decode;
 use crate::control::Known;
-use crate::control::Locate;
 use crate::process;
 use crate::process::Order;
 use crate::process::Process;
@@ -38,24 +36,13 @@
 use super::serve;
 use super::stop;
 use super::stop::Grace;
+use super::surroundings::Surroundings;
 use super::sync;
 use super::tables;
 
 /// Between two looks at those who wait for a turn: a server that was left alone is tried again.
 const TICK: Duration = Duration::from_millis(50);
 
-/// What a gateway finds around it.
-pub(crate) struct Surroundings {
-    /// Where control replicas may be found; read anew each time.
-    pub(crate) seeds: Box<dyn Fn() -> Vec<SocketAddr>>,
-    /// Where the control replica on a host is reached.
-    pub(crate) locate: Locate,
-    /// Reads a routing table.
-    pub(crate) decode: Decode,
-    /// Where the control replica in this process is reached, where there is one.
-    pub(crate) beside: Option<SocketAddr>,
-}
-
 /// A gateway, to be started.
 pub(crate) struct Gateway {
     /// The host that it runs on.
--- a/crates/curlewlift/src/gateway/meet.rs
+++ b/crates/curlewlift/src/gateway/meet.rs
@@ -21,8 +21,8 @@
 use crate::rpc::Method;
 use crate::rpc::RenewCall;
 
-use super::daemon::Surroundings;
 use super::node::Node;
+use super::surroundings::Surroundings;
 
 /// Between two times that a host with a replica says so to the hosts that the settings name.
 const EVERY: Duration = Duration::from_millis(500);
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -35,7 +35,7 @@
 use super::deputies::Deputies;
 use super::dialect::Dialect;
 use super::log::Line;
-use super::services::Service;
+use super::service::Service;
 
 /// How many gateways a caller's own data hall must have for it to be sent to those only: one that
 /// fails leaves another.
--- a/crates/curlewlift/src/gateway/orders.rs
+++ b/crates/curlewlift/src/gateway/orders.rs
@@ -16,8 +16,8 @@
 use crate::rpc::Method;
 use crate::rpc::RenewCall;
 
-use super::daemon::Surroundings;
 use super::node::Node;
+use super::surroundings::Surroundings;
 use super::sync;
 
 /// How long a routing table may take to be put in force, or read.
--- /dev/null
+++ b/crates/curlewlift/src/gateway/service.rs
@@ -0,0 +1,34 @@
+//! One service of a gateway.
+
+use std::collections::HashMap;
+
+use curlewlift_core::pool;
+use curlewlift_core::pool::Allowed;
+use curlewlift_core::pool::Budget;
+use curlewlift_core::pool::Pool;
+use curlewlift_core::pool::Ticket;
+use curlewlift_core::pool::Turn;
+use rand::Rng;
+use tokio::sync::oneshot;
+
+/// A service's pool and budget, and who waits for a turn.
+pub(super) struct Service {
+    /// Its backend servers, and the requests in line for them.
+    pub(super) pool: Pool,
+    /// What is left for sendings past the first.
+    pub(super) budget: Budget,
+    /// How each request in line is told of its turn.
+    pub(super) waiters: HashMap<Ticket, oneshot::Sender<Turn>>,
+}
+
+impl Service {
+    /// A service without servers yet, with so many sendings past the first.
+    pub(super) fn new(allowed: Allowed) -> Self {
+        let seed = rand::rng().next_u64();
+        Self {
+            pool: Pool::new(pool::Tuning::default(), seed),
+            budget: Budget::new(allowed),
+            waiters: HashMap::new(),
+        }
+    }
+}
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -1,32 +1,19 @@
 //! The services of a gateway: their backend servers, and whose turn it is at them.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::pool;
-use curlewlift_core::pool::Budget;
 use curlewlift_core::pool::End;
-use curlewlift_core::pool::Pool;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
 use curlewlift_core::unit::Tokens;
-use rand::Rng;
 use tokio::sync::oneshot;
 
 use super::node::Node;
-
-/// A service's pool and budget, and who waits for a turn.
-pub(super) struct Service {
-    /// Its backend servers, and the requests in line for them.
-    pub(super) pool: Pool,
-    /// What is left for sendings past the first.
-    pub(super) budget: Budget,
-    /// How each request in line is told of its turn.
-    waiters: HashMap<Ticket, oneshot::Sender<Turn>>,
-}
+use super::service::Service;
 
 /// # Servers
 impl Node {
@@ -37,7 +24,7 @@
         if let Some(table) = &*self.table.borrow() {
             for name in table.get_services().keys() {
                 if !services.contains_key(name) {
-                    services.insert(name.clone(), self.service());
+                    services.insert(name.clone(), Service::new(self.allowed));
                 }
             }
         }
@@ -52,15 +39,6 @@
         self.serve_all();
     }
 
-    fn service(&self) -> Service {
-        let seed = rand::rng().next_u64();
-        Service {
-            pool: Pool::new(pool::Tuning::default(), seed),
-            budget: Budget::new(self.allowed),
-            waiters: HashMap::new(),
-        }
-    }
-
     /// Takes up what other gateways have in flight.
     pub(super) fn hear(&self, loads: &[Load]) {
         let mut services = self.services.borrow_mut();
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -15,10 +15,10 @@
 use crate::rpc::Method;
 use crate::rpc::RenewCall;
 
-use super::daemon::Surroundings;
 use super::deputies::Deputies;
 use super::log::Line;
 use super::node::Node;
+use super::surroundings::Surroundings;
 use super::tables;
 
 /// How long an answer may take: the hub's own wait, and a busy host's delay.
@@ -192,7 +192,7 @@
     }
     node.known.set(reply.control);
     if let Some(told) = reply.deputies {
-        *node.deputies.borrow_mut() = Deputies::told(&told, node, around);
+        *node.deputies.borrow_mut() = Deputies::told(&told, &node.host, &around.locate);
     }
     node.part.borrow_mut().heard(reply.part, asked);
     node.reserve
--- a/crates/curlewlift/src/gateway/tables.rs
+++ b/crates/curlewlift/src/gateway/tables.rs
@@ -13,8 +13,8 @@
 use crate::rpc::Method;
 use crate::rpc::RenewCall;
 
-use super::daemon::Surroundings;
 use super::node::Node;
+use super::surroundings::Surroundings;
 
 /// How long a piece may take: the hub's own wait, and the pieces of others before it on a link of
 /// 1 Mbit/s.
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::deputies;
+use super::draw;
 use super::node::Node;
 use super::places;
 use super::places::Wanted;
@@ -165,7 +165,7 @@
             Word::Nothing => {}
         }
         let is_let_in = match charge {
-            Some(charge) => deputies::draw(node, charge).await,
+            Some(charge) => draw::draw(node, charge).await,
             None => true,
         };
         let left = until.saturating_duration_since(Instant::now());
