Let a service serve whose only servers are of the version that was ordered

Cause: by reading: an order before any server of the service was seen, and then only servers of the target: nothing was ever established, and the service got no places by a gateway's choice, for good. Change: where nothing else runs, the target is what serves. Measured: first_list fails before (an empty list of steps).

--- a/crates/core/src/rollout/trials.rs
+++ b/crates/core/src/rollout/trials.rs
@@ -184,13 +184,19 @@
         }
         let mut seen: BTreeMap<&id::Service, BTreeSet<Version>> = BTreeMap::new();
         for server in &listing.servers {
-            let ordered = self.plans.get(&server.service);
-            let is_target = ordered.is_some_and(|(order, _)| order.target == server.version);
-            if self.plans.serving(&server.service).is_none() && !is_target {
+            if self.plans.serving(&server.service).is_none() {
                 let versions = seen.entry(&server.service).or_default();
                 versions.insert(server.version.clone());
             }
         }
+        for (service, versions) in &mut seen {
+            // Where nothing else runs, nothing else can serve.
+            if let Some((order, _)) = self.plans.get(service)
+                && versions.len() > 1
+            {
+                versions.remove(&order.target);
+            }
+        }
         if seen.is_empty() {
             self.settled = listing.version;
         }
--- a/crates/core/tests/rollout_plans.rs
+++ b/crates/core/tests/rollout_plans.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
+use curlewlift_core::clock::Instant;
 use curlewlift_core::code::Code;
+use curlewlift_core::gateway::Listing;
 use curlewlift_core::gateway::Server;
+use curlewlift_core::rollout::Bounds;
 use curlewlift_core::rollout::Order;
 use curlewlift_core::rollout::Phase;
 use curlewlift_core::rollout::Plans;
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::rollout::Step;
+use curlewlift_core::rollout::Trials;
 use curlewlift_core::rollout::Version;
 use curlewlift_core::state::Machine;
 use curlewlift_core::state::Record;
@@ -59,10 +63,8 @@
     last.map(|(_, phase)| phase)
 }
 
-/// The versions that gateways may send to by themselves.
-fn open(plans: &Plans) -> Vec<&'static str> {
-    let policy = Policy::of(plans);
-    let server = |name: &str| Server {
+fn server(name: &str) -> Server {
+    Server {
         incarnation: "s1".into(),
         name: "s1".into(),
         born: 0,
@@ -72,7 +74,12 @@
         hall: "a".into(),
         slots: 2,
         leaving: false,
-    };
+    }
+}
+
+/// The versions that gateways may send to by themselves.
+fn open(plans: &Plans) -> Vec<&'static str> {
+    let policy = Policy::of(plans);
     let all = ["v1", "v2", "v3"].into_iter();
     all.filter(|name| policy.is_open(&server(name))).collect()
 }
@@ -153,6 +160,43 @@
     );
 }
 
+/// What a hub that sees a list for the first time wants to be agreed.
+fn established_by(plans: &Plans, versions: &[&str]) -> Vec<Step> {
+    let bounds = Bounds {
+        share: 0.1,
+        on_top: 50.0,
+    };
+    let now = Instant::default();
+    let mut trials = Trials::new(Some(bounds));
+    trials.adopt(plans, None, 0, now);
+    let servers = versions.iter().enumerate();
+    let servers = servers.map(|(number, name)| Server {
+        incarnation: format!("s{number}").into(),
+        ..server(name)
+    });
+    trials.establish(&Listing::new(servers.collect()), now)
+}
+
+#[test]
+fn first_list() {
+    let step = |versions: &[&str]| Step::Established {
+        service: "chat".parse().expect("a name"),
+        versions: versions.iter().map(|name| version(name)).collect(),
+    };
+    let mut plans = Plans::default();
+    assert_eq!(established_by(&plans, &["v1", "v1"]), [step(&["v1"])]);
+    assert_eq!(established_by(&plans, &["v1", "v2"]), [step(&["v1", "v2"])]);
+    plans.apply(&Step::Ordered(order("v2", 10))).expect("taken");
+    assert_eq!(established_by(&plans, &["v1", "v2"]), [step(&["v1"])]);
+    assert_eq!(
+        established_by(&plans, &["v2"]),
+        [step(&["v2"])],
+        "nothing else runs"
+    );
+    establish(&mut plans, &["v1"]);
+    assert!(established_by(&plans, &["v1", "v2", "v3"]).is_empty());
+}
+
 /// Whatever steps come in whatever order, doubled and late: an end is never left but by another order, only
 /// ordered versions ever get anything, and a machine that is read back is the same.
 #[test]
--- a/crates/curlewlift/tests/platform_settings.rs
+++ b/crates/curlewlift/tests/platform_settings.rs
@@ -109,6 +109,25 @@
     }
 }
 
+#[test]
+fn impossible_exposure() {
+    let cases = [
+        ("exposure_share", -0.1),
+        ("exposure_share", 1.5),
+        ("exposure_slack", -1.0),
+    ];
+    for (field, value) in cases {
+        let mut settings = settings();
+        settings["bounds"][field] = json!(value);
+        let (code, said) = check(&format!("impossible_{field}"), &settings.to_string());
+        assert_eq!(code, Some(2), "{field}: {said}");
+        assert!(
+            said.contains("8001") && said.contains(field),
+            "{field}: {said}"
+        );
+    }
+}
+
 #[test]
 fn no_file() {
     let (code, said) = run("/nowhere/settings.json");
