--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -292,7 +292,7 @@
     }
 
     /// Whether a gateway was heard so lately that it is not silent.
-    pub(super) fn is_live(&self, seen: &Seen, now: Instant) -> bool {
+    fn is_live(&self, seen: &Seen, now: Instant) -> bool {
         seen.is_live(self.tuning.silent, now)
     }
 
--- a/crates/core/src/rollout/judge.rs
+++ b/crates/core/src/rollout/judge.rs
@@ -15,13 +15,15 @@
 use super::Sample;
 use super::Yardstick;
 
-/// By how much more of its answers a version fails that is bad.
+/// By how much more of its answers a version must fail to be taken for bad. One that fails four in ten where one in
+/// a hundred is usual is told by five bad answers in the mean, ten at the most (example `verdicts`).
 const WORSE: f64 = 0.3;
 
 /// The most of its answers that are taken to be bad.
 const MOST: f64 = 0.95;
 
-/// How sure the odds must be, as a logarithm: TODO
+/// How sure the odds against a version must be, as a logarithm: of 2,000 good versions none came that far in 180
+/// answers, where 1 or 12 in 100 of them fail anyway (example `verdicts`).
 const SURE: f64 = 12.0;
 
 /// The part of it that the answers of one server can bring: one that fails for a reason of its own does not
@@ -40,11 +42,9 @@
 /// What answers say for and against a version, as sums of odds that never fall below nothing.
 #[derive(Clone, Debug, Default)]
 struct Odds {
-    /// For it.
-    good: f64,
-    /// Against it.
-    sum: f64,
-    /// What each server has brought since the sum was nothing.
+    in_favour: f64,
+    against: f64,
+    /// What each server has brought against it since that was nothing.
     servers: HashMap<Arc<str>, f64>,
     count: usize,
     bad: usize,
@@ -55,14 +55,14 @@
     fn add(&mut self, server: &Arc<str>, is_bad: bool, shift: f64, servers: usize) {
         self.count += 1;
         self.bad += usize::from(is_bad);
-        self.good = (self.good - shift).clamp(0.0, MOST_GOOD);
+        self.in_favour = (self.in_favour - shift).clamp(0.0, MOST_GOOD);
         let brought = self.servers.entry(Arc::clone(server)).or_default();
         let most = if servers > 1 { SURE * ONE_SERVER } else { SURE };
         let shift = shift.min(most - *brought);
         *brought += shift;
-        self.sum += shift;
-        if self.sum <= 0.0 {
-            self.sum = 0.0;
+        self.against += shift;
+        if self.against <= 0.0 {
+            self.against = 0.0;
             self.servers.clear();
         }
     }
@@ -130,24 +130,24 @@
     pub fn against(&self) -> Option<Evidence> {
         let rules = self.rules.iter().map(|(rule, odds)| (Some(rule), odds));
         let mut all = std::iter::once((None, &self.all)).chain(rules);
-        let (rule, odds) = all.find(|(_, odds)| odds.sum >= SURE)?;
+        let (rule, odds) = all.find(|(_, odds)| odds.against >= SURE)?;
         Some(Evidence {
             rule: rule.cloned(),
             answers: (odds.count, odds.bad),
-            odds: odds.sum,
+            odds: odds.against,
         })
     }
 
     /// Whether its answers, over all rules, speak for it.
     #[must_use]
     pub fn is_trusted(&self) -> bool {
-        self.all.good >= GOOD
+        self.all.in_favour >= GOOD
     }
 
     /// Those of `rules` under which its answers do not speak for it yet.
     pub fn lacking<'a>(&self, rules: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
-        let good = |rule: &Arc<str>| self.rules.get(rule).map_or(0.0, |odds| odds.good);
-        let lacking = rules.filter(|rule| good(rule) < GOOD_RULE);
+        let in_favour = |rule: &Arc<str>| self.rules.get(rule).map_or(0.0, |odds| odds.in_favour);
+        let lacking = rules.filter(|rule| in_favour(rule) < GOOD_RULE);
         lacking.cloned().collect()
     }
 
--- a/crates/core/src/rollout/trial.rs
+++ b/crates/core/src/rollout/trial.rs
@@ -15,8 +15,8 @@
 use super::Yardstick;
 
 /// The part of a roll-out's time after which a version that is trusted gets all new requests: what runs at the
-/// former one has the rest to end in, and a version that turns bad has shown it by then or does not matter any
-/// more.
+/// former one has the rest to end in. At 0.6 a tenth of the versions that turn slow at a third of the time came
+/// through, at 0.7 none (example `rollouts`, 40 seeds, no trouble).
 const TRIED: f64 = 0.7;
 
 /// The part after which less room is enough.
