Say in each line which request a try is of

Cause: in an incident one request ended one backend server after another, and nothing in the logs says that two tries are the same request: each has a name of its own. A line on a cut stream did not name its server either.

Ruled out: telling them by customer, rule and size, as the timeline had to: sizes repeat.

No decision is changed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod platform;
 pub mod pool;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod rollout;
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -4,15 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::HeaderMap;
 use axum::http::Request;
+use axum::http::Uri;
 use axum::http::header;
 use axum::http::request;
+use axum::http::uri::PathAndQuery;
 use bytes::Bytes;
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::Patience;
+use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Limits;
@@ -55,6 +59,8 @@
     pub(super) rule: Arc<Rule>,
     pub(super) account: Option<Arc<Account>>,
     pub(super) cost: u64,
+    /// What it is, whichever try of its caller this is.
+    pub(super) identity: Identity,
     /// What is still to be drawn from its customer's allowance.
     pub(super) charge: Option<Charge>,
     pub(super) head: request::Parts,
@@ -90,6 +96,7 @@
             .with("customer", account.map(|account| account.name.as_str()))
             .with("rank", self.rank().to_string())
             .with("cost", self.cost)
+            .with("identity", self.identity.to_string())
             .with("prompt", self.prompt().0)
             .with("objective_ms", millis(self.rule.objective))
             .with("pause_ms", self.rule.pause.map(millis))
@@ -130,6 +137,7 @@
     drop(table);
     let (head, body) = request.into_parts();
     let body = read(body, limits, until).await?;
+    let identity = identity(account.as_deref(), &head, &body);
     let cost = account.as_ref().map_or(0, |account| cost(account, &call));
     let charge = account.as_deref().and_then(|account| charge(account, cost));
     Ok(Admitted {
@@ -138,6 +146,7 @@
         rule,
         account,
         cost,
+        identity,
         head,
         body,
         arrived,
@@ -176,10 +185,23 @@
         .ok_or_else(|| Refused::new(Code::NoTable, "no routing table has come yet").again(NO_TABLE))
 }
 
+/// The host that a request is for.
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let named = headers.get(header::HOST);
+    let named = named.and_then(|named| named.to_str().ok());
+    uri.host().or(named).unwrap_or_default()
+}
+
+/// What a request is.
+fn identity(account: Option<&Account>, head: &request::Parts, body: &[u8]) -> Identity {
+    let customer = account.map(|account| account.name.clone());
+    let path = head.uri.path_and_query();
+    let path = path.map(PathAndQuery::as_str).unwrap_or_default();
+    Identity::new(customer, host(&head.uri, &head.headers), path, body)
+}
+
 fn rule(table: &Table, request: &Request<Incoming>) -> Result<Arc<Rule>, Refused> {
-    let host = request.headers().get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok());
-    let host = request.uri().host().or(host).unwrap_or_default();
+    let host = host(request.uri(), request.headers());
     let path = request.uri().path();
     let rule = table.find(host, path).cloned();
     rule.ok_or_else(|| {
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -26,6 +26,7 @@
         place.end(end);
         Line::new(Kind::SendingFailed)
             .request(self.admitted.call.id.as_ref())
+            .with("identity", self.admitted.identity.to_string())
             .with("server", &*place.server.incarnation)
             .with("why", why.as_str())
             .after(self.admitted.arrived)
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -52,6 +52,7 @@
     pub(super) fn log_end(&self, status: u16, how: &str, pieces: Option<(u32, Duration)>) {
         Line::new(Kind::Ended)
             .request(self.admitted.call.id.as_ref())
+            .with("identity", self.admitted.identity.to_string())
             .with("status", status)
             .with("how", how)
             .with("sent", self.sendings())
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -163,6 +163,8 @@
         self.connection = None;
         Line::new(Kind::Ended)
             .request(self.run.admitted.call.id.as_ref())
+            .with("identity", self.run.admitted.identity.to_string())
+            .with("server", self.run.tried.last().map(|server| &**server))
             .with("how", "cut")
             .with("why", why.as_str())
             .with("pieces", self.pieces)
@@ -195,6 +197,7 @@
             };
             Line::new(Kind::Resumed)
                 .request(self.run.admitted.call.id.as_ref())
+                .with("identity", self.run.admitted.identity.to_string())
                 .with("server", &*coming.place.server.incarnation)
                 .with("after_event", after.as_deref())
                 .with("why", why)
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -59,6 +59,7 @@
         if !self.told {
             Line::new(Kind::CallerLeft)
                 .request(self.admitted.call.id.as_ref())
+                .with("identity", self.admitted.identity.to_string())
                 .with("sent", self.sendings())
                 .with("server", self.tried.last().map(|server| &**server))
                 .after(self.admitted.arrived)
