Let decisions go by a clock that counts a suspension

Cause: a host may be suspended for seconds. The steady clock stands still meanwhile, and by it went every lease, place, part of an allowance, belief and deadline: after a suspension all of them seemed as young as before, and a leader could take answers to what it had sent before for a word of now.

Change: process::Clock reads CLOCK_BOOTTIME, and the process's parts share it. A request's deadline goes by it (gateway/deadline.rs): it is looked at before each sending, and once more when the connection is there, where the server's own time limit is worked out as well. A place that came too late, and a hub's answer that lay here meanwhile, are not taken. Ages in logs count the suspension. Clock::suspend brings one about in tests.

--- a/crates/curlewlift/src/control/daemon.rs
+++ b/crates/curlewlift/src/control/daemon.rs
@@ -63,6 +63,7 @@
     lease: Lease,
     platform: Option<SocketAddr>,
     gateways: Option<Gateways>,
+    clock: Clock,
 }
 
 /// # Settings
@@ -80,6 +81,7 @@
             lease: Lease::default(),
             platform: None,
             gateways: None,
+            clock: Clock::start(),
         }
     }
 
@@ -90,6 +92,13 @@
         self
     }
 
+    /// Goes by `clock`, and not by one of its own.
+    #[must_use]
+    pub fn clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     /// The folder of its files.
     #[must_use]
     pub fn data(mut self, data: PathBuf) -> Self {
@@ -161,7 +170,7 @@
 }
 
 async fn run(control: Control, journal: Journal, mut signal: Signal) -> Result<(), Refusal> {
-    let clock = Clock::start();
+    let clock = control.clock;
     let timeline = Timeline::new(control.host.as_str());
     let listener = crate::process::listener(control.listener)?;
     let address = listener.local_addr().map_err(|why| {
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -31,6 +31,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::deadline::Deadline;
 use super::dialect::Call;
 use super::log::Line;
 use super::log::millis;
@@ -65,12 +66,8 @@
     pub(super) charge: Option<Charge>,
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
-    /// When it arrived.
-    pub(super) arrived: Instant,
-    /// The same by the clock of the decisions.
-    pub(super) since: clock::Instant,
     /// When it must be answered.
-    pub(super) until: Instant,
+    pub(super) deadline: Deadline,
     /// The number of the table that it was taken by.
     pub(super) table: u64,
 }
@@ -100,16 +97,15 @@
             .with("prompt", self.prompt().0)
             .with("objective_ms", millis(self.rule.objective))
             .with("pause_ms", self.rule.pause.map(millis))
-            .after(self.arrived)
+            .after(self.deadline.age())
     }
 
     /// What is known of its time now.
     pub(super) fn patience(&self, node: &Node) -> Patience {
-        let now = Instant::now();
         Patience {
             objective: self.rule.objective,
-            waited: now.saturating_duration_since(self.arrived),
-            left: self.until.saturating_duration_since(now),
+            waited: self.deadline.age(),
+            left: self.deadline.left(),
             lead: node.lead(&self.rule.name),
         }
     }
@@ -124,19 +120,19 @@
 pub(super) async fn admit(
     node: &Node,
     request: Request<Incoming>,
-    arrived: Instant,
+    arrived: clock::Instant,
     call: Call,
 ) -> Result<Admitted, Refused> {
     let table = table(node, arrived, &call).await?;
     let rule = rule(&table, &request)?;
     let account = account(&table, &rule, &call)?;
     let within = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
-    let until = arrived + within;
+    let deadline = Deadline::new(node.clock.clone(), arrived, within);
     let number = table.get_number();
     let limits = table.get_limits();
     drop(table);
     let (head, body) = request.into_parts();
-    let body = read(body, limits, until).await?;
+    let body = read(body, limits, deadline.timer()).await?;
     let identity = identity(account.as_deref(), &head, &body);
     let cost = account.as_ref().map_or(0, |account| cost(account, &call));
     let charge = account.as_deref().and_then(|account| charge(account, cost));
@@ -149,9 +145,7 @@
         identity,
         head,
         body,
-        arrived,
-        since: node.now(),
-        until,
+        deadline,
         table: number,
     })
 }
@@ -173,12 +167,12 @@
 }
 
 /// The table in force; a gateway that has only begun waits a little for its first one.
-async fn table(node: &Node, arrived: Instant, call: &Call) -> Result<Rc<Table>, Refused> {
+async fn table(node: &Node, arrived: clock::Instant, call: &Call) -> Result<Rc<Table>, Refused> {
     let part = call
         .patience
         .map(|patience| patience.mul_f64(FIRST_TABLE_PART));
     let most = part.map_or(FIRST_TABLE, |part| part.min(FIRST_TABLE));
-    while node.table().is_none() && arrived.elapsed() < most {
+    while node.table().is_none() && node.now().since(arrived) < most {
         tokio::time::sleep(LOOK).await;
     }
     node.table()
--- a/crates/curlewlift/src/gateway/beside.rs
+++ b/crates/curlewlift/src/gateway/beside.rs
@@ -11,6 +11,7 @@
 use crate::control::Control;
 use crate::control::Gateways;
 use crate::process;
+use crate::process::Clock;
 use crate::process::Process;
 
 /// Between two looks whether the control replica has ended, and before it is started anew.
@@ -27,6 +28,8 @@
     pub(crate) found: bool,
     /// The other replicas that are known at the start.
     pub(crate) peers: BTreeMap<id::Host, SocketAddr>,
+    /// What it goes by, as the gateway does.
+    pub(crate) clock: Clock,
     /// What it needs to serve gateways.
     pub(crate) gateways: Gateways,
 }
@@ -76,6 +79,7 @@
         .data(beside.data.clone())
         .found(beside.found)
         .peers(beside.peers.clone())
+        .clock(beside.clock.clone())
         .gateways(beside.gateways.clone())
         .start()
 }
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -17,6 +17,7 @@
 
 use crate::control::Known;
 use crate::process;
+use crate::process::Clock;
 use crate::process::Order;
 use crate::process::Process;
 use crate::process::Signal;
@@ -65,6 +66,8 @@
     pub(crate) meets: SocketAddr,
     /// The hosts that are known to keep a control replica.
     pub(crate) known: Known,
+    /// What its decisions go by.
+    pub(crate) clock: Clock,
 }
 
 impl fmt::Debug for Gateway {
@@ -107,7 +110,7 @@
         let client = rpc::Client::new(timeline);
         let listener = process::listener(self.callers)?;
         let kept = self.beside.is_some();
-        let node = Rc::new(Node::new(
+        let node = Node::new(
             Holding::new(self.host.clone(), kept),
             self.known_as,
             self.dialect,
@@ -115,7 +118,8 @@
             self.tolerance,
             self.known,
             client,
-        ));
+        );
+        let node = Rc::new(node.clock(self.clock));
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
             .with("hall", &*node.gateway.hall)
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -26,6 +26,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use super::deadline::Deadline;
 use super::dialect::Dialect;
 use super::dialect::Marks;
 use super::turn::Place;
@@ -79,24 +80,32 @@
     pub(super) first: Duration,
 }
 
-/// Sends `request` to the server of `place`, and waits for the head of the answer.
+/// Sends the request that `dress` makes to the server of `place`, and waits for the head of the answer.
+///
+/// It is made once the connection is there: a host may be suspended meanwhile, and a server must not be given
+/// more time than is left.
 ///
 /// # Errors
 ///
 /// What is known of the request's fate, with the place, for the caller to say how it ended.
 pub(super) async fn send(
-    request: Request<Full<Bytes>>,
+    dress: impl FnOnce(&Place) -> Request<Full<Bytes>>,
     place: Place,
     dialect: Dialect,
-    until: Instant,
+    deadline: &Deadline,
     quiet: Duration,
 ) -> Result<Coming, (Failure, Place)> {
-    let left = until.saturating_duration_since(Instant::now());
-    let made = connect(place.server.address, CONNECT.min(left)).await;
+    let made = connect(place.server.address, CONNECT.min(deadline.left())).await;
     let (mut sender, connection) = match made {
         Ok(made) => made,
         Err(failure) => return Err((failure, place)),
     };
+    if deadline.is_past() {
+        let why = "the deadline passed before it was sent".to_owned();
+        return Err((Failure::NotSent(why), place));
+    }
+    let request = dress(&place);
+    let until = deadline.timer();
     let began = Instant::now();
     match ask(&mut sender, request, &place, until, quiet).await {
         Ok(answer) => Ok(coming(answer, place, connection, dialect, began.elapsed())),
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -6,7 +6,6 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::End;
 use curlewlift_core::quarantine::Withheld;
-use tokio::time::Instant;
 
 use super::exchange::Failure;
 use super::log::Line;
@@ -33,7 +32,7 @@
             .with("identity", self.admitted.identity.to_string())
             .with("server", &*place.server.incarnation)
             .with("why", why.as_str())
-            .after(self.admitted.arrived)
+            .after(self.admitted.deadline.age())
             .write();
         drop(place);
         match failure {
@@ -69,9 +68,7 @@
     /// Whether a request that may have run may run once more, and there is time for it.
     pub(super) fn may_run_again(&self) -> bool {
         let rule = &self.admitted.rule;
-        rule.kind.is_repeatable()
-            && self.sent < rule.attempts
-            && Instant::now() < self.admitted.until
+        rule.kind.is_repeatable() && self.sent < rule.attempts && !self.admitted.deadline.is_past()
     }
 
     /// The refusal of a request that got no server.
@@ -118,6 +115,15 @@
         account.map_or("nobody", |account| account.name.as_str())
     }
 
+    /// The refusal of a request whose deadline has passed.
+    pub(super) fn past(&self) -> Refused {
+        let why = "the deadline has passed";
+        if self.sent > 0 {
+            return Refused::new(Code::Late, why);
+        }
+        Refused::new(Code::CannotFinish, why).again(self.admitted.come_back(&self.node))
+    }
+
     /// The refusal of a request that may not be sent again.
     pub(super) fn exhausted(&self) -> Refused {
         if self.sent > 0 {
--- a/crates/curlewlift/src/gateway/log.rs
+++ b/crates/curlewlift/src/gateway/log.rs
@@ -6,7 +6,6 @@
 use curlewlift_core::event::Kind;
 use serde_json::Map;
 use serde_json::Value;
-use tokio::time::Instant;
 
 /// The target by which the log knows lines that are JSON already.
 pub(crate) const TARGET: &str = "decision";
@@ -41,8 +40,8 @@
     }
 
     /// Adds how long ago the request arrived.
-    pub(super) fn after(self, arrived: Instant) -> Self {
-        self.with("after_ms", millis(arrived.elapsed()))
+    pub(super) fn after(self, age: Duration) -> Self {
+        self.with("after_ms", millis(age))
     }
 
     /// Writes it.
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod beside;
 mod body;
 mod daemon;
+mod deadline;
 mod deputies;
 mod dialect;
 mod draw;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Goes by `clock`, and not by one of its own.
+    pub(super) fn clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
+    }
+
     pub(super) fn now(&self) -> clock::Instant {
         self.clock.now()
     }
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -60,9 +60,9 @@
             .with("first_ms", self.first.map(millis))
             .with("pieces", pieces.map(|(count, _)| count))
             .with("longest_ms", pieces.map(|(_, longest)| millis(longest)))
-            .after(self.admitted.arrived)
+            .after(self.admitted.deadline.age())
             .write();
-        let seconds = self.admitted.arrived.elapsed().as_secs_f64();
+        let seconds = self.admitted.deadline.age().as_secs_f64();
         metrics::histogram!("curlewlift_answer_seconds").record(seconds);
     }
 }
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -20,7 +20,6 @@
 use curlewlift_core::quarantine::Withheld;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::unit::Tokens;
-use tokio::time::Instant;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
@@ -29,6 +28,7 @@
 
 use super::log::Line;
 use super::node::Node;
+use super::service::Service;
 
 /// How old the hub's last word may be for it to be asked: twice the longest time between two.
 const HEARD: Duration = Duration::from_millis(500);
@@ -52,8 +52,8 @@
     pub(super) rule: &'a Arc<str>,
     /// What the request is.
     pub(super) identity: &'a Identity,
-    /// When it must be answered.
-    pub(super) until: Instant,
+    /// For how much longer it may take.
+    pub(super) left: Duration,
 }
 
 /// What the hub said.
@@ -83,6 +83,7 @@
     };
     let want = node.want(wanted, ask, charge, patience);
     let call = RenewCall::Hub(HubCall::Want(Box::new(want)));
+    let asked = node.now();
     let call = node
         .rpc
         .call(address, Method::Renew, &call, CALL + patience);
@@ -91,7 +92,11 @@
         () = node.hub_falls_silent() => None,
     };
     match reply {
-        Some(Ok(HubReply::Place(Some(grant)))) => node.take(wanted, grant, ask.prompt),
+        Some(Ok(HubReply::Place(Some(grant)))) => {
+            // A host that was suspended finds a place that has been given to others since.
+            let is_late = node.now().since(asked) > patience + ON_ITS_WAY;
+            node.take(wanted, grant, ask.prompt, is_late)
+        }
         Some(Ok(HubReply::Place(None))) => Word::NoPlace,
         Some(Ok(HubReply::Beyond(filled))) => Word::Beyond(filled),
         Some(Ok(HubReply::Withheld(why))) => Word::Withheld(why),
@@ -148,7 +153,7 @@
             waited: now.since(ask.arrived),
             wanted: ask.wanted.since(now),
             patience,
-            left: wanted.until.saturating_duration_since(Instant::now()),
+            left: wanted.left,
             identity: wanted.identity.clone(),
             words: self.ward.borrow().get_evidence().untold_of(wanted.identity),
             prompt: ask.prompt,
@@ -158,8 +163,8 @@
         }
     }
 
-    /// Takes up a grant.
-    fn take(&self, wanted: Wanted<'_>, grant: Grant, prompt: Tokens) -> Word {
+    /// Takes up a grant, but for one that has come too late.
+    fn take(&self, wanted: Wanted<'_>, grant: Grant, prompt: Tokens, is_late: bool) -> Word {
         let service = wanted.service;
         let mut hub = self.hub.borrow_mut();
         if grant.mark.follows(hub.mark) {
@@ -167,8 +172,8 @@
         }
         drop(hub);
         let server = Arc::new(grant.server);
-        let taken = self.with_service(service, |service| service.pool.take(&server, prompt));
-        if taken == Some(true) {
+        let take = |service: &mut Service| !is_late && service.pool.take(&server, prompt);
+        if self.with_service(service, take) == Some(true) {
             return Word::Place(server, grant.permit);
         }
         if let Some(permit) = grant.permit {
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -80,7 +80,7 @@
             Line::new(Kind::CallerLeft)
                 .request(self.run.admitted.call.id.as_ref())
                 .with("pieces", self.pieces)
-                .after(self.run.admitted.arrived)
+                .after(self.run.admitted.deadline.age())
                 .write();
         }
     }
@@ -90,7 +90,7 @@
     /// The next piece for the caller; none at the end.
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         while !self.ended {
-            let until = self.run.admitted.until;
+            let until = self.run.admitted.deadline.timer();
             let Ok(frame) = tokio::time::timeout_at(until, self.body.frame()).await else {
                 return Some(Err(self.cut("the deadline has passed".to_owned())));
             };
@@ -159,7 +159,7 @@
     fn cut(&mut self, why: String) -> Cut {
         self.ended = true;
         if let Some(place) = &mut self.place
-            && Instant::now() < self.run.admitted.until
+            && !self.run.admitted.deadline.is_past()
         {
             place.end(End::Broken);
         }
@@ -172,7 +172,7 @@
             .with("how", "cut")
             .with("why", why.as_str())
             .with("pieces", self.pieces)
-            .after(self.run.admitted.arrived)
+            .after(self.run.admitted.deadline.age())
             .write();
         metrics::counter!("curlewlift_cut").increment(1);
         Cut(why)
@@ -223,13 +223,13 @@
 
     /// Asks the server of `place` for the stream after the event `after`.
     async fn other(&mut self, place: Place, after: Option<&str>) -> Option<Coming> {
-        let request = self.run.request(&place, after);
         let server = Arc::clone(&place.server.incarnation);
         self.run.tried.push(server);
-        let until = self.run.admitted.until;
+        let dress = |place: &Place| self.run.request(place, after);
+        let deadline = &self.run.admitted.deadline;
         let quiet = self.run.quiet();
         let dialect = self.run.node.dialect;
-        let sent = exchange::send(request, place, dialect, until, quiet).await;
+        let sent = exchange::send(dress, place, dialect, deadline, quiet).await;
         let mut coming = match sent {
             Ok(coming) => coming,
             Err((failure, mut place)) => {
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -7,7 +7,6 @@
 use curlewlift_core::event::Kind;
 use hyper::body::Incoming;
 use rand::RngExt;
-use tokio::time::Instant;
 
 use super::admit;
 use super::body::Answer;
@@ -21,7 +20,7 @@
 
 /// Answers one request.
 pub(super) async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Answer {
-    let arrived = Instant::now();
+    let arrived = node.now();
     metrics::counter!("curlewlift_requests").increment(1);
     let call = match (node.dialect.read)(request.headers()) {
         Ok(call) => call,
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -13,7 +13,6 @@
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
 use http_body_util::Full;
-use tokio::time::Instant;
 
 use super::admit::Admitted;
 use super::body::Answer;
@@ -62,7 +61,7 @@
                 .with("identity", self.admitted.identity.to_string())
                 .with("sent", self.sendings())
                 .with("server", self.tried.last().map(|server| &**server))
-                .after(self.admitted.arrived)
+                .after(self.admitted.deadline.age())
                 .write();
         }
     }
@@ -98,6 +97,10 @@
         self.node
             .with_service(&self.service, |service| service.budget.first(now));
         loop {
+            if self.admitted.deadline.is_past() {
+                let refusal = self.past();
+                return self.refuse(&refusal);
+            }
             let place = match self.turn().await {
                 Ok(place) => place,
                 Err(refusal) => return self.refuse(&refusal),
@@ -145,7 +148,7 @@
         let ask = Ask {
             rule: None,
             rank: admitted.rank(),
-            arrived: admitted.since,
+            arrived: admitted.deadline.arrived,
             wanted: now + in_time,
             until: now + held,
             prompt: admitted.prompt(),
@@ -158,7 +161,7 @@
             service: &self.service,
             rule: &self.admitted.rule.name,
             identity: &self.admitted.identity,
-            until: self.admitted.until,
+            left: self.admitted.deadline.left(),
         };
         match turn::wait(&self.node, wanted, ask, charge, held).await {
             Ok(place) => {
@@ -175,7 +178,7 @@
         let admitted = &self.admitted;
         let account = admitted.account.as_ref();
         let hand = Hand {
-            patience: admitted.until.saturating_duration_since(Instant::now()),
+            patience: admitted.deadline.left(),
             server: &place.server.name,
             customer: account.map(|account| account.name.as_str()),
             after,
@@ -189,7 +192,6 @@
     }
 
     async fn send(&mut self, place: Place) -> Result<Step, Refused> {
-        let request = self.request(&place, None);
         self.admitted
             .line(Kind::Sent)
             .with("server", &*place.server.incarnation)
@@ -198,9 +200,9 @@
             .with("by", if place.by_hub { "hub" } else { "gateway" })
             .write();
         self.tried.push(Arc::clone(&place.server.incarnation));
-        let until = self.admitted.until;
-        let dialect = self.node.dialect;
-        let sent = exchange::send(request, place, dialect, until, self.quiet()).await;
+        let dress = |place: &Place| self.request(place, None);
+        let deadline = &self.admitted.deadline;
+        let sent = exchange::send(dress, place, self.node.dialect, deadline, self.quiet()).await;
         match sent {
             Ok(coming) => self.take(coming).await,
             Err((failure, place)) => self.failed(&failure, place),
@@ -234,7 +236,7 @@
 
     /// Takes an answer that is read whole before any of it is passed on.
     async fn take_whole(&mut self, coming: Coming) -> Result<Step, Refused> {
-        let (head, body, mut place, first) = coming.whole(self.admitted.until).await;
+        let (head, body, mut place, first) = coming.whole(self.admitted.deadline.timer()).await;
         let body = match body {
             Ok(body) => body,
             Err(failure) => {
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -87,6 +87,10 @@
     let call = RenewCall::Hub(HubCall::Ask(Box::new(question)));
     let reply: Result<HubReply, Refusal> = node.rpc.call(address, Method::Renew, &call, CALL).await;
     match reply {
+        // What lay here while the host was suspended is not the hub's word of now.
+        Ok(_) if node.now().since(asked) > CALL => {
+            Err(format!("the answer of {address} came too late"))
+        }
         Ok(HubReply::News(reply)) => {
             node.ward.borrow_mut().heard(reply.hub, told);
             take(node, around, address, asked, *reply);
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -155,7 +155,7 @@
     service: id::Service,
     rule: Arc<str>,
     identity: Identity,
-    until: Instant,
+    left: Duration,
     ticket: Ticket,
     turn: oneshot::Receiver<Turn>,
 }
@@ -170,7 +170,7 @@
                 service: &self.service,
                 rule: &self.rule,
                 identity: &self.identity,
-                until: self.until,
+                left: self.left,
             };
             drop(Place::new(&self.node, wanted, turn.server, turn.prompt));
         }
@@ -249,7 +249,7 @@
         service: wanted.service.clone(),
         rule: Arc::clone(wanted.rule),
         identity: wanted.identity.clone(),
-        until: wanted.until,
+        left: wanted.left,
         ticket,
         turn,
     };
--- a/crates/curlewlift/src/lib.rs
+++ b/crates/curlewlift/src/lib.rs
@@ -23,6 +23,7 @@
 pub use operate::Operator;
 pub use operate::collect;
 pub use platform::Platform;
+pub use process::Clock;
 pub use process::Handle;
 pub use process::Process;
 pub use program::main;
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -31,6 +31,7 @@
 use crate::gateway::Surroundings;
 use crate::gateway::serve;
 use crate::process;
+use crate::process::Clock;
 use crate::process::Process;
 
 use super::Settings;
@@ -72,6 +73,7 @@
 pub struct Platform {
     path: PathBuf,
     settings: Settings,
+    clock: Clock,
 }
 
 impl Platform {
@@ -82,7 +84,18 @@
     /// [`Code::BadSetting`] where the file cannot be read.
     pub fn new(path: PathBuf) -> Result<Self, Refusal> {
         let settings = Settings::read(&path)?;
-        Ok(Self { path, settings })
+        Ok(Self {
+            path,
+            settings,
+            clock: Clock::start(),
+        })
+    }
+
+    /// Goes by `clock`, and not by one of its own.
+    #[must_use]
+    pub fn clock(mut self, clock: Clock) -> Self {
+        self.clock = clock;
+        self
     }
 
     /// Starts it on threads of its own.
@@ -91,11 +104,11 @@
     ///
     /// [`Code::BadSetting`] where an address cannot be had.
     pub fn start(self) -> Result<Process, Refusal> {
-        start(self.path, self.settings)
+        start(self.path, self.settings, self.clock)
     }
 }
 
-fn start(path: PathBuf, settings: Settings) -> Result<Process, Refusal> {
+fn start(path: PathBuf, settings: Settings, clock: Clock) -> Result<Process, Refusal> {
     let listen = &settings.listen;
     let callers = process::bind(listen.callers)?;
     let listeners = Listeners {
@@ -124,9 +137,10 @@
             held: Duration::from_secs_f64(keep * KEPT) + WORD,
             grace: settings.stop_time(),
         },
-        beside: beside(&settings, &known)?,
+        beside: beside(&settings, &known, &clock)?,
         meets: settings.replica(settings.ip),
         known,
+        clock,
     };
     gateway.start(move || {
         let around = surroundings(path, &settings);
@@ -152,7 +166,7 @@
 }
 
 /// The control replica, on a host with a disk.
-fn beside(settings: &Settings, known: &Known) -> Result<Option<Beside>, Refusal> {
+fn beside(settings: &Settings, known: &Known, clock: &Clock) -> Result<Option<Beside>, Refusal> {
     let Some(data) = &settings.data_dir else {
         return Ok(None);
     };
@@ -166,6 +180,7 @@
         data: data.clone(),
         found: settings.founds(),
         peers,
+        clock: clock.clone(),
         gateways: Gateways {
             decode: document::table,
             known: known.clone(),
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -4,14 +4,17 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use std::time::Instant;
 
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -132,20 +135,48 @@
     }
 }
 
-/// This process's monotonic clock.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock(Instant);
+/// The clock that a process's decisions go by: it never goes back, and goes on while the host is suspended.
+///
+/// A lease, a place, a part of an allowance or a belief that others have let run out meanwhile must be over
+/// here as well; the steady clock that timers use stands still, and the time of day may jump.
+#[derive(Clone, Debug)]
+pub struct Clock {
+    began: Duration,
+    /// Beyond what the machine was suspended for; see [`Clock::suspend`].
+    skipped: Arc<AtomicU64>,
+}
 
 impl Clock {
-    pub(crate) fn start() -> Self {
-        Self(Instant::now())
+    /// A clock that begins now.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            began: since_boot(),
+            skipped: Arc::default(),
+        }
     }
 
-    pub(crate) fn now(self) -> clock::Instant {
-        clock::Instant::default() + self.0.elapsed()
+    /// The time since it began.
+    #[must_use]
+    pub fn now(&self) -> clock::Instant {
+        let skipped = Duration::from_micros(self.skipped.load(Ordering::Relaxed));
+        clock::Instant::default() + since_boot().saturating_sub(self.began) + skipped
+    }
+
+    /// Goes on by `length` as if the host had been suspended, for whoever wants to see what a process makes
+    /// of that; clones go on alike.
+    pub fn suspend(&self, length: Duration) {
+        let micros = u64::try_from(length.as_micros()).unwrap_or(u64::MAX);
+        self.skipped.fetch_add(micros, Ordering::Relaxed);
     }
 }
 
+/// The time since the machine was started, suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    Duration::from(time.expect("Linux has had this clock since 2.6.39"))
+}
+
 /// `listener` for the runtime.
 pub(crate) fn listener(listener: TcpListener) -> Result<tokio::net::TcpListener, Refusal> {
     let made = listener
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -18,6 +18,9 @@
 /// How long an engine is down that a request has ended.
 const DOWN: Duration = Duration::from_millis(300);
 
+/// After how long one closes a connection that is to be closed late.
+const LATE: Duration = Duration::from_millis(800);
+
 /// A request as it came.
 #[derive(Clone, Debug)]
 pub(crate) struct Came {
@@ -184,6 +187,7 @@
             "foreign" => answer(stream, 200, "another", SIGNED, "another's"),
             "unsigned" => answer(stream, 200, id, "", "nobody's"),
             "close" => {}
+            "close-late" => std::thread::sleep(LATE),
             "short" => {
                 let head = head(200, id, SIGNED);
                 let _ = write!(stream, "{head}Content-Length: 10\r\n\r\nhalf");
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use curlewlift::Clock;
 use curlewlift::Platform;
 use curlewlift::Process;
 use curlewlift::core::event;
@@ -53,6 +54,8 @@
     /// Hosts without a disk reach the others over this line.
     line: Option<Line>,
     processes: Vec<Option<Process>>,
+    /// What the hosts' decisions go by.
+    clocks: Vec<Clock>,
     list: SocketAddr,
     listed: Arc<Mutex<Vec<Value>>>,
     /// The parts of the platform's rules that are in force.
@@ -102,6 +105,7 @@
             seeds: (0..DISKS.into()).collect(),
             line,
             processes: (0..DISKS + more).map(|_| None).collect(),
+            clocks: (0..DISKS + more).map(|_| Clock::start()).collect(),
             list: serve_list(Arc::clone(&listed)),
             listed,
             in_force,
@@ -142,9 +146,16 @@
     pub(crate) fn boot(&mut self, place: usize, first: bool) {
         let path = self.settings(place, first);
         let platform = Platform::new(path).expect("settings");
+        let platform = platform.clock(self.clocks[place].clone());
         self.processes[place] = Some(platform.start().expect("it starts"));
     }
 
+    /// A host comes out of a suspension of that length: its timers have stood still, and its connections are
+    /// as they were.
+    pub(crate) fn suspend(&self, place: usize, length: Duration) {
+        self.clocks[place].suspend(length);
+    }
+
     /// A host's process is killed.
     pub(crate) fn kill(&mut self, place: usize) {
         if let Some(process) = self.processes[place].take() {
