Give each run of a test a folder of its own

Cause: the hosts of a test lay in a folder by the test's name only, so a second run of it, by whichever process, took the disks of the first. A test listed as red and not traced showed just that: no host told the state of a completed roll-out within 30 s after all were killed and started again (disks that are blank found nothing, rightly).

Reproduced: a second run begun 1.5, 2.5 or 3.5 s after the first fails the first, three of three, with the very symptom. Whether a second run was under way at the time is not on record.

Change: the process's number in the folders' names; a test that passes takes its folder away.

--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -293,6 +293,10 @@
         for place in self.places() {
             self.kill(place);
         }
+        // What a test that fails has left is of use.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -393,8 +397,10 @@
     }
 }
 
-/// A fresh folder for one test.
+/// A fresh folder for one test, of this process alone: hosts of two runs of one test would take each other's
+/// settings and disks.
 pub(crate) fn folder(name: &str) -> PathBuf {
+    let name = format!("{name}-{}", std::process::id());
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     folder
--- a/crates/curlewlift/tests/platform_settings.rs
+++ b/crates/curlewlift/tests/platform_settings.rs
@@ -31,7 +31,10 @@
 
 /// What `check` says of a file, with its exit code.
 fn check(name: &str, text: &str) -> (Option<i32>, String) {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    let folder = format!("settings-{}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join(format!("{name}.json"));
     std::fs::write(&path, text).expect("a file");
     run(path.to_str().expect("a path"))
 }
--- a/crates/curlewlift/tests/support/mod.rs
+++ b/crates/curlewlift/tests/support/mod.rs
@@ -14,11 +14,12 @@
 use curlewlift_lab::standin::Shape;
 use tokio::runtime::Runtime;
 
-/// A fresh folder for one test.
+/// A fresh folder for one test, of this process alone.
 pub(crate) fn folder(name: &str) -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{count}"));
+    let name = format!("{name}-{}-{count}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
     folder
 }
