Give places, parts and a request's place files of their own

By reading: a large answer whose caller left counted as answered whole.

Change: core gateway/places.rs, control/parts.rs, gateway/place.rs; a place is told when its server answered to the end, and only that clears a request.

Measured: the tests of requests, places, quarantine and suspensions, and those of the core, pass.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -7,8 +7,6 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::quarantine;
-use crate::quarantine::Verdict;
-use crate::quarantine::Withheld;
 use crate::quota::Desk;
 use crate::quota::Tolerance;
 use crate::rollout;
@@ -18,19 +16,14 @@
 
 use super::Deputies;
 use super::Gateway;
-use super::Grant;
 use super::Handout;
 use super::Keeper;
 use super::Listing;
 use super::Parts;
 use super::Question;
 use super::Reply;
-use super::Report;
 use super::Ticket;
-use super::Want;
 use super::dispatch::Dispatcher;
-use super::dispatch::Left;
-use super::grant::Given;
 use super::roll::Rolls;
 use super::subset::Subset;
 use super::subset::Subsets;
@@ -96,19 +89,6 @@
 /// The largest packed table that goes along with an answer, in bytes; others are fetched in pieces.
 const ALONG: usize = 4 << 10;
 
-/// What becomes of a request that wants a place.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Wanted {
-    /// It waits in line; another may have lost its place for want of room.
-    Line(Ticket, Option<Ticket>),
-    /// The service has no servers here.
-    NoServers,
-    /// Its customer has used up its allowance; there is enough after this time, if nobody else draws.
-    Beyond(Duration),
-    /// Servers ended under such a request.
-    Withheld(Withheld),
-}
-
 /// What the gateways tell, summed up.
 ///
 /// It begins empty with each leader. Memory is linear in the gateways, the servers and what is in flight;
@@ -119,11 +99,11 @@
     pub(super) tuning: Tuning,
     pub(super) seen: BTreeMap<id::Host, Seen>,
     pub(super) dispatcher: Dispatcher,
-    desk: Desk,
+    pub(super) desk: Desk,
     /// Of the parts of the sendings past the first.
     keeper: Keeper,
     /// Of the parts of what is let in without its word.
-    deputies: Keeper,
+    pub(super) deputies: Keeper,
     /// Who holds those, as gateways are told.
     holders: Deputies,
     handout: Handout,
@@ -317,7 +297,7 @@
     }
 
     /// Looks which gateways live, at most once in [`LOOK`].
-    fn look(&mut self, now: Instant) {
+    pub(super) fn look(&mut self, now: Instant) {
         if self.looked.is_some_and(|looked| now.since(looked) < LOOK) {
             return;
         }
@@ -344,108 +324,6 @@
     }
 }
 
-/// # Places at backend servers
-impl Hub {
-    /// Draws what a request counts, and puts it in line.
-    pub fn want(&mut self, want: Want, now: Instant) -> Wanted {
-        self.hear_words(&want.words, now);
-        if !self.dispatcher.has(&want.service) {
-            return Wanted::NoServers;
-        }
-        let permit = match self.wards.ask(&want.identity, want.left, now) {
-            Verdict::Free => None,
-            Verdict::Permitted(permit) => Some(permit),
-            Verdict::Withheld(why) => return Wanted::Withheld(why),
-        };
-        let mut given = Given {
-            charge: None,
-            permit,
-        };
-        self.set_present(now);
-        if let Some(charge) = &want.charge {
-            if let Err(wait) = self.desk.draw(charge, now) {
-                self.give_back(given, now);
-                return Wanted::Beyond(wait);
-            }
-            given.charge = Some(charge.clone());
-        }
-        match self.dispatcher.want(want, given, now) {
-            Ok((ticket, last)) => Wanted::Line(ticket, last.map(|last| self.lost(last, now))),
-            Err(given) => {
-                self.give_back(given, now);
-                Wanted::NoServers
-            }
-        }
-    }
-
-    /// Takes a request out of line.
-    pub fn leave(&mut self, ticket: &Ticket, now: Instant) {
-        let given = self.dispatcher.leave(ticket);
-        self.give_back(given, now);
-    }
-
-    /// Takes note of what a gateway tells as soon as an answer begins or a sending has ended.
-    pub fn report(&mut self, report: &Report, now: Instant) {
-        self.dispatcher
-            .report(&report.host, report.mark, &report.loads);
-        self.dispatcher.ended(&report.ends, now);
-        self.watch(&report.ends);
-        self.hear_words(&report.words, now);
-    }
-
-    /// Gives places to those in line for whom there is room.
-    pub fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
-        self.dispatcher.set_on_trial(self.trials.on_trial());
-        let served = self.dispatcher.serve(now).into_iter();
-        let served = served.map(|(ticket, grant, given)| {
-            self.trials.given(&grant.server);
-            if let Some(charge) = given.charge {
-                self.desk.spent(&charge, now);
-            }
-            (ticket, grant)
-        });
-        served.collect()
-    }
-
-    /// Takes those out of line who are not likely to get a place in time, and tells of those who have lost
-    /// theirs as servers ended under such requests.
-    pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
-        let mut out = std::mem::take(&mut self.withheld);
-        for hopeless in self.dispatcher.give_up(now) {
-            out.push(self.lost(hopeless, now));
-        }
-        out
-    }
-
-    /// Takes back what a request was given that has lost its place in line.
-    fn lost(&mut self, (ticket, given): Left, now: Instant) -> Ticket {
-        self.give_back(given, now);
-        ticket
-    }
-
-    /// Takes back what a request was given that got no server.
-    fn give_back(&mut self, given: Given, now: Instant) {
-        if let Some(charge) = given.charge {
-            self.desk.give_back(&charge, now);
-        }
-        if let Some(permit) = given.permit {
-            self.wards.give_back(&permit);
-        }
-    }
-
-    /// Sets aside what gateways that are not heard may be letting in by themselves.
-    fn set_present(&mut self, now: Instant) {
-        let present = self.deputies.present(now);
-        self.desk.set_present(present, now);
-    }
-
-    /// What only the passing of time brings: gateways fall silent, and their parts are set aside.
-    pub fn tick(&mut self, now: Instant) {
-        self.set_present(now);
-        self.look(now);
-    }
-}
-
 /// # Parts and tables
 impl Hub {
     /// Takes up the parts as they stand in the log.
--- /dev/null
+++ b/crates/core/src/gateway/places.rs
@@ -0,0 +1,132 @@
+//! The places at backend servers that the hub gives.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::quarantine::Verdict;
+use crate::quarantine::Withheld;
+
+use super::Grant;
+use super::Hub;
+use super::Report;
+use super::Ticket;
+use super::Want;
+use super::dispatch::Left;
+use super::grant::Given;
+
+/// What becomes of a request that wants a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// It waits in line; another may have lost its place for want of room.
+    Line(Ticket, Option<Ticket>),
+    /// The service has no servers here.
+    NoServers,
+    /// Its customer has used up its allowance; there is enough after this time, if nobody else draws.
+    Beyond(Duration),
+    /// Servers ended under such a request.
+    Withheld(Withheld),
+}
+
+/// # Places at backend servers
+impl Hub {
+    /// Draws what a request counts, and puts it in line.
+    pub fn want(&mut self, want: Want, now: Instant) -> Wanted {
+        self.hear_words(&want.words, now);
+        if !self.dispatcher.has(&want.service) {
+            return Wanted::NoServers;
+        }
+        // By what it is, not by the try: each try is new to its gateway and here, and a request that ends servers
+        // was given one for as often as it came, thirteen in ten seconds.
+        let permit = match self.wards.ask(&want.identity, want.left, now) {
+            Verdict::Free => None,
+            Verdict::Permitted(permit) => Some(permit),
+            Verdict::Withheld(why) => return Wanted::Withheld(why),
+        };
+        let mut given = Given {
+            charge: None,
+            permit,
+        };
+        self.set_present(now);
+        if let Some(charge) = &want.charge {
+            if let Err(wait) = self.desk.draw(charge, now) {
+                self.give_back(given, now);
+                return Wanted::Beyond(wait);
+            }
+            given.charge = Some(charge.clone());
+        }
+        match self.dispatcher.want(want, given, now) {
+            Ok((ticket, last)) => Wanted::Line(ticket, last.map(|last| self.lost(last, now))),
+            Err(given) => {
+                self.give_back(given, now);
+                Wanted::NoServers
+            }
+        }
+    }
+
+    /// Takes a request out of line.
+    pub fn leave(&mut self, ticket: &Ticket, now: Instant) {
+        let given = self.dispatcher.leave(ticket);
+        self.give_back(given, now);
+    }
+
+    /// Takes note of what a gateway tells as soon as an answer begins or a sending has ended.
+    pub fn report(&mut self, report: &Report, now: Instant) {
+        self.dispatcher
+            .report(&report.host, report.mark, &report.loads);
+        self.dispatcher.ended(&report.ends, now);
+        self.watch(&report.ends);
+        self.hear_words(&report.words, now);
+    }
+
+    /// Gives places to those in line for whom there is room.
+    pub fn serve(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
+        self.dispatcher.set_on_trial(self.trials.on_trial());
+        let served = self.dispatcher.serve(now).into_iter();
+        let served = served.map(|(ticket, grant, given)| {
+            self.trials.given(&grant.server);
+            if let Some(charge) = given.charge {
+                self.desk.spent(&charge, now);
+            }
+            (ticket, grant)
+        });
+        served.collect()
+    }
+
+    /// Takes those out of line who are not likely to get a place in time, and tells of those who have lost
+    /// theirs as servers ended under such requests.
+    pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut out = std::mem::take(&mut self.withheld);
+        for hopeless in self.dispatcher.give_up(now) {
+            out.push(self.lost(hopeless, now));
+        }
+        out
+    }
+
+    /// Takes back what a request was given that has lost its place in line.
+    fn lost(&mut self, (ticket, given): Left, now: Instant) -> Ticket {
+        self.give_back(given, now);
+        ticket
+    }
+
+    /// Takes back what a request was given that got no server.
+    fn give_back(&mut self, given: Given, now: Instant) {
+        if let Some(charge) = given.charge {
+            self.desk.give_back(&charge, now);
+        }
+        if let Some(permit) = given.permit {
+            self.wards.give_back(&permit);
+        }
+    }
+
+    /// Sets aside what gateways that are not heard may be letting in by themselves.
+    pub(super) fn set_present(&mut self, now: Instant) {
+        let present = self.deputies.present(now);
+        self.desk.set_present(present, now);
+    }
+
+    /// What only the passing of time brings: gateways fall silent, and their parts are set aside.
+    pub fn tick(&mut self, now: Instant) {
+        self.set_present(now);
+        self.look(now);
+    }
+}
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod hub;
 mod known;
 mod members;
+mod parts;
 mod places;
 mod platform;
 mod quarantine;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -340,38 +340,6 @@
         self.tend_named();
     }
 
-    /// Gives the hub the parts and deputies as they stand in the log.
-    fn take_up_parts(&mut self) {
-        let now = self.clock.now();
-        let Some(hub) = &mut self.hub else {
-            return;
-        };
-        let parts = self.machine.get_parts();
-        hub.adopt_parts(parts, now);
-        let deputies = self.machine.get_deputies();
-        hub.adopt_deputies(deputies, now);
-        let (held, deputies) = (parts.holders.len(), deputies.holders.len());
-        let detail = format!("parts={} held={held} deputies={deputies}", parts.count);
-        self.timeline
-            .note(Line::new(Kind::PartsHeld).detail(detail));
-        self.news.notify_waiters();
-    }
-
-    fn tend_parts(&mut self) {
-        let now = self.clock.now();
-        let Some(hub) = &mut self.hub else {
-            return;
-        };
-        let parts = hub.tend_parts(now).map(Record::Parts);
-        let deputies = hub.tend_deputies(now).map(Record::Deputies);
-        for record in parts.into_iter().chain(deputies) {
-            // A change that is lost goes with this leader, and with it the hub that waits for it.
-            if let Err(why) = self.propose(&record) {
-                log::warn!("the parts stay as they are: {why}");
-            }
-        }
-    }
-
     fn tend_view(&mut self) {
         let now = self.clock.now();
         let Some(grantor) = &mut self.grantor else {
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -29,7 +29,7 @@
 use super::deadline::Deadline;
 use super::dialect::Dialect;
 use super::dialect::Marks;
-use super::turn::Place;
+use super::place::Place;
 
 /// How long a connection may take to be made.
 ///
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -9,11 +9,11 @@
 
 use super::exchange::Failure;
 use super::log::Line;
+use super::place::Place;
 use super::refuse::Refused;
 use super::run::Run;
 use super::run::Step;
 use super::turn::NoTurn;
-use super::turn::Place;
 
 /// Sendings that a request may have beyond those its rule allows, where servers said that they
 /// did not run it.
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod open;
 mod orders;
 mod outcome;
+mod place;
 mod places;
 mod refuse;
 mod relay;
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -23,8 +23,8 @@
 use super::exchange::Failure;
 use super::judge;
 use super::log::Line;
+use super::place::Place;
 use super::run::Run;
-use super::turn::Place;
 
 /// A stream that is being passed on.
 struct Relay {
@@ -142,7 +142,7 @@
         let gaps = self.pieces.saturating_sub(1);
         let gap = (gaps > 0).then(|| self.began.elapsed() / gaps);
         if let Some(place) = &mut self.place {
-            place.end(End::Good {
+            place.whole(End::Good {
                 first: self.first,
                 gap,
             });
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -23,11 +23,11 @@
 use super::log::Line;
 use super::log::millis;
 use super::node::Node;
+use super::place::Place;
 use super::places::Wanted;
 use super::refuse::Refused;
 use super::sending;
 use super::turn;
-use super::turn::Place;
 
 /// How long a server may say nothing before it is thought to be silent: three times the time
 /// within which an answer is wanted, and no less than this.
@@ -245,7 +245,7 @@
             }
         };
         let failed = head.status.is_server_error();
-        place.end(if failed {
+        place.whole(if failed {
             End::Failed
         } else {
             End::Good { first, gap: None }
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -4,23 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use curlewlift_core::event::Kind;
-use curlewlift_core::gateway::Server;
-use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
-use curlewlift_core::pool::End;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::pool::Turn;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quarantine::Withheld;
 use curlewlift_core::quota::Charge;
-use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::draw;
 use super::node::Node;
+use super::place::Place;
 use super::places;
 use super::places::Wanted;
 use super::places::Word;
@@ -33,122 +29,6 @@
 /// in thirty late (three days of 12 hosts, four in ten cut off).
 const WORD_PART: u32 = 4;
 
-/// A place at a backend server; given back when it is dropped.
-pub(super) struct Place {
-    node: Rc<Node>,
-    service: id::Service,
-    /// For the roll-out that was under way when it was given.
-    watched: Option<Watched>,
-    pub(super) server: Arc<Server>,
-    /// Whether the hub gave it, and drew what the request counts.
-    pub(super) by_hub: bool,
-    /// What the request is.
-    identity: Identity,
-    /// The number of the permit that it is sent by, where it needs one.
-    permit: Option<u64>,
-    /// Whether the server broke off under it.
-    broke: bool,
-    /// The prompt that the server has not read yet.
-    unread: Option<Tokens>,
-    end: End,
-}
-
-impl Place {
-    fn new(node: &Rc<Node>, wanted: Wanted<'_>, server: Arc<Server>, prompt: Tokens) -> Self {
-        Self {
-            node: Rc::clone(node),
-            service: wanted.service.clone(),
-            watched: node.watched(wanted),
-            server,
-            by_hub: false,
-            identity: wanted.identity.clone(),
-            permit: None,
-            broke: false,
-            unread: Some(prompt),
-            end: End::Nothing,
-        }
-    }
-
-    fn by_hub(mut self, permit: Option<u64>) -> Self {
-        self.by_hub = true;
-        self.permit = permit;
-        self
-    }
-
-    /// The server broke off, and may have begun the request.
-    pub(super) fn broke(&mut self) {
-        self.end = End::Broken;
-        self.broke = true;
-    }
-
-    /// Takes note of what the end says of the request, for the hub.
-    fn tell_of_request(&mut self) {
-        let identity = self.identity.clone();
-        let now = self.node.now();
-        let server = &*self.server.incarnation;
-        let mut ward = self.node.ward.borrow_mut();
-        if self.broke {
-            super::log::Line::new(Kind::ServerEnded)
-                .with("identity", identity.to_string())
-                .with(
-                    "customer",
-                    identity.customer.as_ref().map(id::Customer::as_str),
-                )
-                .with("server", server)
-                .with("permit", self.permit)
-                .write();
-            metrics::counter!("curlewlift_servers_ended").increment(1);
-            ward.ended(identity, self.permit, server, now);
-        } else if matches!(self.end, End::Good { .. } | End::Failed) {
-            ward.answered(identity, self.permit, now);
-        } else if let Some(permit) = self.permit {
-            ward.gave_back(identity, permit, now);
-        }
-    }
-
-    /// The answer has begun: the server has read the prompt.
-    pub(super) fn begun(&mut self) {
-        if let Some(prompt) = self.unread.take() {
-            let incarnation = &self.server.incarnation;
-            self.node.begun(&self.service, incarnation, prompt);
-        }
-    }
-
-    /// How it ended, told when it is given back.
-    pub(super) fn end(&mut self, end: End) {
-        self.end = end;
-    }
-
-    /// Something that is seen while the request runs.
-    pub(super) fn seen(&self, end: End) {
-        let now = self.node.now();
-        let incarnation = &self.server.incarnation;
-        self.node.with_service(&self.service, |service| {
-            service.pool.seen(incarnation, end, now);
-        });
-    }
-
-    /// What an answer told of the server's load.
-    pub(super) fn told(&self, in_flight: u32) {
-        let incarnation = &self.server.incarnation;
-        self.node.with_service(&self.service, |service| {
-            service.pool.told(incarnation, in_flight);
-        });
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.begun();
-        // Before the end is told, so that one report tells both.
-        self.tell_of_request();
-        let incarnation = &self.server.incarnation;
-        let watched = self.watched.take();
-        self.node
-            .ended(&self.service, incarnation, self.end, watched);
-    }
-}
-
 /// A place in line; left when it is dropped.
 struct Line {
     node: Rc<Node>,
