Suspend gateways in the histories of allowances, and end servers on other routes

Cause: allowances were proved with hosts cut off and started anew, not suspended; quarantine end to end on streams only.

Change: allowances suspended (100 histories, eight of twelve gateways suspended for up to 9.5 s, twice around a change of the hub, waking with an old answer); platform_quarantine sent_again (routes whose requests are sent again within one try).

--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -144,6 +144,29 @@
     }
 }
 
+/// Gateways are suspended for seconds, some twice around a change of the hub, and wake with an answer of before:
+/// what they held then has run out.
+#[test]
+fn suspended() {
+    for seed in 0..100 {
+        let mut world = World::new(12, seed);
+        world.go_on(seconds(12), 50_000.0);
+        for round in 0..6 {
+            for place in 0..8 {
+                let millis = 500 + (seed * 131 + place * 977 + round * 389) % 9_000;
+                let place = usize::try_from(place).expect("few");
+                world.suspend(place, Duration::from_millis(millis));
+            }
+            world.go_on(seconds(1), 300_000.0);
+            if round % 2 == seed % 2 {
+                world.new_hub();
+            }
+            world.go_on(Duration::from_millis(900 * round), 300_000.0);
+            assert!(world.is_kept(), "seed {seed}: {}", world.most);
+        }
+    }
+}
+
 #[test]
 fn leader_changes() {
     for seed in 0..40 {
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -78,6 +78,8 @@
     asked: Instant,
     answer: Option<(Instant, Reply)>,
     cut: bool,
+    /// Until when it is suspended: it does nothing, and finds what has come meanwhile when it wakes.
+    suspended: Instant,
 }
 
 impl Node {
@@ -90,6 +92,7 @@
             asked: now,
             answer: None,
             cut: false,
+            suspended: now,
         }
     }
 
@@ -251,6 +254,11 @@
         self.nodes[place].answer = None;
     }
 
+    /// A gateway is suspended for so long.
+    pub(crate) fn suspend(&mut self, place: usize, length: Duration) {
+        self.nodes[place].suspended = self.now + length;
+    }
+
     /// Far beyond the allowance, about as much, or so little that buckets fill up.
     pub(crate) fn any_load(&mut self) -> f64 {
         match self.draw(4) {
@@ -336,6 +344,9 @@
         let (is_lost, delay) = (self.draw(100) < lost, self.draw(100));
         let slow = self.draw(40) == 0;
         let node = &mut self.nodes[place];
+        if now < node.suspended {
+            return;
+        }
         if let Some((due, reply)) = node.answer.take() {
             if due <= now && !node.cut {
                 node.got = reply.number;
@@ -422,6 +433,9 @@
         let gets_none = self.draw(100) < self.no_place;
         let leaves = now + Duration::from_millis(self.draw(1_000));
         let node = &mut self.nodes[place];
+        if now < node.suspended {
+            return false;
+        }
         let charge = Charge {
             customer: ann(),
             cost,
@@ -454,7 +468,9 @@
         let from = usize::try_from(self.draw(self.nodes.len() as u64)).expect("few");
         let (before, after) = self.nodes.split_at_mut(from);
         let deputies = after.iter_mut().chain(before);
-        let deputies = deputies.filter(|node| node.reserve.get_part(now) > 0.0 && !node.cut);
+        let awake = |node: &&mut Node| !node.cut && node.suspended <= now;
+        let deputies = deputies.filter(|node| node.reserve.get_part(now) > 0.0);
+        let deputies = deputies.filter(awake);
         let mut asked = deputies.take(ASKED);
         asked.any(|deputy| deputy.reserve.draw(charge, &allowance, now))
     }
--- a/crates/curlewlift/tests/platform_quarantine.rs
+++ b/crates/curlewlift/tests/platform_quarantine.rs
@@ -160,3 +160,18 @@
     assert_eq!(world.ask("ann", 0, "/stream/bad", "answer").status, 502);
     assert_eq!(world.ask("ben", 0, "/stream/bad", "answer").status, 200);
 }
+
+/// On routes whose requests are sent again within one try, that counts as well.
+#[test]
+fn sent_again() {
+    let world = World::start("sent_again");
+    for path in ["/safe/again", "/resume/again"] {
+        let before = world.ended();
+        for round in 0..4 {
+            world.ask("ann", round % 3, path, "crash");
+            world.come_back();
+        }
+        let ended = world.ended() - before;
+        assert_eq!(ended, 3, "{path}");
+    }
+}
