Name what gateways see and keep of such requests plainly

Cause: read as a newcomer, ward, word and what say little.

Change: Local, Observation, Seen; the evidence's entries and acknowledgement as types; no change of behaviour.

Measured: the tests of quarantine, allowances, hub and places pass.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -90,7 +90,7 @@
             patience: Duration::from_secs(100_000),
             left: Duration::from_secs(10),
             identity: Identity::default(),
-            words: Vec::new(),
+            observed: Vec::new(),
             prompt: Tokens(500),
             charge: None,
             tried: Vec::new(),
@@ -129,7 +129,7 @@
             mark: self.marks[place],
             loads: loads.collect(),
             ends: Vec::new(),
-            words: Vec::new(),
+            observed: Vec::new(),
         };
         self.hub.report(&report, self.now);
     }
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -9,8 +9,8 @@
 use crate::id;
 use crate::pool::End;
 use crate::quarantine::Identity;
+use crate::quarantine::Observation;
 use crate::quarantine::Permit;
-use crate::quarantine::Word;
 use crate::quota::Charge;
 use crate::rollout::Version;
 use crate::route::Rank;
@@ -43,7 +43,7 @@
     /// What it is.
     pub identity: Identity,
     /// What its gateway has to tell of it.
-    pub words: Vec<Word>,
+    pub observed: Vec<Observation>,
     /// The length of its prompt; 0 where it has none.
     pub prompt: Tokens,
     /// What it counts, where that was not drawn yet.
@@ -126,5 +126,5 @@
     /// What has ended since its last report.
     pub ends: Vec<Ended>,
     /// What it has to tell of requests under which servers ended.
-    pub words: Vec<Word>,
+    pub observed: Vec<Observation>,
 }
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -115,7 +115,7 @@
     rolls: Rolls,
     pub(super) trials: Trials,
     /// Which requests are kept away from the servers.
-    pub(super) wards: quarantine::Desk,
+    pub(super) cases: quarantine::Desk,
     /// Those, as they are agreed.
     pub(super) quarantine: quarantine::List,
     /// Who has lost its place in line by what ended under such a request elsewhere.
@@ -145,7 +145,7 @@
             subsets: Subsets::default(),
             rolls: Rolls::default(),
             trials: Trials::new(tuning.rollouts),
-            wards: quarantine::Desk::default(),
+            cases: quarantine::Desk::default(),
             quarantine: quarantine::List::default(),
             withheld: Vec::new(),
             began: now,
@@ -157,7 +157,7 @@
     #[must_use]
     pub fn drawn(mut self, number: u64) -> Self {
         self.dispatcher = Dispatcher::new(number);
-        self.wards = quarantine::Desk::new(number);
+        self.cases = quarantine::Desk::new(number);
         self.answers = number;
         self
     }
@@ -206,7 +206,7 @@
         self.seen.insert(question.host.clone(), seen);
         self.dispatcher
             .report(&question.host, question.mark, &question.loads);
-        self.hear_words(&question.words, now);
+        self.observe(&question.observed, now);
     }
 
     /// The answer to a question that was heard; `publication` is the table in force.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -15,12 +15,12 @@
 mod occupancy;
 mod parts;
 mod places;
+mod quarantine;
 mod roll;
 mod rollouts;
 mod subset;
 mod sync;
 mod version;
-mod wards;
 
 pub use dispatch::Ticket;
 pub use grant::Ended;
--- a/crates/core/src/gateway/places.rs
+++ b/crates/core/src/gateway/places.rs
@@ -31,13 +31,13 @@
 impl Hub {
     /// Draws what a request counts, and puts it in line.
     pub fn want(&mut self, want: Want, now: Instant) -> Wanted {
-        self.hear_words(&want.words, now);
+        self.observe(&want.observed, now);
         if !self.dispatcher.has(&want.service) {
             return Wanted::NoServers;
         }
         // By what it is, not by the try: each try is new to its gateway and here, and a request that ends servers
         // was given one for as often as it came: 13 servers ended in 16 s.
-        let permit = match self.wards.ask(&want.identity, want.left, now) {
+        let permit = match self.cases.ask(&want.identity, want.left, now) {
             Verdict::Free => None,
             Verdict::Permitted(permit) => Some(permit),
             Verdict::Withheld(why) => return Wanted::Withheld(why),
@@ -75,7 +75,7 @@
             .report(&report.host, report.mark, &report.loads);
         self.dispatcher.ended(&report.ends, now);
         self.watch(&report.ends);
-        self.hear_words(&report.words, now);
+        self.observe(&report.observed, now);
     }
 
     /// Gives places to those in line for whom there is room.
@@ -114,7 +114,7 @@
             self.desk.give_back(&charge, now);
         }
         if let Some(permit) = given.permit {
-            self.wards.give_back(&permit);
+            self.cases.give_back(&permit);
         }
     }
 
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -85,7 +85,7 @@
     /// The version of the list of requests in quarantine that it holds.
     pub quarantine: u64,
     /// What it has to tell of requests under which servers ended.
-    pub words: Vec<quarantine::Word>,
+    pub observed: Vec<quarantine::Observation>,
     /// The whole list, where this gateway is the one that fetches it and the hub held another.
     pub fetched: Option<Listing>,
 }
--- a/crates/core/src/quarantine/desk.rs
+++ b/crates/core/src/quarantine/desk.rs
@@ -15,9 +15,9 @@
 use super::ENDS;
 use super::Identity;
 use super::List;
+use super::Observation;
+use super::Seen;
 use super::Step;
-use super::What;
-use super::Word;
 use super::list::MOST;
 use super::list::PER_CUSTOMER;
 
@@ -211,18 +211,20 @@
         }
     }
 
-    /// Takes note of a gateway's word; whether it tells of an end that was not known.
-    pub fn hear(&mut self, word: &Word, now: Instant) -> bool {
-        if let (Some(number), Some(open)) = (word.permit, self.open.get_mut(&word.identity)) {
+    /// Takes note of what a gateway saw; whether that is an end that was not known.
+    pub fn hear(&mut self, observation: &Observation, now: Instant) -> bool {
+        if let (Some(number), Some(open)) =
+            (observation.permit, self.open.get_mut(&observation.identity))
+        {
             open.permits.remove(&number);
         }
-        match &word.what {
-            What::Ended(incarnation) => self.ended(&word.identity, incarnation, now),
-            What::Whole => {
-                self.release(&word.identity);
+        match &observation.seen {
+            Seen::Ended(incarnation) => self.ended(&observation.identity, incarnation, now),
+            Seen::Whole => {
+                self.release(&observation.identity);
                 false
             }
-            What::Nothing => false,
+            Seen::Nothing => false,
         }
     }
 
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -20,7 +20,7 @@
 
 /// How a sending ended, as far as it says something of its request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum What {
+pub enum Seen {
     /// The server, by its incarnation, broke off under it.
     Ended(Arc<str>),
     /// The server answered whole: the request does not end servers.
@@ -29,79 +29,98 @@
     Nothing,
 }
 
-/// What a gateway tells of one sending of a request.
+/// What a gateway saw of one sending of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct Observation {
     /// The request.
     pub identity: Identity,
     /// The number of the permit that it was sent by; none where it needed none.
     pub permit: Option<u64>,
     /// How the sending ended.
-    pub what: What,
+    pub seen: Seen,
 }
 
-/// What a gateway has seen lately, told to each hub until that says so.
+/// An observation, with its number and when it was made.
+#[derive(Clone, Debug)]
+struct Noted {
+    number: u64,
+    at: Instant,
+    observation: Observation,
+}
+
+/// The last acknowledgement that a hub gave.
+#[derive(Clone, Copy, Debug, Default)]
+struct Acknowledged {
+    /// The hub, by the number that it drew.
+    hub: u64,
+    /// Up to which observation it was told.
+    upto: u64,
+}
+
+/// What a gateway has seen lately, told to each hub until that acknowledges it.
 ///
-/// Words may be lost, and are told again; the hub counts each end once, by the server's incarnation.
+/// Messages may be lost, and are sent again; the hub counts each end once, by the server's incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    words: VecDeque<(u64, Instant, Word)>,
-    /// The number of the last word.
+    noted: VecDeque<Noted>,
+    /// The number of the last observation.
     last: u64,
-    /// The hub that was told, and up to which word.
-    told: (u64, u64),
+    acknowledged: Acknowledged,
 }
 
 impl Evidence {
-    /// Takes note of a word.
-    pub fn note(&mut self, word: Word, now: Instant) {
-        let late = |noted: &(u64, Instant, Word)| now.since(noted.1) >= KEPT;
-        while self.words.pop_front_if(|noted| late(noted)).is_some() {}
-        if self.words.len() >= MOST {
-            self.words.pop_front();
+    /// Takes note of an observation.
+    pub fn note(&mut self, observation: Observation, now: Instant) {
+        let is_old = |noted: &mut Noted| now.since(noted.at) >= KEPT;
+        while self.noted.pop_front_if(is_old).is_some() {}
+        if self.noted.len() >= MOST {
+            self.noted.pop_front();
         }
         self.last += 1;
-        self.words.push_back((self.last, now, word));
+        self.noted.push_back(Noted {
+            number: self.last,
+            at: now,
+            observation,
+        });
     }
 
-    /// What the hub has not said that it was told, and up to which word that is.
+    /// What the hub has not acknowledged, and up to which observation that is.
     #[must_use]
-    pub fn untold(&self) -> (Vec<Word>, u64) {
-        let words = self.words.iter();
-        let untold = words.filter(|(number, _, _)| *number > self.told.1);
-        let untold = untold.map(|(_, _, word)| word.clone());
+    pub fn untold(&self) -> (Vec<Observation>, u64) {
+        let upto = self.acknowledged.upto;
+        let untold = self.noted.iter().filter(|noted| noted.number > upto);
+        let untold = untold.map(|noted| noted.observation.clone());
         (untold.collect(), self.last)
     }
 
     /// The same, of one request.
     #[must_use]
-    pub fn untold_of(&self, identity: &Identity) -> Vec<Word> {
-        let (mut words, _) = self.untold();
-        words.retain(|word| word.identity == *identity);
-        words
+    pub fn untold_of(&self, identity: &Identity) -> Vec<Observation> {
+        let (mut untold, _) = self.untold();
+        untold.retain(|observation| observation.identity == *identity);
+        untold
     }
 
-    /// The hub `hub` has answered, and was told all up to the word `upto`.
+    /// The hub `hub` has answered, and was told all up to the observation `upto`.
     pub fn heard(&mut self, hub: u64, upto: u64) {
         // Another hub knows nothing of what was told to the former one.
-        let upto = if self.told.0 == hub { upto } else { 0 };
-        self.told = (hub, upto);
+        let is_same = self.acknowledged.hub == hub;
+        let upto = if is_same { upto } else { 0 };
+        self.acknowledged = Acknowledged { hub, upto };
     }
 
     /// The servers that ended here under a request that was not answered whole since.
     #[must_use]
     pub fn ended(&self, identity: &Identity) -> BTreeSet<Arc<str>> {
         let mut ended = BTreeSet::new();
-        for (_, _, word) in &self.words {
-            if word.identity != *identity {
-                continue;
-            }
-            match &word.what {
-                What::Ended(incarnation) => {
+        let observations = self.noted.iter().map(|noted| &noted.observation);
+        for observation in observations.filter(|observation| observation.identity == *identity) {
+            match &observation.seen {
+                Seen::Ended(incarnation) => {
                     ended.insert(Arc::clone(incarnation));
                 }
-                What::Whole => ended.clear(),
-                What::Nothing => {}
+                Seen::Whole => ended.clear(),
+                Seen::Nothing => {}
             }
         }
         ended
--- a/crates/core/src/quarantine/ward.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -9,8 +9,8 @@
 use super::Identity;
 use super::List;
 use super::News;
-use super::What;
-use super::Word;
+use super::Observation;
+use super::Seen;
 
 /// How many requests a gateway remembers that were answered whole, some 40 bytes each: those of some seconds,
 /// where the same come again and again.
@@ -18,7 +18,7 @@
 
 /// What a gateway knows of requests under which servers end: what it saw, and what all agreed on.
 #[derive(Clone, Debug, Default)]
-pub struct Ward {
+pub struct Local {
     list: List,
     evidence: Evidence,
     /// What was answered whole lately. Of a request that comes many times a second, 12 gateways would else
@@ -26,7 +26,7 @@
     answered: VecDeque<Identity>,
 }
 
-impl Ward {
+impl Local {
     /// Whether a request may be sent without the hub's word.
     ///
     /// Load: a request that ends servers, while no hub is heard for seconds. What one more end would put
@@ -60,12 +60,12 @@
 
     /// A server broke off under a request.
     pub fn ended(&mut self, identity: Identity, permit: Option<u64>, server: &str, now: Instant) {
-        let what = if self.answered.contains(&identity) {
-            What::Whole
+        let seen = if self.answered.contains(&identity) {
+            Seen::Whole
         } else {
-            What::Ended(server.into())
+            Seen::Ended(server.into())
         };
-        self.note(identity, permit, what, now);
+        self.note(identity, permit, seen, now);
     }
 
     /// A request was answered whole.
@@ -74,7 +74,7 @@
             || self.list.get(&identity).is_some()
             || !self.evidence.ended(&identity).is_empty();
         if is_suspected {
-            self.note(identity.clone(), permit, What::Whole, now);
+            self.note(identity.clone(), permit, Seen::Whole, now);
         }
         if self.answered.len() >= ANSWERED {
             self.answered.pop_front();
@@ -84,19 +84,19 @@
 
     /// A sending by a permit has ended otherwise.
     pub fn gave_back(&mut self, identity: Identity, permit: u64, now: Instant) {
-        self.note(identity, Some(permit), What::Nothing, now);
+        self.note(identity, Some(permit), Seen::Nothing, now);
     }
 
-    fn note(&mut self, identity: Identity, permit: Option<u64>, what: What, now: Instant) {
-        let word = Word {
+    fn note(&mut self, identity: Identity, permit: Option<u64>, seen: Seen, now: Instant) {
+        let observation = Observation {
             identity,
             permit,
-            what,
+            seen,
         };
-        self.evidence.note(word, now);
+        self.evidence.note(observation, now);
     }
 
-    /// The hub `hub` has answered, and was told all up to the word `upto`.
+    /// The hub `hub` has answered, and was told all up to the observation `upto`.
     pub fn heard(&mut self, hub: u64, upto: u64) {
         self.evidence.heard(hub, upto);
     }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -3,27 +3,27 @@
 //! A request that ends each server that begins to run it comes again, at any gateway and under another name.
 //! What ended under it is therefore added up over all gateways, by what the request is ([`Identity`]): at the
 //! hub ([`Desk`]), from what the gateways tell ([`Evidence`]); from the second end on in the log as well
-//! ([`List`]), and by it at every gateway ([`Ward`]), for the time without a hub.
+//! ([`List`]), and by it at every gateway ([`Local`]), for the time without a hub.
 
 mod desk;
 mod evidence;
 mod identity;
 mod list;
-mod ward;
+mod local;
 
 pub use desk::Desk;
 pub use desk::Permit;
 pub use desk::Verdict;
 pub use desk::Withheld;
 pub use evidence::Evidence;
-pub use evidence::What;
-pub use evidence::Word;
+pub use evidence::Observation;
+pub use evidence::Seen;
 pub use identity::Identity;
 pub use list::Case;
 pub use list::List;
 pub use list::News;
 pub use list::Step;
-pub use ward::Ward;
+pub use local::Local;
 
 /// How many servers may end under a request before it is kept away from all.
 ///
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -41,7 +41,7 @@
         loads: vec![load],
         got: 0,
         quarantine: 0,
-        words: Vec::new(),
+        observed: Vec::new(),
         fetched: None,
     }
 }
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -71,7 +71,7 @@
         patience: Duration::from_millis(200),
         left: Duration::from_secs(10),
         identity: Identity::default(),
-        words: Vec::new(),
+        observed: Vec::new(),
         prompt: Tokens(10),
         charge: None,
         tried: Vec::new(),
@@ -100,7 +100,7 @@
             reading: Tokens(0),
         }],
         ends: Vec::new(),
-        words: Vec::new(),
+        observed: Vec::new(),
     }
 }
 
@@ -189,7 +189,7 @@
         loads: report("g", 0, 3).loads,
         got: 0,
         quarantine: 0,
-        words: Vec::new(),
+        observed: Vec::new(),
         fetched: None,
     };
     hub.hear(&question, ms(0));
--- a/crates/core/tests/large_fleets.rs
+++ b/crates/core/tests/large_fleets.rs
@@ -73,7 +73,7 @@
             loads,
             got: 0,
             quarantine: 0,
-            words: Vec::new(),
+            observed: Vec::new(),
             fetched: None,
         }
     }
--- a/crates/core/tests/quarantine_bounds.rs
+++ b/crates/core/tests/quarantine_bounds.rs
@@ -11,15 +11,15 @@
 use curlewlift_core::quarantine::ENDS;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quarantine::List;
+use curlewlift_core::quarantine::Observation;
+use curlewlift_core::quarantine::Seen;
 use curlewlift_core::quarantine::Verdict;
-use curlewlift_core::quarantine::What;
 use curlewlift_core::quarantine::Withheld;
-use curlewlift_core::quarantine::Word;
 
-use support::wards::CONTACT;
-use support::wards::Came;
-use support::wards::Play;
-use support::wards::World;
+use support::ending::CONTACT;
+use support::ending::Came;
+use support::ending::Play;
+use support::ending::World;
 
 /// How often a request may be sent once three servers have ended under it.
 const PAST: usize = 3;
@@ -176,16 +176,16 @@
     }
 }
 
-fn word(identity: &Identity, what: What) -> Word {
-    Word {
+fn observation(identity: &Identity, seen: Seen) -> Observation {
+    Observation {
         identity: identity.clone(),
         permit: None,
-        what,
+        seen,
     }
 }
 
 fn end(desk: &mut Desk, identity: &Identity, server: &str, now: Instant) {
-    desk.hear(&word(identity, What::Ended(server.into())), now);
+    desk.hear(&observation(identity, Seen::Ended(server.into())), now);
 }
 
 /// Three servers end for reasons of their own under a request that comes again: it is kept away for a while,
@@ -206,9 +206,9 @@
         panic!("one trial");
     };
     assert_eq!(desk.ask(&one, left, now), withheld, "one at a time");
-    let whole = Word {
+    let whole = Observation {
         permit: Some(permit.number),
-        ..word(&one, What::Whole)
+        ..observation(&one, Seen::Whole)
     };
     desk.hear(&whole, now);
     assert_eq!(desk.ask(&one, left, now), Verdict::Free);
@@ -271,7 +271,7 @@
         let one = identity("ann", &(number * 7 % 40).to_string());
         end(&mut desk, &one, &format!("s{number}"), now);
         if number % 11 == 0 {
-            desk.hear(&word(&one, What::Whole), now);
+            desk.hear(&observation(&one, Seen::Whole), now);
         }
         for step in desk.tend(now) {
             list.apply(&step);
--- a/crates/core/tests/support/wards.rs
+++ b/crates/core/tests/support/ending.rs
@@ -18,8 +18,9 @@
 use curlewlift_core::id;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quarantine::List;
+use curlewlift_core::quarantine::Local;
+use curlewlift_core::quarantine::Observation;
 use curlewlift_core::quarantine::Step;
-use curlewlift_core::quarantine::Ward;
 use curlewlift_core::quarantine::Withheld;
 use curlewlift_core::route::Rank;
 use curlewlift_core::state::Publication;
@@ -49,7 +50,7 @@
 
 struct Node {
     host: id::Host,
-    ward: Ward,
+    quarantine: Local,
     /// Since when it hears the hub; none while it does not.
     hears: Option<Instant>,
     cut: bool,
@@ -61,7 +62,7 @@
     fn new(place: usize) -> Self {
         Self {
             host: format!("g{place}").parse().expect("a name"),
-            ward: Ward::default(),
+            quarantine: Local::default(),
             hears: None,
             cut: false,
             suspended: None,
@@ -98,7 +99,7 @@
     servers: Vec<(u64, Instant)>,
     running: Vec<Running>,
     random: ChaCha8Rng,
-    /// Of a hundred words so many are lost.
+    /// Of a hundred messages so many are lost.
     pub(crate) lost: u64,
     /// How many servers have ended under a request, and when the third did.
     pub(crate) ended: BTreeMap<Identity, Vec<Instant>>,
@@ -269,8 +270,8 @@
 
     fn answered(&mut self, running: Running) {
         let now = self.now;
-        let ward = &mut self.nodes[running.gateway].ward;
-        ward.answered(running.identity, running.permit, now);
+        let quarantine = &mut self.nodes[running.gateway].quarantine;
+        quarantine.answered(running.identity, running.permit, now);
         self.report(running.gateway);
     }
 
@@ -287,8 +288,8 @@
         let mut broken: Vec<_> = self.running.extract_if(.., beside).collect();
         broken.push(cause);
         for broken in broken {
-            let ward = &mut self.nodes[broken.gateway].ward;
-            ward.ended(broken.identity.clone(), broken.permit, &server, now);
+            let quarantine = &mut self.nodes[broken.gateway].quarantine;
+            quarantine.ended(broken.identity.clone(), broken.permit, &server, now);
             self.report(broken.gateway);
             if broken.play == Play::Answer {
                 self.broken.push(broken.identity);
@@ -314,7 +315,7 @@
             mark: Mark::default(),
             loads: Vec::new(),
             ends: Vec::new(),
-            words: node.ward.get_evidence().untold().0,
+            observed: node.quarantine.get_evidence().untold().0,
         };
         if let Some(hub) = &mut self.hub {
             hub.report(&report, self.now);
@@ -335,8 +336,8 @@
         }
         let node = &mut self.nodes[place];
         node.suspended = None;
-        let (words, upto) = node.ward.get_evidence().untold();
-        let question = question(node, words);
+        let (observed, upto) = node.quarantine.get_evidence().untold();
+        let question = question(node, observed);
         let Some(hub) = &mut self.hub else {
             return;
         };
@@ -347,9 +348,9 @@
             return;
         }
         let node = &mut self.nodes[place];
-        node.ward.heard(reply.hub, upto);
+        node.quarantine.heard(reply.hub, upto);
         if let Some(news) = &reply.quarantine {
-            node.ward.take(news);
+            node.quarantine.take(news);
         }
         node.hears.get_or_insert(self.now);
     }
@@ -402,7 +403,7 @@
         place: usize,
         identity: &Identity,
     ) -> Result<(Arc<str>, Option<u64>), Came> {
-        if !self.nodes[place].ward.may_send(identity) {
+        if !self.nodes[place].quarantine.may_send(identity) {
             return Err(Came::Withheld(Withheld::Quarantined));
         }
         let server = self.draw(SERVERS);
@@ -448,7 +449,7 @@
     }
 }
 
-fn question(node: &Node, words: Vec<curlewlift_core::quarantine::Word>) -> Question {
+fn question(node: &Node, observed: Vec<Observation>) -> Question {
     Question {
         host: node.host.clone(),
         gateway: Gateway {
@@ -465,8 +466,8 @@
         mark: Mark::default(),
         loads: Vec::new(),
         got: 0,
-        quarantine: node.ward.get_version(),
-        words,
+        quarantine: node.quarantine.get_version(),
+        observed,
         fetched: None,
     }
 }
@@ -483,7 +484,7 @@
         patience: Duration::from_secs(1),
         left: Duration::from_secs(5),
         identity: identity.clone(),
-        words: node.ward.get_evidence().untold_of(identity),
+        observed: node.quarantine.get_evidence().untold_of(identity),
         prompt: Tokens(0),
         charge: None,
         tried: Vec::new(),
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -114,7 +114,7 @@
             loads: Vec::new(),
             got: self.got,
             quarantine: 0,
-            words: Vec::new(),
+            observed: Vec::new(),
             fetched: None,
         }
     }
@@ -497,7 +497,7 @@
         patience: Duration::from_secs(1),
         left: Duration::from_secs(10),
         identity: Identity::default(),
-        words: Vec::new(),
+        observed: Vec::new(),
         prompt: Tokens(0),
         charge: Some(charge),
         tried: Vec::new(),
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,10 +1,10 @@
-//! What the tests share.
+//! Seen the tests share.
 
 #![allow(dead_code)]
 
 pub(crate) mod asks;
+pub(crate) mod ending;
 pub(crate) mod gateways;
 pub(crate) mod history;
 pub(crate) mod members;
 pub(crate) mod replicas;
-pub(crate) mod wards;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -20,7 +20,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::pool::Lead;
-use curlewlift_core::quarantine::Ward;
+use curlewlift_core::quarantine;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::Part;
 use curlewlift_core::quota::Reserve;
@@ -95,7 +95,7 @@
     /// Who else may let their requests in then.
     pub(super) deputies: RefCell<Deputies>,
     /// What it knows of requests under which servers end.
-    pub(super) ward: RefCell<Ward>,
+    pub(super) quarantine: RefCell<quarantine::Local>,
     /// The part of the sendings past the first that this gateway may do by itself.
     pub(super) part: RefCell<Part>,
     /// The hosts that are known to keep a control replica.
@@ -145,7 +145,7 @@
             leads: RefCell::default(),
             reserve: RefCell::new(Reserve::new(tolerance)),
             deputies: RefCell::default(),
-            ward: RefCell::default(),
+            quarantine: RefCell::default(),
             part: RefCell::default(),
             known,
             hub: RefCell::default(),
--- a/crates/curlewlift/src/gateway/place.rs
+++ b/crates/curlewlift/src/gateway/place.rs
@@ -78,7 +78,7 @@
         let identity = self.identity.clone();
         let now = self.node.now();
         let server = &*self.server.incarnation;
-        let mut ward = self.node.ward.borrow_mut();
+        let mut quarantine = self.node.quarantine.borrow_mut();
         if self.broke {
             Line::new(Kind::ServerEnded)
                 .with("identity", identity.to_string())
@@ -90,11 +90,11 @@
                 .with("permit", self.permit)
                 .write();
             metrics::counter!("curlewlift_servers_ended").increment(1);
-            ward.ended(identity, self.permit, server, now);
+            quarantine.ended(identity, self.permit, server, now);
         } else if self.whole {
-            ward.answered(identity, self.permit, now);
+            quarantine.answered(identity, self.permit, now);
         } else if let Some(permit) = self.permit {
-            ward.gave_back(identity, permit, now);
+            quarantine.gave_back(identity, permit, now);
         }
     }
 
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -155,7 +155,11 @@
             patience,
             left: wanted.left,
             identity: wanted.identity.clone(),
-            words: self.ward.borrow().get_evidence().untold_of(wanted.identity),
+            observed: self
+                .quarantine
+                .borrow()
+                .get_evidence()
+                .untold_of(wanted.identity),
             prompt: ask.prompt,
             charge: charge.cloned(),
             tried: ask.tried.clone(),
@@ -178,8 +182,8 @@
         }
         if let Some(permit) = grant.permit {
             let identity = wanted.identity.clone();
-            let mut ward = self.ward.borrow_mut();
-            ward.gave_back(identity, permit, self.now());
+            let mut quarantine = self.quarantine.borrow_mut();
+            quarantine.gave_back(identity, permit, self.now());
         }
         self.tell(service, &server.incarnation, End::Nothing, None);
         Word::Nothing
@@ -238,7 +242,7 @@
             mark: node.hub.borrow().mark,
             loads: node.loads(),
             ends,
-            words: node.ward.borrow().get_evidence().untold().0,
+            observed: node.quarantine.borrow().get_evidence().untold().0,
         };
         let call = RenewCall::Hub(HubCall::Tell(report));
         let told: Result<HubReply, Refusal> =
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -83,7 +83,7 @@
     };
     let asked = node.now();
     let question = question(node);
-    let (_, told) = node.ward.borrow().get_evidence().untold();
+    let (_, told) = node.quarantine.borrow().get_evidence().untold();
     let call = RenewCall::Hub(HubCall::Ask(Box::new(question)));
     let reply: Result<HubReply, Refusal> = node.rpc.call(address, Method::Renew, &call, CALL).await;
     match reply {
@@ -92,7 +92,7 @@
             Err(format!("the answer of {address} came too late"))
         }
         Ok(HubReply::News(reply)) => {
-            node.ward.borrow_mut().heard(reply.hub, told);
+            node.quarantine.borrow_mut().heard(reply.hub, told);
             take(node, around, address, asked, *reply);
             Ok(())
         }
@@ -141,7 +141,7 @@
 fn question(node: &Node) -> Question {
     let hub = node.hub.borrow();
     let holding = node.holding.borrow();
-    let ward = node.ward.borrow();
+    let quarantine = node.quarantine.borrow();
     let fetched = holding.for_hub(hub.listing).filter(|_| hub.fetches);
     Question {
         host: node.host.clone(),
@@ -156,8 +156,8 @@
         mark: hub.mark,
         loads: node.loads(),
         got: hub.got,
-        quarantine: ward.get_version(),
-        words: ward.get_evidence().untold().0,
+        quarantine: quarantine.get_version(),
+        observed: quarantine.get_evidence().untold().0,
         fetched: fetched.cloned(),
     }
 }
@@ -184,7 +184,7 @@
         hub.listing = reply.held;
     }
     if let Some(news) = reply.quarantine {
-        node.ward.borrow_mut().take(&news);
+        node.quarantine.borrow_mut().take(&news);
     }
     // Before the list: what is new on it may be of a version that gets nothing by this gateway's own choice.
     if let Some(policy) = reply.policy {
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -98,7 +98,7 @@
             Word::Nothing => {}
         }
         // Others may be sending it as well, and only the hub adds that up.
-        if !node.ward.borrow().may_send(wanted.identity) {
+        if !node.quarantine.borrow().may_send(wanted.identity) {
             return Err(NoTurn::Withheld(Withheld::Quarantined));
         }
         let is_let_in = match charge {
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -392,7 +392,7 @@
             patience: Duration::from_millis(200),
             left: Duration::from_secs(10),
             identity: Identity::default(),
-            words: Vec::new(),
+            observed: Vec::new(),
             prompt: Tokens(100),
             charge: None,
             tried: Vec::new(),
@@ -527,7 +527,7 @@
                 mark: asker.mark,
                 loads: loads.clone(),
                 ends: std::mem::take(&mut asker.ends),
-                words: Vec::new(),
+                observed: Vec::new(),
             };
             hub.report(&report, now);
             if asks {
@@ -609,7 +609,7 @@
         loads,
         got: 0,
         quarantine: 0,
-        words: Vec::new(),
+        observed: Vec::new(),
         fetched: None,
     }
 }
