--- a/crates/curlewlift/src/control/daemon.rs
+++ b/crates/curlewlift/src/control/daemon.rs
@@ -169,6 +169,18 @@
     }
 }
 
+/// Ends the writing where a replica ends, killed or not: what connections still hold of its state may go later.
+struct Closing(Rc<RefCell<State>>);
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        match self.0.try_borrow_mut() {
+            Ok(mut state) => state.close(),
+            Err(why) => log::error!("the journal may still be written to: {why}"),
+        }
+    }
+}
+
 async fn run(control: Control, journal: Journal, mut signal: Signal) -> Result<(), Refusal> {
     let clock = control.clock;
     let timeline = Timeline::new(control.host.as_str());
@@ -183,7 +195,7 @@
     let (done, mut synced) = mpsc::unbounded_channel();
     let writer = Writer::start(journal, move |result| {
         let _ = done.send(result);
-    });
+    })?;
     let seed = rand::rng().next_u64();
     let replica = Replica::new(
         control.host.clone(),
@@ -201,6 +213,7 @@
             .clock(clock)
             .gateways(control.gateways),
     ));
+    let _closing = Closing(Rc::clone(&state));
     let handler = super::answers::handler(Rc::clone(&state), timeline.clone());
     tokio::task::spawn_local(rpc::serve(listener, handler, timeline.clone()));
     timeline.note(Line::new(Kind::Started).detail(format_args!("control, rpc={address}")));
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -153,6 +153,11 @@
         self.tick_places();
     }
 
+    /// Ends the writing: the journal is as it will be found.
+    pub(super) fn close(&mut self) {
+        self.writer.close();
+    }
+
     pub(super) fn synced(&mut self, sync: Sync) {
         self.replica.synced(sync, self.clock.now());
         self.settle();
