Say in the logs for how long a server wants no requests

Cause: of an answer that turns a request away the logs had the status alone, so that they could not tell whether nobody reads the time it gives, whether the hub does not know of it, or whether requests were under way. Change: the heads of answers are read for a time of rest and for the word that their server is to end; events 215 and 216 say so, and each sending says for how long its gateway leaves that server alone. No decision goes by them yet.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -76,6 +76,8 @@
     Queued = 212, "queued", "The request is in the queue of the service, at its owner.";
     SendingFailed = 213, "sending-failed", "A backend server did not answer the request, or refused it; the detail has why.";
     ServerEnded = 214, "server-ended", "A backend server broke off under a request that it may have begun; the identity tells that request from others, whichever try it is.";
+    ServerRests = 215, "server-rests", "A backend server has turned a request away and wants none from this gateway for a while; the line has for how long, by its word.";
+    ServerLeaves = 216, "server-leaves", "A backend server says in an answer that it is to end.";
     Shed = 220, "shed", "The owner has shed a waiting request.";
     Owns = 221, "owns", "This entry has become the owner of a service's queue.";
     ViewHeld = 300, "view-held", "The entry has adopted a view and acts no more under the former.";
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -124,6 +124,13 @@
         })
     }
 
+    /// For how much longer a server is left alone at `now`.
+    #[must_use]
+    pub fn left_alone(&self, incarnation: &str, now: Instant) -> Duration {
+        let known = self.servers.get(incarnation);
+        known.map_or(Duration::ZERO, |known| known.trust.left_alone(now))
+    }
+
     /// Takes up what an answer of a server told of its load.
     pub fn told(&mut self, incarnation: &str, in_flight: u32) {
         self.servers.update(incarnation, |known| {
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -169,6 +169,7 @@
     if let Some(in_flight) = marks.in_flight {
         place.told(in_flight);
     }
+    place.heard(&marks);
     Coming {
         head,
         marks,
--- a/crates/curlewlift/src/gateway/place.rs
+++ b/crates/curlewlift/src/gateway/place.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Server;
@@ -11,7 +12,9 @@
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::unit::Tokens;
 
+use super::dialect::Marks;
 use super::log::Line;
+use super::log::millis;
 use super::node::Node;
 use super::places::Wanted;
 
@@ -126,6 +129,32 @@
         });
     }
 
+    /// What the head of an answer said of the server itself.
+    pub(super) fn heard(&self, marks: &Marks) {
+        if marks.rest.is_some() || marks.odd_rest.is_some() {
+            Line::new(Kind::ServerRests)
+                .with("server", &*self.server.incarnation)
+                .with("asked_ms", marks.rest.map(millis))
+                .with("odd", marks.odd_rest.as_deref())
+                .write();
+        }
+        if marks.leaves {
+            Line::new(Kind::ServerLeaves)
+                .with("server", &*self.server.incarnation)
+                .write();
+        }
+    }
+
+    /// For how much longer this gateway leaves the server alone.
+    pub(super) fn left_alone(&self) -> Duration {
+        let now = self.node.now();
+        let incarnation = &self.server.incarnation;
+        let left = self.node.with_service(&self.service, |service| {
+            service.pool.left_alone(incarnation, now)
+        });
+        left.unwrap_or_default()
+    }
+
     /// What an answer told of the server's load.
     pub(super) fn told(&self, in_flight: u32) {
         let incarnation = &self.server.incarnation;
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -198,6 +198,7 @@
             .with("sent", self.sendings() + 1)
             .with("hub_ms", self.node.hub_silence().map(millis))
             .with("by", if place.by_hub { "hub" } else { "gateway" })
+            .with("left_alone_ms", millis(place.left_alone()))
             .write();
         self.tried.push(Arc::clone(&place.server.incarnation));
         let dress = |place: &Place| self.request(place, None);
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -14,6 +14,9 @@
 use crate::gateway::Hand;
 use crate::gateway::Marks;
 
+#[cfg(test)]
+mod tests;
+
 /// The request's name; every try of a caller has its own.
 const REQUEST: HeaderName = HeaderName::from_static("x-attempt-id");
 /// How long the caller, and in turn the backend server, may take, in milliseconds.
@@ -33,9 +36,15 @@
 /// Requests running, requests waiting, and slots.
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 
+/// The backend server is to end.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// Another incarnation has the address.
 const MISDIRECTED: u16 = 421;
 
+/// With these a backend server turns a request away, and may say for how long it wants none.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+
 /// What only this system may tell a backend server, whatever a caller sends.
 const OURS: [HeaderName; 8] = [
     CUSTOMER,
@@ -126,13 +135,37 @@
 }
 
 fn marks(status: u16, headers: &HeaderMap) -> Marks {
+    let rests = rests(status, headers);
+    let odd = rests.iter().find(|(_, time)| time.is_none());
     Marks {
         id: headers.get(REQUEST).cloned(),
         not_run: headers.contains_key(NOT_RUN),
         moved: status == MISDIRECTED,
         signed: headers.contains_key(SIGNATURE),
         in_flight: load(headers),
+        rest: rests.iter().filter_map(|(_, time)| *time).max(),
+        odd_rest: odd.map(|(text, _)| (*text).to_owned()),
+        leaves: headers.get(LEAVING).is_some_and(|value| value != "0"),
+    }
+}
+
+/// What an answer says of when to come back: the texts, and the time that each one gives.
+fn rests(status: u16, headers: &HeaderMap) -> Vec<(&str, Option<Duration>)> {
+    if !TURNED_AWAY.contains(&status) {
+        return Vec::new();
+    }
+    let values = headers.get_all(header::RETRY_AFTER).iter();
+    let texts = values.map(|value| value.to_str().unwrap_or("no text"));
+    texts.map(|text| (text, seconds(text))).collect()
+}
+
+/// A time in seconds, with a fraction or without; none where the text is no such time.
+fn seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    if !seconds.is_finite() || seconds < 0.0 {
+        return None;
     }
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
 fn load(headers: &HeaderMap) -> Option<u32> {
