Bring about servers that ask for rest or say that they leave

Cause, as far as shown: of what a server says of itself in an answer nothing is believed; a request that is turned away is "no room", for 0.12 s. Ruled out: requests under way (the stand-ins count from half a second on).

--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -1,6 +1,7 @@
 //! An engine that does what the request's `X-Play` header says.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -10,6 +11,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -21,9 +23,13 @@
 /// After how long one closes a connection that is to be closed late.
 const LATE: Duration = Duration::from_millis(800);
 
+/// How long after an engine has asked for rest what was under way may still come.
+const UNDER_WAY: Duration = Duration::from_millis(500);
+
 /// A request as it came.
 #[derive(Clone, Debug)]
 pub(crate) struct Came {
+    pub at: Instant,
     /// The request line and the headers, in lower case but for the values.
     pub head: String,
     pub body: String,
@@ -36,6 +42,19 @@
             key.eq_ignore_ascii_case(name).then(|| value.trim())
         })
     }
+
+    /// The host that sent it, by the part of its name before the first hyphen.
+    pub(crate) fn host(&self) -> &str {
+        let id = self.header("x-attempt-id").unwrap_or_default();
+        id.split('-').next().unwrap_or_default()
+    }
+}
+
+/// A time of rest that an engine has asked a host for.
+struct Rest {
+    host: String,
+    from: Instant,
+    length: Duration,
 }
 
 /// A running engine.
@@ -53,6 +72,11 @@
     down: Arc<Mutex<Option<Instant>>>,
     /// What it is at work on.
     open: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
+    /// With what time of rest it turns everything away; none where it serves.
+    asks_for: Arc<Mutex<Option<String>>>,
+    rests: Arc<Mutex<Vec<Rest>>>,
+    /// Whether it says in its answers that it leaves.
+    leaves: Arc<AtomicBool>,
 }
 
 /// A connection that the engine is at work on; closed for good when this is dropped.
@@ -103,6 +127,9 @@
             ended: Arc::default(),
             down: Arc::default(),
             open: Arc::default(),
+            asks_for: Arc::default(),
+            rests: Arc::default(),
+            leaves: Arc::default(),
         };
         let serving = engine.clone();
         std::thread::spawn(move || {
@@ -119,6 +146,36 @@
         self.came.lock().expect("a lock").clone()
     }
 
+    /// From now on it turns everything away and asks for that time of rest; with none it serves.
+    pub(crate) fn ask_for_rest(&self, time: Option<&str>) {
+        *self.asks_for.lock().expect("a lock") = time.map(ToOwned::to_owned);
+    }
+
+    /// From now on it says in its answers that it leaves.
+    pub(crate) fn leave(&self) {
+        self.leaves.store(true, Ordering::SeqCst);
+    }
+
+    /// How many hosts it has asked for rest so far.
+    pub(crate) fn rested_from(&self) -> usize {
+        let rests = self.rests.lock().expect("a lock");
+        let hosts: BTreeSet<_> = rests.iter().map(|rest| &rest.host).collect();
+        hosts.len()
+    }
+
+    /// The most requests that came from a host in a time of rest that it was asked for, but for what was under
+    /// way.
+    pub(crate) fn disturbed(&self) -> usize {
+        let came = self.came();
+        let rests = self.rests.lock().expect("a lock");
+        let within = |rest: &Rest| {
+            let span = rest.from + UNDER_WAY..rest.from + rest.length;
+            let within = came.iter().filter(|came| span.contains(&came.at));
+            within.filter(|came| came.host() == rest.host).count()
+        };
+        rests.iter().map(within).max().unwrap_or(0)
+    }
+
     /// How often a request has ended it.
     pub(crate) fn ended(&self) -> u64 {
         self.ended.load(Ordering::SeqCst)
@@ -170,8 +227,37 @@
             answer(stream, 421, &id, "", "");
             return;
         }
+        let host = came.host().to_owned();
         self.came.lock().expect("a lock").push(came);
-        self.play(stream, &play, &id, after);
+        let asks_for = self.asks_for.lock().expect("a lock").clone();
+        if let Some(time) = asks_for {
+            self.turn_away(stream, &id, host, &time);
+        } else {
+            self.play(stream, &play, &id, after);
+        }
+    }
+
+    /// Turns a request away, and asks its host for rest.
+    fn turn_away(&self, stream: TcpStream, id: &str, host: String, time: &str) {
+        let more = format!("X-Not-Executed: 1\r\nRetry-After: {time}\r\n");
+        answer(stream, 503, id, &self.says(&more), "");
+        if let Ok(seconds) = time.parse() {
+            let rest = Rest {
+                host,
+                from: Instant::now(),
+                length: Duration::from_secs_f64(seconds),
+            };
+            self.rests.lock().expect("a lock").push(rest);
+        }
+    }
+
+    /// These headers, with those that all its answers have.
+    fn says(&self, more: &str) -> String {
+        if self.leaves.load(Ordering::SeqCst) {
+            format!("{more}Server-Leaving: 1\r\nConnection: close\r\n")
+        } else {
+            more.to_owned()
+        }
     }
 
     fn play(&self, mut stream: TcpStream, play: &str, id: &str, after: Option<u32>) {
@@ -181,9 +267,10 @@
             Some(_) => "answer",
             None => play,
         };
+        let signed = &self.says(SIGNED);
         match play {
-            "shed" => answer(stream, 503, id, "X-Not-Executed: 1\r\n", ""),
-            "fail" => answer(stream, 500, id, SIGNED, "failed"),
+            "shed" => answer(stream, 503, id, &self.says("X-Not-Executed: 1\r\n"), ""),
+            "fail" => answer(stream, 500, id, signed, "failed"),
             "foreign" => answer(stream, 200, "another", SIGNED, "another's"),
             "unsigned" => answer(stream, 200, id, "", "nobody's"),
             "close" => {}
@@ -203,14 +290,16 @@
                 answer(stream, 200, "another", SIGNED, "wrong");
             }
             "crash" => {
-                events(&mut stream, id, 1, Some(2));
+                events(&mut stream, id, signed, 1, Some(2));
                 self.end();
             }
             "hang" => self.wait_for_leave(&mut stream),
-            "events" => events(&mut stream, id, after.map_or(1, |after| after + 1), None),
-            "break" if after.is_none() => events(&mut stream, id, 1, Some(3)),
-            "break" => events(&mut stream, id, after.map_or(1, |after| after + 1), None),
-            _ => answer(stream, 200, id, SIGNED, "done"),
+            "break" if after.is_none() => events(&mut stream, id, signed, 1, Some(3)),
+            "events" | "break" => {
+                let from = after.map_or(1, |after| after + 1);
+                events(&mut stream, id, signed, from, None);
+            }
+            _ => answer(stream, 200, id, signed, "done"),
         }
     }
 
@@ -238,8 +327,8 @@
 }
 
 /// Six events from `from` on; with `breaks` the stream is cut within that one.
-fn events(stream: &mut TcpStream, id: &str, from: u32, breaks: Option<u32>) {
-    let head = head(200, id, SIGNED);
+fn events(stream: &mut TcpStream, id: &str, more: &str, from: u32, breaks: Option<u32>) {
+    let head = head(200, id, more);
     let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     let _ = write!(stream, "{head}{kind}");
     for number in from..=6 {
@@ -267,6 +356,7 @@
         head.push_str(&line);
     }
     let mut came = Came {
+        at: Instant::now(),
         head,
         body: String::new(),
     };
