Hold to what servers say of themselves in answers

Cause: what a server says of itself was not taken as a belief of this host. A time of rest was not read at all ("no room", 0.12 s); that a server leaves was taken from the list alone; and what an answer had shown (another has its address) stood in the list's entry and was gone with the next copy. Its class: what one source says is reduced to what the code had a word for, and kept where another source overwrites it. Ruled out: that the hub alone was past it (a gateway without a hub did the same), requests under way (they are not counted). Change: pool::Notices keeps by incarnation what servers say, beside the list; a gateway looks at it when it chooses, when it takes up the hub's place, and once more before it sends. The hub is told and leaves such servers out for that host (rest) or for all (leaving). A server that asked for rest gets requests one by one until it has answered. Where all rest, callers hear 3006 and when the first is to be had again, spread out. curlewlift_rest_slot_ms counts what it costs.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -95,6 +95,7 @@
             charge: None,
             tried: Vec::new(),
             avoid: Vec::new(),
+            rests: Vec::new(),
         };
         let Wanted::Line(ticket, last) = self.hub.want(want, self.now) else {
             panic!("no place in line");
--- a/crates/core/src/code/table.rs
+++ b/crates/core/src/code/table.rs
@@ -91,6 +91,7 @@
     QueueLimit = 3003, "queue-limit", 503, "The customer has as much waiting as it may.";
     Expired = 3004, "expired", 504, "The deadline passed while the request waited.";
     NoServer = 3005, "no-server", 503, "No backend server of the service is live.";
+    ServersRest = 3006, "servers-rest", 503, "All backend servers of the service have asked for rest; come back when the first has had it.";
     Refused = 4001, "refused", 502, "The backend server refused before running.";
     Broken = 4002, "broken", 502, "The answer ended before its end.";
     Late = 4003, "late", 504, "The answer was not whole when the deadline passed.";
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::pool;
 use crate::pool::Ask;
+use crate::pool::End;
 use crate::pool::OnTrial;
 use crate::pool::Pool;
 use crate::quarantine::Identity;
@@ -119,12 +120,28 @@
         self.occupancy.report(host, seen, loads);
     }
 
-    /// Takes note of how sendings ended.
-    pub(super) fn ended(&mut self, ends: &[Ended], now: Instant) {
+    /// Takes note of how sendings of a gateway ended.
+    pub(super) fn ended(&mut self, host: &id::Host, ends: &[Ended], now: Instant) {
         for ended in ends {
             if let Some(pool) = self.pools.get_mut(&ended.service) {
                 pool.seen(&ended.incarnation, ended.end, now);
             }
+            if let End::Rests(length) = ended.end {
+                self.rests(host, ended, now + length);
+            }
+        }
+    }
+
+    /// A server has asked a host for rest: those that the host has in line for its service do not go there.
+    fn rests(&mut self, host: &id::Host, ended: &Ended, until: Instant) {
+        let Some(pool) = self.pools.get_mut(&ended.service) else {
+            return;
+        };
+        let in_line = self.asking.iter();
+        let in_line = in_line
+            .filter(|(ticket, asking)| ticket.service == ended.service && asking.host == *host);
+        for (ticket, _) in in_line {
+            pool.rests(ticket.number, &ended.incarnation, until);
         }
     }
 
@@ -158,8 +175,7 @@
         let Some(pool) = self.pools.get_mut(&want.service) else {
             return Err(given);
         };
-        let avoid = want.avoid.into_iter();
-        let avoid = avoid.map(|(incarnation, left)| (incarnation, now + left));
+        let until = |(incarnation, left)| (incarnation, now + left);
         let ask = Ask {
             rule: want.rule,
             rank: want.rank,
@@ -169,7 +185,8 @@
             prompt: want.prompt,
             hall: want.hall,
             tried: want.tried,
-            avoid: avoid.collect(),
+            avoid: want.avoid.into_iter().map(until).collect(),
+            rests: want.rests.into_iter().map(until).collect(),
         };
         let (number, last) = pool.ask(ask, now);
         let hub = self.hub;
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -52,6 +52,8 @@
     pub tried: Vec<Arc<str>>,
     /// Others that its gateway leaves alone, and for how much longer.
     pub avoid: Vec<(Arc<str>, Duration)>,
+    /// Those that have asked its host for rest, and for how much longer.
+    pub rests: Vec<(Arc<str>, Duration)>,
 }
 
 /// A place at a backend server, given to one request.
--- a/crates/core/src/gateway/places.rs
+++ b/crates/core/src/gateway/places.rs
@@ -73,7 +73,7 @@
     pub fn report(&mut self, report: &Report, now: Instant) {
         self.dispatcher
             .report(&report.host, report.mark, &report.loads);
-        self.dispatcher.ended(&report.ends, now);
+        self.dispatcher.ended(&report.host, &report.ends, now);
         self.watch(&report.ends);
         self.observe(&report.observed, now);
     }
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -36,15 +36,30 @@
     pub tried: Vec<Arc<str>>,
     /// Others that it must not be sent to before then.
     pub avoid: Vec<(Arc<str>, Instant)>,
+    /// Those that want no requests from its host before then, by their own word.
+    pub rests: Vec<(Arc<str>, Instant)>,
 }
 
 impl Ask {
     /// Whether it may be sent to `server` at `now`.
     pub(super) fn may_go_to(&self, server: &Server, now: Instant) -> bool {
         let incarnation = &server.incarnation;
-        let mut avoid = self.avoid.iter();
-        let avoided = avoid.any(|(other, until)| other == incarnation && now < *until);
-        !avoided && !self.tried.contains(incarnation)
+        let mut closed = self.avoid.iter().chain(&self.rests);
+        let is_closed = closed.any(|(other, until)| other == incarnation && now < *until);
+        !is_closed && !self.tried.contains(incarnation)
+    }
+
+    /// Whether some servers are closed to it that are open to others.
+    pub(super) fn is_bound(&self) -> bool {
+        !(self.tried.is_empty() && self.avoid.is_empty() && self.rests.is_empty())
+    }
+
+    /// Whether it will not be sent to `server` for as long as it waits: it was already, or the server rests.
+    pub(super) fn waits_in_vain(&self, server: &Server) -> bool {
+        let incarnation = &server.incarnation;
+        let mut rests = self.rests.iter();
+        let rests = rests.any(|(other, until)| other == incarnation && self.until <= *until);
+        rests || self.tried.contains(incarnation)
     }
 }
 
@@ -71,6 +86,8 @@
     },
     /// It said that it has no room.
     Full,
+    /// It turned a request away, and wants none from that gateway's host for so long.
+    Rests(Duration),
     /// It answered that it failed.
     Failed,
     /// It could not be reached, broke off, or answered with bytes that are no answer.
--- a/crates/core/src/pool/hopeless.rs
+++ b/crates/core/src/pool/hopeless.rs
@@ -1,6 +1,7 @@
 //! Who waits in vain.
 
 use crate::clock::Instant;
+use crate::gateway::Server;
 
 use super::Ask;
 use super::Pool;
@@ -13,12 +14,16 @@
     pub fn give_up(&mut self, now: Instant) -> Vec<Ticket> {
         let mut hopeless = Vec::new();
         let mut ahead = 0;
-        let full = self.is_full(now);
+        let full = self.is_full(|_| true, now);
         let rates = self.forecast.rates(now);
         for (place, ask) in self.waiting.all() {
+            let ask = &self.with_rests(ask, now);
+            // A server that rests is no room for this one, however empty it is.
+            let may_go = |server: &Server| ask.may_go_to(server, now);
+            let full = full || (!ask.rests.is_empty() && self.is_full(may_go, now));
             let wait = rates.wait(place, ahead);
             let too_long = wait.is_some_and(|wait| now + wait > ask.until);
-            if (full && too_long) || self.has_tried_all(ask) {
+            if (full && too_long) || self.waits_in_vain(ask) {
                 hopeless.push(place.ticket);
             } else {
                 ahead += 1;
@@ -30,19 +35,21 @@
         hopeless
     }
 
-    /// Whether it is for want of room that requests wait, not for servers that are left alone.
-    fn is_full(&self, now: Instant) -> bool {
-        let is_trusted = |known: &Known| !known.trust.is_suspect(now);
+    /// Whether it is for want of room that requests wait for the servers that are `open`, not for servers that are
+    /// left alone.
+    fn is_full(&self, open: impl Fn(&Server) -> bool, now: Instant) -> bool {
+        let is_trusted = |known: &Known| open(&known.server) && !known.trust.is_suspect(now);
         let mut free = self.servers.free().iter();
         let has_room = free.any(|place| is_trusted(self.servers.at(*place)));
         let mut taking = self.servers.all().filter(|known| known.takes_work());
         !has_room && taking.any(is_trusted)
     }
 
-    /// Whether there is no server left that a request has not tried.
-    fn has_tried_all(&self, ask: &Ask) -> bool {
+    /// Whether no server is left that a request may be sent to while it waits.
+    fn waits_in_vain(&self, ask: &Ask) -> bool {
         let mut taking = self.servers.all().filter(|known| known.takes_work());
-        let tried = |known: &Known| ask.tried.contains(&known.server.incarnation);
-        !ask.tried.is_empty() && taking.all(tried)
+        let is_tried = !ask.tried.is_empty();
+        let is_bound = is_tried || (!ask.rests.is_empty() && self.is_served());
+        is_bound && taking.all(|known| ask.waits_in_vain(&known.server))
     }
 }
--- a/crates/core/src/pool/server.rs
+++ b/crates/core/src/pool/server.rs
@@ -130,6 +130,7 @@
                 }
             }
             End::Full => self.trust.full(now),
+            End::Rests(_) => self.trust.rests(now),
             End::Failed => self.trust.failed(),
             End::Broken | End::Silent => self.trust.broke(now),
             End::Gone => self.leave(),
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -13,6 +13,8 @@
 
 use super::Ask;
 use super::End;
+use super::Notice;
+use super::Notices;
 use super::Ticket;
 use super::Tuning;
 use super::Turn;
@@ -27,6 +29,8 @@
 pub struct Pool {
     pub(super) tuning: Tuning,
     pub(super) servers: Roster,
+    /// What servers have said of themselves to this host.
+    notices: Notices,
     pub(super) waiting: Waiting,
     pub(super) forecast: Forecast,
     /// The version that gets no more than so many requests.
@@ -42,6 +46,7 @@
         Self {
             tuning,
             servers: Roster::new(tuning.over),
+            notices: Notices::default(),
             waiting: Waiting::default(),
             forecast: Forecast::default(),
             on_trial: None,
@@ -54,10 +59,24 @@
 /// # Servers
 impl Pool {
     /// Takes up a list; what is known of an incarnation that stays is kept.
-    pub fn adopt(&mut self, servers: Vec<Arc<Server>>) {
+    pub fn adopt(&mut self, mut servers: Vec<Arc<Server>>) {
+        for server in &mut servers {
+            // A list that is older than the server's own word does not undo it.
+            if self.notices.is_leaving(&server.incarnation) {
+                Arc::make_mut(server).leaving = true;
+            }
+        }
         self.servers.adopt(servers);
     }
 
+    /// Meets the servers of a list that is about to be taken up: another life may have said something under the
+    /// name of the one before.
+    pub fn meet(&mut self, servers: &[Arc<Server>], now: Instant) {
+        for server in servers {
+            self.notices.meet(server, now);
+        }
+    }
+
     /// Takes up what other gateways have in flight.
     pub fn hear(&mut self, loads: &[Load]) {
         self.servers.update_all(|known| known.hear(None));
@@ -93,8 +112,13 @@
     }
 
     /// Counts a request that is sent to `server` by the word of another; false where the server is
-    /// to take no new work.
-    pub fn take(&mut self, server: &Arc<Server>, prompt: Tokens) -> bool {
+    /// to take no new work from here.
+    pub fn take(&mut self, server: &Arc<Server>, prompt: Tokens, now: Instant) -> bool {
+        // Whoever gave the place may not have heard what the server told this host, or know another life of it.
+        self.notices.meet(server, now);
+        if self.notices.closes(&server.incarnation, now) {
+            return false;
+        }
         if !self.servers.has(&server.incarnation) {
             self.servers.add_named(Arc::clone(server));
         }
@@ -115,7 +139,11 @@
         tried: &[Arc<str>],
         now: Instant,
     ) -> impl Iterator<Item = (Arc<str>, Duration)> {
-        let all_suspect = self.is_suspect(|server| !tried.contains(&server.incarnation), now);
+        let may = |server: &Server| {
+            let incarnation = &server.incarnation;
+            !tried.contains(incarnation) && !self.notices.closes(incarnation, now)
+        };
+        let all_suspect = self.is_suspect(may, now);
         let avoided = self.servers.all();
         let avoided = avoided.filter(move |known| !known.trust.is_trusted(all_suspect, now));
         avoided.map(move |known| {
@@ -128,7 +156,48 @@
     #[must_use]
     pub fn left_alone(&self, incarnation: &str, now: Instant) -> Duration {
         let known = self.servers.get(incarnation);
-        known.map_or(Duration::ZERO, |known| known.trust.left_alone(now))
+        let left = known.map_or(Duration::ZERO, |known| known.trust.left_alone(now));
+        left.max(self.notices.rest(incarnation, now))
+    }
+
+    /// What servers have said of themselves to this host.
+    #[must_use]
+    pub fn get_notices(&self) -> &Notices {
+        &self.notices
+    }
+
+    /// Takes note of what a server says of itself; gives what of it is new.
+    pub fn notice(&mut self, server: &Server, notice: Notice, now: Instant) -> Option<Notice> {
+        if notice == Notice::Leaves {
+            self.servers.update(&server.incarnation, Known::leave);
+        }
+        if let Notice::Rest(_) = notice {
+            // It may come from a life that has begun since the request was sent.
+            let lives = self.servers.all().map(|known| &known.server);
+            let lives = lives
+                .filter(|life| life.name == server.name && life.incarnation != server.incarnation);
+            for life in lives {
+                self.notices
+                    .take(&life.incarnation, &life.name, notice.clone(), now);
+            }
+        }
+        let (incarnation, name) = (&server.incarnation, &server.name);
+        self.notices.take(incarnation, name, notice, now)
+    }
+
+    /// For how much longer all servers that take work rest, where they do: until the first one is to be had again.
+    #[must_use]
+    pub fn all_rest(&self, now: Instant) -> Option<Duration> {
+        let taking = self.servers.all().filter(|known| known.takes_work());
+        let rests = taking.map(|known| self.notices.rest(&known.server.incarnation, now));
+        rests.min().filter(|least| !least.is_zero())
+    }
+
+    /// A host that has a request in line here is asked for rest by a server.
+    pub fn rests(&mut self, ticket: Ticket, incarnation: &Arc<str>, until: Instant) {
+        if let Some(ask) = self.waiting.get_mut(ticket) {
+            ask.rests.push((Arc::clone(incarnation), until));
+        }
     }
 
     /// Takes up what an answer of a server told of its load.
@@ -163,6 +232,7 @@
 
     /// Takes note of how a sending ended.
     pub fn ended(&mut self, incarnation: &str, end: End, now: Instant) {
+        self.note_gone(incarnation, end, now);
         let is_done = self.servers.update(incarnation, |known| {
             known.end();
             known.judge(end, now);
@@ -175,13 +245,33 @@
 
     /// Takes note of something that is seen while a request still runs.
     pub fn seen(&mut self, incarnation: &str, end: End, now: Instant) {
+        self.note_gone(incarnation, end, now);
         self.servers
             .update(incarnation, |known| known.judge(end, now));
     }
+
+    /// Takes note that an incarnation is gone or leaves, where an end says so.
+    fn note_gone(&mut self, incarnation: &str, end: End, now: Instant) {
+        let known = self.servers.get(incarnation);
+        if let Some(server) = known.map(|known| Arc::clone(&known.server))
+            && end == End::Gone
+        {
+            self.notice(&server, Notice::Leaves, now);
+        }
+    }
 }
 
 /// # Turns
 impl Pool {
+    /// A request with what this host was asked by servers itself.
+    pub(super) fn with_rests(&self, ask: &Ask, now: Instant) -> Ask {
+        let mut ask = ask.clone();
+        let resting = self.notices.resting(now);
+        let resting = resting.map(|(incarnation, left)| (incarnation, now + left));
+        ask.rests.extend(resting);
+        ask
+    }
+
     /// How many wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -216,11 +306,12 @@
             if !self.has_room() {
                 break;
             }
-            let (ticket, ask) = (in_line.ticket, ask.clone());
+            let (ticket, is_bound) = (in_line.ticket, ask.is_bound());
+            let ask = self.with_rests(ask, now);
             last = Some(in_line);
             let Some(place) = self.choose(&ask, now) else {
                 // Only some servers are closed to it: the next in line may go to one of those.
-                if ask.tried.is_empty() && ask.avoid.is_empty() {
+                if !is_bound {
                     break;
                 }
                 continue;
@@ -228,8 +319,10 @@
             self.waiting.remove(ticket);
             self.forecast.turn(now);
             self.spend_at(place);
-            self.servers
-                .update_at(place, |known| known.begin(ask.prompt));
+            self.servers.update_at(place, |known| {
+                known.trust.given(now);
+                known.begin(ask.prompt);
+            });
             turns.push(Turn {
                 ticket,
                 server: Arc::clone(&self.servers.at(place).server),
--- a/crates/core/src/pool/trust.rs
+++ b/crates/core/src/pool/trust.rs
@@ -25,12 +25,15 @@
     breaks: u32,
     until: Option<Instant>,
     failures: f64,
+    /// Whether it asked some host for rest and has answered nobody since.
+    wary: bool,
 }
 
 impl Trust {
     /// An answer came.
     pub fn good(&mut self) {
         self.breaks = 0;
+        self.wary = false;
         self.until = None;
         self.failures *= 1.0 - WEIGHT;
     }
@@ -53,6 +56,21 @@
         self.until = Some(now + FULL);
     }
 
+    /// It asked a host for rest.
+    pub fn rests(&mut self, now: Instant) {
+        self.full(now);
+        self.wary = true;
+    }
+
+    /// It is given a request. One that asked for rest gets them one by one until it has answered one: all that
+    /// wait would meet it at the end of its rest, and be turned away together.
+    pub fn given(&mut self, now: Instant) {
+        if self.wary {
+            let next = now + FULL;
+            self.until = Some(self.until.map_or(next, |until| until.max(next)));
+        }
+    }
+
     /// Whether it is to be left alone at `now`.
     #[must_use]
     pub fn is_suspect(&self, now: Instant) -> bool {
--- a/crates/core/src/pool/waiting.rs
+++ b/crates/core/src/pool/waiting.rs
@@ -51,6 +51,12 @@
         self.order.remove(&place).is_some()
     }
 
+    pub(super) fn get_mut(&mut self, ticket: Ticket) -> Option<&mut Ask> {
+        let mut asks = self.order.iter_mut();
+        let ask = asks.find(|(place, _)| place.ticket == ticket);
+        ask.map(|(_, ask)| ask)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.order.len()
     }
--- a/crates/core/src/rollout/yardstick.rs
+++ b/crates/core/src/rollout/yardstick.rs
@@ -61,7 +61,7 @@
                 Some(Self::Answered(first.as_secs_f64(), gap))
             }
             End::Failed | End::Broken | End::Silent => Some(Self::Failed),
-            End::Full | End::Gone | End::Nothing => None,
+            End::Full | End::Rests(_) | End::Gone | End::Nothing => None,
         }
     }
 
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -76,6 +76,7 @@
         charge: None,
         tried: Vec::new(),
         avoid: Vec::new(),
+        rests: Vec::new(),
     }
 }
 
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -98,7 +98,7 @@
     let former = Arc::new(server("s1", 10));
     let other = Arc::new(server("s2", 10));
     pool.adopt(vec![Arc::clone(&former), Arc::clone(&other)]);
-    assert!(pool.take(&former, Tokens(100)));
+    assert!(pool.take(&former, Tokens(100), now));
     pool.seen(&former.incarnation, End::Silent, now);
     assert_eq!(pool.avoided(&[], now).count(), 1);
     pool.adopt(vec![Arc::new(server("s1", 20)), other]);
--- a/crates/core/tests/support/ending.rs
+++ b/crates/core/tests/support/ending.rs
@@ -489,5 +489,6 @@
         charge: None,
         tried: Vec::new(),
         avoid: Vec::new(),
+        rests: Vec::new(),
     }
 }
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -502,5 +502,6 @@
         charge: Some(charge),
         tried: Vec::new(),
         avoid: Vec::new(),
+        rests: Vec::new(),
     }
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod history;
 pub(crate) mod members;
 pub(crate) mod replicas;
+pub(crate) mod resting;
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -5,6 +5,7 @@
 use axum::http::HeaderMap;
 use axum::http::HeaderValue;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::pool::Notice;
 
 /// What the head of a request says.
 #[derive(Clone, Debug, Default)]
@@ -45,13 +46,8 @@
     pub(crate) signed: bool,
     /// What it has in flight, running and waiting together.
     pub(crate) in_flight: Option<u32>,
-    /// The server turned the request away and wants none from this host for so long; none where it does not
-    /// say, or gives no length of time.
-    pub(crate) rest: Option<Duration>,
-    /// What it gave instead of a length of time.
-    pub(crate) odd_rest: Option<String>,
-    /// The server says that it is to end.
-    pub(crate) leaves: bool,
+    /// What the server says of itself.
+    pub(crate) notices: Vec<Notice>,
 }
 
 /// How heads are read and written.
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -59,6 +59,8 @@
 pub(super) enum Failure {
     /// The request surely did not reach the server.
     NotSent(String),
+    /// It was not sent: the server has said meanwhile that it wants none from this host.
+    Closed,
     /// The server said that it did not run it; `moved` where another incarnation has the address.
     NotRun { moved: bool, status: u16 },
     /// It may have run, and the server broke off.
@@ -104,6 +106,10 @@
         let why = "the deadline passed before it was sent".to_owned();
         return Err((Failure::NotSent(why), place));
     }
+    // Up to 0.7 s after it was chosen, by whomever: the last look is here, for all that is sent.
+    if place.is_closed() {
+        return Err((Failure::Closed, place));
+    }
     let request = dress(&place);
     let until = deadline.timer();
     let began = Instant::now();
@@ -169,7 +175,10 @@
     if let Some(in_flight) = marks.in_flight {
         place.told(in_flight);
     }
-    place.heard(&marks);
+    // Another incarnation that has the address speaks for itself.
+    if !marks.moved {
+        place.heard(&marks.notices);
+    }
     Coming {
         head,
         marks,
--- a/crates/curlewlift/src/gateway/judge.rs
+++ b/crates/curlewlift/src/gateway/judge.rs
@@ -6,6 +6,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::End;
 use curlewlift_core::quarantine::Withheld;
+use rand::RngExt;
 
 use super::exchange::Failure;
 use super::log::Line;
@@ -13,6 +14,7 @@
 use super::refuse::Refused;
 use super::run::Run;
 use super::run::Step;
+use super::service::Service;
 use super::turn::NoTurn;
 
 /// Sendings that a request may have beyond those its rule allows, where servers said that they
@@ -36,6 +38,10 @@
             .write();
         drop(place);
         match failure {
+            Failure::Closed => {
+                self.tried.pop();
+                Ok(Step::Again)
+            }
             Failure::NotSent(_) | Failure::NotRun { .. } => self.passed_over(why),
             Failure::Broke(_) | Failure::Unknown(_) => self.broke(why),
             Failure::Late => Err(Refused::new(Code::Late, why)),
@@ -53,7 +59,7 @@
             return Err(Refused::new(Code::Broken, why));
         }
         // The code whose status promises that it has not run.
-        Err(Refused::new(Code::RetryBudget, why).again(self.admitted.come_back(&self.node)))
+        Err(Refused::new(Code::RetryBudget, why).again(self.come_back()))
     }
 
     /// It may have run at the server.
@@ -76,7 +82,12 @@
         if self.sent > 0 {
             return Refused::new(Code::Broken, "it broke off, and no other server is free");
         }
+        let all_rest = self.all_rest().is_some();
         let refused = match why {
+            NoTurn::Displaced | NoTurn::TimeUp if all_rest => Refused::new(
+                Code::ServersRest,
+                "all servers of the service have asked this host for rest",
+            ),
             NoTurn::NoServer => Refused::new(Code::NoServer, "the service has no server"),
             NoTurn::Displaced => Refused::new(
                 Code::Shed,
@@ -107,7 +118,25 @@
             NoTurn::Beyond(filled) => filled,
             _ => Duration::ZERO,
         };
-        refused.again(self.admitted.come_back(&self.node).max(filled))
+        refused.again(self.come_back().max(filled))
+    }
+
+    /// For how much longer all servers of the service want no requests from here.
+    fn all_rest(&self) -> Option<Duration> {
+        let now = self.node.now();
+        let all_rest = |service: &mut Service| service.pool.all_rest(now);
+        self.node.with_service(&self.service, all_rest).flatten()
+    }
+
+    /// After how long its caller is to come back if it is turned away now.
+    ///
+    /// While all servers rest, not before the first is to be had again, and not all callers at that moment.
+    fn come_back(&self) -> Duration {
+        let usual = self.admitted.come_back(&self.node);
+        let Some(rest) = self.all_rest() else {
+            return usual;
+        };
+        rest + usual.mul_f64(rand::rng().random())
     }
 
     fn customer(&self) -> &str {
@@ -121,7 +150,7 @@
         if self.sent > 0 {
             return Refused::new(Code::Late, why);
         }
-        Refused::new(Code::CannotFinish, why).again(self.admitted.come_back(&self.node))
+        Refused::new(Code::CannotFinish, why).again(self.come_back())
     }
 
     /// The refusal of a request that may not be sent again.
@@ -136,7 +165,7 @@
             Code::RetryBudget,
             "servers refused it, and the retry budget is used up",
         )
-        .again(self.admitted.come_back(&self.node))
+        .again(self.come_back())
     }
 }
 
@@ -146,6 +175,7 @@
         Failure::NotSent(why) | Failure::Broke(why) | Failure::Unknown(why) => {
             (End::Broken, why.clone())
         }
+        Failure::Closed => (End::Nothing, "the server wants no requests now".to_owned()),
         Failure::NotRun { moved: true, .. } => (End::Gone, "another has its address".to_owned()),
         Failure::NotRun { status, .. } => (End::Full, format!("it did not run it: {status}")),
         Failure::Late => (End::Silent, "the deadline has passed".to_owned()),
--- a/crates/curlewlift/src/gateway/place.rs
+++ b/crates/curlewlift/src/gateway/place.rs
@@ -9,14 +9,15 @@
 use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::pool::End;
+use curlewlift_core::pool::Notice;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::unit::Tokens;
 
-use super::dialect::Marks;
 use super::log::Line;
 use super::log::millis;
 use super::node::Node;
 use super::places::Wanted;
+use super::service::Service;
 
 /// A place at a backend server; given back when it is dropped.
 pub(super) struct Place {
@@ -129,22 +130,50 @@
         });
     }
 
-    /// What the head of an answer said of the server itself.
-    pub(super) fn heard(&self, marks: &Marks) {
-        if marks.rest.is_some() || marks.odd_rest.is_some() {
-            Line::new(Kind::ServerRests)
-                .with("server", &*self.server.incarnation)
-                .with("asked_ms", marks.rest.map(millis))
-                .with("odd", marks.odd_rest.as_deref())
-                .write();
-        }
-        if marks.leaves {
-            Line::new(Kind::ServerLeaves)
-                .with("server", &*self.server.incarnation)
-                .write();
+    /// What the head of an answer said of the server itself: held to here, and told the hub.
+    pub(super) fn heard(&self, notices: &[Notice]) {
+        let now = self.node.now();
+        for notice in notices {
+            let take =
+                |service: &mut Service| service.pool.notice(&self.server, notice.clone(), now);
+            let Some(Some(news)) = self.node.with_service(&self.service, take) else {
+                continue;
+            };
+            self.log_notice(notice, &news);
+            self.node.tell_word(&self.service, &self.server);
         }
     }
 
+    /// Writes what is new of what the server said of itself.
+    fn log_notice(&self, notice: &Notice, news: &Notice) {
+        let kind = match notice {
+            Notice::Leaves => Kind::ServerLeaves,
+            Notice::Rest(_) | Notice::Unreadable(_) => Kind::ServerRests,
+        };
+        let line = Line::new(kind).with("server", &*self.server.incarnation);
+        let line = match (notice, news) {
+            (Notice::Rest(asked), Notice::Rest(longer)) => {
+                // What it costs: the time that its slots are not to be had from here.
+                let slots = u64::from(self.server.slots);
+                let cost = millis(*longer).saturating_mul(slots);
+                metrics::counter!("curlewlift_rest_slot_ms").increment(cost);
+                line.with("asked_ms", millis(*asked))
+                    .with("kept_ms", millis(self.left_alone()))
+            }
+            (Notice::Unreadable(odd), _) => line.with("odd", odd.as_str()),
+            _ => line,
+        };
+        line.write();
+    }
+
+    /// Whether the server has told this host that it wants no request.
+    pub(super) fn is_closed(&self) -> bool {
+        let now = self.node.now();
+        let incarnation = &self.server.incarnation;
+        let closes = |service: &mut Service| service.pool.get_notices().closes(incarnation, now);
+        self.node.with_service(&self.service, closes) == Some(true)
+    }
+
     /// For how much longer this gateway leaves the server alone.
     pub(super) fn left_alone(&self) -> Duration {
         let now = self.node.now();
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -16,6 +16,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Ask;
 use curlewlift_core::pool::End;
+use curlewlift_core::pool::Notice;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quarantine::Withheld;
 use curlewlift_core::quota::Charge;
@@ -66,6 +67,8 @@
     Beyond(Duration),
     /// Servers ended under such a request.
     Withheld(Withheld),
+    /// A place at a server that has told this host that it wants no request; what the request counts is drawn.
+    Closed(Arc<Server>),
     /// Nothing, or nothing that can be used: this gateway has to choose by itself.
     Nothing,
 }
@@ -144,6 +147,9 @@
             let avoided = service.pool.avoided(&ask.tried, now);
             avoided.collect()
         });
+        let rests = self.with_service(service, |service| {
+            service.pool.get_notices().resting(now).collect()
+        });
         Want {
             host: self.host.clone(),
             hall: Arc::clone(&self.gateway.hall),
@@ -164,6 +170,7 @@
             charge: charge.cloned(),
             tried: ask.tried.clone(),
             avoid: avoid.unwrap_or_default(),
+            rests: rests.unwrap_or_default(),
         }
     }
 
@@ -176,19 +183,37 @@
         }
         drop(hub);
         let server = Arc::new(grant.server);
-        let take = |service: &mut Service| !is_late && service.pool.take(&server, prompt);
+        let now = self.now();
+        let take = |service: &mut Service| !is_late && service.pool.take(&server, prompt, now);
         if self.with_service(service, take) == Some(true) {
             return Word::Place(server, grant.permit);
         }
         if let Some(permit) = grant.permit {
             let identity = wanted.identity.clone();
             let mut quarantine = self.quarantine.borrow_mut();
-            quarantine.gave_back(identity, permit, self.now());
+            quarantine.gave_back(identity, permit, now);
         }
         self.tell(service, &server.incarnation, End::Nothing, None);
+        if self.tell_word(service, &server) && !is_late {
+            return Word::Closed(server);
+        }
         Word::Nothing
     }
 
+    /// Tells the hub what a server has said of itself to this host and still holds; false where that is nothing.
+    pub(super) fn tell_word(&self, service: &id::Service, server: &Server) -> bool {
+        let now = self.now();
+        let incarnation = &server.incarnation;
+        let word = |service: &mut Service| service.pool.get_notices().word(incarnation, now);
+        let end = match self.with_service(service, word).flatten() {
+            Some(Notice::Leaves) => End::Gone,
+            Some(Notice::Rest(left)) => End::Rests(left),
+            Some(Notice::Unreadable(_)) | None => return false,
+        };
+        self.tell(service, incarnation, end, None);
+        true
+    }
+
     fn doubt(&self, why: &str) -> Word {
         let now = self.now();
         let mut hub = self.hub.borrow_mut();
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -155,6 +155,7 @@
             hall: Arc::clone(&self.node.gateway.hall),
             tried: self.tried.clone(),
             avoid: Vec::new(),
+            rests: Vec::new(),
         };
         let charge = self.admitted.charge.as_ref();
         let wanted = Wanted {
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -19,6 +19,7 @@
 impl Node {
     /// Gives every service its servers.
     pub(super) fn spread(&self) {
+        let now = self.now();
         let mut by_service = self.holding.borrow().get_subset().by_service();
         let mut services = self.services.borrow_mut();
         if let Some(table) = &*self.table.borrow() {
@@ -32,6 +33,7 @@
         for (name, service) in services.iter_mut() {
             let mut servers = by_service.remove(name).unwrap_or_default();
             servers.retain(|server| policy.is_open(server));
+            service.pool.meet(&servers, now);
             service.pool.adopt(servers);
         }
         drop(policy);
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -79,8 +79,8 @@
 pub(super) async fn wait(
     node: &Rc<Node>,
     wanted: Wanted<'_>,
-    ask: Ask,
-    charge: Option<&Charge>,
+    mut ask: Ask,
+    mut charge: Option<&Charge>,
     patience: Duration,
 ) -> Result<Place, NoTurn> {
     let began = Instant::now();
@@ -95,6 +95,11 @@
             Word::NoPlace => return Err(NoTurn::TimeUp),
             Word::Beyond(wait) => return Err(NoTurn::Beyond(wait)),
             Word::Withheld(why) => return Err(NoTurn::Withheld(why)),
+            Word::Closed(server) => {
+                charge = None;
+                ask.tried.push(Arc::clone(&server.incarnation));
+                continue;
+            }
             Word::Nothing => {}
         }
         // Others may be sending it as well, and only the hub adds that up.
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -8,6 +8,7 @@
 use axum::http::header;
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::pool::Notice;
 
 use crate::gateway::Call;
 use crate::gateway::Dialect;
@@ -135,28 +136,33 @@
 }
 
 fn marks(status: u16, headers: &HeaderMap) -> Marks {
-    let rests = rests(status, headers);
-    let odd = rests.iter().find(|(_, time)| time.is_none());
     Marks {
         id: headers.get(REQUEST).cloned(),
         not_run: headers.contains_key(NOT_RUN),
         moved: status == MISDIRECTED,
         signed: headers.contains_key(SIGNATURE),
         in_flight: load(headers),
-        rest: rests.iter().filter_map(|(_, time)| *time).max(),
-        odd_rest: odd.map(|(text, _)| (*text).to_owned()),
-        leaves: headers.get(LEAVING).is_some_and(|value| value != "0"),
+        notices: notices(status, headers),
     }
 }
 
-/// What an answer says of when to come back: the texts, and the time that each one gives.
-fn rests(status: u16, headers: &HeaderMap) -> Vec<(&str, Option<Duration>)> {
-    if !TURNED_AWAY.contains(&status) {
-        return Vec::new();
+/// What the server says of itself.
+fn notices(status: u16, headers: &HeaderMap) -> Vec<Notice> {
+    let mut notices = Vec::new();
+    if TURNED_AWAY.contains(&status) {
+        let values = headers.get_all(header::RETRY_AFTER).iter();
+        notices.extend(values.map(rest));
     }
-    let values = headers.get_all(header::RETRY_AFTER).iter();
-    let texts = values.map(|value| value.to_str().unwrap_or("no text"));
-    texts.map(|text| (text, seconds(text))).collect()
+    if headers.get(LEAVING).is_some_and(|value| value != "0") {
+        notices.push(Notice::Leaves);
+    }
+    notices
+}
+
+/// For how long a server that turned a request away wants none.
+fn rest(value: &HeaderValue) -> Notice {
+    let text = String::from_utf8_lossy(value.as_bytes());
+    seconds(&text).map_or_else(|| Notice::Unreadable(text.into_owned()), Notice::Rest)
 }
 
 /// A time in seconds, with a fraction or without; none where the text is no such time.
--- a/crates/curlewlift/src/platform/heads/tests.rs
+++ b/crates/curlewlift/src/platform/heads/tests.rs
@@ -5,6 +5,7 @@
 use axum::http::HeaderMap;
 use axum::http::HeaderName;
 use axum::http::HeaderValue;
+use curlewlift_core::pool::Notice;
 
 use super::marks;
 
@@ -16,22 +17,24 @@
     pairs.collect()
 }
 
+/// What an answer with these times says.
+fn rests(status: u16, values: &[&'static str]) -> Vec<Notice> {
+    let pairs: Vec<_> = values.iter().map(|value| ("retry-after", *value)).collect();
+    marks(status, &headers(&pairs)).notices
+}
+
 #[test]
 fn asks_for_rest() {
-    let rest = |status, values: &[&'static str]| {
-        let pairs: Vec<_> = values.iter().map(|value| ("retry-after", *value)).collect();
-        marks(status, &headers(&pairs)).rest
-    };
-    assert_eq!(rest(503, &["3"]), Some(Duration::from_secs(3)));
-    assert_eq!(rest(503, &[" 0.25 "]), Some(Duration::from_millis(250)));
-    assert_eq!(rest(429, &["2"]), Some(Duration::from_secs(2)));
-    assert_eq!(rest(503, &["1", "4", "2"]), Some(Duration::from_secs(4)));
-    assert_eq!(rest(503, &["soon", "2"]), Some(Duration::from_secs(2)));
-    assert_eq!(rest(503, &["1e300"]), Some(Duration::MAX));
-    assert_eq!(rest(503, &[]), None);
+    let rest = |millis| Notice::Rest(Duration::from_millis(millis));
+    assert_eq!(rests(503, &["3"]), [rest(3_000)]);
+    assert_eq!(rests(503, &[" 0.25 "]), [rest(250)]);
+    assert_eq!(rests(429, &["2"]), [rest(2_000)]);
+    assert_eq!(rests(503, &["1", "4"]), [rest(1_000), rest(4_000)]);
+    assert_eq!(rests(503, &["1e300"]), [Notice::Rest(Duration::MAX)]);
+    assert_eq!(rests(503, &[]), []);
     // It ran the request, or passes on what another asked for.
-    assert_eq!(rest(200, &["3"]), None);
-    assert_eq!(rest(500, &["3"]), None);
+    assert_eq!(rests(200, &["3"]), []);
+    assert_eq!(rests(500, &["3"]), []);
 }
 
 #[test]
@@ -45,19 +48,15 @@
         "3 s",
         "Wed, 21 Oct 2026 07:28:00 GMT",
     ] {
-        let marks = marks(503, &headers(&[("retry-after", odd)]));
-        assert_eq!(marks.rest, None, "{odd}");
-        assert_eq!(marks.odd_rest.as_deref(), Some(odd));
+        assert_eq!(rests(503, &[odd]), [Notice::Unreadable(odd.to_owned())]);
     }
-    let right = marks(503, &headers(&[("retry-after", "3")]));
-    assert_eq!(right.odd_rest, None);
 }
 
 #[test]
 fn leaves() {
     for status in [200, 421, 500, 503] {
-        let says = |value| marks(status, &headers(&[("server-leaving", value)])).leaves;
-        assert!(says("1") && !says("0"), "{status}");
-        assert!(!marks(status, &HeaderMap::new()).leaves);
+        let says = |value| marks(status, &headers(&[("server-leaving", value)])).notices;
+        assert_eq!(says("1"), [Notice::Leaves], "{status}");
+        assert_eq!(says("0"), [], "{status}");
     }
 }
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -397,6 +397,7 @@
             charge: None,
             tried: Vec::new(),
             avoid: Vec::new(),
+            rests: Vec::new(),
         };
         let Some(hub) = &mut self.hub else { return };
         match hub.want(want, now) {
