Heed the list's time to ask again, and keep what it said of leaving

Cause: the same as of servers at rest, at the platform's list: a call that was turned away with a time was repeated after the usual pause, and a late copy of the list took a leaving server back. Ruled out: nothing broke by it so far; found by reading for the same cause. Change: a pause after a call that is turned away is what the platform asks for, 2 s at most; a server that leaves stays so until three copies in a row say otherwise, as it was with its incarnations. Measured: list_rests: 0.5 s between two calls where 1.5 s were asked for, now 1.5 s and more; late_leaving holds.

--- a/crates/core/src/gateway/lives.rs
+++ b/crates/core/src/gateway/lives.rs
@@ -14,8 +14,8 @@
 /// many within the time by which the platform's list lags.
 const FORMER: usize = 8;
 
-/// How many copies of the list in a row must name a former incarnation for it to be the present one after
-/// all: what one copy repeats, a second repeats too, but a server that is there is named by all.
+/// How many copies of the list in a row must name a former incarnation, or one that leaves as one that stays, for
+/// it to be so after all: what one copy repeats, a second repeats too, but a server that is there is named by all.
 const STEADY: u32 = 3;
 
 /// What is known of the incarnations of one server.
@@ -25,16 +25,16 @@
     present: Server,
     /// Those before it, newest last.
     former: Vec<Arc<str>>,
-    /// How many copies in a row have named a former one.
+    /// How many copies in a row have named a former one, or the present one as it was before it left.
     contradicted: u32,
 }
 
 impl Life {
     /// What stands for the server on a list that names `server`.
     fn take(&mut self, server: Server) -> Server {
-        let is_former = self.former.contains(&server.incarnation);
-        self.contradicted = if is_former { self.contradicted + 1 } else { 0 };
-        if is_former && self.contradicted < STEADY {
+        let is_older = self.former.contains(&server.incarnation) || self.stays_again(&server);
+        self.contradicted = if is_older { self.contradicted + 1 } else { 0 };
+        if is_older && self.contradicted < STEADY {
             return self.present.clone();
         }
         if server.incarnation != self.present.incarnation {
@@ -43,11 +43,17 @@
             if self.former.len() > FORMER {
                 self.former.remove(0);
             }
-            self.contradicted = 0;
         }
+        self.contradicted = 0;
         self.present = server.clone();
         server
     }
+
+    /// Whether `server` is the present incarnation as it was before it was to leave.
+    fn stays_again(&self, server: &Server) -> bool {
+        let is_present = server.incarnation == self.present.incarnation;
+        is_present && self.present.leaving && !server.leaving
+    }
 }
 
 /// The present incarnation of each server on the list; memory is linear in the list.
--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -43,6 +43,25 @@
     assert_eq!(births(&lives.take(copy(20))), [5]);
 }
 
+/// A late copy from before a server was to leave does not take it back; three in a row do.
+#[test]
+fn late_leaving() {
+    let mut lives = Lives::default();
+    let copy = |leaving| {
+        Listing::new(vec![Server {
+            leaving,
+            ..server("s1", 10)
+        }])
+    };
+    let mut leaves = |leaving| lives.take(copy(leaving)).servers[0].leaving;
+    assert!(!leaves(false));
+    assert!(leaves(true));
+    assert!(leaves(false) && leaves(false), "two late copies");
+    assert!(leaves(true));
+    assert!(leaves(false) && leaves(false));
+    assert!(!leaves(false), "it stays after all");
+}
+
 #[test]
 fn two_entries() {
     let mut lives = Lives::default();
--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -6,15 +6,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Listing;
 
 use super::log::Line;
+use super::log::millis;
 use super::node::Node;
 
+/// Why there is no list.
+#[derive(Debug)]
+pub(crate) struct Missed {
+    /// What happened.
+    pub(crate) why: String,
+    /// For how long the platform wants no further call, where it says so.
+    pub(crate) again: Option<Duration>,
+}
+
 /// Fetches the list.
-pub(crate) type Fetch = Rc<dyn Fn() -> Pin<Box<dyn Future<Output = Result<Listing, Refusal>>>>>;
+pub(crate) type Fetch = Rc<dyn Fn() -> Pin<Box<dyn Future<Output = Result<Listing, Missed>>>>>;
 
 /// Between two fetches for all: a sixth of the time in which a leaving server must be left alone.
 const FOR_ALL: Duration = Duration::from_millis(500);
@@ -23,6 +32,10 @@
 /// must stay within what the platform takes.
 const ALONE: Duration = Duration::from_secs(1);
 
+/// The longest pause that the platform may ask for: two thirds of the time in which a leaving server must be left
+/// alone.
+const LONGEST: Duration = Duration::from_secs(2);
+
 /// Between two looks whether a fetch is due.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -37,7 +50,7 @@
             tokio::time::sleep(LOOK).await;
             continue;
         };
-        match fetch().await {
+        let asked = match fetch().await {
             Ok(listing) => {
                 if !answered {
                     Line::new(Kind::PlatformFound).write();
@@ -45,17 +58,21 @@
                 answered = true;
                 node.adopt_list(|holding| holding.fetched(listing));
                 node.changed.notify_one();
+                None
             }
-            Err(why) => {
+            Err(missed) => {
                 if answered {
                     Line::new(Kind::PlatformLost)
-                        .with("why", why.get_detail())
+                        .with("why", missed.why)
+                        .with("again_ms", missed.again.map(millis))
                         .write();
                 }
                 answered = false;
+                missed.again
             }
-        }
-        tokio::time::sleep(pause).await;
+        };
+        let asked = asked.map_or(pause, |asked| asked.min(LONGEST));
+        tokio::time::sleep(pause.max(asked)).await;
     }
 }
 
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub(crate) use dialect::Hand;
 pub(crate) use dialect::Marks;
 pub(crate) use lists::Fetch;
+pub(crate) use lists::Missed;
 pub(crate) use log::TARGET;
 pub(crate) use log::note;
 pub(crate) use node::Node;
--- a/crates/curlewlift/src/platform/heads.rs
+++ b/crates/curlewlift/src/platform/heads.rs
@@ -15,6 +15,8 @@
 use crate::gateway::Hand;
 use crate::gateway::Marks;
 
+use super::http;
+
 #[cfg(test)]
 mod tests;
 
@@ -162,16 +164,7 @@
 /// For how long a server that turned a request away wants none.
 fn rest(value: &HeaderValue) -> Notice {
     let text = String::from_utf8_lossy(value.as_bytes());
-    seconds(&text).map_or_else(|| Notice::Unreadable(text.into_owned()), Notice::Rest)
-}
-
-/// A time in seconds, with a fraction or without; none where the text is no such time.
-fn seconds(text: &str) -> Option<Duration> {
-    let seconds: f64 = text.trim().parse().ok()?;
-    if !seconds.is_finite() || seconds < 0.0 {
-        return None;
-    }
-    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    http::seconds(&text).map_or_else(|| Notice::Unreadable(text.into_owned()), Notice::Rest)
 }
 
 fn load(headers: &HeaderMap) -> Option<u32> {
--- a/crates/curlewlift/src/platform/instances.rs
+++ b/crates/curlewlift/src/platform/instances.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use axum::body::Body;
+use axum::http::HeaderMap;
 use axum::http::Request;
 use axum::http::StatusCode;
-use curlewlift_core::code::Code;
-use curlewlift_core::code::Refusal;
+use axum::http::header;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Listing;
 use http_body_util::BodyExt;
@@ -21,8 +21,10 @@
 
 use crate::gateway;
 use crate::gateway::Fetch;
+use crate::gateway::Missed;
 
 use super::entries::Page;
+use super::http;
 
 /// How long one page may take.
 const PATIENCE: Duration = Duration::from_millis(800);
@@ -54,7 +56,7 @@
     client: &Client<HttpConnector, Body>,
     platform: SocketAddr,
     noted: &Noted,
-) -> Result<Listing, Refusal> {
+) -> Result<Listing, Missed> {
     let mut servers = Vec::new();
     let mut unreadable = BTreeSet::new();
     let mut from = String::new();
@@ -77,13 +79,15 @@
     client: &Client<HttpConnector, Body>,
     platform: SocketAddr,
     from: &str,
-) -> Result<Page, Refusal> {
+) -> Result<Page, Missed> {
     let request = Request::get(format!("http://{platform}/instances{from}"))
         .body(Body::empty())
         .map_err(|why| lost(&why))?;
     let answer = client.request(request).await.map_err(|why| lost(&why))?;
     if answer.status() != StatusCode::OK {
-        return Err(lost(answer.status()));
+        let missed = lost(answer.status());
+        let again = again(answer.headers());
+        return Err(Missed { again, ..missed });
     }
     let body = Limited::new(answer.into_body(), LARGEST).collect().await;
     let body = body.map_err(|why| lost(&why))?.to_bytes();
@@ -102,6 +106,15 @@
     }
 }
 
-fn lost(why: impl std::fmt::Display) -> Refusal {
-    Refusal::new(Code::Unreachable, format!("the platform's list: {why}"))
+/// For how long the platform wants no further call, where it says so.
+fn again(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    http::seconds(text)
+}
+
+fn lost(why: impl std::fmt::Display) -> Missed {
+    Missed {
+        why: why.to_string(),
+        again: None,
+    }
 }
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -33,6 +33,16 @@
 /// Within what time a gateway is told what stands in the log: a question waits no longer for news.
 const TOLD: Duration = Duration::from_millis(300);
 
+/// What the platform's list holds, and who asked for it.
+#[derive(Default)]
+struct Listed {
+    entries: Vec<Value>,
+    /// The time after which to ask again, where every call is turned away.
+    again: Option<String>,
+    /// The calls that were turned away: over which connection each came, and when.
+    turned_away: Vec<(SocketAddr, Instant)>,
+}
+
 /// Ports, alike on all hosts.
 #[derive(Clone, Copy)]
 struct Ports {
@@ -57,7 +67,7 @@
     /// What the hosts' decisions go by.
     clocks: Vec<Clock>,
     list: SocketAddr,
-    listed: Arc<Mutex<Vec<Value>>>,
+    listed: Arc<Mutex<Listed>>,
     /// The parts of the platform's rules that are in force.
     in_force: &'static [&'static str],
 }
@@ -93,7 +103,11 @@
         let listed = engines
             .iter()
             .map(|(engine, service)| entry(engine, service, "ready"));
-        let listed = Arc::new(Mutex::new(listed.collect::<Vec<_>>()));
+        let listed = Listed {
+            entries: listed.collect(),
+            ..Listed::default()
+        };
+        let listed = Arc::new(Mutex::new(listed));
         let first = NEXT.fetch_add(DISKS + more, Ordering::Relaxed);
         let ports = ports(first);
         let replicas = (0..DISKS).map(|place| address(first, place.into(), ports.own));
@@ -132,14 +146,28 @@
     /// The platform says that an engine is leaving.
     pub(crate) fn drain(&self, engine: &Engine) {
         let mut listed = self.listed.lock().expect("a lock");
-        for entry in listed.iter_mut().filter(|entry| entry["id"] == engine.id) {
+        for entry in listed
+            .entries
+            .iter_mut()
+            .filter(|entry| entry["id"] == engine.id)
+        {
             entry["state"] = json!("draining");
         }
     }
 
     /// The platform's list has these entries from now on.
     pub(crate) fn list(&self, entries: Vec<Value>) {
-        *self.listed.lock().expect("a lock") = entries;
+        self.listed.lock().expect("a lock").entries = entries;
+    }
+
+    /// The platform turns all calls for the list away, and says when to ask again.
+    pub(crate) fn refuse_list(&self, again: &str) {
+        self.listed.lock().expect("a lock").again = Some(again.to_owned());
+    }
+
+    /// The calls for the list that were turned away: over which connection each came, and when.
+    pub(crate) fn turned_away(&self) -> Vec<(SocketAddr, Instant)> {
+        self.listed.lock().expect("a lock").turned_away.clone()
     }
 
     /// Starts a host with what its disk holds.
@@ -342,22 +370,21 @@
 }
 
 /// Answers the list, two entries a page.
-fn serve_list(listed: Arc<Mutex<Vec<Value>>>) -> SocketAddr {
+fn serve_list(listed: Arc<Mutex<Listed>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             let listed = Arc::clone(&listed);
             std::thread::spawn(move || {
+                let caller = stream.peer_addr().expect("a caller");
                 while let Some(path) = asked(&mut stream) {
                     let from: usize = path
                         .split_once("page_token=")
                         .and_then(|(_, token)| token.parse().ok())
                         .unwrap_or(0);
-                    let body = page(&listed.lock().expect("a lock"), from).to_string();
-                    let length = body.len();
-                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
-                    let _ = write!(stream, "{head}{body}");
+                    let answer = list_answer(&mut listed.lock().expect("a lock"), caller, from);
+                    let _ = stream.write_all(answer.as_bytes());
                 }
             });
         }
@@ -365,6 +392,16 @@
     address
 }
 
+fn list_answer(listed: &mut Listed, caller: SocketAddr, from: usize) -> String {
+    if let Some(again) = &listed.again {
+        listed.turned_away.push((caller, Instant::now()));
+        return format!("HTTP/1.1 429 X\r\nRetry-After: {again}\r\nContent-Length: 0\r\n\r\n");
+    }
+    let body = page(&listed.entries, from).to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
 fn page(listed: &[Value], from: usize) -> Value {
     let end = (from + 2).min(listed.len());
     let next = (end < listed.len()).then(|| end.to_string());
--- a/crates/curlewlift/tests/platform_entries.rs
+++ b/crates/curlewlift/tests/platform_entries.rs
@@ -2,6 +2,8 @@
 
 mod platform;
 
+use std::time::Duration;
+
 use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
@@ -106,3 +108,28 @@
         "nothing goes to the former one"
     );
 }
+
+/// The platform turns calls for its list away and says when to ask again: nobody asks before.
+#[test]
+fn list_rests() {
+    let engine = Engine::start("i-1");
+    let hosts = Hosts::start(folder("list_rests"), &[(&engine, "chat")]);
+    hosts.configure(&document(7).to_string());
+    hosts.refuse_list("1.5");
+    // Other hosts ask too where they hear no hub: each by its own connection.
+    let mut pauses = Vec::new();
+    wait("one has asked three times", || {
+        let came = hosts.turned_away();
+        pauses.clear();
+        for (caller, at) in &came {
+            let mut later = came
+                .iter()
+                .filter(|(other, then)| other == caller && then > at);
+            pauses.extend(later.next().map(|(_, then)| *then - *at));
+        }
+        pauses.len() >= 2
+    });
+    for pause in pauses {
+        assert!(pause >= Duration::from_millis(1_500), "{pause:?}");
+    }
+}
