--- a/crates/core/tests/server_lives.rs
+++ b/crates/core/tests/server_lives.rs
@@ -1,5 +1,7 @@
 //! Servers that start again under the name that they had: nothing of the former start comes back.
 
+mod support;
+
 use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
@@ -10,21 +12,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-const SEEDS: u64 = 1_000;
+use support::lives::life;
 
-fn server(name: &str, born: u64) -> Server {
-    Server {
-        incarnation: format!("{name}/{born}").into(),
-        name: name.into(),
-        born,
-        version: "v1".parse().expect("a version"),
-        service: "chat".parse().expect("a name"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        hall: "a".into(),
-        slots: 2,
-        leaving: false,
-    }
-}
+const SEEDS: u64 = 1_000;
 
 fn births(listing: &Listing) -> Vec<u64> {
     listing.servers.iter().map(|server| server.born).collect()
@@ -33,7 +23,7 @@
 #[test]
 fn late_copies() {
     let mut lives = Lives::default();
-    let copy = |born| Listing::new(vec![server("s1", born)]);
+    let copy = |born| Listing::new(vec![life("s1", born)]);
     assert_eq!(births(&lives.take(copy(10))), [10]);
     assert_eq!(births(&lives.take(copy(20))), [20]);
     assert_eq!(births(&lives.take(copy(10))), [20], "a late copy");
@@ -50,7 +40,7 @@
     let copy = |leaving| {
         Listing::new(vec![Server {
             leaving,
-            ..server("s1", 10)
+            ..life("s1", 10)
         }])
     };
     let mut leaves = |leaving| lives.take(copy(leaving)).servers[0].leaving;
@@ -65,9 +55,9 @@
 #[test]
 fn two_entries() {
     let mut lives = Lives::default();
-    let both = || Listing::new(vec![server("s1", 10), server("s1", 20)]);
+    let both = || Listing::new(vec![life("s1", 10), life("s1", 20)]);
     assert_eq!(births(&lives.take(both())), [20]);
-    lives.take(Listing::new(vec![server("s1", 5)]));
+    lives.take(Listing::new(vec![life("s1", 5)]));
     assert_eq!(births(&lives.take(both())), [10], "20 has ended");
 }
 
@@ -80,7 +70,7 @@
         let mut lives = Lives::default();
         let mut told = vec![100];
         let mut late = 0;
-        lives.take(Listing::new(vec![server("s1", 100)]));
+        lives.take(Listing::new(vec![life("s1", 100)]));
         for _ in 0..60 {
             let newest = *told.last().expect("one");
             let is_late = late < 2 && random.random_ratio(1, 3);
@@ -93,7 +83,7 @@
             } else {
                 newest
             };
-            let given = lives.take(Listing::new(vec![server("s1", born)]));
+            let given = lives.take(Listing::new(vec![life("s1", born)]));
             let present = if is_late { newest } else { born };
             assert_eq!(births(&given), [present], "seed {seed}");
             if !is_late && born != newest {
@@ -114,13 +104,13 @@
     use curlewlift_core::unit::Tokens;
     let now = Instant::default() + Duration::from_secs(1);
     let mut pool = Pool::new(Tuning::default(), 1);
-    let former = Arc::new(server("s1", 10));
-    let other = Arc::new(server("s2", 10));
+    let former = Arc::new(life("s1", 10));
+    let other = Arc::new(life("s2", 10));
     pool.adopt(vec![Arc::clone(&former), Arc::clone(&other)]);
     assert!(pool.take(&former, Tokens(100), now));
     pool.seen(&former.incarnation, End::Silent, now);
     assert_eq!(pool.avoided(&[], now).count(), 1);
-    pool.adopt(vec![Arc::new(server("s1", 20)), other]);
+    pool.adopt(vec![Arc::new(life("s1", 20)), other]);
     let avoided = |pool: &Pool| {
         let mut avoided = pool.avoided(&[], now);
         avoided.any(|(incarnation, _)| *incarnation == *"s1/20")
--- a/crates/core/tests/server_notices.rs
+++ b/crates/core/tests/server_notices.rs
@@ -11,6 +11,7 @@
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::Notices;
 
+use support::lives::life;
 use support::resting::Flaw;
 use support::resting::SERVERS;
 use support::resting::SLOTS;
@@ -27,20 +28,6 @@
     Instant::default() + s(seconds)
 }
 
-fn life(name: &str, born: u64) -> Server {
-    Server {
-        incarnation: format!("{name}/{born}").into(),
-        name: name.into(),
-        born,
-        version: "v1".parse().expect("a version"),
-        service: "chat".parse().expect("a name"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        hall: "a".into(),
-        slots: 2,
-        leaving: false,
-    }
-}
-
 fn take(notices: &mut Notices, server: &Server, notice: Notice, now: Instant) -> Option<Notice> {
     notices.take(&server.incarnation, &server.name, notice, now)
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod ending;
 pub(crate) mod gateways;
 pub(crate) mod history;
+pub(crate) mod lives;
 pub(crate) mod members;
 pub(crate) mod replicas;
 pub(crate) mod resting;
--- a/crates/curlewlift/tests/platform_rests.rs
+++ b/crates/curlewlift/tests/platform_rests.rs
@@ -48,28 +48,26 @@
     })
 }
 
-/// All were answered by a server.
-fn served(answers: &[Answer]) {
-    for answer in answers {
+/// Two of three servers ask these hosts for rest, and the third serves all; once they serve again they are used.
+fn is_kept(world: &Trio, places: &[usize]) {
+    let (resting, last) = (&world.engines[..2], places[places.len() - 1]);
+    for engine in resting {
+        engine.ask_for_rest(Some(REST));
+    }
+    for answer in press(world, places, Duration::from_secs(4)) {
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
+    for engine in resting {
+        assert_eq!(engine.rested_from(), places.len(), "each host has asked it");
+        assert!(engine.disturbed() <= ALLOWED, "{}", engine.disturbed());
+        engine.ask_for_rest(None);
+        world.until(last, engine, |_| true);
+    }
 }
 
-/// Two of three servers ask every host for rest; the third serves all.
 #[test]
 fn kept() {
-    let world = Trio::start("kept");
-    for engine in &world.engines[..2] {
-        engine.ask_for_rest(Some(REST));
-    }
-    let answers = press(&world, &[0, 1, 2], Duration::from_secs(4));
-    served(&answers);
-    for engine in &world.engines[..2] {
-        assert_eq!(engine.rested_from(), 3, "each host has asked it");
-        assert!(engine.disturbed() <= ALLOWED, "{}", engine.disturbed());
-        engine.ask_for_rest(None);
-        world.until(0, engine, |_| true);
-    }
+    is_kept(&Trio::start("kept"), &[0, 1, 2]);
 }
 
 /// It holds as well at a host that hears no hub.
@@ -78,17 +76,7 @@
     let mut world = Trio::start("no_hub_rest");
     world.hosts.kill(0);
     world.hosts.kill(1);
-    for engine in &world.engines[..2] {
-        engine.ask_for_rest(Some(REST));
-    }
-    let answers = press(&world, &[2], Duration::from_secs(4));
-    served(&answers);
-    for engine in &world.engines[..2] {
-        assert_eq!(engine.rested_from(), 1, "the host has asked it");
-        assert!(engine.disturbed() <= ALLOWED, "{}", engine.disturbed());
-        engine.ask_for_rest(None);
-        world.until(2, engine, |_| true);
-    }
+    is_kept(&world, &[2]);
 }
 
 /// All servers ask for it: callers are told so at once, truly, and when to come back.
