Evacuate data halls by order, and keep requests in their regions

The halls that homes leave are worked out once, and go with the question for a place and with a gateway's own choice. The directory names the caller's region before others.

Ruled out: a field of the routing table (an evacuation has no number), the hub alone (gateways choose by themselves).

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -97,6 +97,7 @@
             tried: Vec::new(),
             avoid: Vec::new(),
             rests: Vec::new(),
+            halls: None,
         };
         let Wanted::Line(ticket, last) = self.hub.want(want, self.now) else {
             panic!("no place in line");
--- a/crates/core/src/code/table.rs
+++ b/crates/core/src/code/table.rs
@@ -93,6 +93,7 @@
     NoServer = 3005, "no-server", 503, "No backend server of the service is live.";
     ServersRest = 3006, "servers-rest", 503, "All backend servers of the service have asked for rest; come back when the first has had it.";
     ServersLimited = 3007, "servers-limited", 503, "All backend servers of the service have named how many requests a second they take, and no place would come in time; come back later.";
+    NoHome = 3008, "no-home", 503, "The regions that the rule and the customer allow have no data hall in common.";
     Refused = 4001, "refused", 502, "The backend server refused before running.";
     Broken = 4002, "broken", 502, "The answer ended before its end.";
     Late = 4003, "late", 504, "The answer was not whole when the deadline passed.";
--- /dev/null
+++ b/crates/core/src/evacuation/halls.rs
@@ -0,0 +1,65 @@
+//! The data halls that are evacuated.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Action;
+use super::Order;
+
+/// The data halls that are evacuated, as one value that every replica computes alike.
+///
+/// # Examples
+///
+/// ```
+/// use curlewlift_core::evacuation::Action;
+/// use curlewlift_core::evacuation::Halls;
+/// use curlewlift_core::evacuation::Order;
+/// let mut halls = Halls::default();
+/// halls.apply(&Order {
+///     hall: "a".into(),
+///     action: Action::Start,
+///     given_ms: 0,
+/// });
+/// assert!(halls.has("a"));
+/// assert!(!halls.has("b"));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Halls {
+    /// By hall, when its evacuation was ordered, in milliseconds of Unix time.
+    since: BTreeMap<Arc<str>, u64>,
+}
+
+impl Halls {
+    /// Applies an order.
+    pub fn apply(&mut self, order: &Order) {
+        match order.action {
+            Action::Start => {
+                let since = self.since.entry(Arc::clone(&order.hall));
+                since.or_insert(order.given_ms);
+            }
+            Action::End => {
+                self.since.remove(&order.hall);
+            }
+        }
+    }
+
+    /// Whether an order would change nothing.
+    #[must_use]
+    pub fn reflects(&self, order: &Order) -> bool {
+        self.has(&order.hall) == (order.action == Action::Start)
+    }
+
+    /// Whether a hall is evacuated.
+    #[must_use]
+    pub fn has(&self, hall: &str) -> bool {
+        self.since.contains_key(hall)
+    }
+
+    /// The halls, and since when each is evacuated, in milliseconds of Unix time.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.since.iter().map(|(hall, since)| (hall, *since))
+    }
+}
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -110,4 +110,6 @@
     RolloutAdvanced = 411, "rollout-advanced", "A roll-out is to come to another phase; the detail has the evidence that decided it.";
     Quarantined = 412, "quarantined", "Backend servers ended under a request, as it is agreed; the detail has whose it is, its identity, and who ended.";
     Released = 413, "released", "A request under which servers had ended was answered whole, or is long past.";
+    EvacuationOrdered = 414, "evacuation-ordered", "An operator's order to evacuate a data hall, or to end that, was answered.";
+    EvacuationAgreed = 415, "evacuation-agreed", "An order to evacuate a data hall, or to end that, is agreed and in force.";
 }
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -211,6 +211,7 @@
             tried: want.tried,
             avoid: want.avoid.into_iter().map(until).collect(),
             rests: want.rests.into_iter().map(until).collect(),
+            halls: want.halls,
         };
         let (number, last) = pool.ask(ask, now);
         let hub = self.hub;
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -55,6 +55,8 @@
     pub avoid: Vec<(Arc<str>, Duration)>,
     /// Those that have asked its host for rest, and for how much longer.
     pub rests: Vec<(Arc<str>, Duration)>,
+    /// The data halls that it must stay in; none where it may go anywhere.
+    pub halls: Option<Arc<[Arc<str>]>>,
 }
 
 /// A place at a backend server, given to one request.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::evacuation;
 use crate::id;
 use crate::limit;
 use crate::quarantine;
 use crate::quota::Desk;
 use crate::quota::Tolerance;
 use crate::rollout;
+use crate::rollout::Policy;
 use crate::rollout::Trials;
 use crate::route::Table;
 use crate::state::Publication;
@@ -115,6 +117,10 @@
     subsets: Subsets,
     rolls: Rolls,
     pub(super) trials: Trials,
+    /// The data halls that are evacuated.
+    pub(super) evacuated: evacuation::Halls,
+    /// Where gateways may send by their own choice; of version 0 before anything was agreed.
+    pub(super) policy: Policy,
     /// Which requests are kept away from the servers.
     pub(super) cases: quarantine::Desk,
     /// Those, as they are agreed.
@@ -148,6 +154,8 @@
             subsets: Subsets::default(),
             rolls: Rolls::default(),
             trials: Trials::new(tuning.rollouts),
+            evacuated: evacuation::Halls::default(),
+            policy: Policy::default(),
             cases: quarantine::Desk::default(),
             quarantine: quarantine::List::default(),
             limits: limit::Table::new(0),
--- a/crates/core/src/gateway/rollouts.rs
+++ b/crates/core/src/gateway/rollouts.rs
@@ -1,6 +1,8 @@
-//! What the hub does for roll-outs: it gives places by them, watches answers, and says what is to be agreed.
+//! What the hub does for roll-outs and evacuations: it gives places by them, watches answers, and says what is to be
+//! agreed.
 
 use crate::clock::Instant;
+use crate::evacuation::Halls;
 use crate::id;
 use crate::rollout::Order;
 use crate::rollout::Plans;
@@ -21,6 +23,18 @@
     /// under this hub.
     pub fn adopt_plans(&mut self, plans: &Plans, own: Option<&Order>, now_ms: u64, now: Instant) {
         self.trials.adopt(plans, own, now_ms, now);
+        self.renew_policy();
+    }
+
+    /// Takes up which data halls are evacuated, as it is agreed.
+    pub fn adopt_evacuated(&mut self, halls: &Halls) {
+        self.evacuated = halls.clone();
+        self.renew_policy();
+    }
+
+    /// Works out anew who may send where.
+    fn renew_policy(&mut self) {
+        self.policy = self.trials.get_policy().clone().closing(&self.evacuated);
         let admitted = self.admitted(&self.listing);
         self.dispatcher.adopt(&admitted, &self.limits);
     }
@@ -43,19 +57,20 @@
     /// What of a list the hub gives places at.
     pub(super) fn admitted(&self, listing: &Listing) -> Listing {
         let servers = listing.servers.iter();
-        let admitted = servers.filter(|server| self.trials.admits(server));
+        let admitted = servers
+            .filter(|server| self.trials.admits(server) && !self.evacuated.has(&server.hall));
         Listing::new(admitted.cloned().collect())
     }
 
-    /// The policy on versions, where the asker goes by another.
+    /// The policy on versions and halls, where the asker goes by another.
     pub(super) fn policy_for(&self, question: &Question) -> Option<Policy> {
-        let policy = self.trials.get_policy();
-        self.has_other_policy(question).then(|| policy.clone())
+        let is_other = self.has_other_policy(question);
+        is_other.then(|| self.policy.clone())
     }
 
     /// Whether the asker goes by another policy than the one in force; before there is one, by none.
     pub(super) fn has_other_policy(&self, question: &Question) -> bool {
-        let version = self.trials.get_policy().version;
+        let version = self.policy.version;
         version != 0 && version != question.policy
     }
 
@@ -108,7 +123,7 @@
     ///
     /// A hub that has only begun has not heard them all yet.
     fn is_known(&self, now: Instant) -> bool {
-        let version = self.trials.get_policy().version;
+        let version = self.policy.version;
         let all = self.seen.values().all(|seen| seen.policy == version);
         all && now.since(self.began) >= self.tuning.silent * 2
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod code;
 pub mod config;
+pub mod evacuation;
 pub mod event;
 pub mod fleet;
 pub mod gateway;
--- a/crates/core/src/pool/ask.rs
+++ b/crates/core/src/pool/ask.rs
@@ -39,6 +39,8 @@
     pub avoid: Vec<(Arc<str>, Instant)>,
     /// Those that want no requests from its host before then, by their own word.
     pub rests: Vec<(Arc<str>, Instant)>,
+    /// The data halls that it must stay in; none where it may go anywhere.
+    pub halls: Option<Arc<[Arc<str>]>>,
 }
 
 impl Ask {
@@ -47,7 +49,13 @@
         let incarnation = &server.incarnation;
         let closes = |(other, until): &(Arc<str>, Instant)| other == incarnation && now < *until;
         let is_closed = self.avoid.iter().any(closes) || self.rests.iter().any(closes);
-        !is_closed && !self.tried.contains(incarnation)
+        !is_closed && self.is_home(server) && !self.tried.contains(incarnation)
+    }
+
+    /// Whether `server` is in a data hall that it may go to.
+    fn is_home(&self, server: &Server) -> bool {
+        let halls = self.halls.as_ref();
+        halls.is_none_or(|halls| halls.contains(&server.hall))
     }
 
     /// The same with what servers have asked its host since.
@@ -61,15 +69,21 @@
 
     /// Whether some servers are closed to it that are open to others.
     pub(super) fn is_bound(&self) -> bool {
-        !(self.tried.is_empty() && self.avoid.is_empty() && self.rests.is_empty())
+        !(self.tried.is_empty() && self.avoid.is_empty()) || self.is_kept_from()
+    }
+
+    /// Whether some servers stay closed to it for as long as it waits, or for a time that they asked for.
+    pub(super) fn is_kept_from(&self) -> bool {
+        !self.rests.is_empty() || self.halls.is_some()
     }
 
-    /// Whether it will not be sent to `server` for as long as it waits: it was already, or the server rests.
+    /// Whether it will not be sent to `server` for as long as it waits: it was already, the server rests, or is not in
+    /// one of its halls.
     pub(super) fn waits_in_vain(&self, server: &Server) -> bool {
         let incarnation = &server.incarnation;
         let mut rests = self.rests.iter();
         let rests = rests.any(|(other, until)| other == incarnation && self.until <= *until);
-        rests || self.tried.contains(incarnation)
+        rests || !self.is_home(server) || self.tried.contains(incarnation)
     }
 }
 
--- a/crates/core/src/pool/hopeless.rs
+++ b/crates/core/src/pool/hopeless.rs
@@ -20,9 +20,9 @@
         let resting = self.resting(now);
         for (place, ask) in self.waiting.all() {
             let ask = &*ask.with_rests(&resting);
-            // A server that rests is no room for this one, however empty it is.
+            // A server that rests, or is in another hall, is no room for this one, however empty it is.
             let may_go = |server: &Server| ask.may_go_to(server, now);
-            let full = full || (!ask.rests.is_empty() && self.is_full(may_go, now));
+            let full = full || (ask.is_kept_from() && self.is_full(may_go, now));
             let wait = rates.wait(place, ahead);
             let too_long = wait.is_some_and(|wait| now + wait > ask.until);
             if (full && too_long) || self.waits_in_vain(ask) {
@@ -54,7 +54,7 @@
     fn waits_in_vain(&self, ask: &Ask) -> bool {
         let mut taking = self.servers.all().filter(|known| known.takes_work());
         let is_tried = !ask.tried.is_empty();
-        let is_bound = is_tried || (!ask.rests.is_empty() && self.is_served());
+        let is_bound = is_tried || (ask.is_kept_from() && self.is_served());
         is_bound && taking.all(|known| ask.waits_in_vain(&known.server))
     }
 }
--- a/crates/core/src/rollout/policy.rs
+++ b/crates/core/src/rollout/policy.rs
@@ -1,11 +1,13 @@
-//! The versions that gateways may send to by their own choice.
+//! The versions and data halls that gateways may send to by their own choice.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::evacuation::Halls;
 use crate::gateway::Server;
 use crate::gateway::version;
 use crate::id;
@@ -15,7 +17,7 @@
 use super::Version;
 
 /// The versions that gateways may send to by their own choice; servers of others only with a place that the
-/// hub gives.
+/// hub gives. In a data hall that is evacuated, to none at all.
 ///
 /// A gateway that is cut off goes by the last one that it heard. So a version on trial gets nothing from it,
 /// whatever it does not know.
@@ -27,6 +29,8 @@
     open: BTreeMap<id::Service, BTreeSet<Version>>,
     /// The services with a roll-out under way, and the version that it is to.
     watched: BTreeMap<id::Service, Version>,
+    /// The data halls that are evacuated.
+    closed: BTreeSet<Arc<str>>,
 }
 
 impl Policy {
@@ -51,13 +55,34 @@
                 policy.watched.insert(service.clone(), order.target.clone());
             }
         }
-        policy.version = version(&policy).max(1);
-        policy
+        policy.number()
+    }
+
+    /// The same, with these data halls evacuated.
+    #[must_use]
+    pub fn closing(self, halls: &Halls) -> Self {
+        let closed = halls.iter().map(|(hall, _)| Arc::clone(hall)).collect();
+        Self { closed, ..self }.number()
+    }
+
+    fn number(mut self) -> Self {
+        self.version = 0;
+        self.version = version(&self).max(1);
+        self
+    }
+
+    /// Whether no request may be sent to the servers of `hall`, whoever gave the place.
+    #[must_use]
+    pub fn closes(&self, hall: &str) -> bool {
+        self.closed.contains(hall)
     }
 
     /// Whether a gateway may send to `server` by its own choice.
     #[must_use]
     pub fn is_open(&self, server: &Server) -> bool {
+        if self.closes(&server.hall) {
+            return false;
+        }
         let open = self.open.get(&server.service);
         open.is_none_or(|open| open.contains(&server.version))
     }
--- a/crates/core/src/route/customer.rs
+++ b/crates/core/src/route/customer.rs
@@ -2,6 +2,8 @@
 
 use crate::id;
 
+use super::Homes;
+
 /// In what a customer's allowance is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unit {
@@ -50,4 +52,6 @@
     pub rank: Option<u8>,
     /// How much it may ask for.
     pub allowance: Allowance,
+    /// The regions that its requests must stay in.
+    pub homes: Homes,
 }
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -1,6 +1,7 @@
 //! Routing tables: which requests go to which services, given whole under a rising number.
 
 mod customer;
+mod homes;
 mod kind;
 mod rank;
 mod rule;
@@ -9,6 +10,8 @@
 pub use customer::Account;
 pub use customer::Allowance;
 pub use customer::Unit;
+pub use homes::Homes;
+pub use homes::Regions;
 pub use kind::Kind;
 pub use rank::Rank;
 pub use rule::Rule;
--- a/crates/core/src/route/rule.rs
+++ b/crates/core/src/route/rule.rs
@@ -5,6 +5,7 @@
 
 use crate::id;
 
+use super::Homes;
 use super::Kind;
 
 /// A service that a rule sends to, and its share.
@@ -42,6 +43,8 @@
     pub attempts: u8,
     /// Whether no key is needed.
     pub public: bool,
+    /// The regions that its requests must stay in.
+    pub homes: Homes,
 }
 
 impl Rule {
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -8,6 +8,7 @@
 use crate::code::Code;
 use crate::code::Refusal;
 use crate::id;
+use crate::limit::Rate;
 
 use super::Account;
 use super::Rule;
@@ -37,12 +38,15 @@
 }
 
 /// A service as a routing table has it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Provider {
     /// How many connections one of its backend servers takes from all entries together.
     pub connections: u32,
     /// The path of its health check.
     pub health: Arc<str>,
+    /// How many requests a second one of its backend servers takes while it is cold; none where that is as many as
+    /// later.
+    pub cold_rate: Option<Rate>,
 }
 
 /// The parts of a table, before they are checked.
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -10,6 +10,7 @@
 use crate::code::Refusal;
 use crate::config::Right;
 use crate::config::Snapshot;
+use crate::evacuation::Halls;
 use crate::gateway::Parts;
 use crate::id;
 use crate::lang;
@@ -76,6 +77,8 @@
     plans: Plans,
     #[serde(default)]
     quarantine: quarantine::List,
+    #[serde(default)]
+    evacuated: Halls,
 }
 
 impl Machine {
@@ -115,6 +118,10 @@
                 }
                 Ok(self.snapshot.revision)
             }
+            Record::Evacuation(order) => {
+                self.evacuated.apply(order);
+                Ok(self.snapshot.revision)
+            }
         }
     }
 
@@ -200,6 +207,12 @@
         &self.quarantine
     }
 
+    /// The data halls that are evacuated.
+    #[must_use]
+    pub fn get_evacuated(&self) -> &Halls {
+        &self.evacuated
+    }
+
     /// The newest view.
     #[must_use]
     pub fn get_roster(&self) -> &Roster {
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::evacuation;
 use crate::gateway::Parts;
 use crate::id;
 use crate::quarantine;
@@ -48,6 +49,8 @@
     Rollout(rollout::Step),
     /// Steps of the list of requests under which servers ended.
     Quarantine(Vec<quarantine::Step>),
+    /// An order to evacuate a data hall, or to end that.
+    Evacuation(evacuation::Order),
 }
 
 impl Record {
--- a/crates/core/tests/route_tables.rs
+++ b/crates/core/tests/route_tables.rs
@@ -6,6 +6,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Allowance;
+use curlewlift_core::route::Homes;
 use curlewlift_core::route::Kind;
 use curlewlift_core::route::Parts;
 use curlewlift_core::route::Provider;
@@ -34,6 +35,7 @@
         targets: vec![target("chat", 1.0)],
         attempts: 1,
         public: false,
+        homes: Homes::default(),
     }
 }
 
@@ -47,6 +49,7 @@
             rate: 1_000.0,
             burst: 1_000.0,
         },
+        homes: Homes::default(),
     }
 }
 
@@ -54,6 +57,7 @@
     let provider = Provider {
         connections: 10,
         health: "/health".into(),
+        cold_rate: None,
     };
     let services = ["chat", "pay"].map(|name| (name.parse().expect("a name"), provider.clone()));
     Parts {
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -22,6 +22,7 @@
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Allowance;
+use curlewlift_core::route::Homes;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Table;
 use curlewlift_core::route::Unit;
@@ -175,6 +176,7 @@
             keys: Vec::new(),
             rank: None,
             allowance: self.allowance,
+            homes: Homes::default(),
         };
         let table = Table::new(curlewlift_core::route::Parts {
             number: self.table,
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -32,6 +32,7 @@
         tried: Vec::new(),
         avoid: Vec::new(),
         rests: Vec::new(),
+        halls: None,
     }
 }
 
--- a/crates/core/tests/support/resting.rs
+++ b/crates/core/tests/support/resting.rs
@@ -621,6 +621,7 @@
     Want {
         avoid: node.pool.avoided(&[], now).collect(),
         rests: node.pool.get_notices().resting(now).collect(),
+        halls: None,
         ..messages::want(&node.host)
     }
 }
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -59,6 +59,7 @@
         HubCall::Read => read(state).await,
         HubCall::Rollout(order) => super::rollouts::order(state, order).await,
         HubCall::RolloutOf(service) => super::rollouts::read(state, &service).await,
+        HubCall::Evacuate(order) => super::evacuations::order(state, order).await,
         HubCall::Introduce(hosts) => Ok(meet(&state.borrow(), hosts)),
     }
 }
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod daemon;
+mod evacuations;
 mod gateways;
 mod handout;
 mod hub;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -252,6 +252,7 @@
             Record::Parts(_) | Record::Deputies(_) => self.take_up_parts(),
             Record::Rollout(step) => self.take_up_step(&step, &plans, term),
             Record::Quarantine(steps) => self.take_up_quarantine(&steps),
+            Record::Evacuation(order) => self.take_up_evacuation(&order),
             Record::Command(_) | Record::Roster(_) => {}
         }
         let after = &self.machine.get_snapshot().hosts;
@@ -307,6 +308,7 @@
                 self.take_up();
                 self.take_up_parts();
                 self.take_up_plans(None);
+                self.take_up_evacuated();
                 self.take_up_quarantine(&[]);
             }
         } else if self.role == Role::Leader {
--- a/crates/curlewlift/src/control/rollouts.rs
+++ b/crates/curlewlift/src/control/rollouts.rs
@@ -2,8 +2,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
@@ -24,7 +22,7 @@
 
 /// Takes an order; answered once it is agreed, or where it was taken before.
 pub(super) async fn order(state: &Shared, mut order: Order) -> Result<HubReply, Refusal> {
-    order.given_ms = unix_ms();
+    order.given_ms = crate::process::unix_ms();
     let detail = format!(
         "service={} target={} seconds={}",
         order.service,
@@ -108,7 +106,12 @@
         let Some(hub) = &mut self.hub else {
             return;
         };
-        hub.adopt_plans(self.machine.get_plans(), own, unix_ms(), now);
+        hub.adopt_plans(
+            self.machine.get_plans(),
+            own,
+            crate::process::unix_ms(),
+            now,
+        );
         self.news.notify_waiters();
     }
 
@@ -137,11 +140,3 @@
         }
     }
 }
-
-/// The time of day, in milliseconds of Unix time.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -67,6 +67,8 @@
     pub(super) cost: u64,
     /// What it is, whichever try of its caller this is.
     pub(super) identity: Identity,
+    /// The data halls that it must stay in; none where it may go anywhere.
+    pub(super) halls: Option<Arc<[Arc<str>]>>,
     /// What is still to be drawn from its customer's allowance.
     pub(super) charge: Option<Charge>,
     pub(super) head: request::Parts,
@@ -133,6 +135,7 @@
     let account = account(&table, &rule, &call)?;
     let within = call.patience.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = Deadline::new(node.clock.clone(), arrived, within);
+    let halls = halls(node, &rule, account.as_deref())?;
     let number = table.get_number();
     let limits = table.get_limits();
     drop(table);
@@ -148,6 +151,7 @@
         account,
         cost,
         identity,
+        halls,
         head,
         body,
         deadline,
@@ -155,6 +159,21 @@
     })
 }
 
+/// The data halls that a request must stay in.
+fn halls(
+    node: &Node,
+    rule: &Rule,
+    account: Option<&Account>,
+) -> Result<Option<Arc<[Arc<str>]>>, Refused> {
+    let homes = account.map(|account| rule.homes.and(&account.homes));
+    let halls = node.regions.halls(homes.as_ref().unwrap_or(&rule.homes));
+    if halls.as_ref().is_some_and(|halls| halls.is_empty()) {
+        let why = "the regions that the rule and the customer allow have no data hall in common";
+        return Err(Refused::new(Code::NoHome, why));
+    }
+    Ok(halls)
+}
+
 /// What a request counts towards its customer's allowance; none where that has no limit.
 fn charge(account: &Account, cost: u64) -> Option<Charge> {
     account.allowance.is_limited().then(|| Charge {
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -14,6 +14,7 @@
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Limits;
+use curlewlift_core::route::Regions;
 
 use crate::control::Known;
 use crate::process;
@@ -64,6 +65,8 @@
     pub(crate) beside: Option<Beside>,
     /// Whether the whole deployment starts for the first time.
     pub(crate) first_start: bool,
+    /// Which region each data hall is in.
+    pub(crate) regions: Regions,
     /// Where it tells others of control, where it has none.
     pub(crate) meets: SocketAddr,
     /// The hosts that are known to keep a control replica.
@@ -122,6 +125,7 @@
             client,
         );
         let node = node.clock(self.clock).first_start(self.first_start);
+        let node = node.regions(self.regions);
         let node = Rc::new(node);
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 pub(crate) use log::TARGET;
 pub(crate) use log::note;
 pub(crate) use node::Node;
+pub(crate) use orders::evacuate;
 pub(crate) use orders::publish;
 pub(crate) use orders::read;
 pub(crate) use orders::roll_out;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -27,6 +27,7 @@
 use curlewlift_core::quota::Reserve;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::rollout::Policy;
+use curlewlift_core::route::Regions;
 use curlewlift_core::route::Table;
 use rand::Rng;
 use tokio::sync::Notify;
@@ -40,7 +41,7 @@
 use super::log::Line;
 use super::service::Service;
 
-/// How many gateways a caller's own data hall must have for it to be sent to those only: one that
+/// How many gateways a caller's own data hall, or region, must have for it to be sent to those only: one that
 /// fails leaves another.
 const NEAR: usize = 2;
 
@@ -78,6 +79,8 @@
     /// How many sendings past the first are allowed.
     pub(super) allowed: Allowed,
     pub(super) clock: Clock,
+    /// Which region each data hall is in.
+    pub(super) regions: Regions,
     /// Whether the whole deployment starts for the first time.
     pub(super) first_start: bool,
     /// The way to the control replicas.
@@ -143,6 +146,7 @@
             dialect,
             allowed,
             clock: Clock::start(),
+            regions: Regions::default(),
             first_start: false,
             rpc,
             table: RefCell::default(),
@@ -174,6 +178,12 @@
         self
     }
 
+    /// Knows which region each data hall is in.
+    pub(super) fn regions(mut self, regions: Regions) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Whether the whole deployment starts for the first time.
     pub(super) fn first_start(mut self, first_start: bool) -> Self {
         self.first_start = first_start;
@@ -196,13 +206,23 @@
             && self.holding.borrow().get_subset().version != 0
     }
 
-    /// The gateways that live, nearest ones for a caller in `hall`, by the last word of the hub.
-    pub(crate) fn gateways(&self, hall: &str) -> Vec<SocketAddr> {
+    /// The gateways that live, nearest ones for a caller in `hall` of `region`, by the last word of the hub.
+    ///
+    /// A request that must stay in some regions may come by its caller's own, not by a third one.
+    pub(crate) fn gateways(&self, hall: &str, region: &str) -> Vec<SocketAddr> {
         let roll = self.roll.borrow();
-        let near = roll.gateways.iter().filter(|other| *other.hall == *hall);
-        let near: Vec<_> = near.map(|other| other.callers).collect();
-        if near.len() >= NEAR {
-            return near;
+        let near = |is_near: &dyn Fn(&str) -> bool| -> Vec<_> {
+            let near = roll.gateways.iter().filter(|other| is_near(&other.hall));
+            near.map(|other| other.callers).collect()
+        };
+        let in_hall = near(&|other| other == hall);
+        if in_hall.len() >= NEAR {
+            return in_hall;
+        }
+        let region = self.regions.get(hall).map_or(region, |region| &**region);
+        let in_region = near(&|other| self.regions.get(other).is_some_and(|of| **of == *region));
+        if in_region.len() >= NEAR {
+            return in_region;
         }
         let all: Vec<_> = roll.gateways.iter().map(|other| other.callers).collect();
         if all.is_empty() && self.is_ready() {
@@ -211,6 +231,11 @@
         all
     }
 
+    /// Whether there is a data hall of that name.
+    pub(crate) fn has_hall(&self, hall: &str) -> bool {
+        self.regions.get(hall).is_some()
+    }
+
     /// How long this gateway's hub has been silent; none where it was never heard.
     pub(super) fn hub_silence(&self) -> Option<Duration> {
         let heard = self.hub.borrow().heard;
--- a/crates/curlewlift/src/gateway/orders.rs
+++ b/crates/curlewlift/src/gateway/orders.rs
@@ -4,6 +4,7 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::evacuation;
 use curlewlift_core::id;
 use curlewlift_core::rollout::Order;
 use curlewlift_core::rollout::Phase;
@@ -70,6 +71,22 @@
     }
 }
 
+/// Gives an order to evacuate a data hall, or to end that.
+///
+/// # Errors
+///
+/// The leader's refusal; [`Code::Unreachable`] where what became of it is not known.
+pub(crate) async fn evacuate(
+    node: &Node,
+    around: &Surroundings,
+    order: evacuation::Order,
+) -> Result<(), Refusal> {
+    match ask(node, around, HubCall::Evacuate(order)).await? {
+        HubReply::Ordered => Ok(()),
+        _ => Err(no_leader()),
+    }
+}
+
 /// The target of the last roll-out of a service, and how far it has come, surely; none where none was ordered.
 ///
 /// # Errors
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -172,6 +172,7 @@
             tried: ask.tried.clone(),
             avoid: avoid.unwrap_or_default(),
             rests: rests.unwrap_or_default(),
+            halls: ask.halls.clone(),
         }
     }
 
@@ -191,8 +192,10 @@
             .meet(std::iter::once(&*server), now);
         self.limit(met.into_iter());
         let is_beyond = !grant.drawn && self.limits.borrow().closes(&server, grant.mark);
+        let is_evacuated = self.policy.borrow().closes(&server.hall);
+        let is_closed = is_beyond || is_evacuated;
         let take = |service: &mut Service| {
-            !is_late && !is_beyond && service.pool.take(&server, prompt, now)
+            !is_late && !is_closed && service.pool.take(&server, prompt, now)
         };
         if self.with_service(service, take) == Some(true) {
             return Word::Place(grant);
@@ -203,7 +206,7 @@
             quarantine.gave_back(identity, permit, now);
         }
         self.tell(service, &server.incarnation, End::Nothing, None);
-        if (self.tell_word(service, &server) || is_beyond) && !is_late {
+        if (self.tell_word(service, &server) || is_closed) && !is_late {
             return Word::Closed(grant.server);
         }
         Word::Nothing
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -157,6 +157,7 @@
             tried: self.tried.clone(),
             avoid: Vec::new(),
             rests: Vec::new(),
+            halls: admitted.halls.clone(),
         };
         let charge = self.admitted.charge.as_ref();
         let wanted = Wanted {
--- a/crates/curlewlift/src/platform/directory.rs
+++ b/crates/curlewlift/src/platform/directory.rs
@@ -21,14 +21,19 @@
 /// The query's field with the caller's data hall.
 const HALL: &str = "zone=";
 
+/// The query's field with the caller's region.
+const REGION: &str = "region=";
+
 /// Answers which addresses to use, for `keep` seconds.
 pub(super) fn resolve(node: &Rc<Node>, keep: f64, request: &Request<Incoming>) -> Answer {
     if request.method() != Method::GET || request.uri().path() != "/api/resolve" {
         return http::empty(StatusCode::NOT_FOUND);
     }
     let query = request.uri().query().unwrap_or_default();
-    let hall = query.split('&').find_map(|field| field.strip_prefix(HALL));
-    let mut addresses = node.gateways(hall.unwrap_or_default());
+    let field = |name| query.split('&').find_map(|field| field.strip_prefix(name));
+    let hall = field(HALL).unwrap_or_default();
+    let region = field(REGION).unwrap_or_default();
+    let mut addresses = node.gateways(hall, region);
     if addresses.is_empty() {
         return http::empty(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::code::Code;
@@ -10,6 +11,7 @@
 use curlewlift_core::id;
 use curlewlift_core::route::Account;
 use curlewlift_core::route::Allowance;
+use curlewlift_core::route::Homes;
 use curlewlift_core::route::Kind;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Parts;
@@ -49,6 +51,7 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    allowed_regions: Option<Vec<Arc<str>>>,
 }
 
 #[derive(Deserialize)]
@@ -62,6 +65,8 @@
     name: String,
     health_path: Option<String>,
     max_conns: Option<u32>,
+    /// How many requests a second one of its servers takes while it is cold; 0 is as many as later.
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Clone, Copy, Deserialize)]
@@ -84,6 +89,7 @@
     rate_per_s: f64,
     #[serde(default)]
     burst: f64,
+    allowed_regions: Option<Vec<Arc<str>>>,
 }
 
 /// Reads the routing table of a publication.
@@ -140,6 +146,7 @@
         rank: route.priority,
         attempts: route.max_attempts.unwrap_or(1),
         public: route.public,
+        homes: Homes::of(route.allowed_regions.unwrap_or_default()),
     })
 }
 
@@ -183,7 +190,10 @@
 }
 
 fn service(service: Service) -> Result<(id::Service, Provider), Refusal> {
+    let cold_rate = service.cold_per_s.filter(|rate| *rate != 0.0);
+    let cold_rate = cold_rate.map(|rate| name(&rate.to_string())).transpose()?;
     let provider = Provider {
+        cold_rate,
         connections: service.max_conns.unwrap_or(u32::MAX),
         health: service.health_path.unwrap_or_default().into(),
     };
@@ -224,6 +234,7 @@
             rate: tenant.rate_per_s,
             burst: tenant.burst,
         },
+        homes: Homes::of(tenant.allowed_regions.unwrap_or_default()),
     })
 }
 
--- /dev/null
+++ b/crates/curlewlift/src/platform/evacuations.rs
@@ -0,0 +1,67 @@
+//! The operators' orders to evacuate a data hall, and to end that.
+
+use std::sync::Arc;
+
+use axum::http::StatusCode;
+use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
+use curlewlift_core::evacuation::Action;
+use curlewlift_core::evacuation::Order;
+use curlewlift_core::event::Kind;
+
+use crate::gateway;
+use crate::gateway::Answer;
+use crate::gateway::Node;
+use crate::gateway::Surroundings;
+use crate::gateway::note;
+
+use super::http;
+use super::operator;
+
+/// The order that `path` stands for.
+pub(super) fn asked(path: &str) -> Option<Order> {
+    let order = path.strip_prefix("/api/evacuation/")?;
+    let (hall, action) = order.rsplit_once('/')?;
+    let action = match action {
+        "start" => Action::Start,
+        "end" => Action::End,
+        _ => return None,
+    };
+    Some(Order {
+        hall: hall.into(),
+        action,
+        given_ms: 0,
+    })
+}
+
+/// Takes an order.
+pub(super) async fn order(node: &Node, around: &Surroundings, order: Order) -> Answer {
+    let hall = Arc::clone(&order.hall);
+    let action = order.action;
+    let taken = match check(node, &order) {
+        Ok(()) => gateway::evacuate(node, around, order)
+            .await
+            .map_err(operator::unclear),
+        Err(refusal) => Err(refusal),
+    };
+    let why = taken.as_ref().err().map(ToString::to_string);
+    note(Kind::EvacuationOrdered)
+        .with("hall", &*hall)
+        .with("action", action.to_string())
+        .with("answer", if why.is_none() { "taken" } else { "refused" })
+        .with("why", why)
+        .write();
+    match taken {
+        Ok(()) => http::empty(StatusCode::OK),
+        Err(refusal) => http::refused(&refusal),
+    }
+}
+
+/// Whether there is such a data hall.
+fn check(node: &Node, order: &Order) -> Result<(), Refusal> {
+    if node.has_hall(&order.hall) {
+        return Ok(());
+    }
+    let why = format!("there is no data hall `{}`", order.hall);
+    Err(Refusal::new(Code::Unknown, why))
+}
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod document;
 mod entries;
+mod evacuations;
 mod heads;
 mod http;
 mod instances;
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -1,4 +1,4 @@
-//! The operators' calls: put a configuration, read the newest one, roll a version out.
+//! The operators' calls: put a configuration, read the newest one, roll a version out, evacuate a data hall.
 
 use std::rc::Rc;
 
@@ -23,6 +23,7 @@
 use crate::gateway::note;
 
 use super::document;
+use super::evacuations;
 use super::http;
 use super::rollouts;
 
@@ -36,6 +37,9 @@
         (&Method::POST, "/api/config/put") => put(&node, &around, request).await,
         (&Method::GET, "/api/config/get") => get(&node, &around).await,
         (&Method::POST, "/api/rollouts/start") => rollouts::start(&node, &around, request).await,
+        (&Method::POST, _) if let Some(order) = evacuations::asked(path) => {
+            evacuations::order(&node, &around, order).await
+        }
         (&Method::GET, _) if let Some(service) = rollouts::asked(path) => {
             rollouts::get(&node, &around, &service).await
         }
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -1,9 +1,11 @@
 //! The settings file that the platform lays out for each process.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::code::Code;
@@ -20,6 +22,9 @@
     /// Its data hall.
     #[serde(rename = "zone")]
     pub(super) hall: String,
+    /// The region of each data hall.
+    #[serde(rename = "zones", default)]
+    pub(super) halls: BTreeMap<Arc<str>, Arc<str>>,
     /// The ports that the system's processes may use among themselves, first and last.
     #[serde(rename = "internal_ports")]
     pub(super) own_ports: (u16, u16),
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -17,6 +17,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::Allowed;
 use curlewlift_core::route::Limits;
+use curlewlift_core::route::Regions;
 use hyper::body::Incoming;
 
 use crate::control::Gateways;
@@ -139,6 +140,7 @@
         },
         beside: beside(&settings, &known, &clock)?,
         first_start: settings.first_start,
+        regions: Regions::new(settings.halls.clone()),
         meets: settings.replica(settings.ip),
         known,
         clock,
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
@@ -18,6 +20,14 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+/// The time of day, in milliseconds of Unix time.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// What a process is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Order {
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -4,6 +4,7 @@
 
 use curlewlift_core::claim::Claim;
 use curlewlift_core::claim::Fate;
+use curlewlift_core::evacuation;
 use curlewlift_core::fleet::Prefix;
 use curlewlift_core::gateway;
 use curlewlift_core::id;
@@ -65,6 +66,8 @@
     Rollout(rollout::Order),
     /// Asks how far the last roll-out of a service has come.
     RolloutOf(id::Service),
+    /// Gives an order to evacuate a data hall, or to end that.
+    Evacuate(evacuation::Order),
 }
 
 /// The answers to [`HubCall`].
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -294,6 +294,7 @@
         let ready = address(self.first, place, self.ports.ready);
         let settings = json!({
             "ip": address(self.first, place, 0).ip(), "zone": format!("hall-{place}"),
+            "zones": { "hall-0": "region-0", "hall-1": "region-1", "hall-2": "region-2" },
             "internal_ports": [own, own],
             "seeds": seeds, "bootstrap": first,
             "data_dir": has_disk.then(|| folder.join("data")),
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -399,6 +399,7 @@
             tried: Vec::new(),
             avoid: Vec::new(),
             rests: Vec::new(),
+            halls: None,
         };
         let Some(hub) = &mut self.hub else { return };
         match hub.want(want, now) {
