Send cold servers no more requests than they bear

Each server of a service whose document names a rate for cold servers has an account at the hub at all times, the one of limits that servers name: a server turns cold before the list says so, and what it got in the last second counts. A gateway sends nothing to a cold server by its own choice. The list keeps whether a server is cold, not for how long, as it would have another version at each fetch.

Ruled out: an account only once a server is known to be cold (its last second is missing, and the list lags).

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -168,6 +168,7 @@
         hall: "a".into(),
         slots: SLOTS,
         leaving: false,
+        cold: false,
     }
 }
 
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::limit;
 use crate::limit::Change;
+use crate::limit::Warmup;
 use crate::pool;
 use crate::pool::Ask;
 use crate::pool::End;
@@ -61,6 +62,8 @@
     pools: BTreeMap<id::Service, Pool>,
     asking: HashMap<Ticket, Asking>,
     occupancy: Occupancy,
+    /// What the servers of a service get that may be cold, and since when that is kept.
+    warmups: (BTreeMap<id::Service, Warmup>, Instant),
 }
 
 impl Dispatcher {
@@ -89,6 +92,8 @@
             for (key, limit, heard) in limits.of_service(&service) {
                 pool.set_limit(key, Some(limit), heard);
             }
+            let (warmups, since) = &self.warmups;
+            pool.set_warmup(warmups.get(&service).copied(), *since);
             self.pools.insert(service, pool);
         }
         // What is in flight may have been told before the server was on the list.
@@ -97,6 +102,14 @@
         }
     }
 
+    /// What servers get that may be cold, by service.
+    pub(super) fn set_warmups(&mut self, warmups: BTreeMap<id::Service, Warmup>, now: Instant) {
+        for (service, pool) in &mut self.pools {
+            pool.set_warmup(warmups.get(service).copied(), now);
+        }
+        self.warmups = (warmups, now);
+    }
+
     /// The versions that get no more than so many requests, by service.
     pub(super) fn set_on_trial<'a>(
         &mut self,
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -8,6 +8,7 @@
 use crate::evacuation;
 use crate::id;
 use crate::limit;
+use crate::limit::Warmup;
 use crate::quarantine;
 use crate::quota::Desk;
 use crate::quota::Tolerance;
@@ -45,6 +46,8 @@
     pub tolerance: Tolerance,
     /// What is borne of a version that is on trial; none where roll-outs are not to be had.
     pub rollouts: Option<rollout::Bounds>,
+    /// What more than its rate a cold server bears.
+    pub cold: limit::Slack,
 }
 
 impl Default for Tuning {
@@ -54,6 +57,7 @@
             forget: Duration::from_secs(10),
             tolerance: Tolerance::default(),
             rollouts: None,
+            cold: limit::Slack::default(),
         }
     }
 }
@@ -182,6 +186,12 @@
             let accounts = table.accounts();
             let accounts = accounts.map(|account| (&account.name, account.allowance));
             self.desk.adopt(accounts, now);
+            let services = table.get_services().iter();
+            let warmups = services.filter_map(|(service, provider)| {
+                let rate = provider.cold_rate?;
+                Some((service.clone(), Warmup::new(rate, self.tuning.cold)))
+            });
+            self.dispatcher.set_warmups(warmups.collect(), now);
         }
     }
 
--- a/crates/core/src/gateway/listing.rs
+++ b/crates/core/src/gateway/listing.rs
@@ -35,6 +35,8 @@
     pub slots: u32,
     /// Whether it is to end and takes no new work.
     pub leaving: bool,
+    /// Whether it has begun so lately that it takes fewer requests than later.
+    pub cold: bool,
 }
 
 /// A list of backend servers: all of them, or a gateway's subset.
@@ -89,6 +91,7 @@
     ///     hall: "a".into(),
     ///     slots: 4,
     ///     leaving: false,
+    ///     cold: false,
     /// };
     /// let listing = Listing::new(vec![server]);
     /// assert_eq!(listing.subset(&"g1".parse()?), listing);
--- a/crates/core/src/limit/ledger.rs
+++ b/crates/core/src/limit/ledger.rs
@@ -1,4 +1,4 @@
-//! How many requests servers may still get that have named a limit.
+//! How many requests servers may still get that have named a limit, or may be cold.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -9,6 +9,8 @@
 
 use super::Key;
 use super::Limit;
+use super::Warmup;
+use super::warmup::Flow;
 
 /// The least that a server gets, in requests a second, whatever it names: that it names no limit any more is heard
 /// from its answers only.
@@ -49,6 +51,13 @@
             1.0
         }
     }
+
+    fn flow(self) -> Flow {
+        Flow {
+            rate: self.rate(),
+            depth: self.depth(),
+        }
+    }
 }
 
 /// What one server may still get, in whichever of its lives: a list that goes back and forth between two must not
@@ -62,18 +71,16 @@
 }
 
 impl Account {
-    fn fill(&mut self, pace: Pace, now: Instant) {
-        self.bucket.fill(pace.rate(), pace.depth(), now);
-    }
-
-    /// What it would hold at `now`.
-    fn level(&self, pace: Pace, now: Instant) -> f64 {
-        let mut bucket = self.bucket;
-        bucket.fill(pace.rate(), pace.depth(), now)
+    /// One that holds nothing at `now`.
+    fn new(now: Instant) -> Self {
+        Self {
+            paces: HashMap::new(),
+            bucket: Bucket::new(0.0, now),
+        }
     }
 }
 
-/// How many requests servers may still get that have named a limit, over all gateways.
+/// How many requests servers may still get that have named a limit, or may be cold, over all gateways.
 ///
 /// One is kept by whoever gives out places, and each place is drawn before it is given: in any time a server gets no
 /// more than it names, and what it holds at once. An account begins empty, as a hub does not know what the one before
@@ -85,6 +92,8 @@
     accounts: HashMap<Arc<str>, Account>,
     /// Whether places are drawn here.
     gives: bool,
+    /// What the servers get that may be cold, and since when that is kept; none where there are none.
+    warmup: Option<(Warmup, Instant)>,
 }
 
 impl Ledger {
@@ -94,6 +103,7 @@
         Self {
             accounts: HashMap::new(),
             gives: true,
+            warmup: None,
         }
     }
 
@@ -105,16 +115,14 @@
         Self {
             accounts: HashMap::new(),
             gives: false,
+            warmup: None,
         }
     }
 
     /// A server has named its limit, or names none any more.
     pub fn set(&mut self, key: &Key, limit: Option<&Limit>, now: Instant) {
         let account = self.accounts.entry(Arc::clone(&key.name));
-        let account = account.or_insert_with(|| Account {
-            paces: HashMap::new(),
-            bucket: Bucket::new(0.0, now),
-        });
+        let account = account.or_insert_with(|| Account::new(now));
         let former = account.paces.remove(&key.incarnation);
         if let Some(limit) = limit {
             let pace = Pace {
@@ -125,15 +133,27 @@
             let incarnation = Arc::clone(&key.incarnation);
             account.paces.insert(incarnation, pace);
         }
-        if account.paces.is_empty() {
+        if account.paces.is_empty() && self.warmup.is_none() {
             self.accounts.remove(&key.name);
         }
     }
 
+    /// Servers may be cold at times, and get no more than this; none where that makes no difference.
+    pub fn set_warmup(&mut self, warmup: Option<Warmup>, now: Instant) {
+        let since = self.warmup.map_or(now, |(_, since)| since);
+        self.warmup = warmup.map(|warmup| (warmup, since));
+    }
+
+    /// Forgets what servers got that are gone.
+    pub fn keep(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.accounts
+            .retain(|name, account| !account.paces.is_empty() || is_listed(name));
+    }
+
     /// Whether no server has a limit here.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
+        self.accounts.is_empty() && self.warmup.is_none()
     }
 
     /// How many requests a second a server takes; none where it has named no limit.
@@ -144,30 +164,55 @@
         Some(pace.named)
     }
 
+    /// What a server has named, where it has.
+    fn named(&self, server: &Server) -> Option<Pace> {
+        let account = self.accounts.get(&server.name)?;
+        account.paces.get(&server.incarnation).copied()
+    }
+
+    /// What a server takes; none where it has no limit.
+    fn flow(&self, server: &Server) -> Option<Flow> {
+        let named = self.named(server).map(Pace::flow);
+        let warmup = self.warmup.map(|(warmup, _)| warmup.flow(server.cold));
+        match (named, warmup) {
+            (Some(named), Some(warmup)) => Some(named.and(warmup)),
+            (named, warmup) => named.or(warmup),
+        }
+    }
+
+    /// The account of a server, as it was when it was last drawn from.
+    fn bucket(&self, server: &Server) -> Option<Bucket> {
+        let account = self.accounts.get(&server.name);
+        let since = self.warmup.map(|(_, since)| Bucket::new(0.0, since));
+        account.map(|account| account.bucket).or(since)
+    }
+
     /// Whether a request may be given a place at a server at `now`.
     #[must_use]
     pub fn admits(&self, server: &Server, now: Instant) -> bool {
-        let Some(account) = self.accounts.get(&server.name) else {
-            return true;
-        };
-        let Some(pace) = account.paces.get(&server.incarnation) else {
+        let (Some(flow), Some(mut bucket)) = (self.flow(server), self.bucket(server)) else {
             return true;
         };
-        self.gives && account.level(*pace, now) >= 1.0
+        if !self.gives {
+            return self.named(server).is_none() && !server.cold;
+        }
+        bucket.fill(flow.rate, flow.depth, now) >= 1.0
     }
 
-    /// Draws a place at a server that admits one; whether it has a limit, and so was drawn.
+    /// Draws a place at a server that admits one; whether the server has named a limit that it was drawn from.
     pub fn draw(&mut self, server: &Server, now: Instant) -> bool {
-        let Some(account) = self.accounts.get_mut(&server.name) else {
-            return false;
-        };
-        let Some(pace) = account.paces.get_mut(&server.incarnation) else {
+        let (Some(flow), Some(mut bucket)) = (self.flow(server), self.bucket(server)) else {
             return false;
         };
-        let former = *pace;
-        pace.tried = true;
-        account.fill(former, now);
-        account.bucket.draw(1.0);
-        true
+        bucket.fill(flow.rate, flow.depth, now);
+        bucket.draw(1.0);
+        let account = self.accounts.entry(Arc::clone(&server.name));
+        let account = account.or_insert_with(|| Account::new(now));
+        account.bucket = bucket;
+        let pace = account.paces.get_mut(&server.incarnation);
+        pace.is_some_and(|pace| {
+            pace.tried = true;
+            true
+        })
     }
 }
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -1,4 +1,5 @@
-//! Limits that backend servers name: how many requests a second they take from all hosts together.
+//! Limits of backend servers: how many requests a second they take from all hosts together, by their own word or while
+//! they are cold.
 //!
 //! The bound is over all gateways, so it is kept in one account, at the hub ([`Ledger`]): whoever gives a place at
 //! such a server draws it there first. Gateways tell the hub what answers say ([`Local`]) until it has heard that, and
@@ -10,6 +11,7 @@
 mod rate;
 mod said;
 mod table;
+mod warmup;
 mod word;
 
 pub use ledger::Ledger;
@@ -21,6 +23,8 @@
 pub use table::Limit;
 pub use table::News;
 pub use table::Table;
+pub use warmup::Slack;
+pub use warmup::Warmup;
 pub use word::Key;
 pub use word::Word;
 pub use word::Words;
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -1,5 +1,6 @@
 //! The pool: what is known of the backend servers of a service, and who waits for them.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use crate::limit::Key;
 use crate::limit::Ledger;
 use crate::limit::Limit;
+use crate::limit::Warmup;
 use crate::unit::Tokens;
 
 use super::Ask;
@@ -85,6 +87,9 @@
             }
         }
         self.servers.adopt(servers);
+        let names = self.servers.all().map(|known| &*known.server.name);
+        let names: HashSet<_> = names.collect();
+        self.limits.keep(|name| names.contains(name));
     }
 
     /// Meets the servers of a list that is about to be taken up: another life may have said something under the
@@ -208,6 +213,11 @@
         self.limits.set(key, limit, now);
     }
 
+    /// Servers may be cold at times, and get no more than this; none where that makes no difference.
+    pub fn set_warmup(&mut self, warmup: Option<Warmup>, now: Instant) {
+        self.limits.set_warmup(warmup, now);
+    }
+
     /// How many requests a second the servers that take work take together, where all have named a limit.
     #[must_use]
     pub fn all_limited(&self) -> Option<f64> {
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -48,6 +48,7 @@
         hall: "a".into(),
         slots: 2,
         leaving: false,
+        cold: false,
     };
     Arc::new(Listing::new(vec![server]))
 }
--- a/crates/core/tests/hub_places.rs
+++ b/crates/core/tests/hub_places.rs
@@ -52,6 +52,7 @@
         hall: "a".into(),
         slots: SLOTS,
         leaving: false,
+        cold: false,
     }
 }
 
--- a/crates/core/tests/large_fleets.rs
+++ b/crates/core/tests/large_fleets.rs
@@ -43,6 +43,7 @@
         hall: "a".into(),
         slots: 6,
         leaving: false,
+        cold: false,
     }
 }
 
--- a/crates/core/tests/line_forecast.rs
+++ b/crates/core/tests/line_forecast.rs
@@ -38,6 +38,7 @@
         hall: "a".into(),
         slots: 1,
         leaving: false,
+        cold: false,
     })]);
     pool
 }
--- a/crates/core/tests/rollout_plans.rs
+++ b/crates/core/tests/rollout_plans.rs
@@ -74,6 +74,7 @@
         hall: "a".into(),
         slots: 2,
         leaving: false,
+        cold: false,
     }
 }
 
--- a/crates/core/tests/server_pool.rs
+++ b/crates/core/tests/server_pool.rs
@@ -25,6 +25,7 @@
         hall: "a".into(),
         slots: 2,
         leaving,
+        cold: false,
     })
 }
 
--- a/crates/core/tests/support/ending.rs
+++ b/crates/core/tests/support/ending.rs
@@ -150,6 +150,7 @@
             hall: "a".into(),
             slots: 1_000,
             leaving: false,
+            cold: false,
         });
         Arc::new(Listing::new(servers.collect()))
     }
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -214,6 +214,7 @@
             hall: "a".into(),
             slots: 1_000_000,
             leaving: false,
+            cold: false,
         };
         hub.list(Arc::new(Listing::new(vec![server])));
         hub.adopt_deputies(&self.parts, self.now);
--- a/crates/core/tests/support/lives.rs
+++ b/crates/core/tests/support/lives.rs
@@ -14,5 +14,6 @@
         hall: "a".into(),
         slots: 2,
         leaving: false,
+        cold: false,
     }
 }
--- a/crates/core/tests/support/resting.rs
+++ b/crates/core/tests/support/resting.rs
@@ -220,6 +220,7 @@
             hall: "a".into(),
             slots: u32::try_from(SLOTS).expect("few"),
             leaving: engine.leaves,
+            cold: false,
         }
     }
 
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -6,6 +6,8 @@
 use curlewlift_core::gateway::Watched;
 use curlewlift_core::id;
 use curlewlift_core::limit::Change;
+use curlewlift_core::limit::Slack;
+use curlewlift_core::limit::Warmup;
 use curlewlift_core::pool;
 use curlewlift_core::pool::End;
 use curlewlift_core::pool::Ticket;
@@ -24,10 +26,12 @@
         let mut by_service = self.holding.borrow().get_subset().by_service();
         let mut services = self.services.borrow_mut();
         if let Some(table) = &*self.table.borrow() {
-            for name in table.get_services().keys() {
-                if !services.contains_key(name) {
-                    services.insert(name.clone(), Service::new(self.allowed));
-                }
+            for (name, provider) in table.get_services() {
+                let service = services.entry(name.clone());
+                let service = service.or_insert_with(|| Service::new(self.allowed));
+                let warmup = provider.cold_rate;
+                let warmup = warmup.map(|rate| Warmup::new(rate, Slack::default()));
+                service.pool.set_warmup(warmup, now);
             }
         }
         let policy = self.policy.borrow();
--- a/crates/curlewlift/src/platform/entries.rs
+++ b/crates/curlewlift/src/platform/entries.rs
@@ -63,9 +63,10 @@
     slots: u32,
     /// Whether it takes new work.
     state: State,
-    /// How much longer it is slow from its start, in milliseconds; nothing is made of it.
+    /// How much longer it is cold, in milliseconds. The list would have another version at each fetch, so only whether
+    /// it is at all is kept.
     #[serde(rename = "cold_left_ms")]
-    _cold: f64,
+    cold: f64,
     /// When it began, in milliseconds; an older platform does not tell.
     #[serde(default)]
     born: Option<u64>,
@@ -134,6 +135,7 @@
         hall: instance.zone.into(),
         slots: instance.slots,
         leaving: matches!(instance.state, State::Draining),
+        cold: instance.cold > 0.0,
     })
 }
 
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -10,6 +10,7 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::limit;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::rollout;
 use serde::Deserialize;
@@ -126,6 +127,12 @@
     /// The requests that it may get on top.
     #[serde(rename = "exposure_slack", default)]
     pub(super) trial_on_top: f64,
+    /// By how much the rate of a cold server may be exceeded, as a factor.
+    #[serde(rename = "cold_overage", default = "exactly")]
+    pub(super) cold_factor: f64,
+    /// How many requests in a second a cold server bears on top.
+    #[serde(rename = "cold_slack", default)]
+    pub(super) cold_on_top: f64,
     /// How long an address answer may be kept at most, in seconds.
     #[serde(rename = "ttl_max_s", default = "no_bound")]
     pub(super) answer_seconds: f64,
@@ -155,6 +162,15 @@
             let part = self.trial_part;
             return Err(format!("exposure_share is {part}, not from 0 to 1"));
         }
+        let cold = [self.cold_factor, self.cold_on_top];
+        if !cold
+            .iter()
+            .all(|number| number.is_finite() && *number >= 0.0)
+        {
+            return Err(format!(
+                "cold_overage and cold_slack are {cold:?}, not 0 or more"
+            ));
+        }
         if !(self.trial_on_top >= 0.0 && self.trial_on_top.is_finite()) {
             let on_top = self.trial_on_top;
             return Err(format!("exposure_slack is {on_top}, not 0 or more"));
@@ -170,6 +186,10 @@
     pub(super) address: SocketAddr,
 }
 
+fn exactly() -> f64 {
+    1.0
+}
+
 fn no_bound() -> f64 {
     LONGEST
 }
@@ -213,6 +233,14 @@
         }
     }
 
+    /// What more than its rate a cold server bears.
+    pub(super) fn cold(&self) -> limit::Slack {
+        limit::Slack {
+            factor: self.bounds.cold_factor,
+            on_top: self.bounds.cold_on_top,
+        }
+    }
+
     /// What is borne of a version that is not trusted yet; none where versions are all alike.
     pub(super) fn rollouts(&self) -> Option<rollout::Bounds> {
         let is_in_force = self.in_force.iter().any(|part| part == ROLLOUTS);
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -192,6 +192,7 @@
             tuning: Tuning {
                 tolerance: settings.tolerance(),
                 rollouts: settings.rollouts(),
+                cold: settings.cold(),
                 ..Tuning::default()
             },
         },
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -137,6 +137,7 @@
             hall: "a".into(),
             slots: 4,
             leaving: false,
+            cold: false,
         },
         is_new,
         pace: if number % 5 < 2 { 1.0 } else { 2.7 },
