Put changes of the roll together from those between

Cause: while hosts come and go each answer of the hub tells what has changed since the roll that its asker holds.

A change is kept with the version that it follows, and the changes since are put together; one that comes and goes again is none.

--- a/crates/core/src/gateway/roll.rs
+++ b/crates/core/src/gateway/roll.rs
@@ -1,6 +1,7 @@
 //! The gateways that live, and how a change of them is told.
 
 use std::cmp::Ordering;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 
 use serde::Deserialize;
@@ -9,9 +10,9 @@
 use super::Gateway;
 use super::version::version;
 
-/// How many former rolls are kept, for gateways that hold one of them: with one change at each look of the
-/// hub (20 ms) those of 1.3 s, twice what a question may take; 1 MB with 300 gateways.
-const KEPT: usize = 64;
+/// How many changes are kept, for gateways that hold a former roll: with one change at each look of the hub (20 ms)
+/// those of 5 s, several times what a question may take.
+const KEPT: usize = 256;
 
 /// The gateways that live.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,11 +92,15 @@
     Change(Change),
 }
 
-/// The present roll, and those before it by their versions.
+/// The present roll, and what led to it.
+///
+/// While hosts come and go each answer tells a change. Worked out from two whole rolls it costs time linear in the
+/// gateways, so all answers together quadratic; put together from the changes between, it costs what has changed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rolls {
     present: Roll,
-    former: VecDeque<Roll>,
+    /// The versions of former rolls, and the change that each was followed by.
+    changes: VecDeque<(u64, Change)>,
 }
 
 impl Rolls {
@@ -105,10 +110,11 @@
         if roll.version == self.present.version {
             return;
         }
+        let change = self.present.change(&roll);
         let former = std::mem::replace(&mut self.present, roll);
-        self.former.push_back(former);
-        if self.former.len() > KEPT {
-            self.former.pop_front();
+        self.changes.push_back((former.version, change));
+        if self.changes.len() > KEPT {
+            self.changes.pop_front();
         }
     }
 
@@ -117,11 +123,35 @@
         if held == self.present.version {
             return None;
         }
-        let mut former = self.former.iter().rev();
-        let former = former.find(|roll| roll.version == held && held != 0);
-        Some(match former {
-            Some(former) => News::Change(former.change(&self.present)),
+        let mut former = self.changes.iter();
+        let since = former.rposition(|(version, _)| *version == held && held != 0);
+        Some(match since {
+            Some(since) => News::Change(self.since(since)),
             None => News::Whole(self.present.clone()),
         })
     }
+
+    /// The changes from the one at `place` on, as one.
+    fn since(&self, place: usize) -> Change {
+        let mut come: HashSet<&Gateway> = HashSet::new();
+        let mut gone: HashSet<&Gateway> = HashSet::new();
+        for (_, change) in self.changes.iter().skip(place) {
+            // One that comes back, or goes again, is no change.
+            for gateway in &change.gone {
+                if !come.remove(gateway) {
+                    gone.insert(gateway);
+                }
+            }
+            for gateway in &change.come {
+                if !gone.remove(gateway) {
+                    come.insert(gateway);
+                }
+            }
+        }
+        Change {
+            version: self.present.version,
+            come: come.into_iter().cloned().collect(),
+            gone: gone.into_iter().cloned().collect(),
+        }
+    }
 }
