Tell gateways which servers have changed, and only those concerned

Cause: each change of the list was worked out anew for every gateway, and told as all that it holds: a server of a service of 108 concerns all gateways, 14 KB to each, 14 MB at 995; a server of a large one concerns a dozen, and all were worked out. Looking who lives and which grants were not taken up went through all gateways at each message.

A list comes with what it has changed in; a gateway that is not concerned is passed over, one that is hears which servers have come and gone, by versions that come of the content. Grants expire in the order in which they were given, and the roll is made anew only where somebody has come or gone.

--- a/crates/core/src/gateway/holding.rs
+++ b/crates/core/src/gateway/holding.rs
@@ -3,6 +3,7 @@
 use crate::id;
 
 use super::Listing;
+use super::ListingNews;
 use super::Lives;
 
 /// What a gateway holds of the list of backend servers: its subset, and the whole where it keeps that.
@@ -18,6 +19,8 @@
     subset: Listing,
     /// Which incarnations of the servers are the present ones, by the copies so far.
     lives: Lives,
+    /// Whether news came of another subset than the one held, which serves until the whole comes.
+    lacks: bool,
 }
 
 impl Holding {
@@ -30,6 +33,7 @@
             whole: None,
             subset: Listing::default(),
             lives: Lives::default(),
+            lacks: false,
         }
     }
 
@@ -54,7 +58,9 @@
     /// The version of what the hub tells it of, as it holds it.
     #[must_use]
     pub fn get_version(&self) -> u64 {
-        if self.keeps_whole {
+        if self.lacks {
+            0
+        } else if self.keeps_whole {
             self.whole.as_ref().map_or(0, |whole| whole.version)
         } else {
             self.subset.version
@@ -72,15 +78,22 @@
     pub fn fetched(&mut self, copy: Listing) {
         let whole = self.lives.take(copy);
         self.subset = whole.subset(&self.host);
+        self.lacks = false;
         self.whole = Some(whole);
     }
 
     /// Takes up what the hub tells.
-    pub fn told(&mut self, listing: Listing) {
-        if self.keeps_whole {
-            self.fetched(listing);
-        } else {
-            self.subset = listing;
+    pub fn told(&mut self, news: ListingNews) {
+        match news {
+            ListingNews::Whole(listing) if self.keeps_whole => self.fetched(listing),
+            news => match self.subset.after(news) {
+                Some(after) => {
+                    self.subset = after;
+                    self.lacks = false;
+                }
+                // The news are about another list: the whole subset comes with the next answer.
+                None => self.lacks = true,
+            },
         }
     }
 
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -28,7 +28,9 @@
 use super::Reply;
 use super::Ticket;
 use super::dispatch::Dispatcher;
+use super::listing;
 use super::roll::Rolls;
+use super::subset::Delta;
 use super::subset::Subset;
 use super::subset::Subsets;
 
@@ -71,6 +73,8 @@
     pub(super) policy: u64,
     heard: Instant,
     subset: Subset,
+    /// Whether it is on the roll.
+    on_roll: bool,
 }
 
 impl Seen {
@@ -119,6 +123,8 @@
     table: u64,
     pub(super) listing: Arc<Listing>,
     subsets: Subsets,
+    /// What the list has changed in since the one before it.
+    delta: Delta,
     rolls: Rolls,
     pub(super) trials: Trials,
     /// The data halls that are evacuated.
@@ -156,6 +162,7 @@
             table: 0,
             listing: Arc::default(),
             subsets: Subsets::default(),
+            delta: Delta::default(),
             rolls: Rolls::default(),
             trials: Trials::new(tuning.rollouts),
             evacuated: evacuation::Halls::default(),
@@ -205,6 +212,7 @@
     pub fn list(&mut self, listing: Arc<Listing>) {
         let admitted = self.admitted(&listing);
         self.dispatcher.adopt(&admitted, &self.limits);
+        self.delta = Delta::between(&self.listing, &listing);
         self.subsets = Subsets::of(&listing);
         self.listing = listing;
     }
@@ -219,15 +227,24 @@
     pub fn hear(&mut self, question: &Question, now: Instant) {
         self.keeper.hear(&question.host, question.got, now);
         self.deputies.hear(&question.host, question.got, now);
-        let former = self.seen.remove(&question.host);
-        let seen = Seen {
-            gateway: question.gateway.clone(),
-            ready: question.ready,
-            policy: question.policy,
-            heard: now,
-            subset: former.map(|seen| seen.subset).unwrap_or_default(),
-        };
-        self.seen.insert(question.host.clone(), seen);
+        if let Some(seen) = self.seen.get_mut(&question.host) {
+            // Another process of the host, which callers reach elsewhere.
+            seen.on_roll &= seen.gateway == question.gateway;
+            seen.gateway.clone_from(&question.gateway);
+            seen.ready = question.ready;
+            seen.policy = question.policy;
+            seen.heard = now;
+        } else {
+            let seen = Seen {
+                gateway: question.gateway.clone(),
+                ready: question.ready,
+                policy: question.policy,
+                heard: now,
+                subset: Subset::default(),
+                on_roll: false,
+            };
+            self.seen.insert(question.host.clone(), seen);
+        }
         self.dispatcher
             .report(&question.host, question.mark, &question.loads);
         self.observe(&question.observed, now);
@@ -242,7 +259,7 @@
         now: Instant,
     ) -> Reply {
         self.look(now);
-        let news = self.has_news(question);
+        let is_listed = self.has_other_list(question);
         self.answers = self.answers.wrapping_add(1);
         let part = self.keeper.tell(&question.host, self.answers, now);
         let deputy = self.tell_deputy(question, now);
@@ -261,7 +278,7 @@
             newest: publication.number,
             table: along.then(|| publication.clone()),
             held: self.listing.version,
-            listing: news.then(|| self.told(question)),
+            listing: is_listed.then(|| self.told(question)),
             roll: self.rolls.news(question.roll),
             policy: self.policy_for(question),
             loads: self.dispatcher.others(&question.host, incarnations),
@@ -288,11 +305,16 @@
     }
 
     /// What a gateway is told of the list.
-    fn told(&self, question: &Question) -> Listing {
+    fn told(&self, question: &Question) -> listing::News {
         if question.whole {
-            return Listing::clone(&self.listing);
+            return listing::News::Whole(Listing::clone(&self.listing));
         }
-        self.subsets.cut(&self.listing, &question.host)
+        let seen = self.seen.get(&question.host);
+        let change = seen.and_then(|seen| seen.subset.change(&self.listing, question.listing));
+        change.map_or_else(
+            || listing::News::Whole(self.subsets.cut(&self.listing, &question.host)),
+            listing::News::Change,
+        )
     }
 
     /// Whether there is something that the asker does not hold yet, worth an answer at once.
@@ -302,20 +324,27 @@
             return false;
         }
         let has_other_policy = self.has_other_policy(question);
+        let is_other = self.quarantine.get_version() != question.quarantine;
+        let is_limited = self.limits.is_news(question.limits_held);
+        has_other_policy || is_other || is_limited || self.has_other_list(question)
+    }
+
+    /// Whether the asker is to be told another list than it holds.
+    fn has_other_list(&mut self, question: &Question) -> bool {
+        if self.listing.version == 0 {
+            return false;
+        }
         let Some(seen) = self.seen.get_mut(&question.host) else {
             return false;
         };
-        if seen.subset.of != self.listing.version {
-            seen.subset = Subset::take(&self.listing, &self.subsets, &question.host);
-        }
+        seen.subset
+            .follow(&self.listing, &self.subsets, &self.delta, &question.host);
         let told = if question.whole {
             self.listing.version
         } else {
             seen.subset.version
         };
-        let is_other = self.quarantine.get_version() != question.quarantine;
-        let is_limited = self.limits.is_news(question.limits_held);
-        has_other_policy || is_other || is_limited || told != question.listing
+        told != question.listing
     }
 
     /// Whether a gateway was heard so lately that it is not silent.
@@ -328,16 +357,28 @@
         if self.looked.is_some_and(|looked| now.since(looked) < LOOK) {
             return;
         }
-        self.looked = Some(now);
+        let is_first = self.looked.replace(now).is_none();
         self.drop_silent(now);
         let forget = self.tuning.forget;
+        let known = self.seen.len();
         self.seen.retain(|_, seen| now.since(seen.heard) < forget);
-        let seen = &self.seen;
-        self.limits.keep(|host| seen.contains_key(host));
-        let live = self.seen.values();
-        let live = live.filter(|seen| seen.ready && self.is_live(seen, now));
-        let gateways = live.map(|seen| seen.gateway.clone()).collect();
-        self.rolls.set(gateways);
+        let is_forgotten = self.seen.len() < known;
+        if is_forgotten {
+            let seen = &self.seen;
+            self.limits.keep(|host| seen.contains_key(host));
+        }
+        let silent = self.tuning.silent;
+        let mut is_changed = is_first || is_forgotten;
+        for seen in self.seen.values_mut() {
+            let on_roll = seen.ready && seen.is_live(silent, now);
+            is_changed |= on_roll != seen.on_roll;
+            seen.on_roll = on_roll;
+        }
+        if is_changed {
+            let on_roll = self.seen.values().filter(|seen| seen.on_roll);
+            let gateways = on_roll.map(|seen| seen.gateway.clone()).collect();
+            self.rolls.set(gateways);
+        }
     }
 
     /// Drops what silent gateways had in flight.
--- a/crates/core/src/gateway/listing.rs
+++ b/crates/core/src/gateway/listing.rs
@@ -1,6 +1,7 @@
 //! The platform's list of backend servers, as gateways use it.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,6 +40,26 @@
     pub cold: bool,
 }
 
+/// What a gateway is told of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// All that it is to hold.
+    Whole(Listing),
+    /// What has changed in what it holds: 140 servers to each of 1,000 gateways are 14 MB for one that leaves.
+    Change(Change),
+}
+
+/// What makes another list of one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version of the list that comes of it.
+    pub version: u64,
+    /// Servers that have come, or are other than they were.
+    pub come: Vec<Server>,
+    /// The incarnations of servers that have gone.
+    pub gone: Vec<Arc<str>>,
+}
+
 /// A list of backend servers: all of them, or a gateway's subset.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
@@ -58,6 +79,21 @@
         Self { version, servers }
     }
 
+    /// The list after `news`; none where they are not about this one.
+    #[must_use]
+    pub fn after(&self, news: News) -> Option<Self> {
+        let change = match news {
+            News::Whole(listing) => return Some(listing),
+            News::Change(change) => change,
+        };
+        let come = change.come.iter().map(|server| &server.incarnation);
+        let replaced: HashSet<_> = come.chain(&change.gone).cloned().collect();
+        let stay = self.servers.iter();
+        let stay = stay.filter(|server| !replaced.contains(&server.incarnation));
+        let after = Self::new(stay.cloned().chain(change.come).collect());
+        (after.version == change.version).then_some(after)
+    }
+
     /// The servers of each service.
     #[must_use]
     pub fn by_service(&self) -> BTreeMap<id::Service, Vec<Arc<Server>>> {
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -54,6 +54,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Occupancy {
     held: BTreeMap<id::Host, Held>,
+    /// Who was granted a place, in the order of time: looking through all gateways at each turn costs time linear in
+    /// them.
+    granted: VecDeque<(Instant, id::Host)>,
     sums: BTreeMap<Arc<str>, Load>,
     /// Incarnations whose sums have changed since that was last asked for.
     changed: BTreeSet<Arc<str>>,
@@ -85,6 +88,7 @@
         };
         let held = self.held.entry(host.clone()).or_default();
         held.granted.push_back(granted);
+        self.granted.push_back((now, host.clone()));
         self.last
     }
 
@@ -95,11 +99,13 @@
 
     /// Drops grants that were not taken up in time.
     pub(super) fn expire(&mut self, now: Instant) {
-        let late = |granted: &Granted| now.since(granted.at) >= TAKEN_UP;
-        let held = self.held.values_mut();
-        let late: Vec<_> = held.flat_map(|held| held.take_out(late)).collect();
-        for load in &late {
-            self.take_off(load);
+        let is_late = |at: Instant| now.since(at) >= TAKEN_UP;
+        while let Some((_, host)) = self.granted.pop_front_if(|(at, _)| is_late(*at)) {
+            let held = self.held.get_mut(&host);
+            let late = held.map(|held| held.take_out(|granted| is_late(granted.at)));
+            for load in late.iter().flatten() {
+                self.take_off(load);
+            }
         }
     }
 
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -14,6 +14,7 @@
 use crate::unit::Tokens;
 
 use super::Listing;
+use super::ListingNews;
 use super::Mark;
 use super::News;
 use super::version::version;
@@ -110,8 +111,8 @@
     pub newest: u64,
     /// That table, where the asker does not know of it and it is small.
     pub table: Option<Publication>,
-    /// The asker's subset of the list of backend servers, or all of it, where it holds another.
-    pub listing: Option<Listing>,
+    /// What is new of the asker's subset of the list of backend servers, or all of the list, where it holds another.
+    pub listing: Option<ListingNews>,
     /// The version of the whole list that the hub holds.
     pub held: u64,
     /// What is new of the gateways that live.
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::gateway::Gateway;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::ListingNews;
 use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Roll;
@@ -113,7 +114,8 @@
     hub.list(Arc::clone(&listing));
     assert!(hub.has_news(&asked));
     let reply = hub.answer(&asked, &Publication::default(), seconds(1));
-    assert_eq!(reply.listing.as_ref(), Some(&*listing));
+    let whole = ListingNews::Whole(Listing::clone(&listing));
+    assert_eq!(reply.listing, Some(whole));
     asked.listing = listing.version;
     let reply = hub.answer(&asked, &Publication::default(), seconds(1));
     assert_eq!((reply.listing, reply.held), (None, listing.version));
--- a/crates/core/tests/large_fleets.rs
+++ b/crates/core/tests/large_fleets.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::gateway::Holding;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Listing;
+use curlewlift_core::gateway::ListingNews;
 use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Reply;
@@ -80,7 +81,7 @@
         let reply = hub.answer(&question, &Publication::default(), now);
         let bytes = bytes(&reply);
         if let Some(listing) = reply.listing {
-            self.listing = listing;
+            self.listing = self.listing.after(listing).expect("about the list held");
         }
         if let Some(news) = reply.roll {
             self.roll = self.roll.after(news).expect("about the roll held");
@@ -251,7 +252,7 @@
     question.whole = true;
     hub.hear(&question, ms(1));
     let told = hub.answer(&question, &Publication::default(), ms(1));
-    assert_eq!(told.listing.as_ref(), Some(&listing));
+    assert_eq!(told.listing, Some(ListingNews::Whole(listing.clone())));
     question.listing = listing.version;
     hub.hear(&question, ms(2));
     let told = hub.answer(&question, &Publication::default(), ms(2));
@@ -267,12 +268,12 @@
     let mut holding = Holding::new(host.clone(), false);
     holding.fetched(Listing::new(Vec::new()));
     holding.others_fetch();
-    holding.told(present.subset(&host));
+    holding.told(ListingNews::Whole(present.subset(&host)));
     assert_eq!(holding.for_hub(0), None);
     let mut beside = Holding::new(host, true);
     beside.fetched(Listing::new(Vec::new()));
     beside.others_fetch();
-    beside.told(present.clone());
+    beside.told(ListingNews::Whole(present.clone()));
     assert_eq!(beside.for_hub(0), Some(&present));
     assert_eq!(beside.for_hub(present.version), None);
     assert_eq!(beside.get_subset().servers.len(), 32);
