Hand a table to as many gateways as the leader's link bears

New connections waited in a queue of 128, whose overflow is tried again after a second: at a new leader 995 come at once.

What is under way at the same time may hold up the leader's link for 8 ms (6 gateways at 100 Mbit/s, as before; 61 at 1,000). Whoever has waited longest is woken for each turn that is free. 4,096 new connections may wait.

The queue has no test of its own.

--- a/crates/core/src/gateway/handout.rs
+++ b/crates/core/src/gateway/handout.rs
@@ -13,9 +13,12 @@
 /// The size of a piece, in bytes: 13 ms of a link of 10 Mbit/s.
 const SIZE: usize = 16 << 10;
 
-/// How many gateways are handed a table at the same time: what they are sent holds up the hub's other
-/// words, and a leader's heartbeats, for some 80 ms on a link of 10 Mbit/s.
-const AT_ONCE: usize = 6;
+/// For how long what gateways are sent at the same time may hold up the hub's other words, and a leader's heartbeats, in
+/// seconds.
+const HELD_UP: f64 = 0.008;
+
+/// The least gateways that are handed a table at the same time.
+const LEAST: usize = 6;
 
 /// After how long another takes the turn of one that asks for no further piece.
 const IDLE: Duration = Duration::from_millis(600);
@@ -59,22 +62,41 @@
 ///
 /// All at once fill the leader's link for longer than any question waits, so that none of them gets the
 /// whole and the leader is not heard any more.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Handout {
     turns: BTreeMap<Host, Instant>,
+    /// How many gateways are handed it at the same time.
+    most: usize,
 }
 
 impl Handout {
+    /// For a leader whose link carries `link` bytes a second.
+    #[must_use]
+    pub fn new(link: f64) -> Self {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let most = (link * HELD_UP) as usize / SIZE;
+        Self {
+            turns: BTreeMap::new(),
+            most: most.max(LEAST),
+        }
+    }
+
     /// Whether `host` may be handed a piece at `now`.
     pub fn admit(&mut self, host: &Host, now: Instant) -> bool {
-        self.turns.retain(|_, asked| now.since(*asked) < IDLE);
-        if !self.turns.contains_key(host) && self.turns.len() >= AT_ONCE {
+        if !self.turns.contains_key(host) && self.turns.len() >= self.most {
             return false;
         }
         self.turns.insert(host.clone(), now);
         true
     }
 
+    /// Takes the turns of those that have not asked for long; how many there were.
+    pub fn expire(&mut self, now: Instant) -> usize {
+        let held = self.turns.len();
+        self.turns.retain(|_, asked| now.since(*asked) < IDLE);
+        held - self.turns.len()
+    }
+
     /// `host` has got the whole.
     pub fn done(&mut self, host: &Host) {
         self.turns.remove(host);
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -50,6 +50,8 @@
     pub rollouts: Option<rollout::Bounds>,
     /// What more than its rate a cold server bears.
     pub cold: limit::Slack,
+    /// What the host's link carries, in bytes a second; 0 where that is not known.
+    pub link: f64,
 }
 
 impl Default for Tuning {
@@ -60,6 +62,7 @@
             tolerance: Tolerance::default(),
             rollouts: None,
             cold: limit::Slack::default(),
+            link: 0.0,
         }
     }
 }
@@ -157,7 +160,7 @@
             keeper: Keeper::new(now),
             deputies: Keeper::new(now),
             holders: Deputies::default(),
-            handout: Handout::default(),
+            handout: Handout::new(tuning.link),
             answers: 0,
             table: 0,
             listing: Arc::default(),
--- a/crates/curlewlift/src/control/handout.rs
+++ b/crates/curlewlift/src/control/handout.rs
@@ -15,10 +15,7 @@
 use super::replica::State;
 
 /// How long a gateway waits for its turn before it is told to ask again.
-const TURN: Duration = Duration::from_millis(300);
-
-/// Between two looks whether it is its turn: what a piece takes on a link of 10 Mbit/s.
-const LOOK: Duration = Duration::from_millis(10);
+const TURN: Duration = Duration::from_millis(1_500);
 
 /// The piece of table `number` that follows its first `from` bytes.
 pub(super) async fn piece(
@@ -35,10 +32,14 @@
         if let Some(piece) = state.borrow_mut().cut(host, number, from)? {
             return Ok(HubReply::Piece(Some(piece)));
         }
-        if Instant::now() >= until {
+        // Whoever has waited longest is woken for each turn that is free.
+        let turn = Rc::clone(&state.borrow().turn);
+        if tokio::time::timeout_at(until, turn.notified())
+            .await
+            .is_err()
+        {
             return Ok(HubReply::Piece(None));
         }
-        tokio::time::sleep(LOOK).await;
     }
 }
 
@@ -46,12 +47,27 @@
     /// The piece, where it is the gateway's turn; an empty one where it has got the whole.
     fn cut(&mut self, host: &id::Host, number: u64, from: usize) -> Result<Option<Piece>, Refusal> {
         let now = self.clock.now();
-        let piece = Piece::cut(self.machine.get_publication(), number, from);
+        let publication = self.machine.get_publication();
         let handout = self.hub.as_mut().ok_or_else(hub::begun)?.handout();
+        if !handout.admit(host, now) {
+            return Ok(None);
+        }
+        let piece = Piece::cut(publication, number, from);
         if piece.from == piece.whole {
             handout.done(host);
-            return Ok(Some(piece));
+            self.turn.notify_one();
+        }
+        Ok(Some(piece))
+    }
+
+    /// Gives the turns of those that ask no more to others.
+    pub(super) fn tick_handout(&mut self) {
+        let now = self.clock.now();
+        let Some(hub) = &mut self.hub else {
+            return;
+        };
+        for _ in 0..hub.handout().expire(now) {
+            self.turn.notify_one();
         }
-        Ok(handout.admit(host, now).then_some(piece))
     }
 }
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -79,6 +79,8 @@
     pub(super) places: HashMap<Ticket, oneshot::Sender<Grant>>,
     /// Wakes those who wait for a newer table or list.
     pub(super) news: Rc<Notify>,
+    /// Wakes who waits for a turn to be handed a table.
+    pub(super) turn: Rc<Notify>,
     /// Keeps the replica set whole, where replicas are taken in as they ask.
     pub(super) upkeep: Upkeep,
     /// Since when no leader is heard.
@@ -115,6 +117,7 @@
             hub: None,
             places: HashMap::new(),
             news: Rc::new(Notify::new()),
+            turn: Rc::new(Notify::new()),
             upkeep: Upkeep::default(),
             alone: None,
         })
@@ -151,6 +154,7 @@
         self.settle();
         self.tend();
         self.tick_places();
+        self.tick_handout();
     }
 
     /// Ends the writing: the journal is as it will be found.
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -35,6 +35,9 @@
     /// Whether the whole system starts for the first time, on empty disks.
     #[serde(rename = "bootstrap", default)]
     pub(super) first_start: bool,
+    /// What the host has.
+    #[serde(default)]
+    pub(super) limits: HostLimits,
     /// The folder for files, on hosts with a disk.
     #[serde(default)]
     pub(super) data_dir: Option<PathBuf>,
@@ -53,6 +56,21 @@
     pub(super) in_force: Vec<String>,
 }
 
+/// What a host has, as far as it is used.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub(super) struct HostLimits {
+    /// What its link carries, in Mbit/s.
+    #[serde(rename = "link_mbps", default)]
+    link: f64,
+}
+
+impl HostLimits {
+    /// What its link carries, in bytes a second.
+    pub(super) fn link(self) -> f64 {
+        self.link * 1e6 / 8.0
+    }
+}
+
 /// Where a process listens.
 #[derive(Clone, Debug, Deserialize)]
 pub(super) struct Listen {
@@ -184,6 +202,9 @@
 pub(super) struct Reached {
     /// Its address.
     pub(super) address: SocketAddr,
+    /// How many calls a second it takes from all hosts together; 0 where it does not tell.
+    #[serde(rename = "rate_per_s", default)]
+    pub(super) rate: f64,
 }
 
 fn exactly() -> f64 {
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -193,6 +193,7 @@
                 tolerance: settings.tolerance(),
                 rollouts: settings.rollouts(),
                 cold: settings.cold(),
+                link: settings.limits.link(),
                 ..Tuning::default()
             },
         },
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -1,6 +1,7 @@
 //! A process of the system on a thread of its own: started, stopped, killed, waited for.
 
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -206,12 +207,26 @@
 ///
 /// [`Code::BadSetting`] where the address cannot be had.
 pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
-    TcpListener::bind(address).map_err(|why| {
+    listen(address).map_err(|why| {
         let why = format!("cannot listen at {address}: {why}");
         Refusal::new(Code::BadSetting, why)
     })
 }
 
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+    // A process that starts again finds connections of the one before it.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// How many new connections wait to be taken: all hosts of a large fleet turn to a new leader at the same moment, and the
+/// opening packet of one that finds the queue full goes again only after a second.
+const BACKLOG: i32 = 4_096;
+
 /// How long bytes may go unacknowledged before a connection counts as dead: a peer that lost its
 /// power or is cut off says nothing.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
