Tell gateways what is large in turns, and seek a leader ever more rarely

Cause: at a new leader, a new table or a change of the parts all gateways were answered at the same moment.

Lists, rolls and tables are told in turns, one gateway a millisecond, in the order in which they asked; what is small goes at once, and news that do not concern a gateway do not wake its answer. The pause before the next replica grows by half, up to half a second, by the number of gateways. Those that hear no hub keep within half of what the platform takes, all together.

Ruled out: longer elections (a host's loss would be seen later, and twice the hosts need twice of it).

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -23,6 +23,7 @@
 use super::Handout;
 use super::Keeper;
 use super::Listing;
+use super::Pace;
 use super::Parts;
 use super::Question;
 use super::Reply;
@@ -129,6 +130,7 @@
     /// What the list has changed in since the one before it.
     delta: Delta,
     rolls: Rolls,
+    pace: Pace,
     pub(super) trials: Trials,
     /// The data halls that are evacuated.
     pub(super) evacuated: evacuation::Halls,
@@ -167,6 +169,7 @@
             subsets: Subsets::default(),
             delta: Delta::default(),
             rolls: Rolls::default(),
+            pace: Pace::default(),
             trials: Trials::new(tuning.rollouts),
             evacuated: evacuation::Halls::default(),
             policy: Policy::default(),
@@ -261,13 +264,43 @@
         publication: &Publication,
         now: Instant,
     ) -> Reply {
-        self.look(now);
+        let mut reply = self.answer_small(question, publication, now);
+        let is_small = publication.document.as_packed().len() <= ALONG;
+        let is_along = is_small && publication.number > question.table;
+        reply.newest = publication.number;
+        reply.table = is_along.then(|| publication.clone());
         let is_listed = self.has_other_list(question);
+        reply.listing = is_listed.then(|| self.told(question));
+        reply.roll = self.rolls.news(question.roll);
+        self.pace.told(&question.host);
+        reply
+    }
+
+    /// When it is the asker's turn to be told what is large; none where nothing of that is new to it.
+    pub fn turn(
+        &mut self,
+        question: &Question,
+        publication: &Publication,
+        now: Instant,
+    ) -> Option<Instant> {
+        let is_table = publication.number > question.table;
+        let is_large =
+            is_table || self.has_other_list(question) || self.rolls.is_unknown(question.roll);
+        is_large.then(|| self.pace.turn(&question.host, now))
+    }
+
+    /// The same without what is large: lists, rolls, tables.
+    pub fn answer_small(
+        &mut self,
+        question: &Question,
+        publication: &Publication,
+        now: Instant,
+    ) -> Reply {
+        self.look(now);
+        self.follow_list(&question.host);
         self.answers = self.answers.wrapping_add(1);
         let part = self.keeper.tell(&question.host, self.answers, now);
         let deputy = self.tell_deputy(question, now);
-        let small = publication.document.as_packed().len() <= ALONG;
-        let along = small && publication.number > question.table;
         let incarnations = self.seen.get(&question.host);
         let incarnations = incarnations.map_or(&[][..], |seen| &seen.subset.incarnations);
         Reply {
@@ -278,11 +311,8 @@
             part,
             deputy,
             deputies: self.deputies_for(question),
-            newest: publication.number,
-            table: along.then(|| publication.clone()),
+            newest: publication.number.min(question.table),
             held: self.listing.version,
-            listing: is_listed.then(|| self.told(question)),
-            roll: self.rolls.news(question.roll),
             policy: self.policy_for(question),
             loads: self.dispatcher.others(&question.host, incarnations),
             ..Reply::default()
@@ -334,20 +364,21 @@
 
     /// Whether the asker is to be told another list than it holds.
     fn has_other_list(&mut self, question: &Question) -> bool {
-        if self.listing.version == 0 {
-            return false;
-        }
-        let Some(seen) = self.seen.get_mut(&question.host) else {
-            return false;
-        };
-        seen.subset
-            .follow(&self.listing, &self.subsets, &self.delta, &question.host);
+        let subset = self.follow_list(&question.host);
         let told = if question.whole {
-            self.listing.version
+            Some(self.listing.version)
         } else {
-            seen.subset.version
+            subset
         };
-        told != question.listing
+        self.listing.version != 0 && told.is_some_and(|told| told != question.listing)
+    }
+
+    /// Brings what is known of a gateway's subset up to the list; gives its version.
+    fn follow_list(&mut self, host: &id::Host) -> Option<u64> {
+        let seen = self.seen.get_mut(host)?;
+        let subset = &mut seen.subset;
+        subset.follow(&self.listing, &self.subsets, &self.delta, host);
+        Some(subset.version)
     }
 
     /// Whether a gateway was heard so lately that it is not silent.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! has what is new: the routing table, the gateway's subset of the backend servers, the
 //! gateways that live, the sums over all of them.
 
+mod alone;
 mod dispatch;
 mod grant;
 mod handout;
@@ -14,6 +15,7 @@
 mod listing;
 mod lives;
 mod occupancy;
+mod pace;
 mod parts;
 mod places;
 mod quarantine;
@@ -23,6 +25,8 @@
 mod sync;
 mod version;
 
+pub use alone::Search;
+pub use alone::apart;
 pub use dispatch::Ticket;
 pub use grant::Ended;
 pub use grant::Grant;
@@ -40,6 +44,7 @@
 pub use listing::News as ListingNews;
 pub use listing::Server;
 pub use lives::Lives;
+pub use pace::Pace;
 pub use parts::Keeper;
 pub use parts::Parts;
 pub use places::Wanted;
--- /dev/null
+++ b/crates/core/src/gateway/pace.rs
@@ -0,0 +1,44 @@
+//! When gateways are told what is large.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::id::Host;
+
+/// Between two gateways that are told what is large: half of the time that a leader with half a core takes for one.
+const EACH: Duration = Duration::from_millis(1);
+
+/// After how long a turn that was not used is given up: the gateway has gone.
+const UNUSED: Duration = Duration::from_secs(5);
+
+/// When gateways are told what is large: a list, a roll or a table that they do not hold.
+///
+/// Load pattern: all gateways want it at the same moment, after a change of the leader or of a table. Answered at once,
+/// a thousand answers keep a leader from its heartbeats for longer than an election takes, and the next leader meets the
+/// same crowd. So they take turns, in the order in which they asked, and the time that all of them take grows with their
+/// number; what is small is never held up.
+#[derive(Clone, Debug, Default)]
+pub struct Pace {
+    next: Instant,
+    turns: HashMap<Host, Instant>,
+}
+
+impl Pace {
+    /// When it is the turn of `host`, which wants to be told at `now`.
+    pub fn turn(&mut self, host: &Host, now: Instant) -> Instant {
+        let turn = self.turns.get(host).copied();
+        if let Some(turn) = turn.filter(|turn| now.since(*turn) < UNUSED) {
+            return turn;
+        }
+        let turn = self.next.max(now);
+        self.next = turn + EACH;
+        self.turns.insert(host.clone(), turn);
+        turn
+    }
+
+    /// `host` is told.
+    pub fn told(&mut self, host: &Host) {
+        self.turns.remove(host);
+    }
+}
--- a/crates/core/src/gateway/roll.rs
+++ b/crates/core/src/gateway/roll.rs
@@ -131,6 +131,13 @@
         })
     }
 
+    /// Whether a gateway that holds the roll with the version `held` is told the whole.
+    pub(super) fn is_unknown(&self, held: u64) -> bool {
+        let is_held = |version: u64| version == held && held != 0;
+        let mut former = self.changes.iter();
+        !is_held(self.present.version) && !former.any(|(version, _)| is_held(*version))
+    }
+
     /// The changes from the one at `place` on, as one.
     fn since(&self, place: usize) -> Change {
         let mut come: HashSet<&Gateway> = HashSet::new();
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -14,6 +14,8 @@
 use curlewlift_core::id;
 use curlewlift_core::state::Publication;
 use curlewlift_core::state::Record;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
@@ -81,6 +83,22 @@
         self.news.notify_waiters();
     }
 
+    /// Whether there is something that the asker does not hold yet.
+    fn has_news(&mut self, question: &Question) -> bool {
+        let is_newer = self.machine.get_publication().number > question.table;
+        let hub = self.hub.as_mut();
+        is_newer || hub.is_some_and(|hub| hub.has_news(question))
+    }
+
+    /// For how much longer the asker waits to be told what is large and new to it.
+    fn until_turn(&mut self, question: &Question) -> Duration {
+        let now = self.clock.now();
+        let publication = self.machine.get_publication();
+        let hub = self.hub.as_mut();
+        let turn = hub.and_then(|hub| hub.turn(question, publication, now));
+        turn.map_or(Duration::ZERO, |turn| turn.since(now))
+    }
+
     /// Whether so many replicas count that what is accepted outlives the losses that the deployment names.
     pub(super) fn outlives_losses(&self) -> Result<(), Refusal> {
         let replicas = self.replica.members().voters().count();
@@ -130,23 +148,36 @@
 }
 
 async fn ask(state: &Shared, question: Question) -> Result<HubReply, Refusal> {
-    let news = Rc::clone(&state.borrow().news);
-    let waited = news.notified();
-    let now_known = hear(&mut state.borrow_mut(), &question)?;
-    if !now_known {
-        let wait = wait(&state.borrow());
-        let _ = tokio::time::timeout(wait, waited).await;
+    let mut has_news = hear(&mut state.borrow_mut(), &question)?;
+    let until = Instant::now() + wait(&state.borrow());
+    while !has_news {
+        let news = Rc::clone(&state.borrow().news);
+        if timeout_at(until, news.notified()).await.is_err() {
+            break;
+        }
+        // Most news concern few gateways: answering all would be a thousand answers for one server that leaves.
+        has_news = state.borrow_mut().has_news(&question);
+    }
+    let left = state.borrow_mut().until_turn(&question);
+    if !left.is_zero() {
+        let turn = Instant::now() + left;
+        tokio::time::sleep_until(turn.min(until)).await;
     }
     let mut state = state.borrow_mut();
     if let Some(elsewhere) = elsewhere(&state) {
         return Ok(elsewhere);
     }
+    let is_turn = state.until_turn(&question).is_zero();
     let now = state.clock.now();
     let publication = state.machine.get_publication().clone();
     let control = members(&state);
     let host = state.replica.get_host().clone();
     let hub = state.hub.as_mut().ok_or_else(begun)?;
-    let mut reply = hub.answer(&question, &publication, now);
+    let mut reply = if is_turn {
+        hub.answer(&question, &publication, now)
+    } else {
+        hub.answer_small(&question, &publication, now)
+    };
     reply.control = control;
     reply.fetches = hub.fetcher(&host, now).as_ref() == Some(&question.host);
     reply.leader = Some(host);
@@ -162,7 +193,6 @@
 /// Takes note of a question; true where it can be answered at once.
 fn hear(state: &mut State, question: &Question) -> Result<bool, Refusal> {
     let now = state.clock.now();
-    let newer = state.machine.get_publication().number > question.table;
     let hub = state.hub.as_mut().ok_or_else(begun)?;
     hub.hear(question, now);
     let fetched = question.fetched.as_ref();
@@ -171,9 +201,9 @@
         hub.list(Arc::new(listing.clone()));
         state.news.notify_waiters();
     }
-    let known = newer || fetched.is_some() || hub.has_news(question);
+    let is_taken = fetched.is_some();
     state.serve();
-    Ok(known)
+    Ok(is_taken || state.has_news(question))
 }
 
 /// The newest table, surely.
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -65,6 +65,8 @@
     pub(crate) beside: Option<Beside>,
     /// Whether the whole deployment starts for the first time.
     pub(crate) first_start: bool,
+    /// How many calls a second the platform's list takes from all gateways together; 0 where that is not known.
+    pub(crate) list_rate: f64,
     /// Which region each data hall is in.
     pub(crate) regions: Regions,
     /// Where it tells others of control, where it has none.
@@ -142,7 +144,7 @@
         tokio::task::spawn_local(serve_callers(Rc::clone(&node), listener));
         tokio::task::spawn_local(sync::keep(Rc::clone(&node), Rc::clone(&around)));
         tokio::task::spawn_local(tables::keep(Rc::clone(&node), Rc::clone(&around)));
-        tokio::task::spawn_local(lists::keep(Rc::clone(&node), fetch, kept));
+        tokio::task::spawn_local(lists::keep(Rc::clone(&node), fetch, kept, self.list_rate));
         tokio::task::spawn_local(places::report(Rc::clone(&node)));
         tokio::task::spawn_local(tick(Rc::clone(&node)));
         also(&node, &around)?;
--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use curlewlift_core::event::Kind;
+use curlewlift_core::gateway;
 use curlewlift_core::gateway::Listing;
+use rand::RngExt;
 
 use super::log::Line;
 use super::log::millis;
@@ -22,14 +24,14 @@
     pub(crate) again: Option<Duration>,
 }
 
-/// Fetches the list.
-pub(crate) type Fetch = Rc<dyn Fn() -> Pin<Box<dyn Future<Output = Result<Listing, Missed>>>>>;
+/// Fetches the list, with a pause between two calls.
+pub(crate) type Fetch =
+    Rc<dyn Fn(Duration) -> Pin<Box<dyn Future<Output = Result<Listing, Missed>>>>>;
 
 /// Between two fetches for all: a sixth of the time in which a leaving server must be left alone.
 const FOR_ALL: Duration = Duration::from_millis(500);
 
-/// Between two fetches of a gateway that hears no hub: with many gateways, all of them together
-/// must stay within what the platform takes.
+/// Between two fetches of a gateway that hears no hub.
 const ALONE: Duration = Duration::from_secs(1);
 
 /// The longest pause that the platform may ask for: two thirds of the time in which a leaving server must be left
@@ -43,14 +45,21 @@
 const SILENT: Duration = Duration::from_millis(800);
 
 /// Fetches for as long as the process lives; `beside` a replica also before the hub is heard.
-pub(super) async fn keep(node: Rc<Node>, fetch: Fetch, beside: bool) {
+pub(super) async fn keep(node: Rc<Node>, fetch: Fetch, beside: bool, rate: f64) {
     let mut answered = true;
     loop {
         let Some(pause) = due(&node, beside) else {
             tokio::time::sleep(LOOK).await;
             continue;
         };
-        let asked = match fetch().await {
+        let apart = if beside || node.hub.borrow().fetches {
+            Duration::ZERO
+        } else {
+            gateway::apart(node.roll.borrow().gateways.len(), rate)
+        };
+        // Those that hear no hub any more do not all begin at the same moment.
+        tokio::time::sleep(apart.mul_f64(rand::rng().random())).await;
+        let asked = match fetch(apart).await {
             Ok(listing) => {
                 if !answered {
                     Line::new(Kind::PlatformFound).write();
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -9,6 +9,8 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Question;
 use curlewlift_core::gateway::Reply;
+use curlewlift_core::gateway::Search;
+use rand::RngExt;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
@@ -27,7 +29,7 @@
 /// Between an answer and the next question.
 const PAUSE: Duration = Duration::from_millis(15);
 
-/// After a control replica that does not lead or does not answer.
+/// After a control replica that does not lead, where it names one that does.
 const NEXT: Duration = Duration::from_millis(60);
 
 /// After how long the hub counts as lost, for the log.
@@ -38,6 +40,7 @@
     let began = node.now();
     let mut place = 0;
     let mut known = None;
+    let mut search = Search::default();
     loop {
         let asked = once(&node, &around, &mut place).await;
         let hears = hears(&node, began);
@@ -45,12 +48,27 @@
             known = hears;
             tell_of_hub(&node, &asked);
         }
-        let pause = if asked.is_ok() { PAUSE } else { NEXT };
+        let pause = if asked.is_ok() {
+            search.found();
+            PAUSE
+        } else {
+            search.missed();
+            next(&node, search)
+        };
         // A gateway that stops, or that has fetched another list, says so at once.
         let _ = tokio::time::timeout(pause, node.changed.notified()).await;
     }
 }
 
+/// The pause before the next replica is asked.
+fn next(node: &Node, search: Search) -> Duration {
+    if node.hub.borrow().leader.is_some() {
+        return NEXT;
+    }
+    let gateways = node.roll.borrow().gateways.len();
+    search.pause(gateways, rand::rng().random())
+}
+
 /// Whether the hub is heard; none where that is not known yet, as the gateway has only begun.
 fn hears(node: &Node, began: clock::Instant) -> Option<bool> {
     match node.hub_silence() {
--- a/crates/curlewlift/src/platform/instances.rs
+++ b/crates/curlewlift/src/platform/instances.rs
@@ -45,10 +45,10 @@
 pub(super) fn fetch(platform: SocketAddr) -> Fetch {
     let client = Client::builder(TokioExecutor::new()).build_http();
     let noted = Noted::default();
-    Rc::new(move || {
+    Rc::new(move |apart| {
         let client = client.clone();
         let noted = Rc::clone(&noted);
-        Box::pin(async move { all(&client, platform, &noted).await })
+        Box::pin(async move { all(&client, platform, &noted, apart).await })
     })
 }
 
@@ -56,6 +56,7 @@
     client: &Client<HttpConnector, Body>,
     platform: SocketAddr,
     noted: &Noted,
+    apart: Duration,
 ) -> Result<Listing, Missed> {
     let mut servers = Vec::new();
     let mut unreadable = BTreeSet::new();
@@ -71,6 +72,7 @@
             return Ok(Listing::new(servers));
         };
         from = format!("?page_token={next}");
+        tokio::time::sleep(apart).await;
     }
     Err(lost("its pages have no end"))
 }
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -140,6 +140,7 @@
         },
         beside: beside(&settings, &known, &clock)?,
         first_start: settings.first_start,
+        list_rate: settings.platform.rate,
         regions: Regions::new(settings.halls.clone()),
         meets: settings.replica(settings.ip),
         known,
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -21,6 +21,10 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+/// How many new connections wait to be taken: all hosts of a large fleet turn to a new leader at the same moment, and the
+/// opening packet of one that finds the queue full goes again only after a second.
+const BACKLOG: i32 = 4_096;
+
 /// The time of day, in milliseconds of Unix time.
 pub(crate) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -223,10 +227,6 @@
     Ok(socket.into())
 }
 
-/// How many new connections wait to be taken: all hosts of a large fleet turn to a new leader at the same moment, and the
-/// opening packet of one that finds the queue full goes again only after a second.
-const BACKLOG: i32 = 4_096;
-
 /// How long bytes may go unacknowledged before a connection counts as dead: a peer that lost its
 /// power or is cut off says nothing.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
