Draw further sendings at the hub where a gateway has none left

Cause: the floor of the budget is cut in as many parts as there are gateways.

A fifth of the floor is granted by the hub with the place, from an account that fills evenly and begins empty, so that hubs one after the other grant no more than one would; half of the floor, not seven tenths, goes by parts. A grant that is not used is given back.

Ruled out: parts for fewer gateways (each request would first have to find one), all of the floor at the hub (nothing without its word).

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -94,6 +94,7 @@
             observed: Vec::new(),
             prompt: Tokens(500),
             charge: None,
+            retry: false,
             tried: Vec::new(),
             avoid: Vec::new(),
             rests: Vec::new(),
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -374,6 +374,7 @@
             server,
             permit,
             drawn: turn.drawn,
+            retry: given.retry.is_some(),
         };
         Some((grant, given))
     }
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -49,6 +49,8 @@
     pub prompt: Tokens,
     /// What it counts, where that was not drawn yet.
     pub charge: Option<Charge>,
+    /// Whether it was sent before, and its gateway has no further sending left.
+    pub retry: bool,
     /// Incarnations that it was sent to before.
     pub tried: Vec<Arc<str>>,
     /// Others that its gateway leaves alone, and for how much longer.
@@ -70,6 +72,8 @@
     pub permit: Option<u64>,
     /// Whether it was drawn from a limit that the server has named.
     pub drawn: bool,
+    /// Whether the further sending was drawn with it.
+    pub retry: bool,
 }
 
 /// What a request was given with its place in line, and gives back if it gets no server.
@@ -79,6 +83,8 @@
     pub(super) charge: Option<Charge>,
     /// Its leave to be sent, where it needs one.
     pub(super) permit: Option<Permit>,
+    /// The service that it draws a further sending to, where it does.
+    pub(super) retry: Option<id::Service>,
 }
 
 /// Tells grants apart.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::limit;
 use crate::limit::Warmup;
+use crate::pool::Allowed;
 use crate::quarantine;
 use crate::quota::Desk;
 use crate::quota::Tolerance;
@@ -30,6 +31,7 @@
 use super::Ticket;
 use super::dispatch::Dispatcher;
 use super::listing;
+use super::retries::Retries;
 use super::roll::Rolls;
 use super::subset::Delta;
 use super::subset::Subset;
@@ -49,6 +51,8 @@
     pub tolerance: Tolerance,
     /// What is borne of a version that is on trial; none where roll-outs are not to be had.
     pub rollouts: Option<rollout::Bounds>,
+    /// How many sendings past the first are allowed; none where nothing says so.
+    pub retries: Option<Allowed>,
     /// What more than its rate a cold server bears.
     pub cold: limit::Slack,
     /// What the host's link carries, in bytes a second; 0 where that is not known.
@@ -62,6 +66,7 @@
             forget: Duration::from_secs(10),
             tolerance: Tolerance::default(),
             rollouts: None,
+            retries: None,
             cold: limit::Slack::default(),
             link: 0.0,
         }
@@ -136,6 +141,7 @@
     pub(super) evacuated: evacuation::Halls,
     /// Where gateways may send by their own choice; of version 0 before anything was agreed.
     pub(super) policy: Policy,
+    pub(super) retries: Retries,
     /// Which requests are kept away from the servers.
     pub(super) cases: quarantine::Desk,
     /// Those, as they are agreed.
@@ -173,6 +179,7 @@
             trials: Trials::new(tuning.rollouts),
             evacuated: evacuation::Halls::default(),
             policy: Policy::default(),
+            retries: Retries::new(tuning.retries, now),
             cases: quarantine::Desk::default(),
             quarantine: quarantine::List::default(),
             limits: limit::Table::new(0),
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod parts;
 mod places;
 mod quarantine;
+mod retries;
 mod roll;
 mod rollouts;
 mod subset;
--- a/crates/core/src/gateway/places.rs
+++ b/crates/core/src/gateway/places.rs
@@ -25,6 +25,8 @@
     Beyond(Duration),
     /// Servers ended under such a request.
     Withheld(Withheld),
+    /// It was sent before, and no further sending is left.
+    NoRetry,
 }
 
 /// # Places at backend servers
@@ -45,7 +47,15 @@
         let mut given = Given {
             charge: None,
             permit,
+            retry: None,
         };
+        if want.retry {
+            if !self.retries.draw(&want.service, now) {
+                self.give_back(given, now);
+                return Wanted::NoRetry;
+            }
+            given.retry = Some(want.service.clone());
+        }
         self.set_present(now);
         if let Some(charge) = &want.charge {
             if let Err(wait) = self.desk.draw(charge, now) {
@@ -117,6 +127,9 @@
         if let Some(permit) = given.permit {
             self.cases.give_back(&permit);
         }
+        if let Some(service) = given.retry {
+            self.retries.give_back(&service);
+        }
     }
 
     /// Sets aside what gateways that are not heard may be letting in by themselves.
--- a/crates/core/src/pool/budget.rs
+++ b/crates/core/src/pool/budget.rs
@@ -5,9 +5,9 @@
 
 use crate::clock::Instant;
 
-/// The part of the floor that is shared out: a gateway that starts anew has forgotten what it
+/// The part of the floor that is shared out: the hub grants some, and a gateway that starts anew has forgotten what it
 /// spent before.
-const SHARED_OUT: f64 = 0.7;
+const SHARED_OUT: f64 = 0.5;
 
 /// How many steps a window is counted in.
 const STEPS: u32 = 10;
@@ -59,6 +59,17 @@
     /// Whether a further sending is allowed now to a gateway that holds `part` (0 to 1) of the floor; if
     /// so it is counted.
     pub fn take(&mut self, part: f64, now: Instant) -> bool {
+        if !self.allows(part, now) {
+            return false;
+        }
+        let step = self.step(now);
+        step.further += 1;
+        step.spent = now;
+        true
+    }
+
+    /// Whether a further sending is allowed now to a gateway that holds `part` (0 to 1) of the floor.
+    pub fn allows(&mut self, part: f64, now: Instant) -> bool {
         self.step(now);
         let window = self.allowed.window;
         let steps = self.steps.iter();
@@ -67,13 +78,7 @@
         let further: u32 = self.steps.iter().map(|step| step.further).sum();
         let floor = self.allowed.floor * SHARED_OUT * part;
         let most = floor + self.allowed.ratio * f64::from(firsts);
-        if f64::from(further) + 1.0 > most {
-            return false;
-        }
-        let step = self.step(now);
-        step.further += 1;
-        step.spent = now;
-        true
+        f64::from(further) + 1.0 <= most
     }
 
     /// The step that `now` falls in; steps that left the window are dropped.
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -29,6 +29,7 @@
         observed: Vec::new(),
         prompt: Tokens(0),
         charge: None,
+        retry: false,
         tried: Vec::new(),
         avoid: Vec::new(),
         rests: Vec::new(),
--- a/crates/curlewlift/src/control/places.rs
+++ b/crates/curlewlift/src/control/places.rs
@@ -93,6 +93,7 @@
         Wanted::Line(ticket, last) => (ticket, last),
         Wanted::NoServers => return Ok(Lined::Answered(HubReply::Place(None))),
         Wanted::Withheld(why) => return Ok(Lined::Answered(HubReply::Withheld(why))),
+        Wanted::NoRetry => return Ok(Lined::Answered(HubReply::NoRetry)),
         Wanted::Beyond(filled) => return Ok(Lined::Answered(HubReply::Beyond(filled))),
     };
     let (sender, place) = oneshot::channel();
--- a/crates/curlewlift/src/gateway/place.rs
+++ b/crates/curlewlift/src/gateway/place.rs
@@ -81,6 +81,11 @@
         self.grant.is_some()
     }
 
+    /// Whether a further sending was drawn with it at the hub.
+    pub(super) fn is_retry(&self) -> bool {
+        self.grant.as_ref().is_some_and(|grant| grant.retry)
+    }
+
     /// Which grant the hub gave it by.
     fn mark(&self) -> Mark {
         let grant = self.grant.as_ref();
--- a/crates/curlewlift/src/gateway/places.rs
+++ b/crates/curlewlift/src/gateway/places.rs
@@ -55,6 +55,8 @@
     pub(super) identity: &'a Identity,
     /// For how much longer it may take.
     pub(super) left: Duration,
+    /// Whether it was sent before, and this gateway has no further sending left.
+    pub(super) retry: bool,
 }
 
 /// What the hub said.
@@ -67,6 +69,8 @@
     Beyond(Duration),
     /// Servers ended under such a request.
     Withheld(Withheld),
+    /// It was sent before, and no further sending is left.
+    NoRetry,
     /// A place at a server that has told this host that it wants no request, or a limit that the hub did not know of;
     /// what the request counts is drawn.
     Closed(Server),
@@ -104,6 +108,7 @@
         Some(Ok(HubReply::Place(None))) => Word::NoPlace,
         Some(Ok(HubReply::Beyond(filled))) => Word::Beyond(filled),
         Some(Ok(HubReply::Withheld(why))) => Word::Withheld(why),
+        Some(Ok(HubReply::NoRetry)) => Word::NoRetry,
         Some(Ok(_)) => node.doubt("it does not lead"),
         Some(Err(why)) => node.doubt(&why.to_string()),
         None => node.doubt("no word in time"),
@@ -169,6 +174,7 @@
                 .untold_of(wanted.identity),
             prompt: ask.prompt,
             charge: charge.cloned(),
+            retry: wanted.retry,
             tried: ask.tried.clone(),
             avoid: avoid.unwrap_or_default(),
             rests: rests.unwrap_or_default(),
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -191,7 +191,7 @@
             let Ok(place) = self.run.turn().await else {
                 continue;
             };
-            if !self.run.take_budget() {
+            if !self.run.take_budget(&place) {
                 return false;
             }
             let Some(coming) = self.other(place, after.as_deref()).await else {
--- a/crates/curlewlift/src/gateway/run.rs
+++ b/crates/curlewlift/src/gateway/run.rs
@@ -106,7 +106,7 @@
                 Ok(place) => place,
                 Err(refusal) => return self.refuse(&refusal),
             };
-            if self.sendings() > 0 && !self.take_budget() {
+            if self.sendings() > 0 && !self.take_budget(&place) {
                 drop(place);
                 let refusal = self.exhausted();
                 return self.refuse(&refusal);
@@ -119,8 +119,11 @@
         }
     }
 
-    /// Whether the service's budget has a further sending left; if so it is counted.
-    pub(super) fn take_budget(&self) -> bool {
+    /// Whether the service's budget, here or at the hub, has a further sending left; if so it is counted.
+    pub(super) fn take_budget(&self, place: &Place) -> bool {
+        if place.is_retry() {
+            return true;
+        }
         let now = self.node.now();
         let part = self.node.part.borrow().get(now);
         let taken = self
@@ -129,6 +132,16 @@
         taken.unwrap_or(false)
     }
 
+    /// Whether it was sent before, and the service's budget here has no further sending left.
+    fn lacks_budget(&self) -> bool {
+        let now = self.node.now();
+        let part = self.node.part.borrow().get(now);
+        let allows = self
+            .node
+            .with_service(&self.service, |service| service.budget.allows(part, now));
+        self.sendings() > 0 && allows != Some(true)
+    }
+
     /// How often it was sent, whatever came of it.
     pub(super) fn sendings(&self) -> u8 {
         self.sent + self.passed
@@ -165,6 +178,7 @@
             rule: &self.admitted.rule.name,
             identity: &self.admitted.identity,
             left: self.admitted.deadline.left(),
+            retry: self.lacks_budget(),
         };
         match turn::wait(&self.node, wanted, ask, charge, held).await {
             Ok(place) => {
--- a/crates/curlewlift/src/gateway/turn.rs
+++ b/crates/curlewlift/src/gateway/turn.rs
@@ -51,6 +51,7 @@
                 rule: &self.rule,
                 identity: &self.identity,
                 left: self.left,
+                retry: false,
             };
             drop(Place::new(&self.node, wanted, turn.server, turn.prompt));
         }
@@ -74,6 +75,8 @@
     Limited,
     /// Servers ended under such a request.
     Withheld(Withheld),
+    /// It was sent before, and no further sending is left.
+    NoRetry,
 }
 
 /// Waits for a turn for at most `patience`: at the hub, or here while it is not to be had; what the
@@ -98,6 +101,7 @@
             Word::NoPlace => return Err(NoTurn::TimeUp),
             Word::Beyond(wait) => return Err(NoTurn::Beyond(wait)),
             Word::Withheld(why) => return Err(NoTurn::Withheld(why)),
+            Word::NoRetry => return Err(NoTurn::NoRetry),
             Word::Closed(server) => {
                 charge = None;
                 ask.tried.push(Arc::clone(&server.incarnation));
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -15,7 +15,6 @@
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
-use curlewlift_core::pool::Allowed;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Regions;
 use hyper::body::Incoming;
@@ -118,7 +117,6 @@
         directory: process::bind(listen.directory)?,
     };
     let keep = KEEP.min(settings.bounds.answer_seconds);
-    let bounds = settings.bounds;
     let known = Known::default();
     let gateway = Gateway {
         host: host(settings.ip)?,
@@ -128,11 +126,7 @@
         },
         callers,
         dialect: heads::DIALECT,
-        allowed: Allowed {
-            ratio: bounds.retry_ratio,
-            floor: bounds.retry_floor,
-            window: Duration::from_secs_f64(bounds.retry_seconds),
-        },
+        allowed: settings.retries(),
         tolerance: settings.tolerance(),
         grace: Grace {
             held: Duration::from_secs_f64(keep * KEPT) + WORD,
@@ -194,6 +188,7 @@
                 tolerance: settings.tolerance(),
                 rollouts: settings.rollouts(),
                 cold: settings.cold(),
+                retries: Some(settings.retries()),
                 link: settings.limits.link(),
                 ..Tuning::default()
             },
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -81,6 +81,8 @@
     Beyond(Duration),
     /// Servers ended under such a request, and it gets none.
     Withheld(Withheld),
+    /// The request was sent before, and no further sending is left.
+    NoRetry,
     /// Whether the deputy lets the request in, and has counted it.
     Drawn(bool),
     /// It was taken note of.
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -397,6 +397,7 @@
             observed: Vec::new(),
             prompt: Tokens(100),
             charge: None,
+            retry: false,
             tried: Vec::new(),
             avoid: Vec::new(),
             rests: Vec::new(),
