Drop a list that took so long that the hub is heard again

Cause, by reading: a gateway that hears no hub fetches the pages apart from each other, over a minute and more in a large fleet. A list whose first pages are that old would have replaced what the hub has told since, until its next answer.

--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -65,8 +65,11 @@
                     Line::new(Kind::PlatformFound).write();
                 }
                 answered = true;
-                node.adopt_list(|holding| holding.fetched(listing));
-                node.changed.notify_one();
+                // Its first pages may be older than what the hub has told since.
+                if due(&node, beside).is_some() {
+                    node.adopt_list(|holding| holding.fetched(listing));
+                    node.changed.notify_one();
+                }
                 None
             }
             Err(missed) => {
