--- a/crates/core/src/gateway/alone.rs
+++ b/crates/core/src/gateway/alone.rs
@@ -26,8 +26,8 @@
 
 /// How long a gateway waits before it seeks the leader at the next replica.
 ///
-/// Load pattern: no leader, and a thousand gateways that go round all replicas, which have to elect one meanwhile. At a
-/// fixed pause they are asked 16,000 times a second and hear each other too late, so no leader stays.
+/// Load pattern: no leader, and a thousand gateways that go round all replicas, which have to elect one meanwhile. Asked
+/// without a pause that grows, they hear each other too late, and no leader stays.
 ///
 /// # Examples
 ///
--- a/crates/core/src/gateway/pace.rs
+++ b/crates/core/src/gateway/pace.rs
@@ -6,7 +6,7 @@
 use crate::clock::Instant;
 use crate::id::Host;
 
-/// Between two gateways that are told what is large: half of the time that a leader with half a core takes for one.
+/// Between two gateways that are told what is large: a small leader has time for heartbeats and places in between.
 const EACH: Duration = Duration::from_millis(1);
 
 /// After how long a turn that was not used is given up: the gateway has gone.
@@ -14,10 +14,9 @@
 
 /// When gateways are told what is large: a list, a roll or a table that they do not hold.
 ///
-/// Load pattern: all gateways want it at the same moment, after a change of the leader or of a table. Answered at once,
-/// a thousand answers keep a leader from its heartbeats for longer than an election takes, and the next leader meets the
-/// same crowd. So they take turns, in the order in which they asked, and the time that all of them take grows with their
-/// number; what is small is never held up.
+/// Load pattern: all gateways want it at the same moment, after a change of the leader or of a table. A thousand answers
+/// at once keep a leader from its heartbeats for longer than an election takes, and the next leader meets the same crowd.
+/// So gateways take turns in the order in which they asked; what is small is never held up.
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
     next: Instant,
--- a/crates/core/src/gateway/retries.rs
+++ b/crates/core/src/gateway/retries.rs
@@ -12,10 +12,10 @@
 
 /// The further sendings that the hub grants, by service.
 ///
-/// Load pattern: a thousand gateways, and a service of which one answer in seven is a failure. A thousandth of the floor
-/// is less than one sending, and what a gateway's own requests earn is not enough for the next one that fails. So what a
-/// gateway has not, it draws here with the place. An account fills evenly and begins empty: all hubs one after the other
-/// grant no more than one would.
+/// Load pattern: a thousand gateways, and a service whose answers often fail. A thousandth of the floor is less than one
+/// sending, and what a gateway's own requests earn is not enough for the next one that fails. What a gateway lacks it
+/// draws here with the place. An account fills evenly and begins empty, so that all hubs one after the other grant no
+/// more than one would.
 #[derive(Clone, Debug)]
 pub(super) struct Retries {
     allowed: Option<Allowed>,
