Look for servers that are gone only where some have accounts

Cause: each list that a pool takes up made a set of all its servers' names, 3,000 at a hub of the largest deployment, to forget accounts of servers that are gone, also where no server has an account. An empty ledger has nothing to forget, so nothing else changes. Two comments said what the code does not: a flag was called a list of services, and a rank the highest of those chosen, where it is that of the next one.

--- a/crates/core/src/gateway/subset.rs
+++ b/crates/core/src/gateway/subset.rs
@@ -66,7 +66,7 @@
 pub(super) struct Delta {
     /// The version of the former list.
     from: u64,
-    /// The services that each gateway is told all servers of, before or after, and that have changed.
+    /// Whether a service has changed that each gateway is told all servers of, before or after.
     whole: bool,
     /// The incarnations of large services that are other ones, or gone.
     touched: HashSet<Arc<str>>,
@@ -245,8 +245,8 @@
     }
 }
 
-/// The places of those servers of a service that are in the subset of the gateway with the hash `host`, and the highest
-/// rank among them where not all are.
+/// The places of those servers of a service that are in the subset of the gateway with the hash `host`, and the rank that
+/// they are below, where not all are.
 fn choose(servers: &[(u64, usize)], host: u64) -> (Vec<usize>, Option<u64>) {
     if servers.len() <= WHOLE {
         return (servers.iter().map(|(_, place)| *place).collect(), None);
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -87,9 +87,11 @@
             }
         }
         self.servers.adopt(servers);
-        let names = self.servers.all().map(|known| &*known.server.name);
-        let names: HashSet<_> = names.collect();
-        self.limits.keep(|name| names.contains(name));
+        if !self.limits.is_empty() {
+            let names = self.servers.all().map(|known| &*known.server.name);
+            let names: HashSet<_> = names.collect();
+            self.limits.keep(|name| names.contains(name));
+        }
     }
 
     /// Meets the servers of a list that is about to be taken up: another life may have said something under the
