Log which account pays for each retry, and what it has left

Nothing told which account of the retry budget had paid for a retry, or why one was denied, so a service that got more than its budget could not be traced. Events 218 and 219 and three metrics now do; the hub's account is a gauge. No decision is changed.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -79,6 +79,8 @@
     ServerRests = 215, "server-rests", "A backend server has rejected a request and asked for a backoff; the log line has the time that it asked for and the time that this gateway backs off, or the invalid value that it gave as a time.";
     ServerLeaves = 216, "server-leaves", "A backend server has announced in a response that it is draining.";
     ServerLimits = 217, "server-limits", "The limit that a backend server announces has changed: how many requests a second it takes from all hosts together. The log line has the rate, none where the server announces no limit, or the invalid value that it gave as a rate.";
+    RetryCharged = 218, "retry-charged", "A retry was charged to the service's retry budget. The log line has the account that paid: the gateway's own or the hub's, what it has left, and what was counted in it.";
+    RetryDenied = 219, "retry-denied", "A request is not retried because no account of the service's retry budget has a retry left; the log line has what was counted.";
     Shed = 220, "shed", "The owner of the service's queue has shed a queued request.";
     Owns = 221, "owns", "This entry has become the owner of a service's queue.";
     ViewHeld = 300, "view-held", "The entry has accepted a new view and no longer acts under the previous one.";
--- a/crates/core/src/gateway/retries.rs
+++ b/crates/core/src/gateway/retries.rs
@@ -37,18 +37,25 @@
 
     /// Acquires a retry to a service if one is left.
     pub(super) fn acquire(&mut self, service: &id::Service, now: Instant) -> bool {
-        let Some(allowance) = self.allowance else {
+        if self.left(service, now) < 1.0 {
             return false;
+        }
+        if let Some(bucket) = self.buckets.get_mut(service) {
+            bucket.charge(1.0);
+        }
+        true
+    }
+
+    /// Returns how many retries to a service are left.
+    pub(super) fn left(&mut self, service: &id::Service, now: Instant) -> f64 {
+        let Some(allowance) = self.allowance else {
+            return 0.0;
         };
         let depth = allowance.min_retries * HUB_MIN_RETRIES_FRACTION / 2.0;
         let rate = depth / allowance.window.as_secs_f64();
         let bucket = self.buckets.entry(service.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(0.0, self.started));
-        if bucket.fill(rate, depth, now) < 1.0 {
-            return false;
-        }
-        bucket.charge(1.0);
-        true
+        bucket.fill(rate, depth, now)
     }
 
     /// Releases a retry that was acquired and not used.
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::id;
 use crate::quarantine::Decision;
 use crate::quarantine::Rejection;
 
@@ -81,6 +82,11 @@
         }
     }
 
+    /// Returns how many retries to a service the hub has left.
+    pub fn retries_left(&mut self, service: &id::Service, now: Instant) -> f64 {
+        self.retries.left(service, now)
+    }
+
     /// Removes a request from the queue.
     pub fn cancel(&mut self, ticket: &Ticket, now: Instant) {
         let reservation = self.dispatcher.cancel(ticket);
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -25,6 +25,7 @@
 pub use request::AttemptOutcome;
 pub use request::Request;
 pub use request::Ticket;
+pub use retry_budget::Balance;
 pub use retry_budget::RetryAllowance;
 pub use retry_budget::RetryBudget;
 pub use server_health::ServerHealth;
--- a/crates/core/src/pool/retry_budget.rs
+++ b/crates/core/src/pool/retry_budget.rs
@@ -33,6 +33,17 @@
     last_retry: Instant,
 }
 
+/// What a gateway's part of a retry budget holds at a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Balance {
+    /// First attempts within the window.
+    pub first_attempts: u32,
+    /// Retries within the window.
+    pub retries: u32,
+    /// Retries left; negative if more were made than are allowed now.
+    pub left: f64,
+}
+
 /// A gateway's part of a service's retry budget: a ratio of the requests that it took itself, and its share of the
 /// minimum number of retries. It needs no messages between gateways.
 #[derive(Clone, Debug)]
@@ -70,6 +81,11 @@
 
     /// Whether a gateway that holds `share` (0 to 1) of the minimum number of retries may retry now.
     pub fn allows(&mut self, share: f64, now: Instant) -> bool {
+        self.balance(share, now).left >= 1.0
+    }
+
+    /// Returns what a gateway that holds `share` (0 to 1) of the minimum number of retries has now.
+    pub fn balance(&mut self, share: f64, now: Instant) -> Balance {
         self.step(now);
         let window = self.allowance.window;
         let steps = self.steps.iter();
@@ -78,7 +94,11 @@
         let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
         let min_retries = self.allowance.min_retries * GATEWAYS_MIN_RETRIES_FRACTION * share;
         let max_retries = min_retries + self.allowance.ratio * f64::from(first_attempts);
-        f64::from(retries) + 1.0 <= max_retries
+        Balance {
+            first_attempts,
+            retries,
+            left: max_retries - f64::from(retries),
+        }
     }
 
     /// The step that `now` falls in. Steps that left the window are dropped.
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -94,7 +94,13 @@
     if hub.get_server_list().version == 0 {
         return Err(hub::not_ready());
     }
-    let (ticket, displaced) = match hub.request_slot(request, now) {
+    let retried = request.needs_retry.then(|| request.service.clone());
+    let decision = hub.request_slot(request, now);
+    if let Some(service) = retried {
+        let left = hub.retries_left(&service, now);
+        metrics::gauge!("curlewlift_hub_retries_left", "service" => service.to_string()).set(left);
+    }
+    let (ticket, displaced) = match decision {
         SlotDecision::Queued(ticket, displaced) => (ticket, displaced),
         SlotDecision::NoServers => return Ok(Enqueued::Decided(HubReply::Slot(None))),
         SlotDecision::Rejected(why) => return Ok(Enqueued::Decided(HubReply::Rejected(why))),
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -126,7 +126,10 @@
                     "backend servers crashed under this request, and it is being tried elsewhere";
                 Refused::new(Code::Suspected, reason)
             }
-            NoSlot::NoRetry => return self.retry_budget_refusal(),
+            NoSlot::NoRetry => {
+                self.log_retry_denied("hub");
+                return self.retry_budget_refusal();
+            }
             NoSlot::QuotaExceeded(_) => {
                 let reason = format!("customer {} has used up its quota", self.customer_name());
                 Refused::new(Code::Allowance, reason)
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -119,29 +119,6 @@
         }
     }
 
-    /// Acquires a retry from the service's retry budget, here or at the hub; false if none is left.
-    pub(super) fn acquire_retry(&self, slot: &Slot) -> bool {
-        if slot.includes_retry() {
-            return true;
-        }
-        let now = self.node.now();
-        let share = self.node.retry_share.borrow().get(now);
-        let acquired = self.node.with_service(&self.service, |service| {
-            service.budget.try_acquire(share, now)
-        });
-        acquired.unwrap_or(false)
-    }
-
-    /// Whether the request was sent before, and the service's retry budget here has no retry left.
-    fn lacks_retry_budget(&self) -> bool {
-        let now = self.node.now();
-        let share = self.node.retry_share.borrow().get(now);
-        let allows = self
-            .node
-            .with_service(&self.service, |service| service.budget.allows(share, now));
-        self.attempts() > 0 && allows != Some(true)
-    }
-
     /// The number of attempts, whatever their outcome.
     pub(super) fn attempts(&self) -> u8 {
         self.maybe_run_attempts + self.not_run_attempts
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod refuse;
 mod relay;
 mod request;
+mod retries;
 mod serve;
 mod service;
 mod services;
