--- /dev/null
+++ b/crates/core/tests/retry_histories.rs
@@ -0,0 +1,85 @@
+//! Retries over all gateways and the hub, in every window, through any order of faults.
+
+mod support;
+
+use std::time::Duration;
+
+use support::gateways::World;
+use support::retries::Load;
+use support::retries::Record;
+
+const GATEWAYS: usize = 12;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// A load that is spread evenly over some gateways.
+fn even(gateways: &[usize], total: f64, failing_percent: u64) -> Load {
+    #[allow(clippy::cast_precision_loss)]
+    let rate = total / gateways.len() as f64;
+    let rates = (0..GATEWAYS).map(|index| if gateways.contains(&index) { rate } else { 0.0 });
+    Load {
+        rates: rates.collect(),
+        failing_percent,
+    }
+}
+
+fn all() -> Vec<usize> {
+    (0..GATEWAYS).collect()
+}
+
+#[track_caller]
+fn assert_within_budget(record: &Record, seed: u64) {
+    let excess = record.excess();
+    assert!(excess.is_none(), "seed {seed}: {excess:?}");
+}
+
+/// What half of the gateways retried for their requests is not granted again to the others when callers move there.
+#[test]
+fn callers_move() {
+    for seed in 0..4 {
+        let mut world = World::new(GATEWAYS, seed);
+        let mut record = Record::default();
+        world.retry_for(seconds(20), &even(&all(), 150.0, 0), &mut record);
+        world.retry_for(seconds(3), &even(&all(), 150.0, 100), &mut record);
+        world.retry_for(
+            seconds(9),
+            &even(&[0, 1, 2, 3, 4, 5], 150.0, 100),
+            &mut record,
+        );
+        assert_within_budget(&record, seed);
+    }
+}
+
+/// The retries that a gateway has sent count after it has restarted.
+#[test]
+fn gateways_restart() {
+    for seed in 0..4 {
+        let mut world = World::new(GATEWAYS, seed);
+        let mut record = Record::default();
+        world.retry_for(seconds(20), &even(&all(), 150.0, 0), &mut record);
+        for _ in 0..3 {
+            world.retry_for(seconds(3), &even(&all(), 150.0, 100), &mut record);
+            world.restart_all();
+        }
+        world.retry_for(seconds(3), &even(&all(), 150.0, 100), &mut record);
+        assert_within_budget(&record, seed);
+    }
+}
+
+/// Attempts fail in the last part of a burst that is shorter than a window.
+#[test]
+fn burst_ends() {
+    for (seed, length) in (4..12).enumerate() {
+        let seed = seed as u64;
+        let mut world = World::new(GATEWAYS, seed);
+        let mut record = Record::default();
+        world.retry_for(seconds(15), &even(&all(), 0.0, 0), &mut record);
+        world.retry_for(seconds(length), &even(&all(), 600.0, 0), &mut record);
+        let failing = Duration::from_millis(2_500);
+        world.retry_for(failing, &even(&all(), 600.0, 100), &mut record);
+        world.retry_for(seconds(10), &even(&all(), 0.0, 100), &mut record);
+        assert_within_budget(&record, seed);
+    }
+}
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -32,15 +32,16 @@
 use rand_chacha::rand_core::SeedableRng;
 
 use super::messages;
+use super::retries;
 
 /// A step of the simulation.
-const STEP: Duration = Duration::from_millis(10);
+pub(super) const STEP: Duration = Duration::from_millis(10);
 
 /// How long a gateway waits for a reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// The maximum age of the hub's last reply for a gateway to send requests to the hub.
-const HUB_REPLY_MAX_AGE: Duration = Duration::from_millis(500);
+pub(super) const HUB_REPLY_MAX_AGE: Duration = Duration::from_millis(500);
 
 /// How many standbys a gateway asks to admit a request.
 const MAX_STANDBYS_ASKED: usize = 3;
@@ -71,16 +72,17 @@
 }
 
 /// One gateway, and the reply in flight to it.
-struct GatewayState {
-    host: id::Host,
+pub(super) struct GatewayState {
+    pub(super) host: id::Host,
     limiter: LocalLimiter,
+    pub(super) retries: retries::GatewayRetries,
     last_reply: u64,
-    reply_received: Option<Instant>,
+    pub(super) reply_received: Option<Instant>,
     asked_at: Instant,
     reply: Option<(Instant, Reply)>,
-    cut: bool,
+    pub(super) cut: bool,
     /// Until when it is suspended: it does nothing, and receives what has arrived meanwhile when it wakes.
-    suspended_until: Instant,
+    pub(super) suspended_until: Instant,
 }
 
 impl GatewayState {
@@ -88,6 +90,7 @@
         Self {
             host: format!("g{index}").parse().expect("a valid name"),
             limiter: LocalLimiter::new(TOLERANCE),
+            retries: retries::GatewayRetries::new(now),
             last_reply: 0,
             reply_received: None,
             asked_at: now,
@@ -111,15 +114,45 @@
     }
 }
 
+/// Shares in the log, and the change of them that is being committed.
+#[derive(Default)]
+struct SharesLog {
+    shares: Shares,
+    commit: Option<(Instant, Shares)>,
+}
+
+impl SharesLog {
+    /// Applies the change if it is committed by `now`; returns the shares if they have changed.
+    fn advance(&mut self, now: Instant) -> Option<&Shares> {
+        let (_, shares) = self.commit.take_if(|(due, _)| *due <= now)?;
+        self.shares = shares;
+        Some(&self.shares)
+    }
+
+    /// Begins to commit a change that the hub proposes.
+    fn propose(&mut self, shares: Option<Shares>, now: Instant) {
+        if let Some(shares) = shares {
+            self.commit = Some((now + COMMIT_DELAY, shares));
+        }
+    }
+
+    /// Applies the whole log, as a new leader does.
+    fn finish(&mut self) {
+        if let Some((_, shares)) = self.commit.take() {
+            self.shares = shares;
+        }
+    }
+}
+
 /// Gateways, a hub, a log, and the requests admitted within the window.
 pub(crate) struct World {
-    gateways: Vec<GatewayState>,
-    hub: Option<Hub>,
+    pub(super) gateways: Vec<GatewayState>,
+    pub(super) hub: Option<Hub>,
     /// When the next hub starts, if there is none.
     next_hub: Option<Instant>,
-    shares: Shares,
-    commit: Option<(Instant, Shares)>,
-    now: Instant,
+    standby_shares: SharesLog,
+    retry_shares: SharesLog,
+    pub(super) now: Instant,
     random: ChaCha8Rng,
     /// Percentage of replies that are lost.
     loss_percent: u64,
@@ -149,8 +182,8 @@
                 .collect(),
             hub: None,
             next_hub: None,
-            shares: Shares::default(),
-            commit: None,
+            standby_shares: SharesLog::default(),
+            retry_shares: SharesLog::default(),
             now,
             random: ChaCha8Rng::seed_from_u64(seed),
             loss_percent: 0,
@@ -170,7 +203,7 @@
         world
     }
 
-    fn random_below(&mut self, below: u64) -> u64 {
+    pub(super) fn random_below(&mut self, below: u64) -> u64 {
         self.random.next_u64() % below
     }
 
@@ -204,6 +237,7 @@
     fn start_hub(&mut self) {
         let tuning = Tuning {
             tolerance: TOLERANCE,
+            retries: Some(retries::ALLOWANCE),
             ..Tuning::default()
         };
         let number = self.random.next_u64();
@@ -221,7 +255,8 @@
             cold: false,
         };
         hub.set_server_list(Arc::new(ServerList::new(vec![server])));
-        hub.apply_standbys(&self.shares, self.now);
+        hub.apply_standbys(&self.standby_shares.shares, self.now);
+        hub.apply_retry_shares(&self.retry_shares.shares, self.now);
         self.hub = Some(hub);
         self.apply_table();
     }
@@ -233,7 +268,8 @@
         self.next_hub = None;
         // A change that is being committed may be lost.
         if self.random_below(2) == 0 {
-            self.commit = None;
+            self.standby_shares.commit = None;
+            self.retry_shares.commit = None;
         }
     }
 
@@ -254,6 +290,23 @@
         self.gateways[index].suspended_until = self.now + length;
     }
 
+    /// Restarts all gateways at once.
+    pub(crate) fn restart_all(&mut self) {
+        for index in 0..self.gateways.len() {
+            self.gateways[index] = GatewayState::new(index, self.now);
+        }
+    }
+
+    /// Suspends some gateways for up to 9 s.
+    pub(crate) fn suspend_some(&mut self) {
+        for index in 0..self.gateways.len() {
+            let length = Duration::from_millis(self.random_below(9_000));
+            if self.random_below(8) == 0 {
+                self.suspend(index, length);
+            }
+        }
+    }
+
     /// Returns a load far above the quota, about equal to it, or so low that the token buckets fill up.
     pub(crate) fn random_load(&mut self) -> f64 {
         match self.random_below(4) {
@@ -274,9 +327,7 @@
             2 => self.gateways[index] = GatewayState::new(index, self.now),
             // All gateways restart.
             3 if self.random_below(4) == 0 => {
-                for index in 0..self.gateways.len() {
-                    self.gateways[index] = GatewayState::new(index, self.now);
-                }
+                self.restart_all();
                 self.replace_hub();
             }
             // Another host replaces it for good.
@@ -300,38 +351,40 @@
     pub(crate) fn run_for(&mut self, time: Duration, load: f64) {
         let until = self.now + time;
         while self.now < until {
-            self.now = self.now + STEP;
-            self.advance_hub();
-            (0..self.gateways.len()).for_each(|index| self.poll_hub(index));
+            self.advance();
             self.update_waiting();
             self.send_requests(load);
         }
     }
 
+    /// Advances the time by a step, in which the hub and the gateways exchange polls and replies.
+    pub(super) fn advance(&mut self) {
+        self.now = self.now + STEP;
+        self.advance_hub();
+        (0..self.gateways.len()).for_each(|index| self.poll_hub(index));
+    }
+
     fn advance_hub(&mut self) {
         let now = self.now;
         if self.next_hub.is_some_and(|at| at <= now) {
             self.next_hub = None;
-            // A new leader has applied the whole log.
-            if let Some((_, shares)) = self.commit.take() {
-                self.shares = shares;
-            }
+            self.standby_shares.finish();
+            self.retry_shares.finish();
             self.start_hub();
         }
         let Some(hub) = &mut self.hub else {
             return;
         };
-        if let Some((due, _)) = &self.commit
-            && *due <= now
-            && let Some((_, shares)) = self.commit.take()
-        {
-            self.shares = shares;
-            hub.apply_standbys(&self.shares, now);
+        if let Some(shares) = self.standby_shares.advance(now) {
+            hub.apply_standbys(shares, now);
         }
-        hub.tick(now);
-        if let Some(shares) = hub.propose_standbys(now) {
-            self.commit = Some((now + COMMIT_DELAY, shares));
+        if let Some(shares) = self.retry_shares.advance(now) {
+            hub.apply_retry_shares(shares, now);
         }
+        hub.tick(now);
+        self.standby_shares.propose(hub.propose_standbys(now), now);
+        self.retry_shares
+            .propose(hub.propose_retry_shares(now), now);
     }
 
     /// Makes a gateway apply a reply that has arrived, discard one that is late, or poll again.
@@ -350,9 +403,13 @@
             if due <= now && !gateway_state.cut {
                 gateway_state.last_reply = reply.number;
                 gateway_state.reply_received = Some(now);
+                let asked_at = gateway_state.asked_at;
                 gateway_state
                     .limiter
-                    .set_share(reply.admission_share, gateway_state.asked_at, now);
+                    .set_share(reply.admission_share, asked_at, now);
+                gateway_state
+                    .retries
+                    .set_share(reply.retry_share, asked_at, now);
             } else if now.since(gateway_state.asked_at) < REPLY_TIMEOUT {
                 gateway_state.reply = Some((due, reply));
             }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod messages;
 pub(crate) mod replicas;
 pub(crate) mod requests;
+pub(crate) mod retries;
