--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -202,6 +202,11 @@
         self.occupancy.other_loads(host, incarnations)
     }
 
+    /// Returns the services that have servers here.
+    pub(super) fn services(&self) -> impl Iterator<Item = &id::Service> {
+        self.pools.keys()
+    }
+
     /// Returns whether a service has servers here.
     pub(super) fn has_service(&self, service: &id::Service) -> bool {
         self.pools.contains_key(service)
@@ -392,7 +397,7 @@
             server,
             permit,
             charged_to_limit: assignment.charged_to_limit,
-            includes_retry: reservation.retry_service.is_some(),
+            retries_left: reservation.retry.as_ref().map(|retry| retry.left),
         };
         Some((grant, reservation))
     }
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -19,6 +19,7 @@
 
 use super::Load;
 use super::Server;
+use super::retries::GrantedRetry;
 
 /// A gateway's request for a slot at a backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -73,8 +74,8 @@
     pub permit: Option<u64>,
     /// Whether the request was charged to a limit that the server announced.
     pub charged_to_limit: bool,
-    /// Whether the grant includes the retry that the gateway asked for.
-    pub includes_retry: bool,
+    /// If the grant includes the retry that the gateway asked for, how many the hub had left afterwards.
+    pub retries_left: Option<u32>,
 }
 
 /// What is reserved for a queued request, and released if it gets no slot.
@@ -84,8 +85,8 @@
     pub(super) charge: Option<Charge>,
     /// The permit to send the request, if its identity needs one.
     pub(super) permit: Option<Permit>,
-    /// The service to which a retry was acquired, if one was.
-    pub(super) retry_service: Option<id::Service>,
+    /// The retry, if the gateway asked for one.
+    pub(super) retry: Option<GrantedRetry>,
 }
 
 /// The id of a grant.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -30,6 +30,7 @@
 use super::dispatch::Dispatcher;
 use super::membership::MembershipHistory;
 use super::retries::Retries;
+use super::retries::RetryBlocks;
 use super::subset::ServerListDelta;
 use super::subset::Subset;
 use super::subset::SubsetSelector;
@@ -345,6 +346,16 @@
         self.retry_shares.propose(usize::MAX, now)
     }
 
+    /// Applies the committed blocks of retries.
+    pub fn apply_retry_blocks(&mut self, blocks: &RetryBlocks) {
+        self.retries.apply(blocks);
+    }
+
+    /// Returns the blocks of retries to commit if they should change.
+    pub fn propose_retry_blocks(&mut self, now: Instant) -> Option<RetryBlocks> {
+        self.retries.propose(self.dispatcher.services(), now)
+    }
+
     /// Applies the committed standbys.
     pub fn apply_standbys(&mut self, shares: &Shares, now: Instant) {
         self.standby_shares.apply(shares, now);
--- a/crates/core/src/gateway/polls.rs
+++ b/crates/core/src/gateway/polls.rs
@@ -181,8 +181,10 @@
         if poll.wants_whole_list && !self.all_can_be_standbys() {
             return 0.0;
         }
-        self.standby_shares
-            .on_reply(&poll.host, self.last_reply, now)
+        let share = self
+            .standby_shares
+            .on_reply(&poll.host, self.last_reply, now);
+        share.fraction
     }
 
     /// Returns the standbys if the gateway knows others.
--- a/crates/core/src/gateway/shares.rs
+++ b/crates/core/src/gateway/shares.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// A gateway's share as a reply announces it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GatewayShare {
+    /// The share, from 0 to 1.
+    pub fraction: f64,
+    /// Whether no process has held this share before, so that nothing of it is used.
+    pub never_held: bool,
+}
+
 /// The replies sent to a gateway and the one it has acknowledged.
 #[derive(Clone, Copy, Debug)]
 struct GatewayReplies {
@@ -76,6 +85,8 @@
     /// When the last change was proposed.
     changed_at: Instant,
     replies: BTreeMap<Host, GatewayReplies>,
+    /// The holders of the first shares of all that have received no reply with a share.
+    never_held: BTreeSet<Host>,
     /// The last result of [`ShareAllocator::hub_share`], and until when it is valid.
     hub_share: Option<(f64, Instant)>,
 }
@@ -91,6 +102,7 @@
             proposed: None,
             changed_at: now,
             replies: BTreeMap::new(),
+            never_held: BTreeSet::new(),
             hub_share: None,
         }
     }
@@ -103,6 +115,10 @@
         if shares.count > self.shares.count {
             self.grown_at = now;
         }
+        // What was not proposed here may have been held under another leader.
+        if self.shares.count == 0 && self.proposed.as_ref() == Some(shares) {
+            self.never_held.clone_from(&shares.holders);
+        }
         self.shares = shares.clone();
         self.proposed = None;
         self.hub_share = None;
@@ -124,7 +140,7 @@
     }
 
     /// Records that the reply `number` is sent to a gateway, and returns the gateway's share.
-    pub fn on_reply(&mut self, host: &Host, number: u64, now: Instant) -> f64 {
+    pub fn on_reply(&mut self, host: &Host, number: u64, now: Instant) -> GatewayShare {
         let acknowledged_at = self.acknowledged_at(host);
         let last_reply = (number, now);
         self.replies.insert(
@@ -135,10 +151,14 @@
             },
         );
         let stays = |next: &Shares| next.holders.contains(host);
-        if self.proposed.as_ref().is_none_or(stays) {
+        let fraction = if self.proposed.as_ref().is_none_or(stays) {
             self.shares.share_of(host)
         } else {
             0.0
+        };
+        GatewayShare {
+            fraction,
+            never_held: fraction > 0.0 && self.never_held.remove(host),
         }
     }
 
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -53,14 +53,14 @@
         let mut reservation = Reservation {
             charge: None,
             permit,
-            retry_service: None,
+            retry: None,
         };
         if request.needs_retry {
-            if !self.retries.acquire(&request.service, now) {
+            reservation.retry = self.retries.acquire(&request.service, now);
+            if reservation.retry.is_none() {
                 self.release(reservation, now);
                 return SlotDecision::NoRetry;
             }
-            reservation.retry_service = Some(request.service.clone());
         }
         self.reserve_for_standbys(now);
         if let Some(charge) = &request.charge {
@@ -83,7 +83,7 @@
     }
 
     /// Returns how many retries to a service the hub has left.
-    pub fn retries_left(&mut self, service: &id::Service, now: Instant) -> f64 {
+    pub fn retries_left(&mut self, service: &id::Service, now: Instant) -> u32 {
         self.retries.left(service, now)
     }
 
@@ -142,8 +142,8 @@
         if let Some(permit) = reservation.permit {
             self.tracker.release_permit(&permit);
         }
-        if let Some(service) = reservation.retry_service {
-            self.retries.release(&service);
+        if let Some(retry) = reservation.retry {
+            self.retries.release(&retry);
         }
     }
 
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -14,6 +14,7 @@
 use crate::state::Publication;
 use crate::unit::Tokens;
 
+use super::GatewayShare;
 use super::GrantId;
 use super::MembershipUpdate;
 use super::ServerList;
@@ -123,7 +124,7 @@
     /// How long the hub may hold the gateway's next poll until there is an update.
     pub poll_timeout: Duration,
     /// The gateway's share, 0 to 1, of the retries that gateways may send without the hub.
-    pub retry_share: f64,
+    pub retry_share: GatewayShare,
     /// The gateway's share, 0 to 1, of the requests that gateways may admit without the hub.
     pub admission_share: f64,
     /// The standbys, if the gateway knows others.
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -26,6 +26,7 @@
 pub use request::Request;
 pub use request::Ticket;
 pub use retry_budget::Balance;
+pub use retry_budget::GATEWAYS_MIN_RETRIES_FRACTION;
 pub use retry_budget::RetryAllowance;
 pub use retry_budget::RetryBudget;
 pub use server_health::ServerHealth;
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -11,6 +11,7 @@
 use crate::config::Right;
 use crate::config::Snapshot;
 use crate::evacuation::EvacuatedHalls;
+use crate::gateway::RetryBlocks;
 use crate::gateway::Shares;
 use crate::id;
 use crate::lang;
@@ -78,6 +79,8 @@
     #[serde(rename = "parts")]
     retry_shares: Shares,
     #[serde(default)]
+    retry_blocks: RetryBlocks,
+    #[serde(default)]
     #[serde(rename = "deputies")]
     standbys: Shares,
     #[serde(default)]
@@ -114,6 +117,10 @@
                 self.retry_shares = shares.clone();
                 Ok(self.snapshot.revision)
             }
+            Record::RetryBlocks(blocks) => {
+                self.retry_blocks = blocks.clone();
+                Ok(self.snapshot.revision)
+            }
             Record::Standbys(standbys) => {
                 self.standbys = standbys.clone();
                 Ok(self.snapshot.revision)
@@ -202,6 +209,12 @@
         &self.retry_shares
     }
 
+    /// The blocks of retries that hubs have drawn.
+    #[must_use]
+    pub fn get_retry_blocks(&self) -> &RetryBlocks {
+        &self.retry_blocks
+    }
+
     /// The standby gateways: those that hold a share of what may be admitted without the hub.
     #[must_use]
     pub fn get_standbys(&self) -> &Shares {
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::evacuation;
+use crate::gateway::RetryBlocks;
 use crate::gateway::Shares;
 use crate::id;
 use crate::quarantine;
@@ -45,6 +46,8 @@
     /// The gateways that hold a share of the retries, which they may use without the hub.
     #[serde(rename = "Parts")]
     RetryShares(Shares),
+    /// The blocks of retries that hubs have drawn.
+    RetryBlocks(RetryBlocks),
     /// The standby gateways: those that hold a share of what may be admitted without the hub.
     #[serde(rename = "Deputies")]
     Standbys(Shares),
--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -5,6 +5,7 @@
 use curlewlift_core::clock::Instant;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
+use curlewlift_core::quota::Share;
 
 const ALLOWANCE: RetryAllowance = RetryAllowance {
     ratio: 0.2,
@@ -14,6 +15,20 @@
 
 const GATEWAYS: u32 = 12;
 
+/// How many of the minimum number of retries all gateways together may use.
+const GATEWAYS_MIN_RETRIES: usize = 12;
+
+/// Sets a gateway's share by a reply to a poll that was sent at `now`.
+fn hold(budget: &mut RetryBudget, share: f64, now: Instant) {
+    let mut held = Share::default();
+    held.set(share, now);
+    budget.set_share(held, false, now);
+}
+
+fn acquire_all(budget: &mut RetryBudget, now: Instant) -> usize {
+    (0..10_000).filter(|_| budget.try_acquire(now)).count()
+}
+
 /// When everything fails, each request needs two retries.
 #[test]
 fn everything_fails() {
@@ -23,9 +38,10 @@
         for step in 0..10_u64 {
             let now = Instant((second * 10 + step) * 100_000);
             for budget in &mut budgets {
+                hold(budget, 1.0 / f64::from(GATEWAYS), now);
                 budget.count_request(now);
                 for _ in 0..2 {
-                    if budget.try_acquire(1.0 / f64::from(GATEWAYS), now) {
+                    if budget.try_acquire(now) {
                         retries.push(now.0);
                     }
                 }
@@ -46,26 +62,56 @@
     );
 }
 
+/// A share counts as used for one window after it is gained: its former holder may have used it.
 #[test]
 fn minimum_needs_share() {
     let mut budget = RetryBudget::new(ALLOWANCE);
-    let now = Instant::default();
-    budget.count_request(now);
+    let at = |millis| Instant::default() + Duration::from_millis(millis);
+    budget.count_request(at(0));
     assert!(
-        !budget.try_acquire(0.0, now),
+        !budget.try_acquire(at(20_000)),
         "no minimum number of retries without a share of it"
     );
-    assert!(budget.try_acquire(1.0, now));
+    hold(&mut budget, 1.0, at(20_000));
+    hold(&mut budget, 1.0, at(29_000));
+    assert!(!budget.try_acquire(at(29_999)));
+    assert_eq!(acquire_all(&mut budget, at(30_100)), GATEWAYS_MIN_RETRIES);
+}
+
+/// A share that has expired, or was taken away, is gained anew.
+#[test]
+fn share_regained() {
+    let at = |millis| Instant::default() + Duration::from_millis(millis);
+    for lost in [false, true] {
+        let mut budget = RetryBudget::new(ALLOWANCE);
+        hold(&mut budget, 1.0, at(0));
+        if lost {
+            hold(&mut budget, 0.0, at(9_000));
+            hold(&mut budget, 1.0, at(9_100));
+        }
+        hold(&mut budget, 1.0, at(19_000));
+        hold(&mut budget, 1.0, at(28_000));
+        assert!(!budget.try_acquire(at(19_050)), "lost: {lost}");
+        assert!(budget.try_acquire(at(29_050)), "lost: {lost}");
+    }
 }
 
 #[test]
 fn window_passes() {
     let mut budget = RetryBudget::new(ALLOWANCE);
-    let acquired =
-        |budget: &mut RetryBudget, now| (0..100).filter(|_| budget.try_acquire(1.0, now)).count();
-    assert_eq!(acquired(&mut budget, Instant::default()), 30);
-    assert_eq!(acquired(&mut budget, Instant(5_000_000)), 0);
-    assert_eq!(acquired(&mut budget, Instant(10_000_001)), 30);
+    for second in 0..30 {
+        hold(&mut budget, 1.0, Instant(second * 1_000_000));
+    }
+    assert_eq!(
+        acquire_all(&mut budget, Instant(11_000_000)),
+        GATEWAYS_MIN_RETRIES
+    );
+    assert_eq!(acquire_all(&mut budget, Instant(16_000_000)), 0);
+    assert_eq!(acquire_all(&mut budget, Instant(20_999_999)), 0);
+    assert_eq!(
+        acquire_all(&mut budget, Instant(21_050_001)),
+        GATEWAYS_MIN_RETRIES
+    );
 }
 
 /// A step's retries count until the last of them leaves the window. They once left with the beginning of the step, so
@@ -75,20 +121,43 @@
 fn no_step_too_early() {
     let mut budget = RetryBudget::new(ALLOWANCE);
     let at = |millis| Instant::default() + Duration::from_millis(millis);
+    hold(&mut budget, 1.0, at(0));
     for _ in 0..1_000 {
         budget.count_request(at(0));
     }
     // Retries at the end of the first step, and as soon as its beginning has left the window.
-    let early = (0..1_000)
-        .filter(|_| budget.try_acquire(1.0, at(950)))
-        .count();
-    let late = (0..1_000)
-        .filter(|_| budget.try_acquire(1.0, at(10_000)))
-        .count();
+    let early = acquire_all(&mut budget, at(950));
+    let late = acquire_all(&mut budget, at(10_000));
+    let at_step_end = acquire_all(&mut budget, at(10_949));
     let max_retries = ALLOWANCE.min_retries + ALLOWANCE.ratio * 1_000.0;
-    let total = u32::try_from(early + late).expect("count fits into u32");
+    let total = u32::try_from(early + late + at_step_end).expect("count fits into u32");
     assert!(
         f64::from(total) <= max_retries,
-        "{early} and {late} of {max_retries}"
+        "{early}, {late} and {at_step_end} of {max_retries}"
     );
 }
+
+/// A request pays for retries in the window in which it was sent and in the next one, half of its credit in each. One
+/// that was read late counts as of when it was sent.
+#[test]
+fn credit_expires() {
+    let at = |millis| Instant::default() + Duration::from_millis(millis);
+    let mut budget = RetryBudget::new(ALLOWANCE);
+    for _ in 0..100 {
+        budget.count_request(at(20_000));
+    }
+    for (millis, expected) in [(20_000, 10), (29_999, 10), (30_000, 0)] {
+        assert_eq!(
+            acquire_all(&mut budget.clone(), at(millis)),
+            expected,
+            "{millis} ms"
+        );
+    }
+    assert!(budget.try_acquire(at(25_000)));
+    assert_eq!(acquire_all(&mut budget.clone(), at(29_900)), 9);
+    budget.count_request(at(45_000));
+    for _ in 0..100 {
+        budget.count_request(at(41_000));
+    }
+    assert_eq!(acquire_all(&mut budget, at(50_900)), 10);
+}
--- a/crates/core/tests/retry_histories.rs
+++ b/crates/core/tests/retry_histories.rs
@@ -83,3 +83,48 @@
         assert_within_budget(&record, seed);
     }
 }
+
+/// Gateways and hubs restart, are suspended and cut off, shares and callers move, grants and replies are lost.
+#[test]
+fn any_history() {
+    let count = std::env::var("HISTORIES").map_or(40, |count| count.parse().expect("a number"));
+    for (seed, gateways) in (0..count).zip([3, 12, 30, 70].into_iter().cycle()) {
+        let mut world = World::new(gateways, seed);
+        let mut record = Record::default();
+        for step in 0..50 {
+            if step > 5 {
+                world.inject_fault();
+                world.suspend_some();
+            }
+            let load = world.random_retry_load();
+            world.retry_for(Duration::from_millis(900), &load, &mut record);
+        }
+        assert_within_budget(&record, seed);
+    }
+}
+
+/// While everything fails, the budget is used to four fifths, wherever the callers are.
+#[test]
+fn budget_used() {
+    let hosts = [all(), vec![0], vec![0, 5, 7]];
+    for (seed, (hosts, total)) in hosts
+        .iter()
+        .flat_map(|hosts| [20.0, 150.0, 600.0].map(|total| (hosts, total)))
+        .enumerate()
+    {
+        let seed = seed as u64;
+        let mut world = World::new(GATEWAYS, seed);
+        let mut record = Record::default();
+        world.retry_for(seconds(25), &even(hosts, total, 0), &mut record);
+        world.retry_for(seconds(20), &even(hosts, total, 100), &mut record);
+        assert_within_budget(&record, seed);
+        let used = f64::from(record.retries_since(seconds(35)));
+        let requests = f64::from(record.requests_since(seconds(35)));
+        let allowance = support::retries::ALLOWANCE;
+        let allowed = allowance.min_retries + allowance.ratio * requests;
+        assert!(
+            used >= 0.8 * allowed,
+            "{total} requests a second at {hosts:?}: {used} of {allowed}"
+        );
+    }
+}
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::Reply;
+use curlewlift_core::gateway::RetryBlocks;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::ServerList;
 use curlewlift_core::gateway::Shares;
@@ -114,32 +115,32 @@
     }
 }
 
-/// Shares in the log, and the change of them that is being committed.
+/// A value in the log, and the change of it that is being committed.
 #[derive(Default)]
-struct SharesLog {
-    shares: Shares,
-    commit: Option<(Instant, Shares)>,
+struct Logged<T> {
+    value: T,
+    commit: Option<(Instant, T)>,
 }
 
-impl SharesLog {
-    /// Applies the change if it is committed by `now`; returns the shares if they have changed.
-    fn advance(&mut self, now: Instant) -> Option<&Shares> {
-        let (_, shares) = self.commit.take_if(|(due, _)| *due <= now)?;
-        self.shares = shares;
-        Some(&self.shares)
+impl<T> Logged<T> {
+    /// Applies the change if it is committed by `now`; returns the value if it has changed.
+    fn advance(&mut self, now: Instant) -> Option<&T> {
+        let (_, value) = self.commit.take_if(|(due, _)| *due <= now)?;
+        self.value = value;
+        Some(&self.value)
     }
 
     /// Begins to commit a change that the hub proposes.
-    fn propose(&mut self, shares: Option<Shares>, now: Instant) {
-        if let Some(shares) = shares {
-            self.commit = Some((now + COMMIT_DELAY, shares));
+    fn propose(&mut self, value: Option<T>, now: Instant) {
+        if let Some(value) = value {
+            self.commit = Some((now + COMMIT_DELAY, value));
         }
     }
 
     /// Applies the whole log, as a new leader does.
     fn finish(&mut self) {
-        if let Some((_, shares)) = self.commit.take() {
-            self.shares = shares;
+        if let Some((_, value)) = self.commit.take() {
+            self.value = value;
         }
     }
 }
@@ -150,8 +151,9 @@
     pub(super) hub: Option<Hub>,
     /// When the next hub starts, if there is none.
     next_hub: Option<Instant>,
-    standby_shares: SharesLog,
-    retry_shares: SharesLog,
+    standby_shares: Logged<Shares>,
+    retry_shares: Logged<Shares>,
+    retry_blocks: Logged<RetryBlocks>,
     pub(super) now: Instant,
     random: ChaCha8Rng,
     /// Percentage of replies that are lost.
@@ -182,8 +184,9 @@
                 .collect(),
             hub: None,
             next_hub: None,
-            standby_shares: SharesLog::default(),
-            retry_shares: SharesLog::default(),
+            standby_shares: Logged::default(),
+            retry_shares: Logged::default(),
+            retry_blocks: Logged::default(),
             now,
             random: ChaCha8Rng::seed_from_u64(seed),
             loss_percent: 0,
@@ -255,8 +258,9 @@
             cold: false,
         };
         hub.set_server_list(Arc::new(ServerList::new(vec![server])));
-        hub.apply_standbys(&self.standby_shares.shares, self.now);
-        hub.apply_retry_shares(&self.retry_shares.shares, self.now);
+        hub.apply_standbys(&self.standby_shares.value, self.now);
+        hub.apply_retry_shares(&self.retry_shares.value, self.now);
+        hub.apply_retry_blocks(&self.retry_blocks.value);
         self.hub = Some(hub);
         self.apply_table();
     }
@@ -270,6 +274,7 @@
         if self.random_below(2) == 0 {
             self.standby_shares.commit = None;
             self.retry_shares.commit = None;
+            self.retry_blocks.commit = None;
         }
     }
 
@@ -370,6 +375,7 @@
             self.next_hub = None;
             self.standby_shares.finish();
             self.retry_shares.finish();
+            self.retry_blocks.finish();
             self.start_hub();
         }
         let Some(hub) = &mut self.hub else {
@@ -381,10 +387,15 @@
         if let Some(shares) = self.retry_shares.advance(now) {
             hub.apply_retry_shares(shares, now);
         }
+        if let Some(blocks) = self.retry_blocks.advance(now) {
+            hub.apply_retry_blocks(blocks);
+        }
         hub.tick(now);
         self.standby_shares.propose(hub.propose_standbys(now), now);
         self.retry_shares
             .propose(hub.propose_retry_shares(now), now);
+        self.retry_blocks
+            .propose(hub.propose_retry_blocks(now), now);
     }
 
     /// Makes a gateway apply a reply that has arrived, discard one that is late, or poll again.
@@ -409,7 +420,7 @@
                     .set_share(reply.admission_share, asked_at, now);
                 gateway_state
                     .retries
-                    .set_share(reply.retry_share, asked_at, now);
+                    .set_share(&reply.retry_share, asked_at, now);
             } else if now.since(gateway_state.asked_at) < REPLY_TIMEOUT {
                 gateway_state.reply = Some((due, reply));
             }
--- a/crates/core/tests/support/retries.rs
+++ b/crates/core/tests/support/retries.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::GatewayShare;
+use curlewlift_core::gateway::RETRY_GRANT_LIFETIME;
 use curlewlift_core::gateway::SlotDecision;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::pool::RetryAllowance;
@@ -45,7 +47,6 @@
 /// The retry budget of a gateway, and the requests that it has not decided on.
 pub(crate) struct GatewayRetries {
     budget: RetryBudget,
-    share: Share,
     /// Requests that have arrived, by when they were sent.
     unread: Vec<Instant>,
     /// Requests in the hub's queue that no server takes, and when they leave it.
@@ -57,28 +58,30 @@
     pub(super) fn new(_now: Instant) -> Self {
         Self {
             budget: RetryBudget::new(ALLOWANCE),
-            share: Share::default(),
             unread: Vec::new(),
             queued: Vec::new(),
             connecting: Vec::new(),
         }
     }
 
-    pub(super) fn set_share(&mut self, share: f64, polled_at: Instant, _now: Instant) {
-        self.share.set(share, polled_at);
+    pub(super) fn set_share(&mut self, announced: &GatewayShare, polled_at: Instant, now: Instant) {
+        let mut share = Share::default();
+        share.set(announced.fraction, polled_at);
+        self.budget.set_share(share, announced.never_held, now);
     }
 
-    fn read_request(&mut self, _sent_at: Instant, now: Instant) {
-        self.budget.count_request(now);
+    fn read_request(&mut self, sent_at: Instant) {
+        self.budget.count_request(sent_at);
     }
 
     fn allows(&mut self, now: Instant) -> bool {
-        self.budget.allows(self.share.get(now), now)
+        self.budget.allows(now)
     }
 
     /// Charges a retry that is sent now; false if it must not be sent.
     fn charge(&mut self, retry: Retry, now: Instant) -> bool {
-        retry.granted.is_some() || self.budget.try_acquire(self.share.get(now), now)
+        let is_granted = |asked_at: Instant| now.since(asked_at) < RETRY_GRANT_LIFETIME;
+        retry.granted.is_some_and(is_granted) || self.budget.try_acquire(now)
     }
 }
 
@@ -229,10 +232,9 @@
 
     /// Reads what has arrived, and sends each request once.
     fn read_requests(&mut self, index: usize, load: &Load) {
-        let now = self.now;
         let unread = std::mem::take(&mut self.gateways[index].retries.unread);
         for sent_at in unread {
-            self.gateways[index].retries.read_request(sent_at, now);
+            self.gateways[index].retries.read_request(sent_at);
             if self.is_failing(load) {
                 self.prepare_retry(index, 2);
             }
--- a/crates/core/tests/thousand_gateways.rs
+++ b/crates/core/tests/thousand_gateways.rs
@@ -18,6 +18,7 @@
 use curlewlift_core::gateway::Membership;
 use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::Reply;
+use curlewlift_core::gateway::RetryBlocks;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::ServerList;
 use curlewlift_core::gateway::ServerListCache;
@@ -28,6 +29,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
+use curlewlift_core::quota::Share;
 use curlewlift_core::state::Publication;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -431,7 +433,9 @@
     for seed in 0..5 {
         let mut random = SmallRng::seed_from_u64(seed);
         let mut hub = new_hub(ms(0));
+        let mut blocks = RetryBlocks::default();
         let mut budgets = vec![RetryBudget::new(RETRY_ALLOWANCE); GATEWAYS];
+        let mut share = Share::default();
         let mut first_attempts: VecDeque<Instant> = VecDeque::new();
         let mut retries: VecDeque<Instant> = VecDeque::new();
         let (mut needed_retries, mut sent_retries) = (0, 0);
@@ -439,6 +443,11 @@
             let now = ms(step * 10);
             if random.random_range(0..800) == 0 {
                 hub = new_hub(now);
+                hub.apply_retry_blocks(&blocks);
+            }
+            if let Some(proposed) = hub.propose_retry_blocks(now) {
+                blocks = proposed;
+                hub.apply_retry_blocks(&blocks);
             }
             // A period in which nearly every attempt fails.
             let failure_rate = if (2_000..2_600).contains(&step) {
@@ -448,13 +457,15 @@
             };
             for _ in 0..5 {
                 let index = random.random_range(0..GATEWAYS);
+                share.set(1.0 / 1_119.0, now);
+                budgets[index].set_share(share, false, now);
                 budgets[index].count_request(now);
                 first_attempts.push_back(now);
                 if !random.random_bool(failure_rate) {
                     continue;
                 }
                 needed_retries += 1;
-                let is_sent = budgets[index].try_acquire(1.0 / 1_119.0, now) || {
+                let is_sent = budgets[index].try_acquire(now) || {
                     let request = SlotRequest {
                         needs_retry: true,
                         ..messages::slot_request(&host(index))
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -265,6 +265,7 @@
                 }
             }
             Record::RetryShares(_) | Record::Standbys(_) => self.apply_shares(),
+            Record::RetryBlocks(_) => self.apply_retry_blocks(),
             Record::Rollout(step) => self.apply_rollout_step(&step, &plans, term),
             Record::Quarantine(steps) => self.apply_quarantine_steps(&steps),
             Record::Evacuation(order) => self.apply_evacuation_order(&order),
@@ -324,6 +325,7 @@
                 self.hub = Some(Hub::new(gateways.tuning, now).with_id(hub_id));
                 self.apply_table();
                 self.apply_shares();
+                self.apply_retry_blocks();
                 self.apply_plans(None);
                 self.apply_evacuated_halls();
                 self.apply_quarantine_steps(&[]);
--- a/crates/curlewlift/src/control/shares.rs
+++ b/crates/curlewlift/src/control/shares.rs
@@ -1,4 +1,4 @@
-//! The shares of the retry budget that gateways hold: proposals of the leader, and their application.
+//! What gateways and hubs hold of the retry budget, and the standbys: proposals of the leader, and their application.
 
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
@@ -24,7 +24,14 @@
         self.updates.notify_waiters();
     }
 
-    /// Proposes changes to the shares and standbys.
+    /// Updates the hub to the committed blocks of retries.
+    pub(super) fn apply_retry_blocks(&mut self) {
+        if let Some(hub) = &mut self.hub {
+            hub.apply_retry_blocks(self.machine.get_retry_blocks());
+        }
+    }
+
+    /// Proposes changes to the shares, the standbys and the blocks of retries.
     pub(super) fn propose_shares(&mut self) {
         let now = self.clock.now();
         let Some(hub) = &mut self.hub else {
@@ -32,10 +39,11 @@
         };
         let shares = hub.propose_retry_shares(now).map(Record::RetryShares);
         let standbys = hub.propose_standbys(now).map(Record::Standbys);
-        for record in shares.into_iter().chain(standbys) {
+        let blocks = hub.propose_retry_blocks(now).map(Record::RetryBlocks);
+        for record in shares.into_iter().chain(standbys).chain(blocks) {
             // A proposal is lost only with this leader, and then the hub that waits for it is gone too.
             if let Err(why) = self.propose(&record) {
-                log::warn!("cannot propose new retry shares or standbys: {why}");
+                log::warn!("cannot propose new retry shares, retry blocks or standbys: {why}");
             }
         }
     }
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -98,7 +98,8 @@
     let decision = hub.request_slot(request, now);
     if let Some(service) = retried {
         let left = hub.retries_left(&service, now);
-        metrics::gauge!("curlewlift_hub_retries_left", "service" => service.to_string()).set(left);
+        metrics::gauge!("curlewlift_hub_retries_left", "service" => service.to_string())
+            .set(f64::from(left));
     }
     let (ticket, displaced) = match decision {
         SlotDecision::Queued(ticket, displaced) => (ticket, displaced),
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -31,6 +31,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::deadline::Arrival;
 use super::deadline::Deadline;
 use super::dialect::RequestHead;
 use super::log::Line;
@@ -129,10 +130,10 @@
 pub(super) async fn admit(
     node: &Node,
     request: Request<Incoming>,
-    arrived: clock::Instant,
+    arrived: Arrival,
     head_fields: RequestHead,
 ) -> Result<Admitted, Refused> {
-    let table = current_table(node, arrived, &head_fields).await?;
+    let table = current_table(node, arrived.at, &head_fields).await?;
     let rule = find_rule(&table, &request)?;
     let policy = find_policy(&table, &rule, &head_fields)?;
     let time_limit = head_fields
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -186,6 +186,7 @@
 async fn scan_queues(node: Rc<Node>) {
     loop {
         tokio::time::sleep(QUEUE_SCAN_INTERVAL).await;
+        node.progress.set(node.progress.get().next(node.now()));
         if node.queue_len() > 0 {
             node.assign_all_slots();
         }
--- a/crates/curlewlift/src/gateway/deadline.rs
+++ b/crates/curlewlift/src/gateway/deadline.rs
@@ -7,6 +7,15 @@
 
 use crate::process::Clock;
 
+/// When a request arrived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    /// When its head was read.
+    pub(super) at: clock::Instant,
+    /// A time before its caller sent it: a host that was suspended or busy reads requests late.
+    pub(super) sent_after: clock::Instant,
+}
+
 /// The deadline of a request, by a clock that keeps running while the host is suspended.
 ///
 /// A timer that was set before a suspension fires late by the length of the suspension. Code that sends a
@@ -15,14 +24,14 @@
 pub(super) struct Deadline {
     clock: Clock,
     /// When the request arrived.
-    pub(super) arrived: clock::Instant,
+    pub(super) arrived: Arrival,
     /// The time that the request may take from its arrival.
     limit: Duration,
 }
 
 impl Deadline {
     /// The deadline of a request that arrived at `arrived` and may take `limit`.
-    pub(super) fn new(clock: Clock, arrived: clock::Instant, limit: Duration) -> Self {
+    pub(super) fn new(clock: Clock, arrived: Arrival, limit: Duration) -> Self {
         Self {
             clock,
             arrived,
@@ -32,7 +41,7 @@
 
     /// The time since the request arrived.
     pub(super) fn elapsed(&self) -> Duration {
-        self.clock.now().since(self.arrived)
+        self.clock.now().since(self.arrived.at)
     }
 
     /// The time left until the deadline; zero once it has passed.
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -61,6 +61,8 @@
     NotSent(String),
     /// It was not sent: meanwhile the server became unavailable to this host, for example by asking for a backoff.
     ServerUnavailable,
+    /// It was not sent: it is a retry, and meanwhile the retry budget was used up.
+    RetryDenied,
     /// The server reported that it did not run the request; `moved` if another incarnation has the address.
     NotRun { moved: bool, status: u16 },
     /// It may have run, and the server closed the connection before the response was complete.
@@ -83,16 +85,17 @@
     pub(super) first_byte: Duration,
 }
 
-/// Sends the request that `build_request` returns to the server of `slot`, and waits for the head of the response.
+/// Sends the request that `prepare` returns to the server of `slot`, and waits for the head of the response. `prepare`
+/// charges a retry to the retry budget, and returns nothing if none is left.
 ///
-/// The request is built after the connection is established: the host may be suspended meanwhile, and the server
-/// must not be given more time than is left.
+/// The request is prepared after the connection is established: the host may be suspended meanwhile, the server must
+/// not be given more time than is left, and a retry counts in the window in which it is sent.
 ///
 /// # Errors
 ///
 /// Returns whether the request may have run, with the slot, so that the caller can record the attempt's outcome.
 pub(super) async fn send(
-    build_request: impl FnOnce(&Slot) -> Request<Full<Bytes>>,
+    prepare: impl FnOnce(&Slot) -> Option<Request<Full<Bytes>>>,
     slot: Slot,
     dialect: Dialect,
     deadline: &Deadline,
@@ -115,7 +118,9 @@
     if slot.is_unavailable() {
         return Err((Failure::ServerUnavailable, slot));
     }
-    let request = build_request(&slot);
+    let Some(request) = prepare(&slot) else {
+        return Err((Failure::RetryDenied, slot));
+    };
     let until = deadline.timer_instant();
     let sent_at = Instant::now();
     match await_head(&mut sender, request, &slot, until, silence_limit).await {
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -42,7 +42,7 @@
             .write();
         drop(slot);
         match failure {
-            Failure::ServerUnavailable => {
+            Failure::ServerUnavailable | Failure::RetryDenied => {
                 self.tried.pop();
                 Ok(Step::Retry)
             }
@@ -212,6 +212,10 @@
             AttemptOutcome::Unknown,
             "the server does not accept requests now".to_owned(),
         ),
+        Failure::RetryDenied => (
+            AttemptOutcome::Unknown,
+            "the retry budget was used up before the request was sent".to_owned(),
+        ),
         Failure::NotRun { moved: true, .. } => (
             AttemptOutcome::Gone,
             "another incarnation has the server's address".to_owned(),
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -94,9 +94,7 @@
 
     /// Sends the request until there is a response for the caller.
     pub(super) async fn run(mut self) -> Answer {
-        let now = self.node.now();
-        self.node
-            .with_service(&self.service, |service| service.budget.count_request(now));
+        self.count_request();
         loop {
             if self.admitted.deadline.is_past() {
                 let refusal = self.deadline_refusal();
@@ -106,7 +104,7 @@
                 Ok(slot) => slot,
                 Err(refusal) => return self.refusal_response(&refusal),
             };
-            if self.attempts() > 0 && !self.acquire_retry(&slot) {
+            if !self.may_send(&slot) {
                 drop(slot);
                 let refusal = self.retry_budget_refusal();
                 return self.refusal_response(&refusal);
@@ -140,7 +138,7 @@
         let pool_request = pool::Request {
             rule: None,
             rank: admitted.rank(),
-            arrived: admitted.deadline.arrived,
+            arrived: admitted.deadline.arrived.at,
             send_by: now + send_within,
             wait_until: now + max_wait,
             prompt: admitted.prompt(),
@@ -168,12 +166,16 @@
         }
     }
 
-    /// Builds the request for the server of `slot`, with the time that is left.
-    pub(super) fn build_request(
+    /// Charges the attempt to the retry budget, and builds the request for the server of `slot` with the time that is
+    /// left. Returns nothing if the attempt is a retry and none is left.
+    pub(super) fn prepare(
         &self,
         slot: &Slot,
         last_event_id: Option<&str>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Option<Request<Full<Bytes>>> {
+        if !self.charge_attempt(slot) {
+            return None;
+        }
         let admitted = &self.admitted;
         let policy = admitted.policy.as_ref();
         let backend_head = BackendHead {
@@ -182,12 +184,12 @@
             customer: policy.map(|policy| policy.name.as_str()),
             last_event_id,
         };
-        outgoing::build_request(
+        Some(outgoing::build_request(
             &admitted.head,
             &admitted.body,
             self.node.dialect,
             &backend_head,
-        )
+        ))
     }
 
     /// How long the server may stay silent before it counts as timed out.
@@ -214,10 +216,10 @@
             .with("left_alone_ms", millis(slot.avoid_time()));
         log_limit(line, &slot.server_limit()).write();
         self.tried.push(Arc::clone(&slot.server.incarnation));
-        let build_request = |slot: &Slot| self.build_request(slot, None);
+        let prepare = |slot: &Slot| self.prepare(slot, None);
         let deadline = &self.admitted.deadline;
         let sent = exchange::send(
-            build_request,
+            prepare,
             slot,
             self.node.dialect,
             deadline,
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use curlewlift_core::clock;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::AttemptEnd;
@@ -62,8 +63,8 @@
 
 /// How the hub decided on a slot request.
 pub(super) enum HubDecision {
-    /// The request is to be sent to the server of this grant.
-    Granted(Grant),
+    /// The request is to be sent to the server of this grant, which was asked for at this time.
+    Granted(Grant, clock::Instant),
     /// No slot came free within the wait limit.
     NoSlot,
     /// The customer's quota is used up; it suffices again after this time.
@@ -104,7 +105,7 @@
         Some(Ok(HubReply::Slot(Some(grant)))) => {
             // After this host was suspended, the slot may have been granted to others meanwhile.
             let is_late = node.now().since(sent_at) > wait_limit + DELIVERY_MARGIN;
-            node.accept_grant(context, grant, request.prompt, is_late)
+            node.accept_grant(context, grant, request.prompt, sent_at, is_late)
         }
         Some(Ok(HubReply::Slot(None))) => HubDecision::NoSlot,
         Some(Ok(HubReply::QuotaExceeded(retry_after))) => HubDecision::QuotaExceeded(retry_after),
@@ -190,6 +191,7 @@
         context: AttemptContext<'_>,
         grant: Grant,
         prompt: Tokens,
+        asked_at: clock::Instant,
         is_late: bool,
     ) -> HubDecision {
         let service = context.service;
@@ -213,7 +215,7 @@
             !is_late && !is_unavailable && service.pool.accept_grant(&server, prompt, now)
         };
         if self.with_service(service, accept) == Some(true) {
-            return HubDecision::Granted(grant);
+            return HubDecision::Granted(grant, asked_at);
         }
         if let Some(permit) = grant.permit {
             let identity = context.identity.clone();
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -21,10 +21,10 @@
 use curlewlift_core::limit;
 use curlewlift_core::pool::FirstByteTime;
 use curlewlift_core::pool::RetryAllowance;
+use curlewlift_core::pool::RetryBudget;
 use curlewlift_core::quarantine;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::LocalLimiter;
-use curlewlift_core::quota::Share;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Regions;
@@ -73,6 +73,26 @@
     pub(super) fetches_list: bool,
 }
 
+/// When the process was last seen to run. Tasks run in turn, so what is read now arrived after the former of two such
+/// times.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Progress {
+    /// The time before the last.
+    pub(super) former: clock::Instant,
+    /// The last time.
+    last: clock::Instant,
+}
+
+impl Progress {
+    /// The progress once the process is seen to run at `now`.
+    pub(super) fn next(self, now: clock::Instant) -> Self {
+        Self {
+            former: self.last,
+            last: now,
+        }
+    }
+}
+
 /// The state that the tasks of a gateway share. All tasks run on one thread, and none holds a borrow across an `await`.
 pub(crate) struct Node {
     /// The host that it runs on.
@@ -81,8 +101,6 @@
     pub(super) gateway: gateway::Gateway,
     /// How request and response heads are read and written.
     pub(super) dialect: Dialect,
-    /// How many retries are allowed.
-    pub(super) retry_allowance: RetryAllowance,
     pub(super) clock: Clock,
     /// Which region each data hall is in.
     pub(super) regions: Regions,
@@ -110,12 +128,14 @@
     pub(super) quarantine: RefCell<quarantine::LocalTracker>,
     /// What is known of rate limits that servers announce.
     pub(super) limits: RefCell<limit::LocalReports>,
-    /// The share of the retry budget that this gateway may use without the hub.
-    pub(super) retry_share: RefCell<Share>,
+    /// The retry budget of a service for which this gateway has counted nothing yet.
+    pub(super) retry_budget: RefCell<RetryBudget>,
     /// The hosts known to run a control replica.
     pub(super) known_replicas: KnownHosts,
     /// What this gateway knows of the hub.
     pub(super) hub: RefCell<Hub>,
+    /// When this process was last seen to run.
+    pub(super) progress: Cell<Progress>,
     /// When the planned stop began.
     pub(super) stopping_since: Cell<Option<clock::Instant>>,
     /// Whether new requests are refused because the gateway stops.
@@ -149,7 +169,6 @@
             server_lists: RefCell::new(server_lists),
             gateway,
             dialect,
-            retry_allowance,
             clock: Clock::start(),
             regions: Regions::default(),
             first_start: false,
@@ -163,9 +182,10 @@
             standbys: RefCell::default(),
             quarantine: RefCell::default(),
             limits: RefCell::new(limit::LocalReports::new(rand::rng().next_u64())),
-            retry_share: RefCell::default(),
+            retry_budget: RefCell::new(RetryBudget::new(retry_allowance)),
             known_replicas,
             hub: RefCell::default(),
+            progress: Cell::default(),
             stopping_since: Cell::new(None),
             rejects_callers: Cell::new(false),
             attempt_ends: RefCell::default(),
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -191,7 +191,7 @@
             let Ok(slot) = self.request.acquire_slot().await else {
                 continue;
             };
-            if !self.request.acquire_retry(&slot) {
+            if !self.request.may_send(&slot) {
                 return false;
             }
             let Some(response_start) = self.request_remainder(slot, last_event_id.as_deref()).await
@@ -230,11 +230,11 @@
     ) -> Option<ResponseStart> {
         let server = Arc::clone(&slot.server.incarnation);
         self.request.tried.push(server);
-        let build_request = |slot: &Slot| self.request.build_request(slot, last_event_id);
+        let prepare = |slot: &Slot| self.request.prepare(slot, last_event_id);
         let deadline = &self.request.admitted.deadline;
         let silence_limit = self.request.silence_limit();
         let dialect = self.request.node.dialect;
-        let response = exchange::send(build_request, slot, dialect, deadline, silence_limit).await;
+        let response = exchange::send(prepare, slot, dialect, deadline, silence_limit).await;
         let mut response_start = match response {
             Ok(response_start) => response_start,
             Err((failure, mut slot)) => {
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -10,6 +10,7 @@
 
 use super::admit;
 use super::body::Answer;
+use super::deadline::Arrival;
 use super::forward::ForwardedRequest;
 use super::log::Line;
 use super::log::millis;
@@ -20,7 +21,10 @@
 
 /// Serves one request.
 pub(super) async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Answer {
-    let arrived = node.now();
+    let arrived = Arrival {
+        at: node.now(),
+        sent_after: node.progress.get().former,
+    };
     metrics::counter!("curlewlift_requests").increment(1);
     let head_fields = match (node.dialect.parse_request)(request.headers()) {
         Ok(head_fields) => head_fields,
--- a/crates/curlewlift/src/gateway/retries.rs
+++ b/crates/curlewlift/src/gateway/retries.rs
@@ -9,59 +9,80 @@
 use super::slot::Slot;
 
 impl ForwardedRequest {
-    /// Acquires a retry from the service's retry budget, here or at the hub; false if none is left.
-    pub(super) fn acquire_retry(&self, slot: &Slot) -> bool {
-        let now = self.node.now();
-        let share = self.node.retry_share.borrow().get(now);
-        let account = if slot.includes_retry() {
-            "hub"
-        } else {
-            "gateway"
-        };
-        let acquired = slot.includes_retry()
-            || self.on_service(|service| service.budget.try_acquire(share, now)) == Some(true);
-        let balance = self.on_service(|service| service.budget.balance(share, now));
-        let balance = balance.unwrap_or_default();
-        if acquired {
-            metrics::counter!("curlewlift_retries", "account" => account).increment(1);
-            let line = Line::new(Kind::RetryCharged).with("account", account);
-            self.write_retry_line(line, &balance, share);
-        } else {
+    /// Counts the request in favour of the retry budget.
+    pub(super) fn count_request(&self) {
+        let sent_after = self.admitted.deadline.arrived.sent_after;
+        self.on_service(|service| service.budget.count_request(sent_after));
+    }
+
+    /// Whether the request may be sent with `slot`: it is the first attempt, or a retry is left here or included.
+    pub(super) fn may_send(&self, slot: &Slot) -> bool {
+        let may_send = slot.hub_retries_left().is_some() || !self.lacks_retry_budget();
+        if !may_send {
             self.log_retry_denied("gateway");
         }
-        acquired
+        may_send
     }
 
     /// Whether the request was sent before, and the service's retry budget here has no retry left.
     pub(super) fn lacks_retry_budget(&self) -> bool {
         let now = self.node.now();
-        let share = self.node.retry_share.borrow().get(now);
-        let allows = self.on_service(|service| service.budget.allows(share, now));
+        let allows = self.on_service(|service| service.budget.allows(now));
         self.attempts() > 0 && allows != Some(true)
     }
 
-    /// Logs that a retry is denied; `decided_by` is the account that was asked last.
-    pub(super) fn log_retry_denied(&self, decided_by: &str) {
+    /// Charges an attempt that is about to be sent: nothing for the first one, a retry to the hub's account if the grant
+    /// of `slot` includes one, and else to this gateway's. Returns false if the attempt must not be sent.
+    pub(super) fn charge_attempt(&self, slot: &Slot) -> bool {
+        if self.attempts() == 0 {
+            return true;
+        }
+        if let Some(left) = slot.hub_retries_left() {
+            self.log_retry_charged("hub", f64::from(left));
+            return true;
+        }
         let now = self.node.now();
-        let share = self.node.retry_share.borrow().get(now);
-        let balance = self.on_service(|service| service.budget.balance(share, now));
+        if self.on_service(|service| service.budget.try_acquire(now)) != Some(true) {
+            return false;
+        }
+        self.log_retry_charged("gateway", self.retry_balance().left);
+        true
+    }
+
+    /// Logs that `account` paid for a retry, and what it has left.
+    fn log_retry_charged(&self, account: &'static str, left: f64) {
+        metrics::counter!("curlewlift_retries", "account" => account).increment(1);
+        let line = Line::new(Kind::RetryCharged).with("account", account);
+        self.write_retry_line(line, left);
+    }
+
+    /// Logs that a retry is denied; `account` is the one that was asked last.
+    pub(super) fn log_retry_denied(&self, account: &str) {
         metrics::counter!("curlewlift_retries_denied").increment(1);
-        let line = Line::new(Kind::RetryDenied).with("account", decided_by);
-        self.write_retry_line(line, &balance.unwrap_or_default(), share);
+        let line = Line::new(Kind::RetryDenied).with("account", account);
+        self.write_retry_line(line, self.retry_balance().left);
     }
 
-    /// Writes a log line about a retry, with what this gateway's part of the budget holds.
-    fn write_retry_line(&self, line: Line, balance: &Balance, share: f64) {
+    /// Writes a log line about a retry, with what this gateway's part of the budget has counted.
+    fn write_retry_line(&self, line: Line, left: f64) {
+        let balance = self.retry_balance();
         line.request(self.admitted.head_fields.id.as_ref())
             .with("service", self.service.to_string())
             .with("sent", self.attempts())
-            .with("share", share)
-            .with("first_attempts", balance.first_attempts)
+            .with("share", balance.share)
+            .with("requests", balance.requests)
             .with("retries", balance.retries)
-            .with("left", balance.left)
+            .with("left", left)
             .write();
     }
 
+    /// What this gateway's part of the service's retry budget holds.
+    fn retry_balance(&self) -> Balance {
+        let now = self.node.now();
+        let balance = self.on_service(|service| service.budget.balance(now));
+        balance.unwrap_or_default()
+    }
+
     fn on_service<T>(&self, action: impl FnOnce(&mut Service) -> T) -> Option<T> {
         self.node.with_service(&self.service, action)
     }
--- a/crates/curlewlift/src/gateway/service.rs
+++ b/crates/curlewlift/src/gateway/service.rs
@@ -5,7 +5,6 @@
 use curlewlift_core::pool;
 use curlewlift_core::pool::Assignment;
 use curlewlift_core::pool::Pool;
-use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
 use curlewlift_core::pool::Ticket;
 use rand::Rng;
@@ -22,12 +21,12 @@
 }
 
 impl Service {
-    /// Creates a service without servers; `retry_allowance` bounds its retries.
-    pub(super) fn new(retry_allowance: RetryAllowance) -> Self {
+    /// Creates a service without servers; `budget` bounds its retries.
+    pub(super) fn new(budget: RetryBudget) -> Self {
         let seed = rand::rng().next_u64();
         Self {
             pool: Pool::new(pool::Tuning::default(), seed),
-            budget: RetryBudget::new(retry_allowance),
+            budget,
             waiters: HashMap::new(),
         }
     }
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use curlewlift_core::clock;
+use curlewlift_core::gateway::GatewayShare;
 use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::RolloutTag;
 use curlewlift_core::id;
@@ -12,6 +14,7 @@
 use curlewlift_core::pool::Assignment;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Ticket;
+use curlewlift_core::quota::Share;
 use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 
@@ -28,7 +31,8 @@
         if let Some(table) = &*self.table.borrow() {
             for (name, provider) in table.get_services() {
                 let service = services.entry(name.clone());
-                let service = service.or_insert_with(|| Service::new(self.retry_allowance));
+                let service =
+                    service.or_insert_with(|| Service::new(self.retry_budget.borrow().clone()));
                 let warmup = provider.cold_rate;
                 let warmup = warmup.map(|rate| Warmup::new(rate, Slack::default()));
                 service.pool.set_warmup(warmup, now);
@@ -62,6 +66,18 @@
         }
     }
 
+    /// Sets this gateway's share of the retry budgets, from the hub's reply to a poll that was sent at `polled_at`.
+    pub(super) fn set_retry_share(&self, announced: &GatewayShare, polled_at: clock::Instant) {
+        let now = self.now();
+        let mut share = Share::default();
+        share.set(announced.fraction, polled_at);
+        let mut unused = self.retry_budget.borrow_mut();
+        unused.set_share(share, announced.never_held, now);
+        for service in self.services.borrow_mut().values_mut() {
+            service.budget.set_share(share, announced.never_held, now);
+        }
+    }
+
     /// Whether all servers of a service have announced limits.
     pub(super) fn is_limited(&self, name: &id::Service) -> bool {
         let is_limited = |service: &mut Service| service.pool.total_limit_rate().is_some();
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::GrantId;
+use curlewlift_core::gateway::RETRY_GRANT_LIFETIME;
 use curlewlift_core::gateway::RolloutTag;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
@@ -34,6 +35,8 @@
     pub(super) server: Arc<Server>,
     /// The hub's grant, which charged the request's cost; none if this gateway assigned the slot.
     grant: Option<Grant>,
+    /// When the grant was asked for, or the slot was assigned.
+    asked_at: Instant,
     /// Identity of the request.
     identity: Identity,
     /// When the slot was assigned.
@@ -55,14 +58,16 @@
         server: Arc<Server>,
         prompt: Tokens,
     ) -> Self {
+        let now = node.now();
         Self {
             node: Rc::clone(node),
             service: context.service.clone(),
             rollout_tag: node.rollout_tag(context),
             server,
             grant: None,
+            asked_at: now,
             identity: context.identity.clone(),
-            granted_at: node.now(),
+            granted_at: now,
             crashed: false,
             completed: false,
             unread_prompt: Some(prompt),
@@ -70,9 +75,10 @@
         }
     }
 
-    /// Marks the slot as granted by the hub.
-    pub(super) fn granted_by(mut self, grant: Grant) -> Self {
+    /// Marks the slot as granted by the hub, which was asked for it at `asked_at`.
+    pub(super) fn granted_by(mut self, grant: Grant, asked_at: Instant) -> Self {
         self.grant = Some(grant);
+        self.asked_at = asked_at;
         self
     }
 
@@ -81,11 +87,13 @@
         self.grant.is_some()
     }
 
-    /// Whether the grant includes a retry from the hub's retry budget.
-    pub(super) fn includes_retry(&self) -> bool {
-        self.grant
-            .as_ref()
-            .is_some_and(|grant| grant.includes_retry)
+    /// If the grant includes a retry that may still be used, how many the hub had left afterwards.
+    pub(super) fn hub_retries_left(&self) -> Option<u32> {
+        let age = self.node.now().since(self.asked_at);
+        let grant = self.grant.as_ref();
+        grant
+            .filter(|_| age < RETRY_GRANT_LIFETIME)
+            .and_then(|grant| grant.retries_left)
     }
 
     /// Id of the hub's grant; the default id if this gateway assigned the slot.
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -99,9 +99,10 @@
     loop {
         let remaining = until.saturating_duration_since(Instant::now());
         match hub_slots::request_slot(node, context, &request, charge, remaining).await {
-            HubDecision::Granted(grant) => {
+            HubDecision::Granted(grant, asked_at) => {
                 let server = Arc::new(grant.server.clone());
-                return Ok(Slot::new(node, context, server, request.prompt).granted_by(grant));
+                let slot = Slot::new(node, context, server, request.prompt);
+                return Ok(slot.granted_by(grant, asked_at));
             }
             HubDecision::NoSlot => return Err(NoSlot::TimeUp),
             HubDecision::QuotaExceeded(wait) => return Err(NoSlot::QuotaExceeded(wait)),
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -256,9 +256,7 @@
         *node.standbys.borrow_mut() =
             Standbys::from_hub(&standbys, &node.host, &environment.locate);
     }
-    node.retry_share
-        .borrow_mut()
-        .set(reply.retry_share, sent_at);
+    node.set_retry_share(&reply.retry_share, sent_at);
     node.local_limiter
         .borrow_mut()
         .set_share(reply.admission_share, sent_at, node.now());
