--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -103,13 +103,13 @@
         hold(&mut budget, 1.0, Instant(second * 1_000_000));
     }
     assert_eq!(
-        acquire_all(&mut budget, Instant(11_000_000)),
+        acquire_all(&mut budget, Instant(11_049_999)),
         GATEWAYS_MIN_RETRIES
     );
     assert_eq!(acquire_all(&mut budget, Instant(16_000_000)), 0);
-    assert_eq!(acquire_all(&mut budget, Instant(20_999_999)), 0);
+    assert_eq!(acquire_all(&mut budget, Instant(21_049_998)), 0);
     assert_eq!(
-        acquire_all(&mut budget, Instant(21_050_001)),
+        acquire_all(&mut budget, Instant(21_100_000)),
         GATEWAYS_MIN_RETRIES
     );
 }
