Decide in the core whether a granted retry may still be sent

The age of a grant was checked by the gateway's slot, and once more by the simulation: without the check in the product no test turned red.

--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::Instant;
 use crate::id;
 use crate::limit::Reports;
 use crate::pool::AttemptOutcome;
@@ -20,6 +21,7 @@
 use super::Load;
 use super::Server;
 use super::retries::GrantedRetry;
+use super::retries::RETRY_GRANT_LIFETIME;
 
 /// A gateway's request for a slot at a backend server.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -78,6 +80,16 @@
     pub retries_left: Option<u32>,
 }
 
+impl Grant {
+    /// If the grant includes a retry that may be used at `now`, after the slot was asked for at `asked_at`, returns how
+    /// many the hub had left.
+    #[must_use]
+    pub fn retries_left_at(&self, asked_at: Instant, now: Instant) -> Option<u32> {
+        let is_usable = now.since(asked_at) < RETRY_GRANT_LIFETIME;
+        self.retries_left.filter(|_| is_usable)
+    }
+}
+
 /// What is reserved for a queued request, and released if it gets no slot.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Reservation {
--- a/crates/core/tests/retry_histories.rs
+++ b/crates/core/tests/retry_histories.rs
@@ -84,6 +84,26 @@
     }
 }
 
+/// Gateways are suspended with retries that the hub has granted, and send them when it has granted as many again.
+#[test]
+fn suspended_with_grants() {
+    for seed in 0..4 {
+        let mut world = World::new(GATEWAYS, seed);
+        let mut record = Record::default();
+        world.retry_for(seconds(12), &even(&all(), 0.0, 0), &mut record);
+        let (first, second): (Vec<_>, Vec<_>) = all().into_iter().partition(|index| index % 2 == 0);
+        let burst = Duration::from_millis(400);
+        world.retry_for(burst, &even(&first, 200.0, 100), &mut record);
+        for index in &first {
+            world.suspend(*index, seconds(13));
+        }
+        world.retry_for(seconds(12), &even(&second, 0.0, 0), &mut record);
+        world.retry_for(burst, &even(&second, 120.0, 100), &mut record);
+        world.retry_for(seconds(2), &even(&second, 0.0, 100), &mut record);
+        assert_within_budget(&record, seed);
+    }
+}
+
 /// Gateways and hubs restart, are suspended and cut off, shares and callers move, grants and replies are lost.
 #[test]
 fn any_history() {
--- a/crates/core/tests/support/retries.rs
+++ b/crates/core/tests/support/retries.rs
@@ -4,7 +4,7 @@
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::GatewayShare;
-use curlewlift_core::gateway::RETRY_GRANT_LIFETIME;
+use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::SlotDecision;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::pool::RetryAllowance;
@@ -36,12 +36,12 @@
 const MAX_ATTEMPTS: u8 = 3;
 
 /// A retry on its way: granted by the hub, or to be charged here when it is sent.
-#[derive(Clone, Copy)]
 struct Retry {
     send_at: Instant,
     attempt: u8,
-    /// When the slot request was made by which the hub granted it.
-    granted: Option<Instant>,
+    decided_at: Instant,
+    /// The hub's grant.
+    grant: Option<Grant>,
 }
 
 /// The retry budget of a gateway, and the requests that it has not decided on.
@@ -79,9 +79,10 @@
     }
 
     /// Charges a retry that is sent now; false if it must not be sent.
-    fn charge(&mut self, retry: Retry, now: Instant) -> bool {
-        let is_granted = |asked_at: Instant| now.since(asked_at) < RETRY_GRANT_LIFETIME;
-        retry.granted.is_some_and(is_granted) || self.budget.try_acquire(now)
+    fn charge(&mut self, retry: &Retry, now: Instant) -> bool {
+        let grant = retry.grant.as_ref();
+        let granted = grant.and_then(|grant| grant.retries_left_at(retry.decided_at, now));
+        granted.is_some() || self.budget.try_acquire(now)
     }
 }
 
@@ -248,19 +249,20 @@
         let mut retry = Retry {
             send_at: now + STEP * delay,
             attempt,
-            granted: None,
+            decided_at: now,
+            grant: None,
         };
         if !self.gateways[index].retries.allows(now) {
-            if !self.is_granted(index) {
+            retry.grant = self.request_grant(index);
+            if retry.grant.is_none() {
                 return;
             }
-            retry.granted = Some(now);
         }
         self.gateways[index].retries.connecting.push(retry);
     }
 
-    /// Whether the hub grants a retry.
-    fn is_granted(&mut self, index: usize) -> bool {
+    /// Asks the hub for a slot with a retry.
+    fn request_grant(&mut self, index: usize) -> Option<Grant> {
         let now = self.now;
         let is_lost = self.random_below(100) < GRANT_LOSS_PERCENT;
         let is_unserved = self.random_below(100) < UNSERVED_PERCENT;
@@ -270,11 +272,9 @@
             .reply_received
             .is_some_and(|received| now.since(received) < HUB_REPLY_MAX_AGE);
         if gateway.cut || !is_reply_recent {
-            return false;
+            return None;
         }
-        let Some(hub) = &mut self.hub else {
-            return false;
-        };
+        let hub = self.hub.as_mut()?;
         let mut slot_request = messages::slot_request(&gateway.host);
         slot_request.needs_retry = true;
         if is_unserved {
@@ -282,14 +282,15 @@
             slot_request.avoid = vec![("s".into(), Duration::from_secs(10))];
         }
         let SlotDecision::Queued(ticket, _) = hub.request_slot(slot_request, now) else {
-            return false;
+            return None;
         };
         if is_unserved {
             gateway.retries.queued.push((leaves_at, ticket));
-            return false;
+            return None;
         }
-        let grants = hub.grant_slots(now);
-        !is_lost && grants.iter().any(|(granted, _)| *granted == ticket)
+        let mut grants = hub.grant_slots(now).into_iter();
+        let grant = grants.find(|(granted, _)| *granted == ticket);
+        grant.filter(|_| !is_lost).map(|(_, grant)| grant)
     }
 
     /// Sends the retries whose connections are established.
@@ -300,7 +301,7 @@
             .extract_if(.., |retry| retry.send_at <= now)
             .collect();
         for retry in due {
-            if !self.gateways[index].retries.charge(retry, now) {
+            if !self.gateways[index].retries.charge(&retry, now) {
                 continue;
             }
             if let Some(retries) = record.retries.last_mut() {
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -8,7 +8,6 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::GrantId;
-use curlewlift_core::gateway::RETRY_GRANT_LIFETIME;
 use curlewlift_core::gateway::RolloutTag;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
@@ -89,11 +88,9 @@
 
     /// If the grant includes a retry that may still be used, how many the hub had left afterwards.
     pub(super) fn hub_retries_left(&self) -> Option<u32> {
-        let age = self.node.now().since(self.asked_at);
-        let grant = self.grant.as_ref();
-        grant
-            .filter(|_| age < RETRY_GRANT_LIFETIME)
-            .and_then(|grant| grant.retries_left)
+        let now = self.node.now();
+        let grant = self.grant.as_ref()?;
+        grant.retries_left_at(self.asked_at, now)
     }
 
     /// Id of the hub's grant; the default id if this gateway assigned the slot.
