--- a/crates/core/tests/support/retries.rs
+++ b/crates/core/tests/support/retries.rs
@@ -33,7 +33,7 @@
 const UNSERVED_PERCENT: u64 = 10;
 
 /// Attempts that a request may have.
-const MAX_ATTEMPTS: u8 = 3;
+const ATTEMPTS_PER_REQUEST: u8 = 3;
 
 /// A retry on its way: granted by the hub, or to be charged here when it is sent.
 struct Retry {
@@ -307,7 +307,7 @@
             if let Some(retries) = record.retries.last_mut() {
                 *retries += 1;
             }
-            if retry.attempt < MAX_ATTEMPTS && self.is_failing(load) {
+            if retry.attempt < ATTEMPTS_PER_REQUEST && self.is_failing(load) {
                 self.prepare_retry(index, retry.attempt + 1);
             }
         }
