--- a/crates/core/tests/hub_retries.rs
+++ b/crates/core/tests/hub_retries.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::GatewayShare;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::RETRY_GRANT_LIFETIME;
 use curlewlift_core::gateway::RetryBlocks;
@@ -13,6 +14,7 @@
 use curlewlift_core::gateway::SlotDecision;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Tuning;
+use curlewlift_core::state::Publication;
 
 use support::incarnations;
 use support::messages;
@@ -123,3 +125,28 @@
     assert!(request_retry(&mut hub, at(20)).is_some());
     assert!(request_retry(&mut hub, at(20)).is_none());
 }
+
+/// What the hub announces to a gateway that polls now.
+fn announced_share(hub: &mut Hub, now: Instant) -> GatewayShare {
+    let poll = messages::poll(&"g".parse().expect("a valid name"));
+    hub.on_poll(&poll, now);
+    hub.reply(&poll, &Publication::default(), now).retry_share
+}
+
+/// Only the first process that is told of one of the first shares may use it at once. Another process on the same host
+/// may find it used, and so may every process under another leader.
+#[test]
+fn share_never_held() {
+    let mut first = start_hub(&RetryBlocks::default(), at(0));
+    let before = announced_share(&mut first, at(0));
+    assert!(before.fraction <= 0.0 && !before.never_held);
+    let shares = first.propose_retry_shares(at(400));
+    let shares = shares.expect("the gateway gets a share");
+    first.apply_retry_shares(&shares, at(410));
+    assert!(announced_share(&mut first, at(420)).never_held);
+    assert!(!announced_share(&mut first, at(430)).never_held);
+    let mut next = start_hub(&RetryBlocks::default(), at(500));
+    next.apply_retry_shares(&shares, at(500));
+    let share = announced_share(&mut next, at(510));
+    assert!(share.fraction > 0.0 && !share.never_held);
+}
