Look at the retry budget only for requests that were sent before

A second reading of the retry accounts.

Decisions, bounds, checks and log fields are as before. Left as they are: the three opening lines that four tests of retry_histories share, as each reads alone, and the twin in support/gateways, which is a filter of another kind.

--- a/crates/core/src/gateway/retries.rs
+++ b/crates/core/src/gateway/retries.rs
@@ -1,8 +1,6 @@
 //! The retries that the hub grants.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -65,7 +63,7 @@
     /// What former hubs have drawn, and until when it counts.
     inherited: (RetryBlocks, Instant),
     /// When the retries that still count were acquired.
-    acquired: BTreeMap<id::Service, VecDeque<Instant>>,
+    acquired: BTreeMap<id::Service, Vec<Instant>>,
 }
 
 impl Retries {
@@ -100,15 +98,10 @@
         now: Instant,
     ) -> Option<RetryBlocks> {
         let allowance = self.allowance.filter(|_| self.proposed.is_none())?;
-        let listed: BTreeSet<_> = services.cloned().collect();
-        let drawn = self.committed.0.keys().cloned();
-        let services: BTreeSet<_> = listed.iter().cloned().chain(drawn).collect();
-        let wanted = services.into_iter().map(|service| {
-            let spare = if listed.contains(&service) {
-                SPARE_BLOCKS
-            } else {
-                0
-            };
+        let drawn = self.committed.0.keys();
+        let mut spare_blocks: BTreeMap<_, _> = drawn.map(|service| (service.clone(), 0)).collect();
+        spare_blocks.extend(services.map(|service| (service.clone(), SPARE_BLOCKS)));
+        let wanted = spare_blocks.into_iter().map(|(service, spare)| {
             let blocks = self.wanted_blocks(&service, spare, &allowance, now);
             (service, blocks)
         });
@@ -143,7 +136,7 @@
     pub(super) fn acquire(&mut self, service: &id::Service, now: Instant) -> Option<GrantedRetry> {
         let left = self.left(service, now).checked_sub(1)?;
         let acquired = self.acquired.entry(service.clone()).or_default();
-        acquired.push_back(now);
+        acquired.push(now);
         Some(GrantedRetry {
             service: service.clone(),
             acquired_at: now,
--- a/crates/core/src/pool/retry_budget.rs
+++ b/crates/core/src/pool/retry_budget.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::gateway::GatewayShare;
 use crate::quota::Share;
 
 /// The fraction of the minimum number of retries that gateways divide among themselves, so that they can retry without
@@ -102,12 +103,13 @@
         }
     }
 
-    /// Sets the gateway's share of the minimum number of retries. What it gains counts as used unless it was `never_held`
-    /// by any process.
-    pub fn set_share(&mut self, share: Share, never_held: bool, now: Instant) {
-        let gained = share.get(now) - self.share.get(now);
-        self.share = share;
-        if gained > 0.0 && !never_held {
+    /// Sets the gateway's share of the minimum number of retries from the hub's reply to a poll that was sent at
+    /// `polled_at`. What it gains counts as used unless no process has held it before.
+    pub fn set_share(&mut self, announced: &GatewayShare, polled_at: Instant, now: Instant) {
+        let former = self.share.get(now);
+        self.share.set(announced.fraction, polled_at);
+        let gained = self.share.get(now) - former;
+        if gained > 0.0 && !announced.never_held {
             let gained = self.min_retries(gained);
             self.step(now).gained += gained;
         }
--- a/crates/core/tests/retry_budget.rs
+++ b/crates/core/tests/retry_budget.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::GatewayShare;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
-use curlewlift_core::quota::Share;
 
 const ALLOWANCE: RetryAllowance = RetryAllowance {
     ratio: 0.2,
@@ -20,9 +20,11 @@
 
 /// Sets a gateway's share by a reply to a poll that was sent at `now`.
 fn hold(budget: &mut RetryBudget, share: f64, now: Instant) {
-    let mut held = Share::default();
-    held.set(share, now);
-    budget.set_share(held, false, now);
+    let announced = GatewayShare {
+        fraction: share,
+        never_held: false,
+    };
+    budget.set_share(&announced, now, now);
 }
 
 fn acquire_all(budget: &mut RetryBudget, now: Instant) -> usize {
--- a/crates/core/tests/support/retries.rs
+++ b/crates/core/tests/support/retries.rs
@@ -9,7 +9,6 @@
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
-use curlewlift_core::quota::Share;
 
 use super::gateways::HUB_REPLY_MAX_AGE;
 use super::gateways::STEP;
@@ -65,9 +64,7 @@
     }
 
     pub(super) fn set_share(&mut self, announced: &GatewayShare, polled_at: Instant, now: Instant) {
-        let mut share = Share::default();
-        share.set(announced.fraction, polled_at);
-        self.budget.set_share(share, announced.never_held, now);
+        self.budget.set_share(announced, polled_at, now);
     }
 
     fn read_request(&mut self, sent_at: Instant) {
--- a/crates/core/tests/thousand_gateways.rs
+++ b/crates/core/tests/thousand_gateways.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::gateway::BulkSchedule;
 use curlewlift_core::gateway::Distribution;
 use curlewlift_core::gateway::Gateway;
+use curlewlift_core::gateway::GatewayShare;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::LeaderSearch;
 use curlewlift_core::gateway::Membership;
@@ -29,7 +30,6 @@
 use curlewlift_core::id;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
-use curlewlift_core::quota::Share;
 use curlewlift_core::state::Publication;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -435,7 +435,10 @@
         let mut hub = new_hub(ms(0));
         let mut blocks = RetryBlocks::default();
         let mut budgets = vec![RetryBudget::new(RETRY_ALLOWANCE); GATEWAYS];
-        let mut share = Share::default();
+        let share = GatewayShare {
+            fraction: 1.0 / 1_119.0,
+            never_held: false,
+        };
         let mut first_attempts: VecDeque<Instant> = VecDeque::new();
         let mut retries: VecDeque<Instant> = VecDeque::new();
         let (mut needed_retries, mut sent_retries) = (0, 0);
@@ -457,8 +460,7 @@
             };
             for _ in 0..5 {
                 let index = random.random_range(0..GATEWAYS);
-                share.set(1.0 / 1_119.0, now);
-                budgets[index].set_share(share, false, now);
+                budgets[index].set_share(&share, now, now);
                 budgets[index].count_request(now);
                 first_attempts.push_back(now);
                 if !random.random_bool(failure_rate) {
--- a/crates/curlewlift/src/gateway/retries.rs
+++ b/crates/curlewlift/src/gateway/retries.rs
@@ -1,7 +1,6 @@
 //! Charges the retries of requests to the retry budget of their service.
 
 use curlewlift_core::event::Kind;
-use curlewlift_core::pool::Balance;
 
 use super::forward::ForwardedRequest;
 use super::log::Line;
@@ -27,8 +26,7 @@
     /// Whether the request was sent before, and the service's retry budget here has no retry left.
     pub(super) fn lacks_retry_budget(&self) -> bool {
         let now = self.node.now();
-        let allows = self.on_service(|service| service.budget.allows(now));
-        self.attempts() > 0 && allows != Some(true)
+        self.attempts() > 0 && self.on_service(|service| service.budget.allows(now)) != Some(true)
     }
 
     /// Charges an attempt that is about to be sent: nothing for the first one, a retry to the hub's account if the grant
@@ -38,51 +36,47 @@
             return true;
         }
         if let Some(left) = slot.hub_retries_left() {
-            self.log_retry_charged("hub", f64::from(left));
+            self.log_retry_charged("hub", Some(left));
             return true;
         }
         let now = self.node.now();
         if self.on_service(|service| service.budget.try_acquire(now)) != Some(true) {
             return false;
         }
-        self.log_retry_charged("gateway", self.retry_balance().left);
+        self.log_retry_charged("gateway", None);
         true
     }
 
-    /// Logs that `account` paid for a retry, and what it has left.
-    fn log_retry_charged(&self, account: &'static str, left: f64) {
+    /// Logs that `account` paid for a retry, and what it has left: `hub_left` if it is the hub's.
+    fn log_retry_charged(&self, account: &'static str, hub_left: Option<u32>) {
         metrics::counter!("curlewlift_retries", "account" => account).increment(1);
         let line = Line::new(Kind::RetryCharged).with("account", account);
-        self.write_retry_line(line, left);
+        self.write_retry_line(line, hub_left);
     }
 
     /// Logs that a retry is denied; `account` is the one that was asked last.
     pub(super) fn log_retry_denied(&self, account: &str) {
         metrics::counter!("curlewlift_retries_denied").increment(1);
         let line = Line::new(Kind::RetryDenied).with("account", account);
-        self.write_retry_line(line, self.retry_balance().left);
+        self.write_retry_line(line, None);
     }
 
-    /// Writes a log line about a retry, with what this gateway's part of the budget has counted.
-    fn write_retry_line(&self, line: Line, left: f64) {
-        let balance = self.retry_balance();
+    /// Writes a log line about a retry, with what this gateway's part of the budget has counted, and what that or the hub
+    /// has left.
+    fn write_retry_line(&self, line: Line, hub_left: Option<u32>) {
+        let now = self.node.now();
+        let balance = self.on_service(|service| service.budget.balance(now));
+        let balance = balance.unwrap_or_default();
         line.request(self.admitted.head_fields.id.as_ref())
             .with("service", self.service.to_string())
             .with("sent", self.attempts())
             .with("share", balance.share)
             .with("requests", balance.requests)
             .with("retries", balance.retries)
-            .with("left", left)
+            .with("left", hub_left.map_or(balance.left, f64::from))
             .write();
     }
 
-    /// What this gateway's part of the service's retry budget holds.
-    fn retry_balance(&self) -> Balance {
-        let now = self.node.now();
-        let balance = self.on_service(|service| service.budget.balance(now));
-        balance.unwrap_or_default()
-    }
-
     fn on_service<T>(&self, action: impl FnOnce(&mut Service) -> T) -> Option<T> {
         self.node.with_service(&self.service, action)
     }
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -14,7 +14,6 @@
 use curlewlift_core::pool::Assignment;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Ticket;
-use curlewlift_core::quota::Share;
 use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 
@@ -69,12 +68,10 @@
     /// Sets this gateway's share of the retry budgets, from the hub's reply to a poll that was sent at `polled_at`.
     pub(super) fn set_retry_share(&self, announced: &GatewayShare, polled_at: clock::Instant) {
         let now = self.now();
-        let mut share = Share::default();
-        share.set(announced.fraction, polled_at);
         let mut unused = self.retry_budget.borrow_mut();
-        unused.set_share(share, announced.never_held, now);
+        unused.set_share(announced, polled_at, now);
         for service in self.services.borrow_mut().values_mut() {
-            service.budget.set_share(share, announced.never_held, now);
+            service.budget.set_share(announced, polled_at, now);
         }
     }
 
