Prepare the interfaces of scheduling under hard load

Cause: the hub learns neither whose request holds a slot, nor for how long a server worked on it, nor what the server says waits there, so it can neither measure how many requests a service needs in flight nor share slots among customers.

Change: slot requests carry customer, objective, gap objective and expected output; ends of attempts carry the grant, the time at the server and the load that it stated.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::pool::AttemptOutcome;
 use crate::pool::Pool;
 use crate::pool::Request;
+use crate::pool::Scheduling;
 use crate::pool::TrialVersion;
 use crate::quarantine::Identity;
 use crate::quarantine::Permit;
@@ -26,6 +27,7 @@
 use super::ServerList;
 use super::SlotRequest;
 use super::grant::Reservation;
+use super::grant_log::GrantLog;
 use super::occupancy::Occupancy;
 
 /// A request in the queue of its service.
@@ -44,6 +46,7 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     host: id::Host,
+    customer: Option<id::Customer>,
     identity: Identity,
     /// When the request must be complete.
     deadline: Instant,
@@ -62,6 +65,9 @@
     pools: BTreeMap<id::Service, Pool>,
     waiting: HashMap<Ticket, Waiting>,
     occupancy: Occupancy,
+    grant_log: GrantLog,
+    /// The parts of scheduling under hard load that are in use, by service.
+    scheduling: BTreeMap<id::Service, Scheduling>,
     /// The request rates of cold servers, by service, and when they were set.
     warmups: (BTreeMap<id::Service, Warmup>, Instant),
 }
@@ -94,6 +100,7 @@
             }
             let (warmups, since) = &self.warmups;
             pool.set_warmup(warmups.get(&service).copied(), *since);
+            pool.set_scheduling(self.scheduling.get(&service).copied().unwrap_or_default());
             self.pools.insert(service, pool);
         }
         // Loads may have been reported before the server was on the list.
@@ -110,6 +117,14 @@
         self.warmups = (warmups, now);
     }
 
+    /// Sets the parts of scheduling under hard load that are in use, by service.
+    pub(super) fn set_scheduling(&mut self, scheduling: BTreeMap<id::Service, Scheduling>) {
+        for (service, pool) in &mut self.pools {
+            pool.set_scheduling(scheduling.get(service).copied().unwrap_or_default());
+        }
+        self.scheduling = scheduling;
+    }
+
     /// Sets which version of each service is on trial and how many requests it may get.
     pub(super) fn set_on_trial<'a>(
         &mut self,
@@ -152,6 +167,12 @@
         for attempt in attempts {
             if let Some(pool) = self.pools.get_mut(&attempt.service) {
                 pool.observe(&attempt.incarnation, attempt.outcome, now);
+                let is_own = attempt.grant.hub_id == self.hub_id;
+                let number = Some(attempt.grant.number).filter(|_| is_own);
+                let release = number.and_then(|number| self.grant_log.finish(number, attempt, now));
+                if let Some(release) = release {
+                    pool.record_release(&release, now);
+                }
             }
             if let AttemptOutcome::Backoff(length) = attempt.outcome {
                 self.back_off(host, attempt, now + length);
@@ -230,11 +251,15 @@
         let expiry = |(incarnation, remaining)| (incarnation, now + remaining);
         let pool_request = Request {
             rule: request.rule,
+            customer: request.customer.clone(),
             rank: request.rank,
             arrived: now - request.waited,
             send_by: now + request.send_within,
+            begin_by: now + request.first_event_within,
+            max_gap: request.max_gap,
             wait_until: now + request.max_wait,
             prompt: request.prompt,
+            output: request.output,
             hall: request.hall,
             tried: request.tried,
             avoid: request.avoid.into_iter().map(expiry).collect(),
@@ -251,6 +276,7 @@
         let (queued, displaced) = (ticket(number), displaced.map(ticket));
         let waiting = Waiting {
             host: request.host,
+            customer: request.customer,
             identity: request.identity,
             deadline: now + request.time_left,
             reservation,
@@ -379,7 +405,10 @@
         now: Instant,
     ) -> Option<(Grant, Reservation)> {
         let Waiting {
-            host, reservation, ..
+            host,
+            customer,
+            reservation,
+            ..
         } = self.waiting.remove(ticket)?;
         let server = Server::clone(&assignment.server);
         let load = Load {
@@ -391,6 +420,8 @@
             hub_id: self.hub_id,
             number: self.occupancy.grant(&host, load, now),
         };
+        let incarnation = Arc::clone(&server.incarnation);
+        self.grant_log.record(id.number, incarnation, customer, now);
         let permit = reservation.permit.as_ref().map(|permit| permit.number);
         let grant = Grant {
             id,
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::limit::Reports;
 use crate::pool::AttemptOutcome;
+use crate::pool::ReportedLoad;
 use crate::quarantine::Identity;
 use crate::quarantine::Observation;
 use crate::quarantine::Permit;
@@ -34,6 +35,8 @@
     pub service: id::Service,
     /// The rule that the request matched, if a roll-out of the service is in progress.
     pub rule: Option<Arc<str>>,
+    /// The customer, if the request has one.
+    pub customer: Option<id::Customer>,
     /// The priority rank of the request.
     pub rank: Rank,
     /// The time since the request arrived.
@@ -41,6 +44,10 @@
     /// The time within which the request must be sent for its response to begin within the latency
     /// objective.
     pub send_within: Duration,
+    /// The time that is left of the latency objective, within which the response should begin.
+    pub first_event_within: Duration,
+    /// The longest time between two events of its stream for which the stream is in time.
+    pub max_gap: Option<Duration>,
     /// How much longer the request may wait for a slot.
     pub max_wait: Duration,
     /// The time left to complete the request.
@@ -51,6 +58,8 @@
     pub observations: Vec<Observation>,
     /// The number of prompt tokens, or 0 if there is no prompt.
     pub prompt: Tokens,
+    /// The number of tokens that it is likely to generate, or 0 if that is not known.
+    pub output: Tokens,
     /// The charge to the customer's quota, if it has not been charged yet.
     pub charge: Option<Charge>,
     /// Whether this is a retry that the gateway's own retry budget does not cover.
@@ -139,6 +148,12 @@
     pub rollout: Option<RolloutTag>,
     /// The outcome for the backend server.
     pub outcome: AttemptOutcome,
+    /// The hub's grant of its slot; the default id if the gateway assigned the slot itself.
+    pub grant: GrantId,
+    /// From sending the request to the end of the response; zero if it was not sent.
+    pub server_time: Duration,
+    /// The load that the server stated in the head of its response.
+    pub load: Option<ReportedLoad>,
 }
 
 /// A report that a gateway sends as soon as a response begins or an attempt ends.
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -10,6 +10,7 @@
 use crate::limit;
 use crate::limit::Warmup;
 use crate::pool::RetryAllowance;
+use crate::pool::Scheduling;
 use crate::quarantine;
 use crate::quota::Limiter;
 use crate::quota::Tolerance;
@@ -53,6 +54,8 @@
     pub retries: Option<RetryAllowance>,
     /// How much a cold server tolerates beyond its request rate.
     pub cold: limit::Slack,
+    /// The parts of scheduling under hard load that are switched on.
+    pub scheduling: Scheduling,
     /// The capacity of the host's link in bytes per second, or 0 if it is not known.
     pub link_bytes_per_s: f64,
 }
@@ -66,6 +69,7 @@
             rollouts: None,
             retries: None,
             cold: limit::Slack::default(),
+            scheduling: Scheduling::default(),
             link_bytes_per_s: 0.0,
         }
     }
@@ -210,6 +214,8 @@
                 Some((service.clone(), Warmup::new(rate, self.tuning.cold)))
             });
             self.dispatcher.set_warmups(warmups.collect(), now);
+            self.dispatcher
+                .set_scheduling(table.scheduling(self.tuning.scheduling));
         }
     }
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod distribution;
 mod grant;
+mod grant_log;
 mod hub;
 mod incarnations;
 mod leader_search;
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::Instant;
 use crate::gateway::Server;
+use crate::id;
 use crate::route::Rank;
 use crate::unit::Tokens;
 
@@ -21,16 +22,24 @@
 pub struct Request {
     /// The routing rule that it matched, if known.
     pub rule: Option<Arc<str>>,
+    /// The customer that it belongs to, if it has one.
+    pub customer: Option<id::Customer>,
     /// Its priority.
     pub rank: Rank,
     /// When it first arrived; a retried request keeps this time, and with it its queue position.
     pub arrived: Instant,
     /// The latest time to send it so that its response begins within the latency objective.
     pub send_by: Instant,
+    /// The end of its latency objective: the latest time at which its response should begin.
+    pub begin_by: Instant,
+    /// The longest time between two events of its stream for which the stream is in time.
+    pub max_gap: Option<Duration>,
     /// The latest time until which it stays queued.
     pub wait_until: Instant,
     /// The length of its prompt; 0 if it has none.
     pub prompt: Tokens,
+    /// The number of tokens that it is likely to generate; 0 if that is not known.
+    pub output: Tokens,
     /// The data hall that it is sent from.
     pub hall: Arc<str>,
     /// Incarnations that it was already sent to.
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -20,7 +20,9 @@
 use super::AttemptOutcome;
 use super::Notice;
 use super::Notices;
+use super::Release;
 use super::Request;
+use super::Scheduling;
 use super::Ticket;
 use super::Tuning;
 use super::forecast::Forecast;
@@ -237,6 +239,11 @@
         rates.sum()
     }
 
+    /// Sets the parts of scheduling under hard load that are in use.
+    pub fn set_scheduling(&mut self, scheduling: Scheduling) {
+        self.tuning.scheduling = scheduling;
+    }
+
     /// If all servers that accept work back off, how long it takes until the first of them is available again.
     #[must_use]
     pub fn all_backing_off_for(&self, now: Instant) -> Option<Duration> {
@@ -295,6 +302,9 @@
         }
     }
 
+    /// Records what the end of a request tells to which the hub had granted a slot here.
+    pub fn record_release(&mut self, _release: &Release, _now: Instant) {}
+
     /// Records something observed about a server while an attempt still runs.
     pub fn observe(&mut self, incarnation: &str, outcome: AttemptOutcome, now: Instant) {
         self.record_gone(incarnation, outcome, now);
--- a/crates/core/src/pool/tuning.rs
+++ b/crates/core/src/pool/tuning.rs
@@ -1,5 +1,7 @@
 //! The weights and limits of a pool.
 
+use super::Scheduling;
+
 /// How a pool chooses servers and limits its queue.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
@@ -16,6 +18,8 @@
     pub remote_hall_cost: f64,
     /// How strongly a server's failure rate raises its cost.
     pub failure_penalty: f64,
+    /// The parts of scheduling under hard load that are in use.
+    pub scheduling: Scheduling,
     /// How many requests may be queued; beyond this the last one in order is rejected.
     pub max_queued: usize,
 }
@@ -28,6 +32,7 @@
             prompt_cost: 1.0,
             remote_hall_cost: 0.2,
             failure_penalty: 4.0,
+            scheduling: Scheduling::default(),
             max_queued: 400,
         }
     }
--- a/crates/core/src/pool/wait_limit.rs
+++ b/crates/core/src/pool/wait_limit.rs
@@ -53,6 +53,12 @@
         self.objective.saturating_sub(self.waited + self.first_byte)
     }
 
+    /// The time that is left of the latency objective.
+    #[must_use]
+    pub fn begin_within(&self) -> Duration {
+        self.objective.saturating_sub(self.waited)
+    }
+
     /// How much longer it is queued at most.
     #[must_use]
     pub fn max_wait(&self) -> Duration {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -16,6 +16,7 @@
 pub use rank::Rank;
 pub use rule::Rule;
 pub use rule::Target;
+pub use table::Engine;
 pub use table::Limits;
 pub use table::Parts;
 pub use table::ServicePolicy;
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -9,6 +9,8 @@
 use crate::code::Refusal;
 use crate::id;
 use crate::limit::Rate;
+use crate::pool::Scheduling;
+use crate::unit::Tokens;
 
 use super::CustomerPolicy;
 use super::Rule;
@@ -37,6 +39,16 @@
     }
 }
 
+/// What a table states about the engines of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Engine {
+    /// How many tokens of running requests and of cached prompts fit in the memory of one engine; `None` if that is not
+    /// stated.
+    pub kv_capacity: Option<Tokens>,
+    /// How many tokens an event of a stream holds; `None` if that is not stated.
+    pub tokens_per_event: Option<u32>,
+}
+
 /// The settings of a service in a routing table.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServicePolicy {
@@ -47,6 +59,8 @@
     /// How many requests per second one of its backend servers takes while it is cold; `None` if a cold server takes as
     /// many as a warm one.
     pub cold_rate: Option<Rate>,
+    /// What its engines are like; `None` if its servers are plain ones.
+    pub engine: Option<Engine>,
 }
 
 /// The parts of a table, before they are validated.
@@ -130,6 +144,17 @@
         &self.services
     }
 
+    /// Of the parts of scheduling that are switched on, those that are in use for each service.
+    #[must_use]
+    pub fn scheduling(&self, switched_on: Scheduling) -> BTreeMap<id::Service, Scheduling> {
+        let services = self.services.iter();
+        let in_use = services.map(|(service, policy)| {
+            let in_use = switched_on.for_service(policy, self.customers.is_some());
+            (service.clone(), in_use)
+        });
+        in_use.collect()
+    }
+
     /// The rules, in no particular order.
     pub fn rules(&self) -> impl Iterator<Item = &Arc<Rule>> {
         self.hosts.values().flatten()
--- a/crates/core/tests/cold_servers.rs
+++ b/crates/core/tests/cold_servers.rs
@@ -65,6 +65,7 @@
         max_connections: 10,
         health_path: "/health".into(),
         cold_rate: Some(rate()),
+        engine: None,
     };
     let table = Table::new(Parts {
         version: 1,
--- a/crates/core/tests/hub_slots.rs
+++ b/crates/core/tests/hub_slots.rs
@@ -232,6 +232,9 @@
         incarnation: "s1".into(),
         rollout: None,
         outcome: AttemptOutcome::Broken,
+        grant: GrantId::default(),
+        server_time: Duration::ZERO,
+        load: None,
     });
     hub.report(&broken_report, ms(1));
     for _ in 0..3 {
--- a/crates/core/tests/route_tables.rs
+++ b/crates/core/tests/route_tables.rs
@@ -59,6 +59,7 @@
         max_connections: 10,
         health_path: "/health".into(),
         cold_rate: None,
+        engine: None,
     };
     let services = ["chat", "pay"].map(|name| (name.parse().expect("valid name"), policy.clone()));
     Parts {
--- a/crates/core/tests/support/backoff.rs
+++ b/crates/core/tests/support/backoff.rs
@@ -636,6 +636,9 @@
             incarnation: Arc::clone(&server.incarnation),
             rollout: None,
             outcome,
+            grant: GrantId::default(),
+            server_time: Duration::ZERO,
+            load: None,
         };
         let report = Report {
             last_grant: gateway_state.last_grant,
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -93,6 +93,16 @@
         Tokens(self.head_fields.tokens.map_or(0, |(prompt, _)| prompt))
     }
 
+    /// The number of tokens that it is likely to generate; 0 if that is not known.
+    pub(super) fn output(&self) -> Tokens {
+        let max = self.head_fields.tokens.map(|(_, generated)| generated);
+        let hint = self.head_fields.length_hint;
+        Tokens(
+            hint.map_or(max, |hint| Some(max.map_or(hint, |max| max.min(hint))))
+                .unwrap_or(0),
+        )
+    }
+
     /// A log line that describes the request: its rule, customer, cost and latency objective.
     pub(super) fn log_line(&self, kind: Kind) -> Line {
         let policy = self.policy.as_ref();
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -12,6 +12,7 @@
 use curlewlift_core::gateway::ServerListCache;
 use curlewlift_core::id;
 use curlewlift_core::pool::RetryAllowance;
+use curlewlift_core::pool::Scheduling;
 use curlewlift_core::quota::Tolerance;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Regions;
@@ -70,6 +71,8 @@
     pub(crate) list_rate: f64,
     /// Which region each data hall is in.
     pub(crate) regions: Regions,
+    /// The parts of scheduling under hard load that are switched on.
+    pub(crate) scheduling: Scheduling,
     /// Address where it answers which hosts run control replicas, if it runs none itself.
     pub(crate) discovery_address: SocketAddr,
     /// The hosts known to run a control replica.
@@ -130,7 +133,7 @@
             client,
         );
         let node = node.clock(self.clock).first_start(self.first_start);
-        let node = node.regions(self.regions);
+        let node = node.regions(self.regions).scheduling(self.scheduling);
         let node = Rc::new(node);
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -7,6 +7,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::limit::Announcement;
 use curlewlift_core::pool::Notice;
+use curlewlift_core::pool::ReportedLoad;
 
 /// What the header fields of a caller's request say.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +20,8 @@
     pub(crate) timeout: Option<Duration>,
     /// Tokens of the prompt, and the maximum number of tokens to generate.
     pub(crate) tokens: Option<(u64, u64)>,
+    /// The caller's estimate of the number of tokens that will be generated.
+    pub(crate) length_hint: Option<u64>,
 }
 
 /// What the gateway adds to the header fields of a request for a backend server.
@@ -45,8 +48,8 @@
     pub(crate) moved: bool,
     /// Whether the server signed the response.
     pub(crate) signed: bool,
-    /// The server's requests in flight: running and waiting together.
-    pub(crate) in_flight: Option<u32>,
+    /// The server's load.
+    pub(crate) load: Option<ReportedLoad>,
     /// What the server announces about itself (draining, backoff).
     pub(crate) notices: Vec<Notice>,
     /// The server's announced limit on requests a second.
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -122,6 +122,8 @@
         return Err((Failure::RetryDenied, slot));
     };
     let until = deadline.timer_instant();
+    let mut slot = slot;
+    slot.record_sent();
     let sent_at = Instant::now();
     match await_head(&mut sender, request, &slot, until, silence_limit).await {
         Ok(response) => Ok(response_start(
@@ -189,8 +191,8 @@
     slot.record_first_byte();
     let (head, body) = response.into_parts();
     let head_fields = (dialect.parse_response)(head.status.as_u16(), &head.headers);
-    if let Some(in_flight) = head_fields.in_flight {
-        slot.update_load(in_flight);
+    if let Some(load) = head_fields.load {
+        slot.record_load(load);
     }
     // Announcements of another incarnation at this address do not apply to the intended server.
     if !head_fields.moved {
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -137,11 +137,15 @@
         };
         let pool_request = pool::Request {
             rule: None,
+            customer: admitted.policy.as_ref().map(|policy| policy.name.clone()),
             rank: admitted.rank(),
             arrived: admitted.deadline.arrived.at,
             send_by: now + send_within,
+            begin_by: now + wait_limit.begin_within(),
+            max_gap: admitted.rule.max_gap,
             wait_until: now + max_wait,
             prompt: admitted.prompt(),
+            output: admitted.output(),
             hall: Arc::clone(&self.node.gateway.hall),
             tried: self.tried.clone(),
             avoid: Vec::new(),
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::AttemptEnd;
 use curlewlift_core::gateway::Grant;
+use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::RolloutTag;
 use curlewlift_core::gateway::Server;
@@ -164,9 +165,12 @@
             hall: Arc::clone(&self.gateway.hall),
             service: service.clone(),
             rule: in_rollout.then(|| Arc::clone(context.rule)),
+            customer: request.customer.clone(),
             rank: request.rank,
             waited: now.since(request.arrived),
             send_within: request.send_by.since(now),
+            first_event_within: request.begin_by.since(now),
+            max_gap: request.max_gap,
             max_wait: wait_limit,
             time_left: context.time_left,
             identity: context.identity.clone(),
@@ -176,6 +180,7 @@
                 .get_evidence()
                 .unacknowledged_for(context.identity),
             prompt: request.prompt,
+            output: request.output,
             charge: charge.cloned(),
             needs_retry: context.needs_retry,
             tried: request.tried.clone(),
@@ -222,7 +227,7 @@
             let mut quarantine = self.quarantine.borrow_mut();
             quarantine.record_inconclusive(identity, permit, now);
         }
-        self.report_end(service, &server.incarnation, AttemptOutcome::Unknown, None);
+        self.report_observation(service, &server.incarnation, AttemptOutcome::Unknown);
         if (self.report_notice(service, &server) || is_unavailable) && !is_late {
             return HubDecision::Unavailable(grant.server);
         }
@@ -240,7 +245,7 @@
             Some(Notice::Backoff(remaining)) => AttemptOutcome::Backoff(remaining),
             Some(Notice::Unreadable(_)) | None => return false,
         };
-        self.report_end(service, incarnation, outcome, None);
+        self.report_observation(service, incarnation, outcome);
         true
     }
 
@@ -266,21 +271,28 @@
         })
     }
 
-    /// Reports the outcome of an attempt to the hub.
-    pub(super) fn report_end(
+    /// Reports the end of an attempt to the hub.
+    pub(super) fn report_end(&self, end: AttemptEnd) {
+        self.attempt_ends.borrow_mut().push(end);
+        self.report_wakeup.notify_one();
+    }
+
+    /// Reports to the hub what is known of a server without the end of an attempt.
+    fn report_observation(
         &self,
         service: &id::Service,
         incarnation: &str,
         outcome: AttemptOutcome,
-        rollout_tag: Option<RolloutTag>,
     ) {
-        self.attempt_ends.borrow_mut().push(AttemptEnd {
+        self.report_end(AttemptEnd {
             service: service.clone(),
             incarnation: incarnation.into(),
-            rollout: rollout_tag,
+            rollout: None,
             outcome,
+            grant: GrantId::default(),
+            server_time: Duration::ZERO,
+            load: None,
         });
-        self.report_wakeup.notify_one();
     }
 }
 
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -22,6 +22,7 @@
 use curlewlift_core::pool::FirstByteTime;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
+use curlewlift_core::pool::Scheduling;
 use curlewlift_core::quarantine;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::LocalLimiter;
@@ -104,6 +105,8 @@
     pub(super) clock: Clock,
     /// Which region each data hall is in.
     pub(super) regions: Regions,
+    /// The parts of scheduling under hard load that are switched on.
+    pub(super) scheduling: Scheduling,
     /// Whether the whole deployment starts for the first time.
     pub(super) first_start: bool,
     /// Client for calls to the control replicas.
@@ -171,6 +174,7 @@
             dialect,
             clock: Clock::start(),
             regions: Regions::default(),
+            scheduling: Scheduling::default(),
             first_start: false,
             rpc,
             table: RefCell::default(),
@@ -209,6 +213,12 @@
         self
     }
 
+    /// Sets the parts of scheduling under hard load that are switched on.
+    pub(super) fn scheduling(mut self, scheduling: Scheduling) -> Self {
+        self.scheduling = scheduling;
+        self
+    }
+
     /// Sets whether the whole deployment starts for the first time.
     pub(super) fn first_start(mut self, first_start: bool) -> Self {
         self.first_start = first_start;
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use curlewlift_core::clock;
+use curlewlift_core::gateway::AttemptEnd;
 use curlewlift_core::gateway::GatewayShare;
 use curlewlift_core::gateway::Load;
-use curlewlift_core::gateway::RolloutTag;
 use curlewlift_core::id;
 use curlewlift_core::limit::Change;
 use curlewlift_core::limit::Slack;
@@ -28,6 +28,7 @@
         let mut by_service = self.server_lists.borrow().get_subset().by_service();
         let mut services = self.services.borrow_mut();
         if let Some(table) = &*self.table.borrow() {
+            let scheduling = table.scheduling(self.scheduling);
             for (name, provider) in table.get_services() {
                 let service = services.entry(name.clone());
                 let service =
@@ -35,6 +36,8 @@
                 let warmup = provider.cold_rate;
                 let warmup = warmup.map(|rate| Warmup::new(rate, Slack::default()));
                 service.pool.set_warmup(warmup, now);
+                let scheduling = scheduling.get(name).copied();
+                service.pool.set_scheduling(scheduling.unwrap_or_default());
             }
         }
         let policy = self.policy.borrow();
@@ -139,19 +142,15 @@
     }
 
     /// Records and reports the outcome of an attempt, and assigns the slot that it freed.
-    pub(super) fn finish_attempt(
-        &self,
-        name: &id::Service,
-        incarnation: &str,
-        outcome: AttemptOutcome,
-        rollout_tag: Option<RolloutTag>,
-    ) {
+    pub(super) fn finish_attempt(&self, end: AttemptEnd) {
         let now = self.now();
-        self.with_service(name, |service| {
-            service.pool.finish_attempt(incarnation, outcome, now);
+        let name = end.service.clone();
+        self.with_service(&name, |service| {
+            let pool = &mut service.pool;
+            pool.finish_attempt(&end.incarnation, end.outcome, now);
         });
-        self.report_end(name, incarnation, outcome, rollout_tag);
-        self.assign_slots(name);
+        self.report_end(end);
+        self.assign_slots(&name);
     }
 
     /// Runs `action` on a service; none if the service is unknown.
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -6,6 +6,7 @@
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::event::Kind;
+use curlewlift_core::gateway::AttemptEnd;
 use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::RolloutTag;
@@ -16,6 +17,7 @@
 use curlewlift_core::limit::Key;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Notice;
+use curlewlift_core::pool::ReportedLoad;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::unit::Tokens;
 
@@ -40,6 +42,10 @@
     identity: Identity,
     /// When the slot was assigned.
     granted_at: Instant,
+    /// When the request was sent; none before that.
+    sent_at: Option<Instant>,
+    /// The load that the server stated in the head of its response.
+    load: Option<ReportedLoad>,
     /// Whether the server crashed under the request.
     crashed: bool,
     /// Whether the server sent its whole response.
@@ -67,6 +73,8 @@
             asked_at: now,
             identity: context.identity.clone(),
             granted_at: now,
+            sent_at: None,
+            load: None,
             crashed: false,
             completed: false,
             unread_prompt: Some(prompt),
@@ -263,11 +271,17 @@
         avoid_time.unwrap_or_default()
     }
 
-    /// Applies the server's load as its response stated it.
-    pub(super) fn update_load(&self, in_flight: u32) {
+    /// The request is being sent.
+    pub(super) fn record_sent(&mut self) {
+        self.sent_at = Some(self.node.now());
+    }
+
+    /// Records the server's load as its response stated it.
+    pub(super) fn record_load(&mut self, load: ReportedLoad) {
+        self.load = Some(load);
         let incarnation = &self.server.incarnation;
         self.node.with_service(&self.service, |service| {
-            service.pool.update_load(incarnation, in_flight);
+            service.pool.update_load(incarnation, load.in_flight());
         });
     }
 }
@@ -277,10 +291,19 @@
         self.record_first_byte();
         // Before the outcome is reported, so that one report contains both.
         self.report_request_outcome();
-        let incarnation = &self.server.incarnation;
-        let rollout_tag = self.rollout_tag.take();
-        self.node
-            .finish_attempt(&self.service, incarnation, self.outcome, rollout_tag);
+        let now = self.node.now();
+        let end = AttemptEnd {
+            service: self.service.clone(),
+            incarnation: Arc::clone(&self.server.incarnation),
+            rollout: self.rollout_tag.take(),
+            outcome: self.outcome,
+            grant: self.grant_id(),
+            server_time: self
+                .sent_at
+                .map_or(Duration::ZERO, |sent_at| now.since(sent_at)),
+            load: self.load,
+        };
+        self.node.finish_attempt(end);
     }
 }
 
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::id;
 use curlewlift_core::route::CustomerPolicy;
+use curlewlift_core::route::Engine;
 use curlewlift_core::route::Homes;
 use curlewlift_core::route::Kind;
 use curlewlift_core::route::Limits;
@@ -21,6 +22,7 @@
 use curlewlift_core::route::Target;
 use curlewlift_core::route::Unit;
 use curlewlift_core::state::Publication;
+use curlewlift_core::unit::Tokens;
 use serde::Deserialize;
 
 /// The configuration document.
@@ -65,10 +67,20 @@
     name: String,
     health_path: Option<String>,
     max_conns: Option<u32>,
+    /// What its engines are like; missing for a service of plain servers.
+    engine: Option<EngineSection>,
     /// How many requests a second one of its servers accepts while it is cold; 0 is the same as when it is warm.
     cold_per_s: Option<f64>,
 }
 
+#[derive(Clone, Copy, Deserialize)]
+struct EngineSection {
+    /// The tokens that fit in an engine's memory.
+    kv_capacity: Option<u64>,
+    /// The tokens of an event.
+    stride: Option<u32>,
+}
+
 #[derive(Clone, Copy, Deserialize)]
 struct Bounds {
     max_header_bytes: Option<usize>,
@@ -199,8 +211,13 @@
 fn decode_service(service: Service) -> Result<(id::Service, ServicePolicy), Refusal> {
     let cold_rate = service.cold_per_s.filter(|rate| *rate != 0.0);
     let cold_rate = cold_rate.map(|rate| parse(&rate.to_string())).transpose()?;
+    let engine = service.engine.map(|engine| Engine {
+        kv_capacity: engine.kv_capacity.map(Tokens),
+        tokens_per_event: engine.stride,
+    });
     let policy = ServicePolicy {
         cold_rate,
+        engine,
         max_connections: service.max_conns.unwrap_or(u32::MAX),
         health_path: service.health_path.unwrap_or_default().into(),
     };
--- a/crates/curlewlift/src/platform/headers.rs
+++ b/crates/curlewlift/src/platform/headers.rs
@@ -12,6 +12,7 @@
 use curlewlift_core::limit::InvalidRate;
 use curlewlift_core::limit::Rate;
 use curlewlift_core::pool::Notice;
+use curlewlift_core::pool::ReportedLoad;
 
 use crate::gateway::BackendHead;
 use crate::gateway::Dialect;
@@ -29,6 +30,8 @@
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 /// The prompt's tokens and the maximum of generated tokens, separated by a comma.
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("x-token-counts");
+/// The caller's estimate of the number of tokens that will be generated.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 /// The customer's name, for the backend server.
 const CUSTOMER: HeaderName = HeaderName::from_static("x-tenant");
 /// The name of the backend server that the request is for; another one rejects the request.
@@ -39,7 +42,8 @@
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 /// Says that the backend server did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
-/// The number of running requests, of queued requests and of slots, separated by commas.
+/// The number of running requests, of queued requests and of slots, and how long work takes at the moment in percent of
+/// the usual time, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 
 /// Says that the backend server is draining.
@@ -78,6 +82,7 @@
         key: bearer_key(headers),
         timeout: millis(headers, &DEADLINE)?.map(Duration::from_millis),
         tokens: token_counts(headers)?,
+        length_hint: length_hint(headers),
     })
 }
 
@@ -157,7 +162,7 @@
         not_run: headers.contains_key(NOT_RUN),
         moved: status == MISDIRECTED_STATUS,
         signed: headers.contains_key(SIGNATURE),
-        in_flight: requests_in_flight(headers),
+        load: reported_load(headers),
         notices: notices(status, headers),
         limit: announced_limit(headers),
     }
@@ -201,9 +206,23 @@
         .map_or_else(|| Notice::Unreadable(text.into_owned()), Notice::Backoff)
 }
 
-fn requests_in_flight(headers: &HeaderMap) -> Option<u32> {
-    let mut counts = headers.get(LOAD)?.to_str().ok()?.split(',');
-    let running: u32 = counts.next()?.trim().parse().ok()?;
-    let waiting: u32 = counts.next()?.trim().parse().ok()?;
-    Some(running.saturating_add(waiting))
+/// The caller's estimate of the generated tokens; an invalid one is ignored, as it decides nothing about the response.
+fn length_hint(headers: &HeaderMap) -> Option<u64> {
+    headers.get(LENGTH_HINT)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// The load that the server states. Servers without a figure for their pace leave it out.
+fn reported_load(headers: &HeaderMap) -> Option<ReportedLoad> {
+    let mut figures = headers.get(LOAD)?.to_str().ok()?.split(',').map(str::trim);
+    let running = figures.next()?.parse().ok()?;
+    let waiting = figures.next()?.parse().ok()?;
+    let slots = figures.next().and_then(|figure| figure.parse().ok());
+    let percent: Option<f64> = figures.next().and_then(|figure| figure.parse().ok());
+    let percent = percent.filter(|percent| percent.is_finite() && *percent > 0.0);
+    Some(ReportedLoad {
+        running,
+        waiting,
+        slots,
+        relative_time: percent.map(|percent| percent / 100.0),
+    })
 }
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
+use curlewlift_core::pool::Scheduling;
 use curlewlift_core::route::Limits;
 use curlewlift_core::route::Regions;
 use hyper::body::Incoming;
@@ -73,6 +74,7 @@
 pub struct Platform {
     path: PathBuf,
     settings: Settings,
+    scheduling: Scheduling,
     clock: Clock,
 }
 
@@ -87,6 +89,7 @@
         Ok(Self {
             path,
             settings,
+            scheduling: Scheduling::default(),
             clock: Clock::start(),
         })
     }
@@ -98,17 +101,29 @@
         self
     }
 
+    /// Switches on parts of scheduling under hard load.
+    #[must_use]
+    pub fn scheduling(mut self, scheduling: Scheduling) -> Self {
+        self.scheduling = scheduling;
+        self
+    }
+
     /// Starts it on its own threads.
     ///
     /// # Errors
     ///
     /// [`Code::BadSetting`] if it cannot listen at one of its addresses.
     pub fn start(self) -> Result<Process, Refusal> {
-        start(self.path, self.settings, self.clock)
+        start(self.path, self.settings, self.scheduling, self.clock)
     }
 }
 
-fn start(path: PathBuf, settings: Settings, clock: Clock) -> Result<Process, Refusal> {
+fn start(
+    path: PathBuf,
+    settings: Settings,
+    scheduling: Scheduling,
+    clock: Clock,
+) -> Result<Process, Refusal> {
     let listen = &settings.listen;
     let callers = process::bind(listen.callers)?;
     let listeners = Listeners {
@@ -133,10 +148,11 @@
                 + STOP_NOTICE_DELAY,
             total: settings.stop_time(),
         },
-        local_replica: control_replica(&settings, &known, &clock)?,
+        local_replica: control_replica(&settings, scheduling, &known, &clock)?,
         first_start: settings.first_start,
         list_rate: settings.platform.rate,
         regions: Regions::new(settings.halls.clone()),
+        scheduling,
         discovery_address: settings.replica_address(settings.ip),
         known_replicas: known,
         clock,
@@ -169,6 +185,7 @@
 /// The control replica to start next to the gateway, if the host has a disk.
 fn control_replica(
     settings: &Settings,
+    scheduling: Scheduling,
     known: &KnownHosts,
     clock: &Clock,
 ) -> Result<Option<LocalReplica>, Refusal> {
@@ -196,6 +213,7 @@
                 rollouts: settings.rollout_bounds(),
                 cold: settings.cold_slack(),
                 retries: Some(settings.retry_allowance()),
+                scheduling,
                 link_bytes_per_s: settings.limits.link_bytes_per_s(),
                 ..Tuning::default()
             },
--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -117,7 +117,8 @@
     common: &settings::Common,
 ) -> Result<(), Refusal> {
     let path = args.path(environment)?;
-    let platform = crate::platform::Platform::new(path)?;
+    let scheduling = args.scheduling(environment)?;
+    let platform = crate::platform::Platform::new(path)?.scheduling(scheduling);
     telemetry::serve_metrics(common.metrics)?;
     wait(platform.start()?)
 }
@@ -200,8 +201,10 @@
             println!("{settings:#?}");
         }
         "platform" => {
-            let path = settings::Platform::default().path(environment)?;
+            let args = settings::Platform::default();
+            let path = args.path(environment)?;
             println!("{:#?}", crate::platform::Settings::read(&path)?);
+            println!("scheduling: {}", args.scheduling(environment)?);
         }
         "operate" => {
             let settings = settings::Operator::new(&settings::Operate::default(), environment)?;
--- a/crates/curlewlift/src/settings/args.rs
+++ b/crates/curlewlift/src/settings/args.rs
@@ -103,6 +103,10 @@
     /// the settings file that the platform provides (CURLEWLIFT_CONFIG)
     #[argh(option)]
     pub(crate) config: Option<String>,
+    /// the parts of scheduling under hard load to switch on, separated by commas: in-flight,
+    /// fair-shares, placement, retry-times, local-slots; default none (CURLEWLIFT_SCHEDULING)
+    #[argh(option)]
+    pub(crate) scheduling: Option<String>,
 }
 
 /// Runs operators' commands from the command line, a file or an interactive prompt.
--- a/crates/curlewlift/src/settings/resolve.rs
+++ b/crates/curlewlift/src/settings/resolve.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::id;
+use curlewlift_core::pool::Scheduling;
 use curlewlift_core::view::LeaseTiming;
 
 use super::args;
@@ -320,4 +321,14 @@
     pub(crate) fn path(&self, environment: &Environment) -> Result<PathBuf, Refusal> {
         setting(self.config.as_ref(), "config", "the path of a file").required(environment)
     }
+
+    /// The parts of scheduling under hard load that are switched on.
+    pub(crate) fn scheduling(&self, environment: &Environment) -> Result<Scheduling, Refusal> {
+        let scheduling = setting(
+            self.scheduling.as_ref(),
+            "scheduling",
+            "names of parts, separated by commas, or nothing",
+        );
+        Ok(scheduling.optional(environment)?.unwrap_or_default())
+    }
 }
--- a/crates/curlewlift/src/settings/variables.rs
+++ b/crates/curlewlift/src/settings/variables.rs
@@ -9,7 +9,7 @@
 const VARIABLE_PREFIX: &str = "CURLEWLIFT_";
 
 /// The names of all environment variables that are settings.
-const SETTING_VARIABLES: [&str; 16] = [
+const SETTING_VARIABLES: [&str; 17] = [
     "CURLEWLIFT_CONFIG",
     "CURLEWLIFT_CONTROL",
     "CURLEWLIFT_DATA",
@@ -26,6 +26,7 @@
     "CURLEWLIFT_OPERATOR",
     "CURLEWLIFT_PLATFORM",
     "CURLEWLIFT_RPC",
+    "CURLEWLIFT_SCHEDULING",
 ];
 
 /// Rejects an environment variable that has the prefix but is not a setting, such as a misspelt one.
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -388,14 +388,18 @@
             hall: "a".into(),
             service: service(),
             rule: Some(RULES[rule].name.into()),
+            customer: None,
             rank: 0.into(),
             waited: Duration::ZERO,
             send_within: Duration::from_millis(200),
+            first_event_within: Duration::from_secs(1),
+            max_gap: None,
             max_wait: Duration::from_millis(200),
             time_left: Duration::from_secs(10),
             identity: Identity::default(),
             observations: Vec::new(),
             prompt: Tokens(100),
+            output: Tokens(0),
             charge: None,
             needs_retry: false,
             tried: Vec::new(),
@@ -504,6 +508,9 @@
                 incarnation: Arc::clone(&engine.server.incarnation),
                 rollout: run.rollout,
                 outcome: run.attempt.outcome,
+                grant: GrantId::default(),
+                server_time: Duration::ZERO,
+                load: None,
             });
             if run.attempt.is_faulty && engine.is_new {
                 self.outcome.faulty_responses += 1;
