Bound the bytes that a host holds for requests and responses

Cause: a gateway accepts bodies without regard to what it already holds; hundreds of callers that send megabytes, or read their responses slowly, end a process at its memory limit, and with it all of its requests.

Change: bodies, whole responses and open streams count towards a quarter of the memory that the settings state.

Ruled out: a write timeout of our own for callers that read nothing.

Measured: platform_memory bodies_bounded: four bodies of 99 KB at a host that may hold three; the fourth is refused, small requests are served, and the room is free again when the callers leave. Without the budget the fourth is answered 200 and the test is red.

--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -11,9 +11,9 @@
 use axum::http::request;
 use axum::http::uri::PathAndQuery;
 use bytes::Bytes;
+use bytes::BytesMut;
 use curlewlift_core::clock;
 use curlewlift_core::code::Code;
-use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::WaitLimit;
 use curlewlift_core::quarantine::Identity;
@@ -25,8 +25,6 @@
 use curlewlift_core::route::Table;
 use curlewlift_core::unit::Tokens;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -34,6 +32,7 @@
 use super::deadline::Arrival;
 use super::deadline::Deadline;
 use super::dialect::RequestHead;
+use super::held_bytes::HeldBytes;
 use super::log::Line;
 use super::log::millis;
 use super::node::Node;
@@ -58,6 +57,9 @@
 /// How often a waiting request checks whether the first table has arrived.
 const FIRST_TABLE_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
+/// After how long a caller is to retry, at any host, if this one holds too many bytes: most requests are short.
+const HOST_FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// An admitted request.
 #[derive(Clone)]
 pub(super) struct Admitted {
@@ -76,6 +78,8 @@
     pub(super) charge: Option<Charge>,
     pub(super) head: request::Parts,
     pub(super) body: Bytes,
+    /// What the body holds of the gateway's memory budget.
+    _held: Rc<HeldBytes>,
     /// The request's deadline.
     pub(super) deadline: Deadline,
     /// The version of the routing table that it was admitted by.
@@ -138,7 +142,7 @@
 
 /// Admits a request, or returns the refusal; a refused request has not run.
 pub(super) async fn admit(
-    node: &Node,
+    node: &Rc<Node>,
     request: Request<Incoming>,
     arrived: Arrival,
     head_fields: RequestHead,
@@ -156,7 +160,8 @@
     let limits = table.get_limits();
     drop(table);
     let (head, body) = request.into_parts();
-    let body = read_body(body, limits, deadline.timer_instant()).await?;
+    let memory = HeldBytes::new(node);
+    let body = read_body(body, limits, &memory, deadline.timer_instant()).await?;
     let identity = identity(policy.as_deref(), &head, &body);
     let cost = policy
         .as_ref()
@@ -172,6 +177,7 @@
         allowed_halls,
         head,
         body,
+        _held: Rc::new(memory),
         deadline,
         table_version: version,
     })
@@ -283,33 +289,66 @@
     })
 }
 
-/// Reads the request body, within the size limit and until the deadline.
-async fn read_body(body: Incoming, limits: Limits, until: Instant) -> Result<Bytes, Refused> {
-    let too_large = || {
-        let reason = format!(
-            "the request body exceeds the limit of {} bytes",
-            limits.body_bytes
-        );
-        Refused::new(Code::TooLarge, reason)
-    };
-    let stated_length = body.size_hint().lower();
-    if usize::try_from(stated_length).is_ok_and(|stated_length| stated_length > limits.body_bytes) {
-        return Err(too_large());
+/// Reads the request body, within the size limit and the gateway's memory budget and until the deadline.
+async fn read_body(
+    body: Incoming,
+    limits: Limits,
+    held: &HeldBytes,
+    until: Instant,
+) -> Result<Bytes, Refused> {
+    let stated_length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated_length > limits.body_bytes {
+        return Err(too_large(limits));
     }
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    let late = Refusal::new(
-        Code::TooSlow,
-        "the request body did not arrive before the deadline",
-    );
-    let Ok(read) = tokio::time::timeout_at(until, collected).await else {
-        return Err(late.into());
+    if !held.try_extend(stated_length) {
+        return Err(host_full());
+    }
+    let read = collect_body(body, limits, stated_length, held);
+    let Ok(read) = tokio::time::timeout_at(until, read).await else {
+        let reason = "the request body did not arrive before the deadline";
+        return Err(Refused::new(Code::TooSlow, reason));
     };
-    match read {
-        Ok(read) => Ok(read.to_bytes()),
-        Err(reason) if reason.is::<LengthLimitError>() => Err(too_large()),
-        Err(reason) => Err(Refused::new(
-            Code::Broken,
-            format!("the connection broke off during the request body: {reason}"),
-        )),
+    read
+}
+
+/// Collects a body, of which `stated_length` bytes are held already.
+async fn collect_body(
+    mut body: Incoming,
+    limits: Limits,
+    stated_length: usize,
+    held: &HeldBytes,
+) -> Result<Bytes, Refused> {
+    let mut read = BytesMut::with_capacity(stated_length);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|reason| {
+            let reason = format!("the connection broke off during the request body: {reason}");
+            Refused::new(Code::Broken, reason)
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = read.len() + data.len();
+        if length > limits.body_bytes {
+            return Err(too_large(limits));
+        }
+        let unstated = length.saturating_sub(stated_length.max(read.len()));
+        if !held.try_extend(unstated) {
+            return Err(host_full());
+        }
+        read.extend_from_slice(&data);
     }
+    Ok(read.freeze())
+}
+
+fn too_large(limits: Limits) -> Refused {
+    let reason = format!(
+        "the request body exceeds the limit of {} bytes",
+        limits.body_bytes
+    );
+    Refused::new(Code::TooLarge, reason)
+}
+
+fn host_full() -> Refused {
+    let reason = "this host holds as many bytes of requests and responses as its memory allows";
+    Refused::new(Code::HostFull, reason).with_retry_after(HOST_FULL_RETRY_AFTER)
 }
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
+use curlewlift_core::gateway::MemoryBudget;
 use curlewlift_core::gateway::ServerListCache;
 use curlewlift_core::id;
 use curlewlift_core::pool::RetryAllowance;
@@ -71,6 +72,8 @@
     pub(crate) list_rate: f64,
     /// Which region each data hall is in.
     pub(crate) regions: Regions,
+    /// How many bytes requests and responses may hold.
+    pub(crate) memory_budget: MemoryBudget,
     /// The parts of scheduling under hard load that are switched on.
     pub(crate) scheduling: Scheduling,
     /// Address where it answers which hosts run control replicas, if it runs none itself.
@@ -134,6 +137,7 @@
         );
         let node = node.clock(self.clock).first_start(self.first_start);
         let node = node.regions(self.regions).scheduling(self.scheduling);
+        let node = node.memory_budget(self.memory_budget);
         let node = Rc::new(node);
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod failure;
 mod forward;
+mod held_bytes;
 mod hub_slots;
 mod leader_calls;
 mod lists;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::gateway::AttemptEnd;
 use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::Membership;
+use curlewlift_core::gateway::MemoryBudget;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::ServerListCache;
 use curlewlift_core::id;
@@ -105,6 +106,8 @@
     pub(super) clock: Clock,
     /// Which region each data hall is in.
     pub(super) regions: Regions,
+    /// The bytes that requests and responses hold here.
+    pub(super) memory_budget: RefCell<MemoryBudget>,
     /// The parts of scheduling under hard load that are switched on.
     pub(super) scheduling: Scheduling,
     /// Whether the whole deployment starts for the first time.
@@ -174,6 +177,7 @@
             dialect,
             clock: Clock::start(),
             regions: Regions::default(),
+            memory_budget: RefCell::default(),
             scheduling: Scheduling::default(),
             first_start: false,
             rpc,
@@ -213,6 +217,12 @@
         self
     }
 
+    /// Sets how many bytes requests and responses may hold.
+    pub(super) fn memory_budget(mut self, memory_budget: MemoryBudget) -> Self {
+        self.memory_budget = RefCell::new(memory_budget);
+        self
+    }
+
     /// Sets the parts of scheduling under hard load that are switched on.
     pub(super) fn scheduling(mut self, scheduling: Scheduling) -> Self {
         self.scheduling = scheduling;
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -13,6 +13,7 @@
 use super::body::ResponseBody;
 use super::exchange::ResponseStart;
 use super::forward::ForwardedRequest;
+use super::held_bytes::HeldBytes;
 use super::log::Line;
 use super::log::millis;
 use super::outgoing;
@@ -20,6 +21,9 @@
 use super::relay;
 use super::request;
 
+/// What a response that is forwarded as it arrives holds: a part of the buffers of its two connections.
+const STREAM_BYTES: usize = 32 << 10;
+
 impl ForwardedRequest {
     /// The refusal of an admitted request, or a server's error response if there is one.
     pub(super) fn refusal_response(&mut self, refusal: &Refused) -> Answer {
@@ -34,7 +38,13 @@
     pub(super) fn full_response(&mut self, head: response::Parts, body: Bytes) -> Answer {
         self.outcome_logged = true;
         self.log_end(head.status.as_u16(), "whole", None);
-        to_caller(head, Some(body.len()), body::full(body))
+        let memory = HeldBytes::new(&self.node);
+        memory.extend(body.len());
+        to_caller(
+            head,
+            Some(body.len()),
+            body::with_guard(body::full(body), memory),
+        )
     }
 
     /// A server's response that is forwarded as it arrives.
@@ -42,8 +52,10 @@
         self.outcome_logged = true;
         self.failed_response = None;
         let head = response_start.head.clone();
+        let memory = HeldBytes::new(&self.node);
+        memory.extend(STREAM_BYTES);
         let body = relay::body(self.clone(), response_start);
-        to_caller(head, None, body)
+        to_caller(head, None, body::with_guard(body, memory))
     }
 
     /// Logs that the caller has received the complete response; for a stream with the number of its chunks and
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -10,6 +10,7 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::gateway::MemoryBudget;
 use curlewlift_core::limit;
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::quota::Tolerance;
@@ -63,9 +64,24 @@
     /// The capacity of its network link, in Mbit/s.
     #[serde(rename = "link_mbps", default)]
     link_mbit_per_s: f64,
+    /// The memory of one process, in MB; 0 if the file does not say.
+    #[serde(rename = "memory_mb", default)]
+    memory_megabytes: f64,
 }
 
 impl HostLimits {
+    /// How many bytes requests and responses may hold; no limit if the file does not state the memory.
+    pub(super) fn memory_budget(self) -> MemoryBudget {
+        let bytes = self.memory_megabytes * 1e6 * HELD_MEMORY_SHARE;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let limit = bytes as usize;
+        if limit == 0 {
+            MemoryBudget::default()
+        } else {
+            MemoryBudget::new(limit)
+        }
+    }
+
     /// The capacity of its network link, in bytes a second.
     pub(super) fn link_bytes_per_s(self) -> f64 {
         self.link_mbit_per_s * 1e6 / 8.0
@@ -157,6 +173,10 @@
     pub(super) max_ttl_seconds: f64,
 }
 
+/// The share of a process's memory that requests and responses may hold. The rest is for connections, tables, lists and
+/// the state of a leader.
+const HELD_MEMORY_SHARE: f64 = 0.25;
+
 /// The platform's rule set about roll-outs of versions.
 const ROLLOUT_RULES: &str = "rollout";
 
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -152,6 +152,7 @@
         first_start: settings.first_start,
         list_rate: settings.platform.rate,
         regions: Regions::new(settings.halls.clone()),
+        memory_budget: settings.limits.memory_budget(),
         scheduling,
         discovery_address: settings.replica_address(settings.ip),
         known_replicas: known,
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -316,6 +316,7 @@
                 "control": self.control(index), "directory": self.directory(index),
             },
             "fault_tolerance": { "machines": 1 },
+            "limits": { "memory_mb": MEMORY_MEGABYTES },
             "bounds": {
                 "grace_s": 8, "retry_budget_ratio": 0.2, "budget_min_retries": 60,
                 "budget_window_s": 10, "quota_window_s": 8, "quota_overage": 0.1,
@@ -342,6 +343,10 @@
     }
 }
 
+/// The memory of a host as its settings state it, in MB. Requests and responses may hold a quarter of it: three bodies of
+/// the largest size that the document allows.
+const MEMORY_MEGABYTES: f64 = 1.3;
+
 /// The number of hosts with a disk.
 const DISK_COUNT: u8 = 3;
 
