Measure how many requests a plain server may have in flight

Cause: the hub counts a slot as taken until the report of its end arrives, some 60 ms for 15 ms of work, and lets each server have one request beyond its slots.

Ruled out: a constant (wrong for other latencies and for long work); a limit that follows the rate of ends (its noise made servers full and idle in turn: up to a third of the slots idle under overload); a forecast by what servers could serve (no test needs it).

A server gets requests no faster than it can begin them within a third of the objective; waiting requests that it reports are deducted, and above the objective it gets nothing; a rejection halves the limit. A new hub rejects nothing by its forecast for the first round, in which no slot can become free.

Tests that turn red without a piece: short_work_busy (overhead term, first round), server_crashes (spread, pace factor, least time), some_work_slow (taking out queueing, number of samples), work_becomes_short (restart), waiting_bounded (pace), reported_waiting (deduction, closing), full_server (cut, interval, raise), late_reports (overhead bound, constant bound), switched_off.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::limit::Warmup;
 use crate::pool;
 use crate::pool::AttemptOutcome;
+use crate::pool::InFlightLimit;
 use crate::pool::Pool;
 use crate::pool::Request;
 use crate::pool::Scheduling;
@@ -170,6 +171,8 @@
                 let is_own = attempt.grant.hub_id == self.hub_id;
                 let number = Some(attempt.grant.number).filter(|_| is_own);
                 let release = number.and_then(|number| self.grant_log.finish(number, attempt, now));
+                let held = release.as_ref().map(|release| release.held);
+                pool.measure_end(attempt, held, now);
                 if let Some(release) = release {
                     pool.record_release(&release, now);
                 }
@@ -208,6 +211,12 @@
         self.pools.values_mut().map(Pool::take_limit_wait).sum()
     }
 
+    /// Returns how many requests each server may have in flight, where that is measured.
+    pub(super) fn in_flight_limits(&self) -> impl Iterator<Item = (&id::Service, InFlightLimit)> {
+        let pools = self.pools.iter();
+        pools.flat_map(|(service, pool)| pool.in_flight_limits().map(move |limit| (service, limit)))
+    }
+
     /// Returns the number of the last grant.
     pub(super) fn last_grant(&self) -> u64 {
         self.occupancy.last_grant()
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Instant;
 use crate::id;
+use crate::pool::InFlightLimit;
 use crate::quarantine::Decision;
 use crate::quarantine::Rejection;
 
@@ -87,6 +88,11 @@
         self.retries.left(service, now)
     }
 
+    /// Returns how many requests each server may have in flight, where that is measured.
+    pub fn in_flight_limits(&self) -> impl Iterator<Item = (&id::Service, InFlightLimit)> {
+        self.dispatcher.in_flight_limits()
+    }
+
     /// Removes a request from the queue.
     pub fn cancel(&mut self, ticket: &Ticket, now: Instant) {
         let reservation = self.dispatcher.cancel(ticket);
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -96,7 +96,7 @@
         for index in candidates {
             let tie_break: f64 = self.random.random();
             let state = self.servers.at(index);
-            if !usable(state) || !self.limits.admits(&state.server, now) {
+            if !usable(state) || !self.admits(state, now) {
                 continue;
             }
             let score = self.score(state, request, mean) + tie_break * TIE_BREAK_WEIGHT;
--- a/crates/core/src/pool/doomed.rs
+++ b/crates/core/src/pool/doomed.rs
@@ -17,7 +17,9 @@
         let is_full = self.is_full(|_| true, now);
         // If all servers announced rate limits, assignments cannot be faster than the sum of these, even if too few
         // were made lately for an estimate.
-        let rates = self.forecast.rates(now).capped(self.total_limit_rate());
+        let rates = self.forecast.rates(now);
+        let rates = rates.unknown_if(self.servers.is_new(now));
+        let rates = rates.capped(self.total_limit_rate());
         let backoffs = self.backoffs(now);
         for (position, request) in self.queue.iter() {
             let request = &*request.with_backoffs(&backoffs);
@@ -45,7 +47,7 @@
         let mut free = self.servers.free().iter();
         let has_room = free.any(|index| {
             let state = self.servers.at(*index);
-            is_usable(state) && self.limits.admits(&state.server, now)
+            is_usable(state) && self.admits(state, now)
         });
         let mut accepting = self.servers.all().filter(|state| state.accepts_work());
         !has_room && accepting.any(is_usable)
--- a/crates/core/src/pool/forecast.rs
+++ b/crates/core/src/pool/forecast.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// The same rates with that of assignments unknown if `condition` holds.
+    pub(super) fn unknown_if(self, condition: bool) -> Self {
+        Self {
+            assignments: self.assignments.filter(|_| !condition),
+            ..self
+        }
+    }
+
     /// How long the request at `position` is likely to wait, with `ahead` others before it. Requests that will arrive
     /// and be served before it use up part of the assignments. `None` if the rate of assignments is not known.
     pub(super) fn wait(&self, position: &Position, ahead: usize) -> Option<Duration> {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -4,6 +4,7 @@
 mod doomed;
 mod first_byte_time;
 mod forecast;
+mod in_flight;
 mod limit_wait;
 mod notices;
 mod queue;
@@ -21,6 +22,8 @@
 mod wait_limit;
 
 pub use first_byte_time::FirstByteTime;
+pub use in_flight::InFlightLimit;
+pub use in_flight::Reason;
 pub use notices::Notice;
 pub use notices::Notices;
 pub use release::Release;
--- a/crates/core/src/pool/server_set.rs
+++ b/crates/core/src/pool/server_set.rs
@@ -4,8 +4,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::clock::Instant;
 use crate::gateway::Server;
 
+use super::in_flight::InFlightLimit;
+use super::in_flight::Limit;
+use super::in_flight::Service;
 use super::server_state::ServerState;
 
 /// The backend servers of a pool.
@@ -23,8 +27,10 @@
     /// The servers with room and known latency, the fastest first, keyed by the latency's bits. Those sort like the
     /// numbers because latencies are not negative.
     free_by_latency: BTreeSet<(u64, usize)>,
-    /// How many requests beyond its slots a server may have in flight.
+    /// How many requests beyond its slots a server may have in flight before that is measured.
     extra_in_flight: u32,
+    /// What the limits of the servers are measured by; `None` if they are not measured.
+    in_flight: Option<Service>,
 }
 
 impl ServerSet {
@@ -37,9 +43,55 @@
             latencies: LatencySum::default(),
             free_by_latency: BTreeSet::new(),
             extra_in_flight,
+            in_flight: None,
         }
     }
 
+    /// Sets whether the number of requests in flight is measured.
+    pub(super) fn set_measured(&mut self, measured: bool) {
+        if measured != self.in_flight.is_some() {
+            self.in_flight = measured.then(Service::default);
+            self.update_all(|state| state.limit = Limit::default());
+        }
+    }
+
+    /// What the limits are measured by; `None` if they are not measured.
+    pub(super) fn in_flight_mut(&mut self) -> Option<&mut Service> {
+        self.in_flight.as_mut()
+    }
+
+    /// Decides the limit of an incarnation, if limits are measured.
+    pub(super) fn decide_limit(&mut self, incarnation: &str) {
+        let Some(service) = self.in_flight else {
+            return;
+        };
+        let extra = self.extra_in_flight;
+        self.update(incarnation, |state| {
+            let slots = state.server.slots.max(1);
+            state.limit.decide(&service, slots, extra);
+        });
+    }
+
+    /// Whether limits are measured, and the first requests arrived too recently for a measurement.
+    pub(super) fn is_new(&self, now: Instant) -> bool {
+        let service = self.in_flight.as_ref();
+        service.is_some_and(|service| service.is_new(now))
+    }
+
+    /// The limit of each server; empty if limits are not measured.
+    pub(super) fn limits(&self) -> impl Iterator<Item = InFlightLimit> {
+        let servers = self.servers.iter().filter(|_| self.in_flight.is_some());
+        servers.map(|state| {
+            let slots = state.server.slots.max(1);
+            InFlightLimit {
+                incarnation: Arc::clone(&state.server.incarnation),
+                slots,
+                limit: state.limit.get(slots + self.extra_in_flight),
+                reason: state.limit.reason(),
+            }
+        })
+    }
+
     /// All servers.
     pub(super) fn all(&self) -> impl Iterator<Item = &ServerState> {
         self.servers.iter()
--- a/crates/core/src/pool/server_state.rs
+++ b/crates/core/src/pool/server_state.rs
@@ -10,6 +10,7 @@
 use super::AttemptOutcome;
 use super::ServerHealth;
 use super::ServerLatency;
+use super::in_flight::Limit;
 
 /// The load, latency and health of one backend server of a pool.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     /// The time between two chunks of a stream.
     pub(super) gap: ServerLatency,
     pub(super) health: ServerHealth,
+    /// How many requests it may have in flight, if that is measured.
+    pub(super) limit: Limit,
 }
 
 impl ServerState {
@@ -45,6 +48,7 @@
             first_byte: ServerLatency::default(),
             gap: ServerLatency::default(),
             health: ServerHealth::default(),
+            limit: Limit::default(),
         }
     }
 
@@ -61,9 +65,17 @@
         self.is_listed && !self.server.leaving
     }
 
-    /// Whether it may be chosen for new work and has room, counting `extra` requests beyond its slots.
+    /// Whether it may be chosen for new work and has room. Unless its limit is measured, it may have `extra` requests in
+    /// flight beyond its slots.
     pub(super) fn has_room(&self, extra: u32) -> bool {
-        self.accepts_work() && self.in_flight() < self.server.slots.max(1) + extra
+        let unmeasured = self.server.slots.max(1) + extra;
+        self.accepts_work() && self.in_flight() < self.limit.get(unmeasured)
+    }
+
+    /// Whether it can begin another request in time.
+    pub(super) fn admits(&self, now: Instant) -> bool {
+        let slots = self.server.slots.max(1);
+        self.limit.admits(slots, now)
     }
 
     /// Whether its state is no longer needed.
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -20,6 +20,7 @@
 use super::AttemptOutcome;
 use super::Notice;
 use super::Notices;
+use super::Part;
 use super::Release;
 use super::Request;
 use super::Scheduling;
@@ -242,6 +243,7 @@
     /// Sets the parts of scheduling under hard load that are in use.
     pub fn set_scheduling(&mut self, scheduling: Scheduling) {
         self.tuning.scheduling = scheduling;
+        self.servers.set_measured(scheduling.has(Part::InFlight));
     }
 
     /// If all servers that accept work back off, how long it takes until the first of them is available again.
@@ -344,6 +346,9 @@
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         self.forecast.record_arrival(request.rank, now);
+        if let Some(in_flight) = self.servers.in_flight_mut() {
+            in_flight.record_request(&request, now);
+        }
         self.queue.add(ticket, request, now);
         let is_too_long = self.queue.len() > self.tuning.max_queued;
         let rejected = if is_too_long { self.queue.last() } else { None };
@@ -387,6 +392,8 @@
             self.servers.update_at(index, |state| {
                 state.health.record_assignment(now);
                 state.start_request(request.prompt);
+                let slots = state.server.slots.max(1);
+                state.limit.record_start(slots, now);
             });
             assignments.push(Assignment {
                 ticket,
@@ -400,6 +407,11 @@
         assignments
     }
 
+    /// Whether a server may get another request at `now`, by the rate limit that it announced and by its measured work.
+    pub(super) fn admits(&self, state: &ServerState, now: Instant) -> bool {
+        state.admits(now) && self.limits.admits(&state.server, now)
+    }
+
     /// Whether a server has room but has used up its rate limit.
     fn has_room_beyond_limits(&self, now: Instant) -> bool {
         let mut free = self.servers.free().iter();
--- a/crates/core/src/pool/trial_version.rs
+++ b/crates/core/src/pool/trial_version.rs
@@ -68,7 +68,7 @@
             state.server.version == trial.version
                 && request.may_go_to(&state.server, now)
                 && state.health.is_usable(false, now)
-                && self.limits.admits(&state.server, now)
+                && self.admits(state, now)
         });
         // Servers below the mean load go first, in an order that changes every second, so that all servers are sampled,
         // a few at a time. A server that fails by itself goes last, as it does in other versions. Without this, and
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod crashes;
 pub(crate) mod gateways;
 pub(crate) mod history;
+pub(crate) mod in_flight;
 pub(crate) mod incarnations;
 pub(crate) mod limits;
 pub(crate) mod members;
