Close a server as soon as one end shows that its queue is long

Change: whether a queue exceeds the objective is decided by the work of the last request, if that is longer than the mean. reported_waiting turns red without it.

--- a/crates/core/src/pool/in_flight.rs
+++ b/crates/core/src/pool/in_flight.rs
@@ -194,6 +194,8 @@
 pub(super) struct Limit {
     /// The time at the server without queueing.
     work: Mean<WORK_SAMPLES>,
+    /// The time at the server without queueing of the last request.
+    last_work: f64,
     /// The shortest recent time at the server.
     least_time: RecentMin,
     /// How many of the last responses in a row took much less than the mean.
@@ -268,7 +270,8 @@
         if self.shorter_ends >= SHORTER_ENDS {
             self.work = Mean::default();
         }
-        self.work.add(time * slots / (slots + queued));
+        self.last_work = time * slots / (slots + queued);
+        self.work.add(self.last_work);
         self.least_time.add(time, now);
         if self.waiting == 0 {
             let raised = self.cap.map(|cap| cap + RAISE_PER_END);
@@ -300,17 +303,19 @@
             return;
         };
         let slot_count = f64::from(slots);
-        let begun_in_time = slot_count * service.objective.get().unwrap_or(0.0) / work;
-        self.allowed_waiting = (begun_in_time * OBJECTIVE_SHARE).max(f64::from(unmeasured));
+        let objective = service.objective.get().unwrap_or(0.0);
+        let allowed_waiting = slot_count * objective * OBJECTIVE_SHARE / work;
+        self.allowed_waiting = allowed_waiting.max(f64::from(unmeasured));
         let (extra, reason) = least([
             (slot_count * overhead * SPREAD / work, Reason::Overhead),
             (self.cap.unwrap_or(f64::INFINITY), Reason::Full),
             (slot_count * MAX_EXTRA_PER_SLOT, Reason::Maximum),
         ]);
         self.extra = whole(extra).max(unmeasured);
-        let waiting = f64::from(self.waiting);
+        // The mean follows work that becomes longer only after the requests that wait.
+        let wait = f64::from(self.waiting) * work.max(self.last_work) / slot_count;
         let excess = self.waiting.saturating_sub(whole(self.allowed_waiting));
-        self.decided = Some(if excess > 0 && waiting > begun_in_time {
+        self.decided = Some(if self.waiting > unmeasured && wait > objective {
             // If none is in flight there, one request shows when the queue is shorter.
             (1, Reason::Waiting)
         } else if excess > 0 {
