Serve the customers of a rank by fair shares

Cause: the queue of a pool is ordered by rank, lateness and arrival, and knows no customer.

Ruled out: start tags given at arrival, as a rejected request would have been charged; a count of requests in place of slot time, as one customer's requests take 50 times as long as another's.

Change: with `fair-shares`, customers of a rank are served by start-time fair queueing over slot time. The expected slot time is charged at the assignment and corrected by `Release::held`. The forecast and the request that a full queue drops follow the same order. The arithmetic of virtual time is shared with queue/tier_queue.rs. Without the switch the order is that of the positions. `losses --by customer` shows requests begun and slot time; the hub counts slot time requested and received, and notes who exceeds its share (events 420, 421).

Left out one at a time, each piece turns a test red: the virtual time of a resumed customer (exact_histories, no_credit_for_late), the charge (one_burst), its correction (corrects_charges), the customer's own mean (charges_own_mean), the order after late requests (late_by_shares), the drop from the longest queue (drops_from_longest), the order, arrivals, share and slot time in the forecast (forecast_counts_arrivals, forecast_leaves_shares, forecast_by_slot_time, forecast_of_late), the limits of the state (bounded_in_age, bounded_in_number).

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -1,5 +1,5 @@
 //! Measures the work of a hub per request: a slot request, a gateway's report that another request has ended, and the
-//! slots granted, with all servers full and 400 requests queued.
+//! slots granted, with all servers full and 400 requests queued; without and with shares of customers.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -25,7 +25,12 @@
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
 use curlewlift_core::limit::Reports;
+use curlewlift_core::pool::Part;
+use curlewlift_core::pool::Scheduling;
 use curlewlift_core::quarantine::Identity;
+use curlewlift_core::route::Parts;
+use curlewlift_core::route::ServicePolicy;
+use curlewlift_core::route::Table;
 use curlewlift_core::unit::Tokens;
 
 const GATEWAYS: usize = 300;
@@ -44,15 +49,24 @@
     waiting: HashMap<Ticket, usize>,
     running: VecDeque<(usize, Arc<str>)>,
     request_count: usize,
+    /// The customers that have shares; none if there are no shares.
+    customers: Vec<id::Customer>,
     now: Instant,
 }
 
 impl Fleet {
-    fn new(servers: usize) -> Self {
+    fn new(servers: usize, customers: usize) -> Self {
         let server_list = ServerList::new((0..servers).map(server).collect());
         let now = Instant::default();
-        let mut hub = Hub::new(Tuning::default(), now).with_id(7);
+        let tuning = Tuning {
+            scheduling: Scheduling::default().with(Part::FairShares),
+            ..Tuning::default()
+        };
+        let mut hub = Hub::new(tuning, now).with_id(7);
         hub.set_server_list(Arc::new(server_list));
+        hub.apply_table(&table(customers > 0), now);
+        let customers = (0..customers).map(|index| format!("c{index}").parse());
+        let customers = customers.collect::<Result<_, _>>().expect("valid names");
         let hosts = (0..GATEWAYS).map(|index| format!("g{index}").parse().expect("a valid name"));
         let mut fleet = Self {
             hub,
@@ -62,6 +76,7 @@
             waiting: HashMap::new(),
             running: VecDeque::new(),
             request_count: 0,
+            customers,
             now,
         };
         let capacity = servers * (SLOTS_PER_SERVER as usize + 1);
@@ -85,7 +100,7 @@
             hall: "a".into(),
             rule: None,
             service: "chat".parse().expect("a valid name"),
-            customer: None,
+            customer: self.customers.get(self.customer_index()).cloned(),
             rank: u8::try_from(self.request_count % 4).expect("fits").into(),
             waited: Duration::ZERO,
             send_within: Duration::from_secs(100_000),
@@ -114,6 +129,16 @@
         }
     }
 
+    /// The customer of the next request: every second one is of the first customer.
+    fn customer_index(&self) -> usize {
+        let others = self.customers.len().max(2) - 1;
+        if self.request_count.is_multiple_of(2) {
+            0
+        } else {
+            1 + self.request_count / 2 % others
+        }
+    }
+
     fn grant_slots(&mut self) {
         for (ticket, grant) in self.hub.grant_slots(self.now) {
             let index = self.waiting.remove(&ticket).expect("the request is queued");
@@ -178,14 +203,37 @@
     }
 }
 
+/// A table with one service, where customers have shares if it `has_customers`.
+fn table(has_customers: bool) -> Table {
+    let policy = ServicePolicy {
+        max_connections: 10,
+        health_path: "/".into(),
+        cold_rate: None,
+        engine: None,
+    };
+    let table = Table::new(Parts {
+        version: 1,
+        services: [("chat".parse().expect("a valid name"), policy)].into(),
+        customers: has_customers.then(Vec::new),
+        ..Parts::default()
+    });
+    table.expect("a valid table")
+}
+
 fn slot_grants(c: &mut Criterion) {
-    let mut group = c.benchmark_group("place");
-    for servers in [100, 1_000, 3_000, 10_000] {
-        let mut fleet = Fleet::new(servers);
-        let name = BenchmarkId::from_parameter(servers);
-        group.bench_function(name, |b| b.iter(|| fleet.run_request()));
+    for (name, customers) in [
+        ("place", 0),
+        ("place_16_customers", 16),
+        ("place_300_customers", 300),
+    ] {
+        let mut group = c.benchmark_group(name);
+        for servers in [100, 1_000, 3_000, 10_000] {
+            let mut fleet = Fleet::new(servers, customers);
+            let name = BenchmarkId::from_parameter(servers);
+            group.bench_function(name, |b| b.iter(|| fleet.run_request()));
+        }
+        group.finish();
     }
-    group.finish();
 }
 
 criterion_group!(benches, slot_grants);
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -114,4 +114,6 @@
     Released = 413, "released", "A request under which servers had crashed was answered in full, or its record has expired.";
     EvacuationOrdered = 414, "evacuation-ordered", "An operator's order to evacuate a data hall, or to end that, was answered.";
     EvacuationAgreed = 415, "evacuation-agreed", "An order to evacuate a data hall, or to end that, is committed and in effect.";
+    ShareExceeded = 420, "share-exceeded", "A customer asks for more than its share of the slots of a service that has too few for all; the detail has the slot time that it asked for and received.";
+    ShareKept = 421, "share-kept", "A customer no longer asks for more than its share of the slots of a service, or there are enough for all; the detail has the slot time that it asked for and received.";
 }
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::limit::Warmup;
 use crate::pool;
 use crate::pool::AttemptOutcome;
+use crate::pool::CustomerUsage;
 use crate::pool::Pool;
 use crate::pool::Request;
 use crate::pool::Scheduling;
@@ -208,6 +209,16 @@
         self.pools.values_mut().map(Pool::take_limit_wait).sum()
     }
 
+    /// Returns the slot time of customers since the last call, if they have shares.
+    pub(super) fn take_slot_usage(&mut self) -> Vec<CustomerUsage> {
+        let pools = self.pools.iter_mut();
+        let usage = pools.flat_map(|(service, pool)| {
+            let usage = pool.take_slot_usage().into_iter();
+            usage.map(|(customer, usage)| (service.clone(), customer, usage))
+        });
+        usage.collect()
+    }
+
     /// Returns the number of the last grant.
     pub(super) fn last_grant(&self) -> u64 {
         self.occupancy.last_grant()
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -11,6 +11,7 @@
 use crate::limit::Warmup;
 use crate::pool::RetryAllowance;
 use crate::pool::Scheduling;
+use crate::pool::ShareWatch;
 use crate::quarantine;
 use crate::quota::Limiter;
 use crate::quota::Tolerance;
@@ -151,6 +152,8 @@
     pub(super) limits: limit::Table,
     /// The requests that quarantine has removed from the queue.
     pub(super) rejected: Vec<Ticket>,
+    /// Watches which customers ask for more slot time than their share.
+    pub(super) share_watch: ShareWatch,
     /// When the hub started.
     pub(super) started: Instant,
     /// When the gateways were last scanned.
@@ -185,6 +188,7 @@
             quarantine: quarantine::List::default(),
             limits: limit::Table::new(0),
             rejected: Vec::new(),
+            share_watch: ShareWatch::default(),
             started: now,
             last_scan: None,
         }
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -4,6 +4,8 @@
 
 use crate::clock::Instant;
 use crate::id;
+use crate::pool::CustomerUsage;
+use crate::pool::ShareChange;
 use crate::quarantine::Decision;
 use crate::quarantine::Rejection;
 
@@ -128,6 +130,13 @@
         removed
     }
 
+    /// Returns the slot time of customers since the last call, and who has begun or ended to ask for more than its share.
+    pub fn take_slot_usage(&mut self, now: Instant) -> (Vec<CustomerUsage>, Vec<ShareChange>) {
+        let usage = self.dispatcher.take_slot_usage();
+        let changes = self.share_watch.add(&usage, now);
+        (usage, changes)
+    }
+
     /// Releases the reservation of a request that is no longer queued.
     fn release_queued(&mut self, (ticket, reservation): Released, now: Instant) -> Ticket {
         self.release(reservation, now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,3 +27,4 @@
 mod text;
 pub mod unit;
 pub mod view;
+mod virtual_time;
--- a/crates/core/src/pool/doomed.rs
+++ b/crates/core/src/pool/doomed.rs
@@ -19,17 +19,20 @@
         // were made lately for an estimate.
         let rates = self.forecast.rates(now).capped(self.total_limit_rate());
         let backoffs = self.backoffs(now);
-        for (position, request) in self.queue.iter() {
+        let mut order = self.queue.requests_in_order();
+        let mut waits = self.queue.waits(&rates, now);
+        while let Some((position, request)) = order.next() {
             let request = &*request.with_backoffs(&backoffs);
             // A server that backs off, or is outside the request's halls, does not count as room, even when idle.
             let may_go = |server: &Server| request.may_go_to(server, now);
             let is_full = is_full || (request.has_backoff_or_halls() && self.is_full(may_go, now));
-            let wait = rates.wait(position, ahead);
+            let wait = waits.predict(&order, &position, ahead);
             let too_long = wait.is_some_and(|wait| now + wait > request.wait_until);
             if (is_full && too_long) || self.has_no_server_left(request) {
                 doomed.push(position.ticket);
             } else {
                 ahead += 1;
+                order.serve();
             }
         }
         for ticket in &doomed {
--- a/crates/core/src/pool/forecast.rs
+++ b/crates/core/src/pool/forecast.rs
@@ -18,13 +18,13 @@
 
 /// An exponentially decaying count of events.
 #[derive(Clone, Copy, Debug, Default)]
-struct Rate {
+pub(super) struct Rate {
     count: f64,
     updated: Instant,
 }
 
 impl Rate {
-    fn add(&mut self, now: Instant) {
+    pub(super) fn add(&mut self, now: Instant) {
         self.count = self.decayed(now) + 1.0;
         self.updated = now;
     }
@@ -35,7 +35,7 @@
         self.count * (-elapsed / DECAY_SECONDS).exp()
     }
 
-    fn per_second(&self, now: Instant) -> f64 {
+    pub(super) fn per_second(&self, now: Instant) -> f64 {
         self.decayed(now) / DECAY_SECONDS
     }
 }
@@ -92,19 +92,33 @@
         }
     }
 
-    /// How long the request at `position` is likely to wait, with `ahead` others before it. Requests that will arrive
-    /// and be served before it use up part of the assignments. `None` if the rate of assignments is not known.
-    pub(super) fn wait(&self, position: &Position, ahead: usize) -> Option<Duration> {
+    /// How many assignments per second are left for the request at `position`: requests that will arrive and be served
+    /// before it because of their rank use up the others. `None` if the rate of assignments is not known.
+    pub(super) fn available(&self, position: &Position) -> Option<f64> {
         let preferred = self.arrivals.iter();
         let preferred = preferred.filter(|(rank, _)| position.yields_to(*rank));
         let used: f64 = preferred.map(|(_, rate)| rate).sum();
-        let available = self.assignments? - used;
-        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
-        let wait = if available > 0.0 {
-            ahead / available
-        } else {
-            f64::INFINITY
-        };
-        Some(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+        Some(self.assignments? - used)
+    }
+
+    /// How many requests of `rank` arrive per second.
+    pub(super) fn arrivals(&self, rank: Rank) -> f64 {
+        let mut arrivals = self.arrivals.iter();
+        let arrivals = arrivals.find(|(other, _)| *other == rank);
+        arrivals.map_or(0.0, |(_, rate)| *rate)
+    }
+}
+
+/// How many seconds `requests` take at a rate per second.
+pub(super) fn seconds_for(requests: f64, rate: f64) -> f64 {
+    if rate > 0.0 {
+        requests / rate
+    } else {
+        f64::INFINITY
     }
 }
+
+/// The duration of a wait in seconds.
+pub(super) fn to_duration(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -2,6 +2,9 @@
 
 mod choose;
 mod doomed;
+mod fair_order;
+mod fair_queue;
+mod fair_wait;
 mod first_byte_time;
 mod forecast;
 mod limit_wait;
@@ -16,10 +19,12 @@
 mod server_set;
 mod server_state;
 mod servers;
+mod share_watch;
 mod trial_version;
 mod tuning;
 mod wait_limit;
 
+pub use fair_queue::SlotUsage;
 pub use first_byte_time::FirstByteTime;
 pub use notices::Notice;
 pub use notices::Notices;
@@ -39,6 +44,9 @@
 pub use server_health::ServerHealth;
 pub use server_latency::ServerLatency;
 pub use servers::Pool;
+pub use share_watch::CustomerUsage;
+pub use share_watch::ShareChange;
+pub use share_watch::ShareWatch;
 pub use trial_version::TrialVersion;
 pub use tuning::Tuning;
 pub use wait_limit::WaitLimit;
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -1,5 +1,6 @@
 //! The pool of a service: assigns queued requests to backend servers.
 
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use crate::clock::Instant;
 use crate::gateway::Load;
 use crate::gateway::Server;
+use crate::id;
 use crate::limit::Key;
 use crate::limit::Limit;
 use crate::limit::RateLimiter;
@@ -20,11 +22,14 @@
 use super::AttemptOutcome;
 use super::Notice;
 use super::Notices;
+use super::Part;
 use super::Release;
 use super::Request;
 use super::Scheduling;
+use super::SlotUsage;
 use super::Ticket;
 use super::Tuning;
+use super::fair_order::Order;
 use super::forecast::Forecast;
 use super::limit_wait::LimitWait;
 use super::queue::Queue;
@@ -60,7 +65,7 @@
             notices: Notices::default(),
             limits: RateLimiter::closed(),
             limit_wait: LimitWait::default(),
-            queue: Queue::default(),
+            queue: Queue::new(tuning.scheduling.has(Part::FairShares)),
             forecast: Forecast::default(),
             trial: None,
             last_ticket: 0,
@@ -242,6 +247,7 @@
     /// Sets the parts of scheduling under hard load that are in use.
     pub fn set_scheduling(&mut self, scheduling: Scheduling) {
         self.tuning.scheduling = scheduling;
+        self.queue.set_fair(scheduling.has(Part::FairShares));
     }
 
     /// If all servers that accept work back off, how long it takes until the first of them is available again.
@@ -303,7 +309,9 @@
     }
 
     /// Records what the end of a request tells to which the hub had granted a slot here.
-    pub fn record_release(&mut self, _release: &Release, _now: Instant) {}
+    pub fn record_release(&mut self, release: &Release, now: Instant) {
+        self.queue.accounts.correct(release, now);
+    }
 
     /// Records something observed about a server while an attempt still runs.
     pub fn observe(&mut self, incarnation: &str, outcome: AttemptOutcome, now: Instant) {
@@ -346,7 +354,11 @@
         self.forecast.record_arrival(request.rank, now);
         self.queue.add(ticket, request, now);
         let is_too_long = self.queue.len() > self.tuning.max_queued;
-        let rejected = if is_too_long { self.queue.last() } else { None };
+        let rejected = if is_too_long {
+            self.queue.first_dropped()
+        } else {
+            None
+        };
         if let Some(rejected) = rejected {
             self.queue.remove(rejected);
         }
@@ -361,16 +373,19 @@
     /// Assigns queued requests to servers with room.
     pub fn assign(&mut self, now: Instant) -> Vec<Assignment> {
         let mut assignments = Vec::new();
-        let mut last = None;
         let backoffs = self.backoffs(now);
         self.queue.demote_late(now);
-        while let Some((position, request)) = self.queue.next_after(last) {
-            if !self.has_room() {
-                break;
-            }
+        let mut order = if self.has_room() {
+            self.queue.order()
+        } else {
+            Order::default()
+        };
+        while self.has_room()
+            && let Some((position, ())) = order.next()
+            && let Some(request) = self.queue.get(&position)
+        {
             let (ticket, is_restricted) = (position.ticket, request.is_restricted());
             let request = request.with_backoffs(&backoffs).into_owned();
-            last = Some(position);
             let Some(index) = self.choose_server(&request, now) else {
                 // Only this request is excluded from some servers; the next one may be sent to those.
                 if !is_restricted {
@@ -378,7 +393,8 @@
                 }
                 continue;
             };
-            self.queue.remove(ticket);
+            order.serve();
+            self.queue.serve(&position, now);
             self.forecast.record_assignment(now);
             self.spend_trial_request(index);
             // A server's rate limit applies to all hosts together, while each host sees its own requests only. It is
@@ -407,6 +423,11 @@
         !self.limits.is_empty() && free.any(is_limited)
     }
 
+    /// The slot time of each customer since the last call, if customers have shares.
+    pub fn take_slot_usage(&mut self) -> BTreeMap<Option<id::Customer>, SlotUsage> {
+        self.queue.accounts.take_usage()
+    }
+
     /// How long requests were queued although a server had room, because its rate limit was used up, since the last
     /// call.
     pub fn take_limit_wait(&mut self) -> Duration {
--- a/crates/core/src/queue/tier_queue.rs
+++ b/crates/core/src/queue/tier_queue.rs
@@ -5,6 +5,7 @@
 
 use crate::id;
 use crate::unit::Tokens;
+use crate::virtual_time::VirtualTime;
 
 use super::customer_queue::CustomerQueue;
 use super::customer_queue::OrderKey;
@@ -15,17 +16,13 @@
 
 /// The queues of one tier's customers, served by start-time fair queueing.
 ///
-/// The customer with the lowest virtual time is next. One that had nothing queued starts at the
-/// virtual time of the tier, so that it can't save up service while idle. While two customers both
-/// have requests queued, the tokens granted to them, divided by their weights, differ by at most
-/// the cost of one request of each.
+/// Costs are tokens, divided by the weight of the customer.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TierQueue {
     customers: BTreeMap<id::Customer, CustomerQueue>,
     /// The customers with queued requests, by their virtual time.
     order: BTreeSet<(u64, id::Customer)>,
-    /// The highest virtual time at which a customer was served.
-    virtual_time: u64,
+    virtual_time: VirtualTime,
     /// The cost of all queued requests.
     pub(super) work: Tokens,
 }
@@ -47,7 +44,7 @@
         let customer = waiting.request.customer.clone();
         let queue = self.customers.entry(customer.clone()).or_default();
         if queue.requests.is_empty() {
-            queue.virtual_time = queue.virtual_time.max(self.virtual_time);
+            queue.virtual_time = self.virtual_time.resume(queue.virtual_time);
             self.order.insert((queue.virtual_time, customer));
         }
         queue.work += waiting.cost();
@@ -68,11 +65,11 @@
     /// Removes the next request in the fair order and charges its cost to the customer.
     pub(super) fn pop(&mut self) -> Option<WaitingRequest> {
         let (virtual_time, customer) = self.order.pop_first()?;
-        self.virtual_time = self.virtual_time.max(virtual_time);
         let queue = self.customers.get_mut(&customer)?;
         let (_, waiting) = queue.requests.pop_first()?;
         let weight = u64::from(waiting.request.weight.max(1));
-        queue.virtual_time += waiting.cost().0 * VIRTUAL_TIME_PER_TOKEN / weight;
+        let cost = waiting.cost().0 * VIRTUAL_TIME_PER_TOKEN / weight;
+        queue.virtual_time = self.virtual_time.serve(virtual_time, cost);
         queue.work = queue.work.saturating_sub(waiting.cost());
         self.work = self.work.saturating_sub(waiting.cost());
         if !queue.requests.is_empty() {
@@ -124,6 +121,6 @@
     pub(super) fn sweep(&mut self) {
         let now = self.virtual_time;
         self.customers
-            .retain(|_, queue| !queue.requests.is_empty() || queue.virtual_time > now);
+            .retain(|_, queue| !queue.requests.is_empty() || now.is_ahead(queue.virtual_time));
     }
 }
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod replica;
 mod rollouts;
 mod shares;
+mod slot_usage;
 mod slots;
 
 pub use daemon::Control;
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -162,6 +162,7 @@
                 self.updates.notify_waiters();
             }
         }
+        self.record_slot_usage();
         self.grant_slots();
     }
 }
--- a/crates/curlewlift/src/losses/day.rs
+++ b/crates/curlewlift/src/losses/day.rs
@@ -34,6 +34,10 @@
     pub(super) customer: String,
     pub(super) rank: String,
     pub(super) outcome: Outcome,
+    /// Whether it was sent to a server.
+    pub(super) begun: bool,
+    /// The time that its attempts took, in milliseconds.
+    pub(super) slot_ms: u64,
     /// The reason of the outcome: a code name or a short phrase.
     pub(super) reason: String,
 }
@@ -48,6 +52,8 @@
     sent: HashMap<String, Record>,
     /// The requests that are at a server.
     at_servers: HashSet<String>,
+    /// The time that the attempts of requests that have not ended took, in milliseconds.
+    slot_ms: HashMap<String, u64>,
     /// The number of lines that could not be parsed or are not about a request's attempts or end.
     skipped_lines: usize,
 }
@@ -95,13 +101,21 @@
     fn leave_server(&mut self, record: &Record) {
         if self.at_servers.remove(&record.request) {
             self.change_running(record.time_s, -1);
+            let sent = self.sent.get(&record.request);
+            let sent_ms = sent.and_then(|sent| sent.after_ms);
+            if let (Some(sent_ms), Some(after_ms)) = (sent_ms, record.after_ms) {
+                let slot_ms = self.slot_ms.entry(record.request.clone()).or_default();
+                *slot_ms += after_ms.saturating_sub(sent_ms);
+            }
         }
     }
 
     /// Records how a request ended, with what its last `sent` line adds.
     fn end_request(&mut self, record: Record) {
         self.leave_server(&record);
-        let sent = self.sent.remove(&record.request).unwrap_or_default();
+        let sent = self.sent.remove(&record.request);
+        let begun = sent.is_some();
+        let sent = sent.unwrap_or_default();
         let (outcome, reason) = classify(&record, &sent);
         let first_known = |ended: Option<String>, sent: Option<String>| {
             ended.or(sent).unwrap_or_else(|| "-".to_owned())
@@ -112,6 +126,8 @@
             customer: first_known(record.customer, sent.customer),
             rank: first_known(record.rank, sent.rank),
             outcome,
+            begun,
+            slot_ms: self.slot_ms.remove(&record.request).unwrap_or(0),
             reason,
         });
     }
--- a/crates/curlewlift/src/losses/table.rs
+++ b/crates/curlewlift/src/losses/table.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// What the requests of a customer got.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    /// The number of requests that were sent to a server.
+    pub(super) begun: u32,
+    /// The time that they were there, in milliseconds.
+    pub(super) slot_ms: u64,
+}
+
 /// The requests of a row, counted by outcome.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Row {
@@ -49,6 +58,8 @@
     pub(super) left: u32,
     /// The number of requests at servers at the end of the second; only in rows of seconds.
     pub(super) running: Option<i64>,
+    /// What the requests got; only in rows of customers.
+    pub(super) usage: Option<Usage>,
 }
 
 impl Row {
@@ -106,7 +117,13 @@
                 By::Customer => &request.customer,
                 By::Second | By::Reason => &request.reason,
             };
-            rows.entry(name.clone()).or_default().add(request.outcome);
+            let row = rows.entry(name.clone()).or_default();
+            row.add(request.outcome);
+            if by == By::Customer {
+                let usage = row.usage.get_or_insert_default();
+                usage.begun += u32::from(request.begun);
+                usage.slot_ms += request.slot_ms;
+            }
         }
         let mut rows: Vec<_> = rows.into_iter().collect();
         if by == By::Reason {
@@ -151,6 +168,10 @@
         if has_running {
             write!(f, "  {:>7}", "running")?;
         }
+        let has_usage = self.rows.iter().any(|(_, row)| row.usage.is_some());
+        if has_usage {
+            write!(f, "  {:>7}  {:>9}", "begun", "slot s")?;
+        }
         writeln!(f)?;
         for (name, row) in &self.rows {
             write!(f, "{name:width$}  {:>7}", row.total())?;
@@ -160,6 +181,10 @@
             if let Some(running) = row.running {
                 write!(f, "  {running:>7}")?;
             }
+            if let Some(Usage { begun, slot_ms }) = row.usage {
+                let (seconds, tenths) = (slot_ms / 1_000, slot_ms % 1_000 / 100);
+                write!(f, "  {begun:>7}  {seconds:>7}.{tenths}")?;
+            }
             writeln!(f)?;
         }
         Ok(())
--- a/crates/curlewlift/tests/day_losses.rs
+++ b/crates/curlewlift/tests/day_losses.rs
@@ -14,7 +14,7 @@
 kernel: something else
   1.3000 g1 {"event":208,"name":"refused","request":"c","rule":"pay","customer":"ben","rank":"1.0","code":2005,"after_ms":1}
   1.4000 g1 {"event":204,"name":"sent","request":"d","rule":"pay","customer":"ann","rank":"1.0","objective_ms":150,"after_ms":0}
-  1.5000 g1 {"event":213,"name":"sending-failed","request":"d","why":"reset"}
+  1.5000 g1 {"event":213,"name":"sending-failed","request":"d","why":"reset","after_ms":150}
   1.6000 g1 {"event":208,"name":"refused","request":"d","rule":"pay","customer":"ann","rank":"1.0","code":4002,"after_ms":200}
 "#,
     r#"  2.1000 g2 {"event":204,"name":"sent","request":"e","rule":"pay","customer":"ben","rank":"1.0","objective_ms":150,"after_ms":0}
@@ -61,6 +61,17 @@
     assert_eq!(format!("\n{}", table_text("rank", "rank")), table);
 }
 
+/// Each customer's row shows how many requests were sent to a server and how long all attempts took.
+#[test]
+fn by_customer() {
+    let table = "
+            asked  in time     late  refused   failed      cut     left    begun     slot s
+ann             3        1        1        1        0        0        0        3        4.1
+ben             4        0        1        1        1        0        1        3        0.3
+";
+    assert_eq!(format!("\n{}", table_text("customer", "customer")), table);
+}
+
 #[test]
 fn by_reason() {
     let table = table_text("reason", "reason");
