--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod replica;
 mod rollouts;
 mod shares;
+mod slot_usage;
 mod slots;
 
 pub use daemon::Control;
