--- a/crates/core/tests/retry_times.rs
+++ b/crates/core/tests/retry_times.rs
@@ -532,7 +532,7 @@
         let mut random = SmallRng::seed_from_u64(seed);
         let mut pool = busy_pool();
         let mut times = Vec::new();
-        for digest in 0..200 {
+        for digest in 0..400 {
             let deadline = 3 * random.random_range(200..12_000);
             let told = [0, 1, 2].map(|rank| {
                 let rejected = rejected(digest * 3 + u64::from(rank), rank, BUSY, deadline);
