--- a/crates/core/src/pool/fair_wait.rs
+++ b/crates/core/src/pool/fair_wait.rs
@@ -82,7 +82,7 @@
             (customers + 1.0, arrivals + own)
         });
         // Arrivals of customers without queued requests.
-        let arrivals = (self.rates.arrivals(rank) - arrivals).max(0.0);
+        let arrivals = (self.rates.arrivals_of(|other| other == rank) - arrivals).max(0.0);
         let equal_rate = available / f64::from(self.accounts.customers(rank).max(1));
         Competition {
             rank,
--- a/crates/core/tests/fair_shares.rs
+++ b/crates/core/tests/fair_shares.rs
@@ -193,7 +193,7 @@
         }
         let granted = self.grant();
         let doomed = self.hub.reject_doomed(now).into_iter();
-        given_up.extend(doomed.filter_map(|ticket| self.queued.remove(&ticket)));
+        given_up.extend(doomed.filter_map(|doomed| self.queued.remove(&doomed.ticket)));
         Some((granted, given_up, woken))
     }
 
@@ -213,7 +213,7 @@
         };
         self.queued.insert(ticket.clone(), work);
         self.schedule(self.now + work.max_wait, Event::Expire(ticket));
-        displaced.and_then(|displaced| self.queued.remove(&displaced))
+        displaced.and_then(|displaced| self.queued.remove(&displaced.ticket))
     }
 
     fn grant(&mut self) -> Vec<Work> {
--- a/crates/core/tests/support/in_flight.rs
+++ b/crates/core/tests/support/in_flight.rs
@@ -328,7 +328,9 @@
             SlotDecision::Queued(ticket, displaced) => {
                 self.waiting.insert(ticket.clone(), host);
                 self.push(MAX_WAIT, Event::GiveUp(ticket));
-                if displaced.is_some_and(|ticket| self.waiting.remove(&ticket).is_some()) {
+                if displaced
+                    .is_some_and(|displaced| self.waiting.remove(&displaced.ticket).is_some())
+                {
                     self.window().rejected += 1;
                 }
             }
@@ -346,8 +348,8 @@
             self.hosts[host].grants_due = due;
             self.push(due - self.now, Event::Granted(host, grant));
         }
-        for ticket in self.hub.reject_doomed(now) {
-            self.waiting.remove(&ticket);
+        for rejected in self.hub.reject_doomed(now) {
+            self.waiting.remove(&rejected.ticket);
             self.window().rejected += 1;
         }
     }
--- a/crates/core/tests/support/limits.rs
+++ b/crates/core/tests/support/limits.rs
@@ -545,7 +545,8 @@
         let (mut grants, mut doomed) = (Vec::new(), Vec::new());
         if let Some((_, hub)) = &mut self.hub {
             grants = hub.grant_slots(now);
-            doomed = hub.reject_doomed(now);
+            let rejected = hub.reject_doomed(now).into_iter();
+            doomed = rejected.map(|rejected| rejected.ticket).collect();
         }
         let is_doomed = |request: &Request| matches!(&request.stage, Stage::QueuedAtHub(own) if doomed.contains(own));
         let refused = self.requests.extract_if(.., |request| is_doomed(request));
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -13,7 +13,6 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
-use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::id;
@@ -41,6 +40,7 @@
 
 use super::gateways::Gateways;
 use super::in_flight::KnownLimits;
+use super::slots::SlotAnswer;
 
 /// How long a message of the replicated log may take.
 pub(super) const STEP_TIMEOUT: Duration = Duration::from_millis(500);
@@ -81,7 +81,7 @@
     /// The hub that serves the gateways, while this replica leads.
     pub(super) hub: Option<Hub>,
     /// Requests that wait for a slot at a backend server, while this replica leads.
-    pub(super) pending_slots: HashMap<Ticket, oneshot::Sender<Grant>>,
+    pub(super) pending_slots: HashMap<Ticket, oneshot::Sender<SlotAnswer>>,
     /// The limits of requests in flight that operators were last told of.
     pub(super) known_limits: KnownLimits,
     /// Wakes polls and requests that wait for a newer table or server list.
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -20,6 +20,7 @@
 use curlewlift::core::event;
 use curlewlift::core::event::Filter;
 use curlewlift::core::event::Kind;
+use curlewlift::core::pool::Scheduling;
 use serde_json::Value;
 use serde_json::json;
 
@@ -70,6 +71,8 @@
     server_list: Arc<Mutex<ListState>>,
     /// The platform contracts that are enabled.
     contracts: &'static [&'static str],
+    /// The parts of scheduling under hard load that are switched on.
+    scheduling: Scheduling,
 }
 
 impl Hosts {
@@ -89,7 +92,21 @@
         engines: &[(&Engine, &str)],
         delay: Duration,
     ) -> Self {
-        Self::start_delayed(folder, engines, 0, None, &["base"], delay)
+        let mut hosts = Self::prepare(folder, engines, 0, None, &["base"]);
+        hosts.boot_all(delay);
+        hosts
+    }
+
+    /// Starts three hosts with a disk and parts of scheduling under hard load.
+    pub(crate) fn start_scheduling(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        scheduling: Scheduling,
+    ) -> Self {
+        let mut hosts = Self::prepare(folder, engines, 0, None, &["base"]);
+        hosts.scheduling = scheduling;
+        hosts.boot_all(Duration::ZERO);
+        hosts
     }
 
     /// Starts three hosts with a disk, and `without_disk` more that reach the others over a link of `link`
@@ -110,23 +127,18 @@
         link: Option<u64>,
         contracts: &'static [&'static str],
     ) -> Self {
-        Self::start_delayed(
-            folder,
-            engines,
-            without_disk,
-            link,
-            contracts,
-            Duration::ZERO,
-        )
+        let mut hosts = Self::prepare(folder, engines, without_disk, link, contracts);
+        hosts.boot_all(Duration::ZERO);
+        hosts
     }
 
-    fn start_delayed(
+    /// Hosts that have not been started.
+    fn prepare(
         folder: PathBuf,
         engines: &[(&Engine, &str)],
         without_disk: u8,
         link: Option<u64>,
         contracts: &'static [&'static str],
-        third_delay: Duration,
     ) -> Self {
         let server_list = engines
             .iter()
@@ -140,7 +152,7 @@
         let ports = ports(first);
         let replicas = (0..DISK_COUNT).map(|index| address(first, index.into(), ports.internal));
         let link = link.map(|rate| SlowLink::open(rate, &replicas.collect::<Vec<_>>()));
-        let mut hosts = Self {
+        Self {
             folder,
             first,
             ports,
@@ -153,14 +165,18 @@
             list: serve_list(Arc::clone(&server_list)),
             server_list,
             contracts,
-        };
-        for index in hosts.indices() {
+            scheduling: Scheduling::default(),
+        }
+    }
+
+    /// Starts all hosts, the third one `third_delay` after the others.
+    fn boot_all(&mut self, third_delay: Duration) {
+        for index in self.indices() {
             if index == 2 {
                 std::thread::sleep(third_delay);
             }
-            hosts.boot(index, true);
+            self.boot(index, true);
         }
-        hosts
     }
 
     /// The indices of all hosts.
@@ -218,6 +234,7 @@
         let path = self.settings(index, first);
         let platform = Platform::new(path).expect("the settings are valid");
         let platform = platform.clock(self.clocks[index].clone());
+        let platform = platform.scheduling(self.scheduling);
         self.processes[index] = Some(platform.start().expect("the host starts"));
     }
 
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -412,7 +412,7 @@
             SlotDecision::Queued(ticket, replaced) => {
                 self.waiting.insert(ticket, (gateway, rule));
                 if let Some(replaced) = replaced {
-                    self.waiting.remove(&replaced);
+                    self.waiting.remove(&replaced.ticket);
                 }
             }
             _ => self.outcome.refused += 1,
@@ -582,8 +582,8 @@
         let Some(hub) = &mut self.hub else { return };
         let grants = hub.grant_slots(now);
         let doomed = hub.reject_doomed(now);
-        for ticket in doomed {
-            self.waiting.remove(&ticket);
+        for rejected in doomed {
+            self.waiting.remove(&rejected.ticket);
             self.outcome.refused += 1;
         }
         for (ticket, grant) in grants {
