--- a/crates/core/src/pool/retry_schedule.rs
+++ b/crates/core/src/pool/retry_schedule.rs
@@ -18,6 +18,7 @@
 use super::Pool;
 use super::forecast::Rate;
 use super::forecast::Rates;
+use super::wait_limit::MAX_RETRY_AFTER_DIVISOR;
 
 /// The length of the steps in which returns are counted: short enough that the returns of one step fit into a queue that
 /// is served within the latency objectives.
@@ -29,9 +30,6 @@
 /// The longest time after which a caller should retry; load spikes last some seconds.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
-/// Callers wait for no longer than their remaining time divided by this, whatever retry time they are given.
-pub(super) const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
-
 /// How much earlier than scheduled a caller may return: `Retry-After` is rounded to milliseconds.
 const EARLY_TOLERANCE: Duration = Duration::from_millis(2);
 
@@ -228,7 +226,7 @@
 impl Pool {
     /// Recognises a caller that returns after a rejection.
     pub fn recognise(&mut self, identity: &Identity, now: Instant) -> Option<Returned> {
-        if !self.has(Part::RetryTimes) {
+        if !self.has(Part::RetryTimes) || !self.retries.expected.contains_key(identity) {
             return None;
         }
         let rates = self.new_rates(now);
--- a/crates/core/src/pool/wait_limit.rs
+++ b/crates/core/src/pool/wait_limit.rs
@@ -13,7 +13,7 @@
 const RETRY_AFTER_SHARE: f64 = 0.25;
 
 /// Callers wait for no longer than their remaining time divided by this, whatever retry time they are given.
-const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
+pub(super) const MAX_RETRY_AFTER_DIVISOR: u32 = 3;
 
 /// The shortest time after which a caller should retry: about the time that an engine takes for a few requests.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
