Place requests at engines by their estimated begin and gaps

Cause: the score in pool/choose.rs (in flight plus prompt, times latency) knows neither objectives nor gaps. The objective counts to the first event, while the estimate of it counted to the response head.

Change: with Part::Placement the hub estimates first event, longest gap and the gaps of others for each engine and request (pool/estimate.rs) and chooses the least work relative to the engine's pace among engines in time (pool/placement.rs). A request that is in time nowhere waits if a slot is forecast in time. Gateways time events (gateway/stream_timer.rs), report the first one at once (AttemptOutcome::Began) and the stream's times at its end (Streamed). Without the part nothing of it is used.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -83,6 +83,7 @@
     RetryDenied = 219, "retry-denied", "A request is not retried because no account of the service's retry budget has a retry left; the log line has what was counted.";
     Shed = 220, "shed", "The owner of the service's queue has shed a queued request.";
     Owns = 221, "owns", "This entry has become the owner of a service's queue.";
+    PaceChanged = 230, "pace-changed", "An engine takes several times its usual time, or has recovered from that; the detail has how many times it takes now. The hub places requests accordingly.";
     ViewHeld = 300, "view-held", "The entry has accepted a new view and no longer acts under the previous one.";
     ViewActive = 301, "view-active", "The view is active; the entry acts under it.";
     LeaseLost = 302, "lease-lost", "The entry's lease has expired; the entry makes no decisions.";
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -12,12 +12,14 @@
 use crate::limit::Warmup;
 use crate::pool;
 use crate::pool::AttemptOutcome;
+use crate::pool::PaceChange;
 use crate::pool::Pool;
 use crate::pool::Request;
 use crate::pool::Scheduling;
 use crate::pool::TrialVersion;
 use crate::quarantine::Identity;
 use crate::quarantine::Permit;
+use crate::route::Engine;
 
 use super::AttemptEnd;
 use super::Grant;
@@ -68,6 +70,8 @@
     grant_log: GrantLog,
     /// The parts of scheduling under hard load that are in use, by service.
     scheduling: BTreeMap<id::Service, Scheduling>,
+    /// What the table states about engines, by service.
+    engines: BTreeMap<id::Service, Engine>,
     /// The request rates of cold servers, by service, and when they were set.
     warmups: (BTreeMap<id::Service, Warmup>, Instant),
 }
@@ -101,6 +105,7 @@
             let (warmups, since) = &self.warmups;
             pool.set_warmup(warmups.get(&service).copied(), *since);
             pool.set_scheduling(self.scheduling.get(&service).copied().unwrap_or_default());
+            pool.set_engine(self.engines.get(&service).copied().unwrap_or_default());
             self.pools.insert(service, pool);
         }
         // Loads may have been reported before the server was on the list.
@@ -125,6 +130,14 @@
         self.scheduling = scheduling;
     }
 
+    /// Sets what the table states about engines, by service.
+    pub(super) fn set_engines(&mut self, engines: BTreeMap<id::Service, Engine>) {
+        for (service, pool) in &mut self.pools {
+            pool.set_engine(engines.get(service).copied().unwrap_or_default());
+        }
+        self.engines = engines;
+    }
+
     /// Sets which version of each service is on trial and how many requests it may get.
     pub(super) fn set_on_trial<'a>(
         &mut self,
@@ -169,6 +182,16 @@
                 pool.observe(&attempt.incarnation, attempt.outcome, now);
                 let is_own = attempt.grant.hub_id == self.hub_id;
                 let number = Some(attempt.grant.number).filter(|_| is_own);
+                if let Some(number) = number {
+                    pool.record_attempt(
+                        &attempt.incarnation,
+                        number,
+                        attempt.outcome,
+                        attempt.load.as_ref(),
+                        now,
+                    );
+                }
+                let number = number.filter(|_| attempt.outcome.is_end());
                 let release = number.and_then(|number| self.grant_log.finish(number, attempt, now));
                 if let Some(release) = release {
                     pool.record_release(&release, now);
@@ -208,6 +231,19 @@
         self.pools.values_mut().map(Pool::take_limit_wait).sum()
     }
 
+    /// Returns how many requests of each service were placed where they cannot be in time, and the
+    /// engines that have become slow or have recovered, since the last call.
+    pub(super) fn take_placements(&mut self) -> Vec<(id::Service, u64, Vec<PaceChange>)> {
+        let pools = self.pools.iter_mut();
+        let taken = pools.map(|(service, pool)| {
+            let late = pool.take_late_placements();
+            (service.clone(), late, pool.take_pace_changes())
+        });
+        taken
+            .filter(|(_, late, changes)| *late > 0 || !changes.is_empty())
+            .collect()
+    }
+
     /// Returns the number of the last grant.
     pub(super) fn last_grant(&self) -> u64 {
         self.occupancy.last_grant()
@@ -421,6 +457,9 @@
             number: self.occupancy.grant(&host, load, now),
         };
         let incarnation = Arc::clone(&server.incarnation);
+        if let Some(pool) = self.pools.get_mut(&ticket.service) {
+            pool.record_grant(&incarnation, ticket.number, id.number);
+        }
         self.grant_log.record(id.number, incarnation, customer, now);
         let permit = reservation.permit.as_ref().map(|permit| permit.number);
         let grant = Grant {
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -216,6 +216,7 @@
             self.dispatcher.set_warmups(warmups.collect(), now);
             self.dispatcher
                 .set_scheduling(table.scheduling(self.tuning.scheduling));
+            self.dispatcher.set_engines(table.engines());
         }
     }
 
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Instant;
 use crate::id;
+use crate::pool::PaceChange;
 use crate::quarantine::Decision;
 use crate::quarantine::Rejection;
 
@@ -118,6 +119,12 @@
         grants.collect()
     }
 
+    /// Returns how many requests of each service were placed where they cannot be in time, and the
+    /// engines that have become slow or have recovered, since the last call.
+    pub fn take_placements(&mut self) -> Vec<(id::Service, u64, Vec<PaceChange>)> {
+        self.dispatcher.take_placements()
+    }
+
     /// Removes requests that are unlikely to get a slot in time from the queue, and returns them
     /// together with those that quarantine has rejected since the last call.
     pub fn reject_doomed(&mut self, now: Instant) -> Vec<Ticket> {
--- a/crates/core/src/pool/choose.rs
+++ b/crates/core/src/pool/choose.rs
@@ -62,7 +62,7 @@
                 .chain(self.servers.fastest().take(SAMPLED_FASTEST_SERVERS))
                 .collect();
             let best = self.best_server(request, sample, usable, now);
-            if best.is_some() {
+            if best.is_some() || self.is_passed_over() {
                 return best;
             }
         }
@@ -91,6 +91,14 @@
         usable: impl Fn(&ServerState) -> bool,
         now: Instant,
     ) -> Option<usize> {
+        if self.uses_estimates() {
+            let usable = |index: &usize| {
+                let state = self.servers.at(*index);
+                usable(state) && self.limits.admits(&state.server, now)
+            };
+            let engines: Vec<_> = candidates.into_iter().filter(usable).collect();
+            return self.choose_engine(request, &engines, now);
+        }
         let mean = self.servers.mean_latency();
         let mut best: Option<(f64, usize)> = None;
         for index in candidates {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -2,10 +2,12 @@
 
 mod choose;
 mod doomed;
+mod estimate;
 mod first_byte_time;
 mod forecast;
 mod limit_wait;
 mod notices;
+mod placement;
 mod queue;
 mod release;
 mod request;
@@ -23,11 +25,13 @@
 pub use first_byte_time::FirstByteTime;
 pub use notices::Notice;
 pub use notices::Notices;
+pub use placement::PaceChange;
 pub use release::Release;
 pub use release::ReportedLoad;
 pub use request::Assignment;
 pub use request::AttemptOutcome;
 pub use request::Request;
+pub use request::StreamTimes;
 pub use request::Ticket;
 pub use retry_budget::Balance;
 pub use retry_budget::GATEWAYS_MIN_RETRIES_FRACTION;
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -110,6 +110,21 @@
     pub charged_to_limit: bool,
 }
 
+/// When the events of a stream arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamTimes {
+    /// From sending the request to the head of the response.
+    pub first_byte: Duration,
+    /// From sending the request to the first event.
+    pub first_event: Duration,
+    /// The mean time between two events, if there were several.
+    pub gap: Option<Duration>,
+    /// The longest time between two events.
+    pub longest_gap: Duration,
+    /// The number of events.
+    pub events: u32,
+}
+
 /// The outcome of an attempt, as far as it tells something about the backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum AttemptOutcome {
@@ -120,6 +135,13 @@
         /// The mean time between two chunks of a stream, if there were several.
         gap: Option<Duration>,
     },
+    /// The server answered with a stream whose events were timed.
+    Streamed(StreamTimes),
+    /// The first event of a stream has arrived; the attempt goes on.
+    Began {
+        /// From sending the request to the first event.
+        first_event: Duration,
+    },
     /// The server answered that it has no room.
     Full,
     /// The server rejected the request and asked for none from this gateway's host for the given time.
@@ -135,3 +157,19 @@
     /// The caller disconnected, so that nothing is known about the server.
     Unknown,
 }
+
+impl AttemptOutcome {
+    /// If the server answered, the time to the first byte, and the mean time between two chunks of a stream.
+    pub(crate) fn answer_times(self) -> Option<(Duration, Option<Duration>)> {
+        match self {
+            Self::Answered { first_byte, gap } => Some((first_byte, gap)),
+            Self::Streamed(times) => Some((times.first_byte, times.gap)),
+            _ => None,
+        }
+    }
+
+    /// Whether the attempt is over.
+    pub(crate) fn is_end(self) -> bool {
+        !matches!(self, Self::Began { .. })
+    }
+}
--- a/crates/core/src/pool/server_state.rs
+++ b/crates/core/src/pool/server_state.rs
@@ -10,6 +10,7 @@
 use super::AttemptOutcome;
 use super::ServerHealth;
 use super::ServerLatency;
+use super::estimate::EnginePace;
 
 /// The load, latency and health of one backend server of a pool.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     /// The time between two chunks of a stream.
     pub(super) gap: ServerLatency,
     pub(super) health: ServerHealth,
+    /// What its streams show, if servers are chosen by estimates.
+    pub(super) pace: EnginePace,
 }
 
 impl ServerState {
@@ -45,6 +48,7 @@
             first_byte: ServerLatency::default(),
             gap: ServerLatency::default(),
             health: ServerHealth::default(),
+            pace: EnginePace::default(),
         }
     }
 
@@ -124,20 +128,23 @@
 
     /// Updates health and latency by the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, outcome: AttemptOutcome, now: Instant) {
-        match outcome {
-            AttemptOutcome::Answered { first_byte, gap } => {
-                self.health.record_response();
-                self.first_byte.add(first_byte);
-                if let Some(gap) = gap {
-                    self.gap.add(gap);
-                }
+        if let Some((first_byte, gap)) = outcome.answer_times() {
+            self.health.record_response();
+            self.first_byte.add(first_byte);
+            if let Some(gap) = gap {
+                self.gap.add(gap);
             }
+        }
+        match outcome {
             AttemptOutcome::Full => self.health.record_full(now),
             AttemptOutcome::Backoff(_) => self.health.record_backoff(now),
             AttemptOutcome::Failed => self.health.record_failure(),
             AttemptOutcome::Broken | AttemptOutcome::TimedOut => self.health.record_break(now),
             AttemptOutcome::Gone => self.drain(),
-            AttemptOutcome::Unknown => {}
+            AttemptOutcome::Answered { .. }
+            | AttemptOutcome::Streamed(_)
+            | AttemptOutcome::Began { .. }
+            | AttemptOutcome::Unknown => {}
         }
     }
 }
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -14,6 +14,7 @@
 use crate::limit::Limit;
 use crate::limit::RateLimiter;
 use crate::limit::Warmup;
+use crate::route::Engine;
 use crate::unit::Tokens;
 
 use super::Assignment;
@@ -25,8 +26,10 @@
 use super::Scheduling;
 use super::Ticket;
 use super::Tuning;
+use super::estimate::Model;
 use super::forecast::Forecast;
 use super::limit_wait::LimitWait;
+use super::placement::Placement;
 use super::queue::Queue;
 use super::server_set::ServerSet;
 use super::server_state::ServerState;
@@ -46,6 +49,9 @@
     pub(super) forecast: Forecast,
     /// The version on trial, which may get only a limited number of requests.
     pub(super) trial: Option<TrialVersion>,
+    /// What the service's engines have in common.
+    pub(super) model: Model,
+    pub(super) placement: Placement,
     last_ticket: u64,
     pub(super) random: SmallRng,
 }
@@ -63,6 +69,8 @@
             queue: Queue::default(),
             forecast: Forecast::default(),
             trial: None,
+            model: Model::default(),
+            placement: Placement::default(),
             last_ticket: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -74,6 +82,7 @@
     pub fn for_all_gateways(self) -> Self {
         Self {
             limits: RateLimiter::granting(),
+            placement: self.placement.for_all_gateways(),
             ..self
         }
     }
@@ -119,6 +128,9 @@
         self.servers.update(incarnation, |state| {
             state.reset_own_load();
             state.set_other_load(in_flight);
+            if in_flight.is_none() {
+                state.pace.clear();
+            }
         });
     }
 
@@ -244,6 +256,17 @@
         self.tuning.scheduling = scheduling;
     }
 
+    /// The parts of scheduling under hard load that are in use.
+    #[must_use]
+    pub fn scheduling(&self) -> Scheduling {
+        self.tuning.scheduling
+    }
+
+    /// Sets what the table states about the service's engines.
+    pub fn set_engine(&mut self, engine: Engine) {
+        self.model.set_engine(engine);
+    }
+
     /// If all servers that accept work back off, how long it takes until the first of them is available again.
     #[must_use]
     pub fn all_backing_off_for(&self, now: Instant) -> Option<Duration> {
@@ -364,6 +387,7 @@
         let mut last = None;
         let backoffs = self.backoffs(now);
         self.queue.demote_late(now);
+        self.begin_pass();
         while let Some((position, request)) = self.queue.next_after(last) {
             if !self.has_room() {
                 break;
@@ -371,9 +395,10 @@
             let (ticket, is_restricted) = (position.ticket, request.is_restricted());
             let request = request.with_backoffs(&backoffs).into_owned();
             last = Some(position);
+            self.begin_decision(position);
             let Some(index) = self.choose_server(&request, now) else {
                 // Only this request is excluded from some servers; the next one may be sent to those.
-                if !is_restricted {
+                if !is_restricted && !self.is_passed_over() {
                     break;
                 }
                 continue;
@@ -384,6 +409,7 @@
             // A server's rate limit applies to all hosts together, while each host sees its own requests only. It is
             // therefore enforced where the slots of all hosts are granted.
             let charged_to_limit = self.limits.acquire(&self.servers.at(index).server, now);
+            self.record_placement(index, ticket, &request, now);
             self.servers.update_at(index, |state| {
                 state.health.record_assignment(now);
                 state.start_request(request.prompt);
--- a/crates/core/src/rollout/baseline.rs
+++ b/crates/core/src/rollout/baseline.rs
@@ -65,18 +65,21 @@
 impl Observation {
     /// Converts an outcome; `None` if it shows nothing of the version.
     fn from_outcome(outcome: AttemptOutcome) -> Option<Self> {
+        if let Some((first_byte, gap)) = outcome.answer_times() {
+            let gap = gap.as_ref().map(Duration::as_secs_f64);
+            return Some(Self::Completed(first_byte.as_secs_f64(), gap));
+        }
         match outcome {
-            AttemptOutcome::Answered { first_byte, gap } => {
-                let gap = gap.as_ref().map(Duration::as_secs_f64);
-                Some(Self::Completed(first_byte.as_secs_f64(), gap))
-            }
             AttemptOutcome::Failed | AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
                 Some(Self::Failed)
             }
             AttemptOutcome::Full
             | AttemptOutcome::Backoff(_)
             | AttemptOutcome::Gone
-            | AttemptOutcome::Unknown => None,
+            | AttemptOutcome::Unknown
+            | AttemptOutcome::Answered { .. }
+            | AttemptOutcome::Streamed(_)
+            | AttemptOutcome::Began { .. } => None,
         }
     }
 
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -155,6 +155,15 @@
         in_use.collect()
     }
 
+    /// What is stated about the engines of each service that has any.
+    #[must_use]
+    pub fn engines(&self) -> BTreeMap<id::Service, Engine> {
+        let services = self.services.iter();
+        let engines =
+            services.filter_map(|(service, policy)| Some((service.clone(), policy.engine?)));
+        engines.collect()
+    }
+
     /// The rules, in no particular order.
     pub fn rules(&self) -> impl Iterator<Item = &Arc<Rule>> {
         self.hosts.values().flatten()
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
+use curlewlift_core::event::Line;
 use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::SlotDecision;
 use curlewlift_core::gateway::SlotRequest;
 use curlewlift_core::gateway::Ticket;
+use curlewlift_core::pool::PaceChange;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -147,6 +150,20 @@
         let limit_wait = hub.take_limit_wait().as_millis();
         metrics::counter!("curlewlift_limit_wait_ms")
             .increment(u64::try_from(limit_wait).unwrap_or(0));
+        for (service, late, changes) in hub.take_placements() {
+            metrics::counter!("curlewlift_placed_late", "service" => service.to_string())
+                .increment(late);
+            for PaceChange {
+                incarnation,
+                relative_time,
+            } in changes
+            {
+                self.timeline
+                    .note(Line::new(Kind::PaceChanged).detail(format_args!(
+                        "service={service} server={incarnation} times={relative_time:.1}"
+                    )));
+            }
+        }
         for ticket in hub.reject_doomed(now) {
             // Dropping the sender notifies the request that it gets no slot.
             self.pending_slots.remove(&ticket);
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -247,12 +247,16 @@
         }
         self.maybe_run_attempts += 1;
         self.first_byte = Some(response_start.first_byte);
-        self.node
-            .record_first_byte_time(&self.admitted.rule.name, response_start.first_byte);
         let status = response_start.head.status;
+        let is_stream = status.is_success() && self.admitted.rule.kind.is_stream();
+        // The objective counts to the first event of a stream. Its relay records that time if it is needed.
+        if !(is_stream && self.node.places_by_estimates(&self.service)) {
+            self.node
+                .record_first_byte_time(&self.admitted.rule.name, response_start.first_byte);
+        }
         metrics::histogram!("curlewlift_first_seconds")
             .record(response_start.first_byte.as_secs_f64());
-        if status.is_success() && self.admitted.rule.kind.is_stream() {
+        if is_stream {
             return Ok(Step::Respond(self.stream_response(response_start)));
         }
         if !response_start.is_bufferable() {
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod slot_wait;
 mod standbys;
 mod stop;
+mod stream_timer;
 mod sync;
 mod tables;
 
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use super::forward::ForwardedRequest;
 use super::log::Line;
 use super::slot::Slot;
+use super::stream_timer::StreamTimer;
 
 /// A stream that is being forwarded.
 struct Relay {
@@ -45,6 +46,8 @@
     last_forwarded: Option<Instant>,
     /// The longest time between two chunks for the caller.
     longest_gap: Duration,
+    /// Times the events of the last response, if the hub places requests by estimates.
+    timer: Option<StreamTimer>,
     /// Whether the stream has been forwarded to its end, or truncated.
     finished: bool,
 }
@@ -54,7 +57,7 @@
     let first_byte = response_start.first_byte;
     let resumable = request.admitted.rule.kind == route::Kind::Resumable;
     let (_, body, slot, connection) = response_start.into_parts();
-    let relay = Relay {
+    let mut relay = Relay {
         request,
         body,
         slot: Some(slot),
@@ -65,8 +68,10 @@
         chunks: 0,
         last_forwarded: None,
         longest_gap: Duration::ZERO,
+        timer: None,
         finished: false,
     };
+    relay.start_timer();
     let chunks = futures::stream::unfold(relay, |mut relay| async move {
         let chunk = relay.next_chunk().await?;
         Some((chunk.map(Frame::data), relay))
@@ -100,6 +105,7 @@
                         continue;
                     };
                     if let Some(chunk) = self.forwardable(data) {
+                        self.record_event();
                         self.record_forwarded();
                         return Some(Ok(chunk));
                     }
@@ -128,6 +134,28 @@
         (!complete.is_empty()).then_some(complete)
     }
 
+    /// Begins to time the events of the response whose head has just arrived.
+    fn start_timer(&mut self) {
+        let node = &self.request.node;
+        let is_timed = node.places_by_estimates(&self.request.service);
+        self.timer = is_timed.then(|| StreamTimer::new(self.first_byte, self.head_received));
+    }
+
+    /// Records that an event has arrived.
+    fn record_event(&mut self) {
+        let Some(timer) = &mut self.timer else {
+            return;
+        };
+        let Some(first_event) = timer.record_event(Instant::now()) else {
+            return;
+        };
+        let rule = &self.request.admitted.rule.name;
+        self.request.node.record_first_byte_time(rule, first_event);
+        if let Some(slot) = &self.slot {
+            slot.report_first_event(first_event);
+        }
+    }
+
     /// Records that a chunk is forwarded to the caller.
     fn record_forwarded(&mut self) {
         let now = Instant::now();
@@ -142,10 +170,12 @@
         let gaps = self.chunks.saturating_sub(1);
         let gap = (gaps > 0).then(|| self.head_received.elapsed() / gaps);
         if let Some(slot) = &mut self.slot {
-            slot.set_completed(AttemptOutcome::Answered {
+            let times = self.timer.as_ref().and_then(StreamTimer::times);
+            let answered = AttemptOutcome::Answered {
                 first_byte: self.first_byte,
                 gap,
-            });
+            };
+            slot.set_completed(times.map_or(answered, AttemptOutcome::Streamed));
         }
         self.slot = None;
         let status = StatusCode::OK.as_u16();
@@ -220,6 +250,7 @@
         self.body = body;
         self.slot = Some(slot);
         self.connection = Some(connection);
+        self.start_timer();
     }
 
     /// Requests the stream from the server of `slot`, starting after the event `last_event_id`.
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::pool;
 use curlewlift_core::pool::Assignment;
 use curlewlift_core::pool::AttemptOutcome;
+use curlewlift_core::pool::Part;
 use curlewlift_core::pool::Ticket;
 use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
@@ -78,6 +79,12 @@
         }
     }
 
+    /// Whether the hub places a service's requests by estimates, for which this gateway times the events of streams.
+    pub(super) fn places_by_estimates(&self, name: &id::Service) -> bool {
+        let places = |service: &mut Service| service.pool.scheduling().has(Part::Placement);
+        self.with_service(name, places) == Some(true)
+    }
+
     /// Whether all servers of a service have announced limits.
     pub(super) fn is_limited(&self, name: &id::Service) -> bool {
         let is_limited = |service: &mut Service| service.pool.total_limit_rate().is_some();
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -152,6 +152,27 @@
         }
     }
 
+    /// Reports to the hub when the first event of the stream arrived.
+    pub(super) fn report_first_event(&self, first_event: Duration) {
+        let began = AttemptOutcome::Began { first_event };
+        self.node.report_end(self.attempt_end(began, None));
+    }
+
+    /// The attempt as it is reported to the hub.
+    fn attempt_end(&self, outcome: AttemptOutcome, rollout: Option<RolloutTag>) -> AttemptEnd {
+        let now = self.node.now();
+        let server_time = self.sent_at.map(|sent_at| now.since(sent_at));
+        AttemptEnd {
+            service: self.service.clone(),
+            incarnation: Arc::clone(&self.server.incarnation),
+            rollout,
+            outcome,
+            grant: self.grant_id(),
+            server_time: server_time.unwrap_or_default(),
+            load: self.load,
+        }
+    }
+
     /// Sets the attempt's outcome, which is reported when the slot is released.
     pub(super) fn set_outcome(&mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
@@ -291,18 +312,8 @@
         self.record_first_byte();
         // Before the outcome is reported, so that one report contains both.
         self.report_request_outcome();
-        let now = self.node.now();
-        let end = AttemptEnd {
-            service: self.service.clone(),
-            incarnation: Arc::clone(&self.server.incarnation),
-            rollout: self.rollout_tag.take(),
-            outcome: self.outcome,
-            grant: self.grant_id(),
-            server_time: self
-                .sent_at
-                .map_or(Duration::ZERO, |sent_at| now.since(sent_at)),
-            load: self.load,
-        };
+        let rollout = self.rollout_tag.take();
+        let end = self.attempt_end(self.outcome, rollout);
         self.node.finish_attempt(end);
     }
 }
