--- a/crates/core/src/pool/server_state.rs
+++ b/crates/core/src/pool/server_state.rs
@@ -10,6 +10,7 @@
 use super::AttemptOutcome;
 use super::ServerHealth;
 use super::ServerLatency;
+use super::estimate::EnginePace;
 use super::in_flight::Limit;
 
 /// The load, latency and health of one backend server of a pool.
@@ -33,6 +34,8 @@
     pub(super) health: ServerHealth,
     /// How many requests it may have in flight, if that is measured.
     pub(super) limit: Limit,
+    /// What its streams show, if servers are chosen by estimates.
+    pub(super) pace: EnginePace,
 }
 
 impl ServerState {
@@ -49,6 +52,7 @@
             gap: ServerLatency::default(),
             health: ServerHealth::default(),
             limit: Limit::default(),
+            pace: EnginePace::default(),
         }
     }
 
@@ -136,20 +140,23 @@
 
     /// Updates health and latency by the outcome of an attempt.
     pub(super) fn record_outcome(&mut self, outcome: AttemptOutcome, now: Instant) {
-        match outcome {
-            AttemptOutcome::Answered { first_byte, gap } => {
-                self.health.record_response();
-                self.first_byte.add(first_byte);
-                if let Some(gap) = gap {
-                    self.gap.add(gap);
-                }
+        if let Some((first_byte, gap)) = outcome.answer_times() {
+            self.health.record_response();
+            self.first_byte.add(first_byte);
+            if let Some(gap) = gap {
+                self.gap.add(gap);
             }
+        }
+        match outcome {
             AttemptOutcome::Full => self.health.record_full(now),
             AttemptOutcome::Backoff(_) => self.health.record_backoff(now),
             AttemptOutcome::Failed => self.health.record_failure(),
             AttemptOutcome::Broken | AttemptOutcome::TimedOut => self.health.record_break(now),
             AttemptOutcome::Gone => self.drain(),
-            AttemptOutcome::Unknown => {}
+            AttemptOutcome::Answered { .. }
+            | AttemptOutcome::Streamed(_)
+            | AttemptOutcome::Began { .. }
+            | AttemptOutcome::Unknown => {}
         }
     }
 }
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -16,6 +16,7 @@
 use crate::limit::Limit;
 use crate::limit::RateLimiter;
 use crate::limit::Warmup;
+use crate::route::Engine;
 use crate::unit::Tokens;
 
 use super::Assignment;
@@ -29,9 +30,11 @@
 use super::SlotUsage;
 use super::Ticket;
 use super::Tuning;
+use super::estimate::Model;
 use super::fair_order::Order;
 use super::forecast::Forecast;
 use super::limit_wait::LimitWait;
+use super::placement::Placement;
 use super::queue::Queue;
 use super::retry_schedule::RetrySchedule;
 use super::server_set::ServerSet;
@@ -54,6 +57,9 @@
     pub(super) retries: RetrySchedule,
     /// The version on trial, which may get only a limited number of requests.
     pub(super) trial: Option<TrialVersion>,
+    /// What the service's engines have in common.
+    pub(super) model: Model,
+    pub(super) placement: Placement,
     pub(super) last_ticket: u64,
     /// The last ticket that had been issued when doomed requests were last removed.
     pub(super) last_checked: u64,
@@ -74,6 +80,8 @@
             forecast: Forecast::default(),
             retries: RetrySchedule::default(),
             trial: None,
+            model: Model::default(),
+            placement: Placement::default(),
             last_ticket: 0,
             last_checked: 0,
             random: SmallRng::seed_from_u64(seed),
@@ -86,6 +94,7 @@
     pub fn for_all_gateways(self) -> Self {
         Self {
             limits: RateLimiter::granting(),
+            placement: self.placement.for_all_gateways(),
             ..self
         }
     }
@@ -131,6 +140,9 @@
         self.servers.update(incarnation, |state| {
             state.reset_own_load();
             state.set_other_load(in_flight);
+            if in_flight.is_none() {
+                state.pace.clear();
+            }
         });
     }
 
@@ -263,6 +275,17 @@
         self.tuning.scheduling.has(part)
     }
 
+    /// The parts of scheduling under hard load that are in use.
+    #[must_use]
+    pub fn scheduling(&self) -> Scheduling {
+        self.tuning.scheduling
+    }
+
+    /// Sets what the table states about the service's engines.
+    pub fn set_engine(&mut self, engine: Engine) {
+        self.model.set_engine(engine);
+    }
+
     /// If all servers that accept work back off, how long it takes until the first of them is available again.
     #[must_use]
     pub fn all_backing_off_for(&self, now: Instant) -> Option<Duration> {
@@ -391,6 +414,7 @@
         let mut assignments = Vec::new();
         let backoffs = self.backoffs(now);
         self.queue.demote_late(now);
+        self.begin_pass();
         let mut order = if self.has_room() {
             self.queue.order()
         } else {
@@ -402,9 +426,10 @@
         {
             let (ticket, is_restricted) = (position.ticket, request.is_restricted());
             let request = request.with_backoffs(&backoffs).into_owned();
+            self.begin_decision(position);
             let Some(index) = self.choose_server(&request, now) else {
                 // Only this request is excluded from some servers; the next one may be sent to those.
-                if !is_restricted {
+                if !is_restricted && !self.is_passed_over() {
                     break;
                 }
                 continue;
@@ -416,6 +441,7 @@
             // A server's rate limit applies to all hosts together, while each host sees its own requests only. It is
             // therefore enforced where the slots of all hosts are granted.
             let charged_to_limit = self.limits.acquire(&self.servers.at(index).server, now);
+            self.record_placement(index, ticket, &request, now);
             self.servers.update_at(index, |state| {
                 state.health.record_assignment(now);
                 state.start_request(request.prompt);
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -88,6 +88,12 @@
         given_up_at_services.fold(given_up, f64::min)
     }
 
+    /// Whether the hub places a service's requests by estimates, for which this gateway times the events of streams.
+    pub(super) fn places_by_estimates(&self, name: &id::Service) -> bool {
+        let places = |service: &mut Service| service.pool.scheduling().has(Part::Placement);
+        self.with_service(name, places) == Some(true)
+    }
+
     /// Whether all servers of a service have announced limits.
     pub(super) fn is_limited(&self, name: &id::Service) -> bool {
         let is_limited = |service: &mut Service| service.pool.total_limit_rate().is_some();
