--- a/crates/core/src/pool/in_flight.rs
+++ b/crates/core/src/pool/in_flight.rs
@@ -17,12 +17,12 @@
 use super::Pool;
 use super::Request;
 
-/// Requests that the mean overhead covers. Reports take between 15 and 250 ms; the mean of 32 differs so much from one
-/// moment to the next that servers with 450 requests a second reject some.
+/// Requests that the mean overhead covers. Reports take between 15 and 250 ms: the mean of 32 is off by a fifteenth, and
+/// a single overhead of [`MAX_OVERHEAD`] changes it by a fifth.
 const OVERHEAD_SAMPLES: u32 = 128;
 
-/// Requests that the mean work of a server covers. With 16, the limit follows each burst, and a seventh of the slots is
-/// idle under overload.
+/// Requests that the mean work of a server covers. With 16, the limit follows each burst, and more than 0.15 of the slots
+/// are idle while requests are rejected.
 const WORK_SAMPLES: u32 = 64;
 
 /// The longest overhead, which a suspended gateway or a lost report exceeds.
@@ -47,7 +47,7 @@
 const MIN_CUT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// How much a response of a server without waiting requests raises a limit that was halved because the server was full.
-/// With a quarter of that, slots are idle for a second after the cause has ended.
+/// With a quarter of that, half as many requests again were rejected after others had filled the server.
 const RAISE_PER_END: f64 = 1.0;
 
 /// After this many responses in a row for which the server took less than [`SHORTER`] of the mean, work has become
