Let a newcomer retry with shares that were given up unused

Cause: a gateway that joined after the first shares were assigned counted its share of the minimum number of retries as used for one window, because a former holder might have used it. Without the hub it answered 503 (retry-budget).

Ruled out: more spare shares (idle in steady operation, and none is left for the next newcomer); an expiry at the hub (it does not know when a share was used).

Change: a gateway that applies a smaller share states which part it gives up unused: the smaller share covers all that it counts as used in any window. The hub adds up the statements, once per reply, and announces a new holder's share as unused if the sum covers it. It repeats this to the first process on the host, as replies are lost.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -242,9 +242,10 @@
 
     /// Records the state that a gateway reports in a poll.
     pub fn on_poll(&mut self, poll: &Poll, now: Instant) {
-        self.retry_shares.on_poll(&poll.host, poll.last_reply, now);
+        self.retry_shares
+            .on_poll(&poll.host, poll.last_reply, poll.given_up_unused, now);
         self.standby_shares
-            .on_poll(&poll.host, poll.last_reply, now);
+            .on_poll(&poll.host, poll.last_reply, 0.0, now);
         if let Some(state) = self.gateways.get_mut(&poll.host) {
             // A new process of the same host has another address for callers.
             state.is_member &= state.gateway == poll.gateway;
--- a/crates/core/src/gateway/polls.rs
+++ b/crates/core/src/gateway/polls.rs
@@ -70,7 +70,10 @@
     pub fn small_reply(&mut self, poll: &Poll, publication: &Publication, now: Instant) -> Reply {
         self.scan_gateways(now);
         self.last_reply = self.last_reply.wrapping_add(1);
-        let retry_share = self.retry_shares.on_reply(&poll.host, self.last_reply, now);
+        let process = poll.limit_reports.incarnation;
+        let retry_share = self
+            .retry_shares
+            .on_reply(&poll.host, process, self.last_reply, now);
         let admission_share = self.admission_share(poll, now);
         let incarnations = self.gateways.get(&poll.host);
         let incarnations = incarnations.map_or(&[][..], |state| &state.subset.incarnations);
@@ -181,9 +184,10 @@
         if poll.wants_whole_list && !self.all_can_be_standbys() {
             return 0.0;
         }
+        let process = poll.limit_reports.incarnation;
         let share = self
             .standby_shares
-            .on_reply(&poll.host, self.last_reply, now);
+            .on_reply(&poll.host, process, self.last_reply, now);
         share.fraction
     }
 
--- a/crates/core/src/gateway/shares.rs
+++ b/crates/core/src/gateway/shares.rs
@@ -60,15 +60,20 @@
 pub struct GatewayShare {
     /// The share, from 0 to 1.
     pub fraction: f64,
-    /// Whether no process has held this share before, so that nothing of it is used.
+    /// Whether no process has used any of this share: none has held it, or those that did gave it up unused.
     pub never_held: bool,
 }
 
+/// What may be missing of a share that was added up from fractions, because of rounding.
+const ROUNDING: f64 = 1e-9;
+
 /// The replies sent to a gateway and the one it has acknowledged.
 #[derive(Clone, Copy, Debug)]
 struct GatewayReplies {
     /// The number of the last reply, and when it was sent.
     last_reply: (u64, Instant),
+    /// Whether the gateway has acknowledged the last reply.
+    is_acknowledged: bool,
     /// When the newest reply that the gateway has acknowledged was sent.
     acknowledged_at: Option<Instant>,
 }
@@ -85,8 +90,11 @@
     /// When the last change was proposed.
     changed_at: Instant,
     replies: BTreeMap<Host, GatewayReplies>,
-    /// The holders of the first shares of all that have received no reply with a share.
-    never_held: BTreeSet<Host>,
+    /// The part of the whole that nobody holds and no process has used, from 0 to 1.
+    unused: f64,
+    /// The holders of unused shares, and the process of each that was told so; the random number of a process is 0 if it
+    /// is not known.
+    never_held: BTreeMap<Host, Option<u64>>,
     /// The last result of [`ShareAllocator::hub_share`], and until when it is valid.
     hub_share: Option<(f64, Instant)>,
 }
@@ -102,7 +110,8 @@
             proposed: None,
             changed_at: now,
             replies: BTreeMap::new(),
-            never_held: BTreeSet::new(),
+            unused: 0.0,
+            never_held: BTreeMap::new(),
             hub_share: None,
         }
     }
@@ -115,20 +124,45 @@
         if shares.count > self.shares.count {
             self.grown_at = now;
         }
-        // What was not proposed here may have been held under another leader.
-        if self.shares.count == 0 && self.proposed.as_ref() == Some(shares) {
-            self.never_held.clone_from(&shares.holders);
-        }
+        self.assign_unused(shares);
         self.shares = shares.clone();
         self.proposed = None;
         self.hub_share = None;
     }
 
-    /// Records a gateway's poll, which acknowledges the reply `last_reply`.
-    pub fn on_poll(&mut self, host: &Host, last_reply: u64, now: Instant) {
+    /// Determines which new holders of `next` get an unused share, and what is left unused.
+    fn assign_unused(&mut self, next: &Shares) {
+        // What was not proposed here may have been held and used under another leader.
+        if self.proposed.as_ref() != Some(next) {
+            self.unused = 0.0;
+            self.never_held.clear();
+            return;
+        }
+        if self.shares.count == 0 {
+            self.unused = 1.0;
+        }
+        self.never_held
+            .retain(|host, _| next.holders.contains(host));
+        for host in next.holders.difference(&self.shares.holders) {
+            if self.unused + ROUNDING >= next.fraction(1) {
+                self.unused -= next.fraction(1);
+                self.never_held.insert(host.clone(), None);
+            }
+        }
+        let free = 1.0 - next.fraction(next.holders.len());
+        self.unused = self.unused.clamp(0.0, free.max(0.0));
+    }
+
+    /// Records a gateway's poll, which acknowledges the reply `last_reply` and states which part of the whole the
+    /// gateway gave up with that reply without having used it.
+    pub fn on_poll(&mut self, host: &Host, last_reply: u64, given_up_unused: f64, now: Instant) {
         if let Some(replies) = self.replies.get_mut(host)
             && replies.last_reply.0 == last_reply
         {
+            if !replies.is_acknowledged && given_up_unused > 0.0 {
+                self.unused += given_up_unused;
+            }
+            replies.is_acknowledged = true;
             let was_set_aside = replies
                 .acknowledged_at
                 .is_none_or(|acknowledged| acknowledged + quota::SHARE_RESERVE_DELAY <= now);
@@ -139,14 +173,22 @@
         }
     }
 
-    /// Records that the reply `number` is sent to a gateway, and returns the gateway's share.
-    pub fn on_reply(&mut self, host: &Host, number: u64, now: Instant) -> GatewayShare {
+    /// Records that the reply `number` is sent to a gateway whose process has the random number `process`, and returns
+    /// the gateway's share.
+    pub fn on_reply(
+        &mut self,
+        host: &Host,
+        process: u64,
+        number: u64,
+        now: Instant,
+    ) -> GatewayShare {
         let acknowledged_at = self.acknowledged_at(host);
         let last_reply = (number, now);
         self.replies.insert(
             host.clone(),
             GatewayReplies {
                 last_reply,
+                is_acknowledged: false,
                 acknowledged_at,
             },
         );
@@ -158,10 +200,21 @@
         };
         GatewayShare {
             fraction,
-            never_held: fraction > 0.0 && self.never_held.remove(host),
+            never_held: fraction > 0.0 && self.is_first_holder(host, process),
         }
     }
 
+    /// Returns whether a process is the only one that is told that nobody has used its share. It is told with each
+    /// reply, as replies are lost; a later process on the same host is not, as this one may have used the share.
+    fn is_first_holder(&mut self, host: &Host, process: u64) -> bool {
+        let Some(told) = self.never_held.get_mut(host) else {
+            return false;
+        };
+        let is_first = told.is_none();
+        let first = told.get_or_insert(process);
+        is_first || (*first == process && process != 0)
+    }
+
     /// Returns the hub's share, 0 to 1, of the quotas. It excludes the shares of holders that have
     /// acknowledged no reply for [`quota::SHARE_RESERVE_DELAY`].
     ///
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -87,6 +87,8 @@
     pub loads: Vec<Load>,
     /// The number of the last reply that it received from the hub.
     pub last_reply: u64,
+    /// The part of all shares of retries, 0 to 1, that it gave up with that reply without having used it.
+    pub given_up_unused: f64,
     /// The version of the quarantine list that it has.
     pub quarantine_version: u64,
     /// Its observations of requests under which servers crashed.
--- a/crates/core/src/pool/retry_budget.rs
+++ b/crates/core/src/pool/retry_budget.rs
@@ -66,7 +66,7 @@
 ///
 /// That is the mean of what the window and the one before it allow. A gateway may not choose for itself which of the two
 /// pays: if it did, both could pay, at different gateways. A share that is gained counts as used for one window, as its
-/// former holder, or a former process on the same host, may have used it.
+/// former holder, or a former process on the same host, may have used it, unless the hub announces that none has.
 ///
 /// # Examples
 ///
@@ -104,8 +104,11 @@
     }
 
     /// Sets the gateway's share of the minimum number of retries from the hub's reply to a poll that was sent at
-    /// `polled_at`. What it gains counts as used unless no process has held it before.
-    pub fn set_share(&mut self, announced: &GatewayShare, polled_at: Instant, now: Instant) {
+    /// `polled_at`. What it gains counts as used unless no process has used it before.
+    ///
+    /// Returns the part of a share that it gives up unused: the smaller share, and what requests have earned, cover all
+    /// that this process counts as used in any window. So another gateway may use that part at once.
+    pub fn set_share(&mut self, announced: &GatewayShare, polled_at: Instant, now: Instant) -> f64 {
         let former = self.share.get(now);
         self.share.set(announced.fraction, polled_at);
         let gained = self.share.get(now) - former;
@@ -113,6 +116,9 @@
             let gained = self.min_retries(gained);
             self.step(now).gained += gained;
         }
+        let overused = -self.balance(now).left.min(0.0);
+        let overused_share = overused / self.min_retries(1.0).max(f64::MIN_POSITIVE);
+        (-gained - overused_share).max(0.0)
     }
 
     /// Counts a request that a client sent at or after `sent_after`.
--- a/crates/core/tests/hub_retries.rs
+++ b/crates/core/tests/hub_retries.rs
@@ -2,18 +2,21 @@
 
 mod support;
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::GatewayShare;
 use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::RETRY_GRANT_LIFETIME;
 use curlewlift_core::gateway::RetryBlocks;
 use curlewlift_core::gateway::ServerList;
 use curlewlift_core::gateway::SlotDecision;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Tuning;
+use curlewlift_core::pool::RetryBudget;
 use curlewlift_core::state::Publication;
 
 use support::incarnations;
@@ -133,6 +136,143 @@
     hub.reply(&poll, &Publication::default(), now).retry_share
 }
 
+/// A gateway's process with its retry budget.
+struct Gateway {
+    poll: Poll,
+    budget: RetryBudget,
+}
+
+impl Gateway {
+    fn new(host: &str, process: u64) -> Self {
+        let mut poll = messages::poll(&host.parse().expect("a valid name"));
+        poll.limit_reports.incarnation = process;
+        let budget = RetryBudget::new(ALLOWANCE);
+        Self { poll, budget }
+    }
+
+    /// Polls the hub and applies its reply, which is returned.
+    fn update(&mut self, hub: &mut Hub, now: Instant) -> GatewayShare {
+        hub.on_poll(&self.poll, now);
+        let reply = hub.reply(&self.poll, &Publication::default(), now);
+        self.poll.last_reply = reply.number;
+        self.poll.given_up_unused = self.budget.set_share(&reply.retry_share, now, now);
+        reply.retry_share
+    }
+}
+
+/// A hub, and gateways that start one after the other.
+struct Site {
+    hub: Hub,
+    gateways: Vec<Gateway>,
+    now: u64,
+}
+
+impl Site {
+    /// Two gateways hold all shares after 0.85 s.
+    fn new() -> Self {
+        let gateways = vec![Gateway::new("a", 1), Gateway::new("b", 1)];
+        let hub = start_hub(&RetryBlocks::default(), at(0));
+        let mut site = Self {
+            hub,
+            gateways,
+            now: 0,
+        };
+        site.run_until(850);
+        site
+    }
+
+    /// Lets all gateways poll every 50 ms. Each acknowledgement reaches the hub twice.
+    fn run_until(&mut self, until: u64) {
+        while self.now < until {
+            self.now += 50;
+            let now = at(self.now);
+            for gateway in &mut self.gateways {
+                self.hub.on_poll(&gateway.poll, now);
+                gateway.update(&mut self.hub, now);
+            }
+            commit_shares(&mut self.hub, now);
+        }
+    }
+
+    /// Lets another gateway start, and runs until it holds a share.
+    fn join(&mut self, host: &str) {
+        self.gateways.push(Gateway::new(host, 1));
+        self.run_until(self.now + 1_100);
+    }
+
+    /// How many of `count` retries each of `gateways` may send now, in total.
+    fn use_retries(&mut self, gateways: Range<usize>, count: usize) -> usize {
+        let now = at(self.now);
+        let gateways = self.gateways[gateways].iter_mut();
+        let used = gateways.map(|gateway| {
+            let acquired = (0..count).filter(|_| gateway.budget.try_acquire(now));
+            acquired.count()
+        });
+        used.sum()
+    }
+}
+
+/// Commits the shares that the hub proposes.
+fn commit_shares(hub: &mut Hub, now: Instant) {
+    if let Some(shares) = hub.propose_retry_shares(now) {
+        hub.apply_retry_shares(&shares, now);
+    }
+}
+
+/// A gateway that starts late may use its share at once if the others state that they gave it up unused. Otherwise it
+/// could not retry for a window without the hub.
+#[test]
+fn unused_share_passed() {
+    let mut site = Site::new();
+    site.join("c");
+    // A third of a fifth of the minimum.
+    assert_eq!(site.use_retries(2..3, 100), 4);
+    assert_eq!(site.use_retries(0..2, 100), 8);
+}
+
+/// What former holders have used counts for the next one, also if only one of them has used something and
+/// acknowledgements arrive twice.
+#[test]
+fn used_share_passed() {
+    for used in 1..=6 {
+        for users in [0..1, 0..2, 1..2] {
+            let mut site = Site::new();
+            let before = site.use_retries(users.clone(), used);
+            site.join("c");
+            let total = before + site.use_retries(0..3, 100);
+            assert!(total <= 12, "{used} used before by {users:?}: {total}");
+        }
+    }
+}
+
+/// What is given up unused is available once: a share that contains a part of it and counts as used leaves nothing of
+/// it for the next gateway.
+#[test]
+fn unused_part_once() {
+    let mut site = Site::new();
+    site.use_retries(0..2, 5);
+    site.join("c");
+    site.run_until(14_000);
+    let mut total = site.use_retries(0..3, 100);
+    site.join("d");
+    site.join("e");
+    total += site.use_retries(0..5, 100);
+    assert!(total <= 12, "{total}");
+}
+
+/// The reply that announces an unused share may be lost, and the process is told again; another process on the same
+/// host is not, as the first one may have used the share.
+#[test]
+fn announced_again() {
+    let mut hub = start_hub(&RetryBlocks::default(), at(0));
+    let [mut first, mut second] = [1, 2].map(|process| Gateway::new("a", process));
+    first.update(&mut hub, at(0));
+    commit_shares(&mut hub, at(400));
+    assert!(first.update(&mut hub, at(410)).never_held);
+    assert!(first.update(&mut hub, at(420)).never_held);
+    assert!(!second.update(&mut hub, at(430)).never_held);
+}
+
 /// Only the first process that is told of one of the first shares may use it at once. Another process on the same host
 /// may find it used, and so may every process under another leader.
 #[test]
--- a/crates/core/tests/retry_histories.rs
+++ b/crates/core/tests/retry_histories.rs
@@ -104,6 +104,51 @@
     }
 }
 
+/// Three gateways, of which the third joins 3 s after the others; the hub is lost before a window has passed.
+///
+/// Returns what the third retries then, and the record of all. The others send `earlier` requests a second each that
+/// all fail, before the hub is lost.
+fn retries_of_newcomer(seed: u64, earlier: f64) -> (u32, Record) {
+    let mut world = World::new(3, seed);
+    let mut record = Record::default();
+    let load = |rates: [f64; 3]| Load {
+        rates: rates.to_vec(),
+        failing_percent: 100,
+    };
+    world.cut(2, true);
+    let others = load([earlier, earlier, 0.0]);
+    world.retry_for(seconds(3), &others, &mut record);
+    world.cut(2, false);
+    world.retry_for(seconds(2), &others, &mut record);
+    world.stop_hub();
+    world.retry_for(seconds(3), &load([0.0; 3]), &mut record);
+    let before = world.now();
+    world.retry_for(seconds(2), &load([0.0, 0.0, 5.0]), &mut record);
+    (record.retries_since(before), record)
+}
+
+/// A gateway that joins when the others hold all shares may retry without the hub at once, as they state that they have
+/// used nothing of what they gave up. Otherwise it had no retry for a window.
+#[test]
+fn newcomer_retries() {
+    for seed in 0..8 {
+        let (retries, record) = retries_of_newcomer(seed, 0.0);
+        assert_within_budget(&record, seed);
+        // Its share of the minimum: a third of a fifth of 62.
+        assert!(retries >= 4, "seed {seed}: {retries}");
+    }
+}
+
+/// What the others have used of the shares that they gave up is not used again.
+#[test]
+fn newcomer_of_used_shares() {
+    for seed in 0..8 {
+        let (retries, record) = retries_of_newcomer(seed, 20.0);
+        assert_within_budget(&record, seed);
+        assert!(retries < 4, "seed {seed}: {retries}");
+    }
+}
+
 /// Gateways and hubs restart, are suspended and cut off, shares and callers move, grants and replies are lost.
 #[test]
 fn any_history() {
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -18,6 +18,7 @@
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::gateway::Tuning;
 use curlewlift_core::id;
+use curlewlift_core::limit::Reports;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::LocalLimiter;
 use curlewlift_core::quota::Tolerance;
@@ -77,7 +78,10 @@
     pub(super) host: id::Host,
     limiter: LocalLimiter,
     pub(super) retries: retries::GatewayRetries,
+    /// The random number of the process.
+    process: u64,
     last_reply: u64,
+    given_up_unused: f64,
     pub(super) reply_received: Option<Instant>,
     asked_at: Instant,
     reply: Option<(Instant, Reply)>,
@@ -86,13 +90,20 @@
     pub(super) suspended_until: Instant,
 }
 
+/// A number that differs between the processes on a host.
+fn process_number(index: usize, started: Instant) -> u64 {
+    1 + started.0 * 10_000 + index as u64
+}
+
 impl GatewayState {
     fn new(index: usize, now: Instant) -> Self {
         Self {
             host: format!("g{index}").parse().expect("a valid name"),
             limiter: LocalLimiter::new(TOLERANCE),
             retries: retries::GatewayRetries::new(now),
+            process: process_number(index, now),
             last_reply: 0,
+            given_up_unused: 0.0,
             reply_received: None,
             asked_at: now,
             reply: None,
@@ -110,6 +121,11 @@
             known_table: 1,
             server_list_version: 1,
             last_reply: self.last_reply,
+            given_up_unused: self.given_up_unused,
+            limit_reports: Reports {
+                incarnation: self.process,
+                reports: Vec::new(),
+            },
             ..messages::poll(&self.host)
         }
     }
@@ -265,6 +281,11 @@
         self.apply_table();
     }
 
+    /// Returns the time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.now.since(Instant::default())
+    }
+
     /// Stops the hub without starting another.
     pub(crate) fn stop_hub(&mut self) {
         self.hub = None;
@@ -418,9 +439,10 @@
                 gateway_state
                     .limiter
                     .set_share(reply.admission_share, asked_at, now);
-                gateway_state
-                    .retries
-                    .set_share(&reply.retry_share, asked_at, now);
+                gateway_state.given_up_unused =
+                    gateway_state
+                        .retries
+                        .set_share(&reply.retry_share, asked_at, now);
             } else if now.since(gateway_state.asked_at) < REPLY_TIMEOUT {
                 gateway_state.reply = Some((due, reply));
             }
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -59,6 +59,7 @@
         last_grant: GrantId::default(),
         loads: Vec::new(),
         last_reply: 0,
+        given_up_unused: 0.0,
         quarantine_version: 0,
         observations: Vec::new(),
         limit_reports: Reports::default(),
--- a/crates/core/tests/support/retries.rs
+++ b/crates/core/tests/support/retries.rs
@@ -63,8 +63,13 @@
         }
     }
 
-    pub(super) fn set_share(&mut self, announced: &GatewayShare, polled_at: Instant, now: Instant) {
-        self.budget.set_share(announced, polled_at, now);
+    pub(super) fn set_share(
+        &mut self,
+        announced: &GatewayShare,
+        polled_at: Instant,
+        now: Instant,
+    ) -> f64 {
+        self.budget.set_share(announced, polled_at, now)
     }
 
     fn read_request(&mut self, sent_at: Instant) {
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -66,6 +66,8 @@
     pub(super) poll_timeout: Duration,
     /// Number of the hub's last reply.
     pub(super) last_reply: u64,
+    /// The part of all shares of retries that was given up with that reply without having been used.
+    pub(super) given_up_unused: f64,
     /// Number of the newest table that the hub has announced.
     pub(super) newest_table: u64,
     /// Version of the hub's whole server list at its last reply.
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -69,13 +69,20 @@
     }
 
     /// Sets this gateway's share of the retry budgets, from the hub's reply to a poll that was sent at `polled_at`.
-    pub(super) fn set_retry_share(&self, announced: &GatewayShare, polled_at: clock::Instant) {
+    /// Returns the part of the share that is given up unused, at every service.
+    pub(super) fn set_retry_share(
+        &self,
+        announced: &GatewayShare,
+        polled_at: clock::Instant,
+    ) -> f64 {
         let now = self.now();
-        let mut unused = self.retry_budget.borrow_mut();
-        unused.set_share(announced, polled_at, now);
-        for service in self.services.borrow_mut().values_mut() {
-            service.budget.set_share(announced, polled_at, now);
-        }
+        let mut template = self.retry_budget.borrow_mut();
+        let given_up = template.set_share(announced, polled_at, now);
+        let mut services = self.services.borrow_mut();
+        let services = services.values_mut();
+        let given_up_at_services =
+            services.map(|service| service.budget.set_share(announced, polled_at, now));
+        given_up_at_services.fold(given_up, f64::min)
     }
 
     /// Whether all servers of a service have announced limits.
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -202,6 +202,7 @@
         last_grant: hub.last_grant,
         loads: node.loads(),
         last_reply: hub.last_reply,
+        given_up_unused: hub.given_up_unused,
         quarantine_version: quarantine.get_version(),
         observations: quarantine.get_evidence().unacknowledged().0,
         limit_reports: limits.pending_reports(),
@@ -256,7 +257,8 @@
         *node.standbys.borrow_mut() =
             Standbys::from_hub(&standbys, &node.host, &environment.locate);
     }
-    node.set_retry_share(&reply.retry_share, sent_at);
+    let given_up_unused = node.set_retry_share(&reply.retry_share, sent_at);
+    node.hub.borrow_mut().given_up_unused = given_up_unused;
     node.local_limiter
         .borrow_mut()
         .set_share(reply.admission_share, sent_at, node.now());
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -83,6 +83,15 @@
         Self::start_more(folder, engines, 0, None)
     }
 
+    /// Starts three hosts with a disk, the third one `delay` after the others.
+    pub(crate) fn start_late(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        delay: Duration,
+    ) -> Self {
+        Self::start_delayed(folder, engines, 0, None, &["base"], delay)
+    }
+
     /// Starts three hosts with a disk, and `without_disk` more that reach the others over a link of `link`
     /// bytes per second.
     pub(crate) fn start_more(
@@ -100,6 +109,24 @@
         without_disk: u8,
         link: Option<u64>,
         contracts: &'static [&'static str],
+    ) -> Self {
+        Self::start_delayed(
+            folder,
+            engines,
+            without_disk,
+            link,
+            contracts,
+            Duration::ZERO,
+        )
+    }
+
+    fn start_delayed(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        without_disk: u8,
+        link: Option<u64>,
+        contracts: &'static [&'static str],
+        third_delay: Duration,
     ) -> Self {
         let server_list = engines
             .iter()
@@ -128,6 +155,9 @@
             contracts,
         };
         for index in hosts.indices() {
+            if index == 2 {
+                std::thread::sleep(third_delay);
+            }
             hosts.boot(index, true);
         }
         hosts
--- a/crates/curlewlift/tests/platform/three_hosts.rs
+++ b/crates/curlewlift/tests/platform/three_hosts.rs
@@ -19,9 +19,14 @@
 
 impl ThreeHosts {
     pub(crate) fn start(name: &str) -> Self {
+        Self::start_late(name, Duration::ZERO)
+    }
+
+    /// Starts the third host `delay` after the others.
+    pub(crate) fn start_late(name: &str, delay: Duration) -> Self {
         let engines = ["i-1", "i-2", "i-3"].map(Engine::start).to_vec();
         let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
-        let hosts = Hosts::start(folder(name), &listed);
+        let hosts = Hosts::start_late(folder(name), &listed, delay);
         hosts.configure(&document(7).to_string());
         Self { hosts, engines }
     }
--- a/crates/curlewlift/tests/platform_backoff.rs
+++ b/crates/curlewlift/tests/platform_backoff.rs
@@ -63,6 +63,15 @@
     assert_backoff(&world, &[2]);
 }
 
+/// So does one that started after the others had been given all shares of retries; it was out of retries.
+#[test]
+fn late_host_backs_off() {
+    let mut world = ThreeHosts::start_late("late_host_rest", Duration::from_millis(900));
+    world.hosts.kill(0);
+    world.hosts.kill(1);
+    assert_backoff(&world, &[2]);
+}
+
 /// A broken stream is not resumed at a server with a long backoff, but waits for one whose backoff ends soon.
 #[test]
 fn stream_resumed_elsewhere() {
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -630,6 +630,7 @@
         last_grant: gateway_state.last_grant,
         loads,
         last_reply: 0,
+        given_up_unused: 0.0,
         quarantine_version: 0,
         observations: Vec::new(),
         limit_reports: Reports::default(),
