Keep gateways without the hub within shares of the slots

Cause: a gateway that does not reach the hub chooses servers by what it last heard of the others, so that all gateways together have more requests in flight than there are slots.

Change: the shares of retries in the log carry a number for each holder, and a reply announces the number and the count. Slot i of a service belongs to the share i modulo the count. A gateway whose share has no slot borrows one from a gateway that has.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -98,6 +98,8 @@
     Reloaded = 312, "reloaded", "The settings were read again.";
     HubDoubted = 313, "hub-doubted", "The hub granted no slot in time; this gateway decides locally, without the hub, for a while.";
     EntryUnreadable = 314, "entry-unreadable", "An entry of the platform's list cannot be decoded and is left out; the other entries are used.";
+    SlotsLocal = 315, "slots-local", "The gateway has begun to use its share of the slots of a service, as the hub does not reply. The log line has the slots of the service, those of the share, and the requests that the gateway has in flight.";
+    SlotsReturned = 316, "slots-returned", "The hub replies again, and the gateway no longer uses its share of the slots. The log line has how many requests it has started by its share.";
     Leads = 400, "leads", "This control replica has become the leader.";
     Follows = 401, "follows", "This control replica follows a leader or has none.";
     Command = 402, "command", "An operator's command was answered.";
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -12,8 +12,8 @@
 use crate::limit::Warmup;
 use crate::pool;
 use crate::pool::AttemptOutcome;
+use crate::pool::Part;
 use crate::pool::Pool;
-use crate::pool::Request;
 use crate::pool::Scheduling;
 use crate::pool::TrialVersion;
 use crate::quarantine::Identity;
@@ -26,6 +26,7 @@
 use super::Server;
 use super::ServerList;
 use super::SlotRequest;
+use super::SlotShare;
 use super::grant::Reservation;
 use super::grant_log::GrantLog;
 use super::occupancy::Occupancy;
@@ -68,6 +69,8 @@
     grant_log: GrantLog,
     /// The parts of scheduling under hard load that are in use, by service.
     scheduling: BTreeMap<id::Service, Scheduling>,
+    /// The shares of the slots that gateways may be using without the hub.
+    reserved_shares: Arc<[(id::Host, SlotShare)]>,
     /// The request rates of cold servers, by service, and when they were set.
     warmups: (BTreeMap<id::Service, Warmup>, Instant),
 }
@@ -125,6 +128,34 @@
         self.scheduling = scheduling;
     }
 
+    /// Sets the shares of the slots that gateways may be using without the hub.
+    pub(super) fn set_reserved_shares(&mut self, reserved_shares: Arc<[(id::Host, SlotShare)]>) {
+        self.reserved_shares = reserved_shares;
+    }
+
+    /// Returns whether gateways use shares of the slots of any service without the hub.
+    pub(super) fn has_local_slots(&self) -> bool {
+        let mut scheduling = self.scheduling.values();
+        scheduling.any(|scheduling| scheduling.has(Part::LocalSlots))
+    }
+
+    fn has_local_slots_at(&self, service: &id::Service) -> bool {
+        let scheduling = self.scheduling.get(service);
+        scheduling.is_some_and(|scheduling| scheduling.has(Part::LocalSlots))
+    }
+
+    /// Returns how many slots of a service gateways may be using without the hub, beyond what they have reported.
+    fn reserved_slots(&self, pool: &Pool) -> u32 {
+        let slots = pool.total_slots();
+        let reserved = self.reserved_shares.iter().map(|(host, share)| {
+            let reported = self
+                .occupancy
+                .host_requests(host, |incarnation| pool.get(incarnation).is_some());
+            share.slots(slots).saturating_sub(reported)
+        });
+        reserved.sum()
+    }
+
     /// Sets which version of each service is on trial and how many requests it may get.
     pub(super) fn set_on_trial<'a>(
         &mut self,
@@ -248,25 +279,7 @@
         let Some(pool) = self.pools.get_mut(&request.service) else {
             return Err(reservation);
         };
-        let expiry = |(incarnation, remaining)| (incarnation, now + remaining);
-        let pool_request = Request {
-            rule: request.rule,
-            customer: request.customer.clone(),
-            rank: request.rank,
-            arrived: now - request.waited,
-            send_by: now + request.send_within,
-            begin_by: now + request.first_event_within,
-            max_gap: request.max_gap,
-            wait_until: now + request.max_wait,
-            prompt: request.prompt,
-            output: request.output,
-            hall: request.hall,
-            tried: request.tried,
-            avoid: request.avoid.into_iter().map(expiry).collect(),
-            backoffs: request.backoffs.into_iter().map(expiry).collect(),
-            allowed_halls: request.allowed_halls,
-        };
-        let (number, displaced) = pool.enqueue(pool_request, now);
+        let (number, displaced) = pool.enqueue(request.to_pool_request(now), now);
         let hub_id = self.hub_id;
         let ticket = |number| Ticket {
             hub_id,
@@ -386,9 +399,13 @@
 
     /// Assigns free slots of a service to requests, by what is in flight now.
     fn assign(&mut self, service: &id::Service, now: Instant) -> Vec<pool::Assignment> {
+        let has_reserved = !self.reserved_shares.is_empty() && self.has_local_slots_at(service);
+        let pool = self.pools.get(service).filter(|_| has_reserved);
+        let reserved = pool.map(|pool| self.reserved_slots(pool));
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
+        pool.limit_assignments(reserved.map(|reserved| pool.room().saturating_sub(reserved)));
         let assignments = pool.assign(now);
         for assignment in &assignments {
             // The pool has counted the assignment itself. It is counted by the grant from now on.
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -11,6 +11,7 @@
 use crate::limit::Reports;
 use crate::pool::AttemptOutcome;
 use crate::pool::ReportedLoad;
+use crate::pool::Request;
 use crate::quarantine::Identity;
 use crate::quarantine::Observation;
 use crate::quarantine::Permit;
@@ -74,6 +75,33 @@
     pub allowed_halls: Option<Arc<[Arc<str>]>>,
 }
 
+impl SlotRequest {
+    /// Returns the request as it is queued from `now` on.
+    #[must_use]
+    pub fn to_pool_request(&self, now: Instant) -> Request {
+        let expiry = |(incarnation, remaining): &(Arc<str>, Duration)| {
+            (Arc::clone(incarnation), now + *remaining)
+        };
+        Request {
+            rule: self.rule.clone(),
+            customer: self.customer.clone(),
+            rank: self.rank,
+            arrived: now - self.waited,
+            send_by: now + self.send_within,
+            begin_by: now + self.first_event_within,
+            max_gap: self.max_gap,
+            wait_until: now + self.max_wait,
+            prompt: self.prompt,
+            output: self.output,
+            hall: Arc::clone(&self.hall),
+            tried: self.tried.clone(),
+            avoid: self.avoid.iter().map(expiry).collect(),
+            backoffs: self.backoffs.iter().map(expiry).collect(),
+            allowed_halls: self.allowed_halls.clone(),
+        }
+    }
+}
+
 /// A slot at a backend server, granted to one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -84,6 +84,8 @@
     pub(super) policy_version: u64,
     last_poll: Instant,
     pub(super) subset: Subset,
+    /// Whether a control replica runs beside it.
+    pub(super) has_replica: bool,
     /// Whether it is in the membership.
     is_member: bool,
 }
@@ -127,6 +129,10 @@
     pub(super) standby_shares: ShareAllocator,
     /// The gateways with such a share, as they are announced.
     pub(super) standbys: Standbys,
+    /// The gateways that lend slots of their shares, as they are announced.
+    pub(super) slot_lenders: Standbys,
+    /// Whether the shares or the gateways have changed since the lenders were determined.
+    pub(super) are_lenders_outdated: bool,
     distribution: Distribution,
     /// The number of the last reply.
     pub(super) last_reply: u64,
@@ -169,6 +175,8 @@
             retry_shares: ShareAllocator::new(now),
             standby_shares: ShareAllocator::new(now),
             standbys: Standbys::default(),
+            slot_lenders: Standbys::default(),
+            are_lenders_outdated: true,
             distribution: Distribution::new(tuning.link_bytes_per_s),
             last_reply: 0,
             table_version: 0,
@@ -251,6 +259,8 @@
             state.is_member &= state.gateway == poll.gateway;
             state.gateway.clone_from(&poll.gateway);
             state.ready = poll.ready;
+            self.are_lenders_outdated |= state.has_replica != poll.wants_whole_list;
+            state.has_replica = poll.wants_whole_list;
             state.policy_version = poll.policy_version;
             state.last_poll = now;
         } else {
@@ -260,8 +270,10 @@
                 policy_version: poll.policy_version,
                 last_poll: now,
                 subset: Subset::default(),
+                has_replica: poll.wants_whole_list,
                 is_member: false,
             };
+            self.are_lenders_outdated = true;
             self.gateways.insert(poll.host.clone(), state);
         }
         self.dispatcher
@@ -331,11 +343,17 @@
     /// Drops what timed-out gateways had in flight.
     fn drop_timed_out(&mut self, now: Instant) {
         let timeout = self.gateway_timeout();
+        let has_local_slots = self.dispatcher.has_local_slots();
         let timed_out = self
             .gateways
             .iter()
             .filter(|(_, state)| !state.is_live(timeout, now));
-        for (host, _) in timed_out {
+        // A holder of a share of the slots may only have lost the hub, and go on.
+        let gone = timed_out.filter(|(host, state)| {
+            let may_go_on = has_local_slots && self.retry_shares.is_holder(host);
+            !may_go_on || now.since(state.last_poll) >= self.tuning.forget_after
+        });
+        for (host, _) in gone {
             self.dispatcher.drop_host(host);
         }
     }
@@ -346,11 +364,16 @@
     /// Applies the committed shares of retries.
     pub fn apply_retry_shares(&mut self, shares: &Shares, now: Instant) {
         self.retry_shares.apply(shares, now);
+        self.are_lenders_outdated = true;
     }
 
     /// Returns the shares of retries to commit if they should change.
     pub fn propose_retry_shares(&mut self, now: Instant) -> Option<Shares> {
-        self.retry_shares.propose(usize::MAX, now)
+        let gateways = &self.gateways;
+        // Gateways beside a replica lend no slots, and the lowest numbers have the slots of small services.
+        let lends_nothing =
+            |host: &id::Host| gateways.get(host).is_some_and(|state| state.has_replica);
+        self.retry_shares.propose(usize::MAX, lends_nothing, now)
     }
 
     /// Applies the committed blocks of retries.
@@ -376,7 +399,7 @@
         } else {
             MAX_STANDBYS
         };
-        self.standby_shares.propose(max_standbys, now)
+        self.standby_shares.propose(max_standbys, |_| false, now)
     }
 
     /// Returns whether there are few enough gateways for all of them to be standbys.
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -128,6 +128,14 @@
         self.totals.get(incarnation)
     }
 
+    /// Returns how many requests `host` has in flight at the incarnations that `is_wanted` selects.
+    pub(super) fn host_requests(&self, host: &id::Host, is_wanted: impl Fn(&str) -> bool) -> u32 {
+        let loads = self.hosts.get(host).into_iter();
+        let loads = loads.flat_map(HostLoad::all_loads);
+        let wanted = loads.filter(|load| is_wanted(&load.incarnation));
+        wanted.map(|load| load.requests).sum()
+    }
+
     /// Returns what gateways other than `host` have in flight at `incarnations`, without the idle
     /// ones.
     pub(super) fn other_loads(&self, host: &id::Host, incarnations: &[Arc<str>]) -> Vec<Load> {
--- a/crates/core/src/gateway/polls.rs
+++ b/crates/core/src/gateway/polls.rs
@@ -30,6 +30,10 @@
 /// polls a second.
 const LARGE_DEPLOYMENT_POLL_TIMEOUT_PER_GATEWAY: Duration = Duration::from_micros(500);
 
+/// Number of gateways that lend slots. A service with fewer slots than that has a slot at most of them; of one with more
+/// slots, each lends several.
+const MAX_SLOT_LENDERS: usize = 16;
+
 /// Size in bytes of the largest packed table that a reply includes. Larger ones are fetched in
 /// chunks.
 const MAX_INLINE_TABLE: usize = 4 << 10;
@@ -75,6 +79,7 @@
             .retry_shares
             .on_reply(&poll.host, process, self.last_reply, now);
         let admission_share = self.admission_share(poll, now);
+        let slot_lenders = self.slot_lenders_update(poll);
         let incarnations = self.gateways.get(&poll.host);
         let incarnations = incarnations.map_or(&[][..], |state| &state.subset.incarnations);
         Reply {
@@ -83,6 +88,8 @@
             quarantine: self.quarantine.update_since(poll.quarantine_version),
             limits: self.limits.update_since(poll.limits_version),
             retry_share,
+            slot_share: self.retry_shares.slot_share(&poll.host),
+            slot_lenders,
             admission_share,
             standbys: self.standbys_update(poll),
             newest_table: publication.version.min(poll.known_table),
@@ -191,6 +198,27 @@
         share.fraction
     }
 
+    /// Returns the gateways that lend slots if the gateway knows others: those with the lowest numbers, which hold the
+    /// slots of services that have fewer slots than there are shares. Gateways beside a replica are none, as replicas
+    /// answer their calls.
+    fn slot_lenders_update(&mut self, poll: &Poll) -> Option<Standbys> {
+        if !self.dispatcher.has_local_slots() {
+            return None;
+        }
+        if self.are_lenders_outdated {
+            self.are_lenders_outdated = false;
+            let gateways = &self.gateways;
+            let lends = |host: &id::Host| {
+                let state = gateways.get(host);
+                state.is_some_and(|state| !state.has_replica)
+            };
+            let holders = self.retry_shares.first_holders(MAX_SLOT_LENDERS, lends);
+            self.slot_lenders = Standbys::new(holders);
+        }
+        let lenders = &self.slot_lenders;
+        (lenders.version != poll.slot_lenders_version).then(|| lenders.clone())
+    }
+
     /// Returns the standbys if the gateway knows others.
     fn standbys_update(&self, poll: &Poll) -> Option<Standbys> {
         (self.standbys.version != poll.standbys_version).then(|| self.standbys.clone())
--- a/crates/core/src/gateway/shares.rs
+++ b/crates/core/src/gateway/shares.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -11,7 +12,9 @@
 use crate::id::Host;
 use crate::quota;
 
+use super::SlotShare;
 use super::content_hash::content_hash;
+use super::local_slots::SLOT_RESERVE_DELAY;
 
 /// Minimum time between two changes of the shares, and before a leader's first one. Each change is
 /// an entry of the log, and after a start of all hosts, the gateways appear within about 300 ms.
@@ -34,6 +37,13 @@
     pub count: u32,
     /// The hosts that hold a share.
     pub holders: BTreeSet<Host>,
+    /// The numbers of the holders' shares, each less than the count. A holder keeps its number.
+    #[serde(default)]
+    pub numbers: BTreeMap<Host, u32>,
+    /// A smaller number of shares that holders may still go by, as they may not have received a reply since it grew; 0 if
+    /// all have.
+    #[serde(default)]
+    pub former_count: u32,
 }
 
 impl Shares {
@@ -47,6 +57,37 @@
         }
     }
 
+    /// Returns the numbered share of `host`.
+    #[must_use]
+    pub fn slot_share_of(&self, host: &Host) -> Option<SlotShare> {
+        let number = *self.numbers.get(host)?;
+        let count = self.count;
+        Some(SlotShare { number, count })
+    }
+
+    /// Returns the same shares with a number for each holder and for nobody else: the former one, or the lowest that is
+    /// free, or the highest if `is_last` holds for the host.
+    fn renumbered(mut self, former: &BTreeMap<Host, u32>, is_last: impl Fn(&Host) -> bool) -> Self {
+        let kept = former.iter();
+        let kept = kept.filter(|(host, _)| self.holders.contains(*host));
+        self.numbers = kept.map(|(host, number)| (host.clone(), *number)).collect();
+        let taken: BTreeSet<_> = self.numbers.values().copied().collect();
+        let mut free = (0..self.count).filter(|number| !taken.contains(number));
+        for host in &self.holders {
+            if self.numbers.contains_key(host) {
+                continue;
+            }
+            let number = if is_last(host) {
+                free.next_back()
+            } else {
+                free.next()
+            };
+            self.numbers
+                .extend(number.map(|number| (host.clone(), number)));
+        }
+        self
+    }
+
     /// Returns the fraction that `shares` shares make up, from 0 to 1.
     #[must_use]
     pub fn fraction(&self, shares: usize) -> f64 {
@@ -97,8 +138,13 @@
     never_held: BTreeMap<Host, Option<u64>>,
     /// The last result of [`ShareAllocator::hub_share`], and until when it is valid.
     hub_share: Option<(f64, Instant)>,
+    /// The last result of [`ShareAllocator::reserved_shares`], and until when it is valid.
+    reserved: Option<ReservedShares>,
 }
 
+/// The holders whose shares are reserved, and until when that is known.
+type ReservedShares = (Arc<[(Host, SlotShare)]>, Instant);
+
 impl ShareAllocator {
     /// Creates the allocator of a leader that starts at `now`.
     #[must_use]
@@ -113,6 +159,7 @@
             unused: 0.0,
             never_held: BTreeMap::new(),
             hub_share: None,
+            reserved: None,
         }
     }
 
@@ -128,6 +175,7 @@
         self.shares = shares.clone();
         self.proposed = None;
         self.hub_share = None;
+        self.reserved = None;
     }
 
     /// Determines which new holders of `next` get an unused share, and what is left unused.
@@ -163,6 +211,12 @@
                 self.unused += given_up_unused;
             }
             replies.is_acknowledged = true;
+            let was_reserved = replies
+                .acknowledged_at
+                .is_none_or(|acknowledged| acknowledged + SLOT_RESERVE_DELAY <= now);
+            if was_reserved {
+                self.reserved = None;
+            }
             let was_set_aside = replies
                 .acknowledged_at
                 .is_none_or(|acknowledged| acknowledged + quota::SHARE_RESERVE_DELAY <= now);
@@ -243,6 +297,71 @@
         fraction
     }
 
+    /// Returns the numbered share of a gateway, unless the gateway is about to lose it.
+    #[must_use]
+    pub fn slot_share(&self, host: &Host) -> Option<SlotShare> {
+        let stays = |next: &Shares| next.holders.contains(host);
+        let stays = self.proposed.as_ref().is_none_or(stays);
+        self.shares.slot_share_of(host).filter(|_| stays)
+    }
+
+    /// Returns the first `max` of the holders for which `is_wanted` holds, in the order of their numbers.
+    pub fn first_holders(&self, max: usize, is_wanted: impl Fn(&Host) -> bool) -> Vec<Host> {
+        let numbers = self.shares.numbers.iter();
+        let mut wanted: Vec<_> = numbers.filter(|(host, _)| is_wanted(host)).collect();
+        wanted.sort_by_key(|(_, number)| **number);
+        let first = wanted.into_iter().take(max);
+        first.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Returns whether a host holds a share.
+    #[must_use]
+    pub fn is_holder(&self, host: &Host) -> bool {
+        self.shares.holders.contains(host)
+    }
+
+    /// Returns the numbered shares that gateways may be using: those of holders that have acknowledged no reply for
+    /// [`SLOT_RESERVE_DELAY`].
+    ///
+    /// As with [`ShareAllocator::hub_share`], the result is kept for as long as it can't have changed.
+    pub fn reserved_shares(&mut self, now: Instant) -> Arc<[(Host, SlotShare)]> {
+        if let Some((reserved, valid_until)) = &self.reserved
+            && now < *valid_until
+        {
+            return Arc::clone(reserved);
+        }
+        let mut valid_until = now + SLOT_RESERVE_DELAY;
+        let mut reserved = Vec::new();
+        for host in &self.shares.holders {
+            let acknowledged_at = self.acknowledged_at(host);
+            let expiry = acknowledged_at.map(|acknowledged| acknowledged + SLOT_RESERVE_DELAY);
+            match (expiry, self.largest_slot_share(host)) {
+                (Some(expiry), _) if now < expiry => valid_until = valid_until.min(expiry),
+                (_, Some(share)) => reserved.push((host.clone(), share)),
+                _ => {}
+            }
+        }
+        let reserved: Arc<[_]> = reserved.into();
+        self.reserved = Some((Arc::clone(&reserved), valid_until));
+        reserved
+    }
+
+    /// Returns whether `host` has acknowledged a reply that reflects the number of shares.
+    fn knows_count(&self, host: &Host) -> bool {
+        self.acknowledged_at(host)
+            .is_some_and(|acknowledged| acknowledged >= self.grown_at)
+    }
+
+    /// Returns the largest share that `host` may go by.
+    fn largest_slot_share(&self, host: &Host) -> Option<SlotShare> {
+        let share = self.shares.slot_share_of(host)?;
+        let count = match self.shares.former_count {
+            former if former > 0 && !self.knows_count(host) => former,
+            _ => share.count,
+        };
+        Some(SlotShare { count, ..share })
+    }
+
     /// Returns when the newest reply that `host` has acknowledged was sent.
     fn acknowledged_at(&self, host: &Host) -> Option<Instant> {
         self.replies
@@ -251,8 +370,13 @@
     }
 
     /// Returns the shares to commit if they should change. No holder is added if there are
-    /// `max_holders` or more.
-    pub fn propose(&mut self, max_holders: usize, now: Instant) -> Option<Shares> {
+    /// `max_holders` or more. Of new holders, those for which `is_last` holds get the highest numbers.
+    pub fn propose(
+        &mut self,
+        max_holders: usize,
+        is_last: impl Fn(&Host) -> bool,
+        now: Instant,
+    ) -> Option<Shares> {
         if now.since(self.changed_at) < MIN_SHARES_CHANGE_INTERVAL || self.proposed.is_some() {
             return None;
         }
@@ -261,6 +385,7 @@
             holders.contains(host) || now.since(replies.last_reply.1) < quota::SHARE_LIFETIME
         });
         let next = self.next_shares(max_holders, now);
+        let next = next.renumbered(&self.shares.numbers, is_last);
         if next == self.shares {
             return None;
         }
@@ -298,18 +423,32 @@
             } else {
                 holders
             };
-            return Shares { count, holders };
+            return Shares {
+                count,
+                former_count: self.former_count(&holders),
+                holders,
+                ..Shares::default()
+            };
         }
-        let knows_smaller_shares = |host: &Host| {
-            self.acknowledged_at(host)
-                .is_some_and(|acknowledged| acknowledged >= self.grown_at)
-        };
-        if holders.iter().all(knows_smaller_shares) {
+        let mut former_count = self.shares.former_count;
+        if holders.iter().all(|host| self.knows_count(host)) {
             holders.extend(new_holders);
+            former_count = 0;
         }
         Shares {
             count: self.shares.count,
+            former_count,
             holders,
+            ..Shares::default()
+        }
+    }
+
+    /// Returns the smallest number of shares that `holders` may go by when the number grows now.
+    fn former_count(&self, holders: &BTreeSet<Host>) -> u32 {
+        match self.shares.former_count {
+            _ if holders.is_empty() => 0,
+            0 => self.shares.count,
+            former => former,
         }
     }
 }
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -107,6 +107,10 @@
     /// Grants free slots to queued requests.
     pub fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
         self.dispatcher.set_on_trial(self.trials.on_trial());
+        if self.dispatcher.has_local_slots() {
+            let reserved_shares = self.retry_shares.reserved_shares(now);
+            self.dispatcher.set_reserved_shares(reserved_shares);
+        }
         let grants = self.dispatcher.grant_slots(now).into_iter();
         let grants = grants.map(|(ticket, grant, reservation)| {
             self.trials.record_grant(&grant.server);
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -19,6 +19,7 @@
 use super::MembershipUpdate;
 use super::ServerList;
 use super::ServerListUpdate;
+use super::SlotShare;
 use super::content_hash::content_hash;
 
 /// A gateway to which callers can be directed.
@@ -78,6 +79,8 @@
     pub membership_version: u64,
     /// The version of the standbys that it knows.
     pub standbys_version: u64,
+    /// The version of the slot lenders that it knows.
+    pub slot_lenders_version: u64,
     /// The version of the policy that it applies to server versions and data halls, or 0 before it
     /// has one.
     pub policy_version: u64,
@@ -127,6 +130,10 @@
     pub poll_timeout: Duration,
     /// The gateway's share, 0 to 1, of the retries that gateways may send without the hub.
     pub retry_share: GatewayShare,
+    /// The gateway's share of the slots of every service, which it may use without the hub.
+    pub slot_share: Option<SlotShare>,
+    /// The gateways that lend slots of their shares, if the gateway knows others.
+    pub slot_lenders: Option<Standbys>,
     /// The gateway's share, 0 to 1, of the requests that gateways may admit without the hub.
     pub admission_share: f64,
     /// The standbys, if the gateway knows others.
--- a/crates/core/src/pool/doomed.rs
+++ b/crates/core/src/pool/doomed.rs
@@ -48,6 +48,7 @@
             is_usable(state) && self.limits.admits(&state.server, now)
         });
         let mut accepting = self.servers.all().filter(|state| state.accepts_work());
+        let has_room = has_room && self.assignments_left != Some(0);
         !has_room && accepting.any(is_usable)
     }
 
--- /dev/null
+++ b/crates/core/src/pool/local_slots.rs
@@ -0,0 +1,62 @@
+//! A pool whose gateway or hub may use a part of the slots only.
+
+use crate::gateway::SlotShare;
+
+use super::Part;
+use super::Pool;
+use super::server_state::ServerState;
+
+impl Pool {
+    /// Whether `part` of scheduling under hard load is in use.
+    #[must_use]
+    pub fn uses(&self, part: Part) -> bool {
+        self.tuning.scheduling.has(part)
+    }
+
+    /// The slots of all servers that accept work.
+    #[must_use]
+    pub fn total_slots(&self) -> u32 {
+        let accepting = self.servers.all().filter(|state| state.accepts_work());
+        accepting.map(|state| state.server.slots.max(1)).sum()
+    }
+
+    /// How many more requests fit at all servers together.
+    #[must_use]
+    pub fn room(&self) -> u32 {
+        let extra = self.tuning.extra_in_flight;
+        let accepting = self.servers.all().filter(|state| state.accepts_work());
+        let room = accepting
+            .map(|state| (state.server.slots.max(1) + extra).saturating_sub(state.in_flight()));
+        room.sum()
+    }
+
+    /// The requests in flight that were sent from here.
+    #[must_use]
+    pub fn own_requests(&self) -> u32 {
+        self.servers.all().map(|state| state.own_requests).sum()
+    }
+
+    /// Limits how many more requests are assigned until the next call; `None` for no limit.
+    pub fn limit_assignments(&mut self, max: Option<u32>) {
+        self.assignments_left = max;
+    }
+
+    /// Replaces what other gateways were last known to have in flight by what they have on average if all keep to their
+    /// shares: nothing at the servers that `share` prefers, and all slots but one elsewhere. Responses state the actual
+    /// load. Does nothing, and returns false, until others' loads are known again.
+    pub fn assume_shares(&mut self, share: SlotShare) -> bool {
+        if std::mem::replace(&mut self.assumes_shares, true) {
+            return false;
+        }
+        self.servers.update_all(|state: &mut ServerState| {
+            let slots = state.server.slots.max(1);
+            state.other_prefill_tokens = 0;
+            state.other_requests = if share.prefers(&state.server.name, slots) {
+                0
+            } else {
+                slots - 1
+            };
+        });
+        true
+    }
+}
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -5,6 +5,7 @@
 mod first_byte_time;
 mod forecast;
 mod limit_wait;
+mod local_slots;
 mod notices;
 mod queue;
 mod release;
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -46,6 +46,10 @@
     pub(super) forecast: Forecast,
     /// The version on trial, which may get only a limited number of requests.
     pub(super) trial: Option<TrialVersion>,
+    /// How many more requests may be assigned; `None` if that is not limited.
+    pub(super) assignments_left: Option<u32>,
+    /// Whether the loads of other gateways are assumed, as they were last known too long ago.
+    pub(super) assumes_shares: bool,
     last_ticket: u64,
     pub(super) random: SmallRng,
 }
@@ -63,6 +67,8 @@
             queue: Queue::default(),
             forecast: Forecast::default(),
             trial: None,
+            assignments_left: None,
+            assumes_shares: false,
             last_ticket: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -106,6 +112,7 @@
 
     /// Sets what other gateways have in flight.
     pub fn update_other_loads(&mut self, loads: &[Load]) {
+        self.assumes_shares = false;
         self.servers.update_all(|state| state.set_other_load(None));
         for load in loads {
             let set_load = |state: &mut ServerState| state.set_other_load(Some(load));
@@ -365,7 +372,7 @@
         let backoffs = self.backoffs(now);
         self.queue.demote_late(now);
         while let Some((position, request)) = self.queue.next_after(last) {
-            if !self.has_room() {
+            if !self.has_room() || self.assignments_left == Some(0) {
                 break;
             }
             let (ticket, is_restricted) = (position.ticket, request.is_restricted());
@@ -381,6 +388,7 @@
             self.queue.remove(ticket);
             self.forecast.record_assignment(now);
             self.spend_trial_request(index);
+            self.assignments_left = self.assignments_left.map(|left| left - 1);
             // A server's rate limit applies to all hosts together, while each host sees its own requests only. It is
             // therefore enforced where the slots of all hosts are granted.
             let charged_to_limit = self.limits.acquire(&self.servers.at(index).server, now);
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -55,6 +55,7 @@
         server_list_version: 0,
         membership_version: 0,
         standbys_version: 0,
+        slot_lenders_version: 0,
         policy_version: 0,
         last_grant: GrantId::default(),
         loads: Vec::new(),
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -32,7 +32,13 @@
 /// Responds to a gateway's call; a replica that does not lead names the leader instead.
 pub(super) async fn respond(state: &Shared, call: HubCall) -> Result<HubReply, Refusal> {
     // Every replica accepts introductions and draws; all other calls are for the leader.
-    let needs_leader = !matches!(call, HubCall::Introduce(_) | HubCall::ChargeQuota(_));
+    let needs_leader = !matches!(
+        call,
+        HubCall::Introduce(_)
+            | HubCall::ChargeQuota(_)
+            | HubCall::BorrowSlot(_)
+            | HubCall::ReturnSlot(_)
+    );
     if needs_leader && let Some(redirect) = redirect_unless_leading(&state.borrow()) {
         return Ok(redirect);
     }
@@ -46,6 +52,9 @@
         HubCall::Publish(publication) => publish(state, publication).await,
         // With many gateways, those with a replica in their process are never standbys.
         HubCall::ChargeQuota(_) => Ok(HubReply::QuotaCharged(false)),
+        // Gateways with a replica in their process lend no slots either.
+        HubCall::BorrowSlot(_) => Ok(HubReply::SlotLent(None)),
+        HubCall::ReturnSlot(_) => Ok(HubReply::Acknowledged),
         HubCall::ReadTable => read_table(state).await,
         HubCall::StartRollout(order) => super::rollouts::order(state, order).await,
         HubCall::ReadRollout(service) => super::rollouts::read(state, &service).await,
--- a/crates/curlewlift/src/gateway/discovery.rs
+++ b/crates/curlewlift/src/gateway/discovery.rs
@@ -22,6 +22,7 @@
 use crate::rpc::RenewCall;
 
 use super::environment::Environment;
+use super::local_slots;
 use super::node::Node;
 
 /// Interval at which a host with a replica announces itself to the hosts that the settings name.
@@ -39,35 +40,50 @@
 }
 
 fn handler(node: Rc<Node>) -> Handler {
-    Rc::new(move |method, body| {
-        let answer = answer(&node, method, &body);
-        std::future::ready(answer).boxed_local()
+    Rc::new(move |method, body| match decode(method, &body) {
+        Ok(HubCall::BorrowSlot(request)) => {
+            let node = Rc::clone(&node);
+            let lent = async move { Ok(rpc::encode(&local_slots::lend(&node, &request).await)) };
+            lent.boxed_local()
+        }
+        call => {
+            let answer = call.map(|call| rpc::encode(&answer(&node, call)));
+            std::future::ready(answer).boxed_local()
+        }
     })
 }
 
-fn answer(node: &Node, method: Method, body: &[u8]) -> Result<Vec<u8>, Refusal> {
+/// Decodes a call that a host without a replica answers.
+fn decode(method: Method, body: &[u8]) -> Result<HubCall, Refusal> {
     if method != Method::Renew {
         let why = "this host runs no control replica";
         return Err(Refusal::new(Code::WrongMethod, why));
     }
-    let reply = match rpc::decode(body)? {
-        RenewCall::Hub(HubCall::Introduce(hosts)) => {
+    match rpc::decode(body)? {
+        RenewCall::Hub(call) => Ok(call),
+        RenewCall::Replica { .. } | RenewCall::Entry(_) => {
+            let why = "this host runs no control replica";
+            Err(Refusal::new(Code::NotLeader, why))
+        }
+    }
+}
+
+fn answer(node: &Node, call: HubCall) -> HubReply {
+    match call {
+        HubCall::Introduce(hosts) => {
             node.known_replicas.add(hosts);
             HubReply::Acknowledged
         }
-        RenewCall::Hub(HubCall::ChargeQuota(charge)) => {
-            HubReply::QuotaCharged(node.acquire_quota(&charge))
+        HubCall::ChargeQuota(charge) => HubReply::QuotaCharged(node.acquire_quota(&charge)),
+        HubCall::ReturnSlot(number) => {
+            node.end_loan(number);
+            HubReply::Acknowledged
         }
-        RenewCall::Hub(_) => HubReply::NotLeader {
+        _ => HubReply::NotLeader {
             leader: node.hub.borrow().leader.clone(),
             control: node.known_replicas.get(),
         },
-        RenewCall::Replica { .. } | RenewCall::Entry(_) => {
-            let why = "this host runs no control replica";
-            return Err(Refusal::new(Code::NotLeader, why));
-        }
-    };
-    Ok(rpc::encode(&reply))
+    }
 }
 
 /// Announces periodically, from a host with a replica, which hosts run one.
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -134,6 +134,10 @@
                 let reason = format!("customer {} has used up its quota", self.customer_name());
                 Refused::new(Code::Allowance, reason)
             }
+            NoSlot::NoShare | NoSlot::HubBack => Refused::new(
+                Code::Shed,
+                "the hub is not reachable, and no slot of this gateway's share would be free in time",
+            ),
             NoSlot::HubUnreachable => {
                 let reason = "the hub is not reachable, and this gateway's quota share is used up for customer";
                 Refused::new(
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -143,7 +143,8 @@
         }
     }
 
-    fn slot_request(
+    /// The message that requests a slot, from the hub or from a gateway that lends slots.
+    pub(super) fn slot_request(
         &self,
         context: AttemptContext<'_>,
         request: &Request,
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod lists;
 mod local_quota;
 mod local_replica;
+mod local_slots;
 mod log;
 mod node;
 mod open;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -14,6 +14,7 @@
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::AttemptEnd;
 use curlewlift_core::gateway::GrantId;
+use curlewlift_core::gateway::LocalSlots;
 use curlewlift_core::gateway::Membership;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::ServerListCache;
@@ -38,6 +39,7 @@
 use crate::rpc;
 
 use super::dialect::Dialect;
+use super::local_slots::Loans;
 use super::log::Line;
 use super::service::Service;
 use super::standbys::Standbys;
@@ -127,6 +129,14 @@
     pub(super) first_byte_times: RefCell<BTreeMap<Arc<str>, FirstByteTime>>,
     /// Customers' quotas while the hub can't be reached.
     pub(super) local_limiter: RefCell<LocalLimiter>,
+    /// This gateway's share of the slots while the hub can't be reached.
+    pub(super) local_slots: RefCell<LocalSlots>,
+    /// The gateways that lend slots of their shares then.
+    pub(super) slot_lenders: RefCell<Standbys>,
+    /// The slots that this gateway has lent.
+    pub(super) loans: RefCell<Loans>,
+    /// Wakes requests that wait for this gateway's share when the hub replies again.
+    pub(super) hub_wakeup: Notify,
     /// The other gateways that may admit requests then.
     pub(super) standbys: RefCell<Standbys>,
     /// What is known of requests under which servers crash.
@@ -185,6 +195,10 @@
             membership: RefCell::default(),
             first_byte_times: RefCell::default(),
             local_limiter: RefCell::new(LocalLimiter::new(tolerance)),
+            local_slots: RefCell::default(),
+            slot_lenders: RefCell::default(),
+            loans: RefCell::default(),
+            hub_wakeup: Notify::new(),
             standbys: RefCell::default(),
             quarantine: RefCell::default(),
             limits: RefCell::new(limit::LocalReports::new(rand::rng().next_u64())),
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -160,6 +160,15 @@
         self.assign_slots(&name);
     }
 
+    /// Records and reports the outcome of an attempt in a slot that another gateway has lent, where it counts.
+    pub(super) fn finish_borrowed(&self, end: AttemptEnd) {
+        let now = self.now();
+        self.with_service(&end.service, |service| {
+            service.pool.observe(&end.incarnation, end.outcome, now);
+        });
+        self.report_end(end);
+    }
+
     /// Runs `action` on a service; none if the service is unknown.
     pub(super) fn with_service<T>(
         &self,
@@ -183,6 +192,7 @@
         let Some(service) = services.get_mut(name) else {
             return;
         };
+        self.limit_slots(name, &mut service.pool);
         for assignment in service.pool.assign(now) {
             let incarnation = Arc::clone(&assignment.server.incarnation);
             let prompt = assignment.prompt;
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -22,6 +22,7 @@
 use curlewlift_core::unit::Tokens;
 
 use super::hub_slots::AttemptContext;
+use super::local_slots::Loan;
 use super::log::Line;
 use super::log::millis;
 use super::node::Node;
@@ -36,6 +37,8 @@
     pub(super) server: Arc<Server>,
     /// The hub's grant, which charged the request's cost; none if this gateway assigned the slot.
     grant: Option<Grant>,
+    /// The loan, if another gateway has lent the slot.
+    loan: Option<Loan>,
     /// When the grant was asked for, or the slot was assigned.
     asked_at: Instant,
     /// Identity of the request.
@@ -70,6 +73,7 @@
             rollout_tag: node.rollout_tag(context),
             server,
             grant: None,
+            loan: None,
             asked_at: now,
             identity: context.identity.clone(),
             granted_at: now,
@@ -89,6 +93,13 @@
         self
     }
 
+    /// Marks the slot as lent by another gateway, which counts it.
+    pub(super) fn lent_by(mut self, loan: Loan) -> Self {
+        self.loan = Some(loan);
+        self.unread_prompt = None;
+        self
+    }
+
     /// Whether the hub granted the slot and charged the request's cost.
     pub(super) fn is_hub_granted(&self) -> bool {
         self.grant.is_some()
@@ -303,7 +314,13 @@
                 .map_or(Duration::ZERO, |sent_at| now.since(sent_at)),
             load: self.load,
         };
-        self.node.finish_attempt(end);
+        match self.loan.take() {
+            Some(loan) => {
+                self.node.finish_borrowed(end);
+                loan.end(&self.node);
+            }
+            None => self.node.finish_attempt(end),
+        }
     }
 }
 
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -18,6 +18,8 @@
 use super::hub_slots::AttemptContext;
 use super::hub_slots::HubDecision;
 use super::local_quota;
+use super::local_slots;
+use super::local_slots::LocalShare;
 use super::node::Node;
 use super::slot::Slot;
 
@@ -76,6 +78,10 @@
     QuotaExceeded(Duration),
     /// The hub is not reachable, and the customer has used up what may be admitted without it.
     HubUnreachable,
+    /// The hub is not reachable, and no slot of the shares of this gateway, or of those that lend slots, is free in time.
+    NoShare,
+    /// The hub has replied again while the request waited without it.
+    HubBack,
     /// All servers have announced limits, which only the hub charges, and the hub is not reachable.
     Limited,
     /// Servers crashed under this request, and quarantine rejects it.
@@ -120,8 +126,18 @@
             return Err(NoSlot::Rejected(Rejection::Quarantined));
         }
         let is_limited = node.is_limited(context.service);
+        let share = node.local_share(context.service);
+        if let LocalShare::Usable(slots) = share
+            && !is_limited
+        {
+            let remaining = until.saturating_duration_since(Instant::now());
+            match local_slots::wait(node, context, &request, charge, slots, remaining).await {
+                Err(NoSlot::HubBack) => continue,
+                decided => return decided,
+            }
+        }
         let is_admitted = match charge {
-            _ if is_limited => false,
+            _ if is_limited || share != LocalShare::Unlimited => false,
             Some(charge) => local_quota::acquire(node, charge).await,
             None => true,
         };
@@ -130,19 +146,18 @@
             return wait_in_queue(node, context, request, remaining).await;
         }
         if remaining < HUB_CHECK_INTERVAL || started.elapsed() + HUB_CHECK_INTERVAL > hub_wait {
-            let why = if is_limited {
-                NoSlot::Limited
-            } else {
-                NoSlot::HubUnreachable
-            };
-            return Err(why);
+            return Err(match share {
+                _ if is_limited => NoSlot::Limited,
+                LocalShare::Unlimited => NoSlot::HubUnreachable,
+                _ => NoSlot::NoShare,
+            });
         }
         tokio::time::sleep(HUB_CHECK_INTERVAL).await;
     }
 }
 
 /// Waits in the local queue for a slot that this gateway assigns.
-async fn wait_in_queue(
+pub(super) async fn wait_in_queue(
     node: &Rc<Node>,
     context: AttemptContext<'_>,
     request: Request,
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -198,6 +198,7 @@
         server_list_version: server_lists.get_version(),
         membership_version: node.membership.borrow().version,
         standbys_version: node.standbys.borrow().version,
+        slot_lenders_version: node.slot_lenders.borrow().version,
         policy_version: node.policy.borrow().version,
         last_grant: hub.last_grant,
         loads: node.loads(),
@@ -257,6 +258,11 @@
         *node.standbys.borrow_mut() =
             Standbys::from_hub(&standbys, &node.host, &environment.locate);
     }
+    if let Some(lenders) = reply.slot_lenders {
+        *node.slot_lenders.borrow_mut() =
+            Standbys::from_hub(&lenders, &node.host, &environment.locate);
+    }
+    node.set_slot_share(reply.slot_share, sent_at);
     let given_up_unused = node.set_retry_share(&reply.retry_share, sent_at);
     node.hub.borrow_mut().given_up_unused = given_up_unused;
     node.local_limiter
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -69,6 +69,11 @@
     ReadRollout(id::Service),
     /// Orders the start or the end of the evacuation of a data hall.
     Evacuate(evacuation::Order),
+    /// Asks a gateway to lend a slot of its share, as the hub does not reply. The reply comes once there is one or the
+    /// wait limit is reached.
+    BorrowSlot(Box<gateway::SlotRequest>),
+    /// Returns the borrowed slot with this number.
+    ReturnSlot(u64),
 }
 
 /// Replies to [`HubCall`].
@@ -97,6 +102,8 @@
     Table(Publication),
     /// The order is accepted, by this call or an earlier one.
     OrderAccepted,
+    /// The lent slot: its number, and the server; none if none becomes free in time.
+    SlotLent(Option<(u64, gateway::Server)>),
     /// The target and phase of the last rollout, or none if none was ordered.
     Rollout(Option<(rollout::Version, rollout::Phase)>),
     /// This process does not lead. `leader` may be the leader; the hosts in `control` run control
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -626,6 +626,7 @@
         server_list_version: 0,
         membership_version: 0,
         standbys_version: 0,
+        slot_lenders_version: 0,
         policy_version: gateway_state.policy.version,
         last_grant: gateway_state.last_grant,
         loads,
