Reserve the shares of silent gateways exactly

Cause: histories showed three ways for the hub to grant what a share may use: a server with more requests than it has room for hid the lack of room at the others, the room was compared only while a share was reserved, and a grant that a silent gateway had accepted was forgotten after 0.5 s.

Change: the room of a service is that of all its servers together and always limits the hub's grants with the part local-slots, and grants of silent holders count until these report.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -139,11 +139,6 @@
         scheduling.any(|scheduling| scheduling.has(Part::LocalSlots))
     }
 
-    fn has_local_slots_at(&self, service: &id::Service) -> bool {
-        let scheduling = self.scheduling.get(service);
-        scheduling.is_some_and(|scheduling| scheduling.has(Part::LocalSlots))
-    }
-
     /// Returns how many slots of a service gateways may be using without the hub, beyond what they have reported.
     fn reserved_slots(&self, pool: &Pool) -> u32 {
         let slots = pool.total_slots();
@@ -336,7 +331,9 @@
     /// Grants the free slots to queued requests and returns the grants with the reservations of the
     /// requests.
     pub(super) fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant, Reservation)> {
-        self.occupancy.expire(now);
+        let reserved = self.reserved_shares.iter();
+        let is_silent = |host: &id::Host| reserved.clone().any(|(other, _)| other == host);
+        self.occupancy.expire(is_silent, now);
         self.update_pools();
         let mut grants = Vec::new();
         for service in self.services_with_queue() {
@@ -399,8 +396,8 @@
 
     /// Assigns free slots of a service to requests, by what is in flight now.
     fn assign(&mut self, service: &id::Service, now: Instant) -> Vec<pool::Assignment> {
-        let has_reserved = !self.reserved_shares.is_empty() && self.has_local_slots_at(service);
-        let pool = self.pools.get(service).filter(|_| has_reserved);
+        let pool = self.pools.get(service);
+        let pool = pool.filter(|pool| pool.uses(Part::LocalSlots));
         let reserved = pool.map(|pool| self.reserved_slots(pool));
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -98,10 +98,15 @@
         self.last_grant
     }
 
-    /// Drops grants that were not reported in time.
-    pub(super) fn expire(&mut self, now: Instant) {
+    /// Drops grants that were not reported in time, except those of hosts that `is_silent` says can't report.
+    pub(super) fn expire(&mut self, is_silent: impl Fn(&id::Host) -> bool, now: Instant) {
         let is_late = |at: Instant| now.since(at) >= GRANT_REPORT_TIMEOUT;
-        while let Some((_, host)) = self.grant_order.pop_front_if(|(at, _)| is_late(*at)) {
+        let mut kept = Vec::new();
+        while let Some((at, host)) = self.grant_order.pop_front_if(|(at, _)| is_late(*at)) {
+            if is_silent(&host) {
+                kept.push((at, host));
+                continue;
+            }
             let host_load = self.hosts.get_mut(&host);
             let expired = host_load.map(|host_load| {
                 host_load.remove_grants_while(|pending| is_late(pending.granted_at))
@@ -110,6 +115,9 @@
                 self.subtract(load);
             }
         }
+        for entry in kept.into_iter().rev() {
+            self.grant_order.push_front(entry);
+        }
     }
 
     /// Drops what a gateway that timed out had in flight, as backend servers end requests whose
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -1,5 +1,6 @@
 //! The slots at backend servers that the hub grants.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::Instant;
@@ -107,10 +108,12 @@
     /// Grants free slots to queued requests.
     pub fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
         self.dispatcher.set_on_trial(self.trials.on_trial());
-        if self.dispatcher.has_local_slots() {
-            let reserved_shares = self.retry_shares.reserved_shares(now);
-            self.dispatcher.set_reserved_shares(reserved_shares);
-        }
+        let reserved_shares = if self.dispatcher.has_local_slots() {
+            self.retry_shares.reserved_shares(now)
+        } else {
+            Arc::default()
+        };
+        self.dispatcher.set_reserved_shares(reserved_shares);
         let grants = self.dispatcher.grant_slots(now).into_iter();
         let grants = grants.map(|(ticket, grant, reservation)| {
             self.trials.record_grant(&grant.server);
--- a/crates/core/src/pool/local_slots.rs
+++ b/crates/core/src/pool/local_slots.rs
@@ -20,14 +20,17 @@
         accepting.map(|state| state.server.slots.max(1)).sum()
     }
 
-    /// How many more requests fit at all servers together.
+    /// How many more requests fit at all servers together, if requests beyond the room of one server use up the room of
+    /// others.
     #[must_use]
     pub fn room(&self) -> u32 {
         let extra = self.tuning.extra_in_flight;
         let accepting = self.servers.all().filter(|state| state.accepts_work());
-        let room = accepting
-            .map(|state| (state.server.slots.max(1) + extra).saturating_sub(state.in_flight()));
-        room.sum()
+        let (limit, in_flight) = accepting.fold((0, 0), |(limit, in_flight), state| {
+            let slots = state.server.slots.max(1);
+            (limit + slots + extra, in_flight + state.in_flight())
+        });
+        limit.saturating_sub(in_flight)
     }
 
     /// The requests in flight that were sent from here.
