--- a/crates/core/src/gateway/local_slots.rs
+++ b/crates/core/src/gateway/local_slots.rs
@@ -8,10 +8,6 @@
 use crate::clock::Instant;
 use crate::pool::Part;
 use crate::pool::Pool;
-#[cfg(doc)]
-use crate::quota;
-
-use super::content_hash::content_hash;
 
 /// How long a gateway must be without a reply from the hub before it uses its share of the slots: about two of the
 /// longest waits of a poll in a deployment of a few hundred gateways.
@@ -23,7 +19,7 @@
 pub const SLOT_RESERVE_DELAY: Duration = Duration::from_millis(450);
 
 /// How long a share of the slots is valid at a gateway, from when the gateway sent the poll that the hub replied to with
-/// it. What was started by the share has [`quota::SHARE_LIFETIME`] less this time to end before another gateway may hold
+/// it. What was started by the share has [`SHARE_LIFETIME`](crate::quota::SHARE_LIFETIME) less this time to end before another gateway may hold
 /// the share.
 const SLOT_SHARE_LIFETIME: Duration = Duration::from_secs(8);
 
@@ -57,18 +53,6 @@
             .saturating_sub(self.number)
             .div_ceil(self.count.max(1))
     }
-
-    /// Returns whether a server with `slots` slots is one of those that gateways with this share should prefer.
-    ///
-    /// Each server is preferred by as many shares as it has slots, so that gateways that do not know of each other's
-    /// requests spread them evenly.
-    #[must_use]
-    pub fn prefers(self, server: &str, slots: u32) -> bool {
-        let count = u64::from(self.count.max(1));
-        let first = content_hash(&server) % count;
-        let distance = (u64::from(self.number) + count - first) % count;
-        distance < u64::from(slots)
-    }
 }
 
 /// A gateway's share of the slots as the hub last announced it, and when the gateway may use it.
@@ -116,7 +100,7 @@
         let share = self.usable_share(hub_timeout, now);
         let slots = share.map_or(0, |share| share.slots(pool.total_slots()));
         pool.limit_assignments(Some(slots.saturating_sub(pool.own_requests())));
-        let begins = pool.assume_shares(share?);
+        let begins = share.is_some() && pool.discount_other_loads();
         begins.then_some(slots)
     }
 }
--- a/crates/core/src/pool/local_slots.rs
+++ b/crates/core/src/pool/local_slots.rs
@@ -1,7 +1,5 @@
 //! A pool whose gateway or hub may use a part of the slots only.
 
-use crate::gateway::SlotShare;
-
 use super::Part;
 use super::Pool;
 use super::server_state::ServerState;
@@ -44,21 +42,16 @@
         self.assignments_left = max;
     }
 
-    /// Replaces what other gateways were last known to have in flight by what they have on average if all keep to their
-    /// shares: nothing at the servers that `share` prefers, and all slots but one elsewhere. Responses state the actual
-    /// load. Does nothing, and returns false, until others' loads are known again.
-    pub fn assume_shares(&mut self, share: SlotShare) -> bool {
-        if std::mem::replace(&mut self.assumes_shares, true) {
+    /// Leaves room for one request at each server that is full by what was last heard of other gateways, as that gets out
+    /// of date; responses state the actual load. Does nothing, and returns false, until others' loads are known again.
+    pub fn discount_other_loads(&mut self) -> bool {
+        if std::mem::replace(&mut self.discounts_others, true) {
             return false;
         }
+        let extra = self.tuning.extra_in_flight;
         self.servers.update_all(|state: &mut ServerState| {
-            let slots = state.server.slots.max(1);
-            state.other_prefill_tokens = 0;
-            state.other_requests = if share.prefers(&state.server.name, slots) {
-                0
-            } else {
-                slots - 1
-            };
+            let limit = state.server.slots.max(1) + extra;
+            state.other_requests = state.other_requests.min(limit - 1);
         });
         true
     }
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -48,8 +48,8 @@
     pub(super) trial: Option<TrialVersion>,
     /// How many more requests may be assigned; `None` if that is not limited.
     pub(super) assignments_left: Option<u32>,
-    /// Whether the loads of other gateways are assumed, as they were last known too long ago.
-    pub(super) assumes_shares: bool,
+    /// Whether the loads of other gateways count less, as they were last heard too long ago.
+    pub(super) discounts_others: bool,
     last_ticket: u64,
     pub(super) random: SmallRng,
 }
@@ -68,7 +68,7 @@
             forecast: Forecast::default(),
             trial: None,
             assignments_left: None,
-            assumes_shares: false,
+            discounts_others: false,
             last_ticket: 0,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -112,7 +112,7 @@
 
     /// Sets what other gateways have in flight.
     pub fn update_other_loads(&mut self, loads: &[Load]) {
-        self.assumes_shares = false;
+        self.discounts_others = false;
         self.servers.update_all(|state| state.set_other_load(None));
         for load in loads {
             let set_load = |state: &mut ServerState| state.set_other_load(Some(load));
--- a/crates/core/tests/local_slots.rs
+++ b/crates/core/tests/local_slots.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::LocalSlots;
 use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::Reply;
@@ -179,7 +180,7 @@
         self.slots() + self.servers.len() as u32 * EXTRA_IN_FLIGHT
     }
 
-    fn table(&self) -> Table {
+    fn table() -> Table {
         let policy = ServicePolicy {
             max_connections: 1_000,
             health_path: "/".into(),
@@ -273,7 +274,7 @@
         self.hub_id = self.random.random();
         let mut hub = Hub::new(tuning, self.now).with_id(self.hub_id);
         hub.set_server_list(Arc::new(ServerList::new(self.settings.servers.clone())));
-        hub.apply_table(&self.settings.table(), self.now);
+        hub.apply_table(&Settings::table(), self.now);
         if let Some((_, shares)) = self.commit.take() {
             self.shares = shares;
         }
@@ -633,7 +634,6 @@
         let first = world.take_record();
         world.run_for(millis(6_000), load, 79);
         let record = world.take_record();
-        println!("seed {seed}: {first:?} {record:?}");
         let (slots, hub_bound) = (world.settings.slots(), world.settings.hub_bound());
         assert!(first.max_in_flight <= hub_bound as usize, "{first:?}");
         assert!(record.max_in_flight <= slots as usize, "{record:?}");
@@ -645,15 +645,6 @@
     }
 }
 
-/// Without the part, gateways choose servers by what they last heard of each other.
-#[test]
-fn without_shares() {
-    let (mut world, load) = first_deployment("", 0);
-    world.stop_hub();
-    world.run_for(millis(7_000), load, 79);
-    println!("without shares: {:?}", world.take_record());
-}
-
 /// A hub that is back counts each request once, and grants no slot that a gateway's share still uses.
 #[test]
 fn hub_back() {
@@ -671,6 +662,139 @@
     }
 }
 
+/// Gateways lose the hub at any moment, for short and for long, while it grants all slots to the others. Guards against a
+/// hub that grants the shares of those that it does not hear, or forgets what they have in flight.
+#[test]
+fn cut_off() {
+    for seed in 0..12 {
+        let settings = Settings::new(4, 6, "local-slots", (100, 2_000));
+        let mut world = World::new(12, seed, settings);
+        world.run_for(millis(2_000), 60.0, 12);
+        for step in 0..30 {
+            for index in 0..12 {
+                if world.random.random_bool(0.2) {
+                    let cut = !world.gateways[index].cut;
+                    world.cut(index, cut);
+                }
+            }
+            let length = world.random.random_range(200..1_500);
+            world.run_for(millis(length), 60.0, 12);
+            let record = world.take_record();
+            let excess = record.max_excess_at_grant;
+            assert_eq!(excess, 0, "seed {seed}, step {step}: {record:?}");
+        }
+    }
+}
+
+/// A gateway without requests of its own uses its share although all servers were full when it last heard of the others.
+#[test]
+fn loads_outdated() {
+    let settings = Settings::new(2, 6, "local-slots", (0, 1));
+    let start = Instant::default();
+    let mut gateway = Gateway::new(0, &settings, 1, start);
+    let full = settings.servers.iter().map(|server| Load {
+        incarnation: Arc::clone(&server.incarnation),
+        requests: server.slots + EXTRA_IN_FLIGHT,
+        prefill_tokens: Tokens(0),
+    });
+    gateway.pool.update_other_loads(&full.collect::<Vec<_>>());
+    let share = SlotShare {
+        number: 0,
+        count: 12,
+    };
+    gateway.local_slots.set_share(Some(share), start, start);
+    let now = start + HUB_TIMEOUT;
+    gateway.pool.enqueue(Request::default(), now);
+    let begins = gateway
+        .local_slots
+        .limit(&mut gateway.pool, HUB_TIMEOUT, now);
+    assert_eq!(begins, Some(1));
+    assert_eq!(gateway.pool.assign(now).len(), 1);
+}
+
+/// Polls as `gateway`, and returns the share of the reply, which the next poll acknowledges.
+fn update(hub: &mut Hub, gateway: &mut Gateway, now: Instant) -> Option<SlotShare> {
+    hub.on_poll(&gateway.poll(), now);
+    let reply = hub.reply(&gateway.poll(), &Publication::default(), now);
+    gateway.last_reply = reply.number;
+    reply.slot_share
+}
+
+/// A third gateway, first by name, joins two that hold all shares; the second is silent from before. The others keep
+/// their numbers, and the hub does not grant what the second may use by the share that it was told last.
+#[test]
+fn share_grows() {
+    let settings = Settings::new(1, 12, "local-slots", (0, 1));
+    let mut world = World::new(0, 0, settings);
+    let mut gateways = [1, 2, 0].map(|index| Gateway::new(index, &world.settings, 1, world.now));
+    let hub = world.hub.as_mut().expect("there is a hub");
+    let at = |time: u64| Instant::default() + millis(time);
+    let mut shares = [None; 3];
+    let mut run = |hub: &mut Hub, times: std::ops::Range<u64>| {
+        for time in times.step_by(50) {
+            let polling = [true, !(900..2_000).contains(&time), time >= 950];
+            for index in (0..3).filter(|index| polling[*index]) {
+                shares[index] = update(hub, &mut gateways[index], at(time));
+            }
+            if let Some(proposed) = hub.propose_retry_shares(at(time)) {
+                hub.apply_retry_shares(&proposed, at(time));
+            }
+        }
+        shares
+    };
+    let shares = run(hub, 0..2_000);
+    let share = |number, count| Some(SlotShare { number, count });
+    // The second does not know the new count, so the third gets nothing yet.
+    assert_eq!(shares, [share(0, 3), share(1, 2), None]);
+    for _ in 0..20 {
+        let request = messages::slot_request(&"g1".parse().expect("a valid name"));
+        hub.request_slot(request, at(2_000));
+    }
+    // Six slots of the second's half.
+    let granted = hub.grant_slots(at(2_000)).len();
+    assert_eq!(granted, 12 + EXTRA_IN_FLIGHT as usize - 6);
+    let shares = run(hub, 2_000..3_000);
+    assert_eq!(shares, [share(0, 3), share(1, 3), share(2, 3)]);
+}
+
+/// Requests that will not get a slot of the share in time are rejected at once, although servers seem to have room.
+#[test]
+fn share_used_up() {
+    let settings = Settings::new(4, 6, "local-slots", (0, 1));
+    let mut gateway = Gateway::new(0, &settings, 1, Instant::default());
+    let share = SlotShare {
+        number: 0,
+        count: 6,
+    };
+    let start = Instant::default();
+    gateway.local_slots.set_share(Some(share), start, start);
+    let at = |time: u64| start + millis(500 + time);
+    let request = |now: Instant| Request {
+        wait_until: now + MAX_WAIT,
+        send_by: now + MAX_WAIT,
+        hall: "a".into(),
+        ..Request::default()
+    };
+    let limit = |gateway: &mut Gateway, now| {
+        gateway
+            .local_slots
+            .limit(&mut gateway.pool, HUB_TIMEOUT, now)
+    };
+    for number in 0..4 {
+        gateway.pool.enqueue(request(at(number)), at(number));
+    }
+    limit(&mut gateway, at(4));
+    assert_eq!(gateway.pool.assign(at(4)).len(), 4);
+    for number in 5..50 {
+        gateway.pool.enqueue(request(at(number)), at(number));
+    }
+    limit(&mut gateway, at(50));
+    assert!(gateway.pool.assign(at(50)).is_empty());
+    // Four requests in the last half a second are eight in a second.
+    let rejected = gateway.pool.remove_doomed(at(50)).len();
+    assert!(rejected >= 40, "{rejected}");
+}
+
 /// Hubs and gateways restart, gateways are cut off and replaced, replies, grants and reports are lost.
 #[test]
 fn any_history() {
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -23,6 +23,9 @@
 /// After how long `close-late` closes the connection.
 const LATE_CLOSE_DELAY: Duration = Duration::from_millis(800);
 
+/// How long `work` takes.
+const WORK_TIME: Duration = Duration::from_millis(60);
+
 /// How long requests that were in flight when an engine asked for backoff or announced a limit may still arrive.
 const IN_FLIGHT_GRACE: Duration = Duration::from_millis(500);
 
@@ -84,6 +87,8 @@
     limit: Arc<Mutex<Option<String>>>,
     /// When it first announced its limit, in all and to each host.
     announcements: Arc<Mutex<LimitAnnouncements>>,
+    /// The requests with the behavior `work` that run, and the most that ran at the same time.
+    working: Arc<Mutex<(usize, usize)>>,
 }
 
 /// When an engine first announced its limit, in all and to each host.
@@ -150,6 +155,7 @@
             draining: Arc::default(),
             limit: Arc::default(),
             announcements: Arc::default(),
+            working: Arc::default(),
         };
         let serving = engine.clone();
         std::thread::spawn(move || {
@@ -410,6 +416,10 @@
                 events(&mut stream, id, signed, 1, Some(2));
                 self.crash();
             }
+            "work" => {
+                self.work();
+                answer(stream, 200, id, signed, "done");
+            }
             "hang" => self.wait_for_close(&mut stream),
             "break" if last_event.is_none() => events(&mut stream, id, signed, 1, Some(3)),
             "events" | "break" => {
@@ -420,6 +430,24 @@
         }
     }
 
+    /// Runs a request for [`WORK_TIME`].
+    fn work(&self) {
+        let working = || self.working.lock().expect("the lock is not poisoned");
+        {
+            let mut working = working();
+            working.0 += 1;
+            working.1 = working.0.max(working.1);
+        }
+        std::thread::sleep(WORK_TIME);
+        working().0 -= 1;
+    }
+
+    /// Returns the most requests with the behavior `work` that ran at the same time since the last call.
+    pub(crate) fn take_max_working(&self) -> usize {
+        let mut working = self.working.lock().expect("the lock is not poisoned");
+        std::mem::replace(&mut working.1, 0)
+    }
+
     /// Sends nothing until the caller closes the connection.
     fn wait_for_close(&self, stream: &mut TcpStream) {
         let timeout = Some(Duration::from_secs(20));
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -70,6 +70,32 @@
     server_list: Arc<Mutex<ListState>>,
     /// The platform contracts that are enabled.
     contracts: &'static [&'static str],
+    /// The parts of scheduling under hard load that are switched on.
+    scheduling: &'static str,
+}
+
+/// How hosts are started.
+#[derive(Clone, Copy)]
+struct Start {
+    without_disk: u8,
+    /// The rate of the link of hosts without a disk, in bytes per second.
+    link: Option<u64>,
+    contracts: &'static [&'static str],
+    /// How much later than the others the third host starts.
+    third_delay: Duration,
+    scheduling: &'static str,
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Self {
+            without_disk: 0,
+            link: None,
+            contracts: &["base"],
+            third_delay: Duration::ZERO,
+            scheduling: "",
+        }
+    }
 }
 
 impl Hosts {
@@ -83,13 +109,32 @@
         Self::start_more(folder, engines, 0, None)
     }
 
+    /// Starts three hosts with a disk and `without_disk` more, with these parts of scheduling switched on.
+    pub(crate) fn start_scheduled(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        without_disk: u8,
+        scheduling: &'static str,
+    ) -> Self {
+        let start = Start {
+            without_disk,
+            scheduling,
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
+    }
+
     /// Starts three hosts with a disk, the third one `delay` after the others.
     pub(crate) fn start_late(
         folder: PathBuf,
         engines: &[(&Engine, &str)],
         delay: Duration,
     ) -> Self {
-        Self::start_delayed(folder, engines, 0, None, &["base"], delay)
+        let start = Start {
+            third_delay: delay,
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
     }
 
     /// Starts three hosts with a disk, and `without_disk` more that reach the others over a link of `link`
@@ -110,24 +155,23 @@
         link: Option<u64>,
         contracts: &'static [&'static str],
     ) -> Self {
-        Self::start_delayed(
-            folder,
-            engines,
+        let start = Start {
             without_disk,
             link,
             contracts,
-            Duration::ZERO,
-        )
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
     }
 
-    fn start_delayed(
-        folder: PathBuf,
-        engines: &[(&Engine, &str)],
-        without_disk: u8,
-        link: Option<u64>,
-        contracts: &'static [&'static str],
-        third_delay: Duration,
-    ) -> Self {
+    fn start_as(folder: PathBuf, engines: &[(&Engine, &str)], start: Start) -> Self {
+        let Start {
+            without_disk,
+            link,
+            contracts,
+            third_delay,
+            scheduling,
+        } = start;
         let server_list = engines
             .iter()
             .map(|(engine, service)| entry(engine, service, "ready"));
@@ -153,6 +197,7 @@
             list: serve_list(Arc::clone(&server_list)),
             server_list,
             contracts,
+            scheduling,
         };
         for index in hosts.indices() {
             if index == 2 {
@@ -217,6 +262,8 @@
     pub(crate) fn boot(&mut self, index: usize, first: bool) {
         let path = self.settings(index, first);
         let platform = Platform::new(path).expect("the settings are valid");
+        let scheduling = self.scheduling.parse().expect("valid parts");
+        let platform = platform.scheduling(scheduling);
         let platform = platform.clock(self.clocks[index].clone());
         self.processes[index] = Some(platform.start().expect("the host starts"));
     }
