--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -15,9 +15,9 @@
 use crate::pool::CustomerUsage;
 use crate::pool::InFlightLimit;
 use crate::pool::PaceChange;
+use crate::pool::Part;
 use crate::pool::Pool;
 use crate::pool::Rejected;
-use crate::pool::Request;
 use crate::pool::Scheduling;
 use crate::pool::TrialVersion;
 use crate::quarantine::Identity;
@@ -31,6 +31,7 @@
 use super::Server;
 use super::ServerList;
 use super::SlotRequest;
+use super::SlotShare;
 use super::grant::Reservation;
 use super::grant_log::GrantLog;
 use super::occupancy::Occupancy;
@@ -89,6 +90,8 @@
     scheduling: BTreeMap<id::Service, Scheduling>,
     /// What the table states about engines, by service.
     engines: BTreeMap<id::Service, Engine>,
+    /// The shares of the slots that gateways may be using without the hub.
+    reserved_shares: Arc<[(id::Host, SlotShare)]>,
     /// The request rates of cold servers, by service, and when they were set.
     warmups: (BTreeMap<id::Service, Warmup>, Instant),
 }
@@ -155,6 +158,29 @@
         self.engines = engines;
     }
 
+    /// Sets the shares of the slots that gateways may be using without the hub.
+    pub(super) fn set_reserved_shares(&mut self, reserved_shares: Arc<[(id::Host, SlotShare)]>) {
+        self.reserved_shares = reserved_shares;
+    }
+
+    /// Returns whether gateways use shares of the slots of any service without the hub.
+    pub(super) fn has_local_slots(&self) -> bool {
+        let mut scheduling = self.scheduling.values();
+        scheduling.any(|scheduling| scheduling.has(Part::LocalSlots))
+    }
+
+    /// Returns how many slots of a service gateways may be using without the hub, beyond what they have reported.
+    fn reserved_slots(&self, pool: &Pool) -> u32 {
+        let slots = pool.total_slots();
+        let reserved = self.reserved_shares.iter().map(|(host, share)| {
+            let reported = self
+                .occupancy
+                .host_requests(host, |incarnation| pool.get(incarnation).is_some());
+            share.slots(slots).saturating_sub(reported)
+        });
+        reserved.sum()
+    }
+
     /// Sets which version of each service is on trial and how many requests it may get.
     pub(super) fn set_on_trial<'a>(
         &mut self,
@@ -320,25 +346,11 @@
             return Err(reservation);
         };
         let returned = pool.recognise(&request.identity, now);
-        let arrived = now - request.waited;
-        let expiry = |(incarnation, remaining)| (incarnation, now + remaining);
-        let pool_request = Request {
-            rule: request.rule,
-            customer: request.customer.clone(),
-            rank: request.rank,
-            arrived: returned.map_or(arrived, |returned| returned.queued_as),
-            send_by: now + request.send_within,
-            begin_by: now + request.first_event_within,
-            max_gap: request.max_gap,
-            wait_until: now + request.max_wait,
-            prompt: request.prompt,
-            output: request.output,
-            hall: request.hall,
-            tried: request.tried,
-            avoid: request.avoid.into_iter().map(expiry).collect(),
-            backoffs: request.backoffs.into_iter().map(expiry).collect(),
-            allowed_halls: request.allowed_halls,
-        };
+        let mut pool_request = request.to_pool_request(now);
+        let arrived = pool_request.arrived;
+        if let Some(returned) = returned {
+            pool_request.arrived = returned.queued_as;
+        }
         let (number, displaced) = pool.enqueue(pool_request, now);
         let hub_id = self.hub_id;
         let ticket = |number| Ticket {
@@ -403,7 +415,9 @@
     /// Grants the free slots to queued requests and returns the grants with the reservations of the
     /// requests.
     pub(super) fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant, Reservation)> {
-        self.occupancy.expire(now);
+        let reserved = self.reserved_shares.iter();
+        let is_silent = |host: &id::Host| reserved.clone().any(|(other, _)| other == host);
+        self.occupancy.expire(is_silent, now);
         self.update_pools();
         let mut grants = Vec::new();
         for service in self.services_with_queue() {
@@ -472,9 +486,13 @@
 
     /// Assigns free slots of a service to requests, by what is in flight now.
     fn assign(&mut self, service: &id::Service, now: Instant) -> Vec<pool::Assignment> {
+        let pool = self.pools.get(service);
+        let pool = pool.filter(|pool| pool.uses(Part::LocalSlots));
+        let reserved = pool.map(|pool| self.reserved_slots(pool));
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
+        pool.limit_assignments(reserved.map(|reserved| pool.room().saturating_sub(reserved)));
         let assignments = pool.assign(now);
         for assignment in &assignments {
             // The pool has counted the assignment itself. It is counted by the grant from now on.
--- a/crates/core/src/pool/doomed.rs
+++ b/crates/core/src/pool/doomed.rs
@@ -58,7 +58,7 @@
 
     /// The rates by which the waits of queued requests are predicted.
     fn rates(&mut self, is_full: bool, now: Instant) -> Rates {
-        if !self.has(Part::RetryTimes) {
+        if !self.uses(Part::RetryTimes) {
             return self.forecast.rates(now);
         }
         if is_full && self.queue.len() > 0 {
@@ -77,7 +77,7 @@
         ahead: usize,
         now: Instant,
     ) -> bool {
-        if !self.has(Part::RetryTimes) {
+        if !self.uses(Part::RetryTimes) {
             return predict(position).is_some_and(|wait| now + wait > request.wait_until);
         }
         let margin = if position.ticket.0 > self.last_checked {
@@ -116,6 +116,7 @@
             is_usable(state) && self.admits(state, now)
         });
         let mut accepting = self.servers.all().filter(|state| state.accepts_work());
+        let has_room = has_room && self.assignments_left != Some(0);
         !has_room && accepting.any(is_usable)
     }
 
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -10,6 +10,7 @@
 mod forecast;
 mod in_flight;
 mod limit_wait;
+mod local_slots;
 mod notices;
 mod placement;
 mod queue;
--- a/crates/core/src/pool/placement.rs
+++ b/crates/core/src/pool/placement.rs
@@ -109,7 +109,7 @@
 impl Pool {
     /// Whether what engines do is measured here.
     fn measures_engines(&self) -> bool {
-        self.tuning.scheduling.has(Part::Placement) && self.placement.is_for_all_gateways
+        self.uses(Part::Placement) && self.placement.is_for_all_gateways
     }
 
     /// Records that a request is assigned to the engine at `index`, before it is counted there.
--- a/crates/core/src/pool/retry_schedule.rs
+++ b/crates/core/src/pool/retry_schedule.rs
@@ -226,7 +226,7 @@
 impl Pool {
     /// Recognises a caller that returns after a rejection.
     pub fn recognise(&mut self, identity: &Identity, now: Instant) -> Option<Returned> {
-        if !self.has(Part::RetryTimes) || !self.retries.expected.contains_key(identity) {
+        if !self.uses(Part::RetryTimes) || !self.retries.expected.contains_key(identity) {
             return None;
         }
         let rates = self.new_rates(now);
@@ -239,7 +239,7 @@
 
     /// Chooses after how long the caller of a rejected request should retry; `None` if that is not known.
     pub fn schedule_retry(&mut self, rejected: &Rejected, now: Instant) -> Option<Duration> {
-        if !self.has(Part::RetryTimes) {
+        if !self.uses(Part::RetryTimes) {
             return None;
         }
         let rates = self.new_rates(now).capped(self.total_limit_rate());
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -57,6 +57,10 @@
     pub(super) retries: RetrySchedule,
     /// The version on trial, which may get only a limited number of requests.
     pub(super) trial: Option<TrialVersion>,
+    /// How many more requests may be assigned; `None` if that is not limited.
+    pub(super) assignments_left: Option<u32>,
+    /// Whether the loads of other gateways count less, as they were last heard too long ago.
+    pub(super) discounts_others: bool,
     /// What the service's engines have in common.
     pub(super) model: Model,
     pub(super) placement: Placement,
@@ -82,6 +86,8 @@
             trial: None,
             model: Model::default(),
             placement: Placement::default(),
+            assignments_left: None,
+            discounts_others: false,
             last_ticket: 0,
             last_checked: 0,
             random: SmallRng::seed_from_u64(seed),
@@ -127,6 +133,7 @@
 
     /// Sets what other gateways have in flight.
     pub fn update_other_loads(&mut self, loads: &[Load]) {
+        self.discounts_others = false;
         self.servers.update_all(|state| state.set_other_load(None));
         for load in loads {
             let set_load = |state: &mut ServerState| state.set_other_load(Some(load));
@@ -270,17 +277,6 @@
         self.queue.set_fair(scheduling.has(Part::FairShares));
     }
 
-    /// Whether a part of scheduling under hard load is in use.
-    pub(super) fn has(&self, part: Part) -> bool {
-        self.tuning.scheduling.has(part)
-    }
-
-    /// The parts of scheduling under hard load that are in use.
-    #[must_use]
-    pub fn scheduling(&self) -> Scheduling {
-        self.tuning.scheduling
-    }
-
     /// Sets what the table states about the service's engines.
     pub fn set_engine(&mut self, engine: Engine) {
         self.model.set_engine(engine);
@@ -421,6 +417,7 @@
             Order::default()
         };
         while self.has_room()
+            && self.assignments_left != Some(0)
             && let Some((position, ())) = order.next()
             && let Some(request) = self.queue.get(&position)
         {
@@ -438,6 +435,7 @@
             self.queue.serve(&position, now);
             self.forecast.record_assignment(now);
             self.spend_trial_request(index);
+            self.assignments_left = self.assignments_left.map(|left| left - 1);
             // A server's rate limit applies to all hosts together, while each host sees its own requests only. It is
             // therefore enforced where the slots of all hosts are granted.
             let charged_to_limit = self.limits.acquire(&self.servers.at(index).server, now);
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -16,7 +16,7 @@
 use super::refuse::Refused;
 use super::service::Service;
 use super::slot::Slot;
-use super::slot_wait::NoSlot;
+use super::slot_queue::NoSlot;
 
 /// Attempts that a request may have beyond the maximum of its rule, if servers reported that they did not
 /// run it.
@@ -135,6 +135,10 @@
                 let reason = format!("customer {} has used up its quota", self.customer_name());
                 Refused::new(Code::Allowance, reason)
             }
+            NoSlot::NoShare | NoSlot::HubBack => Refused::new(
+                Code::Shed,
+                "the hub is not reachable, and no slot of this gateway's share would be free in time",
+            ),
             NoSlot::HubUnreachable => {
                 let reason = "the hub is not reachable, and this gateway's quota share is used up for customer";
                 Refused::new(
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -90,7 +90,7 @@
 
     /// Whether the hub places a service's requests by estimates, for which this gateway times the events of streams.
     pub(super) fn places_by_estimates(&self, name: &id::Service) -> bool {
-        let places = |service: &mut Service| service.pool.scheduling().has(Part::Placement);
+        let places = |service: &mut Service| service.pool.uses(Part::Placement);
         self.with_service(name, places) == Some(true)
     }
 
@@ -169,6 +169,15 @@
         self.assign_slots(&name);
     }
 
+    /// Records and reports the outcome of an attempt in a slot that another gateway has lent, where it counts.
+    pub(super) fn finish_borrowed(&self, end: AttemptEnd) {
+        let now = self.now();
+        self.with_service(&end.service, |service| {
+            service.pool.observe(&end.incarnation, end.outcome, now);
+        });
+        self.report_end(end);
+    }
+
     /// Runs `action` on a service; none if the service is unknown.
     pub(super) fn with_service<T>(
         &self,
@@ -192,6 +201,7 @@
         let Some(service) = services.get_mut(name) else {
             return;
         };
+        self.limit_slots(name, &mut service.pool);
         for assignment in service.pool.assign(now) {
             let incarnation = Arc::clone(&assignment.server.incarnation);
             let prompt = assignment.prompt;
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -4,22 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use curlewlift_core::id;
-use curlewlift_core::pool::Assignment;
 use curlewlift_core::pool::Request;
-use curlewlift_core::pool::Ticket;
-use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quarantine::Rejection;
 use curlewlift_core::quota::Charge;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use super::hub_slots;
 use super::hub_slots::AttemptContext;
 use super::hub_slots::HubDecision;
 use super::local_quota;
+use super::local_slots;
+use super::local_slots::LocalShare;
 use super::node::Node;
 use super::slot::Slot;
+use super::slot_queue::NoSlot;
+use super::slot_queue::wait_in_queue;
 
 /// Interval at which a request that only the hub can admit checks whether the hub is reachable again.
 const HUB_CHECK_INTERVAL: Duration = Duration::from_millis(30);
@@ -29,61 +28,6 @@
 /// at hosts that were cut off was late.
 const HUB_WAIT_DIVISOR: u32 = 4;
 
-/// A request's entry in the local queue; removed when dropped.
-struct QueueEntry {
-    node: Rc<Node>,
-    service: id::Service,
-    rule: Arc<str>,
-    identity: Identity,
-    time_left: Duration,
-    ticket: Ticket,
-    assignment: oneshot::Receiver<Assignment>,
-}
-
-impl Drop for QueueEntry {
-    fn drop(&mut self) {
-        self.node.dequeue(&self.service, self.ticket);
-        // Releases a slot that was assigned at the moment the request went away.
-        self.assignment.close();
-        if let Ok(assignment) = self.assignment.try_recv() {
-            let context = AttemptContext {
-                service: &self.service,
-                rule: &self.rule,
-                identity: &self.identity,
-                time_left: self.time_left,
-                needs_retry: false,
-            };
-            drop(Slot::new(
-                &self.node,
-                context,
-                assignment.server,
-                assignment.prompt,
-            ));
-        }
-    }
-}
-
-/// Why a request got no slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum NoSlot {
-    /// The service is unknown here or has no server.
-    NoServer,
-    /// Other requests go first, and no slot would come free in time.
-    Displaced,
-    /// No slot becomes free within the wait limit. The caller should retry after this time, if the hub knows one.
-    TimeUp(Option<Duration>),
-    /// The hub says that the customer's quota is used up; it suffices again after this time.
-    QuotaExceeded(Duration),
-    /// The hub is not reachable, and the customer has used up what may be admitted without it.
-    HubUnreachable,
-    /// All servers have announced limits, which only the hub charges, and the hub is not reachable.
-    Limited,
-    /// Servers crashed under this request, and quarantine rejects it.
-    Rejected(Rejection),
-    /// The request is a retry, and the retry budget is used up.
-    NoRetry,
-}
-
 /// Waits for a slot for at most `wait_limit`: at the hub, or in the local queue while the hub gives no
 /// decision. The request's cost is charged where the slot comes from.
 pub(super) async fn wait(
@@ -120,8 +64,18 @@
             return Err(NoSlot::Rejected(Rejection::Quarantined));
         }
         let is_limited = node.is_limited(context.service);
+        let share = node.local_share(context.service);
+        if let LocalShare::Usable(slots) = share
+            && !is_limited
+        {
+            let remaining = until.saturating_duration_since(Instant::now());
+            match local_slots::wait(node, context, &request, charge, slots, remaining).await {
+                Err(NoSlot::HubBack) => continue,
+                decided => return decided,
+            }
+        }
         let is_admitted = match charge {
-            _ if is_limited => false,
+            _ if is_limited || share != LocalShare::Unlimited => false,
             Some(charge) => local_quota::acquire(node, charge).await,
             None => true,
         };
@@ -130,46 +84,12 @@
             return wait_in_queue(node, context, request, remaining).await;
         }
         if remaining < HUB_CHECK_INTERVAL || started.elapsed() + HUB_CHECK_INTERVAL > hub_wait {
-            let why = if is_limited {
-                NoSlot::Limited
-            } else {
-                NoSlot::HubUnreachable
-            };
-            return Err(why);
+            return Err(match share {
+                _ if is_limited => NoSlot::Limited,
+                LocalShare::Unlimited => NoSlot::HubUnreachable,
+                _ => NoSlot::NoShare,
+            });
         }
         tokio::time::sleep(HUB_CHECK_INTERVAL).await;
     }
 }
-
-/// Waits in the local queue for a slot that this gateway assigns.
-async fn wait_in_queue(
-    node: &Rc<Node>,
-    context: AttemptContext<'_>,
-    request: Request,
-    wait_limit: Duration,
-) -> Result<Slot, NoSlot> {
-    let (ticket, assignment) = node
-        .enqueue(context.service, request)
-        .ok_or(NoSlot::NoServer)?;
-    let mut entry = QueueEntry {
-        node: Rc::clone(node),
-        service: context.service.clone(),
-        rule: Arc::clone(context.rule),
-        identity: context.identity.clone(),
-        time_left: context.time_left,
-        ticket,
-        assignment,
-    };
-    let assignment = tokio::time::timeout(wait_limit, &mut entry.assignment).await;
-    let assignment = match assignment {
-        Ok(Ok(assignment)) => assignment,
-        Ok(Err(_)) => return Err(NoSlot::Displaced),
-        Err(_) => return Err(NoSlot::TimeUp(None)),
-    };
-    Ok(Slot::new(
-        node,
-        context,
-        assignment.server,
-        assignment.prompt,
-    ))
-}
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -20,7 +20,6 @@
 use curlewlift::core::event;
 use curlewlift::core::event::Filter;
 use curlewlift::core::event::Kind;
-use curlewlift::core::pool::Scheduling;
 use serde_json::Value;
 use serde_json::json;
 
@@ -72,7 +71,31 @@
     /// The platform contracts that are enabled.
     contracts: &'static [&'static str],
     /// The parts of scheduling under hard load that are switched on.
-    scheduling: Scheduling,
+    scheduling: &'static str,
+}
+
+/// How hosts are started.
+#[derive(Clone, Copy)]
+struct Start {
+    without_disk: u8,
+    /// The rate of the link of hosts without a disk, in bytes per second.
+    link: Option<u64>,
+    contracts: &'static [&'static str],
+    /// How much later than the others the third host starts.
+    third_delay: Duration,
+    scheduling: &'static str,
+}
+
+impl Default for Start {
+    fn default() -> Self {
+        Self {
+            without_disk: 0,
+            link: None,
+            contracts: &["base"],
+            third_delay: Duration::ZERO,
+            scheduling: "",
+        }
+    }
 }
 
 impl Hosts {
@@ -86,27 +109,32 @@
         Self::start_more(folder, engines, 0, None)
     }
 
-    /// Starts three hosts with a disk, the third one `delay` after the others.
-    pub(crate) fn start_late(
+    /// Starts three hosts with a disk and `without_disk` more, with these parts of scheduling switched on.
+    pub(crate) fn start_scheduled(
         folder: PathBuf,
         engines: &[(&Engine, &str)],
-        delay: Duration,
+        without_disk: u8,
+        scheduling: &'static str,
     ) -> Self {
-        let mut hosts = Self::prepare(folder, engines, 0, None, &["base"]);
-        hosts.boot_all(delay);
-        hosts
+        let start = Start {
+            without_disk,
+            scheduling,
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
     }
 
-    /// Starts three hosts with a disk and parts of scheduling under hard load.
-    pub(crate) fn start_scheduling(
+    /// Starts three hosts with a disk, the third one `delay` after the others.
+    pub(crate) fn start_late(
         folder: PathBuf,
         engines: &[(&Engine, &str)],
-        scheduling: Scheduling,
+        delay: Duration,
     ) -> Self {
-        let mut hosts = Self::prepare(folder, engines, 0, None, &["base"]);
-        hosts.scheduling = scheduling;
-        hosts.boot_all(Duration::ZERO);
-        hosts
+        let start = Start {
+            third_delay: delay,
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
     }
 
     /// Starts three hosts with a disk, and `without_disk` more that reach the others over a link of `link`
@@ -127,19 +155,23 @@
         link: Option<u64>,
         contracts: &'static [&'static str],
     ) -> Self {
-        let mut hosts = Self::prepare(folder, engines, without_disk, link, contracts);
-        hosts.boot_all(Duration::ZERO);
-        hosts
+        let start = Start {
+            without_disk,
+            link,
+            contracts,
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
     }
 
-    /// Hosts that have not been started.
-    fn prepare(
-        folder: PathBuf,
-        engines: &[(&Engine, &str)],
-        without_disk: u8,
-        link: Option<u64>,
-        contracts: &'static [&'static str],
-    ) -> Self {
+    fn start_as(folder: PathBuf, engines: &[(&Engine, &str)], start: Start) -> Self {
+        let Start {
+            without_disk,
+            link,
+            contracts,
+            third_delay,
+            scheduling,
+        } = start;
         let server_list = engines
             .iter()
             .map(|(engine, service)| entry(engine, service, "ready"));
@@ -152,7 +184,7 @@
         let ports = ports(first);
         let replicas = (0..DISK_COUNT).map(|index| address(first, index.into(), ports.internal));
         let link = link.map(|rate| SlowLink::open(rate, &replicas.collect::<Vec<_>>()));
-        Self {
+        let mut hosts = Self {
             folder,
             first,
             ports,
@@ -165,18 +197,15 @@
             list: serve_list(Arc::clone(&server_list)),
             server_list,
             contracts,
-            scheduling: Scheduling::default(),
-        }
-    }
-
-    /// Starts all hosts, the third one `third_delay` after the others.
-    fn boot_all(&mut self, third_delay: Duration) {
-        for index in self.indices() {
+            scheduling,
+        };
+        for index in hosts.indices() {
             if index == 2 {
                 std::thread::sleep(third_delay);
             }
-            self.boot(index, true);
+            hosts.boot(index, true);
         }
+        hosts
     }
 
     /// The indices of all hosts.
@@ -233,8 +262,9 @@
     pub(crate) fn boot(&mut self, index: usize, first: bool) {
         let path = self.settings(index, first);
         let platform = Platform::new(path).expect("the settings are valid");
+        let scheduling = self.scheduling.parse().expect("valid parts");
+        let platform = platform.scheduling(scheduling);
         let platform = platform.clock(self.clocks[index].clone());
-        let platform = platform.scheduling(self.scheduling);
         self.processes[index] = Some(platform.start().expect("the host starts"));
     }
 
--- a/crates/curlewlift/tests/platform_retry_times.rs
+++ b/crates/curlewlift/tests/platform_retry_times.rs
@@ -5,9 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use curlewlift::core::pool::Part;
-use curlewlift::core::pool::Scheduling;
-
 use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
@@ -49,9 +46,8 @@
 #[test]
 fn told_by_hub() {
     let engine = Engine::start("i-1");
-    let scheduling = Scheduling::default().with(Part::RetryTimes);
     let listed = [(&engine, "chat")];
-    let hosts = Hosts::start_scheduling(folder("told_by_hub"), &listed, scheduling);
+    let hosts = Hosts::start_scheduled(folder("told_by_hub"), &listed, 0, "retry-times");
     hosts.configure(&document(7).to_string());
     std::thread::scope(|scope| {
         let hosts = &hosts;
