Use measured limits where shares of slots are counted

Cause: shares of slots were merged beside the measured in-flight limit and still counted one request beyond the slots of every server. Both now use the limit of the server.

--- a/crates/core/src/pool/local_slots.rs
+++ b/crates/core/src/pool/local_slots.rs
@@ -51,7 +51,7 @@
         }
         let extra = self.tuning.extra_in_flight;
         self.servers.update_all(|state: &mut ServerState| {
-            let limit = state.server.slots.max(1) + extra;
+            let limit = state.limit.get(state.server.slots.max(1) + extra).max(1);
             state.other_requests = state.other_requests.min(limit - 1);
         });
         true
