--- a/crates/core/tests/placement_load.rs
+++ b/crates/core/tests/placement_load.rs
@@ -224,7 +224,7 @@
             ..Parts::default()
         });
         let table = table.expect("a valid table");
-        if seed % 2 == 0 {
+        if seed.is_multiple_of(2) {
             hub.apply_table(&table, at(0));
         }
         hub.set_server_list(Arc::new(ServerList::new(
