Measure objectives from when a request arrived at the hub

Cause: a caller that returns before the time it was told is queued by that later time; the in-flight limit took it for the arrival, so that the objective of the service came to zero and its servers were throttled to one request.

Change: the arrival counts at most as now.

Result: in_flight_load early_return, red before (limit 1 of more than 6).

--- a/crates/core/src/pool/in_flight.rs
+++ b/crates/core/src/pool/in_flight.rs
@@ -120,7 +120,9 @@
 impl Service {
     /// Records the objective of a request that arrives at the queue.
     pub(super) fn record_request(&mut self, request: &Request, now: Instant) {
-        let objective = request.begin_by.since(request.arrived);
+        // A caller that returns early is queued by a later arrival.
+        let arrived = request.arrived.min(now);
+        let objective = request.begin_by.since(arrived);
         self.objective.add(objective.as_secs_f64(), now);
         self.started.get_or_insert(now);
     }
--- a/crates/core/tests/in_flight_load.rs
+++ b/crates/core/tests/in_flight_load.rs
@@ -341,6 +341,22 @@
     assert!(limit(&pool) > 6, "a former report no longer counts");
 }
 
+/// A caller that returns before the time that it was told is queued by a later arrival. That must not shorten the objective
+/// of the service, by which its servers are throttled: with two requests waiting there, a server got one at a time.
+#[test]
+fn early_return() {
+    let mut pool = measured_pool();
+    let now = Instant::default();
+    let returning = Request {
+        arrived: now + Duration::from_millis(400),
+        begin_by: now + Duration::from_millis(120),
+        ..Request::default()
+    };
+    pool.enqueue(returning, now);
+    end(&mut pool, ANSWERED, None, 2, now);
+    assert!(limit(&pool) > 6, "{}", limit(&pool));
+}
+
 /// A rejection by a full server halves what it gets beyond its slots at once. Further rejections of the same burst must
 /// not bring it down to nothing, and it must get more again afterwards.
 #[test]
