Keep ranks strict where requests wait for a better engine

Cause, by reading: with few requests most engines need a probe, so most requests were sent to engines where they are late; a request that no engine had memory for was overtaken by lower ranks; a restricted request, or one whose gap objective no engine holds, waited for an engine that it could not use; the remembered fastest engine could be another one after a new list; beside 32 waiting requests nobody was rejected; a trial version could get more than its memory.

Change: one probe in 50 assignments may be late; lower ranks do not pass a request that waits for memory; such waits end at once where they cannot help; sums of tokens saturate.

--- a/crates/core/src/pool/estimate.rs
+++ b/crates/core/src/pool/estimate.rs
@@ -284,7 +284,8 @@
 
     /// The prompt and output tokens of the requests there.
     pub(super) fn tokens(&self, now: Instant) -> u64 {
-        self.in_flight(now).map(|placed| placed.tokens).sum()
+        let placed = self.in_flight(now);
+        placed.fold(0, |sum, placed| placed.tokens.saturating_add(sum))
     }
 
     /// The shortest gap objective of the streams there, in seconds.
--- a/crates/core/src/pool/placement.rs
+++ b/crates/core/src/pool/placement.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::route::Rank;
+use crate::unit::Tokens;
 
 use super::AttemptOutcome;
 use super::Part;
@@ -20,6 +22,9 @@
 /// The time without a response after which an engine gets a request as a probe, even if that will be late.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How many requests are assigned between two probes that cannot be in time.
+const LATE_PROBE_INTERVAL: u32 = 50;
+
 /// How many requests an engine may have that have not begun, while nothing is known of its pace.
 const MAX_UNPROVEN: usize = 2;
 
@@ -66,6 +71,10 @@
     waits: bool,
     /// How many requests were left waiting in this pass over the queue.
     passed_over: u32,
+    /// The rank of a request that no engine with room can take in this pass. Lower ranks must not take what becomes free.
+    blocked_below: Option<Rank>,
+    /// How many requests were assigned since the last probe that could not be in time.
+    since_late_probe: u32,
     /// The fastest engine, and when it was looked up.
     fastest: Option<(usize, Instant)>,
     /// How many requests were placed where they cannot be in time, since that was last asked.
@@ -120,6 +129,8 @@
         if !self.measures_engines() {
             return;
         }
+        let since_late_probe = &mut self.placement.since_late_probe;
+        *since_late_probe = since_late_probe.saturating_add(1);
         let model = &self.model;
         self.servers.update_at(index, |state| {
             let load = (state.in_flight(), state.server.slots);
@@ -192,6 +203,7 @@
     /// Begins a pass over the queue.
     pub(super) fn begin_pass(&mut self) {
         self.placement.passed_over = 0;
+        self.placement.blocked_below = None;
     }
 
     /// Begins the decision about the request at `position`.
@@ -200,6 +212,22 @@
         self.placement.waits = false;
     }
 
+    /// Whether a request of a higher rank than the one at `position` waits for what becomes free.
+    pub(super) fn is_blocked(&self, position: &Position) -> bool {
+        let blocked_below = self.placement.blocked_below;
+        blocked_below.is_some_and(|rank| rank < position.rank)
+    }
+
+    /// Whether the last pass over the queue left as many requests waiting as it may, beside free slots.
+    pub(super) fn is_saturated(&self) -> bool {
+        self.placement.passed_over >= MAX_PASSED_OVER
+    }
+
+    /// Forgets which engine is the fastest, as the servers have changed.
+    pub(super) fn forget_fastest(&mut self) {
+        self.placement.fastest = None;
+    }
+
     /// Whether the request for which no engine was chosen waits for a place in time, so that others may go first.
     pub(super) fn is_passed_over(&self) -> bool {
         self.placement.waits && self.placement.passed_over < MAX_PASSED_OVER
@@ -224,16 +252,35 @@
         }
     }
 
+    /// An engine that needs a request to show its pace. Of the requests that will be late there, only some are probes, as at
+    /// low load most engines need one.
+    fn choose_probe(
+        &mut self,
+        candidates: &[Candidate],
+        request: &Request,
+        now: Instant,
+    ) -> Option<usize> {
+        let may_be_late = self.placement.since_late_probe >= LATE_PROBE_INTERVAL;
+        let mut due = candidates.iter().filter(|candidate| {
+            (may_be_late || candidate.risk <= 1.0)
+                && self.needs_probe(candidate.index, request, now)
+        });
+        let probe = due.next()?;
+        let is_late = probe.risk > 1.0;
+        let index = probe.index;
+        if is_late {
+            self.placement.since_late_probe = 0;
+        }
+        Some(index)
+    }
+
     fn decide(&mut self, request: &Request, indices: &[usize], now: Instant) -> Choice {
         let candidates = indices.iter();
         let candidates: Vec<_> = candidates
             .filter_map(|index| self.candidate(*index, request, now))
             .collect();
-        let mut probes = candidates.iter();
-        if let Some(probe) =
-            probes.find(|candidate| self.needs_probe(candidate.index, request, now))
-        {
-            return Choice::Engine(probe.index);
+        if let Some(index) = self.choose_probe(&candidates, request, now) {
+            return Choice::Engine(index);
         }
         let in_time = candidates.iter().filter(|candidate| candidate.risk <= 1.0);
         if let Some(best) = in_time.min_by(|a, b| a.cost().total_cmp(&b.cost())) {
@@ -243,11 +290,11 @@
         let soonest = soonest.min_by(|a, b| a.estimate.begin.total_cmp(&b.estimate.begin));
         let Some(soonest) = soonest else {
             // Engines that are too full, or too little known, for this request may have room for the next one.
-            return if indices.is_empty() {
-                Choice::Nowhere
-            } else {
-                Choice::Wait
-            };
+            if indices.is_empty() {
+                return Choice::Nowhere;
+            }
+            self.placement.blocked_below = self.placement.position.map(|position| position.rank);
+            return Choice::Wait;
         };
         if self.is_worth_waiting(request, now) {
             return Choice::Wait;
@@ -282,11 +329,12 @@
     }
 
     /// Whether the request's tokens fit in the memory of an engine, besides those in flight there.
-    fn fits_memory(&self, state: &ServerState, request: &Request, now: Instant) -> bool {
+    pub(super) fn fits_memory(&self, state: &ServerState, request: &Request, now: Instant) -> bool {
         let in_flight = state.pace.tokens(now);
         let tokens = request.prompt.0.saturating_add(request.output.0);
         let capacity = self.model.kv_capacity();
-        in_flight == 0 || capacity.is_none_or(|capacity| in_flight + tokens <= capacity.0)
+        let total = in_flight.saturating_add(tokens);
+        in_flight == 0 || capacity.is_none_or(|capacity| total <= capacity.0)
     }
 
     /// Whether the engine at `index` needs a request to show how fast it is, and this is one that harms little.
@@ -299,14 +347,22 @@
 
     /// Whether a place in time is likely to become free before it is too late for the request.
     fn is_worth_waiting(&mut self, request: &Request, now: Instant) -> bool {
-        let Some(fastest) = self.fastest(now) else {
+        // The fastest engine may be one that a restricted request must not be sent to.
+        let Some(fastest) = self.fastest(now).filter(|_| !request.is_restricted()) else {
             return false;
         };
-        let begin = self
-            .servers
-            .at(fastest)
+        let state = self.servers.at(fastest);
+        let idle = (0, state.server.slots);
+        let estimate = state
             .pace
-            .idle_begin(&self.model, request);
+            .estimate(&self.model, request, Tokens(0), idle, now);
+        let max_gap = request
+            .max_gap
+            .map_or(f64::INFINITY, |gap| gap.as_secs_f64());
+        if estimate.longest_gap > max_gap {
+            return false;
+        }
+        let begin = state.pace.idle_begin(&self.model, request);
         let slack = request.begin_by.since(now).as_secs_f64() - begin;
         let ahead = self.placement.passed_over;
         let rates = self.forecast.rates(now);
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -117,6 +117,7 @@
             }
         }
         self.servers.replace(servers);
+        self.forget_fastest();
         if !self.limits.is_empty() {
             let names = self.servers.all().map(|state| &*state.server.name);
             let names: HashSet<_> = names.collect();
@@ -423,6 +424,9 @@
         {
             let (ticket, is_restricted) = (position.ticket, request.is_restricted());
             let request = request.with_backoffs(&backoffs).into_owned();
+            if self.is_blocked(&position) {
+                break;
+            }
             self.begin_decision(position);
             let Some(index) = self.choose_server(&request, now) else {
                 // Only this request is excluded from some servers; the next one may be sent to those.
--- a/crates/core/src/pool/trial_version.rs
+++ b/crates/core/src/pool/trial_version.rs
@@ -69,6 +69,7 @@
                 && request.may_go_to(&state.server, now)
                 && state.health.is_usable(false, now)
                 && self.admits(state, now)
+                && (!self.uses_estimates() || self.fits_memory(state, request, now))
         });
         // Servers below the mean load go first, in an order that changes every second, so that all servers are sampled,
         // a few at a time. A server that fails by itself goes last, as it does in other versions. Without this, and
