Judge lower ranks as strictly as a rejected higher one

Cause, by reading: a new request was rejected by a wait that a queued request of a lower rank was allowed, because the two have different margins.

Change: behind a new request that is rejected, lower ranks are judged by its margin. An entry of the retry schedule that is replaced is removed before another one is evicted.

--- a/crates/core/src/pool/doomed.rs
+++ b/crates/core/src/pool/doomed.rs
@@ -26,7 +26,9 @@
     pub fn remove_doomed(&mut self, now: Instant) -> Vec<Ticket> {
         let mut doomed = Vec::new();
         let mut ahead = 0;
-        let is_full = self.is_full(|_| true, now);
+        let mut rejected_rank = None;
+        // Slots that the requests in front decline are no room for those behind.
+        let is_full = self.is_full(|_| true, now) || self.is_saturated();
         // If all servers announced rate limits, assignments cannot be faster than the sum of these, even if too few
         // were made lately for an estimate.
         let rates = self.rates(is_full, now);
@@ -41,9 +43,20 @@
             let may_go = |server: &Server| request.may_go_to(server, now);
             let is_full = is_full || (request.has_backoff_or_halls() && self.is_full(may_go, now));
             let predict = |position: &Position| waits.predict(&order, position, ahead);
-            let too_long = self.waits_too_long(&position, request, predict, ahead, now);
+            let is_new = position.ticket.0 > self.last_checked;
+            // A new request of a higher rank was judged by the stricter margin.
+            let is_strict = is_new || rejected_rank.is_some_and(|rank| rank < position.rank);
+            let margin = if is_strict {
+                NEW_WAIT_MARGIN
+            } else {
+                QUEUED_WAIT_MARGIN
+            };
+            let too_long = self.waits_too_long(&position, request, predict, (ahead, margin), now);
             if (is_full && too_long) || self.has_no_server_left(request) {
                 doomed.push(position.ticket);
+                if is_new {
+                    rejected_rank.get_or_insert(position.rank);
+                }
             } else {
                 ahead += 1;
                 order.serve();
@@ -67,24 +80,19 @@
         self.new_rates(now)
     }
 
-    /// Whether a request with `ahead` others before it is likely to get no slot while it waits. `predict` tells how long a
+    /// Whether a request with `ahead` others before it is likely to get no slot while it waits, by `margin`. `predict` tells how long a
     /// request waits at a position.
     fn waits_too_long(
         &self,
         position: &Position,
         request: &Request,
         mut predict: impl FnMut(&Position) -> Option<Duration>,
-        ahead: usize,
+        (ahead, margin): (usize, f64),
         now: Instant,
     ) -> bool {
         if !self.uses(Part::RetryTimes) {
             return predict(position).is_some_and(|wait| now + wait > request.wait_until);
         }
-        let margin = if position.ticket.0 > self.last_checked {
-            NEW_WAIT_MARGIN
-        } else {
-            QUEUED_WAIT_MARGIN
-        };
         let exceeds = |wait: Option<Duration>, limit: Instant| {
             wait.is_some_and(|wait| wait > limit.since(now).div_f64(margin))
         };
--- a/crates/core/src/pool/retry_schedule.rs
+++ b/crates/core/src/pool/retry_schedule.rs
@@ -154,12 +154,12 @@
     }
 
     fn expect(&mut self, identity: Identity, expected: Expected) {
+        self.remove(&identity);
         if self.expected.len() >= MAX_REJECTED
-            && let Some((_, first)) = self.by_time.pop_first()
+            && let Some((_, first)) = self.by_time.first().cloned()
         {
-            self.expected.remove(&first);
+            self.remove(&first);
         }
-        self.remove(&identity);
         *self.returns.entry(step_of(expected.due)).or_default() += 1;
         self.by_time.insert((expected.due, identity.clone()));
         self.expected.insert(identity, expected);
