Number shares only for slots without the hub

Cause: numbers of shares were written to the log also with the part off, twice each host name in every record.

Change: the allocator numbers shares if local-slots is switched on.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::limit;
 use crate::limit::Warmup;
+use crate::pool::Part;
 use crate::pool::RetryAllowance;
 use crate::pool::Scheduling;
 use crate::pool::ShareWatch;
@@ -374,6 +375,8 @@
 
     /// Returns the shares of retries to commit if they should change.
     pub fn propose_retry_shares(&mut self, now: Instant) -> Option<Shares> {
+        let is_numbered = self.tuning.scheduling.has(Part::LocalSlots);
+        self.retry_shares.set_numbered(is_numbered);
         let gateways = &self.gateways;
         // Gateways beside a replica lend no slots, and the lowest numbers have the slots of small services.
         let lends_nothing =
--- a/crates/core/src/gateway/shares.rs
+++ b/crates/core/src/gateway/shares.rs
@@ -140,6 +140,8 @@
     hub_share: Option<(f64, Instant)>,
     /// The last result of [`ShareAllocator::reserved_shares`], and until when it is valid.
     reserved: Option<ReservedShares>,
+    /// Whether the shares have numbers, which only shares of slots need.
+    is_numbered: bool,
 }
 
 /// The holders whose shares are reserved, and until when that is known.
@@ -160,9 +162,15 @@
             never_held: BTreeMap::new(),
             hub_share: None,
             reserved: None,
+            is_numbered: false,
         }
     }
 
+    /// Sets whether the shares have numbers.
+    pub fn set_numbered(&mut self, is_numbered: bool) {
+        self.is_numbered = is_numbered;
+    }
+
     /// Applies the shares that are committed to the log.
     pub fn apply(&mut self, shares: &Shares, now: Instant) {
         if *shares == self.shares {
@@ -385,7 +393,14 @@
             holders.contains(host) || now.since(replies.last_reply.1) < quota::SHARE_LIFETIME
         });
         let next = self.next_shares(max_holders, now);
-        let next = next.renumbered(&self.shares.numbers, is_last);
+        let next = if self.is_numbered {
+            next.renumbered(&self.shares.numbers, is_last)
+        } else {
+            Shares {
+                former_count: 0,
+                ..next
+            }
+        };
         if next == self.shares {
             return None;
         }
