Report a declined grant as ended

Cause, by reading: a grant that a gateway declines was reported without its number, so that its customer was charged its slot time for good, and its request counted at the engine for a minute. A caller that honours a backoff longer than its scheduled retry counted as early.

Change: the report carries the grant; Retry-After is the later of the two times.

--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -137,7 +137,7 @@
             }
             NoSlot::NoShare | NoSlot::HubBack => Refused::new(
                 Code::Shed,
-                "the hub is not reachable, and no slot of this gateway's share would be free in time",
+                "no slot of this gateway's share would be free in time, and the hub has not granted one",
             ),
             NoSlot::HubUnreachable => {
                 let reason = "the hub is not reachable, and this gateway's quota share is used up for customer";
@@ -147,9 +147,10 @@
                 )
             }
         };
-        if let NoSlot::TimeUp(Some(retry_after)) = reason
-            && !all_backing_off
-        {
+        if let NoSlot::TimeUp(Some(scheduled)) = reason {
+            // The caller counts as early before the scheduled time.
+            let available_after = self.all_backing_off().unwrap_or_default();
+            let retry_after = scheduled.max(available_after);
             self.log_retry_scheduled(retry_after);
             return refused.with_retry_after(retry_after);
         }
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -228,7 +228,12 @@
             let mut quarantine = self.quarantine.borrow_mut();
             quarantine.record_inconclusive(identity, permit, now);
         }
-        self.report_observation(service, &server.incarnation, AttemptOutcome::Unknown);
+        self.report_unsent(
+            service,
+            &server.incarnation,
+            AttemptOutcome::Unknown,
+            grant.id,
+        );
         if (self.report_notice(service, &server) || is_unavailable) && !is_late {
             return HubDecision::Unavailable(grant.server);
         }
@@ -246,7 +251,7 @@
             Some(Notice::Backoff(remaining)) => AttemptOutcome::Backoff(remaining),
             Some(Notice::Unreadable(_)) | None => return false,
         };
-        self.report_observation(service, incarnation, outcome);
+        self.report_unsent(service, incarnation, outcome, GrantId::default());
         true
     }
 
@@ -278,19 +283,21 @@
         self.report_wakeup.notify_one();
     }
 
-    /// Reports to the hub what is known of a server without the end of an attempt.
-    fn report_observation(
+    /// Reports to the hub what is known of a server to which nothing was sent. `grant` is the slot that is not used, or
+    /// the default id if there is none.
+    fn report_unsent(
         &self,
         service: &id::Service,
         incarnation: &str,
         outcome: AttemptOutcome,
+        grant: GrantId,
     ) {
         self.report_end(AttemptEnd {
             service: service.clone(),
             incarnation: incarnation.into(),
             rollout: None,
             outcome,
-            grant: GrantId::default(),
+            grant,
             server_time: Duration::ZERO,
             load: None,
         });
