Count a body as it arrives, and ignore figures of engines that cannot be read

Cause, by reading: a caller that states a length and sends nothing held that length of the memory budget; a figure of another type in a service's engine section, which nobody read before, refused the whole table.

Change: bytes are held as they arrive, and a stated length that does not fit is refused at once; such figures count as not stated.

--- a/crates/core/src/gateway/memory_budget.rs
+++ b/crates/core/src/gateway/memory_budget.rs
@@ -2,9 +2,9 @@
 
 /// The bytes that a gateway holds, and how many it may hold.
 ///
-/// Load pattern: hundreds of callers of one host that read slowly, or send bodies of megabytes at the same time. Without a
-/// limit the host runs out of memory, and all of its requests fail; with it, the host rejects new requests and completes
-/// those that it has accepted.
+/// Load pattern: hundreds of callers of one host that send bodies of megabytes, or keep streams open, at the same time.
+/// Without a limit the host runs out of memory, and all of its requests fail; with it, the host rejects new requests and
+/// completes those that it has accepted. A whole response counts until it is in the connection's buffer.
 ///
 /// # Examples
 ///
@@ -39,9 +39,15 @@
         Self { limit, held: 0 }
     }
 
+    /// Whether `bytes` more may be held.
+    #[must_use]
+    pub fn has_room_for(&self, bytes: usize) -> bool {
+        self.held.saturating_add(bytes) <= self.limit
+    }
+
     /// Counts `bytes` of a request that is being accepted; false, and nothing counted, if the limit would be exceeded.
     pub fn try_hold(&mut self, bytes: usize) -> bool {
-        let is_allowed = self.held.saturating_add(bytes) <= self.limit;
+        let is_allowed = self.has_room_for(bytes);
         if is_allowed {
             self.held += bytes;
         }
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -300,10 +300,10 @@
     if stated_length > limits.body_bytes {
         return Err(too_large(limits));
     }
-    if !held.try_extend(stated_length) {
+    if !held.has_room_for(stated_length) {
         return Err(host_full());
     }
-    let read = collect_body(body, limits, stated_length, held);
+    let read = collect_body(body, limits, held);
     let Ok(read) = tokio::time::timeout_at(until, read).await else {
         let reason = "the request body did not arrive before the deadline";
         return Err(Refused::new(Code::TooSlow, reason));
@@ -311,14 +311,13 @@
     read
 }
 
-/// Collects a body, of which `stated_length` bytes are held already.
+/// Collects a body. Its bytes are held as they arrive, so that a caller that sends nothing holds nothing.
 async fn collect_body(
     mut body: Incoming,
     limits: Limits,
-    stated_length: usize,
     held: &HeldBytes,
 ) -> Result<Bytes, Refused> {
-    let mut read = BytesMut::with_capacity(stated_length);
+    let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|reason| {
             let reason = format!("the connection broke off during the request body: {reason}");
@@ -327,12 +326,10 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = read.len() + data.len();
-        if length > limits.body_bytes {
+        if read.len() + data.len() > limits.body_bytes {
             return Err(too_large(limits));
         }
-        let unstated = length.saturating_sub(stated_length.max(read.len()));
-        if !held.try_extend(unstated) {
+        if !held.try_extend(data.len()) {
             return Err(host_full());
         }
         read.extend_from_slice(&data);
--- a/crates/curlewlift/src/gateway/held_bytes.rs
+++ b/crates/curlewlift/src/gateway/held_bytes.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Whether the gateway may hold `bytes` more.
+    pub(super) fn has_room_for(&self, bytes: usize) -> bool {
+        self.node.memory_budget.borrow().has_room_for(bytes)
+    }
+
     /// Holds `bytes` more of a request that is being accepted; false if the gateway holds too much.
     pub(super) fn try_extend(&self, bytes: usize) -> bool {
         let is_allowed = self.change(|budget| budget.try_hold(bytes));
--- a/crates/curlewlift/src/platform/document.rs
+++ b/crates/curlewlift/src/platform/document.rs
@@ -68,19 +68,11 @@
     health_path: Option<String>,
     max_conns: Option<u32>,
     /// What its engines are like; missing for a service of plain servers.
-    engine: Option<EngineSection>,
+    engine: Option<serde_json::Value>,
     /// How many requests a second one of its servers accepts while it is cold; 0 is the same as when it is warm.
     cold_per_s: Option<f64>,
 }
 
-#[derive(Clone, Copy, Deserialize)]
-struct EngineSection {
-    /// The tokens that fit in an engine's memory.
-    kv_capacity: Option<u64>,
-    /// The tokens of an event.
-    stride: Option<u32>,
-}
-
 #[derive(Clone, Copy, Deserialize)]
 struct Bounds {
     max_header_bytes: Option<usize>,
@@ -211,9 +203,12 @@
 fn decode_service(service: Service) -> Result<(id::Service, ServicePolicy), Refusal> {
     let cold_rate = service.cold_per_s.filter(|rate| *rate != 0.0);
     let cold_rate = cold_rate.map(|rate| parse(&rate.to_string())).transpose()?;
-    let engine = service.engine.map(|engine| Engine {
-        kv_capacity: engine.kv_capacity.map(Tokens),
-        tokens_per_event: engine.stride,
+    // Figures that cannot be read count as not stated: they only help to place requests.
+    let figure =
+        |engine: &serde_json::Value, name| engine.get(name).and_then(serde_json::Value::as_u64);
+    let engine = service.engine.as_ref().map(|engine| Engine {
+        kv_capacity: figure(engine, "kv_capacity").map(Tokens),
+        tokens_per_event: figure(engine, "stride").and_then(|tokens| u32::try_from(tokens).ok()),
     });
     let policy = ServicePolicy {
         cold_rate,
