--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -178,7 +178,7 @@
             {
                 self.timeline
                     .note(Line::new(Kind::PaceChanged).detail(format_args!(
-                        "service={service} server={incarnation} times={relative_time:.1}"
+                        "service={service} server={incarnation} relative_time={relative_time:.1}"
                     )));
             }
         }
