Name the constants of scheduling by their subject

Wording only: constants that named neither their subject nor their unit, and comments that a reader without the history of the parts would not understand. Tests as before.

--- a/crates/core/src/pool/fair_queue.rs
+++ b/crates/core/src/pool/fair_queue.rs
@@ -21,7 +21,7 @@
 
 /// The time after which an account without requests is closed, and a charge whose end was not reported becomes final.
 /// The hub forgets a grant after the same time.
-const MAX_IDLE: Duration = Duration::from_mins(1);
+const MAX_ACCOUNT_IDLE_TIME: Duration = Duration::from_mins(1);
 
 /// The number of accounts from which on those without queued requests are closed early: several ranks of each of a
 /// thousand customers.
@@ -146,13 +146,13 @@
     /// Closes accounts that have not been used for long. One that is opened again starts at the virtual time.
     fn close_idle(&mut self, now: Instant) {
         let is_full = self.ids.len() >= MAX_ACCOUNTS;
-        if !is_full && now.since(self.last_swept) < MAX_IDLE {
+        if !is_full && now.since(self.last_swept) < MAX_ACCOUNT_IDLE_TIME {
             return;
         }
         self.last_swept = now;
         for place in &mut self.places {
             let closed = place.take_if(|account| {
-                let is_recent = now.since(account.last_used) < MAX_IDLE;
+                let is_recent = now.since(account.last_used) < MAX_ACCOUNT_IDLE_TIME;
                 account.queued == 0 && (is_full || !is_recent)
             });
             if let Some(closed) = closed
@@ -236,7 +236,7 @@
         let charge = Charge { account: id, cost };
         self.pending.insert((now, ticket), charge);
         while let Some(oldest) = self.pending.first_entry()
-            && now.since(oldest.key().0) >= MAX_IDLE
+            && now.since(oldest.key().0) >= MAX_ACCOUNT_IDLE_TIME
         {
             oldest.remove();
         }
--- a/crates/core/src/pool/in_flight.rs
+++ b/crates/core/src/pool/in_flight.rs
@@ -29,16 +29,16 @@
 const MAX_OVERHEAD: Duration = Duration::from_secs(1);
 
 /// Requests beyond the slots, relative to the number that keeps the slots busy if all overheads are equal. Overheads
-/// differ, and the time at a server includes the way there, so more ends are in transit at times.
-const SPREAD: f64 = 1.4;
+/// differ, and the time at a server includes network transit, so more ends are in transit at times.
+const OVERHEAD_MARGIN: f64 = 1.4;
 
 /// The share of the objective within which a server must be able to begin the requests that it gets. The rest covers the
-/// wait at the hub and the way.
+/// wait at the hub and the transit.
 const OBJECTIVE_SHARE: f64 = 0.33;
 
-/// How much faster than measured a server may work off what it gets: the measured time includes the way there. This does
+/// How much faster than measured a server may work off what it gets: the measured time includes network transit. This does
 /// not count while more requests wait there than it has slots, as its queue would become longer and longer.
-const PACE: f64 = 1.15;
+const SPEED_MARGIN: f64 = 1.15;
 
 /// The most requests beyond the slots of a server, for each slot: an overhead of ten times the work needs 14.
 const MAX_EXTRA_PER_SLOT: f64 = 16.0;
@@ -50,18 +50,18 @@
 /// With a quarter of that, half as many requests again were rejected after others had filled the server.
 const RAISE_PER_END: f64 = 1.0;
 
-/// After this many responses in a row for which the server took less than [`SHORTER`] of the mean, work has become
+/// After this many responses in a row for which the server took less than [`SHORTER_WORK_RATIO`] of the mean, work has become
 /// shorter, and the former work no longer counts.
-const SHORTER_ENDS: u32 = 3;
+const MIN_SHORTER_RESPONSES: u32 = 3;
 
-/// See [`SHORTER_ENDS`]. Work that differs less is followed by the mean soon enough.
-const SHORTER: f64 = 0.25;
+/// See [`MIN_SHORTER_RESPONSES`]. Work that differs less is followed by the mean soon enough.
+const SHORTER_WORK_RATIO: f64 = 0.25;
 
 /// How long a new hub rejects no request by the rate at which slots became free: reports take up to 250 ms.
-const FIRST_ROUND: Duration = Duration::from_millis(300);
+const NEW_HUB_PERIOD: Duration = Duration::from_millis(300);
 
 /// The length of the windows of [`RecentMin`].
-const MIN_WINDOW: Duration = Duration::from_secs(1);
+const MIN_WINDOW_LENGTH: Duration = Duration::from_secs(1);
 
 /// A moving mean over about `SAMPLES` samples, in seconds.
 #[derive(Clone, Copy, Debug, Default)]
@@ -91,7 +91,7 @@
 
 impl RecentMin {
     fn add(&mut self, sample: f64, now: Instant) {
-        if now.since(self.since) >= MIN_WINDOW {
+        if now.since(self.since) >= MIN_WINDOW_LENGTH {
             self.former = self.current.take();
             self.since = now;
         }
@@ -135,7 +135,7 @@
 
     /// Whether the first requests arrived so recently that the rate at which slots become free is not known.
     pub(super) fn is_new(&self, now: Instant) -> bool {
-        let is_recent = |started| now.since(started) < FIRST_ROUND;
+        let is_recent = |started| now.since(started) < NEW_HUB_PERIOD;
         self.started.is_some_and(is_recent)
     }
 }
@@ -248,7 +248,11 @@
     fn present_at(&self, in_flight: u32, slots: u32, now: Instant) -> f64 {
         let (present, since) = self.present;
         let elapsed = now.since(since).as_secs_f64();
-        let pace = if self.waiting > slots { 1.0 } else { PACE };
+        let pace = if self.waiting > slots {
+            1.0
+        } else {
+            SPEED_MARGIN
+        };
         let worked_off = |work| elapsed * f64::from(slots) * pace / work;
         let ended = self.work().map_or(0.0, worked_off);
         (present - ended).clamp(0.0, f64::from(in_flight))
@@ -279,9 +283,12 @@
         // By Little's law, the share of the time at the server that is work equals the share of the requests there that
         // run. While requests wait, all slots run.
         let (slots, queued) = (f64::from(slots), f64::from(self.waiting));
-        let is_shorter = self.work.get().is_some_and(|work| time < work * SHORTER);
+        let is_shorter = self
+            .work
+            .get()
+            .is_some_and(|work| time < work * SHORTER_WORK_RATIO);
         self.shorter_ends = if is_shorter { self.shorter_ends + 1 } else { 0 };
-        if self.shorter_ends >= SHORTER_ENDS {
+        if self.shorter_ends >= MIN_SHORTER_RESPONSES {
             self.work = Mean::default();
         }
         self.last_work = time * slots / (slots + queued);
@@ -321,7 +328,10 @@
         let allowed_waiting = slot_count * objective * OBJECTIVE_SHARE / work;
         self.allowed_waiting = allowed_waiting.max(f64::from(unmeasured));
         let (extra, reason) = least([
-            (slot_count * overhead * SPREAD / work, Reason::Overhead),
+            (
+                slot_count * overhead * OVERHEAD_MARGIN / work,
+                Reason::Overhead,
+            ),
             (self.cap.unwrap_or(f64::INFINITY), Reason::Full),
             (slot_count * MAX_EXTRA_PER_SLOT, Reason::Maximum),
         ]);
--- a/crates/core/src/pool/placement.rs
+++ b/crates/core/src/pool/placement.rs
@@ -103,8 +103,8 @@
 }
 
 impl Candidate {
-    /// The cost of the request there, in events of that engine, so that a slot of a fast engine is as much dearer as it
-    /// does more work. Where an objective is nearly used up, an error of the estimate costs it.
+    /// The cost of the request there, in events of that engine: a slot of a fast engine costs proportionally more, as it does
+    /// more work. Where an objective is nearly used up, an error of the estimate costs it.
     fn cost(&self) -> f64 {
         let events = self.estimate.completion / self.estimate.gap.max(f64::MIN_POSITIVE);
         events * (1.0 + self.risk * self.risk) + self.estimate.harm
--- a/crates/core/src/pool/retry_schedule.rs
+++ b/crates/core/src/pool/retry_schedule.rs
@@ -22,7 +22,7 @@
 
 /// The length of the steps in which returns are counted: short enough that the returns of one step fit into a queue that
 /// is served within the latency objectives.
-const STEP: Duration = Duration::from_millis(50);
+const RETURN_STEP: Duration = Duration::from_millis(50);
 
 /// The shortest time after which a caller should retry. A request that could be served sooner stays queued instead.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -79,8 +79,8 @@
 pub(super) struct RetrySchedule {
     /// How many callers return in each step.
     returns: BTreeMap<u64, u32>,
-    /// The last time that a caller of a rank was told.
-    told: BTreeMap<Rank, Instant>,
+    /// The last scheduled time of each rank.
+    last_due: BTreeMap<Rank, Instant>,
     expected: HashMap<Identity, Expected>,
     /// The expected callers by their time.
     by_time: BTreeSet<(Instant, Identity)>,
@@ -89,12 +89,12 @@
 }
 
 fn step_of(time: Instant) -> u64 {
-    let steps = time.since(Instant::default()).as_micros() / STEP.as_micros();
+    let steps = time.since(Instant::default()).as_micros() / RETURN_STEP.as_micros();
     u64::try_from(steps).unwrap_or(u64::MAX)
 }
 
 fn start_of(step: u64) -> Instant {
-    let step_micros = u64::try_from(STEP.as_micros()).unwrap_or(u64::MAX);
+    let step_micros = u64::try_from(RETURN_STEP.as_micros()).unwrap_or(u64::MAX);
     Instant(step.saturating_mul(step_micros))
 }
 
@@ -128,7 +128,7 @@
             arrived: rejected.arrived,
             due,
         };
-        self.told.insert(rejected.rank, due);
+        self.last_due.insert(rejected.rank, due);
         self.expect(rejected.identity.clone(), expected);
         due
     }
@@ -139,8 +139,8 @@
         let honoured = rejected.deadline.since(now) / MAX_RETRY_AFTER_DIVISOR;
         let first = now + MIN_RETRY_AFTER;
         let latest = now + honoured.min(MAX_RETRY_AFTER);
-        let more_urgent = self.told.range(..rejected.rank).map(|(_, told)| *told);
-        let more_urgent = more_urgent.filter(|told| *told <= latest);
+        let more_urgent = self.last_due.range(..rejected.rank).map(|(_, due)| *due);
+        let more_urgent = more_urgent.filter(|due| *due <= latest);
         let missed = rejected.returned.map(|returned| returned.due);
         let earliest = more_urgent.chain(missed).fold(first, Instant::max);
         (earliest.min(latest), latest)
@@ -150,7 +150,7 @@
     fn time_in(&self, step: u64, per_second: f64) -> Option<Instant> {
         let max = part_of_step(per_second, step);
         let returns = self.returns.get(&step).copied().unwrap_or(0);
-        (returns < max).then(|| start_of(step) + STEP * returns / max)
+        (returns < max).then(|| start_of(step) + RETURN_STEP * returns / max)
     }
 
     fn expect(&mut self, identity: Identity, expected: Expected) {
--- a/crates/curlewlift/src/control/in_flight.rs
+++ b/crates/curlewlift/src/control/in_flight.rs
@@ -1,4 +1,4 @@
-//! What operators learn of the measured limits of requests in flight.
+//! Reports the measured limits of requests in flight to operators.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -15,13 +15,13 @@
 
 use super::replica::State;
 
-/// The shortest time between two looks at the limits, which change many times a second.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// The shortest time between two reports of the limits, which change many times a second.
+const LIMIT_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The most log lines of one look, as a service may have hundreds of servers.
-const MAX_LINES: usize = 10;
+/// The most log lines of one report, as a service may have hundreds of servers.
+const MAX_LINES_PER_REPORT: usize = 10;
 
-/// The limits that operators were last told of.
+/// The limits that were last reported to operators.
 #[derive(Debug, Default)]
 pub(super) struct KnownLimits {
     by_incarnation: HashMap<Arc<str>, InFlightLimit>,
@@ -41,8 +41,8 @@
         for (service, limit) in limits {
             let known = former.get(&limit.incarnation);
             let is_notable = known.is_none_or(|known| limit.is_notable_after(known));
-            let known = known.filter(|_| !is_notable || lines.len() >= MAX_LINES);
-            if known.is_none() && lines.len() < MAX_LINES {
+            let known = known.filter(|_| !is_notable || lines.len() >= MAX_LINES_PER_REPORT);
+            if known.is_none() && lines.len() < MAX_LINES_PER_REPORT {
                 lines.push(line(service, limit));
             }
             let known = known.unwrap_or(limit).clone();
@@ -85,11 +85,11 @@
 }
 
 impl State {
-    /// Sets the metrics of the limits, and notes those that have changed notably, at most once per [`INTERVAL`].
+    /// Sets the metrics of the limits, and notes those that have changed notably, at most once per [`LIMIT_REPORT_INTERVAL`].
     pub(super) fn note_in_flight_limits(&mut self) {
         let now = self.clock.now();
         let updated_at = self.known_limits.updated_at;
-        if updated_at.is_some_and(|updated_at| now.since(updated_at) < INTERVAL) {
+        if updated_at.is_some_and(|updated_at| now.since(updated_at) < LIMIT_REPORT_INTERVAL) {
             return;
         }
         self.known_limits.updated_at = Some(now);
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -82,7 +82,7 @@
     pub(super) hub: Option<Hub>,
     /// Requests that wait for a slot at a backend server, while this replica leads.
     pub(super) pending_slots: HashMap<Ticket, oneshot::Sender<SlotAnswer>>,
-    /// The limits of requests in flight that operators were last told of.
+    /// The limits of requests in flight that were last reported to operators.
     pub(super) known_limits: KnownLimits,
     /// Wakes polls and requests that wait for a newer table or server list.
     pub(super) updates: Rc<Notify>,
