Log which servers the hub avoids, and by whose report

Event 423 and a counter name the server, the host whose attempt failed and the time. Links, like Clock, lets a test make connections of one host fail.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -121,4 +121,5 @@
     InFlightLimit = 420, "in-flight-limit", "The number of requests that a backend server may have in flight has changed to less than half or more than twice, or has another reason; the detail has the service, the server, its slots, the number and the reason.";
     ShareExceeded = 421, "share-exceeded", "A customer asks for more than its share of the slots of a service that has too few for all; the detail has the slot time that it asked for and received.";
     ShareKept = 422, "share-kept", "A customer no longer asks for more than its share of the slots of a service, or there are enough for all; the detail has the slot time that it asked for and received.";
+    ServerAvoided = 423, "server-avoided", "The hub keeps new requests away from a backend server for a while; the detail has the service, the server, the host whose attempt failed, the failure, and for how long.";
 }
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -63,6 +63,24 @@
     pub(super) retry_after: Option<Duration>,
 }
 
+/// A backend server that gets no new requests for a while, because an attempt there failed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AvoidedServer {
+    /// The service.
+    pub service: id::Service,
+    /// The incarnation.
+    pub incarnation: Arc<str>,
+    /// The host whose attempt failed.
+    pub host: id::Host,
+    /// How the attempt ended.
+    pub outcome: AttemptOutcome,
+    /// For how long.
+    pub avoid_for: Duration,
+}
+
+/// The most avoided servers that are kept for operators between two calls of [`Dispatcher::take_avoided`].
+const MAX_AVOIDED_SERVERS: usize = 32;
+
 /// A queued request.
 #[derive(Clone, Debug)]
 struct Waiting {
@@ -94,6 +112,8 @@
     reserved_shares: Arc<[(id::Host, SlotShare)]>,
     /// The request rates of cold servers, by service, and when they were set.
     warmups: (BTreeMap<id::Service, Warmup>, Instant),
+    /// The servers that have been avoided since operators were last told.
+    avoided: Vec<AvoidedServer>,
 }
 
 impl Dispatcher {
@@ -223,6 +243,15 @@
         for attempt in attempts {
             if let Some(pool) = self.pools.get_mut(&attempt.service) {
                 pool.observe(&attempt.incarnation, attempt.outcome, now);
+                if attempt.outcome.is_break() && self.avoided.len() < MAX_AVOIDED_SERVERS {
+                    self.avoided.push(AvoidedServer {
+                        service: attempt.service.clone(),
+                        incarnation: Arc::clone(&attempt.incarnation),
+                        host: host.clone(),
+                        outcome: attempt.outcome,
+                        avoid_for: pool.avoid_for(&attempt.incarnation, now),
+                    });
+                }
                 let is_own = attempt.grant.hub_id == self.hub_id;
                 let number = Some(attempt.grant.number).filter(|_| is_own);
                 if let Some(number) = number {
@@ -305,6 +334,11 @@
             .collect()
     }
 
+    /// Returns the servers that get no new requests for a while, since the last call.
+    pub(super) fn take_avoided(&mut self) -> Vec<AvoidedServer> {
+        std::mem::take(&mut self.avoided)
+    }
+
     /// Returns the number of the last grant.
     pub(super) fn last_grant(&self) -> u64 {
         self.occupancy.last_grant()
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -17,6 +17,7 @@
 use super::Report;
 use super::SlotRequest;
 use super::Ticket;
+use super::dispatch::AvoidedServer;
 use super::dispatch::Released;
 use super::grant::Reservation;
 
@@ -149,6 +150,11 @@
         self.dispatcher.take_placements()
     }
 
+    /// Returns the servers that get no new requests for a while after a failed attempt, since the last call.
+    pub fn take_avoided(&mut self) -> Vec<AvoidedServer> {
+        self.dispatcher.take_avoided()
+    }
+
     /// Removes requests that are unlikely to get a slot in time from the queue, and returns them
     /// together with those that quarantine has rejected since the last call.
     pub fn reject_doomed(&mut self, now: Instant) -> Vec<RejectedRequest> {
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Whether the server broke off, could not be reached, or was silent.
+    pub(crate) fn is_break(self) -> bool {
+        matches!(self, Self::Broken | Self::TimedOut)
+    }
+
     /// Whether the attempt is over.
     pub(crate) fn is_end(self) -> bool {
         !matches!(self, Self::Began { .. })
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -7,6 +7,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
+use curlewlift_core::gateway::AvoidedServer;
 use curlewlift_core::gateway::Grant;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::RejectedRequest;
@@ -182,6 +183,22 @@
                     )));
             }
         }
+        for avoided in hub.take_avoided() {
+            let AvoidedServer {
+                service,
+                incarnation,
+                host,
+                outcome,
+                avoid_for,
+            } = avoided;
+            metrics::counter!("curlewlift_servers_avoided", "service" => service.to_string())
+                .increment(1);
+            let avoid_ms = avoid_for.as_millis();
+            self.timeline
+                .note(Line::new(Kind::ServerAvoided).detail(format_args!(
+                    "service={service} server={incarnation} host={host} outcome={outcome:?} avoid_ms={avoid_ms}"
+                )));
+        }
         for rejected in hub.reject_doomed(now) {
             self.notify_rejected(&rejected);
         }
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -19,6 +19,7 @@
 use curlewlift_core::route::Regions;
 
 use crate::control::KnownHosts;
+use crate::links::Links;
 use crate::process;
 use crate::process::Clock;
 use crate::process::Order;
@@ -82,6 +83,8 @@
     pub(crate) known_replicas: KnownHosts,
     /// Clock for its decisions.
     pub(crate) clock: Clock,
+    /// Its links to backend servers.
+    pub(crate) links: Links,
 }
 
 impl fmt::Debug for Gateway {
@@ -137,7 +140,7 @@
         );
         let node = node.clock(self.clock).first_start(self.first_start);
         let node = node.regions(self.regions).scheduling(self.scheduling);
-        let node = node.memory_budget(self.memory_budget);
+        let node = node.memory_budget(self.memory_budget).links(self.links);
         let node = Rc::new(node);
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -22,10 +22,11 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::links::Links;
+
 use super::deadline::Deadline;
 use super::dialect::Dialect;
 use super::dialect::ResponseHead;
@@ -101,11 +102,8 @@
     deadline: &Deadline,
     silence_limit: Duration,
 ) -> Result<ResponseStart, (Failure, Slot)> {
-    let connected = connect(
-        slot.server.address,
-        CONNECT_TIMEOUT.min(deadline.remaining()),
-    )
-    .await;
+    let time_limit = CONNECT_TIMEOUT.min(deadline.remaining());
+    let connected = connect(slot.links(), slot.server.address, time_limit).await;
     let (mut sender, connection) = match connected {
         Ok(connected) => connected,
         Err(failure) => return Err((failure, slot)),
@@ -139,10 +137,11 @@
 
 /// Connects to `address` within `time_limit`.
 async fn connect(
+    links: &Links,
     address: SocketAddr,
     time_limit: Duration,
 ) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure> {
-    let connected = tokio::time::timeout(time_limit, TcpStream::connect(address)).await;
+    let connected = tokio::time::timeout(time_limit, links.connect(address)).await;
     let stream = connected
         .map_err(|_| Failure::NotSent("the connection was not established in time".to_owned()))?
         .map_err(|error| Failure::NotSent(error.to_string()))?;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -36,6 +36,7 @@
 use tokio::sync::Notify;
 
 use crate::control::KnownHosts;
+use crate::links::Links;
 use crate::process::Clock;
 use crate::rpc;
 
@@ -108,6 +109,8 @@
     /// How request and response heads are read and written.
     pub(super) dialect: Dialect,
     pub(super) clock: Clock,
+    /// Its links to backend servers.
+    pub(super) links: Links,
     /// Which region each data hall is in.
     pub(super) regions: Regions,
     /// The bytes that requests and responses hold here.
@@ -188,6 +191,7 @@
             gateway,
             dialect,
             clock: Clock::start(),
+            links: Links::default(),
             regions: Regions::default(),
             memory_budget: RefCell::default(),
             scheduling: Scheduling::default(),
@@ -227,6 +231,12 @@
         self
     }
 
+    /// Uses `links` to connect to backend servers.
+    pub(super) fn links(mut self, links: Links) -> Self {
+        self.links = links;
+        self
+    }
+
     /// Sets which region each data hall is in.
     pub(super) fn regions(mut self, regions: Regions) -> Self {
         self.regions = regions;
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -21,6 +21,8 @@
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::unit::Tokens;
 
+use crate::links::Links;
+
 use super::hub_slots::AttemptContext;
 use super::loan::Loan;
 use super::log::Line;
@@ -100,6 +102,11 @@
         self
     }
 
+    /// This host's links to backend servers.
+    pub(super) fn links(&self) -> &Links {
+        &self.node.links
+    }
+
     /// Whether the hub granted the slot and charged the request's cost.
     pub(super) fn is_hub_granted(&self) -> bool {
         self.grant.is_some()
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -31,6 +31,7 @@
 use crate::gateway::StartListeners;
 use crate::gateway::StopTiming;
 use crate::gateway::serve;
+use crate::links::Links;
 use crate::process;
 use crate::process::Clock;
 use crate::process::Process;
@@ -76,6 +77,7 @@
     settings: Settings,
     scheduling: Scheduling,
     clock: Clock,
+    links: Links,
 }
 
 impl Platform {
@@ -91,6 +93,7 @@
             settings,
             scheduling: Scheduling::default(),
             clock: Clock::start(),
+            links: Links::default(),
         })
     }
 
@@ -101,6 +104,13 @@
         self
     }
 
+    /// Uses `links` to connect to backend servers.
+    #[must_use]
+    pub fn links(mut self, links: Links) -> Self {
+        self.links = links;
+        self
+    }
+
     /// Switches on parts of scheduling under hard load.
     #[must_use]
     pub fn scheduling(mut self, scheduling: Scheduling) -> Self {
@@ -114,16 +124,18 @@
     ///
     /// [`Code::BadSetting`] if it cannot listen at one of its addresses.
     pub fn start(self) -> Result<Process, Refusal> {
-        start(self.path, self.settings, self.scheduling, self.clock)
+        start(self)
     }
 }
 
-fn start(
-    path: PathBuf,
-    settings: Settings,
-    scheduling: Scheduling,
-    clock: Clock,
-) -> Result<Process, Refusal> {
+fn start(platform: Platform) -> Result<Process, Refusal> {
+    let Platform {
+        path,
+        settings,
+        scheduling,
+        clock,
+        links,
+    } = platform;
     let listen = &settings.listen;
     let callers = process::bind(listen.callers)?;
     let listeners = Listeners {
@@ -157,6 +169,7 @@
         discovery_address: settings.replica_address(settings.ip),
         known_replicas: known,
         clock,
+        links,
     };
     gateway.start(move || {
         let environment = environment(path, &settings);
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -15,6 +15,8 @@
 use std::time::Instant;
 
 use curlewlift::Clock;
+use curlewlift::LinkFault;
+use curlewlift::Links;
 use curlewlift::Platform;
 use curlewlift::Process;
 use curlewlift::core::event;
@@ -66,6 +68,8 @@
     processes: Vec<Option<Process>>,
     /// The clocks of the hosts.
     clocks: Vec<Clock>,
+    /// The hosts' links to engines.
+    links: Vec<Links>,
     list: SocketAddr,
     server_list: Arc<Mutex<ListState>>,
     /// The platform contracts that are enabled.
@@ -194,6 +198,9 @@
             clocks: (0..DISK_COUNT + without_disk)
                 .map(|_| Clock::start())
                 .collect(),
+            links: (0..DISK_COUNT + without_disk)
+                .map(|_| Links::default())
+                .collect(),
             list: serve_list(Arc::clone(&server_list)),
             server_list,
             contracts,
@@ -265,9 +272,22 @@
         let scheduling = self.scheduling.parse().expect("valid parts");
         let platform = platform.scheduling(scheduling);
         let platform = platform.clock(self.clocks[index].clone());
+        let platform = platform.links(self.links[index].clone());
         self.processes[index] = Some(platform.start().expect("the host starts"));
     }
 
+    /// Makes a host's new connections to these engines fail; `None` ends the fault.
+    pub(crate) fn set_link_fault(
+        &self,
+        index: usize,
+        engines: &[Engine],
+        fault: Option<LinkFault>,
+    ) {
+        for engine in engines {
+            self.links[index].simulate_fault(engine.address, fault);
+        }
+    }
+
     /// Makes a host resume after a suspension of `length`: its timers stood still, and its connections are unchanged.
     pub(crate) fn suspend(&self, index: usize, length: Duration) {
         self.clocks[index].simulate_suspend(length);
