Test that silent connections end by the user time-out

Linux also ends keep-alive probes by a user time-out, whatever their count. Without a test, a longer probe interval or a time-out shorter than the silence of a sound server would go unseen. Passes on this code.

--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -21,6 +21,9 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+#[cfg(test)]
+mod tests;
+
 /// The length of the queue of new connections that are not accepted yet. All hosts of a large fleet connect to a new
 /// leader at the same moment, and a SYN packet that finds the queue full is sent again only after a second.
 const ACCEPT_BACKLOG: i32 = 4_096;
