Bound the rejections of servers that fail from too many

Servers of an overloaded service may announce how many requests a second each of them may reject before it fails (Server-Brittle). Nothing read it: each gateway and each new hub could fill a server that lets fewer wait, and a fall moved its load to the others.

The hub now sends such a server only what it could reject as a whole: requests that it has not begun and those that it has rejected within the last second stay within the announced number, over all gateways, and no request beyond its slots. Gateways report both counts as they are with what they have in flight, so lost reports do no harm; a new hub waits until nothing that it does not know of can count, and without a hub nothing is sent there. The lowest number of a service holds for all of its servers.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -83,6 +83,7 @@
     RetryDenied = 219, "retry-denied", "A request is not retried because no account of the service's retry budget has a retry left; the log line has what was counted.";
     Shed = 220, "shed", "The owner of the service's queue has shed a queued request.";
     Owns = 221, "owns", "This entry has become the owner of a service's queue.";
+    RejectionLimit = 224, "rejection-limit", "How many requests a second a backend server may reject before it fails, as it announces in its responses, has changed. The log line has the number, none where it announces none any more. The hub sends it no more than it could reject.";
     RetryScheduled = 225, "retry-scheduled", "The hub has told the caller of a rejected request when to retry: the latest time that it honours at which fewer callers return than can be served. The log line has that time.";
     Tunnelled = 226, "tunnelled", "The request is sent through another gateway, as this host has lost its path to the backend server; the log line has the address of that gateway.";
     PaceChanged = 230, "pace-changed", "An engine takes several times its usual time, or has recovered from that; the detail has how many times it takes now. The hub places requests accordingly.";
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::pool::TrialVersion;
 use crate::quarantine::Identity;
 use crate::quarantine::Permit;
+use crate::rejection;
 use crate::route::Engine;
 
 use super::AttemptEnd;
@@ -103,6 +104,10 @@
     pools: BTreeMap<id::Service, Pool>,
     waiting: HashMap<Ticket, Waiting>,
     occupancy: Occupancy,
+    /// The rejections of servers that fail when they reject too many requests.
+    rejections: rejection::Totals,
+    /// Whether gateways may have requests in flight of which this hub has not heard.
+    is_settling: bool,
     grant_log: GrantLog,
     /// The parts of scheduling under hard load that are in use, by service.
     scheduling: BTreeMap<id::Service, Scheduling>,
@@ -136,6 +141,9 @@
         for (service, pool) in &mut self.pools {
             pool.update_servers(by_service.remove(service).unwrap_or_default());
         }
+        let pools = &self.pools;
+        self.rejections
+            .retain(|incarnation| pools.values().any(|pool| pool.get(incarnation).is_some()));
         for (service, servers) in by_service {
             let mut pool = Pool::new(pool::Tuning::default(), self.hub_id).for_all_gateways();
             pool.update_servers(servers);
@@ -233,6 +241,39 @@
         self.occupancy.report(host, last_seen, loads);
     }
 
+    /// Records what a gateway knows of servers that fail when they reject too many requests.
+    pub(super) fn record_rejections(
+        &mut self,
+        host: &id::Host,
+        reports: &[rejection::Report],
+        now: Instant,
+    ) {
+        for incarnation in self.rejections.record(host, reports, now) {
+            self.occupancy.mark_changed(&incarnation);
+        }
+    }
+
+    /// Sets whether gateways may have requests in flight of which this hub has not heard.
+    pub(super) fn set_settling(&mut self, is_settling: bool) {
+        self.is_settling = is_settling;
+    }
+
+    /// Applies the limits on rejections that gateways know from a former hub, while this one is new.
+    pub(super) fn inherit_rejection_limits(
+        &mut self,
+        limits: &[(id::Service, rejection::Limit)],
+        now: Instant,
+    ) {
+        if self.is_settling {
+            self.rejections.inherit(limits, now);
+        }
+    }
+
+    /// Returns how many requests a second each server of a service may reject, where that is limited.
+    pub(super) fn rejection_limits(&self) -> Vec<(id::Service, rejection::Limit)> {
+        self.rejections.limits()
+    }
+
     /// Records how attempts of a gateway ended.
     pub(super) fn record_outcomes(
         &mut self,
@@ -350,6 +391,9 @@
     /// Drops what a gateway that timed out had in flight.
     pub(super) fn drop_host(&mut self, host: &id::Host) {
         self.occupancy.drop_host(host);
+        for incarnation in self.rejections.drop_host(host) {
+            self.occupancy.mark_changed(&incarnation);
+        }
     }
 
     /// Returns what gateways other than `host` have in flight at `incarnations`.
@@ -454,7 +498,12 @@
     pub(super) fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant, Reservation)> {
         let reserved = self.reserved_shares.iter();
         let is_silent = |host: &id::Host| reserved.clone().any(|(other, _)| other == host);
-        self.occupancy.expire(is_silent, now);
+        for load in self.occupancy.expire(is_silent, now) {
+            self.rejections.record_unreported(&load.incarnation, now);
+        }
+        for incarnation in self.rejections.expire(now) {
+            self.occupancy.mark_changed(&incarnation);
+        }
         self.update_pools();
         let mut grants = Vec::new();
         for service in self.services_with_queue() {
@@ -515,8 +564,11 @@
     fn update_pools(&mut self) {
         for incarnation in self.occupancy.take_changed() {
             let in_flight = self.occupancy.get(&incarnation);
+            let requests = in_flight.map_or(0, |load| load.requests);
+            let exposure = self.rejections.exposure(&incarnation, requests);
             for pool in self.pools.values_mut() {
                 pool.set_in_flight(&incarnation, in_flight);
+                pool.set_exposure(&incarnation, exposure);
             }
         }
     }
@@ -529,6 +581,11 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return Vec::new();
         };
+        let rejection_limit = self.rejections.limit(service);
+        pool.set_rejection_limit(rejection_limit);
+        if rejection_limit.is_some() && self.is_settling {
+            return Vec::new();
+        }
         pool.limit_assignments(reserved.map(|reserved| pool.room().saturating_sub(reserved)));
         let assignments = pool.assign(now);
         for assignment in &assignments {
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -98,8 +98,14 @@
         self.last_grant
     }
 
-    /// Drops grants that were not reported in time, except those of hosts that `is_silent` says can't report.
-    pub(super) fn expire(&mut self, is_silent: impl Fn(&id::Host) -> bool, now: Instant) {
+    /// Drops grants that were not reported in time, except those of hosts that `is_silent` says can't report. Returns their
+    /// loads.
+    pub(super) fn expire(
+        &mut self,
+        is_silent: impl Fn(&id::Host) -> bool,
+        now: Instant,
+    ) -> Vec<Load> {
+        let mut dropped = Vec::new();
         let is_late = |at: Instant| now.since(at) >= GRANT_REPORT_TIMEOUT;
         let mut kept = Vec::new();
         while let Some((at, host)) = self.grant_order.pop_front_if(|(at, _)| is_late(*at)) {
@@ -111,13 +117,15 @@
             let expired = host_load.map(|host_load| {
                 host_load.remove_grants_while(|pending| is_late(pending.granted_at))
             });
-            for load in expired.iter().flatten() {
-                self.subtract(load);
+            for load in expired.into_iter().flatten() {
+                self.subtract(&load);
+                dropped.push(load);
             }
         }
         for entry in kept.into_iter().rev() {
             self.grant_order.push_front(entry);
         }
+        dropped
     }
 
     /// Drops what a gateway that timed out had in flight, as backend servers end requests whose
--- a/crates/core/src/gateway/polls.rs
+++ b/crates/core/src/gateway/polls.rs
@@ -96,6 +96,7 @@
             poll_timeout: self.poll_timeout(poll),
             server_list_version: self.server_list.version,
             policy: self.policy_update(poll),
+            rejection_limits: self.dispatcher.rejection_limits(),
             other_loads: self.dispatcher.other_loads(&poll.host, incarnations),
             ..Reply::default()
         }
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -20,6 +20,7 @@
 use super::dispatch::AvoidedServer;
 use super::dispatch::Released;
 use super::grant::Reservation;
+use super::limits::SETTLING_TIME;
 
 /// A queued request that the hub rejects.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -127,6 +128,8 @@
     /// Grants free slots to queued requests.
     pub fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
         self.dispatcher.set_on_trial(self.trials.on_trial());
+        self.dispatcher
+            .set_settling(now.since(self.started) < SETTLING_TIME);
         let reserved_shares = if self.dispatcher.has_local_slots() {
             self.retry_shares.reserved_shares(now)
         } else {
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::limit;
 use crate::quarantine;
+use crate::rejection;
 use crate::rollout::Policy;
 use crate::state::Publication;
 use crate::unit::Tokens;
@@ -144,6 +145,8 @@
     /// Which server versions and data halls gateways may send to by local decision, if the gateway
     /// applies another policy.
     pub policy: Option<Policy>,
+    /// How many requests a second each server of a service may reject before it fails, for services with such servers.
+    pub rejection_limits: Vec<(id::Service, rejection::Limit)>,
     /// The requests that other gateways have in flight at the servers of this gateway's subset.
     pub other_loads: Vec<Load>,
     /// The hosts of the control replicas.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
+pub mod rejection;
 pub mod rollout;
 pub mod route;
 pub mod state;
--- a/crates/core/src/limit/local.rs
+++ b/crates/core/src/limit/local.rs
@@ -253,6 +253,8 @@
         Reports {
             incarnation: self.incarnation,
             reports: reports.collect(),
+            rejections: Vec::new(),
+            rejection_limits: Vec::new(),
         }
     }
 
--- a/crates/core/src/limit/report.rs
+++ b/crates/core/src/limit/report.rs
@@ -8,6 +8,7 @@
 use crate::gateway::GrantId;
 use crate::gateway::Server;
 use crate::id;
+use crate::rejection;
 
 use super::Rate;
 
@@ -56,4 +57,8 @@
     pub incarnation: u64,
     /// The reports, in any order.
     pub reports: Vec<Report>,
+    /// What the gateway knows of servers that fail when they reject too many requests.
+    pub rejections: Vec<rejection::Report>,
+    /// The limits on rejections that the last hub has announced, for the next one.
+    pub rejection_limits: Vec<(id::Service, rejection::Limit)>,
 }
--- a/crates/core/src/pool/server_state.rs
+++ b/crates/core/src/pool/server_state.rs
@@ -23,6 +23,10 @@
     pub(super) own_requests: u32,
     /// Requests in flight of other gateways, as last reported.
     pub(super) other_requests: u32,
+    /// Those of them whose responses have not begun.
+    pub(super) own_unbegun: u32,
+    /// How many requests it could reject within a second, over all gateways, beside those sent from here.
+    pub(super) exposure: u32,
     /// Prompt tokens of requests sent from here whose responses have not begun.
     pub(super) own_prefill_tokens: u64,
     /// The same of other gateways, as last reported.
@@ -46,6 +50,8 @@
             is_listed: true,
             own_requests: 0,
             other_requests: 0,
+            own_unbegun: 0,
+            exposure: 0,
             own_prefill_tokens: 0,
             other_prefill_tokens: 0,
             first_byte: ServerLatency::default(),
@@ -103,12 +109,14 @@
     /// Counts a request that is sent there.
     pub(super) fn start_request(&mut self, prompt: Tokens) {
         self.own_requests += 1;
+        self.own_unbegun += 1;
         self.own_prefill_tokens = self.own_prefill_tokens.saturating_add(prompt.0);
     }
 
     /// Counts a request that was sent there as ended.
     pub(super) fn end_request(&mut self) {
         self.own_requests = self.own_requests.saturating_sub(1);
+        self.own_unbegun = self.own_unbegun.min(self.own_requests);
         if self.own_requests == 0 {
             self.own_prefill_tokens = 0;
         }
@@ -117,6 +125,7 @@
     /// Resets the counts of requests sent from here.
     pub(super) fn reset_own_load(&mut self) {
         self.own_requests = 0;
+        self.own_unbegun = 0;
         self.own_prefill_tokens = 0;
     }
 
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -16,6 +16,7 @@
 use crate::limit::Limit;
 use crate::limit::RateLimiter;
 use crate::limit::Warmup;
+use crate::rejection;
 use crate::route::Engine;
 use crate::unit::Tokens;
 
@@ -51,6 +52,8 @@
     /// The rate limits that servers have announced, and how much of them is used.
     pub(super) limits: RateLimiter,
     limit_wait: LimitWait,
+    /// The lowest number of rejections that a server has announced to withstand.
+    rejection_limit: Option<rejection::Limit>,
     pub(super) queue: Queue,
     pub(super) forecast: Forecast,
     /// When rejected callers should retry.
@@ -80,6 +83,7 @@
             notices: Notices::default(),
             limits: RateLimiter::closed(),
             limit_wait: LimitWait::default(),
+            rejection_limit: None,
             queue: Queue::new(tuning.scheduling.has(Part::FairShares)),
             forecast: Forecast::default(),
             retries: RetrySchedule::default(),
@@ -154,6 +158,26 @@
         });
     }
 
+    /// Sets how many requests a second each server may reject; `None` if that is not limited.
+    pub fn set_rejection_limit(&mut self, limit: Option<rejection::Limit>) {
+        self.rejection_limit = limit;
+    }
+
+    /// Sets how many requests an incarnation could reject within a second, over all gateways.
+    pub fn set_exposure(&mut self, incarnation: &str, exposure: u32) {
+        self.servers
+            .update(incarnation, |state| state.exposure = exposure);
+    }
+
+    /// How many requests in flight from here a server has begun.
+    #[must_use]
+    pub fn begun_requests(&self, incarnation: &str) -> u32 {
+        let state = self.servers.get(incarnation);
+        state.map_or(0, |state| {
+            state.own_requests.saturating_sub(state.own_unbegun)
+        })
+    }
+
     /// Sets the version on trial, which may get only a limited number of requests; `None` to treat all versions alike.
     pub fn set_trial(&mut self, trial: Option<TrialVersion>) {
         self.trial = trial;
@@ -325,6 +349,7 @@
     pub fn record_first_byte(&mut self, incarnation: &str, prompt: Tokens) {
         self.servers.update(incarnation, |state| {
             state.own_prefill_tokens = state.own_prefill_tokens.saturating_sub(prompt.0);
+            state.own_unbegun = state.own_unbegun.saturating_sub(1);
         });
     }
 
@@ -468,9 +493,14 @@
         assignments
     }
 
-    /// Whether a server may get another request at `now`, by the rate limit that it announced and by its measured work.
+    /// Whether a server may get another request at `now`, by the limits that it announced and by its measured work.
     pub(super) fn admits(&self, state: &ServerState, now: Instant) -> bool {
-        state.admits(now) && self.limits.admits(&state.server, now)
+        // A request beyond the slots is rejected if the server lets none wait.
+        let may_reject = self.rejection_limit.is_none_or(|limit| {
+            let has_slot = state.in_flight() < state.server.slots.max(1);
+            has_slot && limit.allows(state.exposure + state.own_unbegun)
+        });
+        may_reject && state.admits(now) && self.limits.admits(&state.server, now)
     }
 
     /// Whether a server has room but has used up its rate limit.
--- a/crates/core/tests/limit_reports.rs
+++ b/crates/core/tests/limit_reports.rs
@@ -82,6 +82,7 @@
         let reports = Reports {
             incarnation: 1,
             reports,
+            ..Reports::default()
         };
         self.table.record(&host(), &reports, last_grant, at(0));
     }
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -125,7 +125,7 @@
             given_up_unused: self.given_up_unused,
             limit_reports: Reports {
                 incarnation: self.process,
-                reports: Vec::new(),
+                ..Reports::default()
             },
             ..messages::poll(&self.host)
         }
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::limit::Announcement;
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::ReportedLoad;
+use curlewlift_core::rejection;
 
 /// What the header fields of a caller's request say.
 #[derive(Clone, Debug, Default)]
@@ -54,6 +55,8 @@
     pub(crate) notices: Vec<Notice>,
     /// The server's announced limit on requests a second.
     pub(crate) limit: Announcement,
+    /// How many requests a second the server may reject before it fails, if it says so.
+    pub(crate) rejection_limit: Option<rejection::Limit>,
 }
 
 /// The functions that parse and write the header fields of one wire format.
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -219,6 +219,7 @@
     if !head_fields.moved {
         slot.record_notices(&head_fields.notices);
         slot.record_limit(&head_fields.limit);
+        slot.record_rejection_limit(head_fields.rejection_limit);
     }
     ResponseStart {
         head,
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -112,7 +112,7 @@
             ),
             NoSlot::Limited => Refused::new(
                 Code::ServersLimited,
-                "all servers of the service have request limits, and the hub is not reachable",
+                "all servers of the service have limits, and the hub is not reachable",
             ),
             NoSlot::NoPath => Refused::new(
                 Code::NoPath,
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -321,7 +321,7 @@
             loads: node.loads(),
             ended: attempt_ends,
             observations: node.quarantine.borrow().get_evidence().unacknowledged().0,
-            limit_reports: node.limits.borrow().pending_reports(),
+            limit_reports: node.limit_reports(),
         };
         let call = RenewCall::Hub(HubCall::Report(report));
         let result: Result<HubReply, Refusal> = node
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -31,6 +31,7 @@
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::LocalLimiter;
 use curlewlift_core::quota::Tolerance;
+use curlewlift_core::rejection;
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Regions;
 use curlewlift_core::route::Table;
@@ -80,6 +81,8 @@
     pub(super) server_list_version: u64,
     /// Whether this gateway fetches the platform's server list for all gateways.
     pub(super) fetches_list: bool,
+    /// How many requests a second each server of a service may reject before it fails, for services with such servers.
+    pub(super) rejection_limits: Vec<(id::Service, rejection::Limit)>,
 }
 
 /// When the process was last seen to run. Tasks run in turn, so what is read now arrived after the former of two such
@@ -155,6 +158,8 @@
     pub(super) quarantine: RefCell<quarantine::LocalTracker>,
     /// What is known of rate limits that servers announce.
     pub(super) limits: RefCell<limit::LocalReports>,
+    /// What is known of servers that fail when they reject too many requests.
+    pub(super) rejections: RefCell<rejection::Tracker>,
     /// The retry budget of a service for which this gateway has counted nothing yet.
     pub(super) retry_budget: RefCell<RetryBudget>,
     /// The hosts known to run a control replica.
@@ -218,6 +223,7 @@
             standbys: RefCell::default(),
             quarantine: RefCell::default(),
             limits: RefCell::new(limit::LocalReports::new(rand::rng().next_u64())),
+            rejections: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_allowance)),
             known_replicas,
             hub: RefCell::default(),
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::gateway::Load;
 use curlewlift_core::id;
 use curlewlift_core::limit::Change;
+use curlewlift_core::limit::Reports;
 use curlewlift_core::limit::Slack;
 use curlewlift_core::limit::Warmup;
 use curlewlift_core::pool;
@@ -15,6 +16,7 @@
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Part;
 use curlewlift_core::pool::Ticket;
+use curlewlift_core::rejection;
 use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 
@@ -94,12 +96,32 @@
         self.with_service(name, places) == Some(true)
     }
 
-    /// Whether all servers of a service have announced limits.
+    /// Whether only the hub may choose servers of a service: all have announced request limits, or they fail when they
+    /// reject too many requests.
     pub(super) fn is_limited(&self, name: &id::Service) -> bool {
+        let hub = self.hub.borrow();
+        let mut limited = hub.rejection_limits.iter();
+        if self.rejections.borrow().is_limited(name) || limited.any(|(other, _)| other == name) {
+            return true;
+        }
         let is_limited = |service: &mut Service| service.pool.total_limit_rate().is_some();
         self.with_service(name, is_limited) == Some(true)
     }
 
+    /// What the hub is to know of limits that servers have announced.
+    pub(super) fn limit_reports(&self) -> Reports {
+        let begun = |report: &rejection::Report| {
+            let begun = |service: &mut Service| service.pool.begun_requests(&report.incarnation);
+            self.with_service(&report.service, begun).unwrap_or(0)
+        };
+        let now = self.now();
+        Reports {
+            rejections: self.rejections.borrow_mut().reports(begun, now),
+            rejection_limits: self.hub.borrow().rejection_limits.clone(),
+            ..self.limits.borrow().pending_reports()
+        }
+    }
+
     /// Applies what other gateways have in flight.
     pub(super) fn update_other_loads(&self, loads: &[Load]) {
         let mut services = self.services.borrow_mut();
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -20,6 +20,7 @@
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::ReportedLoad;
 use curlewlift_core::quarantine::Identity;
+use curlewlift_core::rejection;
 use curlewlift_core::unit::Tokens;
 use tokio::time::Instant;
 
@@ -284,6 +285,25 @@
         }
     }
 
+    /// Records how many requests a second the server may reject, as the head of a response announced it.
+    pub(super) fn record_rejection_limit(&self, limit: Option<rejection::Limit>) {
+        let now = self.node.now();
+        let incarnation = &self.server.incarnation;
+        let mut rejections = self.node.rejections.borrow_mut();
+        if rejections.record_response(&self.service, incarnation, limit, now) {
+            Line::new(Kind::RejectionLimit)
+                .with("server", &**incarnation)
+                .with("limit", limit.map(|limit| limit.0))
+                .write();
+        }
+    }
+
+    /// Whether the server rejected the request, or may have done so unseen.
+    fn is_maybe_rejected(&self) -> bool {
+        let is_unanswered = self.sent_at.is_some() && self.unread_prompt.is_some();
+        is_unanswered || self.outcome == AttemptOutcome::Full
+    }
+
     /// The server's rate limit as known here.
     pub(super) fn server_limit(&self) -> Announcement {
         let rate = self.node.limits.borrow().rate(&self.server);
@@ -334,6 +354,11 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.is_maybe_rejected() {
+            let now = self.node.now();
+            let mut rejections = self.node.rejections.borrow_mut();
+            rejections.record_rejection(&self.server.incarnation, now);
+        }
         self.record_first_byte();
         // Before the outcome is reported, so that one report contains both.
         self.report_request_outcome();
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -206,7 +206,7 @@
         given_up_unused: hub.given_up_unused,
         quarantine_version: quarantine.get_version(),
         observations: quarantine.get_evidence().unacknowledged().0,
-        limit_reports: limits.pending_reports(),
+        limit_reports: node.limit_reports(),
         limits_version: limits.get_table_version(),
         fetched_list: fetched_list.cloned(),
     }
@@ -233,6 +233,7 @@
         hub.newest_table = hub.newest_table.max(reply.newest_table);
         hub.fetches_list = reply.fetches_list;
         hub.server_list_version = reply.server_list_version;
+        hub.rejection_limits = reply.rejection_limits;
     }
     if let Some(update) = reply.quarantine {
         node.quarantine.borrow_mut().apply_update(&update);
--- a/crates/curlewlift/src/platform/headers.rs
+++ b/crates/curlewlift/src/platform/headers.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::limit::Rate;
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::ReportedLoad;
+use curlewlift_core::rejection;
 
 use crate::gateway::BackendHead;
 use crate::gateway::Dialect;
@@ -50,6 +51,8 @@
 const DRAINING: HeaderName = HeaderName::from_static("server-leaving");
 /// How many requests a second the backend server accepts from all hosts together.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// How many requests a second the backend server may reject before it fails.
+const REJECTION_LIMIT: HeaderName = HeaderName::from_static("server-brittle");
 
 /// The status of a response from another server or incarnation, which now has the address.
 const MISDIRECTED_STATUS: u16 = 421;
@@ -165,6 +168,7 @@
         load: reported_load(headers),
         notices: notices(status, headers),
         limit: announced_limit(headers),
+        rejection_limit: rejection_limit(headers),
     }
 }
 
@@ -186,6 +190,18 @@
     limit
 }
 
+/// How many requests a second the server may reject before it fails; if it says so several times, the lowest number.
+fn rejection_limit(headers: &HeaderMap) -> Option<rejection::Limit> {
+    let values = headers.get_all(REJECTION_LIMIT).iter();
+    let limits = values.filter_map(|value| {
+        let text = String::from_utf8_lossy(value.as_bytes());
+        let limit = text.parse();
+        let limit = limit.inspect_err(|why| log::warn!("{REJECTION_LIMIT}: `{text}`: {why}"));
+        limit.ok()
+    });
+    limits.min()
+}
+
 /// What the server announces about its own state.
 fn notices(status: u16, headers: &HeaderMap) -> Vec<Notice> {
     let mut notices = Vec::new();
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -88,6 +88,10 @@
     draining: Arc<AtomicBool>,
     /// The limit that it announces in its responses, in requests per second.
     limit: Arc<Mutex<Option<String>>>,
+    /// How many requests a second it says that it may reject, and how many it runs at a time.
+    rejection_limit: Arc<Mutex<Option<(u32, usize)>>>,
+    /// When it rejected requests as it had no room.
+    rejections: Arc<Mutex<Vec<Instant>>>,
     /// When it first announced its limit, in all and to each host.
     announcements: Arc<Mutex<LimitAnnouncements>>,
     /// The requests with the behavior `work` that run, and the most that ran at the same time.
@@ -157,6 +161,8 @@
             backoff_periods: Arc::default(),
             draining: Arc::default(),
             limit: Arc::default(),
+            rejection_limit: Arc::default(),
+            rejections: Arc::default(),
             announcements: Arc::default(),
             working: Arc::default(),
         };
@@ -265,6 +271,45 @@
         window_ends.map(within).max().unwrap_or(0)
     }
 
+    /// Makes it say how many requests a second it may reject, and run no more than `room` at a time.
+    pub(crate) fn set_rejection_limit(&self, limit: u32, room: usize) {
+        let limit = Some((limit, room));
+        *self
+            .rejection_limit
+            .lock()
+            .expect("the lock is not poisoned") = limit;
+    }
+
+    /// Returns the most requests that it rejected within a second, from the time `from` on.
+    pub(crate) fn max_rejections(&self, from: Instant) -> usize {
+        let rejections = self.rejections.lock().expect("the lock is not poisoned");
+        let rejections: Vec<_> = rejections.iter().filter(|at| **at >= from).collect();
+        let within = |first: &Instant| {
+            let window = *first..*first + Duration::from_secs(1);
+            rejections.iter().filter(|at| window.contains(**at)).count()
+        };
+        rejections
+            .iter()
+            .map(|first| within(first))
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Whether it has no room for another request; if so, the rejection is counted.
+    fn rejects(&self) -> bool {
+        let limit = *self
+            .rejection_limit
+            .lock()
+            .expect("the lock is not poisoned");
+        let running = self.working.lock().expect("the lock is not poisoned").0;
+        let is_full = limit.is_some_and(|(_, room)| running >= room);
+        if is_full {
+            let mut rejections = self.rejections.lock().expect("the lock is not poisoned");
+            rejections.push(Instant::now());
+        }
+        is_full
+    }
+
     /// Returns how often a request has crashed it.
     pub(crate) fn crash_count(&self) -> u64 {
         self.crashes.load(Ordering::SeqCst)
@@ -370,6 +415,13 @@
             announcements.by_host.entry(host.to_owned()).or_insert(now);
             common_headers = format!("{common_headers}Server-Limit: {limit}\r\n");
         }
+        let limit = *self
+            .rejection_limit
+            .lock()
+            .expect("the lock is not poisoned");
+        if let Some((limit, _)) = limit {
+            common_headers = format!("{common_headers}Server-Brittle: {limit}\r\n");
+        }
         common_headers
     }
 
@@ -427,6 +479,10 @@
                 let from = last_event.map_or(1, |last_event| last_event + 1);
                 events_with_pause(&mut stream, id, signed, from, None, SILENCE);
             }
+            "work" if self.rejects() => {
+                let headers = self.common_headers("X-Not-Executed: 1\r\n", host);
+                answer(stream, 503, id, &headers, "");
+            }
             "work" => {
                 self.work();
                 answer(stream, 200, id, signed, "done");
--- a/crates/curlewlift/tests/platform/three_hosts.rs
+++ b/crates/curlewlift/tests/platform/three_hosts.rs
@@ -101,6 +101,16 @@
     /// Sends requests to these hosts for `time`, with four callers per host that each send one request after the other;
     /// returns the responses.
     pub(crate) fn send_for(&self, host_indices: &[usize], time: Duration) -> Vec<Answer> {
+        self.send_behavior_for(host_indices, time, "answer")
+    }
+
+    /// Does the same; `behavior` says what the engine does.
+    pub(crate) fn send_behavior_for(
+        &self,
+        host_indices: &[usize],
+        time: Duration,
+        behavior: &str,
+    ) -> Vec<Answer> {
         let until = Instant::now() + time;
         std::thread::scope(|scope| {
             let callers = host_indices
@@ -111,7 +121,7 @@
                     let mut answers = Vec::new();
                     while Instant::now() < until {
                         let number = answers.len() * 4 + sender;
-                        answers.push(self.send_open(host, number));
+                        answers.push(self.send(host, number, "/open/", behavior));
                         std::thread::sleep(Duration::from_millis(20));
                     }
                     answers
