--- a/crates/curlewlift/tests/platform_unreachable.rs
+++ b/crates/curlewlift/tests/platform_unreachable.rs
@@ -150,6 +150,13 @@
         let is_whole = answer.whole && answer.body.contains(body);
         assert!(is_whole, "{path} {behavior}: {}", answer.body);
     }
+    let large = "x".repeat(90_000);
+    let head = "POST /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: h0-large";
+    let answer = platform::send_request(world.hosts.callers(0), head, &large);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let mut received = world.engines.iter().flat_map(platform::Engine::received);
+    let is_large = |request: platform::ReceivedRequest| request.body == large;
+    assert!(received.any(is_large), "the whole body arrived");
     // A response without its end must not look whole.
     let answer = world.send(0, 1, "/stream/", "break");
     assert!(!answer.whole, "{}", answer.body);
