Refund grants that reach their gateway too late

Callers got 429 below their quota: a gateway that had given up waiting for the hub's reply decided by itself and charged the request a second time, while the hub's charge for the grant it never used stayed.

A gateway now waits for the reply in the background, returns the grant, and the hub refunds its charge, once, whoever reports it how often. The slot is released by the same report instead of a time-out.

Ruled out: a charge cannot be refunded by the end of an attempt, as a request that is retried is charged for its first attempt only.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -164,6 +164,7 @@
             loads: loads.collect(),
             ended: Vec::new(),
             observations: Vec::new(),
+            unused: Vec::new(),
             limit_reports: Reports::default(),
         };
         self.hub.report(&report, self.now);
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::pool::TrialVersion;
 use crate::quarantine::Identity;
 use crate::quarantine::Permit;
+use crate::quota::Charge;
 use crate::rejection;
 use crate::route::Engine;
 
@@ -274,6 +275,12 @@
         self.rejections.limits()
     }
 
+    /// Removes the charge of a grant of this hub that was not used. Returns nothing if it has none, or is not known.
+    pub(super) fn take_charge(&mut self, grant: GrantId) -> Option<Charge> {
+        let is_own = grant.hub_id == self.hub_id;
+        is_own.then(|| self.grant_log.take_charge(grant.number))?
+    }
+
     /// Records how attempts of a gateway ended.
     pub(super) fn record_outcomes(
         &mut self,
@@ -622,7 +629,9 @@
         if let Some(pool) = self.pools.get_mut(&ticket.service) {
             pool.record_grant(&incarnation, ticket.number, id.number);
         }
-        self.grant_log.record(id.number, incarnation, customer, now);
+        let charge = reservation.charge.clone();
+        self.grant_log
+            .record(id.number, incarnation, customer, charge, now);
         let permit = reservation.permit.as_ref().map(|permit| permit.number);
         let grant = Grant {
             id,
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -195,6 +195,8 @@
     pub loads: Vec<Load>,
     /// The attempts that ended since the last report.
     pub ended: Vec<AttemptEnd>,
+    /// The grants that came too late to be used. Nothing was sent with them, so their charges are refunded.
+    pub unused: Vec<GrantId>,
     /// Its observations of requests under which servers crashed.
     pub observations: Vec<Observation>,
     /// Its reports of limits that servers announced.
--- a/crates/core/src/gateway/grant_log.rs
+++ b/crates/core/src/gateway/grant_log.rs
@@ -7,6 +7,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::pool::Release;
+use crate::quota::Charge;
 
 use super::AttemptEnd;
 
@@ -22,6 +23,8 @@
 struct Entry {
     incarnation: Arc<str>,
     customer: Option<id::Customer>,
+    /// What was charged to the customer's quota for the grant.
+    charge: Option<Charge>,
     granted_at: Instant,
 }
 
@@ -39,6 +42,7 @@
         number: u64,
         incarnation: Arc<str>,
         customer: Option<id::Customer>,
+        charge: Option<Charge>,
         now: Instant,
     ) {
         while let Some(oldest) = self.entries.first_entry()
@@ -52,11 +56,17 @@
         let entry = Entry {
             incarnation,
             customer,
+            charge,
             granted_at: now,
         };
         self.entries.insert(number, entry);
     }
 
+    /// Removes the charge of the grant `number`, which was not used. Returns nothing if it has none, or is not known.
+    pub(super) fn take_charge(&mut self, number: u64) -> Option<Charge> {
+        self.entries.get_mut(&number)?.charge.take()
+    }
+
     /// Forgets the grant `number`, whose request ended as `end` says. Returns nothing if it is not known.
     pub(super) fn finish(
         &mut self,
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -118,6 +118,11 @@
     pub fn report(&mut self, report: &Report, now: Instant) {
         self.dispatcher
             .report(&report.host, report.last_grant, &report.loads);
+        for grant in &report.unused {
+            if let Some(charge) = self.dispatcher.take_charge(*grant) {
+                self.limiter.refund_unused(&charge, now);
+            }
+        }
         self.dispatcher
             .record_outcomes(&report.host, &report.ended, now);
         self.observe_outcomes(&report.ended);
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Refunds the committed charge of a request that was certainly not sent after all.
+    pub fn refund_unused(&mut self, charge: &Charge, now: Instant) {
+        if let Some(state) = self.customers.get_mut(&charge.customer) {
+            state.fill(&self.tolerance, self.hub_share, now);
+            state.bucket.charge(-to_f64(charge.cost));
+            state.bucket.cap(state.burst(self.hub_share));
+        }
+    }
+
     fn fill(&mut self, now: Instant) {
         for state in self.customers.values_mut() {
             state.fill(&self.tolerance, self.hub_share, now);
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -218,6 +218,34 @@
     }
 }
 
+/// Grants that reach their gateways too late are charged only until they are returned, however often, to whichever hub.
+#[test]
+fn late_grants() {
+    for seed in 0..100 {
+        let mut world = World::new(12, seed);
+        world.late_percent = 50;
+        for _ in 0..12 {
+            world.inject_fault();
+            let load = world.random_load();
+            world.run_for(seconds(2), load);
+        }
+        assert!(
+            world.is_within_bound(),
+            "seed {seed}: {} in a window",
+            world.max_admitted
+        );
+    }
+    let mut world = World::new(12, 1);
+    world.run_for(seconds(3), 30_000.0);
+    world.late_percent = 50;
+    world.run_for(seconds(12), 10.0 * 33_000.0);
+    assert!(
+        world.total > 500_000,
+        "the quota is not used: {}",
+        world.total
+    );
+}
+
 /// When a quota is lowered, earlier use is not charged to the lower one, which is met from the next window on.
 #[test]
 fn lowered_quota() {
--- a/crates/core/tests/support/gateways.rs
+++ b/crates/core/tests/support/gateways.rs
@@ -6,9 +6,11 @@
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Gateway;
+use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::Reply;
+use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::RetryBlocks;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::ServerList;
@@ -177,6 +179,10 @@
     loss_percent: u64,
     /// Percentage of requests that find no server, and stay queued until they leave.
     pub(crate) unserved_percent: u64,
+    /// Percentage of grants that reach the gateway too late; it returns them to the hub.
+    pub(crate) late_percent: u64,
+    /// Those grants: when they arrive, their gateways and their ids.
+    late_grants: Vec<(Instant, id::Host, GrantId)>,
     /// Those requests: when they leave, their tickets and their costs.
     waiting: Vec<(Instant, Ticket, u64)>,
     table_version: u64,
@@ -208,6 +214,8 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             loss_percent: 0,
             unserved_percent: 0,
+            late_percent: 0,
+            late_grants: Vec::new(),
             waiting: Vec::new(),
             table_version: 1,
             admitted: VecDeque::new(),
@@ -380,6 +388,7 @@
         while self.now < until {
             self.advance();
             self.update_waiting();
+            self.return_late_grants();
             self.send_requests(load);
         }
     }
@@ -539,7 +548,7 @@
         let (Some(hub), true) = (&mut self.hub, is_reply_recent && !gateway_state.cut) else {
             return self.is_admitted_locally(index, &charge);
         };
-        let mut slot_request = slot_request(&gateway_state.host, charge);
+        let mut slot_request = slot_request(&gateway_state.host, charge.clone());
         if is_unserved {
             slot_request.tried = vec!["s".into()];
             slot_request.avoid = vec![("s".into(), Duration::from_secs(10))];
@@ -551,9 +560,35 @@
             self.waiting.push((leaves_at, ticket, cost));
             return false;
         }
-        hub.grant_slots(now)
-            .iter()
-            .any(|(served, _)| *served == ticket)
+        let grants = hub.grant_slots(now);
+        let granted = grants.iter().find(|(served, _)| *served == ticket);
+        let Some((_, grant)) = granted else {
+            return false;
+        };
+        if self.random_below(100) < self.late_percent {
+            let host = self.gateways[index].host.clone();
+            self.late_grants.push((leaves_at, host, grant.id));
+            return self.is_admitted_locally(index, &charge);
+        }
+        true
+    }
+
+    /// Returns the late grants that have arrived; some of the reports are lost, others arrive twice.
+    fn return_late_grants(&mut self) {
+        let now = self.now;
+        let arrived = self.late_grants.extract_if(.., |(at, _, _)| *at <= now);
+        let arrived: Vec<_> = arrived.collect();
+        for (_, host, grant) in arrived {
+            let report = Report {
+                unused: vec![grant],
+                ..messages::report(&host)
+            };
+            for _ in 0..self.random_below(3) {
+                if let Some(hub) = &mut self.hub {
+                    hub.report(&report, now);
+                }
+            }
+        }
     }
 
     /// Whether a request is admitted without the hub: by the gateway, or by a standby that it reaches.
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -78,6 +78,7 @@
         loads: Vec::new(),
         ended: Vec::new(),
         observations: Vec::new(),
+        unused: Vec::new(),
         limit_reports: Reports::default(),
     }
 }
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -85,7 +85,7 @@
 
 /// Requests a slot from the hub, waiting for at most `wait_limit`; the hub also charges the request's cost.
 pub(super) async fn request_slot(
-    node: &Node,
+    node: &Rc<Node>,
     context: AttemptContext<'_>,
     request: &Request,
     charge: Option<&Charge>,
@@ -97,11 +97,11 @@
     let slot_request = node.slot_request(context, request, charge, wait_limit);
     let call = RenewCall::Hub(HubCall::RequestSlot(Box::new(slot_request)));
     let sent_at = node.now();
-    let call = node
-        .rpc
-        .call(address, Method::Renew, &call, CALL_TIMEOUT + wait_limit);
+    let rpc = node.rpc.clone();
+    let timeout = CALL_TIMEOUT + wait_limit;
+    let mut call = Box::pin(async move { rpc.call(address, Method::Renew, &call, timeout).await });
     let reply: Option<Result<HubReply, Refusal>> = tokio::select! {
-        reply = tokio::time::timeout(wait_limit + DELIVERY_MARGIN, call) => reply.ok(),
+        reply = tokio::time::timeout(wait_limit + DELIVERY_MARGIN, &mut call) => reply.ok(),
         () = node.wait_for_hub_timeout() => None,
     };
     match reply {
@@ -116,7 +116,30 @@
         Some(Ok(HubReply::NoRetry)) => HubDecision::NoRetry,
         Some(Ok(_)) => node.doubt_hub("the replica that was asked does not lead"),
         Some(Err(why)) => node.doubt_hub(&why.to_string()),
-        None => node.doubt_hub("the hub did not reply in time"),
+        None => {
+            let late = return_late_grant(
+                Rc::clone(node),
+                context.service.clone(),
+                context.identity.clone(),
+                call,
+            );
+            tokio::task::spawn_local(late);
+            node.doubt_hub("the hub did not reply in time")
+        }
+    }
+}
+
+/// Waits for the reply to a slot request that was decided without it. If the hub has granted a slot, returns that to it.
+async fn return_late_grant(
+    node: Rc<Node>,
+    service: id::Service,
+    identity: Identity,
+    reply: impl Future<Output = Result<HubReply, Refusal>>,
+) {
+    if let Ok(HubReply::Slot(grant)) = reply.await {
+        node.record_grant(&grant);
+        node.return_grant(&service, &identity, &grant);
+        node.unused_grants.borrow_mut().push(grant.id);
     }
 }
 
@@ -203,11 +226,7 @@
         is_late: bool,
     ) -> HubDecision {
         let service = context.service;
-        let mut hub = self.hub.borrow_mut();
-        if grant.id.follows(hub.last_grant) {
-            hub.last_grant = grant.id;
-        }
-        drop(hub);
+        self.record_grant(&grant);
         let server = Arc::new(grant.server.clone());
         let now = self.now();
         let new_limits = self
@@ -225,23 +244,33 @@
         if self.with_service(service, accept) == Some(true) {
             return HubDecision::Granted(grant, asked_at);
         }
-        if let Some(permit) = grant.permit {
-            let identity = context.identity.clone();
-            let mut quarantine = self.quarantine.borrow_mut();
-            quarantine.record_inconclusive(identity, permit, now);
-        }
-        self.report_unsent(
-            service,
-            &server.incarnation,
-            AttemptOutcome::Unknown,
-            grant.id,
-        );
+        self.return_grant(service, context.identity, &grant);
         if (self.report_notice(service, &server) || is_unavailable) && !is_late {
             return HubDecision::Unavailable(grant.server);
         }
+        self.unused_grants.borrow_mut().push(grant.id);
         HubDecision::Undecided
     }
 
+    /// Records that a grant has arrived, so that the hub counts it by this gateway's reports from now on.
+    fn record_grant(&self, grant: &Grant) {
+        let mut hub = self.hub.borrow_mut();
+        if grant.id.follows(hub.last_grant) {
+            hub.last_grant = grant.id;
+        }
+    }
+
+    /// Returns a grant with which nothing is sent to the hub.
+    fn return_grant(&self, service: &id::Service, identity: &Identity, grant: &Grant) {
+        if let Some(permit) = grant.permit {
+            let now = self.now();
+            let mut quarantine = self.quarantine.borrow_mut();
+            quarantine.record_inconclusive(identity.clone(), permit, now);
+        }
+        let incarnation = &grant.server.incarnation;
+        self.report_unsent(service, incarnation, AttemptOutcome::Unknown, grant.id);
+    }
+
     /// Reports to the hub a server's notice to this host that is still active; false if there is none.
     pub(super) fn report_notice(&self, service: &id::Service, server: &Server) -> bool {
         let now = self.now();
@@ -311,7 +340,10 @@
     loop {
         node.report_wakeup.notified().await;
         let attempt_ends = node.attempt_ends.take();
-        let Some(address) = node.hub_address() else {
+        let unused = node.unused_grants.take();
+        // A hub that replies late gets no requests for a while, but its grants go back to it.
+        let late_hub = node.hub.borrow().address.filter(|_| !unused.is_empty());
+        let Some(address) = node.hub_address().or(late_hub) else {
             // The next poll reports what is in flight.
             continue;
         };
@@ -320,6 +352,7 @@
             last_grant: node.hub.borrow().last_grant,
             loads: node.loads(),
             ended: attempt_ends,
+            unused,
             observations: node.quarantine.borrow().get_evidence().unacknowledged().0,
             limit_reports: node.limit_reports(),
         };
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -174,6 +174,8 @@
     pub(super) rejects_callers: Cell<bool>,
     /// Ended attempts that have not been reported to the hub.
     pub(super) attempt_ends: RefCell<Vec<AttemptEnd>>,
+    /// The grants that came too late to be used, and were not reported yet.
+    pub(super) unused_grants: RefCell<Vec<GrantId>>,
     /// Wakes the report task when a response begins or an attempt has ended.
     pub(super) report_wakeup: Notify,
     /// Number of open requests.
@@ -231,6 +233,7 @@
             stopping_since: Cell::new(None),
             rejects_callers: Cell::new(false),
             attempt_ends: RefCell::default(),
+            unused_grants: RefCell::default(),
             report_wakeup: Notify::new(),
             open_requests: Cell::new(0),
             finished_requests: Cell::new(0),
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -545,6 +545,7 @@
                 loads: loads.clone(),
                 ended: std::mem::take(&mut gateway_state.ended),
                 observations: Vec::new(),
+                unused: Vec::new(),
                 limit_reports: Reports::default(),
             };
             hub.report(&report, now);
