Keep the hub's quota while gateways are late

Callers of a customer with a low rate and a large burst got 429 below their quota: a gateway that acknowledged no reply for 0.7 s had its share of every bucket taken from the hub at once, and the hub got it back at the customer's rate only, here 1 token a second.

A gateway that has lost the hub starts with an empty bucket, so what it can admit grows from nothing at its share of the rate. The hub now lowers its bucket by what the late gateways may have gained, up to their shares of the burst. A hub that starts still reserves all of it, as it does not know for how long gateways have been without a hub.

--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -1,5 +1,7 @@
 //! A token bucket.
 
+use std::time::Duration;
+
 use crate::clock::Instant;
 
 /// A bucket of tokens that fills at a rate.
@@ -29,6 +31,12 @@
         self.level
     }
 
+    /// Returns the time since the last fill.
+    #[must_use]
+    pub fn time_since_update(&self, now: Instant) -> Duration {
+        now.since(self.updated_at)
+    }
+
     /// Makes the bucket gain nothing before `start`.
     pub fn start_at(&mut self, start: Instant) {
         self.updated_at = self.updated_at.max(start);
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -24,19 +24,36 @@
     bucket: Bucket,
     /// Charged for waiting requests; not committed or refunded yet.
     reserved: f64,
+    /// The most that gateways whose shares are reserved may have gained and not admitted yet. Their buckets start empty
+    /// when they lose the hub.
+    gained_elsewhere: f64,
 }
 
 impl CustomerBucket {
-    /// The highest level of the bucket, where `hub_share` of the quota is the hub's. Together with what is reserved
-    /// it is no more than the quota's burst.
-    fn burst(&self, hub_share: f64) -> f64 {
-        self.quota.burst * hub_share - self.reserved
+    /// An empty bucket of a hub that does not know what gateways have gained.
+    fn new(quota: Quota, now: Instant) -> Self {
+        Self {
+            quota,
+            bucket: Bucket::new(0.0, now),
+            reserved: 0.0,
+            gained_elsewhere: quota.burst,
+        }
     }
 
+    /// The highest level of the bucket: together with what is reserved and what gateways may have gained, it is no more
+    /// than the quota's burst.
+    fn burst(&self) -> f64 {
+        self.quota.burst - self.gained_elsewhere - self.reserved
+    }
+
+    /// Fills the bucket for the time since the last fill, in which `hub_share` of the quota was the hub's.
     fn fill(&mut self, tolerance: &Tolerance, hub_share: f64, now: Instant) {
-        let burst = self.burst(hub_share);
+        let elsewhere = 1.0 - hub_share;
+        let gained = self.quota.rate * elsewhere * self.bucket.time_since_update(now).as_secs_f64();
+        let max_gained = self.quota.burst * elsewhere;
+        self.gained_elsewhere = (self.gained_elsewhere + gained).min(max_gained);
         let rate = tolerance.fill_rate(&self.quota) * hub_share;
-        self.bucket.fill(rate, burst, now);
+        self.bucket.fill(rate, self.burst(), now);
     }
 }
 
@@ -75,17 +92,10 @@
         self.fill(now);
         let limited = quotas.filter(|(_, quota)| quota.is_limited());
         let next = limited.map(|(customer, quota)| {
-            let mut state = self
-                .customers
-                .get(customer)
-                .copied()
-                .unwrap_or(CustomerBucket {
-                    quota,
-                    bucket: Bucket::new(0.0, now),
-                    reserved: 0.0,
-                });
+            let known = self.customers.get(customer).copied();
+            let mut state = known.unwrap_or(CustomerBucket::new(quota, now));
             state.quota = quota;
-            state.bucket.cap(state.burst(self.hub_share));
+            state.bucket.cap(state.burst());
             (customer.clone(), state)
         });
         self.customers = next.collect();
@@ -94,8 +104,8 @@
     /// Fills all buckets; correct only if nothing can have been admitted before `now`.
     pub fn fill_all(&mut self, now: Instant) {
         for state in self.customers.values_mut() {
-            let burst = state.burst(self.hub_share);
-            state.bucket = Bucket::new(burst, now);
+            state.fill(&self.tolerance, self.hub_share, now);
+            state.bucket = Bucket::new(state.burst(), now);
         }
     }
 
@@ -147,7 +157,7 @@
             state.fill(&self.tolerance, self.hub_share, now);
             state.reserved = (state.reserved - to_f64(charge.cost)).max(0.0);
             state.bucket.charge(-to_f64(charge.cost));
-            state.bucket.cap(state.burst(self.hub_share));
+            state.bucket.cap(state.burst());
         }
     }
 
@@ -156,7 +166,7 @@
         if let Some(state) = self.customers.get_mut(&charge.customer) {
             state.fill(&self.tolerance, self.hub_share, now);
             state.bucket.charge(-to_f64(charge.cost));
-            state.bucket.cap(state.burst(self.hub_share));
+            state.bucket.cap(state.burst());
         }
     }
 
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -324,6 +324,25 @@
     assert!(limiter.acquire(&charge(60_000), at(5_500)).is_err());
 }
 
+/// Gateways whose replies are late for a second cost the hub no more than they may have gained meanwhile, which for a
+/// customer with a low rate and a large burst is little.
+#[test]
+fn late_gateways() {
+    let quota = Quota {
+        rate: 100.0,
+        ..QUOTA
+    };
+    let mut limiter = Limiter::new(TOLERANCE);
+    limiter.set_hub_share(1.0, at(0));
+    limiter.set_quotas([(&customer(), quota)].into_iter(), at(0));
+    limiter.fill_all(at(0));
+    limiter.set_hub_share(0.4, at(1_000));
+    assert!(limiter.acquire(&charge(59_950), at(2_000)).is_err());
+    limiter.set_hub_share(1.0, at(2_000));
+    assert!(limiter.acquire(&charge(59_900), at(2_000)).is_err());
+    assert!(limiter.acquire(&charge(59_800), at(2_000)).is_ok());
+}
+
 /// The limiter starts with empty buckets, because what was admitted before is not known.
 #[test]
 fn starts_empty() {
