Log how the end of a forwarded response is marked

A stream that broke off was logged like a complete one, and nothing in the line told whether the server had marked its end or its connection had just ended, nor whether the last event was complete. The line of a response that is forwarded as it arrives now has the framing and the bytes of an incomplete event.

What callers get is unchanged.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -68,7 +68,7 @@
     Sent = 204, "sent", "The first byte of the request is sent to the server.";
     FirstToken = 205, "first-token", "The first byte of the response has arrived.";
     Resumed = 206, "resumed", "A stream that broke off is resumed where it broke off.";
-    Ended = 207, "ended", "The request has ended; the detail has its code and outcome.";
+    Ended = 207, "ended", "The request has ended; the detail has its code and outcome. The log line of a response that was forwarded as it arrived also says how the server marks its end (length, chunks or close), and how many bytes of an incomplete event there were.";
     Refused = 208, "refused", "The request was refused; the detail has the code.";
     CallerLeft = 209, "caller-left", "The caller disconnected before its response was complete.";
     TriedAgain = 210, "tried-again", "The request has certainly not run; it asks for another server.";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod rejection;
 pub mod rollout;
 pub mod route;
+pub mod sse;
 pub mod state;
 mod text;
 pub mod unit;
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -9,8 +9,11 @@
 use axum::http::Request;
 use axum::http::Response;
 use axum::http::StatusCode;
+use axum::http::header;
 use axum::http::response;
 use bytes::Bytes;
+use curlewlift_core::route;
+use curlewlift_core::sse;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
@@ -78,6 +81,28 @@
     DeadlinePassed,
 }
 
+/// How a server marks the end of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Framing {
+    /// By its length.
+    Length,
+    /// By the last of its chunks.
+    Chunks,
+    /// By the end of the connection, which does not tell a complete response from one that broke off.
+    Close,
+}
+
+impl Framing {
+    /// Its name in log lines.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
 /// A response whose head has arrived, and whose body is still to be read.
 pub(super) struct ResponseStart {
     pub(super) head: response::Parts,
@@ -255,6 +280,34 @@
         None
     }
 
+    /// How the server marks the end of the response.
+    pub(super) fn framing(&self) -> Framing {
+        let headers = &self.head.headers;
+        match () {
+            () if headers.contains_key(header::TRANSFER_ENCODING) => Framing::Chunks,
+            () if headers.contains_key(header::CONTENT_LENGTH) => Framing::Length,
+            () => Framing::Close,
+        }
+    }
+
+    /// Whether the body consists of server-sent events. Where the server doesn't state its media type, the `kind` of the
+    /// rule decides.
+    pub(super) fn is_event_stream(&self, kind: route::Kind) -> bool {
+        let headers = &self.head.headers;
+        if headers.contains_key(header::CONTENT_ENCODING) {
+            return false;
+        }
+        let Some(media_type) = headers.get(header::CONTENT_TYPE) else {
+            return kind.is_stream() && self.head.status.is_success();
+        };
+        let essence = media_type.as_bytes().split(|byte| *byte == b';').next();
+        essence.is_some_and(|essence| {
+            essence
+                .trim_ascii()
+                .eq_ignore_ascii_case(sse::MEDIA_TYPE.as_bytes())
+        })
+    }
+
     /// Whether the body may be buffered before it is forwarded, by its stated length.
     pub(super) fn is_bufferable(&self) -> bool {
         self.body
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -1,7 +1,5 @@
 //! The response for the caller: a refusal, a server's complete response, or a stream.
 
-use std::time::Duration;
-
 use axum::http::Response;
 use axum::http::header;
 use axum::http::response;
@@ -37,7 +35,7 @@
     /// A server's response that has arrived completely.
     pub(super) fn full_response(&mut self, head: response::Parts, body: Bytes) -> Answer {
         self.outcome_logged = true;
-        self.log_end(head.status.as_u16(), "whole", None);
+        self.end_line(head.status.as_u16(), "whole").write();
         let memory = HeldBytes::new(&self.node);
         memory.extend(body.len());
         to_caller(
@@ -58,9 +56,10 @@
         to_caller(head, None, body::with_guard(body, memory))
     }
 
-    /// Logs that the caller has received the complete response; for a stream with the number of its chunks and
-    /// the longest pause between two of them.
-    pub(super) fn log_end(&self, status: u16, how: &str, chunks: Option<(u32, Duration)>) {
+    /// The log line that says that the caller has received the complete response.
+    pub(super) fn end_line(&self, status: u16, how: &str) -> Line {
+        let elapsed = self.admitted.deadline.elapsed();
+        metrics::histogram!("curlewlift_answer_seconds").record(elapsed.as_secs_f64());
         Line::new(Kind::Ended)
             .request(self.admitted.head_fields.id.as_ref())
             .with("identity", self.admitted.identity.to_string())
@@ -69,15 +68,7 @@
             .with("sent", self.attempts())
             .with("server", self.tried.last().map(|server| &**server))
             .with("first_ms", self.first_byte.map(millis))
-            .with("pieces", chunks.map(|(count, _)| count))
-            .with(
-                "longest_ms",
-                chunks.map(|(_, longest_gap)| millis(longest_gap)),
-            )
-            .after(self.admitted.deadline.elapsed())
-            .write();
-        let seconds = self.admitted.deadline.elapsed().as_secs_f64();
-        metrics::histogram!("curlewlift_answer_seconds").record(seconds);
+            .after(elapsed)
     }
 }
 
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::route;
+use curlewlift_core::sse::Decoder;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -20,10 +21,12 @@
 use super::exchange;
 use super::exchange::Connection;
 use super::exchange::Failure;
+use super::exchange::Framing;
 use super::exchange::ResponseStart;
 use super::failure;
 use super::forward::ForwardedRequest;
 use super::log::Line;
+use super::log::millis;
 use super::slot::Slot;
 use super::stream_timer::StreamTimer;
 
@@ -36,6 +39,10 @@
     connection: Option<Connection>,
     /// Splits a resumable stream into events; none for other streams.
     events: Option<EventSplitter>,
+    /// How the end of the body is marked.
+    framing: Framing,
+    /// Finds where the events end, for the log; none for other responses.
+    decoder: Option<Decoder>,
     /// Time from the last attempt to the head of its response.
     first_byte: Duration,
     /// When the head of the last response arrived.
@@ -55,7 +62,10 @@
 /// The response body that forwards a stream.
 pub(super) fn body(request: ForwardedRequest, response_start: ResponseStart) -> ResponseBody {
     let first_byte = response_start.first_byte;
-    let resumable = request.admitted.rule.kind == route::Kind::Resumable;
+    let kind = request.admitted.rule.kind;
+    let resumable = kind == route::Kind::Resumable;
+    let framing = response_start.framing();
+    let decoder = response_start.is_event_stream(kind).then(Decoder::default);
     let (_, body, slot, connection) = response_start.into_parts();
     let mut relay = Relay {
         request,
@@ -63,6 +73,8 @@
         slot: Some(slot),
         connection: Some(connection),
         events: resumable.then(EventSplitter::default),
+        framing,
+        decoder,
         first_byte,
         head_received: Instant::now(),
         chunks: 0,
@@ -128,6 +140,10 @@
     /// The part of `data` that may be forwarded now: complete events only, if the stream is resumable.
     fn forwardable(&mut self, data: Bytes) -> Option<Bytes> {
         self.chunks += 1;
+        if let Some(decoder) = &mut self.decoder {
+            decoder.push(&data);
+            while decoder.next_event().is_some() {}
+        }
         let Some(events) = &mut self.events else {
             return Some(data);
         };
@@ -180,12 +196,23 @@
         }
         self.slot = None;
         let status = StatusCode::OK.as_u16();
-        self.request
-            .log_end(status, "stream", Some((self.chunks, self.longest_gap)));
+        let line = self
+            .request
+            .end_line(status, "stream")
+            .with("pieces", self.chunks)
+            .with("longest_ms", millis(self.longest_gap));
+        self.log_framing(line).write();
         let remainder = self.events.as_mut().map(EventSplitter::remainder)?;
         (!remainder.is_empty()).then_some(remainder)
     }
 
+    /// Adds to a log line how the server marks the end of the response, and whether an event is incomplete.
+    fn log_framing(&self, line: Line) -> Line {
+        let incomplete = self.decoder.as_ref().map(Decoder::incomplete_bytes);
+        line.with("framing", self.framing.as_str())
+            .with("incomplete_bytes", incomplete)
+    }
+
     /// Ends a stream that can neither continue nor be resumed.
     fn truncate(&mut self, reason: String) -> TruncatedBody {
         self.finished = true;
@@ -196,15 +223,15 @@
         }
         self.slot = None;
         self.connection = None;
-        Line::new(Kind::Ended)
+        let line = Line::new(Kind::Ended)
             .request(self.request.admitted.head_fields.id.as_ref())
             .with("identity", self.request.admitted.identity.to_string())
             .with("server", self.request.tried.last().map(|server| &**server))
             .with("how", "cut")
             .with("why", reason.as_str())
             .with("pieces", self.chunks)
-            .after(self.request.admitted.deadline.elapsed())
-            .write();
+            .after(self.request.admitted.deadline.elapsed());
+        self.log_framing(line).write();
         metrics::counter!("curlewlift_cut").increment(1);
         TruncatedBody(reason)
     }
@@ -246,6 +273,8 @@
     fn switch_to(&mut self, response_start: ResponseStart) {
         self.head_received = Instant::now();
         self.chunks = 0;
+        self.framing = response_start.framing();
+        self.decoder = self.decoder.take().map(|_| Decoder::default());
         self.first_byte = response_start.first_byte;
         let (_, body, slot, connection) = response_start.into_parts();
         self.body = body;
