Test that streams cut inside an event do not look complete

Callers got streams that had been broken off framed as complete. Cuts of each framing at five places of an event are covered, directly and by way of another host, under rules that allow a stream to be resumed and that don't.

--- a/crates/curlewlift/tests/platform/client.rs
+++ b/crates/curlewlift/tests/platform/client.rs
@@ -40,11 +40,11 @@
         .expect("the request is sent");
     let mut bytes = Vec::new();
     // A reset connection ends the response too; the bytes before the reset are used.
-    let _ = stream.read_to_end(&mut bytes);
-    read(&bytes)
+    let is_closed = stream.read_to_end(&mut bytes).is_ok();
+    read(&bytes, is_closed)
 }
 
-fn read(bytes: &[u8]) -> Answer {
+fn read(bytes: &[u8], is_closed: bool) -> Answer {
     let text = String::from_utf8_lossy(bytes).into_owned();
     let Some((head, rest)) = text.split_once("\r\n\r\n") else {
         return Answer::default();
@@ -61,8 +61,11 @@
     if let Some(length) = answer.header("content-length") {
         answer.whole = length.parse() == Ok(rest.len());
         rest.clone_into(&mut answer.body);
-    } else {
+    } else if answer.header("transfer-encoding").is_some() {
         (answer.body, answer.whole) = chunks(rest);
+    } else {
+        answer.whole = is_closed;
+        rest.clone_into(&mut answer.body);
     }
     answer
 }
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -17,6 +17,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::StreamEnd;
+
 /// How long an engine stays down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(300);
 
@@ -493,7 +495,14 @@
                 let from = last_event.map_or(1, |last_event| last_event + 1);
                 events(&mut stream, id, signed, from, None);
             }
-            _ => answer(stream, 200, id, signed, "done"),
+            _ => {
+                if let Some(end) = behavior.strip_prefix("ends ") {
+                    let head = head(200, id, signed);
+                    StreamEnd::parse(end).send(&mut stream, &head, last_event);
+                } else {
+                    answer(stream, 200, id, signed, "done");
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/crates/curlewlift/tests/platform/stream_end.rs
@@ -0,0 +1,165 @@
+//! Streams of events that end, or break off, in a given way.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The number of events of a whole stream.
+pub(crate) const EVENT_COUNT: u32 = 3;
+
+/// How long a stream that `lingers` is silent before it goes on, or the connection ends.
+pub(crate) const LINGER_TIME: Duration = Duration::from_millis(1_500);
+
+/// How the end of a response is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By the end of the connection.
+    Close,
+    Chunks,
+    Length,
+}
+
+/// A stream of three events, sent on request: `ends FRAMING CUT FLAGS`, with the words in any order.
+///
+/// `CUT` is where the stream breaks off. `FLAGS` change the bytes of the events and when they are sent.
+#[derive(Clone, Debug)]
+pub(crate) struct StreamEnd {
+    framing: Framing,
+    flags: Vec<String>,
+}
+
+impl StreamEnd {
+    /// Parses the text after `ends `.
+    pub(crate) fn parse(text: &str) -> Self {
+        let flags: Vec<_> = text.split(' ').map(ToOwned::to_owned).collect();
+        let has = |word: &str| flags.iter().any(|flag| flag == word);
+        let framing = match () {
+            () if has("chunks") => Framing::Chunks,
+            () if has("length") => Framing::Length,
+            () => Framing::Close,
+        };
+        Self { framing, flags }
+    }
+
+    fn has(&self, word: &str) -> bool {
+        self.flags.iter().any(|flag| flag == word)
+    }
+
+    /// An event without its blank line, and the line end.
+    fn event(&self, number: u32) -> (String, &'static str) {
+        let line_end = match () {
+            () if self.has("crlf") => "\r\n",
+            () if self.has("cr") => "\r",
+            () => "\n",
+        };
+        let id = if self.has("no-ids") {
+            String::new()
+        } else {
+            format!("id: {number}{line_end}")
+        };
+        let comment = if self.has("comments") {
+            format!(": ping{line_end}")
+        } else {
+            String::new()
+        };
+        (format!("{comment}{id}data: e{number}{line_end}"), line_end)
+    }
+
+    /// The event that is incomplete, if the stream breaks off.
+    fn cut_event(&self) -> u32 {
+        if self.has("first") { 1 } else { 2 }
+    }
+
+    /// What is sent of the event at which the stream breaks off; none if it doesn't.
+    fn partial(&self) -> Option<String> {
+        let (event, line_end) = self.event(self.cut_event());
+        let end = match () {
+            () if self.has("in-first-byte") => 1,
+            () if self.has("in-id") => event.find("id:")? + 2,
+            () if self.has("in-data") => event.find("data:")? + 6,
+            () if self.has("in-line-end") => event.len() - line_end.len() + 1,
+            () if self.has("before-blank-line") => event.len(),
+            () => return None,
+        };
+        Some(event[..end].to_owned())
+    }
+
+    /// The parts of the stream after the event `last_event`; the parts are sent one by one.
+    fn parts(&self, last_event: Option<u32>) -> Vec<String> {
+        let mut parts = Vec::new();
+        if self.has("mark") && last_event.is_none() {
+            parts.push("\u{feff}".to_owned());
+        }
+        let is_cut = last_event.is_none() || self.has("twice");
+        let partial = self.partial().filter(|_| is_cut);
+        for number in last_event.unwrap_or(0) + 1..=EVENT_COUNT {
+            let (event, line_end) = self.event(number);
+            match &partial {
+                Some(partial) if number >= self.cut_event() => {
+                    parts.push(partial.clone());
+                    return parts;
+                }
+                _ if self.has("bytewise") => {
+                    let whole = format!("{event}{line_end}");
+                    parts.extend(whole.chars().map(String::from));
+                }
+                _ => parts.push(format!("{event}{line_end}")),
+            }
+        }
+        if self.has("last-comment") {
+            parts.push(": bye\n".to_owned());
+        }
+        parts
+    }
+
+    /// What a caller is to receive of the events before the stream breaks off, and after that if it is resumed.
+    pub(crate) fn expected(&self, is_resumed: bool) -> String {
+        let mut parts = self.parts(None);
+        if self.partial().is_some() {
+            parts.pop();
+            if is_resumed {
+                let whole = Self {
+                    framing: self.framing,
+                    flags: self
+                        .flags
+                        .iter()
+                        .filter(|flag| *flag != "twice")
+                        .cloned()
+                        .collect(),
+                };
+                parts.extend(whole.parts(Some(self.cut_event() - 1)));
+            }
+        }
+        parts.concat()
+    }
+
+    /// Sends the response, whose head begins with `head`.
+    pub(crate) fn send(&self, stream: &mut TcpStream, head: &str, last_event: Option<u32>) {
+        let parts = self.parts(last_event);
+        let length: usize = parts.iter().map(String::len).sum();
+        let framing = match self.framing {
+            Framing::Close => String::new(),
+            Framing::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+            Framing::Length => format!("Content-Length: {length}\r\n"),
+        };
+        let kind = "Content-Type: text/event-stream; charset=utf-8\r\n";
+        let _ = write!(stream, "{head}{kind}{framing}\r\n");
+        let count = parts.len();
+        for (index, part) in parts.iter().enumerate() {
+            let _ = match self.framing {
+                Framing::Chunks => write!(stream, "{:x}\r\n{part}\r\n", part.len()),
+                Framing::Close | Framing::Length => stream.write_all(part.as_bytes()),
+            };
+            if self.has("bytewise") {
+                std::thread::sleep(Duration::from_millis(2));
+            }
+            let is_before_end = index + 1 == count;
+            if self.has("lingers") && is_before_end {
+                std::thread::sleep(LINGER_TIME);
+            }
+        }
+        if self.framing == Framing::Chunks {
+            let _ = write!(stream, "0\r\n\r\n");
+        }
+    }
+}
