Tell the end of a tunnel from the end of the server's response

A response that came through another host looked complete when that host's process was killed: the connections of a killed process end without a reset, and a response without a length ends with its connection.

What a server sends through a tunnel is now cut into frames with their lengths, and an empty frame says that the server has closed its connection. A tunnel that ends without it has failed, whatever ended it, so the reset that marked a broken one is no longer needed.

--- a/crates/curlewlift/src/gateway/connect.rs
+++ b/crates/curlewlift/src/gateway/connect.rs
@@ -12,7 +12,6 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Paths;
 use curlewlift_core::gateway::Server;
-use hyper::upgrade::Upgraded;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -21,6 +20,7 @@
 use super::service::Service;
 use super::tunnel;
 use super::tunnel::Target;
+use super::tunnel::Tunnel;
 use super::tunnel::TunnelError;
 
 /// How long a direct connection may take before a tunnel is tried beside it; a live server accepts within milliseconds.
@@ -43,7 +43,7 @@
     /// From this host.
     Direct(TcpStream),
     /// Through the gateway at this address.
-    Tunnel(Upgraded, SocketAddr),
+    Tunnel(Tunnel, SocketAddr),
 }
 
 /// Why a server could not be reached.
@@ -95,7 +95,7 @@
     node: &Rc<Node>,
     target: Target<'_>,
     until: Instant,
-) -> Result<TcpStream, (String, Result<(Upgraded, SocketAddr), TunnelError>)> {
+) -> Result<TcpStream, (String, Result<(Tunnel, SocketAddr), TunnelError>)> {
     let mut direct = pin!(connect(node, target.server.address, until));
     let head_start = until.min(Instant::now() + DIRECT_HEAD_START);
     let mut tunnel = pin!(tunnel::open(node, target, until));
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 mod sync;
 mod tables;
 mod tunnel;
+mod tunnel_frames;
 mod tunnel_server;
 
 pub(crate) use body::Answer;
--- a/crates/curlewlift/src/gateway/tunnel.rs
+++ b/crates/curlewlift/src/gateway/tunnel.rs
@@ -15,10 +15,14 @@
 use hyper::client::conn::http1;
 use hyper::upgrade::Upgraded;
 use hyper_util::rt::TokioIo;
+use tokio::io::Join;
+use tokio::io::WriteHalf;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::node::Node;
+use super::tunnel_frames;
+use super::tunnel_frames::Reader;
 
 /// Header with the server, as JSON.
 pub(super) const SERVER: &str = "curlewlift-server";
@@ -32,6 +36,10 @@
 /// Part of the time limit that is left for the reply.
 const REPLY_MARGIN: Duration = Duration::from_millis(30);
 
+/// An open tunnel to a server. Its end is the end of the server's connection; if the gateway that it goes through ends, it
+/// fails.
+pub(super) type Tunnel = TokioIo<Join<Reader, WriteHalf<TokioIo<Upgraded>>>>;
+
 /// The server to connect to.
 #[derive(Clone, Copy)]
 pub(super) struct Target<'a> {
@@ -51,7 +59,7 @@
 
 /// The result of asking one gateway for a tunnel.
 enum Response {
-    Opened(Upgraded),
+    Opened(Tunnel),
     /// The gateway reaches other servers, but not this one.
     ServerDown,
     /// The server has told that gateway's host to send nothing.
@@ -76,7 +84,7 @@
     node: &Rc<Node>,
     target: Target<'_>,
     until: Instant,
-) -> Result<(Upgraded, SocketAddr), TunnelError> {
+) -> Result<(Tunnel, SocketAddr), TunnelError> {
     for host in hosts(node, target.allowed_halls) {
         let response = tokio::time::timeout_at(until, request(host, target.server, until)).await;
         let failure = match response {
@@ -116,7 +124,9 @@
         StatusCode::OK => {
             let upgraded = hyper::upgrade::on(response).await;
             let upgraded = upgraded.map_err(|error| error.to_string())?;
-            Ok(Response::Opened(upgraded))
+            let (reader, writer) = tokio::io::split(TokioIo::new(upgraded));
+            let tunnel = tokio::io::join(tunnel_frames::reader(reader), writer);
+            Ok(Response::Opened(TokioIo::new(tunnel)))
         }
         StatusCode::BAD_GATEWAY => Ok(Response::ServerDown),
         StatusCode::CONFLICT => Ok(Response::Excluded),
--- a/crates/curlewlift/src/gateway/tunnel_server.rs
+++ b/crates/curlewlift/src/gateway/tunnel_server.rs
@@ -40,9 +40,7 @@
 use super::service::Service;
 use super::tunnel::SERVER;
 use super::tunnel::TIME_LIMIT;
-
-/// Size of the buffer for each direction of a tunnel, in bytes.
-const BUFFER_BYTES: usize = 8 << 10;
+use super::tunnel_frames::FrameBuffer;
 
 /// What a tunnel holds: its buffers, and parts of those of its two connections.
 const TUNNEL_BYTES: usize = 32 << 10;
@@ -181,7 +179,8 @@
     }
 }
 
-/// Copies bytes in both directions until one of the connections ends, and then ends the other in the same way.
+/// Copies bytes in both directions until one of the connections ends. The other gateway is told if the server has closed
+/// its connection, as that may be the end of a response.
 async fn copy(node: &Rc<Node>, server: &Arc<Server>, upgraded: Upgraded, stream: TcpStream) {
     let Ok(parts) = upgraded.downcast::<TokioIo<TcpStream>>() else {
         log::error!("a tunnel is not over TCP");
@@ -214,27 +213,23 @@
         let mut rest = [0; 1 << 10];
         let drained = async { while matches!(origin.read(&mut rest).await, Ok(1..)) {} };
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
-    } else if let Err(why) = socket2::SockRef::from(&origin).set_linger(Some(Duration::ZERO)) {
-        // Without a reset, a response without a length would seem complete.
-        log::error!("a tunnel cannot be reset: {why}");
     }
 }
 
-/// Copies responses, and passes their heads to `record`.
+/// Copies responses into frames until the server closes its connection, and passes their heads to `record`.
 async fn copy_responses(
     reader: &mut (impl AsyncReadExt + Unpin),
     writer: &mut (impl AsyncWriteExt + Unpin),
     record: impl Fn(u16, &HeaderMap),
 ) -> std::io::Result<()> {
     let mut parser = Some(ResponseHeadParser::default());
-    let mut buffer = vec![0; BUFFER_BYTES];
+    let mut frame = FrameBuffer::default();
     loop {
-        let count = reader.read(&mut buffer).await?;
+        let count = reader.read(frame.content()).await?;
+        parser = parser.and_then(|parser| parser.push(&frame.content()[..count], &record));
+        frame.write(count, writer).await?;
         if count == 0 {
             return Ok(());
         }
-        let bytes = &buffer[..count];
-        parser = parser.and_then(|parser| parser.push(bytes, &record));
-        writer.write_all(bytes).await?;
     }
 }
--- a/crates/curlewlift/tests/platform/stream_end.rs
+++ b/crates/curlewlift/tests/platform/stream_end.rs
@@ -9,7 +9,7 @@
 /// The number of events of a whole stream.
 pub(crate) const EVENT_COUNT: u32 = 3;
 
-/// How long a stream that `lingers` is silent before it goes on, or the connection ends.
+/// How long a stream that `lingers` is silent before its last part.
 pub(crate) const LINGER_TIME: Duration = Duration::from_millis(1_500);
 
 /// How the end of a response is marked.
@@ -104,6 +104,10 @@
                     let whole = format!("{event}{line_end}");
                     parts.extend(whole.chars().map(String::from));
                 }
+                _ if self.has("halves") => {
+                    let (first, second) = event.split_at(event.len() / 2);
+                    parts.extend([first.to_owned(), format!("{second}{line_end}")]);
+                }
                 _ => parts.push(format!("{event}{line_end}")),
             }
         }
@@ -156,8 +160,8 @@
             if self.has("bytewise") {
                 std::thread::sleep(Duration::from_millis(2));
             }
-            let is_before_end = index + 1 == count;
-            if self.has("lingers") && is_before_end {
+            let is_last_next = index + 2 == count;
+            if self.has("lingers") && is_last_next {
                 std::thread::sleep(LINGER_TIME);
             }
         }
--- a/crates/curlewlift/tests/platform_truncated.rs
+++ b/crates/curlewlift/tests/platform_truncated.rs
@@ -2,14 +2,17 @@
 
 mod platform;
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
 use curlewlift::LinkFault;
 use platform::Answer;
+use platform::LINGER_TIME;
 use platform::StreamEnd;
 use platform::ThreeHosts;
 use platform::send_request;
+use platform::wait;
 
 /// Ways in which a stream breaks off inside an event.
 const CUTS: [&str; 11] = [
@@ -27,7 +30,7 @@
 ];
 
 /// Sends a request for a stream that ends as `end` says.
-fn request(world: &ThreeHosts, version: &str, path: &str, end: &str) -> Answer {
+fn request(host: SocketAddr, version: &str, path: &str, end: &str) -> Answer {
     static NEXT_ID: AtomicU32 = AtomicU32::new(0);
     let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     let head = format!(
@@ -35,7 +38,7 @@
          X-Play: ends {end}\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann"
     );
     // Requests with the same body would be quarantined together.
-    send_request(world.hosts.callers(0), &head, end)
+    send_request(host, &head, end)
 }
 
 fn without_comments(body: &str) -> String {
@@ -44,7 +47,7 @@
 
 /// Requests a stream that ends in this way; it must be received whole if `is_whole`, and otherwise be visibly broken.
 fn check(world: &ThreeHosts, path: &str, end: &str, is_whole: bool) {
-    let answer = request(world, "1.1", path, end);
+    let answer = request(world.hosts.callers(0), "1.1", path, end);
     let expected = StreamEnd::parse(end).expected(is_whole);
     // A complete comment before the event at which the stream broke off may be received twice.
     let [body, expected] = [answer.body.as_str(), &expected].map(without_comments);
@@ -79,3 +82,49 @@
         check_framings(&world, cut);
     }
 }
+
+/// A host that is killed while it helps ends its connections like a server that has sent its whole response.
+#[test]
+fn helper_killed() {
+    for (path, killed, is_whole) in [
+        ("/stream/", &[1, 2][..], false),
+        ("/resume/", &[1], true),
+        ("/resume/", &[2], true),
+    ] {
+        let mut world =
+            ThreeHosts::start(&format!("helper_killed_{path}_{killed:?}").replace('/', ""));
+        world.set_link_faults(&[0], Some(LinkFault::Refuses));
+        let ends = ["close lingers", "close lingers halves"];
+        let answers = std::thread::scope(|scope| {
+            let host = world.hosts.callers(0);
+            let requests = ends.map(|end| scope.spawn(move || request(host, "1.1", path, end)));
+            wait("the streams have begun", || {
+                world.count_received() == ends.len()
+            });
+            std::thread::sleep(LINGER_TIME / 3);
+            for host in killed {
+                world.hosts.kill(*host);
+            }
+            requests.map(|request| request.join().expect("no panic"))
+        });
+        for (answer, end) in answers.iter().zip(ends) {
+            assert_eq!(
+                answer.whole, is_whole,
+                "{path} {killed:?} {end}: {}",
+                answer.body
+            );
+            let expected = StreamEnd::parse(end).expected(true);
+            assert_eq!(
+                answer.body == expected,
+                is_whole,
+                "{path} {end}: {}",
+                answer.body
+            );
+            assert!(
+                expected.starts_with(&answer.body),
+                "{path} {end}: {}",
+                answer.body
+            );
+        }
+    }
+}
