Reset the connections of HTTP/1.0 callers whose response broke off

A caller that speaks HTTP/1.0 gets no chunks: the end of the connection is the end of the response, so one that had been truncated looked complete. Its connection is now reset. Callers with HTTP/1.1 see the missing last chunk, and are not reset, which could cost them events that are still on the way.

platform_truncated old_callers: red before for HTTP/1.0, green now.

--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -1,11 +1,13 @@
 //! Accepts connections and serves their requests.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
 use axum::http::Request;
+use axum::http::Version;
 use curlewlift_core::route::Limits;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -16,6 +18,7 @@
 use tokio::net::TcpStream;
 
 use super::body::Answer;
+use super::body::TruncatedBody;
 
 /// Maximum number of headers in one request head.
 const MAX_HEADERS: usize = 128;
@@ -58,12 +61,15 @@
     A: Future<Output = Answer> + 'static,
 {
     crate::process::configure_connection(&stream);
-    let service = service_fn(move |request| {
+    let is_http_10 = Rc::new(Cell::new(false));
+    let version = Rc::clone(&is_http_10);
+    let service = service_fn(move |request: Request<Incoming>| {
+        version.set(request.version() == Version::HTTP_10);
         let answer = answer(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     // The timeout for a head also runs while the connection is idle, so it includes the idle time.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time + limits.header_time)
         .max_headers(MAX_HEADERS)
@@ -71,7 +77,26 @@
             limits.header_bytes.clamp(MIN_BUFFER_BYTES, MAX_HEAD_BYTES) + MIN_BUFFER_BYTES,
         )
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(why) = connection.await {
-        log::debug!("a caller's connection failed: {why}");
+    let Err(why) = (&mut connection).await else {
+        return;
+    };
+    log::debug!("a caller's connection failed: {why}");
+    if is_http_10.get() && is_truncation(&why) {
+        reset(&connection.into_parts().io.into_inner());
+    }
+}
+
+/// Whether a connection failed because the body of a response was truncated.
+fn is_truncation(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    source.is_some_and(|source| source.is::<TruncatedBody>())
+}
+
+/// Makes a connection end with a reset: a response to HTTP/1.0 has no chunks, so its end is the end of its connection.
+fn reset(stream: &TcpStream) {
+    if let Err(why) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::error!(
+            "a truncated response looks complete, as its connection cannot be reset: {why}"
+        );
     }
 }
--- a/crates/curlewlift/tests/platform_truncated.rs
+++ b/crates/curlewlift/tests/platform_truncated.rs
@@ -128,3 +128,18 @@
         }
     }
 }
+
+/// A caller that speaks HTTP/1.0 gets no chunks, so only a reset shows that a response broke off.
+#[test]
+fn old_callers() {
+    let world = ThreeHosts::start("old_callers");
+    let host = world.hosts.callers(0);
+    for version in ["1.1", "1.0"] {
+        for (end, is_whole) in [("close in-data", false), ("close", true), ("chunks", true)] {
+            let answer = request(host, version, "/stream/", end);
+            let expected = StreamEnd::parse(end).expected(false);
+            assert_eq!(answer.body, expected, "{version} {end}");
+            assert_eq!(answer.whole, is_whole, "{version} {end}");
+        }
+    }
+}
