Pass on large responses without a length

Callers got 502 for a complete response of more than 4 MB that its server ended with its connection: it was read whole before any of it was passed on, up to that size, and then counted as broken. Up to 4 MB were held for each.

What is larger than 256 KB is now passed on as it arrives, after what has been read of it. A response of events under a rule that is no stream breaks off if it ends inside an event, like any other. A large response with an error status counts as a failure of its server, and not as an answer.

--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -12,12 +12,11 @@
 use axum::http::header;
 use axum::http::response;
 use bytes::Bytes;
+use bytes::BytesMut;
 use curlewlift_core::route;
 use curlewlift_core::sse;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -41,13 +40,8 @@
 /// millisecond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Maximum stated size of a response that is buffered before it is forwarded, in bytes; larger ones are
-/// streamed.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
-
-/// Maximum size of a buffered response without a stated length, in bytes: several of them at once must
-/// not exhaust the memory of a small host.
-const MAX_READ_BYTES: usize = 4 << 20;
+/// Maximum size of a response that is buffered before it is forwarded, in bytes; larger ones are streamed.
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// An open connection. Dropping it ends the task that drives the connection, and thereby closes it.
 pub(super) struct Connection(JoinHandle<()>);
@@ -81,6 +75,13 @@
     DeadlinePassed,
 }
 
+impl Failure {
+    /// The server closed its connection, or marked the end of its response, inside an event.
+    pub(super) fn ended_in_event() -> Self {
+        Self::ConnectionLost("the response ended inside an event".to_owned())
+    }
+}
+
 /// How a server marks the end of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Framing {
@@ -109,8 +110,10 @@
     /// The parsed status and header fields of `head`.
     pub(super) head_fields: ResponseHead,
     pub(super) body: Incoming,
+    /// What has been read of the body already.
+    pub(super) begun: Bytes,
     pub(super) slot: Slot,
-    connection: Connection,
+    pub(super) connection: Connection,
     /// Time from sending the request to receiving the head.
     pub(super) first_byte: Duration,
 }
@@ -250,6 +253,7 @@
         head,
         head_fields,
         body,
+        begun: Bytes::new(),
         slot,
         connection,
         first_byte,
@@ -314,42 +318,33 @@
         self.body
             .size_hint()
             .upper()
-            .is_none_or(|upper| upper <= MAX_BUFFERED_BYTES)
+            .is_none_or(|upper| upper <= MAX_BUFFERED_BYTES as u64)
     }
 
-    /// Reads the whole body, so that nothing is forwarded before its end has arrived.
-    pub(super) async fn read_full(
-        mut self,
-        until: Instant,
-    ) -> (response::Parts, Result<Bytes, Failure>, Slot, Duration) {
-        let read = read_body(&mut self.body);
-        let body = match tokio::time::timeout_at(until, read).await {
-            Ok(body) => body,
-            Err(_) => Err(Failure::DeadlinePassed),
-        };
-        drop(self.connection);
-        let body = match body {
-            Ok(body) => Ok(body),
-            Err(failure) => Err(explain(failure, &self.slot).await),
-        };
-        (self.head, body, self.slot, self.first_byte)
-    }
-
-    /// The parts for a body that is streamed; the connection has to be kept as long as the body.
-    pub(super) fn into_parts(self) -> (response::Parts, Incoming, Slot, Connection) {
-        (self.head, self.body, self.slot, self.connection)
-    }
-}
-
-/// Reads a body up to the size limit.
-async fn read_body(body: &mut Incoming) -> Result<Bytes, Failure> {
-    let collected = Limited::new(body, MAX_READ_BYTES).collect().await;
-    let collected = collected.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            Failure::Unknown(error.to_string())
-        } else {
-            Failure::ConnectionLost(error.to_string())
+    /// Reads the whole body, so that nothing is forwarded before its end has arrived. Returns nothing if it is too large to
+    /// be buffered; what has been read of it is kept, to be forwarded before the rest.
+    ///
+    /// # Errors
+    ///
+    /// If the body broke off, or is not complete at the time `until`.
+    pub(super) async fn read_full(&mut self, until: Instant) -> Result<Option<Bytes>, Failure> {
+        let mut body = BytesMut::new();
+        while body.len() <= MAX_BUFFERED_BYTES {
+            let frame = tokio::time::timeout_at(until, self.body.frame()).await;
+            match frame.map_err(|_| Failure::DeadlinePassed)? {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        body.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(error)) => {
+                    let lost = Failure::ConnectionLost(error.to_string());
+                    return Err(explain(lost, &self.slot).await);
+                }
+                None => return Ok(Some(body.freeze())),
+            }
         }
-    })?;
-    Ok(collected.to_bytes())
+        self.begun = body.freeze();
+        Ok(None)
+    }
 }
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use axum::http::Request;
+use axum::http::StatusCode;
 use axum::http::response;
 use bytes::Bytes;
 use curlewlift_core::event::Kind;
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::AttemptOutcome;
+use curlewlift_core::sse;
 use http_body_util::Full;
 
 use super::admit::Admitted;
@@ -244,7 +246,7 @@
     }
 
     /// Handles the head of a response.
-    async fn handle_head(&mut self, mut response_start: ResponseStart) -> Result<Step, Refused> {
+    async fn handle_head(&mut self, response_start: ResponseStart) -> Result<Step, Refused> {
         if let Some(reason) = response_start.mismatch(self.admitted.head_fields.id.as_ref()) {
             let failure = Failure::Unknown(reason.to_owned());
             return self.on_failure(&failure, response_start.slot);
@@ -263,44 +265,43 @@
         }
         metrics::histogram!("curlewlift_first_seconds")
             .record(response_start.first_byte.as_secs_f64());
-        if is_stream {
-            return Ok(Step::Respond(self.stream_response(response_start)));
-        }
-        if !response_start.is_bufferable() {
-            let first_byte = response_start.first_byte;
-            response_start.slot.set_outcome(AttemptOutcome::Answered {
-                first_byte,
-                gap: None,
-            });
+        if is_stream || !response_start.is_bufferable() {
             return Ok(Step::Respond(self.stream_response(response_start)));
         }
         self.handle_full_response(response_start).await
     }
 
-    /// Handles a response that is read completely before any of it is forwarded.
+    /// Handles a response that is read completely before any of it is forwarded, unless it is too large.
     async fn handle_full_response(
         &mut self,
-        response_start: ResponseStart,
+        mut response_start: ResponseStart,
     ) -> Result<Step, Refused> {
-        let (head, body, mut slot, first_byte) = response_start
-            .read_full(self.admitted.deadline.timer_instant())
-            .await;
+        let until = self.admitted.deadline.timer_instant();
+        let kind = self.admitted.rule.kind;
+        let body = match response_start.read_full(until).await {
+            Ok(Some(body)) if response_start.is_event_stream(kind) && is_cut_in_event(&body) => {
+                Err(Failure::ended_in_event())
+            }
+            body => body,
+        };
         let body = match body {
-            Ok(body) => body,
+            Ok(Some(body)) => body,
+            Ok(None) => return Ok(Step::Respond(self.stream_response(response_start))),
             Err(failure) => {
                 self.maybe_run_attempts -= 1;
-                return self.on_failure(&failure, slot);
+                return self.on_failure(&failure, response_start.slot);
             }
         };
-        let failed = head.status.is_server_error();
-        slot.set_completed(if failed {
-            AttemptOutcome::Failed
-        } else {
-            AttemptOutcome::Answered {
-                first_byte,
-                gap: None,
-            }
-        });
+        let ResponseStart {
+            head,
+            mut slot,
+            first_byte,
+            ..
+        } = response_start;
+        let outcome = complete_outcome(head.status, first_byte, None);
+        let failed = outcome == AttemptOutcome::Failed;
+        slot.set_completed(outcome);
+        drop(slot);
         if failed && self.may_run_again() {
             self.failed_response = Some((head, body));
             return Ok(Step::Retry);
@@ -308,3 +309,24 @@
         Ok(Step::Respond(self.full_response(head, body)))
     }
 }
+
+/// What a complete response says about its server, where its first byte came after `first_byte` and there was the time
+/// `gap` between two chunks.
+pub(super) fn complete_outcome(
+    status: StatusCode,
+    first_byte: Duration,
+    gap: Option<Duration>,
+) -> AttemptOutcome {
+    if status.is_server_error() {
+        return AttemptOutcome::Failed;
+    }
+    AttemptOutcome::Answered { first_byte, gap }
+}
+
+/// Whether a stream of events ends inside one.
+fn is_cut_in_event(body: &[u8]) -> bool {
+    let mut decoder = sse::Decoder::default();
+    decoder.push(body);
+    while decoder.next_event().is_some() {}
+    !decoder.is_at_boundary()
+}
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use super::exchange::Framing;
 use super::exchange::ResponseStart;
 use super::failure;
+use super::forward;
 use super::forward::ForwardedRequest;
 use super::held_bytes::HeldBytes;
 use super::held_bytes::STREAM_BYTES;
@@ -36,6 +37,9 @@
 /// A stream that is being forwarded.
 struct Relay {
     request: ForwardedRequest,
+    status: StatusCode,
+    /// What had been read of the body before.
+    begun: Option<Bytes>,
     body: Incoming,
     slot: Option<Slot>,
     /// The connection that `body` arrives over.
@@ -71,12 +75,14 @@
     let is_event_stream = response_start.is_event_stream(kind);
     let framing = response_start.framing();
     let memory = HeldBytes::new(&request.node);
-    let (_, body, slot, connection) = response_start.into_parts();
+    let begun = Some(response_start.begun).filter(|begun| !begun.is_empty());
     let mut relay = Relay {
         request,
-        body,
-        slot: Some(slot),
-        connection: Some(connection),
+        status: response_start.head.status,
+        begun,
+        body: response_start.body,
+        slot: Some(response_start.slot),
+        connection: Some(response_start.connection),
         events: is_event_stream.then(EventSplitter::default),
         is_resumable: kind == route::Kind::Resumable,
         framing,
@@ -114,30 +120,23 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
         while !self.finished {
             let until = self.request.admitted.deadline.timer_instant();
-            let Ok(frame) = tokio::time::timeout_at(until, self.body.frame()).await else {
+            let Ok(data) = tokio::time::timeout_at(until, self.next_data()).await else {
                 return Some(Err(self
                     .truncate("the deadline has passed".to_owned())
                     .await));
             };
-            let failure = match frame {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    match self.forwardable(data) {
-                        Ok(complete) if complete.is_empty() => continue,
-                        Ok(complete) => {
-                            self.record_event();
-                            self.record_forwarded();
-                            return Some(Ok(complete));
-                        }
-                        Err(failure) => failure,
+            let failure = match data {
+                Some(Ok(data)) => match self.forwardable(data) {
+                    Ok(complete) if complete.is_empty() => continue,
+                    Ok(complete) => {
+                        self.record_event();
+                        self.record_forwarded();
+                        return Some(Ok(complete));
                     }
-                }
+                    Err(failure) => failure,
+                },
                 Some(Err(error)) => self.explain_error(&error).await,
-                None if self.is_inside_event() => {
-                    Failure::ConnectionLost("the response ended inside an event".to_owned())
-                }
+                None if self.is_inside_event() => Failure::ended_in_event(),
                 None => {
                     self.finish();
                     return None;
@@ -150,6 +149,23 @@
         None
     }
 
+    /// The next data of the body; none at its end.
+    async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
+        if let Some(begun) = self.begun.take() {
+            return Some(Ok(begun));
+        }
+        loop {
+            match self.body.frame().await? {
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Err(error) => return Some(Err(error)),
+            }
+        }
+    }
+
     /// The part of `data` that may be forwarded now: complete events only, if the stream consists of events.
     fn forwardable(&mut self, data: Bytes) -> Result<Bytes, Failure> {
         self.chunks += 1;
@@ -234,17 +250,13 @@
         let gap = (gaps > 0).then(|| self.head_received.elapsed() / gaps);
         if let Some(slot) = &mut self.slot {
             let times = self.timer.as_ref().and_then(StreamTimer::times);
-            let answered = AttemptOutcome::Answered {
-                first_byte: self.first_byte,
-                gap,
-            };
+            let answered = forward::complete_outcome(self.status, self.first_byte, gap);
             slot.set_completed(times.map_or(answered, AttemptOutcome::Streamed));
         }
         self.slot = None;
-        let status = StatusCode::OK.as_u16();
         let line = self
             .request
-            .end_line(status, "stream")
+            .end_line(self.status.as_u16(), "stream")
             .with("pieces", self.chunks)
             .with("longest_ms", millis(self.longest_gap));
         self.log_framing(line).write();
@@ -321,10 +333,9 @@
         self.chunks = 0;
         self.framing = response_start.framing();
         self.first_byte = response_start.first_byte;
-        let (_, body, slot, connection) = response_start.into_parts();
-        self.body = body;
-        self.slot = Some(slot);
-        self.connection = Some(connection);
+        self.body = response_start.body;
+        self.slot = Some(response_start.slot);
+        self.connection = Some(response_start.connection);
         self.start_timer();
     }
 
@@ -351,7 +362,9 @@
         let mismatched = response_start
             .mismatch(self.request.admitted.head_fields.id.as_ref())
             .is_some();
-        if mismatched || response_start.head.status != StatusCode::OK {
+        let is_event_stream = response_start.is_event_stream(self.request.admitted.rule.kind);
+        let is_rest = response_start.head.status == StatusCode::OK && is_event_stream;
+        if mismatched || !is_rest {
             let failure = response_start.not_run_failure();
             match failure {
                 Some(failure) => drop(failure::record(&failure, &mut response_start.slot)),
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -496,7 +496,10 @@
                 events(&mut stream, id, signed, from, None);
             }
             _ => {
-                if let Some(end) = behavior.strip_prefix("ends ") {
+                if let Some(size) = behavior.strip_prefix("unframed ") {
+                    let head = head(200, id, signed);
+                    unframed(&mut stream, &head, size);
+                } else if let Some(end) = behavior.strip_prefix("ends ") {
                     let head = head(200, id, signed);
                     StreamEnd::parse(end).send(&mut stream, id, &head, last_event);
                 } else {
@@ -550,6 +553,22 @@
     let _ = write!(stream, "{head}Content-Length: {length}\r\n\r\n{body}");
 }
 
+/// Sends a body of `size` bytes without a length or chunks: `SIZE`, or `SIZE reset` if the connection is reset after it.
+fn unframed(stream: &mut TcpStream, head: &str, size: &str) {
+    let (size, is_reset) = match size.split_once(' ') {
+        Some((size, _)) => (size, true),
+        None => (size, false),
+    };
+    let body = vec![b'x'; size.parse().expect("a size")];
+    let _ = write!(stream, "{head}Content-Type: text/plain\r\n\r\n");
+    let _ = stream.write_all(&body);
+    if is_reset {
+        std::thread::sleep(WORK_TIME);
+        let linger = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        linger.expect("the connection can be reset");
+    }
+}
+
 /// Sends six events, from the number `from` on; with `cut_at` the stream breaks off within that event.
 fn events(stream: &mut TcpStream, id: &str, headers: &str, from: u32, cut_at: Option<u32>) {
     events_with_pause(stream, id, headers, from, cut_at, Duration::ZERO);
--- a/crates/curlewlift/tests/platform_truncated.rs
+++ b/crates/curlewlift/tests/platform_truncated.rs
@@ -31,14 +31,19 @@
 
 /// Sends a request for a stream that ends as `end` says.
 fn request(host: SocketAddr, version: &str, path: &str, end: &str) -> Answer {
+    request_play(host, version, path, &format!("ends {end}"))
+}
+
+/// Sends a request; `play` says what the engine does.
+fn request_play(host: SocketAddr, version: &str, path: &str, play: &str) -> Answer {
     static NEXT_ID: AtomicU32 = AtomicU32::new(0);
     let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
     let head = format!(
         "POST {path} HTTP/{version}\r\nHost: shop.example\r\nX-Attempt-Id: h0-{id}\r\n\
-         X-Play: ends {end}\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann"
+         X-Play: {play}\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann"
     );
     // Requests with the same body would be quarantined together.
-    send_request(host, &head, end)
+    send_request(host, &head, play)
 }
 
 fn without_comments(body: &str) -> String {
@@ -143,3 +148,25 @@
         }
     }
 }
+
+/// The end of a response that is no stream of events tells nothing of its content: it is complete unless the connection is
+/// reset, whatever its size.
+#[test]
+fn unframed_responses() {
+    let world = ThreeHosts::start("unframed_responses");
+    let ask = |path, play: &str| request_play(world.hosts.callers(0), "1.1", path, play);
+    for path in ["/safe/", "/once/", "/stream/", "/resume/"] {
+        for size in [0, 10, 300_000, 10_000_000] {
+            let answer = ask(path, &format!("unframed {size}"));
+            assert_eq!((answer.status, answer.body.len()), (200, size), "{path}");
+            assert!(answer.whole, "{path} {size}");
+        }
+    }
+    for path in ["/once/", "/stream/"] {
+        for size in [10, 300_000] {
+            let answer = ask(path, &format!("unframed {size} reset"));
+            let is_complete = answer.status == 200 && answer.whole;
+            assert!(!is_complete, "{path} {size}: {}", answer.head);
+        }
+    }
+}
