Hold the memory of a tunnel before it is opened

A host checked whether it had memory for a tunnel before it connected to the server, and counted the tunnel after: tunnels that were asked for at the same moment passed the bound of its memory by 32 KB each. It is now held first, and released if there is no connection.

--- a/crates/curlewlift/src/gateway/tunnel_server.rs
+++ b/crates/curlewlift/src/gateway/tunnel_server.rs
@@ -92,9 +92,7 @@
 ) -> Result<Response<Empty<Bytes>>, hyper::Error> {
     let status = match parse(&request) {
         Ok((server, time_limit)) => match open(&node, &server, time_limit).await {
-            Ok(stream) => {
-                let memory = HeldBytes::new(&node);
-                memory.extend(TUNNEL_BYTES);
+            Ok((stream, memory)) => {
                 let guard = (memory, OpenGuard::new(&node));
                 tokio::task::spawn_local(async move {
                     match hyper::upgrade::on(request).await {
@@ -135,11 +133,15 @@
     Ok((Arc::new(server), time_limit))
 }
 
-/// Connects to a server, or returns the status that says why not.
-async fn open(node: &Node, server: &Server, time_limit: Duration) -> Result<TcpStream, StatusCode> {
-    let has_room = node.memory_budget.borrow().has_room_for(TUNNEL_BYTES);
+/// Connects to a server, and holds the memory of a tunnel to it; or returns the status that says why not.
+async fn open(
+    node: &Rc<Node>,
+    server: &Server,
+    time_limit: Duration,
+) -> Result<(TcpStream, HeldBytes), StatusCode> {
     let is_lost = node.paths.borrow().is_lost(server.address);
-    if node.stopping_since.get().is_some() || !has_room || is_lost {
+    let memory = HeldBytes::new(node);
+    if node.stopping_since.get().is_some() || is_lost || !memory.try_extend(TUNNEL_BYTES) {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
     if node.must_not_send(server) {
@@ -150,7 +152,7 @@
     let head_start = until.min(Instant::now() + DIRECT_HEAD_START);
     let early = tokio::time::timeout_at(head_start, &mut direct).await;
     if let Ok(Ok(stream)) = early {
-        return Ok(stream);
+        return Ok((stream, memory));
     }
     if !node.reaches_others(server.address).await {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
@@ -159,7 +161,8 @@
         Ok(failed) => failed,
         Err(_) => direct.await,
     };
-    connected.map_err(|_| StatusCode::BAD_GATEWAY)
+    let stream = connected.map_err(|_| StatusCode::BAD_GATEWAY)?;
+    Ok((stream, memory))
 }
 
 impl Node {
