Do not take a platform list that broke off for a shorter one

A page of the platform's list may come without a length and break off between two entries. If it named the next page before its entries, a page that could not be read as a document counted as whole, and all servers after the break as gone.

Found by looking for the cause of streams that looked complete elsewhere.

--- a/crates/curlewlift/src/platform/entries/tests.rs
+++ b/crates/curlewlift/src/platform/entries/tests.rs
@@ -146,6 +146,24 @@
     assert!(Page::decode(&[b"{\"instances\":[", &*unclosed].concat()).is_err());
 }
 
+/// A page that breaks off between two entries is not taken for a shorter one.
+#[test]
+fn cut_between_entries() {
+    let entries = [entry("i-0"), entry("i-1")].join(",");
+    for (start, end) in [
+        ("{\"next_token\":null,\"instances\":[", "]}"),
+        ("{\"instances\":[", "],\"next_token\":null}"),
+    ] {
+        let page = format!("{start}{entries}{end}");
+        let decoded = Page::decode(page.as_bytes()).expect("a page");
+        assert_eq!(names(&decoded), ["i-0", "i-1"]);
+        for cut in start.len()..page.len() - 1 {
+            let decoded = Page::decode(&page.as_bytes()[..cut]);
+            assert!(decoded.is_err(), "{}", &page[..cut]);
+        }
+    }
+}
+
 #[test]
 fn incarnations() {
     let restarted = entry("i-1").replace("1700000000000", "1700000000001");
