End entries' streams only by a whole last event

A caller of an entry got a stream that had broken off inside its last event as complete: the bytes 'data: [DONE]' anywhere ended it, also inside a line of the response's text, and without the blank line that completes the event. Where a stream broke off inside another event, the caller got the first part of it, and the blank line before the entry's error event completed it.

Entries store complete events only, and a stream ends with the event whose data is [DONE]. What broke off arrives again when the stream is resumed.

--- a/crates/core/src/sse/mod.rs
+++ b/crates/core/src/sse/mod.rs
@@ -13,6 +13,9 @@
 /// The media type of a stream of events.
 pub const MEDIA_TYPE: &str = "text/event-stream";
 
+/// Maximum length of an event, in bytes: one that never ends must not exhaust the memory.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// The byte order mark, which may stand at the beginning of a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xEF\xBB\xBF";
 
--- a/crates/curlewlift/src/entry/send.rs
+++ b/crates/curlewlift/src/entry/send.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
 use curlewlift_core::queue::Report;
+use curlewlift_core::sse;
 use curlewlift_core::unit::Tokens;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -40,8 +41,11 @@
 /// Interval between two reports of the tokens received so far.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The event that ends a stream.
-const STREAM_END: &[u8] = b"data: [DONE]";
+/// The data of the event that ends a stream.
+const STREAM_END: &[u8] = b"[DONE]";
+
+/// How many of the latest bytes of a response are kept, to read its usage.
+const TAIL_BYTES: usize = 1_024;
 
 /// How one attempt ended.
 pub(super) enum AttemptOutcome {
@@ -54,9 +58,10 @@
 /// What was received of a response so far.
 #[derive(Default)]
 struct Progress {
-    /// Number of server-sent events.
+    decoder: sse::Decoder,
+    /// Number of server-sent events with data.
     events: u64,
-    /// The latest bytes, to find what is split between two chunks.
+    /// The latest bytes.
     tail: Vec<u8>,
     ended: bool,
     last_report: Option<tokio::time::Instant>,
@@ -232,6 +237,8 @@
         }
         tokio::time::sleep(FIRST_RESUME_DELAY * 2_u32.pow(resumes)).await;
         resumes += 1;
+        // The incomplete event arrives again.
+        progress.decoder = sse::Decoder::default();
         match resume(node, request, stored, &grant).await {
             Some(remaining) => body = remaining,
             None => return broken_response(break_reason),
@@ -239,7 +246,7 @@
     }
 }
 
-/// Stores the chunks that arrive until the connection ends or fails. Returns the error for a stream
+/// Stores the events that arrive until the connection ends or fails. Returns the error for a stream
 /// that ended without its last event.
 async fn receive_chunks(
     node: &Arc<Node>,
@@ -257,8 +264,9 @@
                     continue;
                 };
                 report_chunk(node, request, grant, progress);
-                scan_events(progress, &bytes);
-                if !stored.append(&bytes) {
+                let complete = complete_events(progress, &bytes);
+                let is_event_too_long = progress.decoder.incomplete_bytes() > sse::MAX_EVENT_BYTES;
+                if is_event_too_long || !stored.append(&complete) {
                     return "the response is too large".to_owned();
                 }
             }
@@ -314,25 +322,22 @@
     }
 }
 
-/// Counts the events in `bytes`, and searches for the end of the stream.
-fn scan_events(progress: &mut Progress, bytes: &Bytes) {
-    const TAIL_BYTES: usize = 1_024;
-    let events = bytes
-        .windows(6)
-        .filter(|window| *window == b"data: ")
-        .count();
-    progress.events += events as u64;
-    progress.tail.extend_from_slice(bytes);
-    let search_start = progress
-        .tail
-        .len()
-        .saturating_sub(bytes.len() + STREAM_END.len());
-    progress.ended |= progress.tail[search_start..]
-        .windows(STREAM_END.len())
-        .any(|window| window == STREAM_END);
+/// The events that `bytes` complete. Counts them, and notes the one that ends the stream.
+fn complete_events(progress: &mut Progress, bytes: &Bytes) -> Vec<u8> {
+    let mut complete = Vec::new();
+    progress.decoder.push(bytes);
+    while let Some(event) = progress.decoder.next_event() {
+        if let Some(data) = sse::data(&event) {
+            progress.events += 1;
+            progress.ended |= data == STREAM_END;
+        }
+        complete.extend_from_slice(&event);
+    }
+    progress.tail.extend_from_slice(&complete);
     if progress.tail.len() > 2 * TAIL_BYTES {
         progress.tail.drain(..progress.tail.len() - TAIL_BYTES);
     }
+    complete
 }
 
 /// The `usage` of the last event in `tail` that has one.
--- a/crates/curlewlift/src/gateway/events.rs
+++ b/crates/curlewlift/src/gateway/events.rs
@@ -3,12 +3,10 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use curlewlift_core::sse::Decoder;
+use curlewlift_core::sse::MAX_EVENT_BYTES;
 use curlewlift_core::sse::Progress;
 use curlewlift_core::sse::ResumePoint;
 
-/// Maximum length of an event, in bytes: an event that never ends must not exhaust the memory.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-
 /// Splits a stream into events, and remembers the last one that was forwarded.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
--- a/crates/curlewlift/src/platform/entries.rs
+++ b/crates/curlewlift/src/platform/entries.rs
@@ -180,7 +180,9 @@
 /// Finds the token of the next page on a page that is not a valid document. It must follow the entries: a response without
 /// a length may break off between two of them, and nothing but the token shows that all have arrived.
 fn find_next_token(text: &str) -> Result<Option<String>, String> {
-    let entries = text.rsplit_once("\"instances\"").map(|(_, entries)| entries);
+    let entries = text
+        .rsplit_once("\"instances\"")
+        .map(|(_, entries)| entries);
     let after = entries.and_then(|entries| entries.rsplit_once("\"next_token\""));
     let value = after.and_then(|(_, after)| after.trim_start().strip_prefix(':'));
     let value = value.ok_or("the page does not say whether another page follows")?;
--- a/crates/curlewlift/tests/broken_answers.rs
+++ b/crates/curlewlift/tests/broken_answers.rs
@@ -48,6 +48,27 @@
     assert!(!reply.body.contains("[DONE]"));
 }
 
+/// A stream that breaks off inside its last event has not ended, although that event can be recognized.
+#[test]
+fn cut_in_last_event() {
+    let small = SmallSystem::start("cut_in_last_event", 1, 1, 1);
+    let ask = |content| {
+        let body = Client::chat("m", content, 20, true);
+        let reply = small.ann.post(small.site.entry(0), &[], body);
+        small.runtime.block_on(reply).body
+    };
+    let whole = ask("hello");
+    let end = whole.find("[DONE]").expect("the last event") + "[DONE]".len();
+    small.engines[0].set_faults(Faults {
+        break_after: Some(end),
+        lose_stream: true,
+        ..Faults::default()
+    });
+    let cut = ask("world");
+    assert!(cut.ends_with("code=4002 outcome=unknown\n\n"), "{cut}");
+    assert!(!cut.contains("[DONE]"), "{cut}");
+}
+
 #[test]
 fn short_response() {
     let small = SmallSystem::start("short_response", 1, 1, 1);
--- a/crates/lab/src/standin/engine.rs
+++ b/crates/lab/src/standin/engine.rs
@@ -299,6 +299,8 @@
     let chunks = stream::unfold((buffer, from), move |(buffer, from)| async move {
         let max_len = break_after.map_or(usize::MAX, |after| after.saturating_sub(from));
         if max_len == 0 {
+            // The HTTP server drops what it has not written when it gets the error.
+            tokio::task::yield_now().await;
             return Some((Err(std::io::Error::other("broken")), (buffer, from)));
         }
         let bytes = buffer.next(from, max_len).await?;
