--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -89,7 +89,7 @@
 /// Whether a connection failed because the body of a response was truncated.
 fn is_truncation(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error);
-    source.is_some_and(|source| source.is::<TruncatedBody>())
+    source.is_some_and(<dyn std::error::Error>::is::<TruncatedBody>)
 }
 
 /// Makes a connection end with a reset: a response to HTTP/1.0 has no chunks, so its end is the end of its connection.
