Test what else hears of a stream that broke off

Whole streams of each framing stay whole; streams that cannot be resumed end visibly; the pool, quarantine and roll-outs count a break; a caller continues at another host. All green on the code as it is. Requests of the roll-out tests have paths of their own, as the same one is quarantined after three breaks.

--- a/crates/curlewlift/tests/platform/stream_end.rs
+++ b/crates/curlewlift/tests/platform/stream_end.rs
@@ -9,6 +9,9 @@
 /// The number of events of a whole stream.
 pub(crate) const EVENT_COUNT: u32 = 3;
 
+/// The length of an event that is too long.
+const LONG_EVENT: usize = 3 << 20;
+
 /// How long a stream that `lingers` is silent before its last part.
 pub(crate) const LINGER_TIME: Duration = Duration::from_millis(1_500);
 
@@ -81,6 +84,7 @@
             () if self.has("in-data") => event.find("data:")? + 6,
             () if self.has("in-line-end") => event.len() - line_end.len() + 1,
             () if self.has("before-blank-line") => event.len(),
+            () if self.has("in-long-event") => return Some(event + &"x".repeat(LONG_EVENT)),
             () => return None,
         };
         Some(event[..end].to_owned())
--- a/crates/curlewlift/tests/platform_rollouts.rs
+++ b/crates/curlewlift/tests/platform_rollouts.rs
@@ -73,7 +73,7 @@
 /// Sends a request to a host.
 fn get(hosts: &Hosts, host: usize, id: &str) -> Answer {
     let head = format!(
-        "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
+        "GET /safe/{id} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
          X-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann"
     );
     send_request(hosts.callers(host), &head, "")
@@ -266,11 +266,10 @@
 }
 
 /// A version that fails is rolled back, with no more requests than its bound, and its engines get no requests any more.
-#[test]
-fn bad_version() {
+fn check_bad_version(name: &str, behavior: &'static str) {
     let former = former_engines();
-    let hosts = start("bad_version", &former);
-    let failing_engine = |id| Engine::start_always(id, "fail");
+    let hosts = start(name, &former);
+    let failing_engine = |id| Engine::start_always(id, behavior);
     let target = [failing_engine("i-3"), failing_engine("i-4")];
     let mut listed = entries(&former, "v1");
     listed.extend(entries(&target, "v2"));
@@ -290,3 +289,14 @@
     }
     assert_eq!(received(&target), target_requests);
 }
+
+#[test]
+fn bad_version() {
+    check_bad_version("bad_version", "fail");
+}
+
+/// A version whose streams end inside an event fails, although its responses end without an error.
+#[test]
+fn cutting_version() {
+    check_bad_version("cutting_version", "ends close in-data");
+}
--- a/crates/curlewlift/tests/platform_truncated.rs
+++ b/crates/curlewlift/tests/platform_truncated.rs
@@ -88,6 +88,79 @@
     }
 }
 
+/// Streams that end between two events are complete, however their end is marked.
+#[test]
+fn whole_streams() {
+    let world = ThreeHosts::start("whole_streams");
+    for end in [
+        "",
+        "crlf",
+        "cr",
+        "comments",
+        "mark",
+        "no-ids",
+        "bytewise",
+        "last-comment",
+    ] {
+        for framing in ["close", "chunks", "length"] {
+            for path in ["/stream/", "/resume/", "/safe/"] {
+                check(&world, path, &format!("{framing} {end}"), true);
+            }
+        }
+    }
+}
+
+/// Where a stream can't be resumed, it ends visibly after its last complete event: no attempt or no time is left, events
+/// without an id would be repeated, or an event is longer than a host holds.
+#[test]
+fn no_resumption() {
+    for (number, (path, end)) in [
+        ("/resume/", "close in-data twice"),
+        ("/resume/", "chunks before-blank-line twice"),
+        ("/resume/", "close in-data no-ids"),
+        ("/stream/", "close in-long-event"),
+        ("/stream/", "chunks in-long-event first"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let world = ThreeHosts::start(&format!("no_resumption_{number}"));
+        check(&world, path, end, false);
+    }
+}
+
+/// A stream that broke off counts as a break of its server, and as a crash under its request.
+#[test]
+fn breaks_counted() {
+    let world = ThreeHosts::start("breaks_counted");
+    let ask = || request(world.hosts.callers(0), "1.1", "/stream/", "close in-data");
+    assert!(!ask().whole);
+    wait("the hub keeps requests away from the server", || {
+        !world.hosts.avoided_servers().is_empty()
+    });
+    let avoided = world.hosts.avoided_servers();
+    assert!(avoided[0].contains("outcome=Broken"), "{avoided:?}");
+    wait("the request is quarantined", || ask().body.contains("4005"));
+    let received = world.count_received();
+    assert!((3..=6).contains(&received), "{received} servers ran it");
+}
+
+/// A caller continues a stream that broke off at another host, after the last event that it has received.
+#[test]
+fn resumed_by_caller() {
+    let world = ThreeHosts::start("resumed_by_caller");
+    let end = "close in-data";
+    let begun = request(world.hosts.callers(0), "1.1", "/stream/", end);
+    assert!(!begun.whole);
+    let version = "1.1\r\nLast-Event-Id: 1";
+    let rest = request(world.hosts.callers(1), version, "/resume/", "close");
+    assert!(rest.whole);
+    assert_eq!(
+        begun.body + &rest.body,
+        StreamEnd::parse(end).expected(true)
+    );
+}
+
 /// A host that is killed while it helps ends its connections like a server that has sent its whole response.
 #[test]
 fn helper_killed() {
