Test the loss of a disk together with all processes

When a host loses its disk right after a table was accepted, all other hosts may end at the same moment, also those without a disk. No test had the latter. Green on the code as it is: each of three disks in turn, five hosts.

What files lose with the power is covered by the log's histories, which this test does not repeat: its processes end, and their files stay.

--- a/crates/curlewlift/tests/platform_tables.rs
+++ b/crates/curlewlift/tests/platform_tables.rs
@@ -186,6 +186,38 @@
     }
 }
 
+/// A host loses its disk right after a table was accepted, and all others end at the same moment, also those without a
+/// disk: the table is in force at every host again, and requests are served.
+#[test]
+fn disk_and_all_processes_lost() {
+    let engine = Engine::start("i-1");
+    let folder = folder("disk_and_all_processes_lost");
+    let mut hosts = Hosts::start_more(folder, &[(&engine, "chat")], 2, None);
+    hosts.configure(&document(7).to_string());
+    for (lost, version) in (0..3).zip(8..) {
+        let table = document(version);
+        wait("a table is accepted", || {
+            hosts.put(lost, &table.to_string()) == 200
+        });
+        hosts.indices().for_each(|host| hosts.kill(host));
+        hosts.wipe(lost);
+        hosts.indices().for_each(|host| hosts.boot(host, false));
+        for host in hosts.indices() {
+            wait("the table is read back", || {
+                read_back(&hosts, host).is_some()
+            });
+            assert_eq!(read_back(&hosts, host), Some(table.clone()), "{host}");
+            wait("requests are served", || {
+                let head = "GET /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a";
+                hosts.is_ready(host) && send_request(hosts.callers(host), head, "").status == 200
+            });
+        }
+        wait("the replica with the blank disk is a voter again", || {
+            hosts.was_readmitted(lost)
+        });
+    }
+}
+
 #[test]
 fn minority_refuses() {
     let mut hosts = start("minority_refuses");
