Test flapping links and slow readers by way of another host

What the postmortem of unreachable servers named as not shown: links that fail and work again every half second, and callers that read slowly through a tunnel.

--- a/crates/curlewlift/tests/platform_unreachable.rs
+++ b/crates/curlewlift/tests/platform_unreachable.rs
@@ -3,6 +3,7 @@
 mod platform;
 
 use std::collections::HashMap;
+use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -19,6 +20,12 @@
 /// By when a path that works again is used.
 const RETURN_TIME: Duration = Duration::from_millis(1_500);
 
+/// The size of a large response, in bytes.
+const LARGE_RESPONSE: usize = 4 << 20;
+
+/// How long a slow reader pauses after each part of a response.
+const READ_PAUSE: Duration = Duration::from_millis(10);
+
 const FAULTS: [LinkFault; 2] = [LinkFault::Refuses, LinkFault::Hangs];
 
 /// The share of the requests that were answered.
@@ -134,6 +141,64 @@
     assert!(served(&answers) > 0.98, "{}", served(&answers));
 }
 
+/// Links that fail and work again every half second cost no request, and no server its good name.
+#[test]
+fn flapping_links() {
+    let world = ThreeHosts::start("flapping_links");
+    let before = world.count_received();
+    let (answers, others) = std::thread::scope(|scope| {
+        let flapping = scope.spawn(|| world.send_for(&[0], LOAD_TIME * 2));
+        let others = scope.spawn(|| world.send_for(&[1, 2], LOAD_TIME * 2));
+        for round in 0..8 {
+            let fault = FAULTS[round / 2 % 2];
+            world.set_link_faults(&[0], (round % 2 == 0).then_some(fault));
+            std::thread::sleep(LOAD_TIME / 4);
+        }
+        (
+            flapping.join().expect("no panic"),
+            others.join().expect("no panic"),
+        )
+    });
+    assert!(served(&answers) > 0.98, "{}", served(&answers));
+    assert!(served(&others) > 0.98, "{} at the others", served(&others));
+    let received = world.count_received() - before;
+    assert!(received <= answers.len() + others.len(), "{received} runs");
+    let avoided = world.hosts.avoided_servers();
+    assert!(avoided.is_empty(), "{avoided:?}");
+}
+
+/// Callers that read slowly through another host get all of a large response, and slow down nobody else.
+#[test]
+fn slow_readers() {
+    let world = ThreeHosts::start("slow_readers");
+    world.set_link_faults(&[0], Some(LinkFault::Refuses));
+    let read_slowly = || {
+        let mut caller = TcpStream::connect(world.hosts.callers(0)).expect("accepted");
+        let head = format!(
+            "GET /open/slow HTTP/1.0\r\nHost: shop.example\r\nX-Attempt-Id: h0-slow\r\n\
+             X-Play: unframed {LARGE_RESPONSE}\r\nX-Deadline-Ms: 5000\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).expect("sent");
+        let mut buffer = vec![0; LARGE_RESPONSE / 64];
+        let mut body = 0;
+        while let Ok(count @ 1..) = caller.read(&mut buffer) {
+            body += count;
+            std::thread::sleep(READ_PAUSE);
+        }
+        body
+    };
+    std::thread::scope(|scope| {
+        let slow: Vec<_> = (0..4).map(|_| scope.spawn(read_slowly)).collect();
+        let (answers, others) = serve_both(&world, &[0], &[1, 2]);
+        assert!(answers > 0.98, "{answers} served beside slow readers");
+        assert!(others > 0.98, "{others} served at the others");
+        for reader in slow {
+            let received = reader.join().expect("no panic");
+            assert!(received > LARGE_RESPONSE, "{received} bytes with the head");
+        }
+    });
+}
+
 /// Through another host, responses and bodies stay whole, and a caller that leaves ends the request at the server.
 #[test]
 fn whole_through_tunnel() {
