Deliver complete events that arrive before one that is too long

Found by reading: when an event grew too long, or the host had no memory for it, the complete events that had arrived with its first bytes were dropped although they counted as forwarded, so a resumed stream would have lacked them. The size is now checked after they are forwarded, before more is read.

An end inside an event is a failure of its own: it is the server's doing, and no check of the path may excuse it, which a tunnel that works would have done.

--- a/crates/curlewlift/src/gateway/events.rs
+++ b/crates/curlewlift/src/gateway/events.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use curlewlift_core::sse::Decoder;
-use curlewlift_core::sse::MAX_EVENT_BYTES;
 use curlewlift_core::sse::Progress;
 use curlewlift_core::sse::ResumePoint;
 
@@ -14,17 +13,9 @@
     progress: Progress,
 }
 
-/// An event is longer than [`MAX_EVENT_BYTES`].
-#[derive(Debug)]
-pub(super) struct EventTooLong;
-
 impl EventSplitter {
     /// Appends received bytes, and returns the complete events that the caller does not have yet.
-    ///
-    /// # Errors
-    ///
-    /// If the next event is too long.
-    pub(super) fn push(&mut self, data: &[u8]) -> Result<Bytes, EventTooLong> {
+    pub(super) fn push(&mut self, data: &[u8]) -> Bytes {
         self.decoder.push(data);
         let mut complete = BytesMut::new();
         while let Some(event) = self.decoder.next_event() {
@@ -32,10 +23,7 @@
                 complete.extend_from_slice(&event);
             }
         }
-        if self.decoder.incomplete_bytes() > MAX_EVENT_BYTES {
-            return Err(EventTooLong);
-        }
-        Ok(complete.freeze())
+        complete.freeze()
     }
 
     /// Whether the stream may end here: no event is incomplete.
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -67,6 +67,8 @@
     NotRun { moved: bool, status: u16 },
     /// It may have run, and the server closed the connection before the response was complete.
     ConnectionLost(String),
+    /// It may have run, and the server ended its response inside an event.
+    EndedInEvent,
     /// It may have run, and this host lost its path to the server before the response was complete.
     PathLost(String),
     /// It may have run, and the response cannot be used.
@@ -75,13 +77,6 @@
     DeadlinePassed,
 }
 
-impl Failure {
-    /// The server closed its connection, or marked the end of its response, inside an event.
-    pub(super) fn ended_in_event() -> Self {
-        Self::ConnectionLost("the response ended inside an event".to_owned())
-    }
-}
-
 /// How a server marks the end of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Framing {
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -49,9 +49,10 @@
             Failure::NotSent(_) | Failure::NoPath(_) | Failure::NotRun { .. } => {
                 self.on_not_run(reason)
             }
-            Failure::ConnectionLost(_) | Failure::PathLost(_) | Failure::Unknown(_) => {
-                self.on_maybe_run(reason)
-            }
+            Failure::ConnectionLost(_)
+            | Failure::EndedInEvent
+            | Failure::PathLost(_)
+            | Failure::Unknown(_) => self.on_maybe_run(reason),
             Failure::DeadlinePassed => Err(Refused::new(Code::Late, reason)),
         }
     }
@@ -234,7 +235,7 @@
 pub(super) fn record(failure: &Failure, slot: &mut Slot) -> String {
     let (outcome, reason) = outcome_of(failure);
     slot.set_outcome(outcome);
-    if matches!(failure, Failure::ConnectionLost(_)) {
+    if matches!(failure, Failure::ConnectionLost(_) | Failure::EndedInEvent) {
         slot.set_crashed();
     }
     reason
@@ -246,6 +247,10 @@
         Failure::NotSent(reason) | Failure::ConnectionLost(reason) | Failure::Unknown(reason) => {
             (AttemptOutcome::Broken, reason.clone())
         }
+        Failure::EndedInEvent => (
+            AttemptOutcome::Broken,
+            "the response ended inside an event".to_owned(),
+        ),
         Failure::NoPath(reason) | Failure::PathLost(reason) => {
             (AttemptOutcome::Unreachable, reason.clone())
         }
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -280,7 +280,7 @@
         let kind = self.admitted.rule.kind;
         let body = match response_start.read_full(until).await {
             Ok(Some(body)) if response_start.is_event_stream(kind) && is_cut_in_event(&body) => {
-                Err(Failure::ended_in_event())
+                Err(Failure::EndedInEvent)
             }
             body => body,
         };
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::route;
+use curlewlift_core::sse::MAX_EVENT_BYTES;
 use curlewlift_core::sse::ResumePoint;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -18,7 +19,6 @@
 use super::body::ResponseBody;
 use super::body::TruncatedBody;
 use super::events::EventSplitter;
-use super::events::EventTooLong;
 use super::exchange;
 use super::exchange::Connection;
 use super::exchange::Failure;
@@ -120,83 +120,78 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
         while !self.finished {
             let until = self.request.admitted.deadline.timer_instant();
-            let Ok(data) = tokio::time::timeout_at(until, self.next_data()).await else {
-                return Some(Err(self
-                    .truncate("the deadline has passed".to_owned())
-                    .await));
-            };
-            let failure = match data {
-                Some(Ok(data)) => match self.forwardable(data) {
-                    Ok(complete) if complete.is_empty() => continue,
-                    Ok(complete) => {
-                        self.record_event();
-                        self.record_forwarded();
-                        return Some(Ok(complete));
-                    }
-                    Err(failure) => failure,
-                },
-                Some(Err(error)) => self.explain_error(&error).await,
-                None if self.is_inside_event() => Failure::ended_in_event(),
-                None => {
+            let failure = match tokio::time::timeout_at(until, self.next_complete()).await {
+                Ok(Ok(Some(complete))) => {
+                    self.record_event();
+                    self.record_forwarded();
+                    return Some(Ok(complete));
+                }
+                Ok(Ok(None)) => {
                     self.finish();
                     return None;
                 }
+                Ok(Err(failure)) => failure,
+                Err(_) => {
+                    let reason = "the deadline has passed".to_owned();
+                    return Some(Err(self.truncate(reason).await));
+                }
             };
-            if let Err(truncated) = self.recover(&failure).await {
+            if let Err(truncated) = self.recover(failure).await {
                 return Some(Err(truncated));
             }
         }
         None
     }
 
-    /// The next data of the body; none at its end.
-    async fn next_data(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        if let Some(begun) = self.begun.take() {
-            return Some(Ok(begun));
-        }
+    /// The next part of the body that may be forwarded: complete events only, if it consists of events. Returns nothing at
+    /// its end.
+    async fn next_complete(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            match self.body.frame().await? {
-                Ok(frame) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Some(Ok(data));
-                    }
-                }
-                Err(error) => return Some(Err(error)),
+            self.check_event_size()?;
+            let Some(data) = self.next_data().await? else {
+                let events = self.events.as_ref();
+                let is_complete = events.is_none_or(EventSplitter::is_at_boundary);
+                return is_complete.then_some(None).ok_or(Failure::EndedInEvent);
+            };
+            self.chunks += 1;
+            let complete = match &mut self.events {
+                Some(events) => events.push(&data),
+                None => data,
+            };
+            if !complete.is_empty() {
+                return Ok(Some(complete));
             }
         }
     }
 
-    /// The part of `data` that may be forwarded now: complete events only, if the stream consists of events.
-    fn forwardable(&mut self, data: Bytes) -> Result<Bytes, Failure> {
-        self.chunks += 1;
-        let Some(events) = &mut self.events else {
-            return Ok(data);
-        };
-        let complete = events.push(&data).map_err(|EventTooLong| {
-            Failure::Unknown("an event of the response is too long".to_owned())
-        })?;
-        let beyond_buffers = events.incomplete_bytes().saturating_sub(STREAM_BYTES);
-        if self.memory.try_grow_to(beyond_buffers) {
-            Ok(complete)
-        } else {
+    /// Holds the memory for an incomplete event, unless it is too long.
+    fn check_event_size(&self) -> Result<(), Failure> {
+        let events = self.events.as_ref();
+        let incomplete = events.map_or(0, EventSplitter::incomplete_bytes);
+        if incomplete > MAX_EVENT_BYTES {
+            let reason = "an event of the response is too long";
+            return Err(Failure::Unknown(reason.to_owned()));
+        }
+        let beyond_buffers = incomplete.saturating_sub(STREAM_BYTES);
+        if !self.memory.try_grow_to(beyond_buffers) {
             let reason = "this host has no memory for an event of the response";
-            Err(Failure::Unknown(reason.to_owned()))
+            return Err(Failure::Unknown(reason.to_owned()));
         }
+        Ok(())
     }
 
-    /// Whether the body would end inside an event if it ended now.
-    fn is_inside_event(&self) -> bool {
-        let events = self.events.as_ref();
-        events.is_some_and(|events| !events.is_at_boundary())
-    }
-
-    /// Tells whether reading the body failed by the fault of the server or of this host's path to it.
-    async fn explain_error(&self, error: &hyper::Error) -> Failure {
-        let lost = Failure::ConnectionLost(error.to_string());
-        match &self.slot {
-            Some(slot) => exchange::explain(lost, slot).await,
-            None => lost,
+    /// The next data of the body; none at its end.
+    async fn next_data(&mut self) -> Result<Option<Bytes>, Failure> {
+        if let Some(begun) = self.begun.take() {
+            return Ok(Some(begun));
+        }
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|error| Failure::ConnectionLost(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
         }
+        Ok(None)
     }
 
     /// Resumes the stream at another server after it broke off.
@@ -204,9 +199,14 @@
     /// # Errors
     ///
     /// If that is not possible, so that the response must be truncated.
-    async fn recover(&mut self, failure: &Failure) -> Result<(), TruncatedBody> {
-        let slot = self.slot.as_mut();
-        let reason = slot.map_or_else(String::new, |slot| failure::record(failure, slot));
+    async fn recover(&mut self, failure: Failure) -> Result<(), TruncatedBody> {
+        let reason = match &mut self.slot {
+            Some(slot) => {
+                let failure = exchange::explain(failure, slot).await;
+                failure::record(&failure, slot)
+            }
+            None => String::new(),
+        };
         if self.resume(&reason).await {
             return Ok(());
         }
