--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -282,10 +282,12 @@
     /// How the server marks the end of the response.
     pub(super) fn framing(&self) -> Framing {
         let headers = &self.head.headers;
-        match () {
-            () if headers.contains_key(header::TRANSFER_ENCODING) => Framing::Chunks,
-            () if headers.contains_key(header::CONTENT_LENGTH) => Framing::Length,
-            () => Framing::Close,
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Framing::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Framing::Length
+        } else {
+            Framing::Close
         }
     }
 
--- a/crates/curlewlift/tests/platform/stream_end.rs
+++ b/crates/curlewlift/tests/platform/stream_end.rs
@@ -24,50 +24,76 @@
     Length,
 }
 
-/// A stream of three events, sent on request: `ends FRAMING CUT FLAGS`, with the words in any order.
+/// Words that say where a stream breaks off, and what has been sent of the event by then: a field's name and how many bytes
+/// of it, or how many bytes before the blank line are missing.
+enum Cut {
+    At(&'static str, usize),
+    BeforeEnd(usize),
+}
+
+const CUTS: [(&str, Cut); 5] = [
+    ("in-first-byte", Cut::At("", 1)),
+    ("in-id", Cut::At("id:", 2)),
+    ("in-data", Cut::At("data:", 6)),
+    ("in-line-end", Cut::BeforeEnd(1)),
+    ("before-blank-line", Cut::BeforeEnd(0)),
+];
+
+/// A stream of three events, sent on request: `ends WORDS`.
 ///
-/// `CUT` is where the stream breaks off. `FLAGS` change the bytes of the events and when they are sent.
+/// The words say how the end is marked (`close`, `chunks`, `length`), where the stream breaks off ([`CUTS`], or
+/// `in-long-event`; it is whole without), at its `first` event or else at the second, and change the bytes of the events
+/// and when they are sent.
 #[derive(Clone, Debug)]
 pub(crate) struct StreamEnd {
-    framing: Framing,
-    flags: Vec<String>,
+    words: Vec<String>,
 }
 
 impl StreamEnd {
     /// Parses the text after `ends `.
     pub(crate) fn parse(text: &str) -> Self {
-        let flags: Vec<_> = text.split(' ').map(ToOwned::to_owned).collect();
-        let has = |word: &str| flags.iter().any(|flag| flag == word);
-        let framing = match () {
-            () if has("chunks") => Framing::Chunks,
-            () if has("length") => Framing::Length,
-            () => Framing::Close,
-        };
-        Self { framing, flags }
+        Self {
+            words: text.split(' ').map(ToOwned::to_owned).collect(),
+        }
     }
 
     fn has(&self, word: &str) -> bool {
-        self.flags.iter().any(|flag| flag == word)
+        self.words.iter().any(|known| known == word)
     }
 
-    /// An event without its blank line, and the line end.
-    fn event(&self, number: u32) -> (String, &'static str) {
-        let line_end = match () {
-            () if self.has("crlf") => "\r\n",
-            () if self.has("cr") => "\r",
-            () => "\n",
-        };
-        let id = if self.has("no-ids") {
-            String::new()
-        } else {
-            format!("id: {number}{line_end}")
-        };
-        let comment = if self.has("comments") {
-            format!(": ping{line_end}")
+    /// The first of `texts` whose word the stream has, or else `default`.
+    fn choose<'a>(&self, texts: &[(&str, &'a str)], default: &'a str) -> &'a str {
+        let chosen = texts.iter().find(|(word, _)| self.has(word));
+        chosen.map_or(default, |(_, text)| text)
+    }
+
+    fn framing(&self) -> Framing {
+        if self.has("chunks") {
+            Framing::Chunks
+        } else if self.has("length") {
+            Framing::Length
         } else {
-            String::new()
-        };
-        (format!("{comment}{id}data: e{number}{line_end}"), line_end)
+            Framing::Close
+        }
+    }
+
+    /// The end of each line.
+    fn line_end(&self) -> &'static str {
+        self.choose(&[("crlf", "\r\n"), ("cr", "\r")], "\n")
+    }
+
+    /// An event without its blank line.
+    fn event(&self, number: u32) -> String {
+        let mut lines = Vec::new();
+        if self.has("comments") {
+            lines.push(": ping".to_owned());
+        }
+        if !self.has("no-ids") {
+            lines.push(format!("id: {number}"));
+        }
+        lines.push(format!("data: e{number}"));
+        let line_end = self.line_end();
+        lines.join(line_end) + line_end
     }
 
     /// The event that is incomplete, if the stream breaks off.
@@ -77,15 +103,14 @@
 
     /// What is sent of the event at which the stream breaks off; none if it doesn't.
     fn partial(&self) -> Option<String> {
-        let (event, line_end) = self.event(self.cut_event());
-        let end = match () {
-            () if self.has("in-first-byte") => 1,
-            () if self.has("in-id") => event.find("id:")? + 2,
-            () if self.has("in-data") => event.find("data:")? + 6,
-            () if self.has("in-line-end") => event.len() - line_end.len() + 1,
-            () if self.has("before-blank-line") => event.len(),
-            () if self.has("in-long-event") => return Some(event + &"x".repeat(LONG_EVENT)),
-            () => return None,
+        let event = self.event(self.cut_event());
+        if self.has("in-long-event") {
+            return Some(event + &"x".repeat(LONG_EVENT));
+        }
+        let (_, cut) = CUTS.iter().find(|(word, _)| self.has(word))?;
+        let end = match cut {
+            Cut::At(field, count) => event.find(field)? + count,
+            Cut::BeforeEnd(count) => event.len() - count,
         };
         Some(event[..end].to_owned())
     }
@@ -98,7 +123,7 @@
         }
         let partial = self.partial().filter(|_| is_cut);
         for number in last_event.unwrap_or(0) + 1..=EVENT_COUNT {
-            let (event, line_end) = self.event(number);
+            let (event, line_end) = (self.event(number), self.line_end());
             match &partial {
                 Some(partial) if number >= self.cut_event() => {
                     parts.push(partial.clone());
@@ -148,7 +173,7 @@
         drop(seen);
         let parts = self.parts(last_event, is_first || self.has("twice"));
         let length: usize = parts.iter().map(String::len).sum();
-        let framing = match self.framing {
+        let framing = match self.framing() {
             Framing::Close => String::new(),
             Framing::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
             Framing::Length => format!("Content-Length: {length}\r\n"),
@@ -157,7 +182,7 @@
         let _ = write!(stream, "{head}{kind}{framing}\r\n");
         let count = parts.len();
         for (index, part) in parts.iter().enumerate() {
-            let _ = match self.framing {
+            let _ = match self.framing() {
                 Framing::Chunks => write!(stream, "{:x}\r\n{part}\r\n", part.len()),
                 Framing::Close | Framing::Length => stream.write_all(part.as_bytes()),
             };
@@ -169,7 +194,7 @@
                 std::thread::sleep(LINGER_TIME);
             }
         }
-        if self.framing == Framing::Chunks {
+        if self.framing() == Framing::Chunks {
             let _ = write!(stream, "0\r\n\r\n");
         }
     }
