Log the version of servers, and which stream a caller takes up

The logs could not tell a stream that this system continues at another version from one that its caller does: no line had a server's version, and none said that a request takes up a stream. `sent` and `resumed` have the version now, and `sent` has what the caller says of the stream.

--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -23,6 +23,17 @@
     pub(crate) tokens: Option<(u64, u64)>,
     /// The caller's estimate of the number of tokens that will be generated.
     pub(crate) length_hint: Option<u64>,
+    /// Set if the caller has received a part of the response already.
+    pub(crate) resumption: Option<Resumption>,
+}
+
+/// What a caller says of a stream that it has received a part of.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Resumption {
+    /// The id of the request that brought the first event; none unless it is stated exactly once.
+    pub(crate) first_request: Option<HeaderValue>,
+    /// The id of the last event that was received, if stated.
+    pub(crate) last_event: Option<HeaderValue>,
 }
 
 /// What the gateway adds to the header fields of a request for a backend server.
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::HeaderValue;
 use axum::http::Request;
 use axum::http::StatusCode;
 use axum::http::response;
@@ -19,6 +20,7 @@
 use super::admit::Admitted;
 use super::body::Answer;
 use super::dialect::BackendHead;
+use super::dialect::Resumption;
 use super::exchange;
 use super::exchange::Failure;
 use super::exchange::ResponseStart;
@@ -216,6 +218,7 @@
             .admitted
             .log_line(Kind::Sent)
             .with("server", &*slot.server.incarnation)
+            .with("version", slot.server.version.to_string())
             .with("sent", self.attempts() + 1)
             .with("hub_ms", self.node.since_hub_reply().map(millis))
             .with(
@@ -227,7 +230,8 @@
                 },
             )
             .with("left_alone_ms", millis(slot.avoid_time()));
-        log_limit(line, &slot.server_limit()).write();
+        let line = log_limit(line, &slot.server_limit());
+        log_resumption(line, self.admitted.head_fields.resumption.as_ref()).write();
         self.tried.push(Arc::clone(&slot.server.incarnation));
         let prepare = |slot: &Slot| self.prepare(slot, None);
         let deadline = &self.admitted.deadline;
@@ -323,6 +327,16 @@
     AttemptOutcome::Answered { first_byte, gap }
 }
 
+/// Adds to a log line which stream the caller takes up, and after which event, if it takes up one.
+fn log_resumption(line: Line, resumption: Option<&Resumption>) -> Line {
+    let Some(resumption) = resumption else {
+        return line;
+    };
+    let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+    line.with("resumes", resumption.first_request.as_ref().map(text))
+        .with("after_event", resumption.last_event.as_ref().map(text))
+}
+
 /// Whether a stream of events ends inside one.
 fn is_cut_in_event(body: &[u8]) -> bool {
     let mut decoder = sse::Decoder::default();
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 pub(crate) use dialect::Dialect;
 pub(crate) use dialect::RequestHead;
 pub(crate) use dialect::ResponseHead;
+pub(crate) use dialect::Resumption;
 pub(crate) use environment::Environment;
 pub(crate) use leader_calls::evacuate;
 pub(crate) use leader_calls::publish;
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -318,6 +318,7 @@
                 .request(self.request.admitted.head_fields.id.as_ref())
                 .with("identity", self.request.admitted.identity.to_string())
                 .with("server", &*response_start.slot.server.incarnation)
+                .with("version", response_start.slot.server.version.to_string())
                 .with("after_event", resume_point.event_id())
                 .with("why", reason)
                 .write();
--- a/crates/curlewlift/src/platform/headers.rs
+++ b/crates/curlewlift/src/platform/headers.rs
@@ -19,6 +19,7 @@
 use crate::gateway::Dialect;
 use crate::gateway::RequestHead;
 use crate::gateway::ResponseHead;
+use crate::gateway::Resumption;
 
 use super::http;
 
@@ -39,6 +40,8 @@
 const EXPECTED_SERVER: HeaderName = HeaderName::from_static("x-expect-instance");
 /// The id of the last event that was received; a stream is resumed after it.
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// The id of the request that brought the first event of the stream that this request takes up.
+const FIRST_REQUEST: HeaderName = HeaderName::from_static("resumes");
 /// The backend server's signature of its response.
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 /// Says that the backend server did not run the request.
@@ -86,6 +89,22 @@
         timeout: millis(headers, &DEADLINE)?.map(Duration::from_millis),
         tokens: token_counts(headers)?,
         length_hint: length_hint(headers),
+        resumption: resumption(headers),
+    })
+}
+
+fn resumption(headers: &HeaderMap) -> Option<Resumption> {
+    let last_event = headers.get(LAST_EVENT).cloned();
+    let mut stated = headers.get_all(FIRST_REQUEST).iter();
+    let first_request = stated.next();
+    if first_request.is_none() && last_event.is_none() {
+        return None;
+    }
+    let is_unique = stated.next().is_none();
+    let first_request = first_request.filter(|id| is_unique && !id.is_empty());
+    Some(Resumption {
+        first_request: first_request.cloned(),
+        last_event,
     })
 }
 
