--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -72,6 +72,8 @@
 #[derive(Clone)]
 pub(crate) struct Engine {
     pub id: String,
+    /// The version of its software, as the server list names it.
+    pub version: &'static str,
     pub address: SocketAddr,
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
     abandoned: Arc<Mutex<u32>>,
@@ -143,6 +145,12 @@
         Self::start_with(id, None)
     }
 
+    /// Starts an engine of another version than v1.
+    pub(crate) fn start_version(id: &str, version: &'static str) -> Self {
+        let engine = Self::start_with(id, None);
+        Self { version, ..engine }
+    }
+
     /// Starts an engine that handles every request in the same way.
     pub(crate) fn start_always(id: &str, behavior: &'static str) -> Self {
         Self::start_with(id, Some(behavior))
@@ -152,6 +160,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let engine = Self {
             id: id.to_owned(),
+            version: "v1",
             address: listener.local_addr().expect("the listener has an address"),
             received: Arc::default(),
             abandoned: Arc::default(),
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -492,7 +492,7 @@
 pub(crate) fn entry(engine: &Engine, service: &str, state: &str) -> Value {
     json!({
         "id": engine.name(), "service": service, "address": engine.address, "zone": "hall-0",
-        "version": "v1", "slots": 4, "state": state, "cold_left_ms": 0,
+        "version": engine.version, "slots": 4, "state": state, "cold_left_ms": 0,
     })
 }
 
--- a/crates/curlewlift/tests/platform/three_hosts.rs
+++ b/crates/curlewlift/tests/platform/three_hosts.rs
@@ -26,7 +26,22 @@
 
     /// Starts the third host `delay` after the others.
     pub(crate) fn start_late(name: &str, delay: Duration) -> Self {
-        let engines = ["i-1", "i-2", "i-3"].map(Engine::start).to_vec();
+        Self::start_before(
+            name,
+            ["i-1", "i-2", "i-3"].map(Engine::start).to_vec(),
+            delay,
+        )
+    }
+
+    /// Starts the hosts in front of engines of these versions.
+    pub(crate) fn start_versions(name: &str, versions: &[&'static str]) -> Self {
+        let engines = versions.iter().enumerate();
+        let engines = engines
+            .map(|(index, version)| Engine::start_version(&format!("i-{}", index + 1), version));
+        Self::start_before(name, engines.collect(), Duration::ZERO)
+    }
+
+    fn start_before(name: &str, engines: Vec<Engine>, delay: Duration) -> Self {
         let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
         let hosts = Hosts::start_late(folder(name), &listed, delay);
         hosts.configure(&document(7).to_string());
