Continue a stream within a response only at its version

Callers saw streams with events from two versions of a service's software: a gateway that resumed a stream asked for any server of the service.

The version of the server whose first event is forwarded is now a condition of the stream. It goes wherever the allowed data halls go: the hub's queue, the local one, lent slots; and the last check before a request is sent, which all of these pass, refuses servers of other versions. A request with a condition waits for its version and blocks none behind it.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -118,6 +118,7 @@
             avoid: Vec::new(),
             backoffs: Vec::new(),
             allowed_halls: None,
+            allowed_versions: None,
         };
         let SlotDecision::Queued(ticket, replaced) = self.hub.request_slot(slot_request, self.now)
         else {
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -73,6 +73,8 @@
     pub backoffs: Vec<(Arc<str>, Duration)>,
     /// The data halls to which the request is restricted, if it is.
     pub allowed_halls: Option<Arc<[Arc<str>]>>,
+    /// The versions to which the request is restricted, if it is.
+    pub allowed_versions: Option<Arc<[Version]>>,
 }
 
 impl SlotRequest {
@@ -98,6 +100,7 @@
             avoid: self.avoid.iter().map(expiry).collect(),
             backoffs: self.backoffs.iter().map(expiry).collect(),
             allowed_halls: self.allowed_halls.clone(),
+            allowed_versions: self.allowed_versions.clone(),
         }
     }
 }
--- a/crates/core/src/pool/doomed.rs
+++ b/crates/core/src/pool/doomed.rs
@@ -39,9 +39,9 @@
         let mut waits = self.queue.waits(&rates, now);
         while let Some((position, request)) = order.next() {
             let request = &*request.with_backoffs(&backoffs);
-            // A server that backs off, or is outside the request's halls, does not count as room, even when idle.
+            // A server that the request must not go to does not count as room, even when idle.
             let may_go = |server: &Server| request.may_go_to(server, now);
-            let is_full = is_full || (request.has_backoff_or_halls() && self.is_full(may_go, now));
+            let is_full = is_full || (request.has_conditions() && self.is_full(may_go, now));
             let predict = |position: &Position| waits.predict(&order, position, ahead);
             let is_new = position.ticket.0 > self.last_checked;
             // A new request of a higher rank was judged by the stricter margin.
@@ -132,7 +132,7 @@
     fn has_no_server_left(&self, request: &Request) -> bool {
         let mut accepting = self.servers.all().filter(|state| state.accepts_work());
         let is_tried = !request.tried.is_empty();
-        let is_restricted = is_tried || (request.has_backoff_or_halls() && self.accepts_work());
+        let is_restricted = is_tried || (request.has_conditions() && self.accepts_work());
         is_restricted && accepting.all(|state| request.never_goes_to(&state.server))
     }
 }
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -10,6 +10,7 @@
 use crate::clock::Instant;
 use crate::gateway::Server;
 use crate::id;
+use crate::rollout::Version;
 use crate::route::Rank;
 use crate::unit::Tokens;
 
@@ -50,6 +51,8 @@
     pub backoffs: Vec<(Arc<str>, Instant)>,
     /// The data halls that it must stay in; `None` if it may go to any.
     pub allowed_halls: Option<Arc<[Arc<str>]>>,
+    /// The versions of the servers that it may go to; `None` if it may go to any.
+    pub allowed_versions: Option<Arc<[Version]>>,
 }
 
 impl Request {
@@ -58,7 +61,12 @@
         let incarnation = &server.incarnation;
         let excludes = |(other, until): &(Arc<str>, Instant)| other == incarnation && now < *until;
         let is_excluded = self.avoid.iter().any(excludes) || self.backoffs.iter().any(excludes);
-        !is_excluded && self.allows_hall_of(server) && !self.tried.contains(incarnation)
+        !is_excluded && self.allows(server) && !self.tried.contains(incarnation)
+    }
+
+    /// Whether `server` is in a data hall, and runs a version, that it may go to.
+    fn allows(&self, server: &Server) -> bool {
+        self.allows_hall_of(server) && self.allows_version(&server.version)
     }
 
     /// Whether `server` is in a data hall that it may go to.
@@ -67,6 +75,12 @@
         halls.is_none_or(|halls| halls.contains(&server.hall))
     }
 
+    /// Whether it may go to servers of `version`.
+    pub(super) fn allows_version(&self, version: &Version) -> bool {
+        let versions = self.allowed_versions.as_ref();
+        versions.is_none_or(|versions| versions.contains(version))
+    }
+
     /// The same request with further backoffs that servers asked its host for.
     pub(super) fn with_backoffs(&self, backoffs: &[(Arc<str>, Instant)]) -> Cow<'_, Self> {
         let mut request = Cow::Borrowed(self);
@@ -78,22 +92,22 @@
 
     /// Whether it may not be sent to some servers that other requests may be sent to.
     pub(super) fn is_restricted(&self) -> bool {
-        !(self.tried.is_empty() && self.avoid.is_empty()) || self.has_backoff_or_halls()
+        !(self.tried.is_empty() && self.avoid.is_empty()) || self.has_conditions()
     }
 
-    /// Whether backoffs or allowed data halls exclude some servers.
-    pub(super) fn has_backoff_or_halls(&self) -> bool {
-        !self.backoffs.is_empty() || self.allowed_halls.is_some()
+    /// Whether backoffs, allowed data halls or allowed versions exclude some servers.
+    pub(super) fn has_conditions(&self) -> bool {
+        !self.backoffs.is_empty() || self.allowed_halls.is_some() || self.allowed_versions.is_some()
     }
 
     /// Whether it cannot be sent to `server` for as long as it stays queued: it was already sent there, the server
-    /// backs off for longer, or is outside its allowed data halls.
+    /// backs off for longer, is outside its allowed data halls, or runs another version than those allowed.
     pub(super) fn never_goes_to(&self, server: &Server) -> bool {
         let incarnation = &server.incarnation;
         let mut backoffs = self.backoffs.iter();
         let is_backing_off =
             backoffs.any(|(other, until)| other == incarnation && self.wait_until <= *until);
-        is_backing_off || !self.allows_hall_of(server) || self.tried.contains(incarnation)
+        is_backing_off || !self.allows(server) || self.tried.contains(incarnation)
     }
 }
 
--- a/crates/core/src/pool/servers.rs
+++ b/crates/core/src/pool/servers.rs
@@ -17,6 +17,7 @@
 use crate::limit::RateLimiter;
 use crate::limit::Warmup;
 use crate::rejection;
+use crate::rollout::Version;
 use crate::route::Engine;
 use crate::unit::Tokens;
 
@@ -47,6 +48,8 @@
 pub struct Pool {
     pub(super) tuning: Tuning,
     pub(super) servers: ServerSet,
+    /// The versions of the servers, each once.
+    versions: Vec<Version>,
     /// What servers have announced about themselves to this host.
     notices: Notices,
     /// The rate limits that servers have announced, and how much of them is used.
@@ -80,6 +83,7 @@
         Self {
             tuning,
             servers: ServerSet::new(tuning.extra_in_flight),
+            versions: Vec::new(),
             notices: Notices::default(),
             limits: RateLimiter::closed(),
             limit_wait: LimitWait::default(),
@@ -120,6 +124,10 @@
                 Arc::make_mut(server).leaving = true;
             }
         }
+        self.versions.clear();
+        for server in &servers {
+            self.add_version(&server.version);
+        }
         self.servers.replace(servers);
         self.forget_fastest();
         if !self.limits.is_empty() {
@@ -129,6 +137,19 @@
         }
     }
 
+    fn add_version(&mut self, version: &Version) {
+        if !self.versions.contains(version) {
+            self.versions.push(version.clone());
+        }
+    }
+
+    /// Whether a server that accepts new work runs one of these versions.
+    #[must_use]
+    pub fn accepts_work_of(&self, versions: &[Version]) -> bool {
+        let mut accepting = self.servers.all().filter(|state| state.accepts_work());
+        accepting.any(|state| versions.contains(&state.server.version))
+    }
+
     /// Applies notices of previous incarnations to the servers of a list that is about to replace the current one.
     pub fn inherit_notices(&mut self, servers: &[Arc<Server>], now: Instant) {
         for server in servers {
@@ -203,6 +224,7 @@
             return false;
         }
         if !self.servers.contains(&server.incarnation) {
+            self.add_version(&server.version);
             self.servers.add_unlisted(Arc::clone(server));
         }
         let accepted = self.servers.update(&server.incarnation, |state| {
@@ -412,7 +434,12 @@
 
     /// Adds a request to the queue at `now`. Returns its ticket, and the ticket of the request that is rejected if the
     /// queue is too long.
-    pub fn enqueue(&mut self, request: Request, now: Instant) -> (Ticket, Option<Ticket>) {
+    pub fn enqueue(&mut self, mut request: Request, now: Instant) -> (Ticket, Option<Ticket>) {
+        let mut versions = self.versions.iter();
+        if versions.all(|version| request.allows_version(version)) {
+            // It is placed like all others. If another version appears while it waits, its gateway does not send it there.
+            request.allowed_versions = None;
+        }
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         self.forecast.record_arrival(request.rank, now);
--- a/crates/core/src/pool/trial_version.rs
+++ b/crates/core/src/pool/trial_version.rs
@@ -37,6 +37,9 @@
 impl TrialVersion {
     /// Whether a request should be sent to the version on trial first.
     fn prefers(&self, request: &Request) -> bool {
+        if request.allowed_versions.is_some() && request.allows_version(&self.version) {
+            return true;
+        }
         let is_under_sampled = |rule: &Arc<str>| self.under_sampled_rules.contains(rule);
         self.under_sampled_rules.is_empty() || request.rule.as_ref().is_some_and(is_under_sampled)
     }
--- a/crates/core/src/sse/progress.rs
+++ b/crates/core/src/sse/progress.rs
@@ -77,6 +77,12 @@
         true
     }
 
+    /// Returns whether an event has arrived, besides comments.
+    #[must_use]
+    pub fn has_event(&self) -> bool {
+        self.last_id.is_some() || self.has_unidentified
+    }
+
     /// Returns where the stream can be resumed; none if it would repeat events that have no id.
     #[must_use]
     pub fn resume_point(&self) -> Option<ResumePoint> {
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -38,6 +38,7 @@
         avoid: Vec::new(),
         backoffs: Vec::new(),
         allowed_halls: None,
+        allowed_versions: None,
     }
 }
 
--- a/crates/curlewlift/src/gateway/events.rs
+++ b/crates/curlewlift/src/gateway/events.rs
@@ -26,6 +26,11 @@
         complete.freeze()
     }
 
+    /// Whether the caller has an event.
+    pub(super) fn has_event(&self) -> bool {
+        self.progress.has_event()
+    }
+
     /// Whether the stream may end here: no event is incomplete.
     pub(super) fn is_at_boundary(&self) -> bool {
         self.decoder.is_at_boundary()
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::AttemptOutcome;
+use curlewlift_core::rollout::Version;
 use curlewlift_core::sse;
 use http_body_util::Full;
 
@@ -46,6 +47,8 @@
     pub(super) node: Rc<Node>,
     pub(super) admitted: Admitted,
     pub(super) service: id::Service,
+    /// The version that began its stream, at which the stream must continue; none before the first event.
+    pub(super) version: Option<Version>,
     /// Attempts at servers that may have begun to run it.
     pub(super) maybe_run_attempts: u8,
     /// Attempts at servers that reported that they did not run it, or were not reachable.
@@ -89,6 +92,7 @@
             node,
             admitted,
             service,
+            version: None,
             maybe_run_attempts: 0,
             not_run_attempts: 0,
             tried: Vec::new(),
@@ -135,6 +139,7 @@
             return Err(self.no_slot_refusal(NoSlot::NoPath));
         }
         let admitted = &self.admitted;
+        let allowed_versions = self.version.clone().map(|version| Arc::from([version]));
         let now = self.node.now();
         let wait_limit = admitted.wait_limit(&self.node);
         let max_wait = wait_limit.max_wait();
@@ -161,6 +166,7 @@
             avoid: Vec::new(),
             backoffs: Vec::new(),
             allowed_halls: admitted.allowed_halls.clone(),
+            allowed_versions: allowed_versions.clone(),
         };
         let charge = self.admitted.charge.as_ref();
         let context = AttemptContext {
@@ -169,6 +175,7 @@
             identity: &self.admitted.identity,
             time_left: self.admitted.deadline.remaining(),
             allowed_halls: self.admitted.allowed_halls.as_ref(),
+            allowed_versions: allowed_versions.as_ref(),
             needs_retry: self.lacks_retry_budget(),
         };
         match slot_wait::wait(&self.node, context, pool_request, charge, max_wait).await {
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -22,6 +22,7 @@
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quarantine::Rejection;
 use curlewlift_core::quota::Charge;
+use curlewlift_core::rollout::Version;
 use curlewlift_core::unit::Tokens;
 
 use crate::rpc::HubCall;
@@ -60,6 +61,8 @@
     pub(super) time_left: Duration,
     /// The data halls that the request must stay in, if it must.
     pub(super) allowed_halls: Option<&'a Arc<[Arc<str>]>>,
+    /// The versions that the request may be sent to; none if it may be sent to any.
+    pub(super) allowed_versions: Option<&'a Arc<[Version]>>,
     /// Whether this is a retry that this gateway's own retry budget doesn't cover.
     pub(super) needs_retry: bool,
 }
@@ -213,6 +216,7 @@
             avoid: avoid.unwrap_or_default(),
             backoffs: backing_off.unwrap_or_default(),
             allowed_halls: request.allowed_halls.clone(),
+            allowed_versions: request.allowed_versions.clone(),
         }
     }
 
--- a/crates/curlewlift/src/gateway/local_slots.rs
+++ b/crates/curlewlift/src/gateway/local_slots.rs
@@ -179,6 +179,7 @@
         identity: &request.identity,
         time_left: request.time_left,
         allowed_halls: None,
+        allowed_versions: None,
         needs_retry: false,
     };
     let pool_request = request.to_pool_request(node.now());
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -123,6 +123,7 @@
             let failure = match tokio::time::timeout_at(until, self.next_complete()).await {
                 Ok(Ok(Some(complete))) => {
                     self.record_event();
+                    self.record_version();
                     self.record_forwarded();
                     return Some(Ok(complete));
                 }
@@ -235,6 +236,17 @@
         }
     }
 
+    /// Records which version sends the first event that is forwarded. The stream must not continue at another one.
+    fn record_version(&mut self) {
+        let has_event = self.events.as_ref().is_some_and(EventSplitter::has_event);
+        if let Some(slot) = &self.slot
+            && has_event
+            && self.request.version.is_none()
+        {
+            self.request.version = Some(slot.server.version.clone());
+        }
+    }
+
     /// Records that a chunk is forwarded to the caller.
     fn record_forwarded(&mut self) {
         let now = Instant::now();
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -21,6 +21,7 @@
 use curlewlift_core::pool::ReportedLoad;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::rejection;
+use curlewlift_core::rollout::Version;
 use curlewlift_core::unit::Tokens;
 use tokio::time::Instant;
 
@@ -51,6 +52,8 @@
     identity: Identity,
     /// The data halls that the request must stay in, if it must.
     allowed_halls: Option<Arc<[Arc<str>]>>,
+    /// The versions that the request may be sent to; none if it may be sent to any.
+    allowed_versions: Option<Arc<[Version]>>,
     /// When the slot was assigned.
     granted_at: clock::Instant,
     /// When the request was sent; none before that.
@@ -85,6 +88,7 @@
             asked_at: now,
             identity: context.identity.clone(),
             allowed_halls: context.allowed_halls.cloned(),
+            allowed_versions: context.allowed_versions.cloned(),
             granted_at: now,
             sent_at: None,
             load: None,
@@ -310,9 +314,14 @@
         rate.map_or(Announcement::NoLimit, Announcement::Limited)
     }
 
-    /// Whether the request must not be sent: the server has told this host to send nothing, or has announced a limit
-    /// that this slot was not charged to, or its data hall is being evacuated.
+    /// Whether the request must not be sent: the server runs another version than the request may be sent to, has told
+    /// this host to send nothing, or has announced a limit that this slot was not charged to, or its data hall is being
+    /// evacuated.
     pub(super) fn is_unavailable(&self) -> bool {
+        let versions = self.allowed_versions.as_ref();
+        if versions.is_some_and(|versions| !versions.contains(&self.server.version)) {
+            return true;
+        }
         if self.node.policy.borrow().is_evacuated(&self.server.hall) {
             return true;
         }
--- a/crates/curlewlift/src/gateway/slot_queue.rs
+++ b/crates/curlewlift/src/gateway/slot_queue.rs
@@ -39,6 +39,7 @@
                 identity: &self.identity,
                 time_left: self.time_left,
                 allowed_halls: None,
+                allowed_versions: None,
                 needs_retry: false,
             };
             drop(Slot::new(
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -406,6 +406,7 @@
             avoid: Vec::new(),
             backoffs: Vec::new(),
             allowed_halls: None,
+            allowed_versions: None,
         };
         let Some(hub) = &mut self.hub else { return };
         match hub.request_slot(slot_request, now) {
