Go on with a stream that a caller takes up only at its version

Callers that took a stream up at another host got the rest from any version of the service's software: what began the stream was known to nobody but the gateway that had forwarded its first event, and Resumes was not read.

The gateway now records where a stream began before it forwards the first event, and reports it at once. The hub passes a copy to two other gateways, in other data halls where there are any; a new hub is told of all records by those that have them, and a gateway that reaches no hub passes its records to a standby. Records are facts that never change, so late, doubled and reordered messages are harmless, and a lost one costs a resumption. A stream without a record goes on only if its service has had a single version, which is committed: a second one is announced in the log and opened after the time for which gateways rely on the first being the only one. Otherwise the request is rejected with 3011 before a server gets it, and with 3012 if its version has no server left.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -167,6 +167,7 @@
             observations: Vec::new(),
             unused: Vec::new(),
             limit_reports: Reports::default(),
+            streams: Vec::new(),
         };
         self.hub.report(&report, self.now);
     }
--- a/crates/core/src/code/table.rs
+++ b/crates/core/src/code/table.rs
@@ -96,6 +96,8 @@
     NoHome = 3008, "no-home", 503, "The rule and the customer allow no common region that has a data hall.";
     HostFull = 3009, "host-full", 503, "This host holds as many bytes of requests and responses as its memory allows; retry at another host.";
     NoPath = 3010, "no-path", 503, "This host has lost its paths to all backend servers of the service, and no other gateway tunnels connections there; retry at another host.";
+    UnknownStream = 3011, "unknown-stream", 503, "Servers of several versions may serve, and it is not known which one began the stream that the request takes up; the request did not run.";
+    VersionGone = 3012, "version-gone", 503, "No backend server is left that runs the version which began the stream; the request did not run.";
     Refused = 4001, "refused", 502, "The backend server refused before running.";
     Broken = 4002, "broken", 502, "The response broke off before it was complete.";
     Late = 4003, "late", 504, "The response was not complete when the deadline passed.";
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -86,6 +86,7 @@
     RejectionLimit = 224, "rejection-limit", "How many requests a second a backend server may reject before it fails, as it announces in its responses, has changed. The log line has the number, none where it announces none any more. The hub sends it no more than it could reject.";
     RetryScheduled = 225, "retry-scheduled", "The hub has told the caller of a rejected request when to retry: the latest time that it honours at which fewer callers return than can be served. The log line has that time.";
     Tunnelled = 226, "tunnelled", "The request is sent through another gateway, as this host has lost its path to the backend server; the log line has the address of that gateway.";
+    StreamTaken = 227, "stream-taken", "A caller takes up a stream. The log line has the request that brought its first event, by the caller; the version at which it goes on, and who knew it: this gateway, the hub, or the list, if the service has had a single version.";
     PaceChanged = 230, "pace-changed", "An engine takes several times its usual time, or has recovered from that; the detail has how many times it takes now. The hub places requests accordingly.";
     PathLost = 232, "path-lost", "This host cannot connect to a backend server, and another gateway can, or no server can be reached; requests go through other gateways. The log line has the reason, and the gateway that opened a tunnel.";
     PathFound = 233, "path-found", "This host can connect to a backend server again.";
@@ -126,4 +127,5 @@
     ShareExceeded = 421, "share-exceeded", "A customer asks for more than its share of the slots of a service that has too few for all; the detail has the slot time that it asked for and received.";
     ShareKept = 422, "share-kept", "A customer no longer asks for more than its share of the slots of a service, or there are enough for all; the detail has the slot time that it asked for and received.";
     ServerAvoided = 423, "server-avoided", "The hub keeps new requests away from a backend server for a while; the detail has the service, the server, the host whose attempt failed, the failure, and for how long.";
+    StreamVersion = 424, "stream-version", "A version of a service's software is announced, opened or removed: streams may begin at open ones.";
 }
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::quarantine::Permit;
 use crate::quota::Charge;
 use crate::rejection;
+use crate::rollout::Version;
 use crate::route::Engine;
 
 use super::AttemptEnd;
@@ -418,6 +419,12 @@
         self.pools.contains_key(service)
     }
 
+    /// Returns whether a server of a service that accepts new work runs one of `versions`.
+    pub(super) fn has_version(&self, service: &id::Service, versions: &[Version]) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.accepts_work_of(versions))
+    }
+
     /// Queues a request with its reservation. If the queue is full, another request may be rejected
     /// for it, which is returned with its own reservation.
     ///
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -18,6 +18,7 @@
 use crate::quota::Charge;
 use crate::rollout::Version;
 use crate::route::Rank;
+use crate::stream;
 use crate::unit::Tokens;
 
 use super::Load;
@@ -204,4 +205,6 @@
     pub observations: Vec<Observation>,
     /// Its reports of limits that servers announced.
     pub limit_reports: Reports,
+    /// Streams that have begun.
+    pub streams: Vec<stream::Record>,
 }
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -34,6 +34,7 @@
 use super::membership::MembershipHistory;
 use super::retries::Retries;
 use super::retries::RetryBlocks;
+use super::streams::Streams;
 use super::subset::ServerListDelta;
 use super::subset::Subset;
 use super::subset::SubsetSelector;
@@ -161,6 +162,8 @@
     pub(super) rejected: Vec<Ticket>,
     /// Watches which customers ask for more slot time than their share.
     pub(super) share_watch: ShareWatch,
+    /// The streams that callers may resume.
+    pub(super) streams: Streams,
     /// When the hub started.
     pub(super) started: Instant,
     /// When the gateways were last scanned.
@@ -198,6 +201,7 @@
             limits: limit::Table::new(0),
             rejected: Vec::new(),
             share_watch: ShareWatch::default(),
+            streams: Streams::default(),
             started: now,
             last_scan: None,
         }
@@ -343,6 +347,9 @@
             let members = self.gateways.values().filter(|state| state.is_member);
             let gateways = members.map(|state| state.gateway.clone()).collect();
             self.membership.set(gateways);
+            let live = self.gateways.iter().filter(|(_, state)| state.is_member);
+            let keepers = live.map(|(host, state)| (host.clone(), Arc::clone(&state.gateway.hall)));
+            self.streams.set_keepers(keepers.collect());
         }
     }
 
--- a/crates/core/src/gateway/polls.rs
+++ b/crates/core/src/gateway/polls.rs
@@ -96,6 +96,8 @@
             poll_timeout: self.poll_timeout(poll),
             server_list_version: self.server_list.version,
             policy: self.policy_update(poll),
+            stream_versions: self.streams.versions_update(poll),
+            stream_copies: self.streams.take_copies(&poll.host),
             rejection_limits: self.dispatcher.rejection_limits(),
             other_loads: self.dispatcher.other_loads(&poll.host, incarnations),
             ..Reply::default()
@@ -149,7 +151,12 @@
         let has_other_policy = self.has_policy_update(poll);
         let has_other_quarantine = self.quarantine.get_version() != poll.quarantine_version;
         let has_other_limits = self.limits.is_outdated(poll.limits_version);
-        has_other_policy || has_other_quarantine || has_other_limits || self.has_list_update(poll)
+        let has_other_versions = self.streams.has_versions_update(poll);
+        has_other_policy
+            || has_other_quarantine
+            || has_other_limits
+            || has_other_versions
+            || self.has_list_update(poll)
     }
 
     /// Returns whether the gateway's server list or subset is out of date.
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -45,6 +45,8 @@
     Rejected(Rejection),
     /// The request is a retry and the retry budget is used up.
     NoRetry,
+    /// No server that accepts work runs a version that the request is restricted to.
+    NoVersion,
 }
 
 /// # Slots at backend servers
@@ -55,6 +57,11 @@
         if !self.dispatcher.has_service(&request.service) {
             return SlotDecision::NoServers;
         }
+        let versions = request.allowed_versions.as_ref();
+        if versions.is_some_and(|versions| !self.dispatcher.has_version(&request.service, versions))
+        {
+            return SlotDecision::NoVersion;
+        }
         // The permit goes by the request's identity rather than its ticket, as each retry by the
         // caller is new to its gateway and to the hub. A request that crashes servers would
         // otherwise get a permit each time: 13 servers crashed that way in 16 s.
@@ -128,6 +135,7 @@
         self.observe_outcomes(&report.ended);
         self.observe(&report.observations, now);
         self.apply_limit_reports(&report.host, &report.limit_reports, now);
+        self.record_streams(&report.host, &report.streams, now);
     }
 
     /// Grants free slots to queued requests.
--- /dev/null
+++ b/crates/core/src/gateway/streams.rs
@@ -0,0 +1,254 @@
+//! What the hub knows of streams that callers may resume at another gateway.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Instant;
+use crate::id;
+use crate::rollout::Version;
+use crate::stream::Found;
+use crate::stream::Key;
+use crate::stream::Origin;
+use crate::stream::Phase;
+use crate::stream::Published;
+use crate::stream::Record;
+use crate::stream::SOLE_VERSION_LEASE;
+use crate::stream::Step;
+use crate::stream::Table;
+use crate::stream::Versions;
+
+use super::Hub;
+use super::Poll;
+use super::ServerList;
+
+/// The most streams that the hub knows of.
+const MAX_STREAMS: usize = 200_000;
+
+/// The number of gateways that keep a copy of each record, besides the one where the stream began.
+const COPIES: usize = 2;
+
+/// The most copies in one reply to a poll.
+const MAX_COPIES_PER_REPLY: usize = 64;
+
+/// The most copies that wait for one gateway.
+const MAX_WAITING_COPIES: usize = 1_024;
+
+/// How long a version is announced before streams may begin there: until no gateway relies on its service having a single
+/// version any more.
+const ANNOUNCEMENT_TIME: Duration = SOLE_VERSION_LEASE.saturating_add(Duration::from_millis(500));
+
+/// How long after its last server has left the list streams of a version may still be resumed.
+const REMOVAL_DELAY: Duration = Duration::from_mins(10);
+
+/// The time after which a step that was proposed and not committed is proposed again.
+const REPROPOSE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a new hub expects records that it does not have yet: the gateways report them after its first reply.
+const COLLECTION_TIME: Duration = Duration::from_secs(2);
+
+/// A question about a stream that a caller takes up.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StreamQuery {
+    /// The stream, if its caller names it.
+    pub key: Option<Key>,
+    /// The services at which the request may run.
+    pub services: Vec<id::Service>,
+}
+
+/// What is known of a stream that a caller takes up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamAnswer {
+    /// It began there.
+    Begun(Origin),
+    /// There is no record of it, and the service has had no other version.
+    SoleVersion(Origin),
+    /// Nobody can say at which version it began.
+    Unknown {
+        /// Whether the record may still arrive.
+        may_arrive: bool,
+    },
+}
+
+/// A service and a version.
+type ServiceVersion = (id::Service, Version);
+
+/// The streams that gateways have reported, and the versions at which streams may begin.
+#[derive(Clone, Debug)]
+pub(super) struct Streams {
+    table: Table,
+    /// The copies that wait for a gateway's next poll.
+    copies: BTreeMap<id::Host, VecDeque<Record>>,
+    /// The gateways that keep copies, with their data halls.
+    keepers: Vec<(id::Host, Arc<str>)>,
+    published: Published,
+    /// Since when versions are announced, or have no server on the list.
+    since: BTreeMap<ServiceVersion, Instant>,
+    /// When steps were last proposed, until the versions change.
+    proposed_at: Option<Instant>,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        Self {
+            table: Table::new(MAX_STREAMS),
+            copies: BTreeMap::new(),
+            keepers: Vec::new(),
+            published: Published::default(),
+            since: BTreeMap::new(),
+            proposed_at: None,
+        }
+    }
+}
+
+impl Streams {
+    /// Sets the gateways that keep copies.
+    pub(super) fn set_keepers(&mut self, keepers: Vec<(id::Host, Arc<str>)>) {
+        self.copies
+            .retain(|host, _| keepers.iter().any(|(keeper, _)| keeper == host));
+        self.keepers = keepers;
+    }
+
+    /// Records streams that a gateway has reported, and passes copies on.
+    fn record(&mut self, from: &id::Host, records: &[Record], now: Instant) {
+        for record in records {
+            if !self.table.record(record, now) {
+                continue;
+            }
+            for keeper in self.choose_keepers(from, record.key) {
+                let waiting = self.copies.entry(keeper).or_default();
+                waiting.push_back(record.clone());
+                if waiting.len() > MAX_WAITING_COPIES {
+                    waiting.pop_front();
+                }
+            }
+        }
+    }
+
+    /// The gateways that keep copies of a stream that began at `from`: in other data halls, if there are any.
+    fn choose_keepers(&self, from: &id::Host, key: Key) -> Vec<id::Host> {
+        let hall = self.keepers.iter().find(|(host, _)| host == from);
+        let hall = hall.map(|(_, hall)| hall);
+        let count = self.keepers.len();
+        let first = usize::try_from(key.as_u64() % count.max(1) as u64).unwrap_or(0);
+        let rotated = self.keepers.iter().cycle().skip(first).take(count);
+        let mut others: Vec<_> = rotated.filter(|(host, _)| host != from).collect();
+        // A stable sort: of each group, those that come first after the key's place are taken.
+        others.sort_by_key(|(_, other)| Some(other) == hall);
+        let chosen = others.into_iter().take(COPIES);
+        chosen.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Takes the next copies for a gateway.
+    pub(super) fn take_copies(&mut self, host: &id::Host) -> Vec<Record> {
+        let Some(waiting) = self.copies.get_mut(host) else {
+            return Vec::new();
+        };
+        let count = waiting.len().min(MAX_COPIES_PER_REPLY);
+        waiting.drain(..count).collect()
+    }
+
+    /// Returns whether the gateway has other versions at which streams may begin.
+    pub(super) fn has_versions_update(&self, poll: &Poll) -> bool {
+        self.published.number != poll.stream_versions
+    }
+
+    /// Returns the versions at which streams may begin, if the gateway has others.
+    pub(super) fn versions_update(&self, poll: &Poll) -> Option<Published> {
+        self.has_versions_update(poll)
+            .then(|| self.published.clone())
+    }
+
+    /// Returns the next steps for the versions of `server_list`.
+    fn propose_steps(&mut self, server_list: &ServerList, now: Instant) -> Vec<Step> {
+        let is_recent = |at: Instant| now.since(at) < REPROPOSE_INTERVAL;
+        if server_list.version == 0 || self.proposed_at.is_some_and(is_recent) {
+            return Vec::new();
+        }
+        let servers = server_list.servers.iter();
+        let listed: BTreeSet<_> = servers
+            .map(|server| (&server.service, &server.version))
+            .collect();
+        let mut versions = self.published.versions.clone();
+        let mut steps = Vec::new();
+        for (service, version) in &listed {
+            if versions.phase(service, version).is_none() {
+                let phase = versions.first_phase(service);
+                let step = Step::set(service, version, phase);
+                versions.apply(&step);
+                steps.push(step);
+            }
+        }
+        for (service, version, phase) in self.published.versions.iter() {
+            let key = (service.clone(), version.clone());
+            let is_listed = listed.contains(&(service, version));
+            if is_listed && phase == Phase::Open {
+                self.since.remove(&key);
+                continue;
+            }
+            let waited = now.since(*self.since.entry(key).or_insert(now));
+            if is_listed && waited >= ANNOUNCEMENT_TIME {
+                steps.push(Step::set(service, version, Phase::Open));
+            } else if !is_listed && waited >= REMOVAL_DELAY {
+                steps.push(Step::remove(service, version));
+            }
+        }
+        if !steps.is_empty() {
+            self.proposed_at = Some(now);
+        }
+        steps
+    }
+}
+
+/// # Streams
+impl Hub {
+    /// Records streams that a gateway has reported.
+    pub fn record_streams(&mut self, from: &id::Host, records: &[Record], now: Instant) {
+        self.streams.record(from, records, now);
+    }
+
+    /// Returns what is known of a stream.
+    ///
+    /// That a service has a single version is true only if this hub leads, confirmed by a majority after the question
+    /// was asked.
+    #[must_use]
+    pub fn find_stream(&self, query: &StreamQuery, now: Instant) -> StreamAnswer {
+        let key = query.key;
+        match key.and_then(|key| self.streams.table.find(key, now)) {
+            Some(Found::Begun(origin)) if query.services.contains(&origin.service) => {
+                return StreamAnswer::Begun(Origin::clone(&origin));
+            }
+            Some(_) => return StreamAnswer::Unknown { may_arrive: false },
+            None => {}
+        }
+        if let Some(origin) = self.streams.published.versions.sole_origin(&query.services) {
+            return StreamAnswer::SoleVersion(origin);
+        }
+        let may_arrive = key.is_some() && now.since(self.started) < COLLECTION_TIME;
+        StreamAnswer::Unknown { may_arrive }
+    }
+
+    /// Applies the committed versions at which streams may begin.
+    pub fn apply_stream_versions(&mut self, versions: &Versions) {
+        self.streams.published = versions.publish();
+        self.streams.proposed_at = None;
+        let since = &mut self.streams.since;
+        since.retain(|(service, version), _| versions.phase(service, version).is_some());
+    }
+
+    /// Returns the steps to commit so that streams may begin at the versions on the server list.
+    pub fn propose_stream_versions(&mut self, now: Instant) -> Vec<Step> {
+        self.streams.propose_steps(&self.server_list, now)
+    }
+
+    /// Returns how many streams are known here.
+    #[must_use]
+    pub fn stream_count(&self) -> usize {
+        self.streams.table.len()
+    }
+}
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -13,6 +13,7 @@
 use crate::rejection;
 use crate::rollout::Policy;
 use crate::state::Publication;
+use crate::stream;
 use crate::unit::Tokens;
 
 use super::GatewayShare;
@@ -104,6 +105,8 @@
     pub limit_reports: limit::Reports,
     /// The hub whose limits it applies, and their version.
     pub limits_version: (u64, u64),
+    /// The number of the versions at which it lets streams begin.
+    pub stream_versions: u64,
     /// The whole server list, if this gateway fetches it for all and the hub had another one.
     pub fetched_list: Option<ServerList>,
 }
@@ -145,6 +148,10 @@
     /// Which server versions and data halls gateways may send to by local decision, if the gateway
     /// applies another policy.
     pub policy: Option<Policy>,
+    /// The versions at which streams may begin, if the gateway has others.
+    pub stream_versions: Option<stream::Published>,
+    /// Copies of records of streams that began at other gateways.
+    pub stream_copies: Vec<stream::Record>,
     /// How many requests a second each server of a service may reject before it fails, for services with such servers.
     pub rejection_limits: Vec<(id::Service, rejection::Limit)>,
     /// The requests that other gateways have in flight at the servers of this gateway's subset.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod route;
 pub mod sse;
 pub mod state;
+pub mod stream;
 mod text;
 pub mod unit;
 pub mod view;
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -18,6 +18,7 @@
 use crate::lang::Statement;
 use crate::quarantine;
 use crate::rollout::Plans;
+use crate::stream;
 use crate::view::Roster;
 
 use super::AuditEntry;
@@ -91,6 +92,8 @@
     #[serde(default)]
     #[serde(rename = "evacuated")]
     evacuated_halls: EvacuatedHalls,
+    #[serde(default)]
+    stream_versions: stream::Versions,
 }
 
 impl Machine {
@@ -139,6 +142,12 @@
                 self.evacuated_halls.apply(order);
                 Ok(self.snapshot.revision)
             }
+            Record::StreamVersions(steps) => {
+                for step in steps {
+                    self.stream_versions.apply(step);
+                }
+                Ok(self.snapshot.revision)
+            }
         }
     }
 
@@ -239,6 +248,12 @@
         &self.evacuated_halls
     }
 
+    /// The versions at which streams may begin.
+    #[must_use]
+    pub fn get_stream_versions(&self) -> &stream::Versions {
+        &self.stream_versions
+    }
+
     /// The newest view.
     #[must_use]
     pub fn get_roster(&self) -> &Roster {
--- a/crates/core/src/state/record.rs
+++ b/crates/core/src/state/record.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::quarantine;
 use crate::rollout;
+use crate::stream;
 use crate::view::Roster;
 
 use super::Document;
@@ -57,6 +58,8 @@
     Quarantine(Vec<quarantine::Step>),
     /// An order to start or to end the evacuation of a data hall.
     Evacuation(evacuation::Order),
+    /// Changes of the versions at which streams may begin.
+    StreamVersions(Vec<stream::Step>),
 }
 
 impl Record {
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -67,6 +67,7 @@
         observations: Vec::new(),
         limit_reports: Reports::default(),
         limits_version: (0, 0),
+        stream_versions: 0,
         fetched_list: None,
     }
 }
@@ -81,5 +82,6 @@
         observations: Vec::new(),
         unused: Vec::new(),
         limit_reports: Reports::default(),
+        streams: Vec::new(),
     }
 }
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -46,6 +46,8 @@
         HubCall::Poll(poll) => respond_to_poll(state, *poll).await,
         HubCall::RequestSlot(request) => super::slots::request_slot(state, *request).await,
         HubCall::Report(report) => super::slots::report(state, &report),
+        HubCall::RelayStreams(records) => Ok(super::streams::relay(state, &records)),
+        HubCall::FindStream(query) => super::streams::find(state, &query).await,
         HubCall::FetchChunk { host, number, from } => {
             super::distribution::chunk(state, &host, number, from).await
         }
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod shares;
 mod slot_usage;
 mod slots;
+mod streams;
 
 pub use daemon::Control;
 pub(crate) use gateways::Decode;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -273,6 +273,7 @@
             Record::Rollout(step) => self.apply_rollout_step(&step, &plans, term),
             Record::Quarantine(steps) => self.apply_quarantine_steps(&steps),
             Record::Evacuation(order) => self.apply_evacuation_order(&order),
+            Record::StreamVersions(steps) => self.apply_stream_versions(&steps),
             Record::Command(_) | Record::Roster(_) => {}
         }
         let after = &self.machine.get_snapshot().hosts;
@@ -333,6 +334,7 @@
                 self.apply_plans(None);
                 self.apply_evacuated_halls();
                 self.apply_quarantine_steps(&[]);
+                self.apply_stream_versions(&[]);
             }
         } else if self.role == Role::Leader {
             self.timeline
@@ -365,6 +367,7 @@
             self.propose_shares();
             self.propose_rollout_steps();
             self.propose_quarantine_steps();
+            self.propose_stream_versions();
             return;
         }
         self.propose_view();
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -121,6 +121,7 @@
         SlotDecision::NoServers => return Ok(Enqueued::Decided(HubReply::NoRoom(None))),
         SlotDecision::Rejected(why) => return Ok(Enqueued::Decided(HubReply::Rejected(why))),
         SlotDecision::NoRetry => return Ok(Enqueued::Decided(HubReply::NoRetry)),
+        SlotDecision::NoVersion => return Ok(Enqueued::Decided(HubReply::NoVersion)),
         SlotDecision::QuotaExceeded(refilled) => {
             return Ok(Enqueued::Decided(HubReply::QuotaExceeded(refilled)));
         }
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -134,6 +134,12 @@
         }
     }
 
+    /// How much longer the caller waits, over all of its requests.
+    pub(super) fn caller_waits_for(&self) -> Duration {
+        let waits = self.head_fields.timeout.unwrap_or(Duration::MAX);
+        waits.saturating_sub(self.deadline.elapsed())
+    }
+
     /// After how long the caller is to retry if the request is rejected now.
     pub(super) fn retry_after(&self, node: &Node) -> Duration {
         self.wait_limit(node).retry_after()
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -10,6 +10,8 @@
 use curlewlift_core::pool::ReportedLoad;
 use curlewlift_core::rejection;
 
+use super::log::Line;
+
 /// What the header fields of a caller's request say.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RequestHead {
@@ -36,6 +38,15 @@
     pub(crate) last_event: Option<HeaderValue>,
 }
 
+impl Resumption {
+    /// Adds it to a log line.
+    pub(super) fn log(&self, line: Line) -> Line {
+        let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
+        line.with("resumes", self.first_request.as_ref().map(text))
+            .with("after_event", self.last_event.as_ref().map(text))
+    }
+}
+
 /// What the gateway adds to the header fields of a request for a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendHead<'a> {
--- a/crates/curlewlift/src/gateway/discovery.rs
+++ b/crates/curlewlift/src/gateway/discovery.rs
@@ -75,6 +75,11 @@
             HubReply::Acknowledged
         }
         HubCall::ChargeQuota(charge) => HubReply::QuotaCharged(node.acquire_quota(&charge)),
+        HubCall::RelayStreams(records) => {
+            node.streams.borrow_mut().relay(&records, node.now());
+            node.report_wakeup.notify_one();
+            HubReply::Acknowledged
+        }
         HubCall::ReturnSlot(number) => {
             node.loans.borrow_mut().end(number);
             HubReply::Acknowledged
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -119,6 +119,10 @@
                 Code::NoPath,
                 "this host has lost its paths to all servers of the service",
             ),
+            NoSlot::NoVersion => Refused::new(
+                Code::VersionGone,
+                "no server is left that runs the version which began the stream",
+            ),
             NoSlot::NoServer => Refused::new(Code::NoServer, "the service has no server"),
             NoSlot::Displaced => Refused::new(
                 Code::Shed,
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::http::HeaderValue;
 use axum::http::Request;
 use axum::http::StatusCode;
 use axum::http::response;
@@ -14,14 +13,12 @@
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::AttemptOutcome;
-use curlewlift_core::rollout::Version;
 use curlewlift_core::sse;
 use http_body_util::Full;
 
 use super::admit::Admitted;
 use super::body::Answer;
 use super::dialect::BackendHead;
-use super::dialect::Resumption;
 use super::exchange;
 use super::exchange::Failure;
 use super::exchange::ResponseStart;
@@ -36,6 +33,7 @@
 use super::slot::log_limit;
 use super::slot_queue::NoSlot;
 use super::slot_wait;
+use super::stream::Stream;
 
 /// Lower bound of the time without a response after which a server counts as timed out; above it, that time is three
 /// times the latency objective.
@@ -47,8 +45,8 @@
     pub(super) node: Rc<Node>,
     pub(super) admitted: Admitted,
     pub(super) service: id::Service,
-    /// The version that began its stream, at which the stream must continue; none before the first event.
-    pub(super) version: Option<Version>,
+    /// The stream that it begins or takes up.
+    pub(super) stream: Stream,
     /// Attempts at servers that may have begun to run it.
     pub(super) maybe_run_attempts: u8,
     /// Attempts at servers that reported that they did not run it, or were not reachable.
@@ -87,12 +85,17 @@
 
 impl ForwardedRequest {
     /// A request that has not been sent yet.
-    pub(super) fn new(node: Rc<Node>, admitted: Admitted, service: id::Service) -> Self {
+    pub(super) fn new(
+        node: Rc<Node>,
+        admitted: Admitted,
+        service: id::Service,
+        stream: Stream,
+    ) -> Self {
         Self {
             node,
             admitted,
             service,
-            version: None,
+            stream,
             maybe_run_attempts: 0,
             not_run_attempts: 0,
             tried: Vec::new(),
@@ -138,14 +141,14 @@
         if self.node.with_service(&self.service, is_cut_off) == Some(true) {
             return Err(self.no_slot_refusal(NoSlot::NoPath));
         }
+        let allowed_versions = self.allowed_versions().await;
         let admitted = &self.admitted;
-        let allowed_versions = self.version.clone().map(|version| Arc::from([version]));
         let now = self.node.now();
         let wait_limit = admitted.wait_limit(&self.node);
         let max_wait = wait_limit.max_wait();
         // A request that lost its server is not demoted as late, so it goes before the others of its rank: it has used
-        // capacity already.
-        let send_within = if self.attempts() > 0 {
+        // capacity already. So has one that takes up a stream.
+        let send_within = if self.attempts() > 0 || self.stream.version().is_some() {
             max_wait
         } else {
             wait_limit.send_within()
@@ -238,7 +241,11 @@
             )
             .with("left_alone_ms", millis(slot.avoid_time()));
         let line = log_limit(line, &slot.server_limit());
-        log_resumption(line, self.admitted.head_fields.resumption.as_ref()).write();
+        let resumption = self.admitted.head_fields.resumption.as_ref();
+        match resumption {
+            Some(resumption) => resumption.log(line).write(),
+            None => line.write(),
+        }
         self.tried.push(Arc::clone(&slot.server.incarnation));
         let prepare = |slot: &Slot| self.prepare(slot, None);
         let deadline = &self.admitted.deadline;
@@ -334,16 +341,6 @@
     AttemptOutcome::Answered { first_byte, gap }
 }
 
-/// Adds to a log line which stream the caller takes up, and after which event, if it takes up one.
-fn log_resumption(line: Line, resumption: Option<&Resumption>) -> Line {
-    let Some(resumption) = resumption else {
-        return line;
-    };
-    let text = |value: &HeaderValue| String::from_utf8_lossy(value.as_bytes()).into_owned();
-    line.with("resumes", resumption.first_request.as_ref().map(text))
-        .with("after_event", resumption.last_event.as_ref().map(text))
-}
-
 /// Whether a stream of events ends inside one.
 fn is_cut_in_event(body: &[u8]) -> bool {
     let mut decoder = sse::Decoder::default();
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -33,6 +33,7 @@
 use super::log::Line;
 use super::node::Node;
 use super::service::Service;
+use super::stream_relay;
 
 /// Timeout of a report call.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -79,6 +80,8 @@
     Rejected(Rejection),
     /// The request is a retry, and the retry budget is used up.
     NoRetry,
+    /// No server that accepts work runs a version that the request may be sent to.
+    NoVersion,
     /// The granted slot can't be used, as the server has told this host to send nothing, or has announced a limit that
     /// the hub did not know of; the request's cost has been charged already.
     Unavailable(Server),
@@ -117,6 +120,7 @@
         Some(Ok(HubReply::QuotaExceeded(retry_after))) => HubDecision::QuotaExceeded(retry_after),
         Some(Ok(HubReply::Rejected(why))) => HubDecision::Rejected(why),
         Some(Ok(HubReply::NoRetry)) => HubDecision::NoRetry,
+        Some(Ok(HubReply::NoVersion)) => HubDecision::NoVersion,
         Some(Ok(_)) => node.doubt_hub("the replica that was asked does not lead"),
         Some(Err(why)) => node.doubt_hub(&why.to_string()),
         None => {
@@ -148,7 +152,7 @@
 
 impl Node {
     /// Address of the hub; none if its last reply is too old, or a slot request to it failed recently.
-    fn hub_address(&self) -> Option<SocketAddr> {
+    pub(super) fn hub_address(&self) -> Option<SocketAddr> {
         let now = self.now();
         let timeout = self.hub_timeout();
         let hub = self.hub.borrow();
@@ -349,8 +353,10 @@
         let late_hub = node.hub.borrow().address.filter(|_| !unused.is_empty());
         let Some(address) = node.hub_address().or(late_hub) else {
             // The next poll reports what is in flight.
+            stream_relay::relay_pending(&node).await;
             continue;
         };
+        let streams = node.streams.borrow_mut().take_pending(node.now());
         let report = Report {
             host: node.host.clone(),
             last_grant: node.hub.borrow().last_grant,
@@ -359,14 +365,22 @@
             unused,
             observations: node.quarantine.borrow().get_evidence().unacknowledged().0,
             limit_reports: node.limit_reports(),
+            streams: streams.clone(),
         };
         let call = RenewCall::Hub(HubCall::Report(report));
         let result: Result<HubReply, Refusal> = node
             .rpc
             .call(address, Method::Renew, &call, REPORT_TIMEOUT)
             .await;
-        if let Err(why) = result {
-            log::debug!("report to the hub at {address} failed: {why}");
+        let mut pending = node.streams.borrow_mut();
+        match result {
+            Ok(HubReply::Acknowledged) if pending.has_pending() => node.report_wakeup.notify_one(),
+            Ok(HubReply::Acknowledged) => {}
+            Ok(_) => pending.put_back(&streams),
+            Err(why) => {
+                log::debug!("report to the hub at {address} failed: {why}");
+                pending.put_back(&streams);
+            }
         }
     }
 }
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -35,6 +35,7 @@
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Regions;
 use curlewlift_core::route::Table;
+use curlewlift_core::stream;
 use rand::Rng;
 use tokio::sync::Notify;
 
@@ -48,6 +49,7 @@
 use super::log::Line;
 use super::service::Service;
 use super::standbys::Standbys;
+use super::stream::KnownVersions;
 
 /// Lower bound of [`Node::hub_timeout`]: a hub that replied this recently is always asked.
 const MIN_HUB_TIMEOUT: Duration = Duration::from_millis(500);
@@ -172,6 +174,10 @@
     pub(super) stopping_since: Cell<Option<clock::Instant>>,
     /// Whether new requests are refused because the gateway stops.
     pub(super) rejects_callers: Cell<bool>,
+    /// The streams that callers may resume.
+    pub(super) streams: RefCell<stream::Ledger>,
+    /// The versions at which streams may begin.
+    pub(super) stream_versions: RefCell<KnownVersions>,
     /// Ended attempts that have not been reported to the hub.
     pub(super) attempt_ends: RefCell<Vec<AttemptEnd>>,
     /// The grants that came too late to be used, and were not reported yet.
@@ -232,6 +238,8 @@
             progress: Cell::default(),
             stopping_since: Cell::new(None),
             rejects_callers: Cell::new(false),
+            streams: RefCell::default(),
+            stream_versions: RefCell::default(),
             attempt_ends: RefCell::default(),
             unused_grants: RefCell::default(),
             report_wakeup: Notify::new(),
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -123,7 +123,7 @@
             let failure = match tokio::time::timeout_at(until, self.next_complete()).await {
                 Ok(Ok(Some(complete))) => {
                     self.record_event();
-                    self.record_version();
+                    self.record_origin();
                     self.record_forwarded();
                     return Some(Ok(complete));
                 }
@@ -236,14 +236,13 @@
         }
     }
 
-    /// Records which version sends the first event that is forwarded. The stream must not continue at another one.
-    fn record_version(&mut self) {
+    /// Records which server sends the first event that is forwarded.
+    fn record_origin(&mut self) {
         let has_event = self.events.as_ref().is_some_and(EventSplitter::has_event);
         if let Some(slot) = &self.slot
             && has_event
-            && self.request.version.is_none()
         {
-            self.request.version = Some(slot.server.version.clone());
+            self.request.record_origin(&slot.server);
         }
     }
 
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -17,6 +17,7 @@
 use super::node::Node;
 use super::refuse;
 use super::refuse::Refused;
+use super::resumption;
 use super::stop;
 
 /// Serves one request.
@@ -40,14 +41,22 @@
         Ok(admitted) => admitted,
         Err(refusal) => return refused(line, &refusal),
     };
+    let stream = match resumption::find(&node, &admitted).await {
+        Ok(stream) => stream,
+        Err(refusal) => return refused(admitted.log_line(Kind::Refused), &refusal),
+    };
     let random = rand::rng().random();
-    let Some(service) = admitted.rule.pick_target(random).cloned() else {
+    let service = stream.service();
+    let service = service.or_else(|| admitted.rule.pick_target(random));
+    let Some(service) = service.cloned() else {
         return refused(
             line,
             &Refused::new(Code::NoServer, "the rule names no service"),
         );
     };
-    ForwardedRequest::new(node, admitted, service).run().await
+    ForwardedRequest::new(node, admitted, service, stream)
+        .run()
+        .await
 }
 
 /// Logs a refusal with `line`, counts it, and returns the response for it.
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -20,6 +20,7 @@
 use curlewlift_core::unit::Tokens;
 use tokio::sync::oneshot;
 
+use super::hub_slots::AttemptContext;
 use super::node::Node;
 use super::service::Service;
 
@@ -108,6 +109,17 @@
         self.with_service(name, is_limited) == Some(true)
     }
 
+    /// Whether no server that accepts work runs a version that the request may be sent to, but other servers accept work.
+    pub(super) fn lacks_versions(&self, context: AttemptContext<'_>) -> bool {
+        let Some(versions) = context.allowed_versions else {
+            return false;
+        };
+        let lacks = |service: &mut Service| {
+            service.pool.accepts_work() && !service.pool.accepts_work_of(versions)
+        };
+        self.with_service(context.service, lacks) == Some(true)
+    }
+
     /// What the hub is to know of limits that servers have announced.
     pub(super) fn limit_reports(&self) -> Reports {
         let begun = |report: &rejection::Report| {
--- a/crates/curlewlift/src/gateway/slot_queue.rs
+++ b/crates/curlewlift/src/gateway/slot_queue.rs
@@ -75,6 +75,8 @@
     Rejected(Rejection),
     /// The request is a retry, and the retry budget is used up.
     NoRetry,
+    /// No server that accepts work runs a version that the request may be sent to.
+    NoVersion,
     /// This host has lost its paths to all servers of the service, and no other gateway tunnels connections there.
     NoPath,
 }
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -52,6 +52,7 @@
             HubDecision::QuotaExceeded(wait) => return Err(NoSlot::QuotaExceeded(wait)),
             HubDecision::Rejected(why) => return Err(NoSlot::Rejected(why)),
             HubDecision::NoRetry => return Err(NoSlot::NoRetry),
+            HubDecision::NoVersion => return Err(NoSlot::NoVersion),
             HubDecision::Unavailable(server) => {
                 charge = None;
                 request.tried.push(Arc::clone(&server.incarnation));
@@ -59,6 +60,9 @@
             }
             HubDecision::Undecided => {}
         }
+        if node.lacks_versions(context) {
+            return Err(NoSlot::NoVersion);
+        }
         // Other gateways may be sending the same request, and only the hub sees all of them.
         if !node.quarantine.borrow().may_send(context.identity) {
             return Err(NoSlot::Rejected(Rejection::Quarantined));
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -208,6 +208,7 @@
         observations: quarantine.get_evidence().unacknowledged().0,
         limit_reports: node.limit_reports(),
         limits_version: limits.get_table_version(),
+        stream_versions: node.stream_versions.borrow().number(),
         fetched_list: fetched_list.cloned(),
     }
 }
@@ -235,6 +236,17 @@
         hub.server_list_version = reply.server_list_version;
         hub.rejection_limits = reply.rejection_limits;
     }
+    node.stream_versions
+        .borrow_mut()
+        .apply(reply.stream_versions, sent_at);
+    {
+        let mut streams = node.streams.borrow_mut();
+        streams.set_hub(reply.hub_id);
+        streams.keep(&reply.stream_copies, node.now());
+        if streams.has_pending() {
+            node.report_wakeup.notify_one();
+        }
+    }
     if let Some(update) = reply.quarantine {
         node.quarantine.borrow_mut().apply_update(&update);
     }
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::quota::Charge;
 use curlewlift_core::rollout;
 use curlewlift_core::state::Publication;
+use curlewlift_core::stream;
 use curlewlift_core::unit::Tokens;
 use curlewlift_core::view::Renewal;
 use serde::Deserialize;
@@ -48,6 +49,10 @@
     RequestSlot(Box<gateway::SlotRequest>),
     /// Reports how attempts ended.
     Report(gateway::Report),
+    /// Asks which version began a stream that a caller takes up.
+    FindStream(gateway::StreamQuery),
+    /// Passes records of streams to a gateway that may reach the hub, from one that does not.
+    RelayStreams(Vec<stream::Record>),
     /// Fetches the chunk of routing table `number` that starts at byte `from`. A `from` equal to
     /// the length of the table reports that the gateway has all of it.
     FetchChunk {
@@ -91,6 +96,10 @@
     Rejected(Rejection),
     /// The request was attempted before, and the retry budget allows no further attempt.
     NoRetry,
+    /// No server that accepts work runs a version that the request is restricted to.
+    NoVersion,
+    /// What is known of a stream.
+    Stream(gateway::StreamAnswer),
     /// Whether the standby admits the request and has charged it to the quota.
     QuotaCharged(bool),
     /// The report or introduction was received.
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -548,6 +548,7 @@
                 observations: Vec::new(),
                 unused: Vec::new(),
                 limit_reports: Reports::default(),
+                streams: Vec::new(),
             };
             hub.report(&report, now);
             if polls {
@@ -639,6 +640,7 @@
         observations: Vec::new(),
         limit_reports: Reports::default(),
         limits_version: (0, 0),
+        stream_versions: 0,
         fetched_list: None,
     }
 }
