Let the log decide in which phase a version of streams starts

A proposal that is committed late could have opened a version at once although its service had only one left by then. The phase now follows from the state that the step is applied to. What gateways know of the versions moves to the core, where 2,000 histories of lost, late and cut-off hosts run it with the hub and the gateways' records: no stream goes on at another version, and none is rejected in touch that a host in touch knows.

--- a/crates/core/src/gateway/streams.rs
+++ b/crates/core/src/gateway/streams.rs
@@ -12,6 +12,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::rollout::Version;
+use crate::stream::Change;
 use crate::stream::Found;
 use crate::stream::Key;
 use crate::stream::Origin;
@@ -174,17 +175,18 @@
         let listed: BTreeSet<_> = servers
             .map(|server| (&server.service, &server.version))
             .collect();
-        let mut versions = self.published.versions.clone();
-        let mut steps = Vec::new();
-        for (service, version) in &listed {
-            if versions.phase(service, version).is_none() {
-                let phase = versions.first_phase(service);
-                let step = Step::set(service, version, phase);
-                versions.apply(&step);
-                steps.push(step);
-            }
-        }
-        for (service, version, phase) in self.published.versions.iter() {
+        let versions = &self.published.versions;
+        let unknown = listed.iter();
+        let unknown =
+            unknown.filter(|(service, version)| versions.phase(service, version).is_none());
+        let step = |service: &id::Service, version: &Version, change| Step {
+            service: service.clone(),
+            version: version.clone(),
+            change,
+        };
+        let added = unknown.map(|(service, version)| step(service, version, Change::Add));
+        let mut steps: Vec<_> = added.collect();
+        for (service, version, phase) in versions.iter() {
             let key = (service.clone(), version.clone());
             let is_listed = listed.contains(&(service, version));
             if is_listed && phase == Phase::Open {
@@ -193,9 +195,9 @@
             }
             let waited = now.since(*self.since.entry(key).or_insert(now));
             if is_listed && waited >= ANNOUNCEMENT_TIME {
-                steps.push(Step::set(service, version, Phase::Open));
+                steps.push(step(service, version, Change::Open));
             } else if !is_listed && waited >= REMOVAL_DELAY {
-                steps.push(Step::remove(service, version));
+                steps.push(step(service, version, Change::Remove));
             }
         }
         if !steps.is_empty() {
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -9,18 +9,21 @@
 //! A stream of which there is no record is resumed only while its service has had a single version ([`Versions`]).
 
 mod key;
+mod known_versions;
 mod ledger;
 mod record;
 mod table;
 mod versions;
 
 pub use key::Key;
+pub use known_versions::KnownVersions;
 pub use ledger::Ledger;
 pub use ledger::MAX_REPORTED;
 pub use record::Origin;
 pub use record::Record;
 pub use table::Found;
 pub use table::Table;
+pub use versions::Change;
 pub use versions::Phase;
 pub use versions::Published;
 pub use versions::SOLE_VERSION_LEASE;
--- a/crates/core/src/stream/versions.rs
+++ b/crates/core/src/stream/versions.rs
@@ -27,46 +27,26 @@
     Open,
 }
 
-/// A committed change of the versions.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Step {
-    /// A version is announced or opened.
-    Set {
-        /// The service.
-        service: id::Service,
-        /// The version.
-        version: Version,
-        /// Its new phase.
-        phase: Phase,
-    },
-    /// No caller can resume a stream that began at a version any more.
-    Remove {
-        /// The service.
-        service: id::Service,
-        /// The version.
-        version: Version,
-    },
+/// What a committed step does to a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// It is known. It is announced first if its service has a single version so far, as gateways may rely on that.
+    Add,
+    /// It was announced long enough.
+    Open,
+    /// No caller can resume a stream that began there any more.
+    Remove,
 }
 
-impl Step {
-    /// Returns the step that announces or opens a version.
-    #[must_use]
-    pub fn set(service: &id::Service, version: &Version, phase: Phase) -> Self {
-        Self::Set {
-            service: service.clone(),
-            version: version.clone(),
-            phase,
-        }
-    }
-
-    /// Returns the step that removes a version.
-    #[must_use]
-    pub fn remove(service: &id::Service, version: &Version) -> Self {
-        Self::Remove {
-            service: service.clone(),
-            version: version.clone(),
-        }
-    }
+/// A committed change of the versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The service.
+    pub service: id::Service,
+    /// The version.
+    pub version: Version,
+    /// What changes.
+    pub change: Change,
 }
 
 /// The versions at which streams may have begun, by service. Every replica computes the same value from the log.
@@ -88,22 +68,22 @@
 impl Versions {
     /// Applies a committed step.
     pub fn apply(&mut self, step: &Step) {
-        match step {
-            Step::Set {
-                service,
-                version,
-                phase,
-            } => {
-                let versions = self.0.entry(service.clone()).or_default();
-                versions.insert(version.clone(), *phase);
+        let first_phase = self.first_phase(&step.service);
+        let versions = self.0.entry(step.service.clone()).or_default();
+        match step.change {
+            Change::Add => {
+                versions.entry(step.version.clone()).or_insert(first_phase);
             }
-            Step::Remove { service, version } => {
-                if let Some(versions) = self.0.get_mut(service) {
-                    versions.remove(version);
+            Change::Open => {
+                if let Some(phase) = versions.get_mut(&step.version) {
+                    *phase = Phase::Open;
                 }
-                self.0.retain(|_, versions| !versions.is_empty());
+            }
+            Change::Remove => {
+                versions.remove(&step.version);
             }
         }
+        self.0.retain(|_, versions| !versions.is_empty());
     }
 
     /// Returns the phase of a version, or nothing if it is not known.
@@ -112,17 +92,16 @@
         self.0.get(service)?.get(version).copied()
     }
 
-    /// Returns the phase in which a version that is not known starts.
+    /// The phase in which a version that is not known starts.
     ///
     /// Nobody relies on a service having a single version if it has none or several. Where it has one, a second is
     /// announced first.
-    #[must_use]
-    pub fn first_phase(&self, service: &id::Service) -> Phase {
-        let known = self.0.get(service);
-        match known.map_or(0, BTreeMap::len) {
-            0 => Phase::Open,
-            _ if self.open(service).len() > 1 => Phase::Open,
-            _ => Phase::Announced,
+    fn first_phase(&self, service: &id::Service) -> Phase {
+        let is_first = !self.0.contains_key(service);
+        if is_first || self.open(service).len() > 1 {
+            Phase::Open
+        } else {
+            Phase::Announced
         }
     }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod replicas;
 pub(crate) mod requests;
 pub(crate) mod retries;
+pub(crate) mod streams;
--- a/crates/curlewlift/src/control/streams.rs
+++ b/crates/curlewlift/src/control/streams.rs
@@ -81,15 +81,12 @@
 
 /// The event of a step.
 fn event(step: &Step) -> Line {
-    let (service, version, change) = match step {
-        Step::Set {
-            service,
-            version,
-            phase,
-        } => (service, version, format!("{phase:?}")),
-        Step::Remove { service, version } => (service, version, "Removed".to_owned()),
-    };
+    let Step {
+        service,
+        version,
+        change,
+    } = step;
     Line::new(Kind::StreamVersion).detail(format_args!(
-        "service={service} version={version} change={change}"
+        "service={service} version={version} change={change:?}"
     ))
 }
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -49,7 +49,6 @@
 use super::log::Line;
 use super::service::Service;
 use super::standbys::Standbys;
-use super::stream::KnownVersions;
 
 /// Lower bound of [`Node::hub_timeout`]: a hub that replied this recently is always asked.
 const MIN_HUB_TIMEOUT: Duration = Duration::from_millis(500);
@@ -177,7 +176,7 @@
     /// The streams that callers may resume.
     pub(super) streams: RefCell<stream::Ledger>,
     /// The versions at which streams may begin.
-    pub(super) stream_versions: RefCell<KnownVersions>,
+    pub(super) stream_versions: RefCell<stream::KnownVersions>,
     /// Ended attempts that have not been reported to the hub.
     pub(super) attempt_ends: RefCell<Vec<AttemptEnd>>,
     /// The grants that came too late to be used, and were not reported yet.
--- a/crates/curlewlift/src/gateway/stream.rs
+++ b/crates/curlewlift/src/gateway/stream.rs
@@ -1,20 +1,11 @@
-//! The stream that a request begins or takes up, and the versions at which streams may begin.
+//! The stream that a request begins or takes up.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use curlewlift_core::clock;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::id;
 use curlewlift_core::rollout::Version;
-use curlewlift_core::stream;
 use curlewlift_core::stream::Key;
 use curlewlift_core::stream::Origin;
 
-/// How long a gateway without the hub lets streams begin at the versions that it knows. The hub keeps a version for longer
-/// after its last server has gone.
-const VERSIONS_LIFETIME: Duration = Duration::from_mins(5);
-
 /// The stream that a request begins or takes up.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Stream {
@@ -56,44 +47,3 @@
         Some((key, origin.clone()))
     }
 }
-
-/// What a gateway knows of the versions at which streams may begin.
-#[derive(Debug, Default)]
-pub(super) struct KnownVersions {
-    published: stream::Published,
-    /// When the poll was sent whose reply confirmed them.
-    polled_at: clock::Instant,
-}
-
-impl KnownVersions {
-    /// The number by which the hub knows them.
-    pub(super) fn number(&self) -> u64 {
-        self.published.number
-    }
-
-    /// Applies the reply to a poll that was sent at `polled_at`.
-    pub(super) fn apply(&mut self, update: Option<stream::Published>, polled_at: clock::Instant) {
-        if let Some(update) = update {
-            self.published = update;
-        }
-        self.polled_at = polled_at;
-    }
-
-    /// The versions at which streams of a service may begin.
-    pub(super) fn open(&self, service: &id::Service, now: clock::Instant) -> Arc<[Version]> {
-        if now.since(self.polled_at) > VERSIONS_LIFETIME {
-            return Arc::default();
-        }
-        self.published.versions.open(service)
-    }
-
-    /// Where a stream of one of `services` must have begun, if the hub has confirmed lately that only one version serves.
-    pub(super) fn sole_origin(
-        &self,
-        services: &[id::Service],
-        now: clock::Instant,
-    ) -> Option<Origin> {
-        let is_recent = now.since(self.polled_at) < stream::SOLE_VERSION_LEASE;
-        is_recent.then(|| self.published.versions.sole_origin(services))?
-    }
-}
