Test how streams go on through losses, and keep copies away from the hub

Tests of real hosts for each way by which a stream reaches a second server: three versions, an attempt that ended before the first event, hosts that are killed, suspended, stopped and lost together with the hub, twice in a row, tunnels, no hub, unnamed and foreign streams, a version that is gone and one that appears.

hosts_lost found that a stream was lost with its host and all control hosts where both copies were kept beside control replicas. Gateways beside a replica keep copies only where no other is left.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -34,6 +34,7 @@
 use super::membership::MembershipHistory;
 use super::retries::Retries;
 use super::retries::RetryBlocks;
+use super::streams::Keeper;
 use super::streams::Streams;
 use super::subset::ServerListDelta;
 use super::subset::Subset;
@@ -348,7 +349,11 @@
             let gateways = members.map(|state| state.gateway.clone()).collect();
             self.membership.set(gateways);
             let live = self.gateways.iter().filter(|(_, state)| state.is_member);
-            let keepers = live.map(|(host, state)| (host.clone(), Arc::clone(&state.gateway.hall)));
+            let keepers = live.map(|(host, state)| Keeper {
+                host: host.clone(),
+                hall: Arc::clone(&state.gateway.hall),
+                has_replica: state.has_replica,
+            });
             self.streams.set_keepers(keepers.collect());
         }
     }
--- a/crates/core/src/gateway/streams.rs
+++ b/crates/core/src/gateway/streams.rs
@@ -79,14 +79,25 @@
 /// A service and a version.
 type ServiceVersion = (id::Service, Version);
 
+/// A gateway that keeps copies of records.
+#[derive(Clone, Debug)]
+pub(super) struct Keeper {
+    pub(super) host: id::Host,
+    pub(super) hall: Arc<str>,
+    /// Whether a control replica runs beside it.
+    pub(super) has_replica: bool,
+}
+
 /// The streams that gateways have reported, and the versions at which streams may begin.
 #[derive(Clone, Debug)]
 pub(super) struct Streams {
     table: Table,
     /// The copies that wait for a gateway's next poll.
     copies: BTreeMap<id::Host, VecDeque<Record>>,
-    /// The gateways that keep copies, with their data halls.
-    keepers: Vec<(id::Host, Arc<str>)>,
+    /// The gateways that keep copies, without those beside a control replica.
+    keepers: Vec<Keeper>,
+    /// Those beside a control replica.
+    beside_replicas: Vec<Keeper>,
     published: Published,
     /// Since when versions are announced, or have no server on the list.
     since: BTreeMap<ServiceVersion, Instant>,
@@ -100,6 +111,7 @@
             table: Table::new(MAX_STREAMS),
             copies: BTreeMap::new(),
             keepers: Vec::new(),
+            beside_replicas: Vec::new(),
             published: Published::default(),
             since: BTreeMap::new(),
             proposed_at: None,
@@ -107,12 +119,20 @@
     }
 }
 
+/// Passes through a group once, from a place that the key decides on.
+fn rotated(group: &[Keeper], key: Key) -> impl Iterator<Item = &Keeper> {
+    let count = group.len();
+    let first = usize::try_from(key.as_u64() % count.max(1) as u64).unwrap_or(0);
+    group.iter().cycle().skip(first).take(count)
+}
+
 impl Streams {
     /// Sets the gateways that keep copies.
-    pub(super) fn set_keepers(&mut self, keepers: Vec<(id::Host, Arc<str>)>) {
+    pub(super) fn set_keepers(&mut self, keepers: Vec<Keeper>) {
         self.copies
-            .retain(|host, _| keepers.iter().any(|(keeper, _)| keeper == host));
-        self.keepers = keepers;
+            .retain(|host, _| keepers.iter().any(|keeper| keeper.host == *host));
+        (self.beside_replicas, self.keepers) =
+            keepers.into_iter().partition(|keeper| keeper.has_replica);
     }
 
     /// Records streams that a gateway has reported, and passes copies on.
@@ -131,18 +151,25 @@
         }
     }
 
-    /// The gateways that keep copies of a stream that began at `from`: in other data halls, if there are any.
+    /// The gateways that keep copies of a stream that began at `from`, others for each stream.
+    ///
+    /// Those in the same data hall come after others, and those beside a control replica come last, as they fail together
+    /// with the hub.
     fn choose_keepers(&self, from: &id::Host, key: Key) -> Vec<id::Host> {
-        let hall = self.keepers.iter().find(|(host, _)| host == from);
-        let hall = hall.map(|(_, hall)| hall);
-        let count = self.keepers.len();
-        let first = usize::try_from(key.as_u64() % count.max(1) as u64).unwrap_or(0);
-        let rotated = self.keepers.iter().cycle().skip(first).take(count);
-        let mut others: Vec<_> = rotated.filter(|(host, _)| host != from).collect();
-        // A stable sort: of each group, those that come first after the key's place are taken.
-        others.sort_by_key(|(_, other)| Some(other) == hall);
-        let chosen = others.into_iter().take(COPIES);
-        chosen.map(|(host, _)| host.clone()).collect()
+        let mut keepers = self.keepers.iter().chain(&self.beside_replicas);
+        let origin = keepers.find(|keeper| keeper.host == *from);
+        let hall = origin.map(|origin| &origin.hall);
+        let groups = [(&self.keepers, false), (&self.keepers, true)];
+        let groups = groups.into_iter().chain([
+            (&self.beside_replicas, false),
+            (&self.beside_replicas, true),
+        ]);
+        let candidates = groups.flat_map(|(group, is_same_hall)| {
+            let others = rotated(group, key).filter(|keeper| keeper.host != *from);
+            others.filter(move |keeper| (Some(&keeper.hall) == hall) == is_same_hall)
+        });
+        let chosen = candidates.take(COPIES);
+        chosen.map(|keeper| keeper.host.clone()).collect()
     }
 
     /// Takes the next copies for a gateway.
--- a/crates/curlewlift/tests/platform/client.rs
+++ b/crates/curlewlift/tests/platform/client.rs
@@ -28,6 +28,15 @@
 
 /// Sends one request over a new connection, and reads the response.
 pub(crate) fn send_request(address: SocketAddr, head: &str, body: &str) -> Answer {
+    let mut stream = send(address, head, body);
+    let mut bytes = Vec::new();
+    // A reset connection ends the response too; the bytes before the reset are used.
+    let is_closed = stream.read_to_end(&mut bytes).is_ok();
+    read(&bytes, is_closed)
+}
+
+/// Sends one request over a new connection.
+fn send(address: SocketAddr, head: &str, body: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).expect("the connection is accepted");
     let timeout = Some(Duration::from_secs(20));
     stream
@@ -38,10 +47,23 @@
     stream
         .write_all(request.as_bytes())
         .expect("the request is sent");
-    let mut bytes = Vec::new();
-    // A reset connection ends the response too; the bytes before the reset are used.
-    let is_closed = stream.read_to_end(&mut bytes).is_ok();
-    read(&bytes, is_closed)
+    stream
+}
+
+/// Sends one request over a new connection, and closes it once the response contains `text`; false if it ends before.
+pub(crate) fn send_until(address: SocketAddr, head: &str, body: &str, text: &str) -> bool {
+    let mut stream = send(address, head, body);
+    let mut response = Vec::new();
+    let mut buffer = [0; 1024];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => response.extend_from_slice(&buffer[..count]),
+        }
+        if String::from_utf8_lossy(&response).contains(text) {
+            return true;
+        }
+    }
 }
 
 fn read(bytes: &[u8], is_closed: bool) -> Answer {
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -12,6 +12,7 @@
 
 pub(crate) use client::Answer;
 pub(crate) use client::send_request;
+pub(crate) use client::send_until;
 pub(crate) use document::document;
 pub(crate) use engine::Engine;
 pub(crate) use engine::ReceivedRequest;
--- a/crates/curlewlift/tests/platform/three_hosts.rs
+++ b/crates/curlewlift/tests/platform/three_hosts.rs
@@ -13,6 +13,14 @@
 use super::send_request;
 use super::wait;
 
+/// Starts engines of these versions.
+pub(crate) fn engines(versions: &[&'static str]) -> Vec<Engine> {
+    let engines = versions.iter().enumerate();
+    let engines =
+        engines.map(|(index, version)| Engine::start_version(&format!("i-{}", index + 1), version));
+    engines.collect()
+}
+
 /// Three hosts in front of three engines of one service.
 pub(crate) struct ThreeHosts {
     pub hosts: Hosts,
@@ -35,10 +43,20 @@
 
     /// Starts the hosts in front of engines of these versions.
     pub(crate) fn start_versions(name: &str, versions: &[&'static str]) -> Self {
-        let engines = versions.iter().enumerate();
-        let engines = engines
-            .map(|(index, version)| Engine::start_version(&format!("i-{}", index + 1), version));
-        Self::start_before(name, engines.collect(), Duration::ZERO)
+        Self::start_before(name, engines(versions), Duration::ZERO)
+    }
+
+    /// Starts `without_disk` more hosts that have no disk, in front of engines of these versions.
+    pub(crate) fn start_more_versions(
+        name: &str,
+        versions: &[&'static str],
+        without_disk: u8,
+    ) -> Self {
+        let engines = engines(versions);
+        let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
+        let hosts = Hosts::start_more(folder(name), &listed, without_disk, None);
+        hosts.configure(&document(7).to_string());
+        Self { hosts, engines }
     }
 
     fn start_before(name: &str, engines: Vec<Engine>, delay: Duration) -> Self {
--- a/crates/curlewlift/tests/platform_versions.rs
+++ b/crates/curlewlift/tests/platform_versions.rs
@@ -2,21 +2,40 @@
 
 mod platform;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use curlewlift::LinkFault;
 use platform::Answer;
+use platform::Engine;
 use platform::StreamEnd;
 use platform::ThreeHosts;
+use platform::entry;
 use platform::send_request;
+use platform::send_until;
+use platform::wait;
 
 /// How a stream ends that breaks off inside its second event, and breaks off again when it is continued under the same id.
 const BROKEN: &str = "close in-data twice";
 
+/// What callers receive of it.
+const FIRST_EVENT: &str = "id: 1\ndata: e1\n\n";
+
+/// The host where a stream begins, if its hosts are lost.
+const ORIGIN: usize = 3;
+
+/// How long a gateway may take to receive copies of records: its poll waits no longer.
+const COPY_TIME: Duration = Duration::from_millis(600);
+
+/// Two engines of each of two versions.
+const TWO_VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2"];
+
 /// A stream that a caller receives by one request or several.
 struct Caller<'a> {
     world: &'a ThreeHosts,
-    /// Sent with each request, so that all of them are the same request.
+    /// The body of each request, so that all of them are the same request.
     body: String,
     /// The ids of its requests.
     ids: Vec<String>,
@@ -34,24 +53,53 @@
         }
     }
 
+    /// Begins a stream and leaves after its first event. Without a hub, a host may reject it for a while.
+    fn begun(world: &'a ThreeHosts, host: usize) -> Self {
+        let mut caller = Self::new(world);
+        wait("a stream begins", || {
+            let head = caller.head("/resume/", "close lingers", "");
+            send_until(
+                world.hosts.callers(host),
+                &head,
+                &caller.body,
+                "data: e1\n\n",
+            ) || {
+                caller = Self::new(world);
+                false
+            }
+        });
+        FIRST_EVENT.clone_into(&mut caller.received);
+        caller
+    }
+
     /// Requests a stream that ends as `end` says.
     fn begin(&mut self, host: usize, end: &str) -> Answer {
-        self.send(host, end, "")
+        self.send(host, "/resume/", end, "")
+    }
+
+    /// The header fields that name the stream and its first event.
+    fn named(&self) -> String {
+        format!("Resumes: {}\r\nLast-Event-Id: 1\r\n", self.ids[0])
     }
 
     /// Takes the stream up after its first event.
     fn take_up(&mut self, host: usize, end: &str) -> Answer {
-        let fields = format!("Resumes: {}\r\nLast-Event-Id: 1\r\n", self.ids[0]);
-        self.send(host, end, &fields)
+        self.send(host, "/resume/", end, &self.named())
     }
 
-    fn send(&mut self, host: usize, end: &str, fields: &str) -> Answer {
-        let id = unique("r");
-        let head = format!(
-            "POST /resume/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
-             X-Play: ends {end}\r\n{fields}X-Deadline-Ms: 5000\r\nAuthorization: Bearer key-ann"
-        );
-        self.ids.push(id);
+    /// Takes the stream up, again while it is rejected, and asserts that it goes on at its version.
+    fn finish(&mut self, host: usize) {
+        wait("the stream goes on", || {
+            let answer = self.take_up(host, "close");
+            println!("{} {}", answer.status, answer.body);
+            answer.status == 200
+        });
+        assert_eq!(self.received, whole());
+        self.assert_one_version();
+    }
+
+    fn send(&mut self, host: usize, path: &str, end: &str, fields: &str) -> Answer {
+        let head = self.head(path, end, fields);
         let answer = send_request(self.world.hosts.callers(host), &head, &self.body);
         if answer.status == 200 {
             self.received.push_str(&answer.body);
@@ -59,7 +107,18 @@
         answer
     }
 
-    /// The versions of the engines that received its requests, by request.
+    /// The head of its next request.
+    fn head(&mut self, path: &str, end: &str, fields: &str) -> String {
+        let id = unique("r");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
+             X-Play: ends {end}\r\n{fields}X-Deadline-Ms: 20000\r\nAuthorization: Bearer key-ann"
+        );
+        self.ids.push(id);
+        head
+    }
+
+    /// The versions of the engines that received its requests, in order.
     fn versions(&self) -> Vec<&'static str> {
         let engines = self.world.engines.iter();
         let received = engines.flat_map(|engine| {
@@ -97,7 +156,7 @@
     let mut caller = Caller::new(&world);
     let answer = caller.begin(0, "close in-data");
     assert!(!answer.whole, "{}", answer.body);
-    assert_eq!(caller.received, "id: 1\ndata: e1\n\n");
+    assert_eq!(caller.received, FIRST_EVENT);
     caller.assert_one_version();
 }
 
@@ -115,3 +174,292 @@
         caller.assert_one_version();
     }
 }
+
+/// Waits until streams have begun at all versions. Slow streams at the same time go to different engines.
+fn wait_for_versions(world: &ThreeHosts, host: usize, versions: &[&'static str]) {
+    let mut seen = BTreeSet::new();
+    wait("streams begin at all versions", || {
+        let begun: Vec<_> = std::thread::scope(|scope| {
+            let callers = versions.iter().flat_map(|_| 0..2).map(|_| {
+                scope.spawn(|| {
+                    let mut caller = Caller::new(world);
+                    caller.begin(host, "close lingers");
+                    caller.versions()
+                })
+            });
+            let callers: Vec<_> = callers.collect();
+            let callers = callers.into_iter();
+            callers
+                .flat_map(|caller| caller.join().expect("no panic"))
+                .collect()
+        });
+        seen.extend(begun);
+        versions.iter().all(|version| seen.contains(version))
+    });
+}
+
+/// Of three versions side by side, each stream goes on at its own, at any host.
+#[test]
+fn three_versions() {
+    let versions = ["v1", "v2", "v3"];
+    let all = [versions, versions, versions].concat();
+    let world = ThreeHosts::start_versions("three_versions", &all);
+    wait_for_versions(&world, 0, &versions);
+    std::thread::scope(|scope| {
+        for number in 0..6 {
+            let world = &world;
+            scope.spawn(move || Caller::begun(world, number % 3).finish((number + 1) % 3));
+        }
+    });
+}
+
+/// The version of the first event counts, not that of a server that broke off before it.
+#[test]
+fn first_event_counts() {
+    let world = ThreeHosts::start_versions("first_event_counts", &["v1", "v2"]);
+    wait_for_versions(&world, 0, &["v1", "v2"]);
+    let mut caller = Caller::new(&world);
+    let answer = caller.begin(0, "close in-data first");
+    assert!(answer.whole, "{} {}", answer.status, answer.body);
+    let begun = caller.versions();
+    assert_eq!(begun.len(), 2);
+    assert_ne!(begun[0], begun[1], "the first engine was tried");
+    wait("the stream goes on", || {
+        caller.take_up(1, "close").status == 200
+    });
+    assert_eq!(caller.versions().last(), Some(&begun[1]));
+}
+
+/// What happens to hosts between the break and the take-up. Hosts 3 and 4 have no disk; the stream begins at host 3.
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    Nothing,
+    OriginKilled,
+    OriginSuspended,
+    OriginStopped,
+    /// All hosts with a disk, among them the hub's.
+    ControlKilled,
+    /// The same, after the host where the stream began.
+    OriginAndControlKilled,
+}
+
+impl Loss {
+    fn strike(self, world: &mut ThreeHosts) {
+        // Copies reach other hosts with the next replies of the hub.
+        std::thread::sleep(COPY_TIME);
+        match self {
+            Self::Nothing => {}
+            Self::OriginKilled => world.hosts.kill(ORIGIN),
+            Self::OriginSuspended => world.hosts.suspend(ORIGIN, Duration::from_secs(30)),
+            Self::OriginStopped => drop(world.hosts.stop(ORIGIN)),
+            Self::ControlKilled => restart_control(world),
+            Self::OriginAndControlKilled => {
+                world.hosts.kill(ORIGIN);
+                restart_control(world);
+            }
+        }
+    }
+}
+
+/// Kills all hosts with a disk, and starts them again.
+fn restart_control(world: &mut ThreeHosts) {
+    for host in 0..3 {
+        world.hosts.kill(host);
+    }
+    for host in 0..3 {
+        world.hosts.boot(host, false);
+    }
+}
+
+/// A stream goes on at its version wherever a host that knows it is left.
+#[test]
+fn hosts_lost() {
+    for loss in [
+        Loss::Nothing,
+        Loss::OriginKilled,
+        Loss::OriginSuspended,
+        Loss::OriginStopped,
+        Loss::ControlKilled,
+        Loss::OriginAndControlKilled,
+    ] {
+        let name = format!("hosts_lost_{loss:?}");
+        let mut world = ThreeHosts::start_more_versions(&name, &TWO_VERSIONS, 3);
+        wait_for_versions(&world, ORIGIN, &["v1", "v2"]);
+        let begun = Caller::begun(&world, ORIGIN);
+        let (body, ids) = (begun.body.clone(), begun.ids.clone());
+        loss.strike(&mut world);
+        let mut caller = Caller {
+            world: &world,
+            body,
+            ids,
+            received: FIRST_EVENT.to_owned(),
+        };
+        caller.finish(4);
+    }
+}
+
+/// A stream that breaks off twice, each time with its host, goes on at its version.
+#[test]
+fn lost_twice() {
+    let mut world = ThreeHosts::start_more_versions("lost_twice", &TWO_VERSIONS, 2);
+    wait_for_versions(&world, ORIGIN, &["v1", "v2"]);
+    let begun = Caller::begun(&world, ORIGIN);
+    let (body, ids) = (begun.body, begun.ids);
+    for host in [ORIGIN, 4] {
+        std::thread::sleep(COPY_TIME);
+        world.hosts.kill(host);
+        let mut caller = Caller {
+            world: &world,
+            body: body.clone(),
+            ids: ids.clone(),
+            received: FIRST_EVENT.to_owned(),
+        };
+        caller.finish(if host == ORIGIN { 4 } else { 0 });
+    }
+}
+
+/// Through another host, too, and where the gateway of a lost hub chooses the server.
+#[test]
+fn other_ways() {
+    let mut world = ThreeHosts::start_versions("other_ways", &TWO_VERSIONS);
+    wait_for_versions(&world, 0, &["v1", "v2"]);
+    world.set_link_faults(&[0], Some(LinkFault::Refuses));
+    for _ in 0..2 {
+        Caller::begun(&world, 0).finish(0);
+        Caller::begun(&world, 1).finish(0);
+    }
+    world.set_link_faults(&[0], None);
+    let begun = Caller::begun(&world, 2);
+    let (body, ids) = (begun.body, begun.ids);
+    world.hosts.kill(0);
+    world.hosts.kill(1);
+    let mut caller = Caller {
+        world: &world,
+        body,
+        ids,
+        received: FIRST_EVENT.to_owned(),
+    };
+    caller.finish(2);
+}
+
+/// Header fields that do not tell which version began the stream.
+fn unnamed(caller: &Caller, other: &Caller) -> Vec<(&'static str, String)> {
+    let id = &caller.ids[0];
+    let with_event = |fields: String| format!("{fields}Last-Event-Id: 1\r\n");
+    vec![
+        ("/resume/", with_event(String::new())),
+        ("/stream/", with_event(String::new())),
+        ("/resume/", with_event("Resumes:\r\n".to_owned())),
+        ("/resume/", with_event("Resumes: unknown\r\n".to_owned())),
+        ("/resume/", "Resumes: unknown\r\n".to_owned()),
+        (
+            "/resume/",
+            with_event(format!("Resumes: {}\r\n", "x".repeat(4_000))),
+        ),
+        (
+            "/resume/",
+            with_event(format!("Resumes: {id}\r\nResumes: {id}\r\n")),
+        ),
+        (
+            "/resume/",
+            with_event(format!("Resumes: {}\r\n", other.ids[0])),
+        ),
+        ("/stream/", with_event(format!("Resumes: {id}\r\n"))),
+    ]
+}
+
+/// While two versions serve, a stream that its caller does not name, or that is another one's, is not continued on a guess;
+/// with one version, it is.
+#[test]
+fn unnamed_streams() {
+    for (versions, is_rejected) in [(&TWO_VERSIONS[..], true), (&["v1", "v1", "v1"], false)] {
+        let name = format!("unnamed_streams_{is_rejected}");
+        let world = ThreeHosts::start_versions(&name, versions);
+        wait_for_versions(&world, 0, versions);
+        let other = Caller::begun(&world, 0);
+        let mut caller = Caller::begun(&world, 0);
+        for host in [0, 1] {
+            for (path, fields) in unnamed(&caller, &other) {
+                let before = caller.versions().len();
+                let answer = caller.send(host, path, "close", &fields);
+                let what = format!("{path} {fields} {}", answer.body);
+                if is_rejected {
+                    assert_eq!(answer.status, 503, "{what}");
+                    assert!(answer.body.contains("3011"), "{what}");
+                    assert_eq!(caller.versions().len(), before, "{what}");
+                } else {
+                    assert_eq!((answer.status, answer.whole), (200, true), "{what}");
+                }
+            }
+        }
+        FIRST_EVENT.clone_into(&mut caller.received);
+        caller.finish(1);
+    }
+}
+
+/// A request that names a stream but no event goes on at the version of the stream, too.
+#[test]
+fn no_last_event() {
+    let world = ThreeHosts::start_versions("no_last_event", &TWO_VERSIONS);
+    wait_for_versions(&world, 0, &["v1", "v2"]);
+    let mut caller = Caller::begun(&world, 0);
+    let fields = format!("Resumes: {}\r\n", caller.ids[0]);
+    let answer = caller.send(1, "/resume/", "close", &fields);
+    assert_eq!((answer.status, answer.body), (200, whole()));
+    caller.assert_one_version();
+}
+
+/// A stream whose version has no server left is rejected, and goes on once there is one again.
+#[test]
+fn version_gone() {
+    let world = ThreeHosts::start_versions("version_gone", &TWO_VERSIONS);
+    wait_for_versions(&world, 0, &["v1", "v2"]);
+    let mut caller = Caller::begun(&world, 0);
+    let version = caller.versions()[0];
+    let list = |is_listed: &dyn Fn(&Engine) -> bool| {
+        let listed = world.engines.iter().filter(|engine| is_listed(engine));
+        world.hosts.list(
+            listed
+                .map(|engine| entry(engine, "chat", "ready"))
+                .collect(),
+        );
+    };
+    list(&|engine| engine.version != version);
+    let mut answer = Answer::default();
+    wait("the version has no server", || {
+        answer = caller.take_up(1, "close");
+        answer.body.contains("3012")
+    });
+    assert_eq!(answer.status, 503);
+    caller.assert_one_version();
+    list(&|_| true);
+    FIRST_EVENT.clone_into(&mut caller.received);
+    caller.finish(1);
+}
+
+/// A second version that appears after a stream broke off changes nothing for it.
+#[test]
+fn second_version_appears() {
+    let mut world = ThreeHosts::start_versions("second_version_appears", &["v1", "v1"]);
+    world.engines.push(Engine::start_version("i-3", "v2"));
+    let mut caller = Caller::begun(&world, 0);
+    let unnamed = "Last-Event-Id: 1\r\n";
+    let answer = Caller::new(&world).send(1, "/resume/", "close", unnamed);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let entries = world.engines.iter();
+    world.hosts.list(
+        entries
+            .map(|engine| entry(engine, "chat", "ready"))
+            .collect(),
+    );
+    wait_for_versions(&world, 1, &["v1", "v2"]);
+    let answer = Caller::new(&world).send(1, "/resume/", "close", unnamed);
+    assert!(
+        answer.body.contains("3011"),
+        "{} {}",
+        answer.status,
+        answer.body
+    );
+    caller.finish(1);
+    assert_eq!(caller.versions().last(), Some(&"v1"));
+}
