--- a/crates/curlewlift/tests/platform/client.rs
+++ b/crates/curlewlift/tests/platform/client.rs
@@ -66,6 +66,44 @@
     }
 }
 
+/// A connection that is used again while it lives.
+#[derive(Default)]
+pub(crate) struct KeptConnection {
+    open: Option<(SocketAddr, TcpStream)>,
+}
+
+impl KeptConnection {
+    /// Sends one request, over the open connection if that leads to `address`, and reads the response.
+    pub(crate) fn send(&mut self, address: SocketAddr, head: &str, body: &str) -> Answer {
+        let kept = self.open.take().filter(|(open, _)| *open == address);
+        let stream = kept.map(|(_, stream)| stream);
+        let Some(mut stream) = stream.or_else(|| TcpStream::connect(address).ok()) else {
+            return Answer::default();
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(8)));
+        let length = body.len();
+        let request = format!("{head}\r\nContent-Length: {length}\r\n\r\n{body}");
+        if stream.write_all(request.as_bytes()).is_err() {
+            return Answer::default();
+        }
+        let mut bytes = Vec::new();
+        let mut buffer = [0; 4096];
+        loop {
+            let count = stream.read(&mut buffer).unwrap_or(0);
+            bytes.extend_from_slice(&buffer[..count]);
+            let answer = read(&bytes, false);
+            if answer.whole {
+                let is_last = answer.header("connection") == Some("close");
+                self.open = (!is_last).then_some((address, stream));
+                return answer;
+            }
+            if count == 0 {
+                return answer;
+            }
+        }
+    }
+}
+
 fn read(bytes: &[u8], is_closed: bool) -> Answer {
     let text = String::from_utf8_lossy(bytes).into_owned();
     let Some((head, rest)) = text.split_once("\r\n\r\n") else {
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -142,25 +142,24 @@
 
 impl Engine {
     pub(crate) fn start(id: &str) -> Self {
-        Self::start_with(id, None)
+        Self::start_version(id, "v1")
     }
 
     /// Starts an engine of another version than v1.
     pub(crate) fn start_version(id: &str, version: &'static str) -> Self {
-        let engine = Self::start_with(id, None);
-        Self { version, ..engine }
+        Self::start_with(id, version, None)
     }
 
     /// Starts an engine that handles every request in the same way.
     pub(crate) fn start_always(id: &str, behavior: &'static str) -> Self {
-        Self::start_with(id, Some(behavior))
+        Self::start_with(id, "v1", Some(behavior))
     }
 
-    fn start_with(id: &str, fixed_behavior: Option<&'static str>) -> Self {
+    fn start_with(id: &str, version: &'static str, fixed_behavior: Option<&'static str>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let engine = Self {
             id: id.to_owned(),
-            version: "v1",
+            version,
             address: listener.local_addr().expect("the listener has an address"),
             received: Arc::default(),
             abandoned: Arc::default(),
@@ -510,7 +509,8 @@
                     unframed(&mut stream, &head, size);
                 } else if let Some(end) = behavior.strip_prefix("ends ") {
                     let head = head(200, id, signed);
-                    StreamEnd::parse(end).send(&mut stream, id, &head, last_event);
+                    let end = StreamEnd::parse(end).of_version(self.version);
+                    end.send(&mut stream, id, &head, last_event);
                 } else {
                     answer(stream, 200, id, signed, "done");
                 }
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -11,6 +11,7 @@
 mod three_hosts;
 
 pub(crate) use client::Answer;
+pub(crate) use client::KeptConnection;
 pub(crate) use client::send_request;
 pub(crate) use client::send_until;
 pub(crate) use document::document;
--- a/crates/curlewlift/tests/platform/stream_end.rs
+++ b/crates/curlewlift/tests/platform/stream_end.rs
@@ -47,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StreamEnd {
     words: Vec<String>,
+    /// The engine's version, which the events of a `versioned` stream state.
+    version: &'static str,
 }
 
 impl StreamEnd {
@@ -54,9 +56,15 @@
     pub(crate) fn parse(text: &str) -> Self {
         Self {
             words: text.split(' ').map(ToOwned::to_owned).collect(),
+            version: "",
         }
     }
 
+    /// Sets the version of the engine that sends it.
+    pub(crate) fn of_version(self, version: &'static str) -> Self {
+        Self { version, ..self }
+    }
+
     fn has(&self, word: &str) -> bool {
         self.words.iter().any(|known| known == word)
     }
@@ -91,7 +99,11 @@
         if !self.has("no-ids") {
             lines.push(format!("id: {number}"));
         }
-        lines.push(format!("data: e{number}"));
+        lines.push(if self.has("versioned") {
+            format!("data: e{number} {}", self.version)
+        } else {
+            format!("data: e{number}")
+        });
         let line_end = self.line_end();
         lines.join(line_end) + line_end
     }
