Propose records that are proposed again through one function

The versions of streams were proposed with the same check and warning as steps of roll-outs, changes of the quarantine and new shares. One function of the leader's state serves the four; the texts of the warnings are unchanged. No change of behaviour.

--- a/crates/curlewlift/src/control/quarantine.rs
+++ b/crates/curlewlift/src/control/quarantine.rs
@@ -31,10 +31,7 @@
         if steps.is_empty() {
             return;
         }
-        // Lost steps are proposed again, by this leader or the next.
-        if let Err(why) = self.propose(&Record::Quarantine(steps)) {
-            log::warn!("cannot propose a change of the quarantine: {why}");
-        }
+        self.propose_repeatable(&Record::Quarantine(steps), "a change of the quarantine");
     }
 }
 
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -198,6 +198,13 @@
         Ok(receiver)
     }
 
+    /// Proposes a record that this leader or the next one proposes again if it is lost; `what` names it in the log.
+    pub(super) fn propose_repeatable(&mut self, record: &Record, what: &str) {
+        if let Err(why) = self.propose(record) {
+            log::warn!("cannot propose {what}: {why}");
+        }
+    }
+
     /// Checks that this replica is confirmed as the leader and has applied everything committed before.
     pub(super) fn ensure_leading(&self) -> Result<(), Refusal> {
         if self.replica.has_committed_in_term() && self.replica.reaches_majority(self.clock.now()) {
--- a/crates/curlewlift/src/control/rollouts.rs
+++ b/crates/curlewlift/src/control/rollouts.rs
@@ -135,10 +135,7 @@
                     .note(Line::new(Kind::RolloutAdvanced).detail(detail));
                 metrics::counter!("curlewlift_rollouts", "phase" => phase.to_string()).increment(1);
             }
-            // A lost step is proposed again, by this leader or the next.
-            if let Err(why) = self.propose(&Record::Rollout(step)) {
-                log::warn!("cannot propose the next step of a rollout: {why}");
-            }
+            self.propose_repeatable(&Record::Rollout(step), "the next step of a rollout");
         }
     }
 }
--- a/crates/curlewlift/src/control/shares.rs
+++ b/crates/curlewlift/src/control/shares.rs
@@ -42,9 +42,7 @@
         let blocks = hub.propose_retry_blocks(now).map(Record::RetryBlocks);
         for record in shares.into_iter().chain(standbys).chain(blocks) {
             // A proposal is lost only with this leader, and then the hub that waits for it is gone too.
-            if let Err(why) = self.propose(&record) {
-                log::warn!("cannot propose new retry shares, retry blocks or standbys: {why}");
-            }
+            self.propose_repeatable(&record, "new retry shares, retry blocks or standbys");
         }
     }
 }
--- a/crates/curlewlift/src/control/streams.rs
+++ b/crates/curlewlift/src/control/streams.rs
@@ -72,10 +72,8 @@
         if steps.is_empty() {
             return;
         }
-        // Lost steps are proposed again, by this leader or the next.
-        if let Err(why) = self.propose(&Record::StreamVersions(steps)) {
-            log::warn!("cannot propose versions at which streams may begin: {why}");
-        }
+        let record = Record::StreamVersions(steps);
+        self.propose_repeatable(&record, "versions at which streams may begin");
     }
 }
 
