Share how tests list engines and take a stream up after losses

Three tests built the caller of a lost host's stream by hand, four places built the server list from the engines, and the three engines of v1 were started in two ways.

--- a/crates/curlewlift/tests/platform/three_hosts.rs
+++ b/crates/curlewlift/tests/platform/three_hosts.rs
@@ -9,12 +9,16 @@
 use super::Engine;
 use super::Hosts;
 use super::document;
+use super::entry;
 use super::folder;
 use super::send_request;
 use super::wait;
 
+/// The versions of the engines where a test names none.
+const THREE_ENGINES: [&str; 3] = ["v1"; 3];
+
 /// Starts engines of these versions.
-pub(crate) fn engines(versions: &[&'static str]) -> Vec<Engine> {
+fn engines(versions: &[&'static str]) -> Vec<Engine> {
     let engines = versions.iter().enumerate();
     let engines =
         engines.map(|(index, version)| Engine::start_version(&format!("i-{}", index + 1), version));
@@ -34,11 +38,7 @@
 
     /// Starts the third host `delay` after the others.
     pub(crate) fn start_late(name: &str, delay: Duration) -> Self {
-        Self::start_before(
-            name,
-            ["i-1", "i-2", "i-3"].map(Engine::start).to_vec(),
-            delay,
-        )
+        Self::start_before(name, engines(&THREE_ENGINES), delay)
     }
 
     /// Starts the hosts in front of engines of these versions.
@@ -68,11 +68,14 @@
 
     /// Starts `without_disk` more hosts that have no disk.
     pub(crate) fn start_more(name: &str, without_disk: u8) -> Self {
-        let engines = ["i-1", "i-2", "i-3"].map(Engine::start).to_vec();
-        let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
-        let hosts = Hosts::start_more(folder(name), &listed, without_disk, None);
-        hosts.configure(&document(7).to_string());
-        Self { hosts, engines }
+        Self::start_more_versions(name, &THREE_ENGINES, without_disk)
+    }
+
+    /// Makes the server list name the engines that `is_listed` says, and no others.
+    pub(crate) fn list_engines(&self, is_listed: impl Fn(&Engine) -> bool) {
+        let listed = self.engines.iter().filter(|engine| is_listed(engine));
+        let entries = listed.map(|engine| entry(engine, "chat", "ready"));
+        self.hosts.list(entries.collect());
     }
 
     /// Makes new connections of these hosts to all engines fail; `None` ends the fault.
--- a/crates/curlewlift/tests/platform_version_soak.rs
+++ b/crates/curlewlift/tests/platform_version_soak.rs
@@ -17,7 +17,6 @@
 use platform::KeptConnection;
 use platform::ThreeHosts;
 use platform::document;
-use platform::entry;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -174,20 +173,9 @@
             }
             6 => {
                 let left_out = VERSIONS[random.random_range(0..VERSIONS.len())];
-                let listed = world.engines.iter();
-                let listed = listed.filter(|engine| engine.version != left_out);
-                let listed = listed
-                    .map(|engine| entry(engine, "chat", "ready"))
-                    .collect();
-                world.hosts.list(listed);
-            }
-            _ => {
-                let listed = world.engines.iter();
-                let listed = listed
-                    .map(|engine| entry(engine, "chat", "ready"))
-                    .collect();
-                world.hosts.list(listed);
+                world.list_engines(|engine| engine.version != left_out);
             }
+            _ => world.list_engines(|_| true),
         }
     }
     for down in down {
--- a/crates/curlewlift/tests/platform_versions.rs
+++ b/crates/curlewlift/tests/platform_versions.rs
@@ -12,7 +12,6 @@
 use platform::Engine;
 use platform::StreamEnd;
 use platform::ThreeHosts;
-use platform::entry;
 use platform::send_request;
 use platform::send_until;
 use platform::wait;
@@ -32,6 +31,12 @@
 /// Two engines of each of two versions.
 const TWO_VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2"];
 
+/// A stream of which a caller has the first event: the body of its requests, and their ids.
+struct Begun {
+    body: String,
+    ids: Vec<String>,
+}
+
 /// A stream that a caller receives by one request or several.
 struct Caller<'a> {
     world: &'a ThreeHosts,
@@ -53,6 +58,24 @@
         }
     }
 
+    /// Forgets the hosts, so that they can be changed meanwhile.
+    fn into_stream(self) -> Begun {
+        Begun {
+            body: self.body,
+            ids: self.ids,
+        }
+    }
+
+    /// The caller of a stream whose first event it has received.
+    fn of(world: &'a ThreeHosts, stream: &Begun) -> Self {
+        Self {
+            world,
+            body: stream.body.clone(),
+            ids: stream.ids.clone(),
+            received: FIRST_EVENT.to_owned(),
+        }
+    }
+
     /// Begins a stream and leaves after its first event. Without a hub, a host may reject it for a while.
     fn begun(world: &'a ThreeHosts, host: usize) -> Self {
         let mut caller = Self::new(world);
@@ -286,15 +309,9 @@
         let mut world = ThreeHosts::start_more_versions(&name, &TWO_VERSIONS, 3);
         wait_for_versions(&world, ORIGIN, &["v1", "v2"]);
         let begun = Caller::begun(&world, ORIGIN);
-        let (body, ids) = (begun.body.clone(), begun.ids.clone());
+        let stream = begun.into_stream();
         loss.strike(&mut world);
-        let mut caller = Caller {
-            world: &world,
-            body,
-            ids,
-            received: FIRST_EVENT.to_owned(),
-        };
-        caller.finish(4);
+        Caller::of(&world, &stream).finish(4);
     }
 }
 
@@ -304,17 +321,11 @@
     let mut world = ThreeHosts::start_more_versions("lost_twice", &TWO_VERSIONS, 2);
     wait_for_versions(&world, ORIGIN, &["v1", "v2"]);
     let begun = Caller::begun(&world, ORIGIN);
-    let (body, ids) = (begun.body, begun.ids);
+    let stream = begun.into_stream();
     for host in [ORIGIN, 4] {
         std::thread::sleep(COPY_TIME);
         world.hosts.kill(host);
-        let mut caller = Caller {
-            world: &world,
-            body: body.clone(),
-            ids: ids.clone(),
-            received: FIRST_EVENT.to_owned(),
-        };
-        caller.finish(if host == ORIGIN { 4 } else { 0 });
+        Caller::of(&world, &stream).finish(if host == ORIGIN { 4 } else { 0 });
     }
 }
 
@@ -330,16 +341,10 @@
     }
     world.set_link_faults(&[0], None);
     let begun = Caller::begun(&world, 2);
-    let (body, ids) = (begun.body, begun.ids);
+    let stream = begun.into_stream();
     world.hosts.kill(0);
     world.hosts.kill(1);
-    let mut caller = Caller {
-        world: &world,
-        body,
-        ids,
-        received: FIRST_EVENT.to_owned(),
-    };
-    caller.finish(2);
+    Caller::of(&world, &stream).finish(2);
 }
 
 /// Header fields that do not tell which version began the stream.
@@ -416,15 +421,7 @@
     wait_for_versions(&world, 0, &["v1", "v2"]);
     let mut caller = Caller::begun(&world, 0);
     let version = caller.versions()[0];
-    let list = |is_listed: &dyn Fn(&Engine) -> bool| {
-        let listed = world.engines.iter().filter(|engine| is_listed(engine));
-        world.hosts.list(
-            listed
-                .map(|engine| entry(engine, "chat", "ready"))
-                .collect(),
-        );
-    };
-    list(&|engine| engine.version != version);
+    world.list_engines(|engine| engine.version != version);
     let mut answer = Answer::default();
     wait("the version has no server", || {
         answer = caller.take_up(1, "close");
@@ -432,7 +429,7 @@
     });
     assert_eq!(answer.status, 503);
     caller.assert_one_version();
-    list(&|_| true);
+    world.list_engines(|_| true);
     FIRST_EVENT.clone_into(&mut caller.received);
     caller.finish(1);
 }
@@ -446,12 +443,7 @@
     let unnamed = "Last-Event-Id: 1\r\n";
     let answer = Caller::new(&world).send(1, "/resume/", "close", unnamed);
     assert_eq!(answer.status, 200, "{}", answer.body);
-    let entries = world.engines.iter();
-    world.hosts.list(
-        entries
-            .map(|engine| entry(engine, "chat", "ready"))
-            .collect(),
-    );
+    world.list_engines(|_| true);
     wait_for_versions(&world, 1, &["v1", "v2"]);
     let answer = Caller::new(&world).send(1, "/resume/", "close", unnamed);
     assert!(
