Log when tables are announced, fetched and put in force

A denial by a table that is out of date could not be traced: no line said when a host had heard of the newer table, when its download began, how often it began anew, or how long decoding took. Two events (317, 318) say so, table-held has the times since the announcement and for decoding, and a refusal has the table in effect, the newest number heard and the age of the hub's last reply. No behaviour changes.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -96,7 +96,7 @@
     ShardFilled = 303, "shard-filled", "This entry has received a complete copy of a shard's claims.";
     ShardLost = 304, "shard-lost", "No copy of a shard's claims is left.";
     Revision = 305, "revision", "A revision of the configuration is in effect here.";
-    TableHeld = 306, "table-held", "A routing table is in effect at this gateway.";
+    TableHeld = 306, "table-held", "A routing table is in effect at this gateway. The log line has how long ago the gateway heard of it, and how long it took to decode.";
     ListHeld = 307, "list-held", "A list of backend servers is in effect at this gateway.";
     HubFound = 308, "hub-found", "The gateway reaches the leading control replica, its hub.";
     HubLost = 309, "hub-lost", "The gateway does not reach the leading control replica, its hub; requests of customers with limits are admitted by shares of the quotas, here or at a standby. The log line says which addresses were tried, and why each failed.";
@@ -107,6 +107,8 @@
     EntryUnreadable = 314, "entry-unreadable", "An entry of the platform's list cannot be decoded and is left out; the other entries are used.";
     SlotsLocal = 315, "slots-local", "The gateway has begun to use its share of the slots of a service, as the hub does not reply. The log line has the slots of the service, those of the share, and the requests that the gateway has in flight.";
     SlotsReturned = 316, "slots-returned", "The hub replies again, and the gateway no longer uses its share of the slots. The log line has how many requests it has started by its share.";
+    TableAnnounced = 317, "table-announced", "This gateway has heard of a newer routing table than the one in effect here; the log line has its number and who announced it.";
+    TableFetched = 318, "table-fetched", "This gateway has received a routing table that is too large for a poll's reply; the log line has its size, how many calls that took, how many of them failed, how often the download began anew, and the time from the first call to the last.";
     Leads = 400, "leads", "This control replica has become the leader.";
     Follows = 401, "follows", "This control replica follows a leader or has none.";
     Command = 402, "command", "An operator's command was answered.";
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -47,6 +47,7 @@
 use super::dialect::Dialect;
 use super::loans::Loans;
 use super::log::Line;
+use super::log::millis;
 use super::service::Service;
 use super::standbys::Standbys;
 
@@ -78,6 +79,8 @@
     pub(super) given_up_unused: f64,
     /// Number of the newest table that the hub has announced.
     pub(super) newest_table: u64,
+    /// When the hub announced it.
+    pub(super) table_announced_at: clock::Instant,
     /// Version of the hub's whole server list at its last reply.
     pub(super) server_list_version: u64,
     /// Whether this gateway fetches the platform's server list for all gateways.
@@ -418,16 +421,35 @@
 
 /// # Updates
 impl Node {
-    /// Applies a table if it is newer than the current one.
-    pub(super) fn apply_table(&self, table: Table) {
+    /// Notes that `source` has announced table `version`.
+    pub(super) fn announce_table(&self, version: u64, source: SocketAddr) {
+        if version <= self.newest_table() {
+            return;
+        }
+        let mut hub = self.hub.borrow_mut();
+        hub.newest_table = version;
+        hub.table_announced_at = self.now();
+        drop(hub);
+        Line::new(Kind::TableAnnounced)
+            .with("table", version)
+            .with("in_effect", self.table_version())
+            .with("by", source.to_string())
+            .write();
+    }
+
+    /// Applies a table, which took `decode_time` to decode, if it is newer than the current one.
+    pub(super) fn apply_table(&self, table: Table, decode_time: Duration) {
         let version = table.get_version();
         let former = self.table_version();
         if version <= former {
             return;
         }
+        let announced_at = self.hub.borrow().table_announced_at;
         Line::new(Kind::TableHeld)
             .with("table", version)
             .with("former", former)
+            .with("after_ms", millis(self.now().since(announced_at)))
+            .with("decode_ms", millis(decode_time))
             .write();
         self.retain_first_byte_times(&table);
         *self.table.borrow_mut() = Some(Rc::new(table));
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -39,7 +39,7 @@
     }
     let admitted = match admit::admit(&node, request, arrived, head_fields).await {
         Ok(admitted) => admitted,
-        Err(refusal) => return refused(line, &refusal),
+        Err(refusal) => return refused(with_table_age(line, &node), &refusal),
     };
     let stream = match resumption::find(&node, &admitted).await {
         Ok(stream) => stream,
@@ -59,6 +59,14 @@
         .await
 }
 
+/// Adds to a log line which table is in effect, which one is the newest that this gateway has heard of, and how long ago it
+/// last heard from the hub.
+fn with_table_age(line: Line, node: &Node) -> Line {
+    line.with("table", node.table_version())
+        .with("newest", node.newest_table())
+        .with("hub_heard_ms", node.since_hub_reply().map(millis))
+}
+
 /// Logs a refusal with `line`, counts it, and returns the response for it.
 pub(super) fn refused(line: Line, refused: &Refused) -> Answer {
     let code = refused.refusal.get_code();
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -221,6 +221,7 @@
     sent_at: clock::Instant,
     reply: Reply,
 ) {
+    node.announce_table(reply.newest_table, address);
     if let Some(publication) = reply.table {
         tables::apply(node, environment, &publication);
     }
@@ -231,7 +232,6 @@
         hub.leader = reply.leader;
         hub.last_reply = reply.number;
         hub.poll_timeout = reply.poll_timeout;
-        hub.newest_table = hub.newest_table.max(reply.newest_table);
         hub.fetches_list = reply.fetches_list;
         hub.server_list_version = reply.server_list_version;
         hub.rejection_limits = reply.rejection_limits;
--- a/crates/curlewlift/src/gateway/tables.rs
+++ b/crates/curlewlift/src/gateway/tables.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use curlewlift_core::clock;
 use curlewlift_core::code::Refusal;
+use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::Chunk;
 use curlewlift_core::state::Document;
 use curlewlift_core::state::Publication;
@@ -14,6 +16,8 @@
 use crate::rpc::RenewCall;
 
 use super::environment::Environment;
+use super::log::Line;
+use super::log::millis;
 use super::node::Node;
 
 /// Timeout of a call for one chunk: the time that the hub holds the call, and the chunks of other gateways
@@ -48,8 +52,9 @@
 
 /// Decodes and applies a completely received table.
 pub(super) fn apply(node: &Node, environment: &Environment, publication: &Publication) {
+    let started_at = node.now();
     match (environment.decode)(publication) {
-        Ok(table) => node.apply_table(table),
+        Ok(table) => node.apply_table(table, node.now().since(started_at)),
         Err(why) => log::error!("table {} cannot be decoded: {why}", publication.version),
     }
 }
@@ -69,20 +74,35 @@
 struct Download {
     number: u64,
     text: String,
+    effort: Effort,
+}
+
+/// What a download has taken so far.
+#[derive(Default)]
+struct Effort {
+    /// When the first call was made.
+    started_at: Option<clock::Instant>,
+    calls: u64,
+    failed_calls: u64,
+    /// How often what had been received was of no use.
+    restarts: u64,
 }
 
 impl Download {
     /// Fetches the next chunk.
     async fn fetch_chunk(&mut self, node: &Node) -> Progress {
+        self.effort.calls += 1;
+        self.effort.started_at.get_or_insert(node.now());
         let Some(chunk) = self.request_chunk(node).await else {
+            self.effort.failed_calls += 1;
             return Progress::None;
         };
         if chunk.table_version != self.number {
+            self.restart();
             self.number = chunk.table_version;
-            self.text.clear();
         }
         if chunk.offset != self.text.len() {
-            self.text.clear();
+            self.restart();
             return Progress::None;
         }
         self.text.push_str(&chunk.text);
@@ -91,6 +111,7 @@
         }
         // Reports that the table is complete, so that the hub can serve the next gateway.
         let _ = self.request_chunk(node).await;
+        self.log(node);
         let text = std::mem::take(&mut self.text);
         Progress::Complete(Publication {
             version: self.number,
@@ -98,6 +119,26 @@
         })
     }
 
+    /// Drops what has been received.
+    fn restart(&mut self) {
+        self.effort.restarts += u64::from(!self.text.is_empty());
+        self.text.clear();
+    }
+
+    /// Logs what the download has taken.
+    fn log(&mut self, node: &Node) {
+        let effort = std::mem::take(&mut self.effort);
+        let started_at = effort.started_at.unwrap_or_default();
+        Line::new(Kind::TableFetched)
+            .with("table", self.number)
+            .with("bytes", self.text.len())
+            .with("calls", effort.calls)
+            .with("failed_calls", effort.failed_calls)
+            .with("restarts", effort.restarts)
+            .with("ms", millis(node.now().since(started_at)))
+            .write();
+    }
+
     async fn request_chunk(&self, node: &Node) -> Option<Chunk> {
         let address = node.hub.borrow().address?;
         let call = RenewCall::Hub(HubCall::FetchChunk {
