--- a/crates/curlewlift/tests/platform/document.rs
+++ b/crates/curlewlift/tests/platform/document.rs
@@ -44,3 +44,25 @@
         ],
     })
 }
+
+/// Adds a route like the first one.
+pub(crate) fn add_route(document: &mut Value, name: &str) {
+    let routes = document["routes"].as_array_mut();
+    let routes = routes.expect("the document has routes");
+    let mut route = routes[0].clone();
+    route["name"] = json!(name);
+    route["path_prefix"] = json!(format!("/{name}/"));
+    routes.push(route);
+}
+
+/// Returns a document with `extra_routes` more, whose names are all distinct.
+pub(crate) fn large_document(version: u64, extra_routes: u32) -> Value {
+    let mut large = document(version);
+    for number in 0..extra_routes {
+        add_route(
+            &mut large,
+            &format!("{:08x}", number.wrapping_mul(2_654_435_761)),
+        );
+    }
+    large
+}
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -265,6 +265,11 @@
             .clone()
     }
 
+    /// Returns how many bytes the hosts without a disk have received over their link.
+    pub(crate) fn link_bytes(&self) -> u64 {
+        self.link.as_ref().map_or(0, SlowLink::get_response_bytes)
+    }
+
     /// Starts a host with the data on its disk.
     pub(crate) fn boot(&mut self, index: usize, first: bool) {
         let path = self.settings(index, first);
--- a/crates/curlewlift/tests/platform/slow_link.rs
+++ b/crates/curlewlift/tests/platform/slow_link.rs
@@ -7,6 +7,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +19,7 @@
 /// A proxy that forwards responses at a limited rate, and requests without a limit.
 pub(crate) struct SlowLink {
     port: u16,
+    response_bytes: Arc<AtomicU64>,
 }
 
 /// When the link is free again.
@@ -26,19 +29,29 @@
     /// Opens a link of `rate` bytes per second to all of `targets`, on one port at each of their addresses.
     pub(crate) fn open(rate: u64, targets: &[SocketAddr]) -> Self {
         let free_at = Arc::new(Mutex::new(Instant::now()));
+        let response_bytes = Arc::new(AtomicU64::new(0));
         let mut port = 0;
         for target in targets {
             let listener =
                 TcpListener::bind((target.ip(), port)).expect("the port is free at each address");
             port = listener.local_addr().expect("an address").port();
             let (free_at, target) = (Arc::clone(&free_at), *target);
+            let response_bytes = Arc::clone(&response_bytes);
             thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
-                    connect(stream, target, rate, &free_at);
+                    connect(stream, target, rate, &free_at, &response_bytes);
                 }
             });
         }
-        Self { port }
+        Self {
+            port,
+            response_bytes,
+        }
+    }
+
+    /// Returns how many bytes of responses have been sent over the link.
+    pub(crate) fn get_response_bytes(&self) -> u64 {
+        self.response_bytes.load(Ordering::Relaxed)
     }
 
     pub(crate) fn get_port(&self) -> u16 {
@@ -47,15 +60,27 @@
 }
 
 /// Connects a caller to `target`; closes its connection if `target` refuses.
-fn connect(caller: TcpStream, target: SocketAddr, rate: u64, free_at: &FreeAt) {
+fn connect(
+    caller: TcpStream,
+    target: SocketAddr,
+    rate: u64,
+    free_at: &FreeAt,
+    response_bytes: &Arc<AtomicU64>,
+) {
     let Ok(server) = TcpStream::connect(target) else {
         return;
     };
     let clone = |stream: &TcpStream| stream.try_clone().expect("the stream can be cloned");
     let (requests, responses) = ((clone(&caller), clone(&server)), (server, caller));
-    thread::spawn(move || copy(requests.0, requests.1, || ()));
-    let free_at = Arc::clone(free_at);
-    thread::spawn(move || copy(responses.0, responses.1, || wait_for_chunk(&free_at, rate)));
+    thread::spawn(move || copy(requests.0, requests.1, |_| ()));
+    let (free_at, response_bytes) = (Arc::clone(free_at), Arc::clone(response_bytes));
+    let before_chunk = move |length| {
+        response_bytes.fetch_add(length as u64, Ordering::Relaxed);
+        if length == CHUNK_BYTES {
+            wait_for_chunk(&free_at, rate);
+        }
+    };
+    thread::spawn(move || copy(responses.0, responses.1, before_chunk));
 }
 
 /// Waits until the link has transferred a chunk.
@@ -70,13 +95,11 @@
     thread::sleep(until.saturating_duration_since(Instant::now()));
 }
 
-/// Copies bytes from one stream to the other, and calls `before_chunk` before each full chunk.
-fn copy(mut source: TcpStream, mut destination: TcpStream, before_chunk: impl Fn()) {
+/// Copies bytes from one stream to the other, and calls `before_chunk` before each chunk with its length.
+fn copy(mut source: TcpStream, mut destination: TcpStream, before_chunk: impl Fn(usize)) {
     let mut chunk = [0; CHUNK_BYTES];
     while let Ok(count) = source.read(&mut chunk) {
-        if count == CHUNK_BYTES {
-            before_chunk();
-        }
+        before_chunk(count);
         if count == 0 || destination.write_all(&chunk[..count]).is_err() {
             break;
         }
--- a/crates/curlewlift/tests/platform_narrow.rs
+++ b/crates/curlewlift/tests/platform_narrow.rs
@@ -12,10 +12,10 @@
 use platform::Hosts;
 use platform::document;
 use platform::folder;
+use platform::large_document;
 use platform::send_request;
 use platform::wait;
 use serde_json::Value;
-use serde_json::json;
 
 /// Additional gateways behind the link.
 const EXTRA_GATEWAYS: u8 = 9;
@@ -27,23 +27,6 @@
 /// Additional rules of the large table, which make it some 290 KB.
 const EXTRA_RULES: u32 = 1_200;
 
-/// A document with many rules whose names are all distinct.
-fn large_document(version: u64) -> Value {
-    let mut large = document(version);
-    let rules = large["routes"]
-        .as_array_mut()
-        .expect("the document has rules");
-    let template = rules[0].clone();
-    rules.extend((0..EXTRA_RULES).map(|number| {
-        let name = format!("{:08x}", number.wrapping_mul(2_654_435_761));
-        let mut rule = template.clone();
-        rule["name"] = json!(name);
-        rule["path_prefix"] = json!(format!("/{name}/"));
-        rule
-    }));
-    large
-}
-
 #[test]
 fn large_table() {
     let engine = Engine::start("i-1");
@@ -55,7 +38,7 @@
         Some(LINK_BYTES_PER_S),
     );
     hosts.configure(&document(7).to_string());
-    let large = large_document(8);
+    let large = large_document(8, EXTRA_RULES);
     assert!(large.to_string().len() > 250_000);
     wait("the large table is accepted", || {
         hosts.put(0, &large.to_string()) == 200
