Add leases on the newest table, patches and resumable downloads

The pure parts of how a published routing table reaches gateways, not used yet. A gateway's Holder says by its own clock whether requests may be denied or forwarded by its table. The leader's Grantor says when a table may be acknowledged: once no gateway may take an older one for the newest. A Store gives the table to others as a patch against theirs; a Download goes on with another host and while newer tables are published.

Weighed for patches: common prefix and suffix (useless for two changes far apart), our own line diff, and zstd with the former document as prefix, which is taken. Chunks that are torn, doubled, damaged or of several tables never give a table that was not sent (quickcheck).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log;
 pub mod platform;
 pub mod pool;
+pub mod publication;
 pub mod quarantine;
 pub mod queue;
 pub mod quota;
