--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -168,6 +168,8 @@
             unused: Vec::new(),
             limit_reports: Reports::default(),
             streams: Vec::new(),
+            known_table: 0,
+            table_in_effect: 0,
         };
         self.hub.report(&report, self.now);
     }
--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -108,7 +108,8 @@
     SlotsLocal = 315, "slots-local", "The gateway has begun to use its share of the slots of a service, as the hub does not reply. The log line has the slots of the service, those of the share, and the requests that the gateway has in flight.";
     SlotsReturned = 316, "slots-returned", "The hub replies again, and the gateway no longer uses its share of the slots. The log line has how many requests it has started by its share.";
     TableAnnounced = 317, "table-announced", "This gateway has heard of a newer routing table than the one in effect here; the log line has its number and who announced it.";
-    TableFetched = 318, "table-fetched", "This gateway has received a routing table that is too large for a poll's reply; the log line has its size, how many calls that took, how many of them failed, how often the download began anew, and the time from the first call to the last.";
+    TableFetched = 318, "table-fetched", "This gateway has received a routing table that is too large for a poll's reply, whole or as a patch; the log line has its size, who gave the last part, how many calls that took, how many of them brought nothing, how often the download began anew, and the time from the first call to the last.";
+    TableLate = 319, "table-late", "A newer routing table was announced, and this gateway has not received it in time: it rejects requests until it has, and callers are sent to other gateways.";
     Leads = 400, "leads", "This control replica has become the leader.";
     Follows = 401, "follows", "This control replica follows a leader or has none.";
     Command = 402, "command", "An operator's command was answered.";
@@ -125,6 +126,7 @@
     Released = 413, "released", "A request under which servers had crashed was answered in full, or its record has expired.";
     EvacuationOrdered = 414, "evacuation-ordered", "An operator's order to evacuate a data hall, or to end that, was answered.";
     EvacuationAgreed = 415, "evacuation-agreed", "An order to evacuate a data hall, or to end that, is committed and in effect.";
+    TableAcknowledged = 416, "table-acknowledged", "A routing table is acknowledged to its operator: no gateway takes an older one for the newest. The detail has how long that took after the commit, how many gateways hold a lease, and how many of those do not have the table in effect yet.";
     InFlightLimit = 420, "in-flight-limit", "The number of requests that a backend server may have in flight has changed to less than half or more than twice, or has another reason; the detail has the service, the server, its slots, the number and the reason.";
     ShareExceeded = 421, "share-exceeded", "A customer asks for more than its share of the slots of a service that has too few for all; the detail has the slot time that it asked for and received.";
     ShareKept = 422, "share-kept", "A customer no longer asks for more than its share of the slots of a service, or there are enough for all; the detail has the slot time that it asked for and received.";
--- a/crates/core/src/gateway/bulk_schedule.rs
+++ b/crates/core/src/gateway/bulk_schedule.rs
@@ -13,8 +13,7 @@
 /// Time after which an unused time slot is dropped, as its gateway has gone.
 const UNUSED_TIME_SLOT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Schedules large updates to gateways: a server list, a membership or a table that they do not
-/// have yet.
+/// Schedules large updates to gateways: a server list or a membership that they do not have yet.
 ///
 /// Load pattern: after a change of the leader or of a table, all gateways want the update at the
 /// same moment. A thousand replies at once keep a leader from its heartbeats for longer than an
--- a/crates/core/src/gateway/distribution.rs
+++ b/crates/core/src/gateway/distribution.rs
@@ -3,15 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::clock::Instant;
 use crate::id::Host;
-use crate::state::Publication;
-
-/// Size of a chunk: 13 ms of a link of 10 Mbit/s.
-const CHUNK_BYTES: usize = 16 << 10;
+use crate::publication::CHUNK_BYTES;
 
 /// Maximum time in seconds by which chunks to concurrent gateways may delay the hub's other
 /// messages and a leader's heartbeats.
@@ -20,44 +14,12 @@
 /// Minimum number of gateways that fetch a table concurrently.
 const MIN_CONCURRENT_GATEWAYS: usize = 6;
 
+/// Number of gateways that fetch a table concurrently from another gateway, whose link is for its callers.
+const MAX_PEERS: usize = 2;
+
 /// Time after which a gateway that requests no further chunk makes room for another one.
 const TRANSFER_IDLE_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// A chunk of a packed document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Chunk {
-    /// The version of the table.
-    pub table_version: u64,
-    /// The length of the whole document in bytes.
-    pub total_len: usize,
-    /// The offset of the chunk in bytes.
-    pub offset: usize,
-    /// The text of the chunk.
-    pub text: String,
-}
-
-impl Chunk {
-    /// Returns the chunk of `publication` at `offset`, or the first chunk if `publication` has
-    /// another version than `version`, as another table is active by now.
-    #[must_use]
-    pub fn cut(publication: &Publication, version: u64, offset: usize) -> Self {
-        let text = publication.document.as_packed();
-        let start = if version == publication.version {
-            offset
-        } else {
-            0
-        };
-        let offset = text.floor_char_boundary(start);
-        let end = text.floor_char_boundary(offset + CHUNK_BYTES);
-        Self {
-            table_version: publication.version,
-            total_len: text.len(),
-            offset,
-            text: text[offset..end].to_owned(),
-        }
-    }
-}
-
 /// Limits how many gateways fetch the table concurrently.
 ///
 /// All gateways at once would fill the leader's link for longer than a request waits, so that none
@@ -70,7 +32,7 @@
 }
 
 impl Distribution {
-    /// Creates the limit for a leader with a link of `link_bytes_per_s`.
+    /// Creates the limit for a host with a control replica and a link of `link_bytes_per_s`.
     #[must_use]
     pub fn new(link_bytes_per_s: f64) -> Self {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -81,6 +43,15 @@
         }
     }
 
+    /// Creates the limit for a gateway that gives a table to others.
+    #[must_use]
+    pub fn between_gateways() -> Self {
+        Self {
+            transfers: BTreeMap::new(),
+            max_gateways: MAX_PEERS,
+        }
+    }
+
     /// Returns whether `host` may receive a chunk at `now`.
     pub fn admit(&mut self, host: &Host, now: Instant) -> bool {
         if !self.transfers.contains_key(host) && self.transfers.len() >= self.max_gateways {
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -207,4 +207,8 @@
     pub limit_reports: Reports,
     /// Streams that have begun.
     pub streams: Vec<stream::Record>,
+    /// The version of the newest table that the gateway has heard of.
+    pub known_table: u64,
+    /// The version of the table in effect there.
+    pub table_in_effect: u64,
 }
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -13,6 +13,7 @@
 use crate::pool::RetryAllowance;
 use crate::pool::Scheduling;
 use crate::pool::ShareWatch;
+use crate::publication;
 use crate::quarantine;
 use crate::quota::Limiter;
 use crate::quota::Tolerance;
@@ -22,7 +23,6 @@
 use crate::route::Table;
 
 use super::BulkSchedule;
-use super::Distribution;
 use super::Gateway;
 use super::Poll;
 use super::ServerList;
@@ -137,7 +137,8 @@
     pub(super) slot_lenders: Standbys,
     /// Whether the shares or the gateways have changed since the lenders were determined.
     pub(super) are_lenders_outdated: bool,
-    distribution: Distribution,
+    /// The leases on the newest table.
+    pub(super) table_leases: publication::Grantor,
     /// The number of the last reply.
     pub(super) last_reply: u64,
     table_version: u64,
@@ -185,7 +186,7 @@
             standbys: Standbys::default(),
             slot_lenders: Standbys::default(),
             are_lenders_outdated: true,
-            distribution: Distribution::new(tuning.link_bytes_per_s),
+            table_leases: publication::Grantor::new(now),
             last_reply: 0,
             table_version: 0,
             server_list: Arc::default(),
@@ -238,8 +239,9 @@
         }
     }
 
-    /// Declares the applied table to be the first of all, so that no quota has been used yet.
+    /// Declares the applied table to be the first of all, so that no quota has been used and no lease granted yet.
     pub fn mark_first_table(&mut self, now: Instant) {
+        self.table_leases.no_former_leases(now);
         self.reserve_for_standbys(now);
         self.limiter.fill_all(now);
     }
@@ -288,6 +290,8 @@
             self.are_lenders_outdated = true;
             self.gateways.insert(poll.host.clone(), state);
         }
+        self.table_leases
+            .on_poll(&poll.host, poll.known_table, poll.table_in_effect);
         self.dispatcher
             .report(&poll.host, poll.last_grant, &poll.loads);
         self.observe(&poll.observations, now);
@@ -337,6 +341,8 @@
             let gateways = &self.gateways;
             self.limits
                 .retain_gateways(|host| gateways.contains_key(host));
+            self.table_leases
+                .retain(now, |host| gateways.contains_key(host));
         }
         let timeout = self.gateway_timeout();
         let mut is_changed = is_first || is_forgotten;
@@ -428,8 +434,9 @@
         self.gateways.len() <= MAX_GATEWAYS_ALL_STANDBY
     }
 
-    /// Returns the limit on concurrent transfers of the table.
-    pub fn distribution(&mut self) -> &mut Distribution {
-        &mut self.distribution
+    /// Returns the leases on the newest table.
+    #[must_use]
+    pub fn get_table_leases(&self) -> &publication::Grantor {
+        &self.table_leases
     }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -37,7 +37,6 @@
 pub(crate) use content_hash::content_hash;
 pub use dispatch::AvoidedServer;
 pub use dispatch::Ticket;
-pub use distribution::Chunk;
 pub use distribution::Distribution;
 pub use grant::AttemptEnd;
 pub use grant::Grant;
--- a/crates/core/src/gateway/polls.rs
+++ b/crates/core/src/gateway/polls.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Instant;
 use crate::id;
+use crate::publication;
 use crate::state::Publication;
 
 use super::Hub;
@@ -46,8 +47,7 @@
         self.update_subset(&poll.host);
         let mut reply = self.small_reply(poll, publication, now);
         let is_small = publication.document.as_packed().len() <= MAX_INLINE_TABLE;
-        let is_inline = is_small && publication.version > poll.known_table;
-        reply.newest_table = publication.version;
+        let is_inline = is_small && publication.version > poll.table_in_effect;
         reply.table = is_inline.then(|| publication.clone());
         let has_list_update = self.has_list_update(poll);
         reply.server_list = has_list_update.then(|| self.server_list_update(poll));
@@ -57,20 +57,14 @@
     }
 
     /// Returns when a gateway may receive its large updates, or nothing if there are none for it.
-    pub fn bulk_time(
-        &mut self,
-        poll: &Poll,
-        publication: &Publication,
-        now: Instant,
-    ) -> Option<Instant> {
-        let is_new_table = publication.version > poll.known_table;
-        let is_large = is_new_table
-            || self.has_list_update(poll)
-            || self.membership.needs_whole(poll.membership_version);
+    pub fn bulk_time(&mut self, poll: &Poll, now: Instant) -> Option<Instant> {
+        let is_large =
+            self.has_list_update(poll) || self.membership.needs_whole(poll.membership_version);
         is_large.then(|| self.bulk_schedule.reserve(&poll.host, now))
     }
 
-    /// Returns the reply without large updates: lists, memberships and tables.
+    /// Returns the reply without large updates: lists, memberships and tables. It says which table is the newest, and
+    /// grants a lease on that.
     pub fn small_reply(&mut self, poll: &Poll, publication: &Publication, now: Instant) -> Reply {
         self.scan_gateways(now);
         self.last_reply = self.last_reply.wrapping_add(1);
@@ -80,6 +74,10 @@
             .on_reply(&poll.host, process, self.last_reply, now);
         let admission_share = self.admission_share(poll, now);
         let slot_lenders = self.slot_lenders_update(poll);
+        let poll_timeout = self.poll_timeout(poll);
+        let table_lease = publication::Grantor::lease(poll_timeout);
+        self.table_leases
+            .grant(&poll.host, publication.version, table_lease, now);
         let incarnations = self.gateways.get(&poll.host);
         let incarnations = incarnations.map_or(&[][..], |state| &state.subset.incarnations);
         Reply {
@@ -92,8 +90,9 @@
             slot_lenders,
             admission_share,
             standbys: self.standbys_update(poll),
-            newest_table: publication.version.min(poll.known_table),
-            poll_timeout: self.poll_timeout(poll),
+            newest_table: publication.version,
+            table_lease,
+            poll_timeout,
             server_list_version: self.server_list.version,
             policy: self.policy_update(poll),
             stream_versions: self.streams.versions_update(poll),
@@ -152,7 +151,8 @@
         let has_other_quarantine = self.quarantine.get_version() != poll.quarantine_version;
         let has_other_limits = self.limits.is_outdated(poll.limits_version);
         let has_other_versions = self.streams.has_versions_update(poll);
-        has_other_policy
+        poll.needs_lease
+            || has_other_policy
             || has_other_quarantine
             || has_other_limits
             || has_other_versions
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -123,6 +123,8 @@
 
     /// Applies the report that a gateway sends as soon as a response begins or an attempt ends.
     pub fn report(&mut self, report: &Report, now: Instant) {
+        self.table_leases
+            .on_report(&report.host, report.known_table, report.table_in_effect);
         self.dispatcher
             .report(&report.host, report.last_grant, &report.loads);
         for grant in &report.unused {
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -74,8 +74,12 @@
     pub gateway: Gateway,
     /// Whether it accepts callers: it has a table and a server list, and is not stopping.
     pub ready: bool,
-    /// The version of the newest table that it has or is fetching.
+    /// The version of the newest table that it has heard of.
     pub known_table: u64,
+    /// The version of the table in effect there.
+    pub table_in_effect: u64,
+    /// Whether it holds no lease on the newest table, and needs a reply at once.
+    pub needs_lease: bool,
     /// Whether it receives the whole server list rather than its subset.
     pub wants_whole_list: bool,
     /// The version of the server list or subset that it has.
@@ -125,6 +129,8 @@
     pub limits: Option<limit::Update>,
     /// The version of the active table.
     pub newest_table: u64,
+    /// For how long from the sending of the poll no newer table is acknowledged without the gateway's knowledge.
+    pub table_lease: Duration,
     /// The active table, if the gateway does not know it and it is small.
     pub table: Option<Publication>,
     /// The update of the gateway's server list or subset, if it has another one than the hub.
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -53,6 +53,8 @@
         },
         ready: true,
         known_table: 0,
+        table_in_effect: 0,
+        needs_lease: false,
         wants_whole_list: false,
         server_list_version: 0,
         membership_version: 0,
@@ -83,5 +85,7 @@
         unused: Vec::new(),
         limit_reports: Reports::default(),
         streams: Vec::new(),
+        known_table: 0,
+        table_in_effect: 0,
     }
 }
--- a/crates/curlewlift/src/control/distribution.rs
+++ b/crates/curlewlift/src/control/distribution.rs
@@ -1,78 +1,135 @@
-//! Distributes the active routing table to gateways in chunks.
+//! Gives routing tables to gateways that have older ones, in chunks. Every host that has a table does.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use curlewlift_core::code::Refusal;
-use curlewlift_core::gateway::Chunk;
-use curlewlift_core::id;
-use tokio::time::Instant;
+use curlewlift_core::clock::Instant;
+use curlewlift_core::gateway::Distribution;
+use curlewlift_core::publication::Chunk;
+use curlewlift_core::publication::Job;
+use curlewlift_core::publication::Payload;
+use curlewlift_core::publication::Store;
+use curlewlift_core::state::Publication;
+use tokio::sync::Notify;
 
-use crate::rpc::HubReply;
+use crate::process::Clock;
+use crate::rpc::TableRequest;
 
-use super::hub;
-use super::replica::State;
+/// How long a gateway waits for a slot before it is told to ask another host.
+const SLOT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// How long a gateway waits for a slot to fetch the table before it has to ask again.
-const FETCH_SLOT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Size in bytes up to which a payload needs no slot: it takes less of a link than the call itself.
+const MAX_BYTES_WITHOUT_SLOT: usize = 2 << 10;
 
-/// The chunk of table `number` after its first `from` bytes; none if no fetch slot became free in time.
-pub(super) async fn chunk(
-    state: &Rc<RefCell<State>>,
-    host: &id::Host,
-    number: u64,
-    from: usize,
-) -> Result<HubReply, Refusal> {
-    let until = Instant::now() + FETCH_SLOT_TIMEOUT;
-    loop {
-        if let Some(redirect) = hub::redirect_unless_leading(&state.borrow()) {
-            return Ok(redirect);
+/// The tables that this host gives to others, and to whom.
+pub(crate) struct Distributor {
+    clock: Clock,
+    store: RefCell<Store>,
+    slots: RefCell<Distribution>,
+    /// Wakes a gateway that waits for a slot.
+    free_slot: Notify,
+    /// The payloads that are being computed, by the versions of the table that they patch and of the result.
+    computing: RefCell<BTreeSet<(u64, u64)>>,
+    /// Wakes gateways that wait for a payload.
+    computed: Notify,
+}
+
+impl Distributor {
+    /// Creates one without a table.
+    pub(crate) fn new(clock: Clock, slots: Distribution) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            store: RefCell::default(),
+            slots: RefCell::new(slots),
+            free_slot: Notify::new(),
+            computing: RefCell::default(),
+            computed: Notify::new(),
+        })
+    }
+
+    /// Adds a table, from which patches can be computed.
+    pub(crate) fn add_table(&self, publication: &Publication) {
+        self.store.borrow_mut().add_table(publication);
+    }
+
+    /// Adds a payload that was received from another host, by a gateway that had table `in_effect`.
+    pub(crate) fn add_payload(&self, in_effect: u64, payload: Arc<Payload>) {
+        self.store.borrow_mut().add_payload(in_effect, payload);
+    }
+
+    /// The chunk that a gateway asks for; none if this host has nothing for it, or no slot becomes free in time.
+    pub(crate) async fn chunk(self: &Rc<Self>, request: &TableRequest) -> Option<Chunk> {
+        let payload = self.payload(request).await?;
+        let continues = request.partial == Some(payload.get_id());
+        let chunk = Chunk::cut(&payload, if continues { request.from } else { 0 });
+        if chunk.payload.len <= MAX_BYTES_WITHOUT_SLOT {
+            return Some(chunk);
         }
-        if let Some(chunk) = state.borrow_mut().next_chunk(host, number, from)? {
-            return Ok(HubReply::Chunk(Some(chunk)));
+        let until = tokio::time::Instant::now() + SLOT_TIMEOUT;
+        while !self.admit(request) {
+            let free_slot = self.free_slot.notified();
+            if tokio::time::timeout_at(until, free_slot).await.is_err() {
+                return None;
+            }
         }
-        // Each free slot wakes the gateway that has waited longest.
-        let free_fetch_slot = Rc::clone(&state.borrow().free_fetch_slot);
-        if tokio::time::timeout_at(until, free_fetch_slot.notified())
-            .await
-            .is_err()
-        {
-            return Ok(HubReply::Chunk(None));
+        if chunk.is_last() {
+            self.slots.borrow_mut().finish(&request.host);
+            self.free_slot.notify_one();
         }
+        Some(chunk)
     }
-}
 
-impl State {
-    /// The next chunk, if the gateway has a fetch slot; an empty chunk after the end of the table.
-    fn next_chunk(
-        &mut self,
-        host: &id::Host,
-        number: u64,
-        from: usize,
-    ) -> Result<Option<Chunk>, Refusal> {
+    fn admit(&self, request: &TableRequest) -> bool {
         let now = self.clock.now();
-        let publication = self.machine.get_publication();
-        let distribution = self.hub.as_mut().ok_or_else(hub::not_ready)?.distribution();
-        if !distribution.admit(host, now) {
-            return Ok(None);
-        }
-        let chunk = Chunk::cut(publication, number, from);
-        if chunk.offset == chunk.total_len {
-            distribution.finish(host);
-            self.free_fetch_slot.notify_one();
+        self.slots.borrow_mut().admit(&request.host, now)
+    }
+
+    /// The payload for a gateway, computed on another thread if it is not stored.
+    async fn payload(self: &Rc<Self>, request: &TableRequest) -> Option<Arc<Payload>> {
+        loop {
+            let computed = self.computed.notified();
+            let found = self.store.borrow().find(request.in_effect, request.partial);
+            if found.is_some() {
+                return found;
+            }
+            let job = self.store.borrow().job(request.in_effect)?;
+            if self.computing.borrow_mut().insert(job.versions()) {
+                // The computation goes on for others if this gateway stops waiting.
+                let this = Rc::clone(self);
+                tokio::task::spawn_local(async move { this.compute(job).await });
+            }
+            computed.await;
         }
-        Ok(Some(chunk))
     }
 
-    /// Frees the fetch slots of gateways that have stopped asking.
-    pub(super) fn tick_distribution(&mut self) {
-        let now = self.clock.now();
-        let Some(hub) = &mut self.hub else {
-            return;
+    /// Computes and stores a payload.
+    async fn compute(&self, job: Job) {
+        let (base, version) = job.versions();
+        let computation = job.clone();
+        let computed = tokio::task::spawn_blocking(move || computation.run()).await;
+        let payload = match computed {
+            Ok(Ok(payload)) => payload,
+            Ok(Err(why)) => {
+                log::error!("no patch from table {base} to {version} can be computed: {why}");
+                job.whole()
+            }
+            Err(why) => {
+                log::error!("the computation of a patch ended: {why}");
+                job.whole()
+            }
         };
-        for _ in 0..hub.distribution().expire(now) {
-            self.free_fetch_slot.notify_one();
+        self.add_payload(base, Arc::new(payload));
+        self.computing.borrow_mut().remove(&(base, version));
+        self.computed.notify_waiters();
+    }
+
+    /// Frees the slots of gateways that have stopped asking.
+    pub(crate) fn expire(&self, now: Instant) {
+        for _ in 0..self.slots.borrow_mut().expire(now) {
+            self.free_slot.notify_one();
         }
     }
 }
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -13,16 +13,28 @@
 use curlewlift_core::id;
 use curlewlift_core::state::Publication;
 use curlewlift_core::state::Record;
+use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
+use crate::rpc::TableRequest;
 
 use super::replica::State;
 
 type Shared = Rc<RefCell<State>>;
 
+/// The interval between two checks whether all gateways have heard of a table.
+const ANNOUNCEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// How long an acknowledgement waits for gateways that have heard of a table and do not have it in effect yet. They deny
+/// nothing meanwhile.
+const MAX_IN_EFFECT_WAIT: Duration = Duration::from_secs(1);
+
+/// How many other hosts a gateway is told that may give it a table.
+const MAX_TABLE_HOLDERS: usize = 3;
+
 /// How long a majority may take to confirm that this replica leads: some heartbeats.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -31,13 +43,14 @@
 
 /// Responds to a gateway's call; a replica that does not lead names the leader instead.
 pub(super) async fn respond(state: &Shared, call: HubCall) -> Result<HubReply, Refusal> {
-    // Every replica accepts introductions and draws; all other calls are for the leader.
+    // Every replica accepts introductions and draws, and gives its table; all other calls are for the leader.
     let needs_leader = !matches!(
         call,
         HubCall::Introduce(_)
             | HubCall::ChargeQuota(_)
             | HubCall::BorrowSlot(_)
             | HubCall::ReturnSlot(_)
+            | HubCall::FetchTable(_)
     );
     if needs_leader && let Some(redirect) = redirect_unless_leading(&state.borrow()) {
         return Ok(redirect);
@@ -48,9 +61,7 @@
         HubCall::Report(report) => super::slots::report(state, &report),
         HubCall::RelayStreams(records) => Ok(super::streams::relay(state, &records)),
         HubCall::FindStream(query) => super::streams::find(state, &query).await,
-        HubCall::FetchChunk { host, number, from } => {
-            super::distribution::chunk(state, &host, number, from).await
-        }
+        HubCall::FetchTable(request) => Ok(give_table(state, &request).await),
         HubCall::Publish(publication) => publish(state, publication).await,
         // With many gateways, those with a replica in their process are never standbys.
         HubCall::ChargeQuota(_) => Ok(HubReply::QuotaCharged(false)),
@@ -82,9 +93,14 @@
         self.updates.notify_waiters();
     }
 
+    /// Whether there is a newer table than the polling gateway has heard of.
+    fn has_newer_table(&self, poll: &Poll) -> bool {
+        self.machine.get_publication().version > poll.known_table
+    }
+
     /// Whether there is an update that the polling gateway does not have yet.
     fn has_update(&mut self, poll: &Poll) -> bool {
-        let is_newer = self.machine.get_publication().version > poll.known_table;
+        let is_newer = self.has_newer_table(poll);
         let hub = self.hub.as_mut();
         is_newer || hub.is_some_and(|hub| hub.has_update(poll))
     }
@@ -92,9 +108,8 @@
     /// How long the polling gateway must still wait for the time slot in which it receives large updates.
     fn bulk_delay(&mut self, poll: &Poll) -> Duration {
         let now = self.clock.now();
-        let publication = self.machine.get_publication();
         let hub = self.hub.as_mut();
-        let time = hub.and_then(|hub| hub.bulk_time(poll, publication, now));
+        let time = hub.and_then(|hub| hub.bulk_time(poll, now));
         time.map_or(Duration::ZERO, |time| time.since(now))
     }
 
@@ -129,9 +144,26 @@
     Some(HubReply::NotLeader {
         leader: other.cloned(),
         control: member_hosts(state),
+        newest_table: state.machine.get_publication().version,
     })
 }
 
+/// A chunk of the active table, or other hosts that may give it.
+async fn give_table(state: &Shared, request: &TableRequest) -> HubReply {
+    let distributor = Rc::clone(&state.borrow().distributor);
+    if let Some(chunk) = distributor.chunk(request).await {
+        return HubReply::TableChunk(chunk);
+    }
+    let state = state.borrow();
+    let version = state.machine.get_publication().version;
+    let now = state.clock.now();
+    let hub = state.hub.as_ref();
+    let holders = hub.map(|hub| hub.get_table_leases().holders(version, now));
+    let holders = holders.into_iter().flatten().cloned();
+    let holders = holders.sample(&mut rand::rng(), MAX_TABLE_HOLDERS);
+    HubReply::NoTableChunk { holders }
+}
+
 /// The hosts of the control replicas.
 fn member_hosts(state: &State) -> Vec<id::Host> {
     let members = state.replica.members().0.iter();
@@ -164,7 +196,8 @@
         has_update = state.borrow_mut().has_update(&poll);
     }
     let delay = state.borrow_mut().bulk_delay(&poll);
-    if !delay.is_zero() {
+    // That there is a newer table is told at once: its acknowledgement waits for that.
+    if !delay.is_zero() && !state.borrow().has_newer_table(&poll) {
         let bulk_time = Instant::now() + delay;
         tokio::time::sleep_until(bulk_time.min(until)).await;
     }
@@ -233,28 +266,69 @@
     Ok(())
 }
 
-/// Commits a routing table; returns once it is committed, or at once if the active table is at least as new.
+/// Commits a routing table, unless the active one is at least as new; returns once no gateway can take an older one for
+/// the newest.
 async fn publish(state: &Shared, publication: Publication) -> Result<HubReply, Refusal> {
-    let number = publication.version;
+    let version = publication.version;
+    // A leader that a majority confirms has applied everything that is committed.
+    let is_newer = version > state.borrow().machine.get_publication().version;
+    if is_newer {
+        commit(state, publication).await?;
+    }
+    let timeline = state.borrow().timeline.clone();
+    let (in_touch, missing, waited) = wait_until_announced(state, version).await?;
+    timeline.note(Line::new(Kind::TableAcknowledged).detail(format_args!(
+        "number={version} gateways={in_touch} behind={missing} waited_ms={}",
+        waited.as_millis()
+    )));
+    metrics::histogram!("curlewlift_table_acknowledge_seconds").record(waited.as_secs_f64());
+    Ok(HubReply::Published)
+}
+
+async fn commit(state: &Shared, publication: Publication) -> Result<(), Refusal> {
+    let version = publication.version;
     let bytes = publication.document.as_packed().len();
     let committed = {
         let mut state = state.borrow_mut();
-        // A leader that a majority confirms has applied everything that is committed.
-        if number <= state.machine.get_publication().version {
-            return Ok(HubReply::Published);
-        }
         state.ensure_enough_replicas()?;
         state.propose(&Record::Publication(publication))?
     };
-    let leader_changed = "the leader changed; send the same table again to learn its result";
-    committed
-        .await
-        .map_err(|_| Refusal::new(Code::Unreachable, leader_changed))??;
+    committed.await.map_err(|_| leader_changed())??;
+    let detail = format_args!("number={version} bytes={bytes}");
+    let state = state.borrow();
     state
-        .borrow()
         .timeline
-        .note(Line::new(Kind::Published).detail(format_args!("number={number} bytes={bytes}")));
-    Ok(HubReply::Published)
+        .note(Line::new(Kind::Published).detail(detail));
+    Ok(())
+}
+
+/// Waits until every gateway has heard of table `version` or holds no lease, and for a limited time until all that hold one
+/// have the table in effect. Returns how many hold a lease, how many of them are behind, and how long it waited.
+async fn wait_until_announced(
+    state: &Shared,
+    version: u64,
+) -> Result<(usize, usize, Duration), Refusal> {
+    let started_at = state.borrow().clock.now();
+    loop {
+        {
+            let state = state.borrow();
+            state.ensure_leading().map_err(|_| leader_changed())?;
+            let now = state.clock.now();
+            let waited = now.since(started_at);
+            let leases = state.hub.as_ref().ok_or_else(not_ready)?.get_table_leases();
+            let (in_touch, missing) = leases.count_missing(version, now);
+            let is_in_effect = missing == 0 || waited >= MAX_IN_EFFECT_WAIT;
+            if is_in_effect && leases.is_announced(version, now) {
+                return Ok((in_touch, missing, waited));
+            }
+        }
+        tokio::time::sleep(ANNOUNCEMENT_CHECK_INTERVAL).await;
+    }
+}
+
+fn leader_changed() -> Refusal {
+    let why = "the leader changed; send the same table again to learn its result";
+    Refusal::new(Code::Unreachable, why)
 }
 
 /// The refusal of a leader that has no hub or server list yet.
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod streams;
 
 pub use daemon::Control;
+pub(crate) use distribution::Distributor;
 pub(crate) use gateways::Decode;
 pub(crate) use gateways::Gateways;
 pub(crate) use gateways::Locate;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
+use curlewlift_core::gateway::Distribution;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Ticket;
 use curlewlift_core::id;
@@ -38,6 +39,7 @@
 use crate::rpc::Method;
 use crate::timeline::Timeline;
 
+use super::distribution::Distributor;
 use super::gateways::Gateways;
 use super::in_flight::KnownLimits;
 use super::slots::SlotAnswer;
@@ -86,8 +88,8 @@
     pub(super) known_limits: KnownLimits,
     /// Wakes polls and requests that wait for a newer table or server list.
     pub(super) updates: Rc<Notify>,
-    /// Wakes a gateway that waits for a slot to fetch the routing table.
-    pub(super) free_fetch_slot: Rc<Notify>,
+    /// Gives the active routing table to gateways.
+    pub(super) distributor: Rc<Distributor>,
     /// Maintains the replica set if replicas are admitted as they ask.
     pub(super) maintainer: Maintainer,
     /// Since when this replica has seen no leader.
@@ -125,7 +127,7 @@
             pending_slots: HashMap::new(),
             known_limits: KnownLimits::default(),
             updates: Rc::new(Notify::new()),
-            free_fetch_slot: Rc::new(Notify::new()),
+            distributor: Distributor::new(Clock::start(), Distribution::new(0.0)),
             maintainer: Maintainer::default(),
             leaderless_since: None,
         })
@@ -134,6 +136,11 @@
     pub(super) fn gateways(mut self, gateways: Option<Gateways>) -> Self {
         let replicas = gateways.as_ref().map_or(1, |gateways| gateways.replicas);
         self.maintainer = Maintainer::new(replicas);
+        if let Some(gateways) = &gateways {
+            let slots = Distribution::new(gateways.tuning.link_bytes_per_s);
+            self.distributor = Distributor::new(self.clock.clone(), slots);
+            self.distributor.add_table(self.machine.get_publication());
+        }
         self.gateways = gateways;
         self
     }
@@ -163,7 +170,7 @@
         self.process_output();
         self.maintain();
         self.tick_slots();
-        self.tick_distribution();
+        self.distributor.expire(now);
     }
 
     /// Closes the journal writer; the journal does not change after this.
@@ -232,7 +239,10 @@
         }
         if let Some(snapshot) = output.install {
             match Machine::decode(&snapshot.state) {
-                Ok(machine) => self.machine = machine,
+                Ok(machine) => {
+                    self.machine = machine;
+                    self.distributor.add_table(self.machine.get_publication());
+                }
                 Err(why) => log::error!("cannot decode a snapshot from the leader: {why}"),
             }
         }
@@ -269,6 +279,7 @@
         let result = self.machine.apply(&record);
         match record {
             Record::Publication(_) => {
+                self.distributor.add_table(self.machine.get_publication());
                 self.apply_table();
                 // An earlier leader may have distributed a table of an earlier term.
                 if !had_table && term == self.replica.get_term() {
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -12,7 +12,6 @@
 use axum::http::uri::PathAndQuery;
 use bytes::Bytes;
 use bytes::BytesMut;
-use curlewlift_core::clock;
 use curlewlift_core::code::Code;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::WaitLimit;
@@ -31,6 +30,7 @@
 
 use super::deadline::Arrival;
 use super::deadline::Deadline;
+use super::decision;
 use super::dialect::RequestHead;
 use super::held_bytes::HeldBytes;
 use super::log::Line;
@@ -38,25 +38,6 @@
 use super::node::Node;
 use super::refuse::Refused;
 
-/// After how long a caller is to retry at a gateway without a routing table: by then a leader has been elected
-/// and has sent its gateways the table.
-const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(800);
-
-/// Maximum time that a request waits for the first routing table. After a loss of all hosts a table arrives 0.3 s
-/// after the start, and a caller that is rejected before that may have no retry left.
-const FIRST_TABLE_MAX_WAIT: Duration = Duration::from_secs(1);
-
-/// The same limit while the whole deployment starts for the first time: no other host has a table either, so a retry
-/// elsewhere fails too. On eight busy processors (load 15) the first table arrived after 1 s in one start of six.
-const FIRST_START_MAX_WAIT: Duration = Duration::from_secs(5);
-
-/// Maximum share of the caller's timeout that a request waits for the first table: the rest must suffice for the
-/// response.
-const FIRST_TABLE_TIMEOUT_SHARE: f64 = 0.25;
-
-/// How often a waiting request checks whether the first table has arrived.
-const FIRST_TABLE_POLL_INTERVAL: Duration = Duration::from_millis(15);
-
 /// After how long a caller is to retry, at any host, if this one holds too many bytes: most requests are short.
 const HOST_FULL_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -153,9 +134,13 @@
     arrived: Arrival,
     head_fields: RequestHead,
 ) -> Result<Admitted, Refused> {
-    let table = current_table(node, arrived.at, &head_fields).await?;
-    let rule = find_rule(&table, &request)?;
-    let policy = find_policy(&table, &rule, &head_fields)?;
+    let find = |table: &Table| {
+        let rule = find_rule(table, &request)?;
+        let policy = find_policy(table, &rule, &head_fields)?;
+        Ok((rule, policy))
+    };
+    let (table, (rule, policy)) =
+        decision::decide(node, arrived.at, head_fields.timeout, find).await?;
     let time_limit = head_fields
         .timeout
         .unwrap_or(rule.timeout)
@@ -167,7 +152,8 @@
     drop(table);
     let (head, body) = request.into_parts();
     let memory = HeldBytes::new(node);
-    let body = read_body(body, limits, &memory, deadline.timer_instant()).await?;
+    let body = read_body(body, limits, &memory, deadline.timer_instant()).await;
+    let body = body.map_err(|refused| decision::confirm(node, refused))?;
     let identity = identity(policy.as_deref(), &head, &body);
     let cost = policy
         .as_ref()
@@ -220,33 +206,6 @@
     policy.quota.cost(tokens)
 }
 
-/// The routing table in effect; a gateway that has just started waits a short time for its first one.
-async fn current_table(
-    node: &Node,
-    arrived: clock::Instant,
-    head_fields: &RequestHead,
-) -> Result<Rc<Table>, Refused> {
-    let share = head_fields
-        .timeout
-        .map(|timeout| timeout.mul_f64(FIRST_TABLE_TIMEOUT_SHARE));
-    let max_wait = if node.first_start {
-        FIRST_START_MAX_WAIT
-    } else {
-        FIRST_TABLE_MAX_WAIT
-    };
-    let max_wait = share.map_or(FIRST_TABLE_MAX_WAIT, |share| share.min(max_wait));
-    while node.table().is_none() && node.now().since(arrived) < max_wait {
-        tokio::time::sleep(FIRST_TABLE_POLL_INTERVAL).await;
-    }
-    node.table().ok_or_else(|| {
-        Refused::new(
-            Code::NoTable,
-            "this gateway has not received a routing table yet",
-        )
-        .with_retry_after(NO_TABLE_RETRY_AFTER)
-    })
-}
-
 /// The host name that a request is addressed to.
 fn request_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
     let host_header = headers.get(header::HOST);
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -65,6 +65,8 @@
     pub(crate) retry_allowance: RetryAllowance,
     /// By how much a customer's quota may be exceeded.
     pub(crate) tolerance: Tolerance,
+    /// For how long requests may be forwarded by a routing table after a newer one was announced.
+    pub(crate) max_outdated: Duration,
     /// Durations of a planned stop.
     pub(crate) stop_timing: StopTiming,
     /// The control replica in the same process, if the host runs one.
@@ -141,6 +143,7 @@
             client,
         );
         let node = node.clock(self.clock).first_start(self.first_start);
+        let node = node.max_outdated(self.max_outdated);
         let node = node.regions(self.regions).scheduling(self.scheduling);
         let node = node.memory_budget(self.memory_budget).links(self.links);
         let node = Rc::new(node);
@@ -198,11 +201,14 @@
     .await;
 }
 
-/// Assigns slots that have become available only by the passing of time.
+/// Assigns slots that have become available only by the passing of time, and logs that the table is outdated.
 async fn scan_queues(node: Rc<Node>) {
+    let mut was_late = false;
     loop {
         tokio::time::sleep(QUEUE_SCAN_INTERVAL).await;
         node.progress.set(node.progress.get().next(node.now()));
+        node.distributor.expire(node.now());
+        was_late = tables::log_late(&node, was_late);
         if node.queue_len() > 0 {
             node.assign_all_slots();
         }
--- a/crates/curlewlift/src/gateway/discovery.rs
+++ b/crates/curlewlift/src/gateway/discovery.rs
@@ -46,6 +46,20 @@
             let lent = async move { Ok(rpc::encode(&local_slots::lend(&node, &request).await)) };
             lent.boxed_local()
         }
+        Ok(HubCall::FetchTable(request)) => {
+            let distributor = Rc::clone(&node.distributor);
+            let given = async move {
+                let chunk = distributor.chunk(&request).await;
+                let reply = chunk.map_or(
+                    HubReply::NoTableChunk {
+                        holders: Vec::new(),
+                    },
+                    HubReply::TableChunk,
+                );
+                Ok(rpc::encode(&reply))
+            };
+            given.boxed_local()
+        }
         call => {
             let answer = call.map(|call| rpc::encode(&answer(&node, call)));
             std::future::ready(answer).boxed_local()
@@ -87,6 +101,7 @@
         _ => HubReply::NotLeader {
             leader: node.hub.borrow().leader.clone(),
             control: node.known_replicas.get(),
+            newest_table: node.newest_table(),
         },
     }
 }
--- a/crates/curlewlift/src/gateway/environment.rs
+++ b/crates/curlewlift/src/gateway/environment.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::control::Decode;
+use crate::control::KnownHosts;
 use crate::control::Locate;
 
 /// How a gateway finds control replicas and decodes routing tables.
@@ -16,3 +17,28 @@
     /// Address of the control replica in this process, if there is one.
     pub(crate) local_replica: Option<SocketAddr>,
 }
+
+impl Environment {
+    /// Address of a replica or host that may know the leader, by a running number: the replica in this process, the
+    /// hosts known to run one, and the hosts that the settings name, which may run none.
+    pub(super) fn candidate_address(
+        &self,
+        known: &KnownHosts,
+        candidate: usize,
+    ) -> Option<SocketAddr> {
+        let mut candidates = self.replica_addresses(known);
+        for seed in (self.seeds)() {
+            if !candidates.contains(&seed) {
+                candidates.push(seed);
+            }
+        }
+        candidates.get(candidate % candidates.len().max(1)).copied()
+    }
+
+    /// Addresses of the replicas that are known, the one in this process first.
+    pub(super) fn replica_addresses(&self, known: &KnownHosts) -> Vec<SocketAddr> {
+        let known = known.get();
+        let known = known.iter().filter_map(|host| (self.locate)(host));
+        self.local_replica.into_iter().chain(known).collect()
+    }
+}
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -366,6 +366,8 @@
             observations: node.quarantine.borrow().get_evidence().unacknowledged().0,
             limit_reports: node.limit_reports(),
             streams: streams.clone(),
+            known_table: node.newest_table(),
+            table_in_effect: node.table_version(),
         };
         let call = RenewCall::Hub(HubCall::Report(report));
         let result: Result<HubReply, Refusal> = node
--- a/crates/curlewlift/src/gateway/leader_calls.rs
+++ b/crates/curlewlift/src/gateway/leader_calls.rs
@@ -1,5 +1,6 @@
 //! Operators' requests that are forwarded to the leader: routing tables, roll-outs, evacuations.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use curlewlift_core::code::Code;
@@ -19,11 +20,17 @@
 
 use super::environment::Environment;
 use super::node::Node;
-use super::sync;
 
 /// Timeout of a request to the leader, over all attempts.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The same for the publication of a routing table, which is acknowledged once no gateway can take an older one for the
+/// newest: the longest lease, and the commit.
+const PUBLISH_TIMEOUT: Duration = Duration::from_millis(3_500);
+
+/// Interval at which it is checked whether another replica leads than the one that is called.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum number of control replicas to try until one leads.
 const MAX_CALLS: usize = 4;
 
@@ -37,7 +44,8 @@
     environment: &Environment,
     publication: Publication,
 ) -> Result<(), Refusal> {
-    match call_leader(node, environment, HubCall::Publish(publication)).await? {
+    let call = HubCall::Publish(publication);
+    match call_leader_within(node, environment, call, PUBLISH_TIMEOUT).await? {
         HubReply::Published => Ok(()),
         _ => Err(no_leader()),
     }
@@ -103,42 +111,77 @@
     }
 }
 
-/// Calls the leader, following the replicas' hints for at most [`MAX_CALLS`] calls.
+/// Calls the leader within [`CALL_TIMEOUT`].
 async fn call_leader(
     node: &Node,
     environment: &Environment,
     call: HubCall,
+) -> Result<HubReply, Refusal> {
+    call_leader_within(node, environment, call, CALL_TIMEOUT).await
+}
+
+/// Calls the leader, following the replicas' hints for at most [`MAX_CALLS`] calls.
+async fn call_leader_within(
+    node: &Node,
+    environment: &Environment,
+    call: HubCall,
+    timeout: Duration,
 ) -> Result<HubReply, Refusal> {
     let call = RenewCall::Hub(call);
-    let call_deadline = Instant::now() + CALL_TIMEOUT;
+    let call_deadline = Instant::now() + timeout;
     let mut named_leader: Option<id::Host> = node.hub.borrow().leader.clone();
     let mut last_refusal = no_leader();
     for attempt in 0..MAX_CALLS {
         let leader = named_leader
             .take()
             .and_then(|leader| (environment.locate)(&leader));
-        let Some(address) = leader.or_else(|| sync::candidate_address(node, environment, attempt))
+        let Some(address) =
+            leader.or_else(|| environment.candidate_address(&node.known_replicas, attempt))
         else {
             continue;
         };
         let remaining = call_deadline.saturating_duration_since(Instant::now());
-        let reply = node
-            .rpc
-            .call(address, Method::Renew, &call, remaining)
-            .await;
+        let reply = node.rpc.call(address, Method::Renew, &call, remaining);
+        let reply = tokio::select! {
+            reply = reply => reply,
+            () = other_leader(node, environment, address) => Err(no_leader()),
+        };
         match reply {
-            Ok(HubReply::NotLeader { leader, control }) => {
+            Ok(HubReply::NotLeader {
+                leader,
+                control,
+                newest_table,
+            }) => {
                 node.known_replicas.add(control);
+                node.announce_table(newest_table, address);
                 named_leader = leader;
             }
             Ok(reply) => return Ok(reply),
             // A host that runs no process refuses at once, and every order is safe to repeat.
-            Err(why) => last_refusal = why,
+            Err(why) => {
+                last_refusal = why;
+                let leader = node.hub.borrow().leader.clone();
+                named_leader =
+                    leader.filter(|leader| (environment.locate)(leader) != Some(address));
+            }
         }
     }
     Err(last_refusal)
 }
 
+/// Waits until another replica than the one at `address` has become the leader: that one may be gone without a word.
+async fn other_leader(node: &Node, environment: &Environment, address: SocketAddr) {
+    let leader = || {
+        let hub = node.hub.borrow();
+        let leader = hub.leader.as_ref();
+        leader.and_then(|leader| (environment.locate)(leader))
+    };
+    let former = leader();
+    while leader().is_none_or(|leader| Some(leader) == former || leader == address) {
+        tokio::time::sleep(LEADER_CHECK_INTERVAL).await;
+    }
+}
+
 fn no_leader() -> Refusal {
     Refusal::new(Code::Unreachable, "no control replica is certain to lead")
 }
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod connect;
 mod daemon;
 mod deadline;
+mod decision;
 mod dialect;
 mod discovery;
 mod environment;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::AttemptEnd;
+use curlewlift_core::gateway::Distribution;
 use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::LocalSlots;
 use curlewlift_core::gateway::Membership;
@@ -27,6 +28,8 @@
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
 use curlewlift_core::pool::Scheduling;
+use curlewlift_core::publication;
+use curlewlift_core::publication::Standing;
 use curlewlift_core::quarantine;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::LocalLimiter;
@@ -35,10 +38,12 @@
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Regions;
 use curlewlift_core::route::Table;
+use curlewlift_core::state::Publication;
 use curlewlift_core::stream;
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::control::Distributor;
 use crate::control::KnownHosts;
 use crate::links::Links;
 use crate::process::Clock;
@@ -51,6 +56,9 @@
 use super::service::Service;
 use super::standbys::Standbys;
 
+/// For how long requests may be forwarded by a table after a newer one was announced, if the settings do not say.
+const DEFAULT_MAX_OUTDATED: Duration = Duration::from_secs(1);
+
 /// Lower bound of [`Node::hub_timeout`]: a hub that replied this recently is always asked.
 const MIN_HUB_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -77,10 +85,6 @@
     pub(super) last_reply: u64,
     /// The part of all shares of retries that was given up with that reply without having been used.
     pub(super) given_up_unused: f64,
-    /// Number of the newest table that the hub has announced.
-    pub(super) newest_table: u64,
-    /// When the hub announced it.
-    pub(super) table_announced_at: clock::Instant,
     /// Version of the hub's whole server list at its last reply.
     pub(super) server_list_version: u64,
     /// Whether this gateway fetches the platform's server list for all gateways.
@@ -131,7 +135,15 @@
     /// Client for calls to the control replicas.
     pub(super) rpc: rpc::Client,
     /// The routing table in effect here; none before the first one has arrived.
-    pub(super) table: RefCell<Option<Rc<Table>>>,
+    table: RefCell<Option<Rc<Table>>>,
+    /// The document of that table, to which patches are applied.
+    publication: RefCell<Publication>,
+    /// What may be decided by that table.
+    table_holder: RefCell<publication::Holder>,
+    /// Wakes requests that wait for a table, or for the certainty that it is the newest.
+    table_wakeup: Notify,
+    /// Gives tables to other gateways.
+    pub(super) distributor: Rc<Distributor>,
     /// State of the services that the table names.
     pub(super) services: RefCell<BTreeMap<id::Service, Service>>,
     /// The whole list of backend servers, if stored, and the subset that this gateway uses.
@@ -219,6 +231,10 @@
             first_start: false,
             rpc,
             table: RefCell::default(),
+            publication: RefCell::default(),
+            table_holder: RefCell::new(publication::Holder::new(DEFAULT_MAX_OUTDATED)),
+            table_wakeup: Notify::new(),
+            distributor: Distributor::new(Clock::start(), Distribution::between_gateways()),
             services: RefCell::default(),
             policy: RefCell::default(),
             membership: RefCell::default(),
@@ -254,10 +270,17 @@
 
     /// Uses `clock` in place of a new one.
     pub(super) fn clock(mut self, clock: Clock) -> Self {
+        self.distributor = Distributor::new(clock.clone(), Distribution::between_gateways());
         self.clock = clock;
         self
     }
 
+    /// Sets for how long requests may be forwarded by a table after a newer one was announced.
+    pub(super) fn max_outdated(mut self, max_outdated: Duration) -> Self {
+        self.table_holder = RefCell::new(publication::Holder::new(max_outdated));
+        self
+    }
+
     /// Uses `links` to connect to backend servers.
     pub(super) fn links(mut self, links: Links) -> Self {
         self.links = links;
@@ -292,15 +315,10 @@
         self.clock.now()
     }
 
-    /// The table in effect here.
-    pub(super) fn table(&self) -> Option<Rc<Table>> {
-        self.table.borrow().clone()
-    }
-
-    /// Whether callers may be sent here: the gateway has a table and a server list, and is not stopping.
+    /// Whether callers may be sent here: the gateway has a table that it may use and a server list, and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
-            && self.table.borrow().is_some()
+            && self.table_standing() != Standing::Outdated
             && self.server_lists.borrow().get_subset().version != 0
     }
 
@@ -379,15 +397,99 @@
         let mut local_limiter = self.local_limiter.borrow_mut();
         local_limiter.acquire(charge, &policy.quota, self.now())
     }
+}
 
-    /// Number of the table in effect here; 0 before the first one has arrived.
+/// # The routing table
+impl Node {
+    /// The table in effect here. What may be decided by it is for [`Node::table_standing`] to say.
+    pub(super) fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// What may be decided by the table in effect here.
+    pub(super) fn table_standing(&self) -> Standing {
+        self.table_holder.borrow().standing(self.now())
+    }
+
+    /// Whether this gateway holds a lease on the newest table.
+    pub(super) fn has_table_lease(&self) -> bool {
+        self.table_holder.borrow().has_lease(self.now())
+    }
+
+    /// Version of the table in effect here; 0 before the first one has arrived.
     pub(super) fn table_version(&self) -> u64 {
-        self.table().map_or(0, |table| table.get_version())
+        self.table_holder.borrow().get_in_effect()
     }
 
-    /// Number of the newest table that this gateway knows of.
+    /// Version of the newest table that this gateway knows of.
     pub(super) fn newest_table(&self) -> u64 {
-        self.table_version().max(self.hub.borrow().newest_table)
+        self.table_holder.borrow().newest()
+    }
+
+    /// The publication of the table in effect here.
+    pub(super) fn publication(&self) -> Publication {
+        self.publication.borrow().clone()
+    }
+
+    /// Waits until the table in effect or what may be decided by it has changed, for at most `time`.
+    pub(super) async fn wait_for_table(&self, time: Duration) {
+        let _ = tokio::time::timeout(time, self.table_wakeup.notified()).await;
+    }
+
+    /// Notes that the process at `source` knows table `version` to be committed.
+    pub(super) fn announce_table(&self, version: u64, source: SocketAddr) {
+        let is_news = self.table_holder.borrow_mut().announce(version, self.now());
+        if !is_news {
+            return;
+        }
+        Line::new(Kind::TableAnnounced)
+            .with("table", version)
+            .with("in_effect", self.table_version())
+            .with("by", source.to_string())
+            .write();
+        self.fetch_wakeup.notify_one();
+    }
+
+    /// Notes that the leader's reply to a poll that was sent at `sent_at` grants a lease on table `newest`.
+    pub(super) fn confirm_table(&self, newest: u64, sent_at: clock::Instant, lease: Duration) {
+        let mut table_holder = self.table_holder.borrow_mut();
+        table_holder.confirm(newest, sent_at, lease);
+        drop(table_holder);
+        self.table_wakeup.notify_waiters();
+    }
+
+    /// Applies a table, which took `decode_time` to decode, if it is newer than the current one.
+    pub(super) fn apply_table(
+        &self,
+        table: Table,
+        publication: &Publication,
+        decode_time: Duration,
+    ) {
+        let version = table.get_version();
+        let former = self.table_version();
+        let announced_at = self.table_holder.borrow().announced_at(version);
+        if !self.table_holder.borrow_mut().apply(version) {
+            return;
+        }
+        let since_announced = announced_at.map(|at| self.now().since(at));
+        Line::new(Kind::TableHeld)
+            .with("table", version)
+            .with("former", former)
+            .with("newest", self.newest_table())
+            .with("after_ms", since_announced.map(millis))
+            .with("decode_ms", millis(decode_time))
+            .write();
+        if let Some(since_announced) = since_announced {
+            metrics::histogram!("curlewlift_table_in_effect_seconds")
+                .record(since_announced.as_secs_f64());
+        }
+        self.retain_first_byte_times(&table);
+        *self.table.borrow_mut() = Some(Rc::new(table));
+        *self.publication.borrow_mut() = publication.clone();
+        self.update_pools();
+        self.table_wakeup.notify_waiters();
+        // The acknowledgement of the table waits until the hub knows.
+        self.report_wakeup.notify_one();
     }
 }
 
@@ -421,41 +523,6 @@
 
 /// # Updates
 impl Node {
-    /// Notes that `source` has announced table `version`.
-    pub(super) fn announce_table(&self, version: u64, source: SocketAddr) {
-        if version <= self.newest_table() {
-            return;
-        }
-        let mut hub = self.hub.borrow_mut();
-        hub.newest_table = version;
-        hub.table_announced_at = self.now();
-        drop(hub);
-        Line::new(Kind::TableAnnounced)
-            .with("table", version)
-            .with("in_effect", self.table_version())
-            .with("by", source.to_string())
-            .write();
-    }
-
-    /// Applies a table, which took `decode_time` to decode, if it is newer than the current one.
-    pub(super) fn apply_table(&self, table: Table, decode_time: Duration) {
-        let version = table.get_version();
-        let former = self.table_version();
-        if version <= former {
-            return;
-        }
-        let announced_at = self.hub.borrow().table_announced_at;
-        Line::new(Kind::TableHeld)
-            .with("table", version)
-            .with("former", former)
-            .with("after_ms", millis(self.now().since(announced_at)))
-            .with("decode_ms", millis(decode_time))
-            .write();
-        self.retain_first_byte_times(&table);
-        *self.table.borrow_mut() = Some(Rc::new(table));
-        self.update_pools();
-    }
-
     /// Applies an update of the live gateways.
     pub(super) fn apply_membership(&self, update: gateway::MembershipUpdate) {
         let mut membership = self.membership.borrow_mut();
--- a/crates/curlewlift/src/gateway/services.rs
+++ b/crates/curlewlift/src/gateway/services.rs
@@ -31,7 +31,7 @@
         let now = self.now();
         let mut by_service = self.server_lists.borrow().get_subset().by_service();
         let mut services = self.services.borrow_mut();
-        if let Some(table) = &*self.table.borrow() {
+        if let Some(table) = self.table() {
             let scheduling = table.scheduling(self.scheduling);
             for (name, provider) in table.get_services() {
                 let service = services.entry(name.clone());
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -135,8 +135,13 @@
             apply_reply(node, environment, address, sent_at, *reply);
             Ok(())
         }
-        Ok(HubReply::NotLeader { leader, control }) => {
+        Ok(HubReply::NotLeader {
+            leader,
+            control,
+            newest_table,
+        }) => {
             node.known_replicas.add(control);
+            node.announce_table(newest_table, address);
             let why = format!("{address} does not lead");
             let is_same_leader = leader == node.hub.borrow().leader;
             if is_same_leader || leader.is_none() {
@@ -160,25 +165,7 @@
     let hub = node.hub.borrow();
     let leader = hub.leader.as_ref();
     let leader = leader.and_then(|leader| (environment.locate)(leader));
-    leader.or_else(|| candidate_address(node, environment, candidate))
-}
-
-/// Address of a replica or host that may know the leader, by a running number: the replica in this process, the
-/// hosts known to run one, and the hosts that the settings name, which may run none.
-pub(super) fn candidate_address(
-    node: &Node,
-    environment: &Environment,
-    candidate: usize,
-) -> Option<SocketAddr> {
-    let known = node.known_replicas.get();
-    let known = known.iter().filter_map(|host| (environment.locate)(host));
-    let mut candidates: Vec<_> = environment.local_replica.into_iter().chain(known).collect();
-    for seed in (environment.seeds)() {
-        if !candidates.contains(&seed) {
-            candidates.push(seed);
-        }
-    }
-    candidates.get(candidate % candidates.len().max(1)).copied()
+    leader.or_else(|| environment.candidate_address(&node.known_replicas, candidate))
 }
 
 fn build_poll(node: &Node) -> Poll {
@@ -194,6 +181,8 @@
         gateway: node.advertised(),
         ready: node.is_ready(),
         known_table: node.newest_table(),
+        table_in_effect: node.table_version(),
+        needs_lease: !node.has_table_lease(),
         wants_whole_list: server_lists.stores_whole(),
         server_list_version: server_lists.get_version(),
         membership_version: node.membership.borrow().version,
@@ -222,8 +211,9 @@
     reply: Reply,
 ) {
     node.announce_table(reply.newest_table, address);
+    node.confirm_table(reply.newest_table, sent_at, reply.table_lease);
     if let Some(publication) = reply.table {
-        tables::apply(node, environment, &publication);
+        tables::apply_small(node, environment, &publication);
     }
     {
         let mut hub = node.hub.borrow_mut();
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -55,8 +55,8 @@
         Ok(text) => text,
         Err(refusal) => return http::refused(&refusal),
     };
-    let number = match document::decode(&text) {
-        Ok(table) => table.get_version(),
+    let publication = match publication(text).await {
+        Ok(publication) => publication,
         Err(refusal) => {
             note(Kind::Command)
                 .with("answer", "invalid")
@@ -65,10 +65,7 @@
             return http::refused(&refusal);
         }
     };
-    let publication = Publication {
-        version: number,
-        document: Document::pack(&text),
-    };
+    let number = publication.version;
     let published = gateway::publish(node, environment, publication).await;
     let why = published.as_ref().err().map(ToString::to_string);
     note(Kind::Command)
@@ -82,6 +79,20 @@
     }
 }
 
+/// Checks and packs a document, on another thread: a large one takes longer than requests may be held up.
+async fn publication(text: String) -> Result<Publication, Refusal> {
+    let checked = tokio::task::spawn_blocking(move || {
+        let table = document::decode(&text)?;
+        Ok(Publication {
+            version: table.get_version(),
+            document: Document::pack(&text),
+        })
+    });
+    checked
+        .await
+        .map_err(|why| Refusal::new(Code::Internal, why.to_string()))?
+}
+
 async fn get(node: &Node, environment: &Environment) -> Answer {
     match gateway::read(node, environment).await {
         Ok(publication) if publication.version > 0 => match publication.document.unpack() {
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -168,6 +168,9 @@
     /// The number of requests a second that a cold server may get beyond that.
     #[serde(rename = "cold_slack", default)]
     pub(super) cold_extra_requests: f64,
+    /// The time after its acknowledgement from which a configuration is in force at all hosts, in milliseconds.
+    #[serde(rename = "config_apply_ms", default = "default_apply_milliseconds")]
+    pub(super) apply_milliseconds: f64,
     /// The maximum time for which callers may be told to keep addresses, in seconds.
     #[serde(rename = "ttl_max_s", default = "default_max_ttl_seconds")]
     pub(super) max_ttl_seconds: f64,
@@ -191,6 +194,7 @@
             ("budget_window_s", self.retry_window_seconds),
             ("quota_window_s", self.quota_window_seconds),
             ("ttl_max_s", self.max_ttl_seconds),
+            ("config_apply_ms", self.apply_milliseconds / 1_000.0),
         ];
         for (name, seconds) in times {
             if !(0.0..=MAX_SECONDS).contains(&seconds) {
@@ -232,6 +236,10 @@
     1.0
 }
 
+fn default_apply_milliseconds() -> f64 {
+    2_000.0
+}
+
 fn default_max_ttl_seconds() -> f64 {
     MAX_SECONDS
 }
@@ -312,6 +320,12 @@
         })
     }
 
+    /// For how long requests may be forwarded by a table after a newer one was announced: half of the time that a
+    /// configuration may take.
+    pub(super) fn max_outdated(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.apply_milliseconds / 2_000.0)
+    }
+
     /// The time after which the platform kills a process that was ordered to stop.
     pub(super) fn stop_time(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.stop_seconds)
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -156,6 +156,7 @@
         dialect: headers::DIALECT,
         retry_allowance: settings.retry_allowance(),
         tolerance: settings.quota_tolerance(),
+        max_outdated: settings.max_outdated(),
         stop_timing: StopTiming {
             address_lifetime: Duration::from_secs_f64(ttl_seconds * ADDRESS_TTL_OVERRUN)
                 + STOP_NOTICE_DELAY,
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -8,6 +8,8 @@
 use curlewlift_core::fleet::Prefix;
 use curlewlift_core::gateway;
 use curlewlift_core::id;
+use curlewlift_core::publication;
+use curlewlift_core::publication::PayloadId;
 use curlewlift_core::quarantine::Rejection;
 use curlewlift_core::queue::Report;
 use curlewlift_core::quota::Charge;
@@ -53,13 +55,8 @@
     FindStream(gateway::StreamQuery),
     /// Passes records of streams to a gateway that may reach the hub, from one that does not.
     RelayStreams(Vec<stream::Record>),
-    /// Fetches the chunk of routing table `number` that starts at byte `from`. A `from` equal to
-    /// the length of the table reports that the gateway has all of it.
-    FetchChunk {
-        host: id::Host,
-        number: u64,
-        from: usize,
-    },
+    /// Fetches a chunk of a newer routing table, from any host that has it.
+    FetchTable(TableRequest),
     /// Asks a standby to admit a request and charge this amount to the quota.
     ChargeQuota(Charge),
     /// Reports hosts that run a control replica.
@@ -104,9 +101,10 @@
     QuotaCharged(bool),
     /// The report or introduction was received.
     Acknowledged,
-    /// A chunk of the active table, or none while the schedule gives the time slot to other
-    /// gateways.
-    Chunk(Option<gateway::Chunk>),
+    /// A chunk of a newer table than the one in effect at the gateway.
+    TableChunk(publication::Chunk),
+    /// The host has no newer table, or others fetch it at present; `holders` may have it as well.
+    NoTableChunk { holders: Vec<id::Host> },
     /// The published table, or one with a higher number, is active.
     Published,
     /// The active table; number 0 if there is none.
@@ -118,13 +116,25 @@
     /// The target and phase of the last rollout, or none if none was ordered.
     Rollout(Option<(rollout::Version, rollout::Phase)>),
     /// This process does not lead. `leader` may be the leader; the hosts in `control` run control
-    /// replicas.
+    /// replicas; `newest_table` is the newest routing table that it knows to be committed.
     NotLeader {
         leader: Option<id::Host>,
         control: Vec<id::Host>,
+        newest_table: u64,
     },
 }
 
+/// A gateway's request for a chunk of a newer routing table than the one in effect there.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct TableRequest {
+    pub(crate) host: id::Host,
+    pub(crate) in_effect: u64,
+    /// The payload that it has received in part.
+    pub(crate) partial: Option<PayloadId>,
+    /// The number of bytes of it that it has received.
+    pub(crate) from: usize,
+}
+
 /// Request of `claim`: calls about request keys.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum ClaimCall {
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -549,6 +549,8 @@
                 unused: Vec::new(),
                 limit_reports: Reports::default(),
                 streams: Vec::new(),
+                known_table: 0,
+                table_in_effect: 0,
             };
             hub.report(&report, now);
             if polls {
@@ -626,6 +628,8 @@
         },
         ready: true,
         known_table: 0,
+        table_in_effect: 0,
+        needs_lease: false,
         wants_whole_list: false,
         server_list_version: 0,
         membership_version: 0,
