Test late tables through losses of hosts, and log what operators read

leader_lost_in_transfer: hosts are lost 0, 60 and 250 ms after a large table was sent to them, and right after they acknowledged it; nothing is denied at the others once it is acknowledged, and the same table sent again is acknowledged again. denied_by_unconfirmed_table: a suspended host and hosts without a leader deny nothing and go on serving what their table has. older_table_after_newer: two operators in quick succession, hosts killed in turn; no host ever reads an older table than before. A line of the log says which version an operator read.

--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -94,7 +94,14 @@
 }
 
 async fn get(node: &Node, environment: &Environment) -> Answer {
-    match gateway::read(node, environment).await {
+    let read = gateway::read(node, environment).await;
+    let version = read.as_ref().map(|publication| publication.version);
+    note(Kind::Command)
+        .with("table", version.as_ref().ok().copied())
+        .with("answer", "read")
+        .with("why", version.err().map(ToString::to_string))
+        .write();
+    match read {
         Ok(publication) if publication.version > 0 => match publication.document.unpack() {
             Ok(text) => gateway::json(text),
             Err(refusal) => http::refused(&unclear_outcome(refusal)),
--- a/crates/curlewlift/tests/platform_late_tables.rs
+++ b/crates/curlewlift/tests/platform_late_tables.rs
@@ -3,8 +3,15 @@
 
 mod platform;
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use curlewlift::core::publication;
 use platform::Engine;
 use platform::Hosts;
+use platform::KeptConnection;
 use platform::add_route;
 use platform::document;
 use platform::folder;
@@ -56,16 +63,33 @@
     });
 }
 
+/// The version of the configuration that a host reads; none if it refuses.
+fn read_version(hosts: &Hosts, host: usize) -> Option<u64> {
+    let head = "GET /api/config/get HTTP/1.1\r\nHost: x";
+    let answer = send_request(hosts.control(host), head, "");
+    let read: Option<Value> = serde_json::from_str(&answer.body).ok();
+    read.filter(|_| answer.status == 200)?["version"].as_u64()
+}
+
 /// Asks each host for what a table allows, from its acknowledgement on; returns the statuses that deny it.
 fn denials(hosts: &Hosts, path: &str, key: &str) -> Vec<(usize, u16)> {
+    denials_at(hosts, hosts.indices(), path, key)
+}
+
+/// Asks these hosts only.
+fn denials_at(
+    hosts: &Hosts,
+    asked: impl Iterator<Item = usize>,
+    path: &str,
+    key: &str,
+) -> Vec<(usize, u16)> {
     let ask = |host| {
         let statuses = (0..REQUESTS).map(move |_| get(hosts, host, path, key));
         let denials = statuses.filter(|status| matches!(status, 401 | 403 | 404));
         denials.map(move |status| (host, status)).collect()
     };
     std::thread::scope(|scope| {
-        let callers = hosts.indices();
-        let callers: Vec<_> = callers
+        let callers: Vec<_> = asked
             .map(|host| scope.spawn(move || -> Vec<_> { ask(host) }))
             .collect();
         let denials = callers.into_iter();
@@ -132,3 +156,133 @@
         "{sent} bytes for {changes} small changes of a table of {whole} bytes"
     );
 }
+
+/// A host that is lost while others receive a large table from it: the table is acknowledged by the others, and nothing that
+/// it allows is denied at any host from then on.
+#[test]
+fn leader_lost_in_transfer() {
+    let engine = Engine::start("i-1");
+    let mut hosts = start("leader_lost_in_transfer", &engine);
+    // The host, and for how long after the table was sent it still runs. The last one is lost once it has acknowledged it.
+    let cases = [(0, Some(0)), (1, Some(60)), (2, Some(250)), (0, None)];
+    for (version, (lost, delay)) in (8..).zip(cases) {
+        let mut table = large_document(version, LARGE * u32::try_from(version - 7).expect("few"));
+        let name = format!("new-{version}");
+        add_route(&mut table, &name);
+        let text = table.to_string();
+        let other = (lost + 1) % 3;
+        if let Some(delay) = delay {
+            let address = hosts.control(lost);
+            let first = std::thread::spawn(move || {
+                let head = "POST /api/config/put HTTP/1.1\r\nHost: x";
+                KeptConnection::default().send(address, head, &text)
+            });
+            std::thread::sleep(Duration::from_millis(delay));
+            hosts.kill(lost);
+            first.join().expect("the operator does not panic");
+            acknowledge(&hosts, other, &table);
+        } else {
+            acknowledge(&hosts, lost, &table);
+            hosts.kill(lost);
+        }
+        let path = format!("/{name}/");
+        let running = || hosts.indices().filter(|host| *host != lost);
+        let denied = denials_at(&hosts, running(), &path, "key-ann");
+        assert_eq!(denied, [], "version {version}");
+        wait("all others have the table in effect", || {
+            running().all(|host| get(&hosts, host, &path, "key-ann") == 200)
+        });
+        // The same table again is acknowledged again, also by the next leader.
+        acknowledge(&hosts, other, &table);
+        hosts.boot(lost, false);
+        wait("the lost host has the table in effect", || {
+            hosts.is_ready(lost) && get(&hosts, lost, &path, "key-ann") == 200
+        });
+    }
+}
+
+/// What hosts say of a path that no table has, and of one that a table has, while they can't be sure that theirs is the
+/// newest.
+#[test]
+fn denied_by_unconfirmed_table() {
+    let engine = Engine::start("i-1");
+    let mut hosts = start("denied_by_unconfirmed_table", &engine);
+    let asked =
+        |hosts: &Hosts, host| ["/none/", "/open/"].map(|path| get(hosts, host, path, "key-ann"));
+    for host in hosts.indices() {
+        wait("what is sure is denied", || {
+            asked(&hosts, host) == [404, 200]
+        });
+    }
+    // A suspended host may have missed a table.
+    hosts.suspend(4, Duration::from_secs(10));
+    let status = get(&hosts, 4, "/none/", "key-ann");
+    assert!(matches!(status, 404 | 503), "{status}");
+    wait("it is sure again", || asked(&hosts, 4) == [404, 200]);
+    // Without a leader nobody knows whether there is a newer table.
+    hosts.kill(1);
+    hosts.kill(2);
+    std::thread::sleep(publication::MAX_LEASE);
+    for host in [0, 3, 4] {
+        assert_eq!(asked(&hosts, host), [503, 200], "host {host}");
+    }
+    hosts.boot(1, false);
+    for host in [0, 3, 4] {
+        wait("it is sure again", || asked(&hosts, host) == [404, 200]);
+    }
+}
+
+/// Tables of two operators in quick succession, large ones among small ones, while hosts are killed in turn: no host goes
+/// back to an older table, and the newest one is read and in effect everywhere afterwards.
+#[test]
+fn older_table_after_newer() {
+    let engine = Engine::start("i-1");
+    let mut hosts = start("older_table_after_newer", &engine);
+    let version = AtomicU64::new(7);
+    let routes = |version: u64| if version % 5 == 0 { LARGE } else { 0 };
+    for lost in [2, 4, 1, 3, 0] {
+        let stop = AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            for operator in 0..2 {
+                let (hosts, version, stop) = (&hosts, &version, &stop);
+                scope.spawn(move || {
+                    while !stop.load(Ordering::Relaxed) {
+                        let next = version.fetch_add(1, Ordering::Relaxed) + 1;
+                        let mut table = large_document(next, routes(next));
+                        add_route(&mut table, &format!("new-{next}"));
+                        let status = hosts.put(operator, &table.to_string());
+                        assert!(matches!(status, 200 | 503), "{status}");
+                    }
+                });
+            }
+            for host in hosts.indices() {
+                let (hosts, stop) = (&hosts, &stop);
+                scope.spawn(move || {
+                    let mut newest = 0;
+                    while !stop.load(Ordering::Relaxed) {
+                        let read = read_version(hosts, host);
+                        assert!(read.is_none_or(|read| read >= newest), "host {host}");
+                        newest = read.unwrap_or(newest);
+                    }
+                });
+            }
+            std::thread::sleep(Duration::from_secs(1));
+            stop.store(true, Ordering::Relaxed);
+        });
+        hosts.kill(lost);
+        hosts.boot(lost, false);
+        wait("the host is ready again", || hosts.is_ready(lost));
+    }
+    let newest = version.load(Ordering::Relaxed) + 1;
+    let mut table = document(newest);
+    add_route(&mut table, "last");
+    acknowledge(&hosts, 0, &table);
+    for host in hosts.indices() {
+        wait("the newest table is read", || {
+            read_version(&hosts, host) == Some(newest)
+        });
+        wait("the newest table is in effect", || {
+            get(&hosts, host, "/last/", "key-ann") == 200
+        });
+    }
+}
