Measure how long after its acknowledgement a table is in effect

The leader records for each gateway how long after the acknowledgement of a table the gateway reported it in effect, 0 if that was before, as curlewlift_table_in_effect_after_acknowledgement_seconds. Tried and dropped: decoding a table for the hub on another thread; a gateway could then use a customer whose quota the hub does not know, and the hub charges such a customer nothing.

--- a/crates/core/src/publication/grantor.rs
+++ b/crates/core/src/publication/grantor.rs
@@ -111,6 +111,12 @@
         now >= self.former_leases_end && !gateways.any(|gateway| gateway.may_miss(version, now))
     }
 
+    /// Returns the version of the table in effect at the gateway on `host`, if that has polled.
+    #[must_use]
+    pub fn in_effect(&self, host: &Host) -> Option<u64> {
+        self.gateways.get(host).map(|gateway| gateway.in_effect)
+    }
+
     /// Returns how many gateways hold a lease, and how many of those do not have table `version` in effect.
     #[must_use]
     pub fn count_missing(&self, version: u64, now: Instant) -> (usize, usize) {
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -32,6 +32,9 @@
 /// nothing meanwhile.
 const MAX_IN_EFFECT_WAIT: Duration = Duration::from_secs(1);
 
+/// Number of tables whose acknowledgement is remembered, for the metrics.
+const MAX_ACKNOWLEDGED_TABLES: usize = 64;
+
 /// How many other hosts a gateway is told that may give it a table.
 const MAX_TABLE_HOLDERS: usize = 3;
 
@@ -86,6 +89,7 @@
         if publication.version == 0 {
             return;
         }
+        // Before any gateway hears of the table: the hub charges nothing to a customer that it does not know.
         match (gateways.decode)(publication) {
             Ok(table) => hub.apply_table(&table, self.clock.now()),
             Err(why) => log::error!("cannot decode routing table {}: {why}", publication.version),
@@ -93,6 +97,37 @@
         self.updates.notify_waiters();
     }
 
+    /// Records in the metrics how long after their acknowledgement tables have come into effect at the gateway on `host`,
+    /// which has table `in_effect` now.
+    pub(super) fn record_in_effect(&mut self, host: &id::Host, in_effect: u64) {
+        let now = self.clock.now();
+        let hub = self.hub.as_ref();
+        let former = hub.and_then(|hub| hub.get_table_leases().in_effect(host));
+        // What a gateway that has just started lacked says nothing of how tables travel.
+        let Some(former) = former.filter(|former| (1..in_effect).contains(former)) else {
+            return;
+        };
+        let acknowledged = self.acknowledged_tables.range(former + 1..=in_effect);
+        for (_, at) in acknowledged {
+            metrics::histogram!("curlewlift_table_in_effect_after_acknowledgement_seconds")
+                .record(now.since(*at).as_secs_f64());
+        }
+        let newest = self.machine.get_publication().version;
+        if newest == in_effect && !self.acknowledged_tables.contains_key(&newest) {
+            metrics::histogram!("curlewlift_table_in_effect_after_acknowledgement_seconds")
+                .record(0.0);
+        }
+    }
+
+    /// Notes that table `version` is acknowledged.
+    fn note_acknowledged(&mut self, version: u64) {
+        let now = self.clock.now();
+        self.acknowledged_tables.entry(version).or_insert(now);
+        while self.acknowledged_tables.len() > MAX_ACKNOWLEDGED_TABLES {
+            self.acknowledged_tables.pop_first();
+        }
+    }
+
     /// Whether there is a newer table than the polling gateway has heard of.
     fn has_newer_table(&self, poll: &Poll) -> bool {
         self.machine.get_publication().version > poll.known_table
@@ -225,6 +260,7 @@
 /// Processes the reports in a poll; returns true if it can be responded to at once.
 fn on_poll(state: &mut State, poll: &Poll) -> Result<bool, Refusal> {
     let now = state.clock.now();
+    state.record_in_effect(&poll.host, poll.table_in_effect);
     let hub = state.hub.as_mut().ok_or_else(not_ready)?;
     hub.on_poll(poll, now);
     let fetched = poll.fetched_list.as_ref();
@@ -275,12 +311,15 @@
     if is_newer {
         commit(state, publication).await?;
     }
-    let timeline = state.borrow().timeline.clone();
     let (in_touch, missing, waited) = wait_until_announced(state, version).await?;
-    timeline.note(Line::new(Kind::TableAcknowledged).detail(format_args!(
-        "number={version} gateways={in_touch} behind={missing} waited_ms={}",
-        waited.as_millis()
-    )));
+    state.borrow_mut().note_acknowledged(version);
+    state
+        .borrow()
+        .timeline
+        .note(Line::new(Kind::TableAcknowledged).detail(format_args!(
+            "number={version} gateways={in_touch} behind={missing} waited_ms={}",
+            waited.as_millis()
+        )));
     metrics::histogram!("curlewlift_table_acknowledge_seconds").record(waited.as_secs_f64());
     Ok(HubReply::Published)
 }
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -90,6 +90,8 @@
     pub(super) updates: Rc<Notify>,
     /// Gives the active routing table to gateways.
     pub(super) distributor: Rc<Distributor>,
+    /// When tables were acknowledged to their operators, by version.
+    pub(super) acknowledged_tables: BTreeMap<u64, Instant>,
     /// Maintains the replica set if replicas are admitted as they ask.
     pub(super) maintainer: Maintainer,
     /// Since when this replica has seen no leader.
@@ -128,6 +130,7 @@
             known_limits: KnownLimits::default(),
             updates: Rc::new(Notify::new()),
             distributor: Distributor::new(Clock::start(), Distribution::new(0.0)),
+            acknowledged_tables: BTreeMap::new(),
             maintainer: Maintainer::default(),
             leaderless_since: None,
         })
@@ -361,6 +364,7 @@
             self.hub = None;
             self.pending_slots.clear();
             self.known_limits.clear();
+            self.acknowledged_tables.clear();
             // Dropping the senders reports no result: the command may still be committed.
             self.pending_results.clear();
         }
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -148,6 +148,7 @@
 pub(super) fn report(state: &Shared, report: &Report) -> Result<HubReply, Refusal> {
     let mut state = state.borrow_mut();
     let now = state.clock.now();
+    state.record_in_effect(&report.host, report.table_in_effect);
     let hub = state.hub.as_mut().ok_or_else(hub::not_ready)?;
     hub.report(report, now);
     state.grant_slots();
--- a/crates/curlewlift/tests/platform_late_tables.rs
+++ b/crates/curlewlift/tests/platform_late_tables.rs
@@ -239,7 +239,7 @@
     let engine = Engine::start("i-1");
     let mut hosts = start("older_table_after_newer", &engine);
     let version = AtomicU64::new(7);
-    let routes = |version: u64| if version % 5 == 0 { LARGE } else { 0 };
+    let routes = |version: u64| if version.is_multiple_of(5) { LARGE } else { 0 };
     for lost in [2, 4, 1, 3, 0] {
         let stop = AtomicBool::new(false);
         std::thread::scope(|scope| {
