Decide by an older table until shortly before its time is up

A leader that is lost between the announcement of a table and its acknowledgement leaves hosts that have heard of the table and can't get it until there is another leader, after 0.6 to 1.2 s and more. With half of config_apply_ms they would reject every request meanwhile. The newer table is acknowledged after its announcement, so nine tenths keep the promise.

--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -180,6 +180,10 @@
 /// the state of a leader.
 const HELD_MEMORY_SHARE: f64 = 0.25;
 
+/// The share of the time that a configuration may take for which requests are forwarded by the former one. The rest is for
+/// requests that were admitted just before.
+const OUTDATED_SHARE: f64 = 0.9;
+
 /// The platform's rule set about roll-outs of versions.
 const ROLLOUT_RULES: &str = "rollout";
 
@@ -320,10 +324,10 @@
         })
     }
 
-    /// For how long requests may be forwarded by a table after a newer one was announced: half of the time that a
-    /// configuration may take.
+    /// For how long requests may be forwarded by a table after a newer one was announced. The newer one is acknowledged
+    /// later than that.
     pub(super) fn max_outdated(&self) -> Duration {
-        Duration::from_secs_f64(self.bounds.apply_milliseconds / 2_000.0)
+        Duration::from_secs_f64(self.bounds.apply_milliseconds / 1_000.0 * OUTDATED_SHARE)
     }
 
     /// The time after which the platform kills a process that was ordered to stop.
