--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod hosts;
 mod slow_link;
+mod soak;
 mod stream_end;
 mod three_hosts;
 
@@ -24,6 +25,9 @@
 pub(crate) use hosts::folder;
 pub(crate) use hosts::wait;
 pub(crate) use slow_link::SlowLink;
+pub(crate) use soak::End;
+pub(crate) use soak::Losses;
+pub(crate) use soak::setting;
 pub(crate) use stream_end::LINGER_TIME;
 pub(crate) use stream_end::StreamEnd;
 pub(crate) use three_hosts::ThreeHosts;
--- a/crates/curlewlift/tests/platform_version_soak.rs
+++ b/crates/curlewlift/tests/platform_version_soak.rs
@@ -12,11 +12,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use curlewlift::Process;
 use platform::Answer;
+use platform::End;
 use platform::KeptConnection;
+use platform::Losses;
 use platform::ThreeHosts;
 use platform::document;
+use platform::setting;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -37,11 +39,6 @@
     "close versioned in-id first",
 ];
 
-fn setting(name: &str, default: u64) -> u64 {
-    let text = std::env::var(name).unwrap_or_default();
-    text.parse().unwrap_or(default)
-}
-
 /// What callers have seen.
 #[derive(Debug, Default)]
 struct Totals {
@@ -112,58 +109,20 @@
     }
 }
 
-/// A host that is down, or is stopping, and starts again later.
-struct Down {
-    host: usize,
-    at: Instant,
-    stopping: Option<Process>,
-}
-
-impl Down {
-    fn restart(self, world: &mut ThreeHosts) {
-        if let Some(stopping) = self.stopping {
-            stopping.wait().expect("the host stops");
-        }
-        world.hosts.boot(self.host, false);
-    }
-}
-
-/// Ends the callers, also when a check fails.
-struct End<'a>(&'a AtomicBool);
-
-impl Drop for End<'_> {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 /// Losses and changes that overlap, until the time is up.
 fn disturb(world: &mut ThreeHosts, random: &mut SmallRng, until: Instant) {
     let count = world.hosts.indices().len();
-    let mut down: Vec<Down> = Vec::new();
+    let mut losses = Losses::default();
     let mut table = 8;
     while Instant::now() < until {
         std::thread::sleep(Duration::from_millis(random.random_range(50..400)));
-        let now = Instant::now();
-        let (due, still): (Vec<_>, Vec<_>) = down.into_iter().partition(|down| down.at <= now);
-        down = still;
-        for due in due {
-            due.restart(world);
-        }
+        losses.restart_due(&mut world.hosts);
         let host = random.random_range(0..count);
-        let is_up = down.iter().all(|down| down.host != host);
-        let at = now + Duration::from_millis(random.random_range(20..1_500));
+        let is_up = losses.is_up(host);
+        let at = Instant::now() + Duration::from_millis(random.random_range(20..1_500));
         match random.random_range(0..8) {
-            0..3 if is_up => {
-                world.hosts.kill(host);
-                let stopping = None;
-                down.push(Down { host, at, stopping });
-            }
-            3 if is_up => {
-                // The process goes on serving open connections while it stops.
-                let stopping = Some(world.hosts.stop(host));
-                down.push(Down { host, at, stopping });
-            }
+            0..3 if is_up => losses.kill(&mut world.hosts, host, at),
+            3 if is_up => losses.stop(&mut world.hosts, host, at),
             4 => world
                 .hosts
                 .suspend(host, Duration::from_millis(random.random_range(100..3_000))),
@@ -178,9 +137,7 @@
             _ => world.list_engines(|_| true),
         }
     }
-    for down in down {
-        down.restart(world);
-    }
+    losses.end(&mut world.hosts);
 }
 
 fn soak(seed: u64) -> Totals {
