Wait for a stream's record before calling it unknown

Cause: a gateway forwards the first event and reports the record at the same time, one report after the other. The hub answered a query that came first as if the record could not be on its way, unless the hub itself was new. Ruled out: a lost report (it is put back and sent again), and a second version of the key (that answer is another one).

The hub now says for how long a record may still arrive: half a second, which is the timeout of a report, or until it has collected the records after its own start. The gateway goes on asking for as long. What cannot become known (a stream without a name, contradicting records) is still rejected at once.

--- a/crates/core/src/gateway/streams.rs
+++ b/crates/core/src/gateway/streams.rs
@@ -53,6 +53,10 @@
 /// How long a new hub expects records that it does not have yet: the gateways report them after its first reply.
 const COLLECTION_TIME: Duration = Duration::from_secs(2);
 
+/// How long a record may take to the hub. A caller has the first event before the hub has the record, and can take the
+/// stream up at another gateway meanwhile.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+
 /// A question about a stream that a caller takes up.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StreamQuery {
@@ -71,8 +75,8 @@
     SoleVersion(Origin),
     /// Nobody can say at which version it began.
     Unknown {
-        /// Whether the record may still arrive.
-        may_arrive: bool,
+        /// How long its record may take to arrive; zero if none can.
+        arrives_within: Duration,
     },
 }
 
@@ -260,14 +264,23 @@
             Some(Found::Begun(origin)) if query.services.contains(&origin.service) => {
                 return StreamAnswer::Begun(Origin::clone(&origin));
             }
-            Some(_) => return StreamAnswer::Unknown { may_arrive: false },
+            Some(_) => {
+                return StreamAnswer::Unknown {
+                    arrives_within: Duration::ZERO,
+                };
+            }
             None => {}
         }
         if let Some(origin) = self.streams.published.versions.sole_origin(&query.services) {
             return StreamAnswer::SoleVersion(origin);
         }
-        let may_arrive = key.is_some() && now.since(self.started) < COLLECTION_TIME;
-        StreamAnswer::Unknown { may_arrive }
+        let collected_in = COLLECTION_TIME.saturating_sub(now.since(self.started));
+        StreamAnswer::Unknown {
+            arrives_within: match key {
+                Some(_) => collected_in.max(REPORT_DELAY),
+                None => Duration::ZERO,
+            },
+        }
     }
 
     /// Applies the committed versions at which streams may begin.
--- a/crates/core/tests/stream_records.rs
+++ b/crates/core/tests/stream_records.rs
@@ -255,18 +255,22 @@
 #[test]
 fn answers() {
     let sole = StreamAnswer::SoleVersion(origin("v1"));
-    let unknown = |may_arrive| StreamAnswer::Unknown { may_arrive };
+    let unknown = |arrives_within| StreamAnswer::Unknown {
+        arrives_within: ms(arrives_within).since(ms(0)),
+    };
     let mut leader = Leader::new();
-    assert_eq!(leader.find(None, ms(0)), unknown(false));
+    assert_eq!(leader.find(None, ms(0)), unknown(0));
     leader.list(&["v1"], ms(0));
     for number in [None, Some(1)] {
         assert_eq!(leader.find(number, ms(10)), sole);
     }
     leader.list(&["v1", "v2"], ms(20));
     for (number, at, expected) in [
-        (None, 30, unknown(false)),
-        (Some(1), 30, unknown(true)),
-        (Some(1), 5_000, unknown(false)),
+        (None, 30, unknown(0)),
+        (Some(1), 30, unknown(1_970)),
+        (Some(1), 1_500, unknown(500)),
+        (Some(1), 1_900, unknown(500)),
+        (Some(1), 5_000, unknown(500)),
     ] {
         assert_eq!(leader.find(number, ms(at)), expected, "{number:?} {at}");
     }
@@ -281,10 +285,7 @@
         key: Some(key(1)),
         services: vec!["pay".parse().expect("a name")],
     };
-    assert_eq!(
-        leader.hub.find_stream(&elsewhere, ms(5_001)),
-        unknown(false)
-    );
+    assert_eq!(leader.hub.find_stream(&elsewhere, ms(5_001)), unknown(0));
 }
 
 /// A gateway relies on a single version, and on the open ones, only for a while after the hub has confirmed them.
--- a/crates/curlewlift/src/gateway/resumption.rs
+++ b/crates/curlewlift/src/gateway/resumption.rs
@@ -105,22 +105,26 @@
     if let Some(origin) = node.sole_origin(&query.services) {
         return Ok((origin, "list"));
     }
+    let begun = Instant::now();
     let time = (admitted.deadline.remaining() / QUERY_TIME_DIVISOR).min(MAX_QUERY_TIME);
-    let until = Instant::now() + time;
+    let mut arrives_within = Duration::ZERO;
     let mut why = "the hub is not reachable";
     loop {
         match ask_hub(node, query).await {
             Some(StreamAnswer::Begun(origin)) => return Ok((origin, "hub")),
             Some(StreamAnswer::SoleVersion(origin)) => return Ok((origin, "list")),
-            Some(StreamAnswer::Unknown { may_arrive: false }) => {
-                return Err(unknown("no host has a record of the stream"));
-            }
-            Some(StreamAnswer::Unknown { may_arrive: true }) => {
-                why = "the hub is new and has no record of the stream yet";
+            Some(StreamAnswer::Unknown {
+                arrives_within: more,
+            }) => {
+                arrives_within = arrives_within.max(more);
+                if begun.elapsed() >= arrives_within {
+                    return Err(unknown("no host has a record of the stream"));
+                }
+                why = "the hub has no record of the stream yet";
             }
             None => {}
         }
-        if Instant::now() + QUERY_INTERVAL > until {
+        if begun.elapsed() + QUERY_INTERVAL > time {
             return Err(unknown(why).with_retry_after(admitted.retry_after(node)));
         }
         tokio::time::sleep(QUERY_INTERVAL).await;
--- a/crates/curlewlift/tests/platform_versions.rs
+++ b/crates/curlewlift/tests/platform_versions.rs
@@ -414,6 +414,27 @@
     caller.assert_one_version();
 }
 
+/// Streams that are taken up at another host as soon as their first events are there go on: their records are on their way.
+#[test]
+fn taken_up_at_once() {
+    let versions = [TWO_VERSIONS; 4].concat();
+    let world = ThreeHosts::start_versions("taken_up_at_once", &versions);
+    wait_for_versions(&world, 0, &["v1", "v2"]);
+    std::thread::scope(|scope| {
+        for number in 0..12 {
+            let world = &world;
+            scope.spawn(move || {
+                for _ in 0..4 {
+                    let mut caller = Caller::begun(world, number % 3);
+                    let rest = caller.take_up((number + 1) % 3, "close");
+                    assert!(!rest.body.contains("3011"), "{}", rest.body);
+                    caller.assert_one_version();
+                }
+            });
+        }
+    });
+}
+
 /// A stream whose version has no server left is rejected, and goes on once there is one again.
 #[test]
 fn version_gone() {
