Test tables that travel through silent links and lost deployments

- links that turn silent, without a reset, at several moments of a transfer: silent_in_transfer.
It fails if replicas that do not lead do not say which table is the newest.
- all hosts killed while a table travels, or right after its acknowledgement, with large tables at the start: lost_in_transfer, which contains the cases of leader_lost_in_transfer.
- a route that has moved to another service, at a host that receives the table for too long: moved_route.
It fails without the age limit, and without the look at the standing in readiness.
- a body over the limit at a host that may have an old table: denied_by_unconfirmed_table.
It fails without decision::confirm.

--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -270,6 +270,12 @@
         self.link.as_ref().map_or(0, SlowLink::get_response_bytes)
     }
 
+    /// Makes the link of the hosts without a disk to these hosts silent, and to no others.
+    pub(crate) fn silence_link(&self, to: &[usize]) {
+        let link = self.link.as_ref().expect("there is a link");
+        link.silence(to.iter().map(|index| self.internal(*index)));
+    }
+
     /// Starts a host with the data on its disk.
     pub(crate) fn boot(&mut self, index: usize, first: bool) {
         let path = self.settings(index, first);
@@ -330,6 +336,10 @@
         address(self.first, index, self.ports.directory)
     }
 
+    fn internal(&self, index: usize) -> SocketAddr {
+        address(self.first, index, self.ports.internal)
+    }
+
     /// Whether the replica on a host became a voter since the last start of the running replicas, according to their
     /// events.
     pub(crate) fn was_readmitted(&self, index: usize) -> bool {
@@ -371,8 +381,7 @@
             number: Some(kind.number()),
             ..Filter::default()
         };
-        let replicas =
-            (0..DISK_COUNT.into()).map(|index| address(self.first, index, self.ports.internal));
+        let replicas = (0..DISK_COUNT.into()).map(|index| self.internal(index));
         let replicas: Vec<_> = replicas.collect();
         let (lines, _) = curlewlift::collect(&replicas, &filter).expect("the events are collected");
         lines
--- a/crates/curlewlift/tests/platform/slow_link.rs
+++ b/crates/curlewlift/tests/platform/slow_link.rs
@@ -1,5 +1,6 @@
 //! A slow link: all responses sent over it share one rate.
 
+use std::collections::BTreeSet;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -16,12 +17,19 @@
 /// How many bytes are sent at once.
 const CHUNK_BYTES: usize = 2_048;
 
+/// How often a silent connection checks whether it still is.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A proxy that forwards responses at a limited rate, and requests without a limit.
 pub(crate) struct SlowLink {
     port: u16,
     response_bytes: Arc<AtomicU64>,
+    silent: Silent,
 }
 
+/// The targets from and to which nothing is forwarded, on connections that stay open.
+type Silent = Arc<Mutex<BTreeSet<SocketAddr>>>;
+
 /// When the link is free again.
 type FreeAt = Arc<Mutex<Instant>>;
 
@@ -30,6 +38,7 @@
     pub(crate) fn open(rate: u64, targets: &[SocketAddr]) -> Self {
         let free_at = Arc::new(Mutex::new(Instant::now()));
         let response_bytes = Arc::new(AtomicU64::new(0));
+        let silent = Silent::default();
         let mut port = 0;
         for target in targets {
             let listener =
@@ -37,18 +46,25 @@
             port = listener.local_addr().expect("an address").port();
             let (free_at, target) = (Arc::clone(&free_at), *target);
             let response_bytes = Arc::clone(&response_bytes);
+            let silent = Arc::clone(&silent);
             thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
-                    connect(stream, target, rate, &free_at, &response_bytes);
+                    connect(stream, target, rate, &free_at, &response_bytes, &silent);
                 }
             });
         }
         Self {
             port,
             response_bytes,
+            silent,
         }
     }
 
+    /// Makes the link to these targets silent, and no other.
+    pub(crate) fn silence(&self, targets: impl IntoIterator<Item = SocketAddr>) {
+        *self.silent.lock().expect("the lock is not poisoned") = targets.into_iter().collect();
+    }
+
     /// Returns how many bytes of responses have been sent over the link.
     pub(crate) fn get_response_bytes(&self) -> u64 {
         self.response_bytes.load(Ordering::Relaxed)
@@ -66,15 +82,30 @@
     rate: u64,
     free_at: &FreeAt,
     response_bytes: &Arc<AtomicU64>,
+    silent: &Silent,
 ) {
     let Ok(server) = TcpStream::connect(target) else {
         return;
     };
     let clone = |stream: &TcpStream| stream.try_clone().expect("the stream can be cloned");
     let (requests, responses) = ((clone(&caller), clone(&server)), (server, caller));
-    thread::spawn(move || copy(requests.0, requests.1, |_| ()));
+    let wait_while_silent = {
+        let silent = Arc::clone(silent);
+        move || {
+            while silent
+                .lock()
+                .expect("the lock is not poisoned")
+                .contains(&target)
+            {
+                thread::sleep(SILENCE_CHECK_INTERVAL);
+            }
+        }
+    };
+    let wait_for_requests = wait_while_silent.clone();
+    thread::spawn(move || copy(requests.0, requests.1, |_| wait_for_requests()));
     let (free_at, response_bytes) = (Arc::clone(free_at), Arc::clone(response_bytes));
     let before_chunk = move |length| {
+        wait_while_silent();
         response_bytes.fetch_add(length as u64, Ordering::Relaxed);
         if length == CHUNK_BYTES {
             wait_for_chunk(&free_at, rate);
--- a/crates/curlewlift/tests/platform_late_tables.rs
+++ b/crates/curlewlift/tests/platform_late_tables.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use curlewlift::core::publication;
+use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
 use platform::KeptConnection;
@@ -27,6 +29,9 @@
 /// The rate of the link in bytes per second: a large table takes about a quarter of a second to one gateway.
 const LINK_BYTES_PER_S: u64 = 125_000;
 
+/// The rate of a link over which the largest table takes longer than a host may decide by the one before it.
+const SLOW_LINK_BYTES_PER_S: u64 = 24_000;
+
 /// The routes of a large table.
 const LARGE: u32 = 1_400;
 
@@ -55,6 +60,15 @@
     send_request(hosts.callers(host), &head, "").status
 }
 
+/// Sends a host a body that is larger than the table allows; returns the status.
+fn post_too_much(hosts: &Hosts, host: usize) -> u16 {
+    let head =
+        "POST /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 5000";
+    let limit = document(7)["limits"]["max_body_bytes"].as_u64();
+    let limit = usize::try_from(limit.expect("a limit")).expect("it fits in memory");
+    send_request(hosts.callers(host), head, &"x".repeat(limit + 1)).status
+}
+
 /// Puts a document until it is acknowledged.
 fn acknowledge(hosts: &Hosts, host: usize, document: &Value) {
     let document = document.to_string();
@@ -157,36 +171,81 @@
     );
 }
 
-/// A host that is lost while others receive a large table from it: the table is acknowledged by the others, and nothing that
-/// it allows is denied at any host from then on.
+/// Sends a document to a host that may be lost meanwhile; returns after `delay`, before the reply.
+fn put_meanwhile(hosts: &Hosts, host: usize, document: &Value, delay: u64) -> JoinHandle<Answer> {
+    let (address, text) = (hosts.control(host), document.to_string());
+    let reply = std::thread::spawn(move || {
+        let head = "POST /api/config/put HTTP/1.1\r\nHost: x";
+        KeptConnection::default().send(address, head, &text)
+    });
+    std::thread::sleep(Duration::from_millis(delay));
+    reply
+}
+
+/// A large table of a version, larger than those before it, with a route of its own; returns also the path of that.
+fn larger_table(version: u64) -> (Value, String) {
+    let routes = LARGE * u32::try_from(version - 7).expect("few");
+    let mut table = large_document(version, routes);
+    add_route(&mut table, &format!("new-{version}"));
+    (table, format!("/new-{version}/"))
+}
+
+fn kill(hosts: &mut Hosts, lost: &[usize]) {
+    for host in lost {
+        hosts.kill(*host);
+    }
+}
+
+/// Starts hosts again, and waits until callers may be sent there.
+fn restart(hosts: &mut Hosts, lost: &[usize]) {
+    for host in lost {
+        hosts.boot(*host, false);
+    }
+    wait("the lost hosts are ready", || {
+        lost.iter().all(|host| hosts.is_ready(*host))
+    });
+}
+
+/// Hosts that are lost while others receive a large table: it is acknowledged by those that are left, or back, and nothing
+/// that it allows is denied at any host from then on.
 #[test]
-fn leader_lost_in_transfer() {
+fn lost_in_transfer() {
+    const ALL: [usize; 5] = [0, 1, 2, 3, 4];
     let engine = Engine::start("i-1");
-    let mut hosts = start("leader_lost_in_transfer", &engine);
-    // The host, and for how long after the table was sent it still runs. The last one is lost once it has acknowledged it.
-    let cases = [(0, Some(0)), (1, Some(60)), (2, Some(250)), (0, None)];
+    let mut hosts = start("lost_in_transfer", &engine);
+    // The hosts, and for how long after the table was sent they still run. Others are lost once it is acknowledged.
+    let cases: [(&[usize], Option<u64>); 6] = [
+        (&[0], Some(0)),
+        (&[1], Some(60)),
+        (&[2], Some(250)),
+        (&[0], None),
+        (&ALL, Some(150)),
+        (&ALL, None),
+    ];
     for (version, (lost, delay)) in (8..).zip(cases) {
-        let mut table = large_document(version, LARGE * u32::try_from(version - 7).expect("few"));
-        let name = format!("new-{version}");
-        add_route(&mut table, &name);
-        let text = table.to_string();
-        let other = (lost + 1) % 3;
+        let (table, path) = larger_table(version);
+        let first = lost[0];
         if let Some(delay) = delay {
-            let address = hosts.control(lost);
-            let first = std::thread::spawn(move || {
-                let head = "POST /api/config/put HTTP/1.1\r\nHost: x";
-                KeptConnection::default().send(address, head, &text)
-            });
-            std::thread::sleep(Duration::from_millis(delay));
-            hosts.kill(lost);
-            first.join().expect("the operator does not panic");
-            acknowledge(&hosts, other, &table);
+            let reply = put_meanwhile(&hosts, first, &table, delay);
+            kill(&mut hosts, lost);
+            reply.join().expect("the operator does not panic");
         } else {
-            acknowledge(&hosts, lost, &table);
-            hosts.kill(lost);
+            acknowledge(&hosts, first, &table);
+            kill(&mut hosts, lost);
+        }
+        let all_lost = lost.len() == hosts.indices().len();
+        if all_lost {
+            restart(&mut hosts, lost);
+        }
+        let other = (first + 1) % 3;
+        if delay.is_some() {
+            acknowledge(&hosts, other, &table);
         }
-        let path = format!("/{name}/");
-        let running = || hosts.indices().filter(|host| *host != lost);
+        let running = || {
+            hosts
+                .indices()
+                .filter(|host| all_lost || !lost.contains(host))
+        };
         let denied = denials_at(&hosts, running(), &path, "key-ann");
         assert_eq!(denied, [], "version {version}");
         wait("all others have the table in effect", || {
@@ -194,41 +253,104 @@
         });
         // The same table again is acknowledged again, also by the next leader.
         acknowledge(&hosts, other, &table);
-        hosts.boot(lost, false);
-        wait("the lost host has the table in effect", || {
-            hosts.is_ready(lost) && get(&hosts, lost, &path, "key-ann") == 200
+        if !all_lost {
+            restart(&mut hosts, lost);
+        }
+        wait("the lost hosts have the table in effect", || {
+            let mut lost = lost.iter();
+            lost.all(|host| get(&hosts, *host, &path, "key-ann") == 200)
         });
     }
 }
 
+/// Links to each replica in turn that turn silent, without a reset, while a large table is sent: gateways hear of it from the
+/// others, and receive it from them.
+#[test]
+fn silent_in_transfer() {
+    let engine = Engine::start("i-1");
+    let hosts = start("silent_in_transfer", &engine);
+    for (version, (silent, delay)) in (8..).zip([(0, 0), (1, 100), (2, 0), (0, 250)]) {
+        let (table, path) = larger_table(version);
+        let other = (silent + 1) % 3;
+        let reply = put_meanwhile(&hosts, other, &table, delay);
+        hosts.silence_link(&[silent]);
+        if reply.join().expect("the operator does not panic").status != 200 {
+            acknowledge(&hosts, other, &table);
+        }
+        let denied = denials(&hosts, &path, "key-ann");
+        assert_eq!(denied, [], "version {version}");
+        for host in hosts.indices() {
+            wait("the table is in effect", || {
+                get(&hosts, host, &path, "key-ann") == 200
+            });
+        }
+        hosts.silence_link(&[]);
+    }
+}
+
+/// A host that receives a table for too long after it has heard of it sends no requests where only the older one would.
+#[test]
+fn moved_route() {
+    let engines = [Engine::start("i-1"), Engine::start("i-2")];
+    let listed = [(&engines[0], "chat"), (&engines[1], "pay")];
+    let hosts = Hosts::start_more(
+        folder("moved_route"),
+        &listed,
+        1,
+        Some(SLOW_LINK_BYTES_PER_S),
+    );
+    hosts.configure(&document(7).to_string());
+    let mut table = large_document(8, 4 * LARGE);
+    let routes = table["routes"].as_array_mut().expect("routes");
+    let moved = routes.iter_mut().find(|route| route["name"] == "open");
+    moved.expect("the route")["service"] = json!("pay");
+    acknowledge(&hosts, 0, &table);
+    let (mut outcomes, mut was_unready) = (Vec::new(), false);
+    wait("the route has moved", || {
+        let before = engines.each_ref().map(|engine| engine.received().len());
+        let status = get(&hosts, 3, "/open/", "key-ann");
+        let is_used = |index: usize| engines[index].received().len() > before[index];
+        outcomes.push((status, is_used(0), is_used(1)));
+        was_unready |= !hosts.is_ready(3);
+        is_used(1)
+    });
+    assert!(was_unready, "callers were sent there");
+    outcomes.dedup();
+    let expected = [(503, false, false), (200, false, true)];
+    assert!(outcomes.ends_with(&expected), "{outcomes:?}");
+    let decided_late = outcomes.iter().skip(1).any(|outcome| outcome.1);
+    assert!(!decided_late, "{outcomes:?}");
+}
+
 /// What hosts say of a path that no table has, and of one that a table has, while they can't be sure that theirs is the
 /// newest.
 #[test]
 fn denied_by_unconfirmed_table() {
     let engine = Engine::start("i-1");
     let mut hosts = start("denied_by_unconfirmed_table", &engine);
-    let asked =
-        |hosts: &Hosts, host| ["/none/", "/open/"].map(|path| get(hosts, host, path, "key-ann"));
+    let asked = |hosts: &Hosts, host| {
+        let paths = ["/none/", "/open/"].map(|path| get(hosts, host, path, "key-ann"));
+        (paths, post_too_much(hosts, host))
+    };
+    let sure = ([404, 200], 413);
     for host in hosts.indices() {
-        wait("what is sure is denied", || {
-            asked(&hosts, host) == [404, 200]
-        });
+        wait("what is sure is denied", || asked(&hosts, host) == sure);
     }
     // A suspended host may have missed a table.
     hosts.suspend(4, Duration::from_secs(10));
     let status = get(&hosts, 4, "/none/", "key-ann");
     assert!(matches!(status, 404 | 503), "{status}");
-    wait("it is sure again", || asked(&hosts, 4) == [404, 200]);
+    wait("it is sure again", || asked(&hosts, 4) == sure);
     // Without a leader nobody knows whether there is a newer table.
     hosts.kill(1);
     hosts.kill(2);
     std::thread::sleep(publication::MAX_LEASE);
     for host in [0, 3, 4] {
-        assert_eq!(asked(&hosts, host), [503, 200], "host {host}");
+        assert_eq!(asked(&hosts, host), ([503, 200], 503), "host {host}");
     }
     hosts.boot(1, false);
     for host in [0, 3, 4] {
-        wait("it is sure again", || asked(&hosts, host) == [404, 200]);
+        wait("it is sure again", || asked(&hosts, host) == sure);
     }
 }
 
