Keep what a gateway knows of its routing table in one type

The table, its document, what may be decided by it and the wake-up of those that wait for it were four fields among fifty of Node, written from one section of node.rs. The limit of concurrent transfers stands beside the payloads that it limits, in core/publication.

No logic is changed.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -8,7 +8,6 @@
 mod bulk_schedule;
 mod content_hash;
 mod dispatch;
-mod distribution;
 mod grant;
 mod grant_log;
 mod hub;
@@ -37,7 +36,6 @@
 pub(crate) use content_hash::content_hash;
 pub use dispatch::AvoidedServer;
 pub use dispatch::Ticket;
-pub use distribution::Distribution;
 pub use grant::AttemptEnd;
 pub use grant::Grant;
 pub use grant::GrantId;
--- a/crates/core/src/gateway/distribution.rs
+++ b/crates/core/src/publication/distribution.rs
@@ -5,7 +5,8 @@
 
 use crate::clock::Instant;
 use crate::id::Host;
-use crate::publication::CHUNK_BYTES;
+
+use super::CHUNK_BYTES;
 
 /// Maximum time in seconds by which chunks to concurrent gateways may delay the hub's other
 /// messages and a leader's heartbeats.
--- a/crates/core/src/publication/mod.rs
+++ b/crates/core/src/publication/mod.rs
@@ -5,6 +5,7 @@
 //! Whoever has a table may give it to others, whole or as a patch against the table that they hold.
 
 mod chunk;
+mod distribution;
 mod download;
 mod grantor;
 mod holder;
@@ -14,6 +15,7 @@
 
 pub use chunk::CHUNK_BYTES;
 pub use chunk::Chunk;
+pub use distribution::Distribution;
 pub use download::Download;
 pub use grantor::Grantor;
 pub use grantor::MAX_LEASE;
--- a/crates/curlewlift/src/control/distribution.rs
+++ b/crates/curlewlift/src/control/distribution.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
-use curlewlift_core::gateway::Distribution;
 use curlewlift_core::publication::Chunk;
+use curlewlift_core::publication::Distribution;
 use curlewlift_core::publication::Job;
 use curlewlift_core::publication::Payload;
 use curlewlift_core::publication::Store;
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod failure;
 mod forward;
 mod held_bytes;
+mod held_table;
 mod hub_slots;
 mod leader_calls;
 mod lists;
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -13,7 +13,6 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway;
 use curlewlift_core::gateway::AttemptEnd;
-use curlewlift_core::gateway::Distribution;
 use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::LocalSlots;
 use curlewlift_core::gateway::Membership;
@@ -28,7 +27,7 @@
 use curlewlift_core::pool::RetryAllowance;
 use curlewlift_core::pool::RetryBudget;
 use curlewlift_core::pool::Scheduling;
-use curlewlift_core::publication;
+use curlewlift_core::publication::Distribution;
 use curlewlift_core::publication::Standing;
 use curlewlift_core::quarantine;
 use curlewlift_core::quota::Charge;
@@ -38,7 +37,6 @@
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Regions;
 use curlewlift_core::route::Table;
-use curlewlift_core::state::Publication;
 use curlewlift_core::stream;
 use rand::Rng;
 use tokio::sync::Notify;
@@ -50,9 +48,9 @@
 use crate::rpc;
 
 use super::dialect::Dialect;
+use super::held_table::HeldTable;
 use super::loans::Loans;
 use super::log::Line;
-use super::log::millis;
 use super::service::Service;
 use super::standbys::Standbys;
 
@@ -134,14 +132,8 @@
     pub(super) first_start: bool,
     /// Client for calls to the control replicas.
     pub(super) rpc: rpc::Client,
-    /// The routing table in effect here; none before the first one has arrived.
-    table: RefCell<Option<Rc<Table>>>,
-    /// The document of that table, to which patches are applied.
-    publication: RefCell<Publication>,
-    /// What may be decided by that table.
-    table_holder: RefCell<publication::Holder>,
-    /// Wakes requests that wait for a table, or for the certainty that it is the newest.
-    table_wakeup: Notify,
+    /// The routing table in effect here.
+    pub(super) held_table: HeldTable,
     /// Gives tables to other gateways.
     pub(super) distributor: Rc<Distributor>,
     /// State of the services that the table names.
@@ -230,10 +222,7 @@
             scheduling: Scheduling::default(),
             first_start: false,
             rpc,
-            table: RefCell::default(),
-            publication: RefCell::default(),
-            table_holder: RefCell::new(publication::Holder::new(DEFAULT_MAX_OUTDATED)),
-            table_wakeup: Notify::new(),
+            held_table: HeldTable::new(DEFAULT_MAX_OUTDATED),
             distributor: Distributor::new(Clock::start(), Distribution::between_gateways()),
             services: RefCell::default(),
             policy: RefCell::default(),
@@ -277,7 +266,7 @@
 
     /// Sets for how long requests may be forwarded by a table after a newer one was announced.
     pub(super) fn max_outdated(mut self, max_outdated: Duration) -> Self {
-        self.table_holder = RefCell::new(publication::Holder::new(max_outdated));
+        self.held_table = HeldTable::new(max_outdated);
         self
     }
 
@@ -399,100 +388,6 @@
     }
 }
 
-/// # The routing table
-impl Node {
-    /// The table in effect here. What may be decided by it is for [`Node::table_standing`] to say.
-    pub(super) fn table(&self) -> Option<Rc<Table>> {
-        self.table.borrow().clone()
-    }
-
-    /// What may be decided by the table in effect here.
-    pub(super) fn table_standing(&self) -> Standing {
-        self.table_holder.borrow().standing(self.now())
-    }
-
-    /// Whether this gateway holds a lease on the newest table.
-    pub(super) fn has_table_lease(&self) -> bool {
-        self.table_holder.borrow().has_lease(self.now())
-    }
-
-    /// Version of the table in effect here; 0 before the first one has arrived.
-    pub(super) fn table_version(&self) -> u64 {
-        self.table_holder.borrow().get_in_effect()
-    }
-
-    /// Version of the newest table that this gateway knows of.
-    pub(super) fn newest_table(&self) -> u64 {
-        self.table_holder.borrow().newest()
-    }
-
-    /// The publication of the table in effect here.
-    pub(super) fn publication(&self) -> Publication {
-        self.publication.borrow().clone()
-    }
-
-    /// Waits until the table in effect or what may be decided by it has changed, for at most `time`.
-    pub(super) async fn wait_for_table(&self, time: Duration) {
-        let _ = tokio::time::timeout(time, self.table_wakeup.notified()).await;
-    }
-
-    /// Notes that the process at `source` knows table `version` to be committed.
-    pub(super) fn announce_table(&self, version: u64, source: SocketAddr) {
-        let is_news = self.table_holder.borrow_mut().announce(version, self.now());
-        if !is_news {
-            return;
-        }
-        Line::new(Kind::TableAnnounced)
-            .with("table", version)
-            .with("in_effect", self.table_version())
-            .with("by", source.to_string())
-            .write();
-        self.fetch_wakeup.notify_one();
-    }
-
-    /// Notes that the leader's reply to a poll that was sent at `sent_at` grants a lease on table `newest`.
-    pub(super) fn confirm_table(&self, newest: u64, sent_at: clock::Instant, lease: Duration) {
-        let mut table_holder = self.table_holder.borrow_mut();
-        table_holder.confirm(newest, sent_at, lease);
-        drop(table_holder);
-        self.table_wakeup.notify_waiters();
-    }
-
-    /// Applies a table, which took `decode_time` to decode, if it is newer than the current one.
-    pub(super) fn apply_table(
-        &self,
-        table: Table,
-        publication: &Publication,
-        decode_time: Duration,
-    ) {
-        let version = table.get_version();
-        let former = self.table_version();
-        let announced_at = self.table_holder.borrow().announced_at(version);
-        if !self.table_holder.borrow_mut().apply(version) {
-            return;
-        }
-        let since_announced = announced_at.map(|at| self.now().since(at));
-        Line::new(Kind::TableHeld)
-            .with("table", version)
-            .with("former", former)
-            .with("newest", self.newest_table())
-            .with("after_ms", since_announced.map(millis))
-            .with("decode_ms", millis(decode_time))
-            .write();
-        if let Some(since_announced) = since_announced {
-            metrics::histogram!("curlewlift_table_in_effect_seconds")
-                .record(since_announced.as_secs_f64());
-        }
-        self.retain_first_byte_times(&table);
-        *self.table.borrow_mut() = Some(Rc::new(table));
-        *self.publication.borrow_mut() = publication.clone();
-        self.update_pools();
-        self.table_wakeup.notify_waiters();
-        // The acknowledgement of the table waits until the hub knows.
-        self.report_wakeup.notify_one();
-    }
-}
-
 /// # Response times
 impl Node {
     /// Estimated time from sending a request of `rule` to the first byte of its response.
@@ -513,7 +408,7 @@
     }
 
     /// Drops the times of rules that `table` does not have.
-    fn retain_first_byte_times(&self, table: &Table) {
+    pub(super) fn retain_first_byte_times(&self, table: &Table) {
         let rules = table.rules();
         let names: BTreeSet<_> = rules.map(|rule| &rule.name).collect();
         let mut first_byte_times = self.first_byte_times.borrow_mut();
