--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -379,7 +379,7 @@
     }
 
     /// Returns the events of a kind at the running control replicas.
-    fn timeline(&self, kind: Kind) -> Vec<event::Line> {
+    pub(crate) fn timeline(&self, kind: Kind) -> Vec<event::Line> {
         let filter = Filter {
             number: Some(kind.number()),
             ..Filter::default()
--- a/crates/curlewlift/tests/platform_late_tables.rs
+++ b/crates/curlewlift/tests/platform_late_tables.rs
@@ -9,6 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use curlewlift::core::event::Kind;
 use curlewlift::core::publication;
 use platform::Answer;
 use platform::Engine;
@@ -139,6 +140,9 @@
         acknowledge(&hosts, usize::from(adds_route), &table);
         let denied = denials(&hosts, &path, &key);
         assert_eq!(denied, [], "version {version}, {routes} routes");
+        let events = hosts.timeline(Kind::TableAcknowledged);
+        let number = format!("number={version} ");
+        assert!(events.iter().any(|event| event.detail.starts_with(&number)));
     }
 }
 
