--- a/crates/curlewlift/tests/platform_late_tables.rs
+++ b/crates/curlewlift/tests/platform_late_tables.rs
@@ -396,6 +396,10 @@
             stop.store(true, Ordering::Relaxed);
         });
         hosts.kill(lost);
+        if lost == 2 {
+            // Its replica receives a snapshot from the leader.
+            hosts.wipe(lost);
+        }
         hosts.boot(lost, false);
         wait("the host is ready again", || hosts.is_ready(lost));
     }
--- a/crates/curlewlift/tests/platform_table_soak.rs
+++ b/crates/curlewlift/tests/platform_table_soak.rs
@@ -1,4 +1,5 @@
-//! Random losses in overlapping series, while two operators publish tables: no host denies what an acknowledged table allows.
+//! Random losses in overlapping series, while two operators publish tables: no host denies what an acknowledged table allows,
+//! and none reads an older one back.
 //!
 //! `SOAK_SEEDS=50` runs more seeds, `SOAK_FIRST_SEED` others, and `SOAK_HOSTS` sets how many hosts have no disk.
 
@@ -45,6 +46,7 @@
     /// The newest version that was acknowledged.
     acknowledged: AtomicU64,
     allowed: AtomicU64,
+    read: AtomicU64,
     rejected: AtomicU64,
     lost: AtomicU64,
 }
@@ -85,6 +87,27 @@
     }
 }
 
+/// The version of the table that a host reads back; none if it refuses.
+fn read_back(address: SocketAddr) -> Option<u64> {
+    let head = "GET /api/config/get HTTP/1.1\r\nHost: x";
+    let answer = KeptConnection::default().send(address, head, "");
+    let read: Option<Value> = serde_json::from_str(&answer.body).ok();
+    read.filter(|_| answer.status == 200)?["version"].as_u64()
+}
+
+/// Reads tables back from any host.
+fn read(addresses: &[SocketAddr], random: &mut SmallRng, totals: &Totals, is_over: &AtomicBool) {
+    while !is_over.load(Ordering::Relaxed) {
+        let newest = totals.acknowledged.load(Ordering::Relaxed);
+        let address = addresses[random.random_range(0..addresses.len())];
+        if let Some(version) = read_back(address) {
+            assert!(version >= newest, "{version} at {address} after {newest}");
+            add(&totals.read);
+        }
+        std::thread::sleep(Duration::from_millis(random.random_range(0..100)));
+    }
+}
+
 /// Asks a host, over a kept connection, for what acknowledged tables allow.
 fn call(address: SocketAddr, random: &mut SmallRng, totals: &Totals, is_over: &AtomicBool) {
     let mut connection = KeptConnection::default();
@@ -164,6 +187,8 @@
             let operators = &operators;
             scope.spawn(move || publish(operators, &mut random(100 + operator), totals, is_over));
         }
+        let operators = &operators;
+        scope.spawn(move || read(operators, &mut random(300), totals, is_over));
         let _end = End(is_over);
         disturb(&mut hosts, &mut random(200), Instant::now() + SOAK_TIME);
     });
@@ -172,11 +197,8 @@
         hosts.put(0, &table(last).to_string()) == 200
     });
     for host in hosts.indices() {
-        let head = "GET /api/config/get HTTP/1.1\r\nHost: x";
         wait("the last table is read", || {
-            let answer = KeptConnection::default().send(hosts.control(host), head, "");
-            let read: Option<Value> = serde_json::from_str(&answer.body).ok();
-            read.is_some_and(|read| read["version"] == last)
+            read_back(hosts.control(host)) == Some(last)
         });
         wait("the host is ready", || hosts.is_ready(host));
     }
@@ -191,5 +213,6 @@
         println!("seed {seed}: {totals:?}");
         assert!(totals.acknowledged.into_inner() > FIRST, "seed {seed}");
         assert!(totals.allowed.into_inner() > 0, "seed {seed}");
+        assert!(totals.read.into_inner() > 0, "seed {seed}");
     }
 }
