Test hosts that lose servers beside other losses

docs/incidents/unreachable-servers.md named two cases that no test shows: a host that loses all servers and, at once, the control replicas by links that turn silent (control_lost_too), and a server that fails for all while one host has no links (server_down_meanwhile). Links that work in one direction have no test.

--- a/crates/curlewlift/tests/platform/three_hosts.rs
+++ b/crates/curlewlift/tests/platform/three_hosts.rs
@@ -51,10 +51,20 @@
         name: &str,
         versions: &[&'static str],
         without_disk: u8,
+    ) -> Self {
+        Self::start_linked(name, versions, without_disk, None)
+    }
+
+    /// Starts the same with a link of `link` bytes per second between the hosts without a disk and the others' replicas.
+    pub(crate) fn start_linked(
+        name: &str,
+        versions: &[&'static str],
+        without_disk: u8,
+        link: Option<u64>,
     ) -> Self {
         let engines = engines(versions);
         let listed: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
-        let hosts = Hosts::start_more(folder(name), &listed, without_disk, None);
+        let hosts = Hosts::start_more(folder(name), &listed, without_disk, link);
         hosts.configure(&document(7).to_string());
         Self { hosts, engines }
     }
--- a/crates/curlewlift/tests/platform_unreachable.rs
+++ b/crates/curlewlift/tests/platform_unreachable.rs
@@ -104,6 +104,44 @@
     }
 }
 
+/// While one host has no links, a server that fails for the others too is avoided, and no other one is.
+#[test]
+fn server_down_meanwhile() {
+    let world = ThreeHosts::start("server_down_meanwhile");
+    world.set_link_faults(&[0], Some(LinkFault::Hangs));
+    assert!(served(&world.send_for(&[0], LOAD_TIME)) > 0.98);
+    let failed = &world.engines[..1];
+    for host in [1, 2] {
+        let fault = Some(LinkFault::Refuses);
+        world.hosts.set_link_fault(host, failed, fault);
+    }
+    let (cut_off, others) = serve_both(&world, &[0], &[1, 2]);
+    assert!(cut_off > 0.98, "{cut_off} served without links");
+    assert!(others > 0.98, "{others} served at the others");
+    let avoided = world.hosts.avoided_servers();
+    let is_failed = |line: &String| line.contains("server=i-1 ");
+    assert!(avoided.iter().all(is_failed), "{avoided:?}");
+}
+
+/// A host that loses all servers and the control replicas at once serves callers through the others, by its share.
+#[test]
+fn control_lost_too() {
+    let link = Some(1_250_000);
+    let world = ThreeHosts::start_linked("control_lost_too", &["v1"; 3], 2, link);
+    for fault in FAULTS {
+        world.set_link_faults(&[3], Some(fault));
+        world.hosts.silence_link(&[0, 1, 2]);
+        let (cut_off, others) = serve_both(&world, &[3], &[0, 1, 2]);
+        assert!(others > 0.98, "{fault:?}: {others} served at the others");
+        assert!(cut_off >= others * 2.0 / 3.0, "{fault:?}: {cut_off} served");
+        world.set_link_faults(&[3], None);
+        world.hosts.silence_link(&[]);
+        wait("the host serves again", || {
+            world.send_open(3, 0).status == 200
+        });
+    }
+}
+
 /// Where no host has a path, requests are rejected at once with a time to retry, and none reaches a server later. When the
 /// paths are back, requests are served.
 #[test]
