--- a/crates/core/tests/evacuated_halls.rs
+++ b/crates/core/tests/evacuated_halls.rs
@@ -4,7 +4,6 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::evacuation::Action;
@@ -25,10 +24,7 @@
 
 use support::incarnations;
 use support::messages;
-
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
+use support::time::ms;
 
 fn server(name: &str, hall: &str) -> Server {
     Server {
--- a/crates/core/tests/host_paths.rs
+++ b/crates/core/tests/host_paths.rs
@@ -1,10 +1,10 @@
 //! The paths from a host to servers, and the gateways that it asks for tunnels.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Gateway;
 use curlewlift_core::gateway::Membership;
 use curlewlift_core::gateway::Paths;
@@ -12,9 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
+use support::time::ms;
 
 fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 80))
--- a/crates/core/tests/hub_slots.rs
+++ b/crates/core/tests/hub_slots.rs
@@ -32,16 +32,13 @@
 use rand::rngs::SmallRng;
 
 use support::messages;
+use support::time::ms;
 
 /// Slots of each server. The hub grants one more than that.
 const SLOTS: u32 = 2;
 
 const HUB: u64 = 77;
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 fn server(name: &str) -> Server {
     Server {
         incarnation: name.into(),
--- a/crates/core/tests/large_fleets.rs
+++ b/crates/core/tests/large_fleets.rs
@@ -25,15 +25,12 @@
 use rand::rngs::SmallRng;
 
 use support::messages;
+use support::time::ms;
 
 const GATEWAYS: usize = 300;
 
 const SERVERS: usize = 3_000;
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 fn server(index: usize) -> Server {
     Server {
         incarnation: format!("i-{index:010}").into(),
--- a/crates/core/tests/queue_forecast.rs
+++ b/crates/core/tests/queue_forecast.rs
@@ -1,10 +1,11 @@
 //! Requests that cannot be served in time are removed from the queue at once, so that their callers need not wait in
 //! vain; the others stay queued.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Pool;
@@ -13,15 +14,13 @@
 use curlewlift_core::pool::Tuning;
 use curlewlift_core::route::Rank;
 
+use support::time::ms;
+
 const ANSWERED: AttemptOutcome = AttemptOutcome::Answered {
     first_byte: Duration::from_millis(5),
     gap: None,
 };
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 /// A pool with one server of one slot.
 fn pool() -> Pool {
     let tuning = Tuning {
--- a/crates/core/tests/rejection_histories.rs
+++ b/crates/core/tests/rejection_histories.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Load;
@@ -29,6 +28,7 @@
 use rand::rngs::SmallRng;
 
 use support::messages;
+use support::time::ms;
 
 const SERVERS: usize = 3;
 const SLOTS: u32 = 4;
@@ -43,10 +43,6 @@
 const ANNOUNCED_AT: u64 = 1_000;
 const GRACE: u64 = 1_000;
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 /// A message or an event that arrives at its time.
 enum Event {
     Granted(usize, GrantId, usize),
--- a/crates/core/tests/stream_histories.rs
+++ b/crates/core/tests/stream_histories.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::Reply;
@@ -33,6 +32,7 @@
 use support::streams::key;
 use support::streams::origin;
 use support::streams::record;
+use support::time::ms;
 
 const HISTORIES: u64 = 2_000;
 const STEP_MS: u64 = 20;
@@ -48,10 +48,6 @@
 /// How long callers may resume a stream.
 const STREAM_LIFETIME: Duration = Duration::from_secs(5);
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 fn chat() -> id::Service {
     "chat".parse().expect("a name")
 }
--- a/crates/core/tests/stream_records.rs
+++ b/crates/core/tests/stream_records.rs
@@ -31,13 +31,10 @@
 use support::streams::origin;
 use support::streams::record;
 use support::streams::step;
+use support::time::ms;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 fn chat() -> id::Service {
     "chat".parse().expect("a name")
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -15,3 +15,4 @@
 pub(crate) mod requests;
 pub(crate) mod retries;
 pub(crate) mod streams;
+pub(crate) mod time;
--- a/crates/core/tests/table_histories.rs
+++ b/crates/core/tests/table_histories.rs
@@ -20,6 +20,7 @@
 use rand::rngs::SmallRng;
 
 use support::messages;
+use support::time::ms;
 
 const HISTORIES: u64 = 2_000;
 const STEP_MS: u64 = 10;
@@ -121,10 +122,6 @@
     format!("h{gateway}").parse().expect("a name")
 }
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 impl World {
     fn new(seed: u64) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
--- a/crates/core/tests/table_transfers.rs
+++ b/crates/core/tests/table_transfers.rs
@@ -1,5 +1,7 @@
 //! Leases on the newest table, and tables that are transferred in chunks, as patches, from several hosts.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,13 +18,11 @@
 use curlewlift_core::state::Publication;
 use quickcheck::quickcheck;
 
+use support::time::ms;
+
 /// The length of a lease.
 const LEASE: Duration = Duration::from_millis(600);
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 fn host(name: &str) -> id::Host {
     name.parse().expect("a name")
 }
--- a/crates/core/tests/thousand_gateways.rs
+++ b/crates/core/tests/thousand_gateways.rs
@@ -37,13 +37,10 @@
 
 use support::incarnations;
 use support::messages;
+use support::time::ms;
 
 const GATEWAYS: usize = 1_000;
 
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
-
 fn host(index: usize) -> id::Host {
     format!("g{index}").parse().expect("a name")
 }
--- a/crates/core/tests/version_conditions.rs
+++ b/crates/core/tests/version_conditions.rs
@@ -3,9 +3,7 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Hub;
 use curlewlift_core::gateway::Server;
 use curlewlift_core::gateway::ServerList;
@@ -21,10 +19,7 @@
 
 use support::incarnations;
 use support::messages;
-
-fn ms(count: u64) -> Instant {
-    Instant::default() + Duration::from_millis(count)
-}
+use support::time::ms;
 
 fn version(text: &str) -> Version {
     text.parse().expect("a version")
