Let the held table act by itself

The held table has the methods now, and Node passes them on: it adds what follows from a new table for other parts (pools, times, the next report).

No logic is changed.

--- a/crates/curlewlift/src/gateway/held_table.rs
+++ b/crates/curlewlift/src/gateway/held_table.rs
@@ -15,7 +15,6 @@
 
 use super::log::Line;
 use super::log::millis;
-use super::node::Node;
 
 /// The routing table in effect at a gateway.
 pub(super) struct HeldTable {
@@ -40,89 +39,80 @@
             wakeup: Notify::new(),
         }
     }
-}
 
-/// # The routing table
-impl Node {
-    /// The table in effect here. What may be decided by it is for [`Node::table_standing`] to say.
-    pub(super) fn table(&self) -> Option<Rc<Table>> {
-        self.held_table.table.borrow().clone()
+    /// Returns the table. What may be decided by it is for [`HeldTable::standing`] to say.
+    pub(super) fn get(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
     }
 
-    /// What may be decided by the table in effect here.
-    pub(super) fn table_standing(&self) -> Standing {
-        self.held_table.holder.borrow().standing(self.now())
+    /// Returns the table's document.
+    pub(super) fn publication(&self) -> Publication {
+        self.publication.borrow().clone()
     }
 
-    /// Whether this gateway holds a lease on the newest table.
-    pub(super) fn has_table_lease(&self) -> bool {
-        self.held_table.holder.borrow().has_lease(self.now())
+    /// Returns what may be decided by the table.
+    pub(super) fn standing(&self, now: clock::Instant) -> Standing {
+        self.holder.borrow().standing(now)
     }
 
-    /// Version of the table in effect here; 0 before the first one has arrived.
-    pub(super) fn table_version(&self) -> u64 {
-        self.held_table.holder.borrow().get_in_effect()
+    /// Returns whether this gateway holds a lease on the newest table.
+    pub(super) fn has_lease(&self, now: clock::Instant) -> bool {
+        self.holder.borrow().has_lease(now)
     }
 
-    /// Version of the newest table that this gateway knows of.
-    pub(super) fn newest_table(&self) -> u64 {
-        self.held_table.holder.borrow().newest()
+    /// Returns the version of the table; 0 before the first one has arrived.
+    pub(super) fn version(&self) -> u64 {
+        self.holder.borrow().get_in_effect()
     }
 
-    /// The publication of the table in effect here.
-    pub(super) fn publication(&self) -> Publication {
-        self.held_table.publication.borrow().clone()
+    /// Returns the version of the newest table that this gateway knows of.
+    pub(super) fn newest(&self) -> u64 {
+        self.holder.borrow().newest()
     }
 
-    /// Waits until the table in effect or what may be decided by it has changed, for at most `time`.
-    pub(super) async fn wait_for_table(&self, time: Duration) {
-        let _ = tokio::time::timeout(time, self.held_table.wakeup.notified()).await;
+    /// Waits until the table or what may be decided by it has changed, for at most `time`.
+    pub(super) async fn changed(&self, time: Duration) {
+        let _ = tokio::time::timeout(time, self.wakeup.notified()).await;
     }
 
-    /// Notes that the process at `source` knows table `version` to be committed.
-    pub(super) fn announce_table(&self, version: u64, source: SocketAddr) {
-        let is_news = self
-            .held_table
-            .holder
-            .borrow_mut()
-            .announce(version, self.now());
-        if !is_news {
-            return;
+    /// Notes that the process at `source` knows table `version` to be committed; returns whether that is news.
+    pub(super) fn announce(&self, version: u64, source: SocketAddr, now: clock::Instant) -> bool {
+        let is_news = self.holder.borrow_mut().announce(version, now);
+        if is_news {
+            Line::new(Kind::TableAnnounced)
+                .with("table", version)
+                .with("in_effect", self.version())
+                .with("by", source.to_string())
+                .write();
         }
-        Line::new(Kind::TableAnnounced)
-            .with("table", version)
-            .with("in_effect", self.table_version())
-            .with("by", source.to_string())
-            .write();
-        self.fetch_wakeup.notify_one();
+        is_news
     }
 
     /// Notes that the leader's reply to a poll that was sent at `sent_at` grants a lease on table `newest`.
-    pub(super) fn confirm_table(&self, newest: u64, sent_at: clock::Instant, lease: Duration) {
-        let mut holder = self.held_table.holder.borrow_mut();
-        holder.confirm(newest, sent_at, lease);
-        drop(holder);
-        self.held_table.wakeup.notify_waiters();
+    pub(super) fn confirm(&self, newest: u64, sent_at: clock::Instant, lease: Duration) {
+        self.holder.borrow_mut().confirm(newest, sent_at, lease);
+        self.wakeup.notify_waiters();
     }
 
-    /// Applies a table, which took `decode_time` to decode, if it is newer than the current one.
-    pub(super) fn apply_table(
+    /// Replaces the table by one that took `decode_time` to decode; returns false, and changes nothing, if that is not newer.
+    pub(super) fn apply(
         &self,
         table: Table,
         publication: &Publication,
         decode_time: Duration,
-    ) {
+        now: clock::Instant,
+    ) -> bool {
         let version = table.get_version();
-        let former = self.table_version();
-        let announced_at = self.held_table.holder.borrow().announced_at(version);
-        if !self.held_table.holder.borrow_mut().apply(version) {
-            return;
+        let former = self.version();
+        let announced_at = self.holder.borrow().announced_at(version);
+        if !self.holder.borrow_mut().apply(version) {
+            return false;
         }
-        let since_announced = announced_at.map(|at| self.now().since(at));
+        let since_announced = announced_at.map(|at| now.since(at));
         Line::new(Kind::TableHeld)
             .with("table", version)
             .with("former", former)
-            .with("newest", self.newest_table())
+            .with("newest", self.newest())
             .with("after_ms", since_announced.map(millis))
             .with("decode_ms", millis(decode_time))
             .write();
@@ -130,12 +120,9 @@
             metrics::histogram!("curlewlift_table_in_effect_seconds")
                 .record(since_announced.as_secs_f64());
         }
-        self.retain_first_byte_times(&table);
-        *self.held_table.table.borrow_mut() = Some(Rc::new(table));
-        *self.held_table.publication.borrow_mut() = publication.clone();
-        self.update_pools();
-        self.held_table.wakeup.notify_waiters();
-        // The acknowledgement of the table waits until the hub knows.
-        self.report_wakeup.notify_one();
+        *self.table.borrow_mut() = Some(Rc::new(table));
+        *self.publication.borrow_mut() = publication.clone();
+        self.wakeup.notify_waiters();
+        true
     }
 }
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -37,6 +37,7 @@
 use curlewlift_core::rollout::Policy;
 use curlewlift_core::route::Regions;
 use curlewlift_core::route::Table;
+use curlewlift_core::state::Publication;
 use curlewlift_core::stream;
 use rand::Rng;
 use tokio::sync::Notify;
@@ -133,7 +134,7 @@
     /// Client for calls to the control replicas.
     pub(super) rpc: rpc::Client,
     /// The routing table in effect here.
-    pub(super) held_table: HeldTable,
+    held_table: HeldTable,
     /// Gives tables to other gateways.
     pub(super) distributor: Rc<Distributor>,
     /// State of the services that the table names.
@@ -388,6 +389,73 @@
     }
 }
 
+/// # The routing table
+impl Node {
+    /// The table in effect here. What may be decided by it is for [`Node::table_standing`] to say.
+    pub(super) fn table(&self) -> Option<Rc<Table>> {
+        self.held_table.get()
+    }
+
+    /// What may be decided by the table in effect here.
+    pub(super) fn table_standing(&self) -> Standing {
+        self.held_table.standing(self.now())
+    }
+
+    /// Whether this gateway holds a lease on the newest table.
+    pub(super) fn has_table_lease(&self) -> bool {
+        self.held_table.has_lease(self.now())
+    }
+
+    /// Version of the table in effect here; 0 before the first one has arrived.
+    pub(super) fn table_version(&self) -> u64 {
+        self.held_table.version()
+    }
+
+    /// Version of the newest table that this gateway knows of.
+    pub(super) fn newest_table(&self) -> u64 {
+        self.held_table.newest()
+    }
+
+    /// The publication of the table in effect here.
+    pub(super) fn publication(&self) -> Publication {
+        self.held_table.publication()
+    }
+
+    /// Waits until the table in effect or what may be decided by it has changed, for at most `time`.
+    pub(super) async fn wait_for_table(&self, time: Duration) {
+        self.held_table.changed(time).await;
+    }
+
+    /// Notes that the process at `source` knows table `version` to be committed.
+    pub(super) fn announce_table(&self, version: u64, source: SocketAddr) {
+        if self.held_table.announce(version, source, self.now()) {
+            self.fetch_wakeup.notify_one();
+        }
+    }
+
+    /// Notes that the leader's reply to a poll that was sent at `sent_at` grants a lease on table `newest`.
+    pub(super) fn confirm_table(&self, newest: u64, sent_at: clock::Instant, lease: Duration) {
+        self.held_table.confirm(newest, sent_at, lease);
+    }
+
+    /// Applies a table, which took `decode_time` to decode, if it is newer than the current one.
+    pub(super) fn apply_table(
+        &self,
+        table: Table,
+        publication: &Publication,
+        decode_time: Duration,
+    ) {
+        let now = self.now();
+        if !self.held_table.apply(table, publication, decode_time, now) {
+            return;
+        }
+        self.update_pools();
+        self.retain_first_byte_times();
+        // The acknowledgement of the table waits until the hub knows.
+        self.report_wakeup.notify_one();
+    }
+}
+
 /// # Response times
 impl Node {
     /// Estimated time from sending a request of `rule` to the first byte of its response.
@@ -407,8 +475,9 @@
             .add(first);
     }
 
-    /// Drops the times of rules that `table` does not have.
-    pub(super) fn retain_first_byte_times(&self, table: &Table) {
+    /// Drops the times of rules that the table does not have.
+    fn retain_first_byte_times(&self) {
+        let Some(table) = self.table() else { return };
         let rules = table.rules();
         let names: BTreeSet<_> = rules.map(|rule| &rule.name).collect();
         let mut first_byte_times = self.first_byte_times.borrow_mut();
