Run long work on another thread by one function

Four places ran a closure on another thread and turned a panic of it into a refusal, each in its own way. blocking::run does so; the computation of a patch that panics is logged like one that fails, in one line instead of two. Nothing else changes.

--- a/crates/curlewlift/src/control/distribution.rs
+++ b/crates/curlewlift/src/control/distribution.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::state::Publication;
 use tokio::sync::Notify;
 
+use crate::blocking;
 use crate::process::Clock;
 use crate::rpc::TableRequest;
 
@@ -109,18 +110,11 @@
     async fn compute(&self, job: Job) {
         let (base, version) = job.versions();
         let computation = job.clone();
-        let computed = tokio::task::spawn_blocking(move || computation.run()).await;
-        let payload = match computed {
-            Ok(Ok(payload)) => payload,
-            Ok(Err(why)) => {
-                log::error!("no patch from table {base} to {version} can be computed: {why}");
-                job.whole()
-            }
-            Err(why) => {
-                log::error!("the computation of a patch ended: {why}");
-                job.whole()
-            }
-        };
+        let payload = blocking::run(move || computation.run()).await;
+        let payload = payload.unwrap_or_else(|why| {
+            log::error!("no patch from table {base} to {version} can be computed: {why}");
+            job.whole()
+        });
         self.add_payload(base, Arc::new(payload));
         self.computing.borrow_mut().remove(&(base, version));
         self.computed.notify_waiters();
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::blocking;
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
 use crate::rpc::TableRequest;
@@ -335,13 +336,12 @@
     let gateways = state.borrow().gateways.clone();
     let decode = gateways.ok_or_else(not_ready)?.decode;
     let prepared = publication.clone();
-    let prepared = tokio::task::spawn_blocking(move || -> Result<_, Refusal> {
+    let prepared = blocking::run(move || {
         let table = decode(&prepared)?;
         Ok((prepared, table))
     });
-    let prepared = prepared.await;
-    let prepared = prepared.map_err(|why| Refusal::new(Code::Internal, why.to_string()))?;
-    state.borrow_mut().prepared_table = Some(prepared?);
+    let prepared = prepared.await?;
+    state.borrow_mut().prepared_table = Some(prepared);
     Ok(())
 }
 
--- a/crates/curlewlift/src/gateway/tables.rs
+++ b/crates/curlewlift/src/gateway/tables.rs
@@ -7,19 +7,18 @@
 use std::time::Duration;
 
 use curlewlift_core::clock;
-use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::publication::Chunk;
 use curlewlift_core::publication::Download;
 use curlewlift_core::publication::Payload;
 use curlewlift_core::publication::Standing;
-use curlewlift_core::route::Table;
 use curlewlift_core::state::Publication;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
 
+use crate::blocking;
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
 use crate::rpc::Method;
@@ -113,13 +112,11 @@
     let payload = Arc::new(payload);
     let received = Arc::clone(&payload);
     let former = in_effect.version;
-    let decoded = tokio::task::spawn_blocking(move || -> Result<(Table, Publication), Refusal> {
+    let decoded = blocking::run(move || {
         let publication = received.unpack(&in_effect)?;
         Ok((decode(&publication)?, publication))
     });
-    let decoded = decoded.await;
-    let decoded = decoded.map_err(|why| Refusal::new(Code::Internal, why.to_string()))?;
-    let (table, publication) = decoded?;
+    let (table, publication) = decoded.await?;
     node.apply_table(table, &publication, node.now().since(started_at));
     node.distributor.add_payload(former, payload);
     Ok(())
--- a/crates/curlewlift/src/lib.rs
+++ b/crates/curlewlift/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate runs the daemons; the scheduling logic is in `curlewlift-core`, re-exported as [`core`].
 
+mod blocking;
 mod control;
 mod disk;
 mod entry;
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -16,6 +16,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use crate::blocking;
 use crate::gateway;
 use crate::gateway::Answer;
 use crate::gateway::Environment;
@@ -81,16 +82,14 @@
 
 /// Checks and packs a document, on another thread: a large one takes longer than requests may be held up.
 async fn publication(text: String) -> Result<Publication, Refusal> {
-    let checked = tokio::task::spawn_blocking(move || {
+    blocking::run(move || {
         let table = document::decode(&text)?;
         Ok(Publication {
             version: table.get_version(),
             document: Document::pack(&text),
         })
-    });
-    checked
-        .await
-        .map_err(|why| Refusal::new(Code::Internal, why.to_string()))?
+    })
+    .await
 }
 
 async fn get(node: &Node, environment: &Environment) -> Answer {
