--- a/crates/curlewlift/src/control/rollouts.rs
+++ b/crates/curlewlift/src/control/rollouts.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::rollout::Step;
 use curlewlift_core::state::Record;
 
+use crate::blocking;
 use crate::rpc::HubReply;
 
 use super::hub;
@@ -41,9 +42,9 @@
 
 /// Proposes the order, and waits until it is committed.
 async fn commit(state: &Shared, order: Order) -> Result<(), Refusal> {
+    check_service(state, &order.service).await?;
     let committed = {
         let mut state = state.borrow_mut();
-        state.check_service(&order.service)?;
         let plans = state.machine.get_rollouts();
         plans.check_order(&order)?;
         if plans.has_order(&order) {
@@ -59,6 +60,28 @@
     Ok(())
 }
 
+/// Checks that the active table has the service, and that rollouts are enabled.
+async fn check_service(state: &Shared, service: &id::Service) -> Result<(), Refusal> {
+    let (decode, publication) = {
+        let state = state.borrow();
+        let gateways = state.gateways.as_ref().ok_or_else(hub::not_ready)?;
+        if gateways.tuning.rollouts.is_none() {
+            let why = "rollouts are disabled: the settings have no exposure bounds for a version on trial";
+            return Err(Refusal::new(Code::Unknown, why));
+        }
+        (gateways.decode, state.machine.get_publication().clone())
+    };
+    if publication.version == 0 {
+        return Err(Refusal::new(Code::NoTable, "no routing table is active"));
+    }
+    let table = blocking::run(move || decode(&publication)).await?;
+    if table.get_services().contains_key(service) {
+        return Ok(());
+    }
+    let why = format!("the routing table has no service `{service}`");
+    Err(Refusal::new(Code::UnknownService, why))
+}
+
 /// The phase of the last rollout of a service, confirmed by a majority.
 pub(super) async fn read(state: &Shared, service: &id::Service) -> Result<HubReply, Refusal> {
     hub::confirm(state).await?;
@@ -69,27 +92,6 @@
 }
 
 impl State {
-    /// Checks that the active table has the service, and that rollouts are enabled.
-    fn check_service(&self, service: &id::Service) -> Result<(), Refusal> {
-        let Some(gateways) = &self.gateways else {
-            return Err(hub::not_ready());
-        };
-        if gateways.tuning.rollouts.is_none() {
-            let why = "rollouts are disabled: the settings have no exposure bounds for a version on trial";
-            return Err(Refusal::new(Code::Unknown, why));
-        }
-        let publication = self.machine.get_publication();
-        if publication.version == 0 {
-            return Err(Refusal::new(Code::NoTable, "no routing table is active"));
-        }
-        let table = (gateways.decode)(publication)?;
-        if table.get_services().contains_key(service) {
-            return Ok(());
-        }
-        let why = format!("the routing table has no service `{service}`");
-        Err(Refusal::new(Code::UnknownService, why))
-    }
-
     /// Applies a step that was committed in `term`; `before` are the plans before the step.
     pub(super) fn apply_rollout_step(&mut self, step: &Step, before: &Plans, term: id::Term) {
         // An order of an earlier term was applied by an earlier hub, which may have granted slots under it.
