Share the network of two sets of histories

The histories of tables and of streams had the same queue of messages that are on their way. A message for a frozen gateway is sent again at once, as it arrives later than the time that is delivered.

--- a/crates/core/tests/stream_histories.rs
+++ b/crates/core/tests/stream_histories.rs
@@ -3,7 +3,6 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +28,7 @@
 
 use support::incarnations;
 use support::messages;
+use support::network::Network;
 use support::streams::key;
 use support::streams::origin;
 use support::streams::record;
@@ -90,8 +90,8 @@
     committed: Versions,
     /// The versions that serve.
     serving: Vec<&'static str>,
-    messages: BTreeMap<(u64, u64), (u64, u64, Message)>,
-    sequence: u64,
+    /// Each with its gateway's process and the leader when it was sent.
+    messages: Network<(u64, u64, Message)>,
     streams: Vec<Begun>,
     continued: usize,
     rejected: usize,
@@ -113,8 +113,7 @@
             elected_at: 0,
             committed: Versions::default(),
             serving: vec!["v1"],
-            messages: BTreeMap::new(),
-            sequence: 0,
+            messages: Network::new(),
             streams: Vec::new(),
             continued: 0,
             rejected: 0,
@@ -124,11 +123,10 @@
 
     /// Sends a message between a gateway and the hub.
     fn send(&mut self, gateway: usize, message: Message) {
-        self.sequence += 1;
-        let at = self.now + self.random.random_range(1..=MAX_DELAY_MS);
+        let arrival = self.now + self.random.random_range(1..=MAX_DELAY_MS);
         let process = self.gateways[gateway].process;
-        let key = (at, self.sequence);
-        self.messages.insert(key, (process, self.leader, message));
+        let message = (process, self.leader, message);
+        self.messages.send(arrival, message);
     }
 
     fn run(&mut self) {
@@ -148,10 +146,7 @@
     }
 
     fn deliver(&mut self) {
-        while let Some(entry) = self.messages.first_entry()
-            && entry.key().0 <= self.now
-        {
-            let (process, leader, message) = entry.remove();
+        while let Some((process, leader, message)) = self.messages.receive(self.now) {
             self.receive(process, leader, message);
         }
     }
--- a/crates/core/tests/table_histories.rs
+++ b/crates/core/tests/table_histories.rs
@@ -20,6 +20,7 @@
 use rand::rngs::SmallRng;
 
 use support::messages;
+use support::network::Network;
 use support::time::ms;
 
 const HISTORIES: u64 = 2_000;
@@ -104,8 +105,8 @@
     max_in_effect_wait: u64,
     /// When each version was acknowledged.
     acknowledged: BTreeMap<u64, u64>,
-    messages: BTreeMap<(u64, u64), (u64, u64, Message)>,
-    sequence: u64,
+    /// Each with its gateway's process and the leader when it was sent.
+    messages: Network<(u64, u64, Message)>,
     counts: Counts,
 }
 
@@ -150,8 +151,7 @@
             publishing: None,
             max_in_effect_wait: random.random_range(0..=1) * MAX_IN_EFFECT_WAIT_MS,
             acknowledged: BTreeMap::new(),
-            messages: BTreeMap::new(),
-            sequence: 0,
+            messages: Network::new(),
             counts: Counts::default(),
             random,
         }
@@ -256,19 +256,14 @@
     }
 
     fn send(&mut self, gateway: usize, message: Message) {
-        self.sequence += 1;
-        let at = self.now + self.random.random_range(1..=MAX_DELAY_MS);
+        let arrival = self.now + self.random.random_range(1..=MAX_DELAY_MS);
         let process = self.gateways[gateway].process;
-        let key = (at, self.sequence);
-        self.messages.insert(key, (process, self.leader, message));
+        let message = (process, self.leader, message);
+        self.messages.send(arrival, message);
     }
 
     fn deliver(&mut self) {
-        let mut frozen = Vec::new();
-        while let Some(entry) = self.messages.first_entry()
-            && entry.key().0 <= self.now
-        {
-            let (process, leader, message) = entry.remove();
+        while let Some((process, leader, message)) = self.messages.receive(self.now) {
             let (Message::Poll(gateway, _) | Message::Reply(gateway, _, _)) = &message;
             let gateway = *gateway;
             let state = &self.gateways[gateway];
@@ -285,7 +280,8 @@
                     }
                 }
                 Message::Reply(..) if self.now < state.frozen_until => {
-                    frozen.push((state.frozen_until, process, leader, message));
+                    let message = (process, leader, message);
+                    self.messages.send(state.frozen_until, message);
                 }
                 Message::Reply(_, reply, sent_at) => {
                     if process == state.process {
@@ -294,11 +290,6 @@
                 }
             }
         }
-        for (at, process, leader, message) in frozen {
-            self.sequence += 1;
-            let key = (at, self.sequence);
-            self.messages.insert(key, (process, leader, message));
-        }
     }
 
     fn receive(&mut self, gateway: usize, reply: &Reply, sent_at: Instant) {
