--- a/crates/core/src/publication/download.rs
+++ b/crates/core/src/publication/download.rs
@@ -61,7 +61,7 @@
     }
 
     /// Drops what has been received.
-    pub fn clear(&mut self) {
+    fn clear(&mut self) {
         self.restarts += u64::from(!self.bytes.is_empty());
         self.payload = None;
         self.bytes.clear();
--- a/crates/core/src/publication/patch.rs
+++ b/crates/core/src/publication/patch.rs
@@ -61,6 +61,12 @@
         &self.0
     }
 
+    /// Returns the bytes of the patch.
+    #[must_use]
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.0
+    }
+
     /// Returns the document that the patch turns `base` into.
     ///
     /// # Errors
--- a/crates/core/src/publication/payload.rs
+++ b/crates/core/src/publication/payload.rs
@@ -49,8 +49,11 @@
         if patch.as_bytes().len() >= publication.document.as_packed().len() {
             return Ok(Self::whole(publication));
         }
-        let bytes = patch.as_bytes().to_vec();
-        Ok(Self::new(publication.version, base.version, bytes))
+        Ok(Self::new(
+            publication.version,
+            base.version,
+            patch.into_bytes(),
+        ))
     }
 
     fn new(version: u64, base: u64, bytes: Vec<u8>) -> Self {
