Log the parts of prompts, and for how long a crashed server had answered

The logs could not tell requests that crash servers by a part they have in common from others of the same customer that ran beside them. The lines sent and server-ended have the parts of the prompt; server-ended also says for how long the server had been sending the response.

--- a/crates/core/benches/places.rs
+++ b/crates/core/benches/places.rs
@@ -27,7 +27,7 @@
 use curlewlift_core::limit::Reports;
 use curlewlift_core::pool::Part;
 use curlewlift_core::pool::Scheduling;
-use curlewlift_core::quarantine::Identity;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::route::Parts;
 use curlewlift_core::route::ServicePolicy;
 use curlewlift_core::route::Table;
@@ -108,7 +108,7 @@
             max_gap: None,
             max_wait: Duration::from_secs(100_000),
             time_left: Duration::from_secs(10),
-            identity: Identity::default(),
+            features: Features::default(),
             observations: Vec::new(),
             prompt: Tokens(500),
             output: Tokens(0),
--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -440,7 +440,7 @@
         let Some(pool) = self.pools.get_mut(&request.service) else {
             return Err(reservation);
         };
-        let returned = pool.recognise(&request.identity, now);
+        let returned = pool.recognise(&request.features.identity, now);
         let mut pool_request = request.to_pool_request(now);
         let arrived = pool_request.arrived;
         if let Some(returned) = returned {
@@ -458,7 +458,7 @@
             host: request.host,
             customer: request.customer,
             request: Rejected {
-                identity: request.identity,
+                identity: request.features.identity,
                 rank: request.rank,
                 arrived: returned.map_or(arrived, |returned| returned.arrived),
                 deadline: now + request.time_left,
--- a/crates/core/src/gateway/grant.rs
+++ b/crates/core/src/gateway/grant.rs
@@ -12,7 +12,7 @@
 use crate::pool::AttemptOutcome;
 use crate::pool::ReportedLoad;
 use crate::pool::Request;
-use crate::quarantine::Identity;
+use crate::quarantine::Features;
 use crate::quarantine::Observation;
 use crate::quarantine::Permit;
 use crate::quota::Charge;
@@ -54,8 +54,8 @@
     pub max_wait: Duration,
     /// The time left to complete the request.
     pub time_left: Duration,
-    /// The identity of the request, for quarantine.
-    pub identity: Identity,
+    /// What the request is, and what it has in common with others, for quarantine.
+    pub features: Features,
     /// The gateway's observations of servers that crashed under the request.
     pub observations: Vec<Observation>,
     /// The number of prompt tokens, or 0 if there is no prompt.
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -67,7 +67,7 @@
         // otherwise get a permit each time: 13 servers crashed that way in 16 s.
         let permit = match self
             .tracker
-            .decide(&request.identity, request.time_left, now)
+            .decide(&request.features.identity, request.time_left, now)
         {
             Decision::Allowed => None,
             Decision::Permitted(permit) => Some(permit),
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -6,20 +6,25 @@
 //! ([`List`]), and from there every gateway knows them ([`LocalTracker`]) while it is without a hub.
 
 mod evidence;
+mod features;
 mod identity;
 mod list;
 mod local;
+mod part;
 mod tracker;
 
 pub use evidence::Effect;
 pub use evidence::Evidence;
 pub use evidence::Observation;
+pub use features::Features;
 pub use identity::Identity;
 pub use list::Case;
 pub use list::List;
 pub use list::Step;
 pub use list::Update;
 pub use local::LocalTracker;
+pub use part::MAX_PARTS;
+pub use part::Part;
 pub use tracker::Decision;
 pub use tracker::Permit;
 pub use tracker::Rejection;
--- a/crates/core/tests/retry_times.rs
+++ b/crates/core/tests/retry_times.rs
@@ -234,10 +234,7 @@
             first_event_within: limit.begin_within(),
             max_wait: limit.max_wait(),
             time_left: limit.remaining,
-            identity: Identity {
-                customer: None,
-                digest: caller as u64,
-            },
+            features: identity(caller as u64).into(),
             ..messages::slot_request(&host)
         };
         let decision = self.hub.request_slot(request, at(now));
@@ -709,7 +706,7 @@
 
 fn request(hub: &mut Hub, host: &str, digest: u64, now: u64) -> Ticket {
     let request = SlotRequest {
-        identity: identity(digest),
+        features: identity(digest).into(),
         send_within: ms(100),
         ..messages::slot_request(&host.parse().expect("a name"))
     };
--- a/crates/core/tests/support/crashes.rs
+++ b/crates/core/tests/support/crashes.rs
@@ -472,7 +472,7 @@
 
 fn slot_request(gateway_state: &GatewayState, identity: &Identity) -> SlotRequest {
     SlotRequest {
-        identity: identity.clone(),
+        features: identity.clone().into(),
         observations: gateway_state
             .quarantine
             .get_evidence()
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -9,7 +9,7 @@
 use curlewlift_core::gateway::SlotRequest;
 use curlewlift_core::id;
 use curlewlift_core::limit::Reports;
-use curlewlift_core::quarantine::Identity;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::route::Rank;
 use curlewlift_core::unit::Tokens;
 
@@ -28,7 +28,7 @@
         max_gap: None,
         max_wait: Duration::from_secs(1),
         time_left: Duration::from_secs(5),
-        identity: Identity::default(),
+        features: Features::default(),
         observations: Vec::new(),
         prompt: Tokens(0),
         output: Tokens(0),
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::WaitLimit;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::route::CustomerPolicy;
@@ -51,8 +52,8 @@
     pub(super) policy: Option<Arc<CustomerPolicy>>,
     /// Its cost in the unit of the customer's quota.
     pub(super) cost: u64,
-    /// Identifies the request across the retries of its caller.
-    pub(super) identity: Identity,
+    /// What identifies the request across the retries of its caller, and what it has in common with others.
+    pub(super) features: Features,
     /// The data halls that the request must stay in; none if it may go anywhere.
     pub(super) allowed_halls: Option<Arc<[Arc<str>]>>,
     /// What is still to be charged to the customer's quota.
@@ -98,7 +99,8 @@
             .with("customer", policy.map(|policy| policy.name.as_str()))
             .with("rank", self.rank().to_string())
             .with("cost", self.cost)
-            .with("identity", self.identity.to_string())
+            .with("identity", self.features.identity.to_string())
+            .with("parts", self.features.parts_text())
             .with("prompt", self.prompt().0)
             .with("objective_ms", millis(self.rule.objective))
             .with("pause_ms", self.rule.max_gap.map(millis))
@@ -154,7 +156,10 @@
     let memory = HeldBytes::new(node);
     let body = read_body(body, limits, &memory, deadline.timer_instant()).await;
     let body = body.map_err(|refused| decision::confirm(node, refused))?;
-    let identity = identity(policy.as_deref(), &head, &body);
+    let features = Features {
+        identity: identity(policy.as_deref(), &head, &body),
+        parts: Arc::clone(&head_fields.parts),
+    };
     let cost = policy
         .as_ref()
         .map_or(0, |policy| cost(policy, &head_fields));
@@ -165,7 +170,7 @@
         rule,
         policy,
         cost,
-        identity,
+        features,
         allowed_halls,
         head,
         body,
--- a/crates/curlewlift/src/gateway/dialect.rs
+++ b/crates/curlewlift/src/gateway/dialect.rs
@@ -1,5 +1,6 @@
 //! How header fields are parsed and written, for deployments with different wire formats.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::http::HeaderMap;
@@ -8,6 +9,7 @@
 use curlewlift_core::limit::Announcement;
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::ReportedLoad;
+use curlewlift_core::quarantine::Part;
 use curlewlift_core::rejection;
 
 use super::log::Line;
@@ -25,6 +27,8 @@
     pub(crate) tokens: Option<(u64, u64)>,
     /// The caller's estimate of the number of tokens that will be generated.
     pub(crate) length_hint: Option<u64>,
+    /// The parts of the prompt that other requests may have as well.
+    pub(crate) parts: Arc<[Part]>,
     /// Set if the caller has received a part of the response already.
     pub(crate) resumption: Option<Resumption>,
 }
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -331,6 +331,7 @@
             match frame.map_err(|_| Failure::DeadlinePassed)? {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.slot.record_data();
                         body.extend_from_slice(&data);
                     }
                 }
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -32,7 +32,7 @@
         let reason = record(failure, &mut slot);
         Line::new(Kind::SendingFailed)
             .request(self.admitted.head_fields.id.as_ref())
-            .with("identity", self.admitted.identity.to_string())
+            .with("identity", self.admitted.features.identity.to_string())
             .with("server", &*slot.server.incarnation)
             .with("why", reason.as_str())
             .after(self.admitted.deadline.elapsed())
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -66,7 +66,7 @@
         if !self.outcome_logged {
             Line::new(Kind::CallerLeft)
                 .request(self.admitted.head_fields.id.as_ref())
-                .with("identity", self.admitted.identity.to_string())
+                .with("identity", self.admitted.features.identity.to_string())
                 .with("sent", self.attempts())
                 .with("server", self.tried.last().map(|server| &**server))
                 .after(self.admitted.deadline.elapsed())
@@ -175,7 +175,7 @@
         let context = AttemptContext {
             service: &self.service,
             rule: &self.admitted.rule.name,
-            identity: &self.admitted.identity,
+            features: &self.admitted.features,
             time_left: self.admitted.deadline.remaining(),
             allowed_halls: self.admitted.allowed_halls.as_ref(),
             allowed_versions: allowed_versions.as_ref(),
--- a/crates/curlewlift/src/gateway/hub_slots.rs
+++ b/crates/curlewlift/src/gateway/hub_slots.rs
@@ -19,7 +19,7 @@
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::Request;
-use curlewlift_core::quarantine::Identity;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::quarantine::Rejection;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::rollout::Version;
@@ -56,8 +56,8 @@
     pub(super) service: &'a id::Service,
     /// The rule that the request matched.
     pub(super) rule: &'a Arc<str>,
-    /// Identity of the request, the same for every retry by its caller.
-    pub(super) identity: &'a Identity,
+    /// What the request is, and what it has in common with others.
+    pub(super) features: &'a Features,
     /// Time left until the request's deadline.
     pub(super) time_left: Duration,
     /// The data halls that the request must stay in, if it must.
@@ -127,7 +127,7 @@
             let late = return_late_grant(
                 Rc::clone(node),
                 context.service.clone(),
-                context.identity.clone(),
+                context.features.clone(),
                 call,
             );
             tokio::task::spawn_local(late);
@@ -140,12 +140,12 @@
 async fn return_late_grant(
     node: Rc<Node>,
     service: id::Service,
-    identity: Identity,
+    features: Features,
     reply: impl Future<Output = Result<HubReply, Refusal>>,
 ) {
     if let Ok(HubReply::Slot(grant)) = reply.await {
         node.record_grant(&grant);
-        node.return_grant(&service, &identity, &grant);
+        node.return_grant(&service, &features, &grant);
         node.unused_grants.borrow_mut().push(grant.id);
     }
 }
@@ -206,12 +206,12 @@
             max_gap: request.max_gap,
             max_wait: wait_limit,
             time_left: context.time_left,
-            identity: context.identity.clone(),
+            features: context.features.clone(),
             observations: self
                 .quarantine
                 .borrow()
                 .get_evidence()
-                .unacknowledged_for(context.identity),
+                .unacknowledged_for(&context.features.identity),
             prompt: request.prompt,
             output: request.output,
             charge: charge.cloned(),
@@ -252,7 +252,7 @@
         if self.with_service(service, accept) == Some(true) {
             return HubDecision::Granted(grant, asked_at);
         }
-        self.return_grant(service, context.identity, &grant);
+        self.return_grant(service, context.features, &grant);
         if (self.report_notice(service, &server) || is_unavailable) && !is_late {
             return HubDecision::Unavailable(grant.server);
         }
@@ -269,11 +269,11 @@
     }
 
     /// Returns a grant with which nothing is sent to the hub.
-    fn return_grant(&self, service: &id::Service, identity: &Identity, grant: &Grant) {
+    fn return_grant(&self, service: &id::Service, features: &Features, grant: &Grant) {
         if let Some(permit) = grant.permit {
             let now = self.now();
             let mut quarantine = self.quarantine.borrow_mut();
-            quarantine.record_inconclusive(identity.clone(), permit, now);
+            quarantine.record_inconclusive(features.identity.clone(), permit, now);
         }
         let incarnation = &grant.server.incarnation;
         self.report_unsent(service, incarnation, AttemptOutcome::Unknown, grant.id);
--- a/crates/curlewlift/src/gateway/local_slots.rs
+++ b/crates/curlewlift/src/gateway/local_slots.rs
@@ -176,7 +176,7 @@
     let context = AttemptContext {
         service: &request.service,
         rule: &rule,
-        identity: &request.identity,
+        features: &request.features,
         time_left: request.time_left,
         allowed_halls: None,
         allowed_versions: None,
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -60,7 +60,7 @@
         metrics::histogram!("curlewlift_answer_seconds").record(elapsed.as_secs_f64());
         Line::new(Kind::Ended)
             .request(self.admitted.head_fields.id.as_ref())
-            .with("identity", self.admitted.identity.to_string())
+            .with("identity", self.admitted.features.identity.to_string())
             .with("status", status)
             .with("how", how)
             .with("sent", self.attempts())
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -189,6 +189,9 @@
         while let Some(frame) = self.body.frame().await {
             let frame = frame.map_err(|error| Failure::ConnectionLost(error.to_string()))?;
             if let Ok(data) = frame.into_data() {
+                if let Some(slot) = &mut self.slot {
+                    slot.record_data();
+                }
                 return Ok(Some(data));
             }
         }
@@ -287,7 +290,10 @@
         self.connection = None;
         let line = Line::new(Kind::Ended)
             .request(self.request.admitted.head_fields.id.as_ref())
-            .with("identity", self.request.admitted.identity.to_string())
+            .with(
+                "identity",
+                self.request.admitted.features.identity.to_string(),
+            )
             .with("server", self.request.tried.last().map(|server| &**server))
             .with("how", "cut")
             .with("why", reason.as_str())
@@ -327,7 +333,10 @@
             };
             Line::new(Kind::Resumed)
                 .request(self.request.admitted.head_fields.id.as_ref())
-                .with("identity", self.request.admitted.identity.to_string())
+                .with(
+                    "identity",
+                    self.request.admitted.features.identity.to_string(),
+                )
                 .with("server", &*response_start.slot.server.incarnation)
                 .with("version", response_start.slot.server.version.to_string())
                 .with("after_event", resume_point.event_id())
--- a/crates/curlewlift/src/gateway/resumption.rs
+++ b/crates/curlewlift/src/gateway/resumption.rs
@@ -68,7 +68,7 @@
 
 /// The key of a stream whose first event was brought by the caller's request `id`.
 fn key(admitted: &Admitted, id: &HeaderValue) -> Key {
-    Key::new(&admitted.identity, id.as_bytes())
+    Key::new(&admitted.features.identity, id.as_bytes())
 }
 
 /// The services that a rule sends requests to.
@@ -157,7 +157,7 @@
 fn log_taken(admitted: &Admitted, resumption: &Resumption, origin: &Origin, known_by: &str) {
     let line = Line::new(Kind::StreamTaken)
         .request(admitted.head_fields.id.as_ref())
-        .with("identity", admitted.identity.to_string())
+        .with("identity", admitted.features.identity.to_string())
         .with("service", origin.service.to_string())
         .with("version", origin.version.to_string())
         .with("known_by", known_by);
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -19,7 +19,7 @@
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::ReportedLoad;
-use curlewlift_core::quarantine::Identity;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::rejection;
 use curlewlift_core::rollout::Version;
 use curlewlift_core::unit::Tokens;
@@ -31,6 +31,7 @@
 use super::hub_slots::AttemptContext;
 use super::loan::Loan;
 use super::log::Line;
+use super::log::millis;
 use super::node::Node;
 use super::service::Service;
 use super::tunnel::Target;
@@ -48,14 +49,16 @@
     loan: Option<Loan>,
     /// When the grant was asked for, or the slot was assigned.
     asked_at: clock::Instant,
-    /// Identity of the request.
-    identity: Identity,
+    /// What the request is, and what it has in common with others.
+    features: Features,
     /// The data halls that the request must stay in, if it must.
     allowed_halls: Option<Arc<[Arc<str>]>>,
     /// The versions that the request may be sent to; none if it may be sent to any.
     allowed_versions: Option<Arc<[Version]>>,
     /// When the slot was assigned.
     granted_at: clock::Instant,
+    /// When the body of the response began; none before that.
+    answered_since: Option<clock::Instant>,
     /// When the request was sent; none before that.
     sent_at: Option<clock::Instant>,
     /// The load that the server stated in the head of its response.
@@ -86,10 +89,11 @@
             grant: None,
             loan: None,
             asked_at: now,
-            identity: context.identity.clone(),
+            features: context.features.clone(),
             allowed_halls: context.allowed_halls.cloned(),
             allowed_versions: context.allowed_versions.cloned(),
             granted_at: now,
+            answered_since: None,
             sent_at: None,
             load: None,
             crashed: false,
@@ -129,7 +133,7 @@
     /// Logs that the request is sent through the gateway at `host`.
     pub(super) fn log_tunnel(&self, host: SocketAddr) {
         Line::new(Kind::Tunnelled)
-            .with("identity", self.identity.to_string())
+            .with("identity", self.features.identity.to_string())
             .with("server", &*self.server.incarnation)
             .with("tunnels", host.to_string())
             .write();
@@ -182,7 +186,7 @@
 
     /// Records what the outcome says about the request, for the hub's quarantine.
     fn report_request_outcome(&mut self) {
-        let identity = self.identity.clone();
+        let identity = self.features.identity.clone();
         let now = self.node.now();
         let server = &*self.server.incarnation;
         let mut quarantine = self.node.quarantine.borrow_mut();
@@ -194,6 +198,8 @@
                     identity.customer.as_ref().map(id::Customer::as_str),
                 )
                 .with("server", server)
+                .with("parts", self.features.parts_text())
+                .with("answered_ms", self.answered_for(now).map(millis))
                 .with("permit", self.permit())
                 .write();
             metrics::counter!("curlewlift_servers_ended").increment(1);
@@ -214,6 +220,17 @@
         }
     }
 
+    /// A part of the response's body has arrived.
+    pub(super) fn record_data(&mut self) {
+        let now = self.node.now();
+        self.answered_since.get_or_insert(now);
+    }
+
+    /// For how long the server has been sending the body of its response; none if it has not begun.
+    fn answered_for(&self, now: clock::Instant) -> Option<Duration> {
+        self.answered_since.map(|since| now.since(since))
+    }
+
     /// Reports to the hub when the first event of the stream arrived.
     pub(super) fn report_first_event(&self, first_event: Duration) {
         let began = AttemptOutcome::Began { first_event };
--- a/crates/curlewlift/src/gateway/slot_queue.rs
+++ b/crates/curlewlift/src/gateway/slot_queue.rs
@@ -8,7 +8,7 @@
 use curlewlift_core::pool::Assignment;
 use curlewlift_core::pool::Request;
 use curlewlift_core::pool::Ticket;
-use curlewlift_core::quarantine::Identity;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::quarantine::Rejection;
 use tokio::sync::oneshot;
 
@@ -21,7 +21,7 @@
     node: Rc<Node>,
     service: id::Service,
     rule: Arc<str>,
-    identity: Identity,
+    features: Features,
     time_left: Duration,
     ticket: Ticket,
     assignment: oneshot::Receiver<Assignment>,
@@ -36,7 +36,7 @@
             let context = AttemptContext {
                 service: &self.service,
                 rule: &self.rule,
-                identity: &self.identity,
+                features: &self.features,
                 time_left: self.time_left,
                 allowed_halls: None,
                 allowed_versions: None,
@@ -95,7 +95,7 @@
         node: Rc::clone(node),
         service: context.service.clone(),
         rule: Arc::clone(context.rule),
-        identity: context.identity.clone(),
+        features: context.features.clone(),
         time_left: context.time_left,
         ticket,
         assignment,
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -64,7 +64,11 @@
             return Err(NoSlot::NoVersion);
         }
         // Other gateways may be sending the same request, and only the hub sees all of them.
-        if !node.quarantine.borrow().may_send(context.identity) {
+        if !node
+            .quarantine
+            .borrow()
+            .may_send(&context.features.identity)
+        {
             return Err(NoSlot::Rejected(Rejection::Quarantined));
         }
         let is_limited = node.is_limited(context.service);
--- a/crates/curlewlift/src/platform/headers.rs
+++ b/crates/curlewlift/src/platform/headers.rs
@@ -1,5 +1,6 @@
 //! Reads and writes the platform's headers of requests and responses.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::http::HeaderMap;
@@ -13,6 +14,7 @@
 use curlewlift_core::limit::Rate;
 use curlewlift_core::pool::Notice;
 use curlewlift_core::pool::ReportedLoad;
+use curlewlift_core::quarantine::Part;
 use curlewlift_core::rejection;
 
 use crate::gateway::BackendHead;
@@ -34,6 +36,8 @@
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("x-token-counts");
 /// The caller's estimate of the number of tokens that will be generated.
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
+/// The parts of the prompt in order, each as its id and its number of tokens with a colon between, separated by commas.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// The customer's name, for the backend server.
 const CUSTOMER: HeaderName = HeaderName::from_static("x-tenant");
 /// The name of the backend server that the request is for; another one rejects the request.
@@ -89,6 +93,7 @@
         timeout: millis(headers, &DEADLINE)?.map(Duration::from_millis),
         tokens: token_counts(headers)?,
         length_hint: length_hint(headers),
+        parts: shared_parts(headers),
         resumption: resumption(headers),
     })
 }
@@ -246,6 +251,25 @@
     headers.get(LENGTH_HINT)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// The parts of the prompt that other requests may have as well; none if they are not stated in a readable form.
+fn shared_parts(headers: &HeaderMap) -> Arc<[Part]> {
+    let mut values = headers.get_all(PROMPT_PARTS).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Arc::default();
+    };
+    let parse = |part: &str| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        let _: u64 = tokens.trim().parse().ok()?;
+        let Ok(id) = id.trim().parse();
+        Some(id)
+    };
+    let parts: Option<Vec<_>> = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.split(',').map(parse).collect());
+    Part::shared(&parts.unwrap_or_default())
+}
+
 /// The load that the server states. Servers without a figure for their pace leave it out.
 fn reported_load(headers: &HeaderMap) -> Option<ReportedLoad> {
     let mut figures = headers.get(LOAD)?.to_str().ok()?.split(',').map(str::trim);
--- a/crates/curlewlift/src/platform/headers/tests.rs
+++ b/crates/curlewlift/src/platform/headers/tests.rs
@@ -1,4 +1,5 @@
-//! The announcements of backend servers in the headers of their responses: backoff, draining, rate limit.
+//! The announcements of backend servers in the headers of their responses: backoff, draining, rate limit; and the parts
+//! of a prompt in the headers of a request.
 
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use curlewlift_core::pool::Notice;
 
 use super::parse_response;
+use super::shared_parts;
 
 fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
     let pairs = pairs.iter().map(|(name, value)| {
@@ -97,3 +99,33 @@
         );
     }
 }
+
+#[test]
+fn parts_of_prompts() {
+    let cases = [
+        (
+            "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+            "5c1e07a2,91bd3f06",
+        ),
+        (" A:1 , b : 2 ,c:3", "a,b"),
+        ("a:1", ""),
+        ("", ""),
+        ("a:1,a:1,b:2", "a"),
+        ("a:1,b:2,a:1", "a,b"),
+        // What can't be read in full names no part.
+        ("a:1,b,c:3", ""),
+        ("a:1,b:x,c:3", ""),
+        ("a:1,,c:3", ""),
+    ];
+    for (header, expected) in cases {
+        let parts = shared_parts(&headers(&[("x-prompt-prefix", header)]));
+        let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
+        assert_eq!(parts.join(","), expected, "{header}");
+    }
+    assert!(shared_parts(&HeaderMap::new()).is_empty());
+    let twice = [
+        ("x-prompt-prefix", "a:1,b:2"),
+        ("x-prompt-prefix", "c:1,d:2"),
+    ];
+    assert!(shared_parts(&headers(&twice)).is_empty(), "stated twice");
+}
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -24,7 +24,7 @@
 use curlewlift_core::id;
 use curlewlift_core::limit::Reports;
 use curlewlift_core::pool::AttemptOutcome;
-use curlewlift_core::quarantine::Identity;
+use curlewlift_core::quarantine::Features;
 use curlewlift_core::rollout::Bounds;
 use curlewlift_core::rollout::Order;
 use curlewlift_core::rollout::Phase;
@@ -396,7 +396,7 @@
             max_gap: None,
             max_wait: Duration::from_millis(200),
             time_left: Duration::from_secs(10),
-            identity: Identity::default(),
+            features: Features::default(),
             observations: Vec::new(),
             prompt: Tokens(100),
             output: Tokens(0),
