Cut off bytes without end that are no part of a response

A faulty server may send a status line, a header, the size of a chunk, a trailer or an event that never ends.

Bytes that are no response no longer count as a crash under the request: nothing has shown that the server ended.

--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 //! A connection that carries only one request cannot deliver the late remainder of another response,
 //! and closing it tells the server that nobody waits for the response any more.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use axum::http::HeaderValue;
@@ -21,9 +22,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper::rt::Read;
-use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -32,6 +33,10 @@
 use super::deadline::Deadline;
 use super::dialect::Dialect;
 use super::dialect::ResponseHead;
+use super::received;
+use super::received::Limited;
+use super::received::RESPONSE_BUFFER_BYTES;
+use super::received::Received;
 use super::slot::Slot;
 
 /// Maximum time for establishing a connection.
@@ -44,11 +49,15 @@
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// An open connection. Dropping it ends the task that drives the connection, and thereby closes it.
-pub(super) struct Connection(JoinHandle<()>);
+pub(super) struct Connection {
+    task: JoinHandle<()>,
+    /// What has arrived over it.
+    pub(super) received: Arc<Received>,
+}
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
@@ -143,14 +152,21 @@
     if slot.is_unavailable() {
         return Err((Failure::ServerUnavailable, slot));
     }
-    let Some(request) = prepare(&slot) else {
+    let Some(mut request) = prepare(&slot) else {
         return Err((Failure::RetryDenied, slot));
     };
+    let received = Arc::clone(&connection.received);
+    hyper::ext::on_informational(&mut request, move |_| received.record_interim());
     let until = deadline.timer_instant();
     let mut slot = slot;
     slot.record_sent();
     let sent_at = Instant::now();
-    match await_head(&mut sender, request, &slot, until, silence_limit).await {
+    let response = tokio::select! {
+        biased;
+        response = await_head(&mut sender, request, &slot, until, silence_limit) => response,
+        failure = connection.received.wait_for_stall() => Err(failure),
+    };
+    match response {
         Ok(response) => Ok(response_start(
             response,
             slot,
@@ -168,7 +184,7 @@
     time_limit: Duration,
 ) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure> {
     match slot.connect(Instant::now() + time_limit).await {
-        Ok(Opened::Direct(stream)) => handshake(TokioIo::new(stream)).await,
+        Ok(Opened::Direct(stream)) => handshake(stream).await,
         Ok(Opened::Tunnel(tunnel, host)) => {
             slot.log_tunnel(host);
             handshake(tunnel).await
@@ -181,16 +197,21 @@
 /// Begins to speak HTTP on a connection.
 async fn handshake<T>(io: T) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure>
 where
-    T: Read + Write + Unpin + 'static,
+    T: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let handshake = http1::handshake(io).await;
-    let (sender, connection) = handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
-    let connection = Connection(tokio::task::spawn_local(async move {
+    let received = Arc::new(Received::default());
+    let io = TokioIo::new(Limited::new(io, Arc::clone(&received)));
+    let mut builder = http1::Builder::new();
+    let handshake = builder.max_buf_size(RESPONSE_BUFFER_BYTES).handshake(io);
+    let (sender, connection) = handshake
+        .await
+        .map_err(|error| Failure::NotSent(error.to_string()))?;
+    let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("the connection to a server failed: {error}");
         }
-    }));
-    Ok((sender, connection))
+    });
+    Ok((sender, Connection { task, received }))
 }
 
 /// Sends `request` and waits for the head of the response. A server that is silent for longer than `silence_limit`
@@ -213,7 +234,7 @@
         let response = tokio::time::timeout_at(until, response).await;
         response.map_err(|_| Failure::DeadlinePassed)?
     };
-    response.map_err(|error| Failure::ConnectionLost(error.to_string()))
+    response.map_err(|error| received::failure(&error))
 }
 
 /// Tells whether a connection was lost by the fault of the server of `slot`, or of this host's path to it.
@@ -233,6 +254,7 @@
     first_byte: Duration,
 ) -> ResponseStart {
     slot.record_first_byte();
+    connection.received.record_used(true);
     let (head, body) = response.into_parts();
     let head_fields = (dialect.parse_response)(head.status.as_u16(), &head.headers);
     if let Some(load) = head_fields.load {
@@ -323,26 +345,49 @@
     ///
     /// # Errors
     ///
-    /// If the body broke off, or is not complete at the time `until`.
-    pub(super) async fn read_full(&mut self, until: Instant) -> Result<Option<Bytes>, Failure> {
+    /// If the body broke off, which includes that a stream of events ends inside one, or is not complete at the time
+    /// `until`.
+    pub(super) async fn read_full(
+        &mut self,
+        kind: route::Kind,
+        until: Instant,
+    ) -> Result<Option<Bytes>, Failure> {
+        let mut events = self.is_event_stream(kind).then(sse::Decoder::default);
         let mut body = BytesMut::new();
         while body.len() <= MAX_BUFFERED_BYTES {
-            let frame = tokio::time::timeout_at(until, self.body.frame()).await;
-            match frame.map_err(|_| Failure::DeadlinePassed)? {
+            let frame = tokio::select! {
+                biased;
+                frame = self.body.frame() => frame,
+                failure = self.connection.received.wait_for_stall() => return Err(failure),
+                () = tokio::time::sleep_until(until) => return Err(Failure::DeadlinePassed),
+            };
+            match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.slot.record_data();
                         body.extend_from_slice(&data);
+                        let is_complete = is_at_boundary(events.as_mut(), &data);
+                        self.connection.received.record_used(is_complete);
                     }
                 }
                 Some(Err(error)) => {
-                    let lost = Failure::ConnectionLost(error.to_string());
-                    return Err(explain(lost, &self.slot).await);
+                    return Err(explain(received::failure(&error), &self.slot).await);
                 }
-                None => return Ok(Some(body.freeze())),
+                None if is_at_boundary(events.as_mut(), &[]) => return Ok(Some(body.freeze())),
+                None => return Err(Failure::EndedInEvent),
             }
         }
         self.begun = body.freeze();
         Ok(None)
     }
 }
+
+/// Whether a body is at the end of an event after `data`, if it consists of events.
+fn is_at_boundary(events: Option<&mut sse::Decoder>, data: &[u8]) -> bool {
+    let Some(events) = events else {
+        return true;
+    };
+    events.push(data);
+    while events.next_event().is_some() {}
+    events.is_at_boundary()
+}
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -13,7 +13,6 @@
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::AttemptOutcome;
-use curlewlift_core::sse;
 use http_body_util::Full;
 
 use super::admit::Admitted;
@@ -296,13 +295,7 @@
     ) -> Result<Step, Refused> {
         let until = self.admitted.deadline.timer_instant();
         let kind = self.admitted.rule.kind;
-        let body = match response_start.read_full(until).await {
-            Ok(Some(body)) if response_start.is_event_stream(kind) && is_cut_in_event(&body) => {
-                Err(Failure::EndedInEvent)
-            }
-            body => body,
-        };
-        let body = match body {
+        let body = match response_start.read_full(kind, until).await {
             Ok(Some(body)) => body,
             Ok(None) => return Ok(Step::Respond(self.stream_response(response_start))),
             Err(failure) => {
@@ -340,11 +333,3 @@
     }
     AttemptOutcome::Answered { first_byte, gap }
 }
-
-/// Whether a stream of events ends inside one.
-fn is_cut_in_event(body: &[u8]) -> bool {
-    let mut decoder = sse::Decoder::default();
-    decoder.push(body);
-    while decoder.next_event().is_some() {}
-    !decoder.is_at_boundary()
-}
--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 mod origin;
 mod outcome;
 mod outgoing;
+mod received;
 mod refuse;
 mod relay;
 mod request;
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -31,9 +31,13 @@
 use super::held_bytes::STREAM_BYTES;
 use super::log::Line;
 use super::log::millis;
+use super::received;
 use super::slot::Slot;
 use super::stream_timer::StreamTimer;
 
+/// Maximum length of a response that doesn't consist of events, in bytes.
+const MAX_UNSTRUCTURED_BYTES: usize = 64 << 20;
+
 /// A stream that is being forwarded.
 struct Relay {
     request: ForwardedRequest,
@@ -50,6 +54,8 @@
     is_resumable: bool,
     /// How the end of the body is marked.
     framing: Framing,
+    /// The bytes that were received, if it doesn't consist of events.
+    unstructured_bytes: usize,
     /// The memory for an incomplete event.
     memory: HeldBytes,
     /// Time from the last attempt to the head of its response.
@@ -86,6 +92,7 @@
         events: is_event_stream.then(EventSplitter::default),
         is_resumable: kind == route::Kind::Resumable,
         framing,
+        unstructured_bytes: 0,
         memory,
         first_byte,
         head_received: Instant::now(),
@@ -159,12 +166,34 @@
                 Some(events) => events.push(&data),
                 None => data,
             };
+            self.record_received(&complete)?;
             if !complete.is_empty() {
                 return Ok(Some(complete));
             }
         }
     }
 
+    /// Records that data of the body has been received, of which `complete` can be forwarded.
+    fn record_received(&mut self, complete: &Bytes) -> Result<(), Failure> {
+        if self.events.is_none() {
+            self.unstructured_bytes += complete.len();
+            if self.unstructured_bytes > MAX_UNSTRUCTURED_BYTES {
+                let reason = "the response is too long";
+                return Err(Failure::Unknown(reason.to_owned()));
+            }
+        }
+        if let Some(connection) = &self.connection {
+            let events = self.events.as_ref();
+            let is_complete = events.is_none_or(EventSplitter::is_at_boundary);
+            if !is_complete && !complete.is_empty() {
+                connection.received.record_next_event();
+            } else {
+                connection.received.record_used(is_complete);
+            }
+        }
+        Ok(())
+    }
+
     /// Holds the memory for an incomplete event, unless it is too long.
     fn check_event_size(&self) -> Result<(), Failure> {
         let events = self.events.as_ref();
@@ -186,8 +215,8 @@
         if let Some(begun) = self.begun.take() {
             return Ok(Some(begun));
         }
-        while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|error| Failure::ConnectionLost(error.to_string()))?;
+        while let Some(frame) = self.next_frame().await? {
+            let frame = frame.map_err(|error| received::failure(&error))?;
             if let Ok(data) = frame.into_data() {
                 if let Some(slot) = &mut self.slot {
                     slot.record_data();
@@ -198,6 +227,19 @@
         Ok(None)
     }
 
+    /// The next frame of the body; none at its end.
+    async fn next_frame(&mut self) -> Result<Option<hyper::Result<Frame<Bytes>>>, Failure> {
+        let Some(connection) = &self.connection else {
+            return Ok(self.body.frame().await);
+        };
+        let received = &connection.received;
+        tokio::select! {
+            biased;
+            frame = self.body.frame() => Ok(frame),
+            failure = received.wait_for_stall() => Err(failure),
+        }
+    }
+
     /// Resumes the stream at another server after it broke off.
     ///
     /// # Errors
--- a/crates/curlewlift/src/gateway/tunnel.rs
+++ b/crates/curlewlift/src/gateway/tunnel.rs
@@ -38,7 +38,7 @@
 
 /// An open tunnel to a server. Its end is the end of the server's connection; if the gateway that it goes through ends, it
 /// fails.
-pub(super) type Tunnel = TokioIo<Join<Reader, WriteHalf<TokioIo<Upgraded>>>>;
+pub(super) type Tunnel = Join<Reader, WriteHalf<TokioIo<Upgraded>>>;
 
 /// The server to connect to.
 #[derive(Clone, Copy)]
@@ -126,7 +126,7 @@
             let upgraded = upgraded.map_err(|error| error.to_string())?;
             let (reader, writer) = tokio::io::split(TokioIo::new(upgraded));
             let tunnel = tokio::io::join(tunnel_frames::reader(reader), writer);
-            Ok(Response::Opened(TokioIo::new(tunnel)))
+            Ok(Response::Opened(tunnel))
         }
         StatusCode::BAD_GATEWAY => Ok(Response::ServerDown),
         StatusCode::CONFLICT => Ok(Response::Excluded),
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -98,6 +98,8 @@
     rejections: Arc<Mutex<Vec<Instant>>>,
     /// When it first announced its limit, in all and to each host.
     announcements: Arc<Mutex<LimitAnnouncements>>,
+    /// The most bytes that were sent with the behavior `endless` until the connection was closed.
+    endless_bytes: Arc<AtomicU64>,
     /// The requests with the behavior `work` that run, and the most that ran at the same time.
     working: Arc<Mutex<(usize, usize)>>,
 }
@@ -174,6 +176,7 @@
             rejection_limit: Arc::default(),
             rejections: Arc::default(),
             announcements: Arc::default(),
+            endless_bytes: Arc::default(),
             working: Arc::default(),
         };
         let serving = engine.clone();
@@ -320,6 +323,11 @@
         is_full
     }
 
+    /// Returns the most bytes that were sent with the behavior `endless` until the connection was closed.
+    pub(crate) fn max_endless_bytes(&self) -> u64 {
+        self.endless_bytes.load(Ordering::SeqCst)
+    }
+
     /// Returns how often a request has crashed it.
     pub(crate) fn crash_count(&self) -> u64 {
         self.crashes.load(Ordering::SeqCst)
@@ -507,6 +515,9 @@
                 if let Some(size) = behavior.strip_prefix("unframed ") {
                     let head = head(200, id, signed);
                     unframed(&mut stream, &head, size);
+                } else if let Some(kind) = behavior.strip_prefix("endless ") {
+                    let head = head(200, id, signed);
+                    endless(&mut stream, &head, kind, &self.endless_bytes);
                 } else if let Some(end) = behavior.strip_prefix("ends ") {
                     let head = head(200, id, signed);
                     let end = StreamEnd::parse(end).of_version(self.version);
@@ -562,6 +573,55 @@
     let _ = write!(stream, "{head}Content-Length: {length}\r\n\r\n{body}");
 }
 
+/// Begins a response, and then sends bytes that are no part of one until the connection is closed: `KIND`, as fast as
+/// possible, or `KIND slow`, a byte at a time. `max_sent` is raised to the number of bytes that were sent.
+fn endless(stream: &mut TcpStream, head: &str, kind: &str, max_sent: &AtomicU64) {
+    let (kind, is_slow) = match kind.split_once(' ') {
+        Some((kind, _)) => (kind, true),
+        None => (kind, false),
+    };
+    let chunked =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let (begin, filler) = match kind {
+        "status" => ("HTTP/1.1 200 ".to_owned(), "x"),
+        "header" => (format!("{head}X-Filler: "), "x"),
+        "headers" => (head.to_owned(), "X-Filler: x\r\n"),
+        "chunk-size" => (chunked, "0"),
+        "chunk-extension" => (format!("{chunked}a;"), "x"),
+        "trailer" => (
+            format!("{chunked}8\r\ndata: 1\n\r\n1\r\n\n\r\n0\r\n"),
+            "x: y\r\n",
+        ),
+        "event" => (
+            format!("{head}Content-Type: text/event-stream\r\n\r\ndata: "),
+            "x",
+        ),
+        "chunked-event" => (chunked, "6\r\ndata: \r\n"),
+        "after-length" => (format!("{head}Content-Length: 4\r\n\r\ndone"), "x"),
+        _ => panic!("unknown kind: {kind}"),
+    };
+    let filler = if is_slow {
+        filler.to_owned()
+    } else {
+        filler.repeat(1_000)
+    };
+    let timeout = Some(Duration::from_secs(10));
+    stream
+        .set_write_timeout(timeout)
+        .expect("the timeout is valid");
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut sent = 0;
+    let mut bytes = begin.as_bytes();
+    while Instant::now() < until && stream.write_all(bytes).is_ok() {
+        sent += bytes.len() as u64;
+        max_sent.fetch_max(sent, Ordering::SeqCst);
+        bytes = filler.as_bytes();
+        if is_slow {
+            std::thread::sleep(WORK_TIME);
+        }
+    }
+}
+
 /// Sends a body of `size` bytes without a length or chunks: `SIZE`, or `SIZE reset` if the connection is reset after it.
 fn unframed(stream: &mut TcpStream, head: &str, size: &str) {
     let (size, is_reset) = match size.split_once(' ') {
