Try parts early whose servers crashed at the same time

A data hall that is lost takes five servers with it that may all run a part which no other server has answered. Its requests were rejected for 30 s. Crashes that become known within 100 ms are likely to have a cause of their own: one such request is tried after a second.

--- a/crates/core/src/quarantine/account.rs
+++ b/crates/core/src/quarantine/account.rs
@@ -30,6 +30,9 @@
 /// The same for a part whose crashes no other part explains, but which was answered before.
 const LONG_QUIET_TIME: Duration = Duration::from_secs(1);
 
+/// Crashes within this time are likely to have a cause of their own, such as the loss of a data hall.
+const SIMULTANEOUS_TIME: Duration = Duration::from_millis(100);
+
 /// How long after the last crash or trial a trial may begin where nothing says that the part is sound.
 pub const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(30);
 
@@ -50,6 +53,8 @@
     /// When the server began to answer the request, or crashed if it had not begun. An answer that began later refutes
     /// the charge.
     pub(super) began: Instant,
+    /// When the crash became known; none if another hub counted it.
+    pub(super) crashed: Option<Instant>,
 }
 
 /// What is known of one part of prompts under which servers crashed.
@@ -159,11 +164,22 @@
         }
         // Another customer may have named the part in requests that crash servers for other reasons.
         let is_accused_by_other = !self.is_shared && self.owner.as_ref() != customer;
-        let is_likely_sound = has_other_cause || is_accused_by_other || !self.answered.is_empty();
+        let is_likely_sound = has_other_cause
+            || is_accused_by_other
+            || !self.answered.is_empty()
+            || self.is_simultaneous();
         let is_early = is_likely_sound && self.trials < MAX_EARLY_TRIALS;
         is_early || self.is_delay_over(now)
     }
 
+    /// Whether all crashes became known at almost the same time.
+    fn is_simultaneous(&self) -> bool {
+        let crashed: Option<Vec<_>> = self.charges.values().map(|it| it.crashed).collect();
+        let crashed = crashed.unwrap_or_default();
+        let bounds = crashed.iter().max().zip(crashed.iter().min());
+        bounds.is_some_and(|(last, first)| last.since(*first) < SIMULTANEOUS_TIME)
+    }
+
     fn is_delay_over(&self, now: Instant) -> bool {
         let delay = FIRST_TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(self.trials);
         now.since(self.last_crash.max(self.last_trial)) >= delay
@@ -237,6 +253,7 @@
             let charge = Charge {
                 software: software.clone(),
                 began: now,
+                crashed: None,
             };
             self.charges.entry(Arc::clone(server)).or_insert(charge);
         }
--- a/crates/core/src/quarantine/local.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -162,6 +162,7 @@
             let charge = Charge {
                 software: attempt.software.clone(),
                 began: now - attempt.answered_for.unwrap_or_default(),
+                crashed: Some(now),
             };
             self.accounts
                 .charge(&attempt.features, server, &charge, now);
--- a/crates/core/src/quarantine/tracker.rs
+++ b/crates/core/src/quarantine/tracker.rs
@@ -337,6 +337,7 @@
         let charge = Charge {
             software: observation.software.clone(),
             began: observation.began(now),
+            crashed: Some(now),
         };
         self.is_dirty = true;
         self.accounts
