Count servers that fall silent and are gone as crashed

A server that crashes may close nothing: its requests end with their deadline, and the platform's list drops it some seconds later. Such an end was no crash to quarantine, so that a request or a part of prompts could end any number of servers that way. Gateways report attempts that ended after a second of silence, and the hub charges them when the server is gone from the list without having left it by plan, whichever becomes known first.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -1,5 +1,8 @@
 //! How the hub handles requests under which servers crashed.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::clock::Instant;
 use crate::quarantine::Decision;
 use crate::quarantine::Features;
@@ -9,6 +12,7 @@
 use crate::quarantine::Step;
 
 use super::Hub;
+use super::ServerList;
 
 /// # Quarantined requests
 impl Hub {
@@ -32,6 +36,25 @@
         }
     }
 
+    /// Records the servers that are gone from `server_list`, which is about to be set, without having left by plan: they
+    /// have crashed under the requests under which they had fallen silent.
+    pub fn observe_gone(&mut self, server_list: &ServerList, now: Instant) {
+        let remaining: BTreeSet<_> = server_list
+            .servers
+            .iter()
+            .map(|server| &server.incarnation)
+            .collect();
+        let former = Arc::clone(&self.server_list);
+        let gone = former.servers.iter();
+        let gone =
+            gone.filter(|server| !server.leaving && !remaining.contains(&server.incarnation));
+        for server in gone {
+            for features in self.tracker.record_gone(&server.incarnation, now) {
+                self.reject_unpermitted(&features, now);
+            }
+        }
+    }
+
     /// Rejects queued requests that have features in common with one under which another server has
     /// crashed, except those that still get a permit.
     fn reject_unpermitted(&mut self, crashed: &Features, now: Instant) {
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -28,6 +28,8 @@
     Crashed(Arc<str>),
     /// The same, and the request is known not to have been the cause, but its parts may have been.
     CrashedParts(Arc<str>),
+    /// The server sent nothing for long, and the attempt ended. If it is gone from the server list, it has crashed.
+    Silent(Arc<str>),
     /// The server sent a complete and successful response: neither the request nor its parts crash servers.
     Completed,
     /// The server sent a complete response that reports an error: the request does not crash servers. Its parts may not
@@ -185,6 +187,7 @@
                 }
                 Effect::Completed | Effect::Failed => crashed.clear(),
                 Effect::CrashedParts(_)
+                | Effect::Silent(_)
                 | Effect::Answered
                 | Effect::Inconclusive
                 | Effect::NotSent => {}
--- a/crates/core/src/quarantine/local.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -244,6 +244,12 @@
         parts.any(|part| self.list.get_part(*part).is_some())
     }
 
+    /// Records that a server sent nothing for long, and the attempt ended.
+    pub fn record_silence(&mut self, attempt: Attempt, server: &Arc<str>, now: Instant) {
+        let silent = Effect::Silent(Arc::clone(server));
+        self.evidence.record(attempt.observe(silent), now);
+    }
+
     /// Records that an attempt with a permit ended in neither a crash nor a complete response.
     pub fn record_inconclusive(&mut self, attempt: Attempt, now: Instant) {
         self.evidence
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -18,6 +18,7 @@
 mod list;
 mod local;
 mod part;
+mod silence;
 mod software;
 mod tracker;
 
--- a/crates/core/src/quarantine/tracker.rs
+++ b/crates/core/src/quarantine/tracker.rs
@@ -30,6 +30,7 @@
 use super::accounts::Verdict;
 use super::list::MAX_CASES;
 use super::list::MAX_CASES_PER_CUSTOMER;
+use super::silence::Silences;
 
 /// How long after the last crash a quarantined request may be tried once. Its service may have been fixed, or the
 /// three servers may have crashed for other reasons.
@@ -172,6 +173,7 @@
 pub struct Tracker {
     cases: BTreeMap<Identity, OpenCase>,
     accounts: Accounts,
+    silences: Silences,
     /// The cases of parts on the committed list.
     committed_parts: BTreeMap<Part, PartCase>,
     /// What was proposed for parts and is not committed yet; `None` if they are to be released.
@@ -303,11 +305,12 @@
             self.end_permit(features, number, was_sent);
         }
         match &observation.effect {
-            Effect::Crashed(server) => {
-                let is_new = self.record_crash(&features.identity, server, now);
-                self.charge_parts(observation, server, now) || is_new
-            }
+            Effect::Crashed(server) => self.record_crash_of(server, observation, now),
             Effect::CrashedParts(server) => self.charge_parts(observation, server, now),
+            Effect::Silent(server) => {
+                let is_gone = self.silences.record(server, observation, now);
+                is_gone && self.record_crash_of(server, observation, now)
+            }
             Effect::Completed => {
                 self.release(&features.identity);
                 self.record_answer(observation, now);
@@ -325,6 +328,28 @@
         }
     }
 
+    fn record_crash_of(
+        &mut self,
+        server: &Arc<str>,
+        observation: &Observation,
+        now: Instant,
+    ) -> bool {
+        let is_new = self.record_crash(&observation.features.identity, server, now);
+        self.charge_parts(observation, server, now) || is_new
+    }
+
+    /// Records that a server is gone from the list without having left it by plan. Returns the features of requests under
+    /// which it had fallen silent, if fewer of them may be sent than before.
+    pub fn record_gone(&mut self, server: &Arc<str>, now: Instant) -> Vec<Features> {
+        let mut affected = Vec::new();
+        for observation in self.silences.record_gone(server, now) {
+            if self.record_crash_of(server, &observation, now) {
+                affected.push(observation.features);
+            }
+        }
+        affected
+    }
+
     /// Charges a crash to the parts of a request, unless its response had been arriving for long. Returns whether one of
     /// them is quarantined by that.
     fn charge_parts(&mut self, observation: &Observation, server: &Arc<str>, now: Instant) -> bool {
--- a/crates/core/tests/part_cases.rs
+++ b/crates/core/tests/part_cases.rs
@@ -430,6 +430,32 @@
     assert!(cases <= 33, "{cases} cases on the list");
 }
 
+/// A server that falls silent under a request and is gone from the list has crashed, whichever becomes known first; one
+/// that is still listed has not.
+#[test]
+fn silent_servers() {
+    for (is_gone_first, is_gone_later) in [(false, true), (true, false), (false, false)] {
+        let mut hub = Hub::new();
+        let gone = "s1".into();
+        if is_gone_first {
+            hub.tracker.record_gone(&gone, hub.now);
+        }
+        let features = hub.request("ann", &[9]);
+        hub.wait_ms(3_000);
+        hub.observe("v1", observation(features, Effect::Silent("s1".into())));
+        hub.wait_ms(3_000);
+        if is_gone_later {
+            hub.tracker.record_gone(&gone, hub.now);
+        }
+        let expected = usize::from(is_gone_first || is_gone_later);
+        assert_eq!(
+            hub.crash_count(9),
+            expected,
+            "{is_gone_first} {is_gone_later}"
+        );
+    }
+}
+
 /// An operator's release holds.
 #[test]
 fn released_by_operator() {
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -271,6 +271,7 @@
     let fetched = poll.fetched_list.as_ref();
     let fetched = fetched.filter(|list| hub.get_server_list().version != list.version);
     if let Some(list) = fetched {
+        hub.observe_gone(list, now);
         hub.set_server_list(Arc::new(list.clone()));
         state.updates.notify_waiters();
     }
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -39,6 +39,9 @@
 use super::service::Service;
 use super::tunnel::Target;
 
+/// After how long without data a server may have crashed, in an attempt that its caller or the deadline ended.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
 /// A slot at a backend server; released when dropped.
 pub(super) struct Slot {
     node: Rc<Node>,
@@ -216,6 +219,8 @@
         } else if self.completed {
             let is_success = self.outcome != AttemptOutcome::Failed;
             quarantine.record_completion(self.attempt(), is_success, now);
+        } else if self.is_silent(now) {
+            quarantine.record_silence(self.attempt(), server, now);
         } else if self.permit().is_some() && self.sent_at.is_some() {
             quarantine.record_inconclusive(self.attempt(), now);
         } else if self.permit().is_some() {
@@ -253,6 +258,16 @@
         self.answered.map(|(first, last)| last.since(first))
     }
 
+    /// Whether the attempt ended after the server had sent nothing for [`MIN_SILENCE`].
+    fn is_silent(&self, now: clock::Instant) -> bool {
+        let last_sign = self.answered.map(|(_, last)| last).or(self.sent_at);
+        let may_be_silent = matches!(
+            self.outcome,
+            AttemptOutcome::Unknown | AttemptOutcome::TimedOut
+        );
+        may_be_silent && last_sign.is_some_and(|last| now.since(last) >= MIN_SILENCE)
+    }
+
     /// The attempt as it is recorded for quarantine.
     fn attempt(&self) -> Attempt {
         Attempt {
