Let operators read the quarantine and release a part

GET /quarantine lists the parts of prompts and the requests under which servers crashed, at any host, by the leader's committed list; DELETE /quarantine/parts/ID releases a part. Until now nobody could take anything out of quarantine by hand.

--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -76,6 +76,8 @@
         HubCall::StartRollout(order) => super::rollouts::order(state, order).await,
         HubCall::ReadRollout(service) => super::rollouts::read(state, &service).await,
         HubCall::Evacuate(order) => super::evacuations::order(state, order).await,
+        HubCall::ReadQuarantine => super::quarantine::read(state).await,
+        HubCall::ReleasePart(part) => super::quarantine::release_part(state, part).await,
         HubCall::Introduce(hosts) => Ok(add_known_hosts(&state.borrow(), hosts)),
     }
 }
--- a/crates/curlewlift/src/gateway/leader_calls.rs
+++ b/crates/curlewlift/src/gateway/leader_calls.rs
@@ -7,6 +7,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::evacuation;
 use curlewlift_core::id;
+use curlewlift_core::quarantine;
 use curlewlift_core::rollout::Order;
 use curlewlift_core::rollout::Phase;
 use curlewlift_core::rollout::Version;
@@ -111,6 +112,37 @@
     }
 }
 
+/// Reads the list of requests and parts of prompts in quarantine from the leader.
+///
+/// # Errors
+///
+/// [`Code::Unreachable`] if no replica is certain to lead.
+pub(crate) async fn quarantined(
+    node: &Node,
+    environment: &Environment,
+) -> Result<quarantine::List, Refusal> {
+    match call_leader(node, environment, HubCall::ReadQuarantine).await? {
+        HubReply::Quarantine(list) => Ok(*list),
+        _ => Err(no_leader()),
+    }
+}
+
+/// Orders the release of a part of prompts from quarantine; returns once that is committed.
+///
+/// # Errors
+///
+/// [`Code::Unknown`] if the part is not on the list, and [`Code::Unreachable`] if no replica is certain to lead.
+pub(crate) async fn release_part(
+    node: &Node,
+    environment: &Environment,
+    part: quarantine::Part,
+) -> Result<(), Refusal> {
+    match call_leader(node, environment, HubCall::ReleasePart(part)).await? {
+        HubReply::OrderAccepted => Ok(()),
+        _ => Err(no_leader()),
+    }
+}
+
 /// Calls the leader within [`CALL_TIMEOUT`].
 async fn call_leader(
     node: &Node,
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -13,6 +13,7 @@
 mod http;
 mod instances;
 mod operator;
+mod quarantine;
 mod rollouts;
 mod settings;
 mod start;
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -1,4 +1,5 @@
-//! The operators' calls: put a configuration, get the newest one, start a roll-out, evacuate a data hall.
+//! The operators' calls: put a configuration, get the newest one, start a roll-out, evacuate a data hall, read and release
+//! what is in quarantine.
 
 use std::rc::Rc;
 
@@ -26,6 +27,7 @@
 use super::document;
 use super::evacuations;
 use super::http;
+use super::quarantine;
 use super::rollouts;
 
 /// Responds to an operator's request.
@@ -47,6 +49,10 @@
         (&Method::GET, _) if let Some(service) = rollouts::service_from_path(path) => {
             rollouts::get(&node, &environment, &service).await
         }
+        (&Method::GET, quarantine::PATH) => quarantine::read(&node, &environment).await,
+        (&Method::DELETE, _) if let Some(part) = quarantine::part_from_path(path) => {
+            quarantine::release(&node, &environment, part).await
+        }
         _ => http::empty(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -10,6 +10,7 @@
 use curlewlift_core::id;
 use curlewlift_core::publication;
 use curlewlift_core::publication::PayloadId;
+use curlewlift_core::quarantine;
 use curlewlift_core::quarantine::Rejection;
 use curlewlift_core::queue::Report;
 use curlewlift_core::quota::Charge;
@@ -71,6 +72,10 @@
     ReadRollout(id::Service),
     /// Orders the start or the end of the evacuation of a data hall.
     Evacuate(evacuation::Order),
+    /// Reads the list of requests and parts of prompts in quarantine.
+    ReadQuarantine,
+    /// Orders the release of a part of prompts from quarantine.
+    ReleasePart(quarantine::Part),
     /// Asks a gateway to lend a slot of its share, as the hub does not reply. The reply comes once there is one or the
     /// wait limit is reached.
     BorrowSlot(Box<gateway::SlotRequest>),
@@ -115,6 +120,8 @@
     SlotLent(Option<(u64, gateway::Server)>),
     /// The target and phase of the last rollout, or none if none was ordered.
     Rollout(Option<(rollout::Version, rollout::Phase)>),
+    /// The list of requests and parts of prompts in quarantine.
+    Quarantine(Box<quarantine::List>),
     /// This process does not lead. `leader` may be the leader; the hosts in `control` run control
     /// replicas; `newest_table` is the newest routing table that it knows to be committed.
     NotLeader {
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -358,6 +358,15 @@
         down_until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Crashes if a caller closed the connection before its response was complete since the last call.
+    pub(crate) fn restart_if_abandoned(&self) {
+        let abandoned =
+            std::mem::take(&mut *self.abandoned.lock().expect("the lock is not poisoned"));
+        if abandoned > 0 {
+            self.crash();
+        }
+    }
+
     /// Returns how many callers closed the connection before their response was complete.
     pub(crate) fn abandoned_count(&self) -> u32 {
         *self.abandoned.lock().expect("the lock is not poisoned")
--- a/crates/curlewlift/tests/platform_crashing_parts.rs
+++ b/crates/curlewlift/tests/platform_crashing_parts.rs
@@ -17,6 +17,7 @@
 use platform::entry;
 use platform::folder;
 use platform::send_request;
+use platform::wait;
 
 /// How many servers may crash under requests with one part: five, and three trials.
 const MAX_CRASHES: u64 = 5 + 3;
@@ -66,6 +67,28 @@
         send_request(self.hosts.callers(host), &head, "question")
     }
 
+    /// Sends requests to the hosts in turn under which servers crash, until the part [`BAD`] is quarantined.
+    fn quarantine(&self) {
+        for round in 0..5 {
+            self.ask(round % 3, &[SHARED, BAD], "crash");
+            self.restore_engines();
+        }
+        assert_eq!(self.crashes(), 5);
+        let answer = self.ask(0, &[SHARED, BAD], "answer");
+        assert!(is_quarantined(&answer), "{}", answer.body);
+    }
+
+    /// Sends a call of an operator to a host, again while no leader is confirmed.
+    fn call(&self, host: usize, call: &str) -> Answer {
+        let head = format!("{call} HTTP/1.1\r\nHost: x");
+        let mut answer = Answer::default();
+        wait("a leader responds to the call", || {
+            answer = send_request(self.hosts.control(host), &head, "");
+            answer.status != 503
+        });
+        answer
+    }
+
     /// Puts all servers on the list again, and waits until crashed ones run again.
     fn restore_engines(&self) {
         let entries = self.engines.iter();
@@ -74,12 +97,27 @@
         std::thread::sleep(RECOVERY_TIME);
     }
 
+    /// Replaces the servers that abandoned a request by other instances, on the list as well.
+    fn restart_silent(&self) {
+        for engine in &self.engines {
+            engine.restart_if_abandoned();
+        }
+        self.restore_engines();
+    }
+
     /// The number of servers that have crashed under a request.
     fn crashes(&self) -> u64 {
         self.engines.iter().map(Engine::crash_count).sum()
     }
 }
 
+/// Whether a request was rejected as a part of its prompt is in quarantine.
+fn is_quarantined(answer: &Answer) -> bool {
+    answer.status == 503
+        && answer.body.contains("\"code\":4007,")
+        && answer.header("retry-after").is_some()
+}
+
 /// The requests come one after the other, at all hosts in turn.
 #[test]
 fn unlike_requests() {
@@ -96,3 +134,87 @@
         deployment.crashes()
     );
 }
+
+/// The quarantine is still known after all hosts were killed and another hub leads; sound requests are served.
+#[test]
+fn after_restart() {
+    let mut deployment = Deployment::start("parts_after_restart");
+    deployment.quarantine();
+    for host in deployment.hosts.indices() {
+        deployment.hosts.kill(host);
+    }
+    for host in deployment.hosts.indices() {
+        deployment.hosts.boot(host, false);
+    }
+    wait("all hosts are ready", || {
+        let mut hosts = deployment.hosts.indices();
+        hosts.all(|host| deployment.hosts.is_ready(host))
+    });
+    for round in 0..9 {
+        deployment.ask(round % 3, &[SHARED, BAD], "crash");
+        deployment.restore_engines();
+    }
+    assert!(
+        deployment.crashes() <= MAX_CRASHES,
+        "{} servers crashed",
+        deployment.crashes()
+    );
+    let sound = deployment.ask(1, &[SHARED], "answer");
+    assert_eq!(sound.status, 200, "{}", sound.body);
+}
+
+/// A host that cannot reach the hub sends no request with the part, and serves others.
+#[test]
+fn hub_unreachable() {
+    let mut deployment = Deployment::start("parts_hub_unreachable");
+    deployment.quarantine();
+    deployment.hosts.kill(0);
+    deployment.hosts.kill(1);
+    wait("the host decides without the hub", || {
+        deployment.ask(2, &[], "answer").status == 200
+    });
+    for _ in 0..4 {
+        let answer = deployment.ask(2, &[BAD], "crash");
+        assert!(is_quarantined(&answer), "{}", answer.body);
+        assert_eq!(deployment.ask(2, &[], "answer").status, 200);
+    }
+    assert_eq!(deployment.crashes(), 5);
+}
+
+/// Operators read what is in quarantine at any host, and release a part.
+#[test]
+fn operators() {
+    let deployment = Deployment::start("parts_operators");
+    let empty = deployment.call(2, "GET /quarantine");
+    assert_eq!(empty.body, "{\"parts\":[],\"requests\":[]}");
+    assert_eq!(
+        deployment.call(1, "DELETE /quarantine/parts/bad0").status,
+        404
+    );
+    deployment.quarantine();
+    let listed = deployment.call(1, "GET /quarantine").body;
+    let is_listed = listed.contains("\"part\":\"bad0\"") && listed.contains("\"quarantined\":true");
+    assert!(is_listed, "{listed}");
+    assert_eq!(
+        deployment.call(1, "DELETE /quarantine/parts/bad0").status,
+        200
+    );
+    let answer = deployment.ask(0, &[BAD], "answer");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+/// The servers fall silent instead of breaking off, and are gone from the list before they are back.
+#[test]
+fn silent_servers() {
+    let deployment = Deployment::start("parts_silent_servers");
+    let mut rejected = false;
+    for round in 0..8 {
+        let answer = deployment.ask(round % 3, &[SHARED, BAD], "hang");
+        rejected |= is_quarantined(&answer);
+        // Another instance of the server that had the request is on the list.
+        deployment.restart_silent();
+        let sound = deployment.ask(round % 3, &[SHARED], "answer");
+        assert_eq!(sound.status, 200, "round {round}: {}", sound.body);
+    }
+    assert!(rejected, "the part was not quarantined");
+}
