Tell callers of suspected parts to retry soon where no hub decides

A host without a hub rejected requests with a part under which two servers had crashed like those with a quarantined one, with 30 s to wait, though the next answer may clear it. A request that waits for a trial asks the hub ten times a second instead of twenty.

--- a/crates/core/src/quarantine/local.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -7,6 +7,7 @@
 use crate::clock::Instant;
 
 use super::CRASHES_TO_COMMIT;
+use super::CRASHES_TO_QUARANTINE_PART;
 use super::Effect;
 use super::Evidence;
 use super::Features;
@@ -86,11 +87,14 @@
         if crashed.len() >= CRASHES_TO_COMMIT {
             return Err(Rejection::Quarantined);
         }
-        let is_suspect = |part: &Part| self.accounts.crash_count(*part) >= CRASHES_TO_COMMIT;
-        if features.parts.iter().any(is_suspect) {
-            return Err(Rejection::PartQuarantined);
+        let crashes = features.parts.iter();
+        let crashes = crashes.map(|part| self.accounts.crash_count(*part)).max();
+        match crashes.unwrap_or(0) {
+            CRASHES_TO_QUARANTINE_PART.. => Err(Rejection::PartQuarantined),
+            // It may be sound, and the hub soon knows.
+            CRASHES_TO_COMMIT.. => Err(Rejection::PartInTrial),
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// Returns whether the list withholds a request from servers with this software.
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -24,7 +24,7 @@
 const HUB_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Interval at which a request asks again whose prompt has a part that another request is about to show to be sound.
-const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// For how long such a request asks: a trial shows after a second that a part is sound.
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(2);
