--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -54,11 +54,16 @@
 }
 
 impl PartCase {
+    /// Whether enough servers have crashed.
+    #[must_use]
+    pub fn is_quarantined(&self) -> bool {
+        self.crashed_servers.len() >= CRASHES_TO_QUARANTINE_PART
+    }
+
     /// Whether requests with the part are not sent to servers with this software, but for trials.
     #[must_use]
     pub fn withholds(&self, software: &Software) -> bool {
-        self.crashed_servers.len() >= CRASHES_TO_QUARANTINE_PART
-            && !self.sound_software.contains(software)
+        self.is_quarantined() && !self.sound_software.contains(software)
     }
 }
 
--- a/crates/core/src/quarantine/local.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -69,7 +69,7 @@
 }
 
 impl LocalTracker {
-    /// Decides whether a request may be sent to a server with this software without the hub's decision.
+    /// Decides whether a request may be sent without the hub's decision.
     ///
     /// Load pattern: a request crashes servers while no hub answers for seconds, or requests with one part do. What one
     /// more crash would put into quarantine waits for the hub. A request or part that this gateway does not know of
@@ -87,9 +87,9 @@
         if crashed.len() >= CRASHES_TO_COMMIT {
             return Err(Rejection::Quarantined);
         }
-        let crashes = features.parts.iter();
-        let crashes = crashes.map(|part| self.accounts.crash_count(*part)).max();
-        match crashes.unwrap_or(0) {
+        let counts = features.parts.iter();
+        let counts = counts.map(|part| self.accounts.crash_count(*part));
+        match counts.max().unwrap_or(0) {
             CRASHES_TO_QUARANTINE_PART.. => Err(Rejection::PartQuarantined),
             // It may be sound, and the hub soon knows.
             CRASHES_TO_COMMIT.. => Err(Rejection::PartInTrial),
@@ -107,6 +107,15 @@
         cases.any(|case| case.withholds(software))
     }
 
+    /// Returns the parts of a request that are in quarantine by the list.
+    #[must_use]
+    pub fn quarantined_parts(&self, features: &Features) -> Vec<Part> {
+        let cases = features.parts.iter();
+        let cases = cases.filter_map(|part| self.list.get_part(*part));
+        let quarantined = cases.filter(|case| case.is_quarantined());
+        quarantined.map(|case| case.part).collect()
+    }
+
     /// Returns the version of the list stored here.
     #[must_use]
     pub fn get_version(&self) -> u64 {
--- a/crates/core/src/quarantine/tracker.rs
+++ b/crates/core/src/quarantine/tracker.rs
@@ -9,7 +9,6 @@
 use serde::Serialize;
 
 use crate::clock::Instant;
-
 use crate::id;
 use crate::rollout::Version;
 
@@ -21,17 +20,17 @@
 use super::Identity;
 use super::List;
 use super::Observation;
-use super::PROBATION;
 use super::Part;
 use super::PartCase;
 use super::Step;
-use super::account::Charge;
 use super::accounts::Accounts;
 use super::accounts::Verdict;
 use super::list::MAX_CASES;
 use super::list::MAX_CASES_PER_CUSTOMER;
 use super::silence::Silences;
 
+mod parts;
+
 /// How long after the last crash a quarantined request may be tried once. Its service may have been fixed, or the
 /// three servers may have crashed for other reasons.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(30);
@@ -221,28 +220,6 @@
         self.apply_parts(list, now);
     }
 
-    /// Applies the parts on the committed list: takes over what was committed by others, such as earlier hubs and operators.
-    fn apply_parts(&mut self, list: &List, now: Instant) {
-        let committed: BTreeMap<_, _> =
-            list.parts().map(|case| (case.part, case.clone())).collect();
-        for (part, case) in &committed {
-            let is_own = self.proposed_parts.get(part) == Some(&Some(case.clone()));
-            if !is_own && self.committed_parts.get(part) != Some(case) {
-                self.accounts.merge(case, now);
-            }
-            self.accounts.set_committed_trials(*part, case.trials);
-        }
-        let released = self.committed_parts.keys();
-        let released = released.filter(|part| !committed.contains_key(part));
-        for part in released {
-            if self.proposed_parts.get(part) != Some(&None) {
-                self.accounts.close(*part);
-            }
-        }
-        self.committed_parts = committed;
-        self.proposed_parts.clear();
-    }
-
     /// Decides whether a request for `service` may be sent to a server; `time_left` is how much longer it may take.
     pub fn decide(
         &mut self,
@@ -338,60 +315,6 @@
         self.charge_parts(observation, server, now) || is_new
     }
 
-    /// Records that a server is gone from the list without having left it by plan. Returns the features of requests under
-    /// which it had fallen silent, if fewer of them may be sent than before.
-    pub fn record_gone(&mut self, server: &Arc<str>, now: Instant) -> Vec<Features> {
-        let mut affected = Vec::new();
-        for observation in self.silences.record_gone(server, now) {
-            if self.record_crash_of(server, &observation, now) {
-                affected.push(observation.features);
-            }
-        }
-        affected
-    }
-
-    /// Charges a crash to the parts of a request, unless its response had been arriving for long. Returns whether one of
-    /// them is quarantined by that.
-    fn charge_parts(&mut self, observation: &Observation, server: &Arc<str>, now: Instant) -> bool {
-        let was_answered = observation
-            .answered_for
-            .is_some_and(|time| time >= PROBATION);
-        if was_answered || observation.features.parts.is_empty() {
-            return false;
-        }
-        let charge = Charge {
-            software: observation.software.clone(),
-            began: observation.began(now),
-            crashed: Some(now),
-        };
-        self.is_dirty = true;
-        self.accounts
-            .charge(&observation.features, server, &charge, now)
-    }
-
-    fn record_answer(&mut self, observation: &Observation, now: Instant) {
-        let (parts, began) = (&observation.features.parts, observation.began(now));
-        let is_known = |part: &Part| self.accounts.contains(*part);
-        if parts.iter().any(is_known) {
-            self.is_dirty = true;
-            self.accounts.answer(parts, &observation.software, began);
-        }
-    }
-
-    /// Returns whether a quarantined part of prompts explains the crash of a server of `version`, so that it says nothing
-    /// about the version.
-    #[must_use]
-    pub fn explains(&self, server: &str, version: &Version) -> bool {
-        self.accounts.explains(server, version)
-    }
-
-    /// Returns how many servers are known to have crashed under requests with a part, as far as no later answer refutes
-    /// it.
-    #[must_use]
-    pub fn part_crash_count(&self, part: Part) -> usize {
-        self.accounts.crash_count(part)
-    }
-
     /// Returns how many servers are known to have crashed under a request.
     #[must_use]
     pub fn crash_count(&self, identity: &Identity) -> usize {
@@ -474,25 +397,6 @@
         steps
     }
 
-    /// The changes of parts on the list.
-    fn propose_parts(&mut self) -> Vec<Step> {
-        let cases = self.accounts.to_cases(CRASHES_TO_COMMIT);
-        let released = self.committed_parts.keys();
-        let released = released.filter(|part| !cases.contains_key(part));
-        self.proposed_parts = released.map(|part| (*part, None)).collect();
-        for (part, case) in cases {
-            if self.committed_parts.get(&part) != Some(&case) {
-                self.proposed_parts.insert(part, Some(case));
-            }
-        }
-        let steps = self.proposed_parts.iter();
-        let steps = steps.map(|(part, case)| match case {
-            Some(case) => Step::PutPart(case.clone()),
-            None => Step::ReleasePart(*part),
-        });
-        steps.collect()
-    }
-
     fn release_expired(&mut self, now: Instant) {
         if now.since(self.last_scan) < EXPIRY_SCAN_INTERVAL {
             return;
--- /dev/null
+++ b/crates/core/src/quarantine/tracker/parts.rs
@@ -0,0 +1,120 @@
+//! How the tracker handles parts of prompts.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::clock::Instant;
+use crate::quarantine::CRASHES_TO_COMMIT;
+use crate::quarantine::Features;
+use crate::quarantine::List;
+use crate::quarantine::Observation;
+use crate::quarantine::PROBATION;
+use crate::quarantine::Part;
+use crate::quarantine::Step;
+use crate::quarantine::account::Charge;
+use crate::rollout::Version;
+
+use super::Tracker;
+
+/// # Parts of prompts
+impl Tracker {
+    /// Applies the parts on the committed list: takes over what was committed by others, such as earlier hubs and operators.
+    pub(super) fn apply_parts(&mut self, list: &List, now: Instant) {
+        let committed: BTreeMap<_, _> =
+            list.parts().map(|case| (case.part, case.clone())).collect();
+        for (part, case) in &committed {
+            let is_own = self.proposed_parts.get(part) == Some(&Some(case.clone()));
+            if !is_own && self.committed_parts.get(part) != Some(case) {
+                self.accounts.merge(case, now);
+            }
+            self.accounts.set_committed_trials(*part, case.trials);
+        }
+        let released = self.committed_parts.keys();
+        let released = released.filter(|part| !committed.contains_key(part));
+        for part in released {
+            if self.proposed_parts.get(part) != Some(&None) {
+                self.accounts.close(*part);
+            }
+        }
+        self.committed_parts = committed;
+        self.proposed_parts.clear();
+    }
+
+    /// Records that a server is gone from the list without having left it by plan. Returns the features of requests under
+    /// which it had fallen silent, if fewer of them may be sent than before.
+    pub fn record_gone(&mut self, server: &Arc<str>, now: Instant) -> Vec<Features> {
+        let mut affected = Vec::new();
+        for observation in self.silences.record_gone(server, now) {
+            if self.record_crash_of(server, &observation, now) {
+                affected.push(observation.features);
+            }
+        }
+        affected
+    }
+
+    /// Charges a crash to the parts of a request, unless its response had been arriving for long. Returns whether one of
+    /// them is quarantined by that.
+    pub(super) fn charge_parts(
+        &mut self,
+        observation: &Observation,
+        server: &Arc<str>,
+        now: Instant,
+    ) -> bool {
+        let was_answered = observation
+            .answered_for
+            .is_some_and(|time| time >= PROBATION);
+        if was_answered || observation.features.parts.is_empty() {
+            return false;
+        }
+        let charge = Charge {
+            software: observation.software.clone(),
+            began: observation.began(now),
+            crashed: Some(now),
+        };
+        self.is_dirty = true;
+        self.accounts
+            .charge(&observation.features, server, &charge, now)
+    }
+
+    pub(super) fn record_answer(&mut self, observation: &Observation, now: Instant) {
+        let (parts, began) = (&observation.features.parts, observation.began(now));
+        let is_known = |part: &Part| self.accounts.contains(*part);
+        if parts.iter().any(is_known) {
+            self.is_dirty = true;
+            self.accounts.answer(parts, &observation.software, began);
+        }
+    }
+
+    /// Returns whether a quarantined part of prompts explains the crash of a server of `version`, so that it says nothing
+    /// about the version.
+    #[must_use]
+    pub fn explains(&self, server: &str, version: &Version) -> bool {
+        self.accounts.explains(server, version)
+    }
+
+    /// Returns how many servers are known to have crashed under requests with a part, as far as no later answer refutes
+    /// it.
+    #[must_use]
+    pub fn part_crash_count(&self, part: Part) -> usize {
+        self.accounts.crash_count(part)
+    }
+
+    /// The changes of parts on the list.
+    pub(super) fn propose_parts(&mut self) -> Vec<Step> {
+        let cases = self.accounts.to_cases(CRASHES_TO_COMMIT);
+        let released = self.committed_parts.keys();
+        let released = released.filter(|part| !cases.contains_key(part));
+        self.proposed_parts = released.map(|part| (*part, None)).collect();
+        for (part, case) in cases {
+            if self.committed_parts.get(&part) != Some(&case) {
+                self.proposed_parts.insert(part, Some(case));
+            }
+        }
+        let steps = self.proposed_parts.iter();
+        let steps = steps.map(|(part, case)| match case {
+            Some(case) => Step::PutPart(case.clone()),
+            None => Step::ReleasePart(*part),
+        });
+        steps.collect()
+    }
+}
--- a/crates/curlewlift/src/control/quarantine.rs
+++ b/crates/curlewlift/src/control/quarantine.rs
@@ -8,7 +8,6 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
-use curlewlift_core::quarantine::CRASHES_TO_QUARANTINE_PART;
 use curlewlift_core::quarantine::Part;
 use curlewlift_core::quarantine::PartCase;
 use curlewlift_core::quarantine::Step;
@@ -75,7 +74,7 @@
 
 /// The event of a part of prompts under which servers crashed.
 fn part_event(case: &PartCase) -> Line {
-    let kind = if case.crashed_servers.len() >= CRASHES_TO_QUARANTINE_PART {
+    let kind = if case.is_quarantined() {
         Kind::PartQuarantined
     } else {
         Kind::PartSuspected
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -213,9 +213,12 @@
     /// The refusal of a request with a part in its prompt under which backend servers crashed. It is not to be retried
     /// before its parts are tried again.
     fn part_refusal(&self) -> Refused {
-        let parts = self.admitted.features.parts_text().unwrap_or_default();
+        let quarantine = self.node.quarantine.borrow();
+        let parts = quarantine.quarantined_parts(&self.admitted.features);
+        let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
         let reason = format!(
-            "backend servers crashed under requests with a part of this prompt ({parts}), and it is quarantined"
+            "backend servers crashed under requests with a part of this prompt, which is quarantined: {}",
+            parts.join(",")
         );
         Refused::new(Code::PartQuarantined, reason).with_retry_after(FIRST_TRIAL_DELAY)
     }
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -311,7 +311,7 @@
         } = response_start;
         let outcome = complete_outcome(head.status, first_byte, None);
         let failed = outcome == AttemptOutcome::Failed;
-        slot.set_completed(outcome);
+        slot.set_completed(outcome, head.status);
         drop(slot);
         if failed && self.may_run_again() {
             self.failed_response = Some((head, body));
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -307,7 +307,8 @@
         if let Some(slot) = &mut self.slot {
             let times = self.timer.as_ref().and_then(StreamTimer::times);
             let answered = forward::complete_outcome(self.status, self.first_byte, gap);
-            slot.set_completed(times.map_or(answered, AttemptOutcome::Streamed));
+            let outcome = times.map_or(answered, AttemptOutcome::Streamed);
+            slot.set_completed(outcome, self.status);
         }
         self.slot = None;
         let line = self
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::http::StatusCode;
 use curlewlift_core::clock;
 use curlewlift_core::event::Kind;
 use curlewlift_core::gateway::AttemptEnd;
@@ -75,8 +76,8 @@
     load: Option<ReportedLoad>,
     /// Whether the server crashed under the request.
     crashed: bool,
-    /// Whether the server sent its whole response.
-    completed: bool,
+    /// The status of the response, if the server sent it whole.
+    completed: Option<StatusCode>,
     /// The prompt's length until the response begins; none afterwards.
     unread_prompt: Option<Tokens>,
     outcome: AttemptOutcome,
@@ -109,7 +110,7 @@
             sent_at: None,
             load: None,
             crashed: false,
-            completed: false,
+            completed: None,
             unread_prompt: Some(prompt),
             outcome: AttemptOutcome::Unknown,
         }
@@ -216,9 +217,8 @@
                 .write();
             metrics::counter!("curlewlift_servers_ended").increment(1);
             quarantine.record_crash(self.attempt(), server, now);
-        } else if self.completed {
-            let is_success = self.outcome != AttemptOutcome::Failed;
-            quarantine.record_completion(self.attempt(), is_success, now);
+        } else if let Some(status) = self.completed {
+            quarantine.record_completion(self.attempt(), status.is_success(), now);
         } else if self.is_silent(now) {
             quarantine.record_silence(self.attempt(), server, now);
         } else if self.permit().is_some() && self.sent_at.is_some() {
@@ -307,10 +307,10 @@
         self.outcome = outcome;
     }
 
-    /// The server sent its whole response; `outcome` is reported when the slot is released.
-    pub(super) fn set_completed(&mut self, outcome: AttemptOutcome) {
+    /// The server sent its whole response, with this status; `outcome` is reported when the slot is released.
+    pub(super) fn set_completed(&mut self, outcome: AttemptOutcome, status: StatusCode) {
         self.outcome = outcome;
-        self.completed = true;
+        self.completed = Some(status);
     }
 
     /// Records that the server has been silent for longer than its load can explain, unless its path is lost.
--- a/crates/curlewlift/src/platform/quarantine.rs
+++ b/crates/curlewlift/src/platform/quarantine.rs
@@ -2,7 +2,6 @@
 
 use axum::http::StatusCode;
 use curlewlift_core::event::Kind;
-use curlewlift_core::quarantine::CRASHES_TO_QUARANTINE_PART;
 use curlewlift_core::quarantine::Case;
 use curlewlift_core::quarantine::Part;
 use curlewlift_core::quarantine::PartCase;
@@ -49,7 +48,7 @@
         "part": case.part.to_string(),
         "customer": case.owner,
         "several_customers": case.is_shared,
-        "quarantined": case.crashed_servers.len() >= CRASHES_TO_QUARANTINE_PART,
+        "quarantined": case.is_quarantined(),
         "crashed_servers": crashed.collect::<serde_json::Map<_, _>>(),
         "answered_by": sound.collect::<Vec<_>>(),
         "trials": case.trials,
--- a/crates/curlewlift/tests/platform_crashing_parts.rs
+++ b/crates/curlewlift/tests/platform_crashing_parts.rs
@@ -115,6 +115,7 @@
 fn is_quarantined(answer: &Answer) -> bool {
     answer.status == 503
         && answer.body.contains("\"code\":4007,")
+        && answer.body.contains("bad0")
         && answer.header("retry-after").is_some()
 }
 
