--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -37,6 +37,7 @@
 use super::received::Limited;
 use super::received::RESPONSE_BUFFER_BYTES;
 use super::received::Received;
+use super::received::Stalled;
 use super::slot::Slot;
 
 /// Maximum time for establishing a connection.
@@ -86,6 +87,22 @@
     DeadlinePassed,
 }
 
+impl From<Stalled> for Failure {
+    fn from(stalled: Stalled) -> Self {
+        Self::Unknown(stalled.to_string())
+    }
+}
+
+impl From<hyper::Error> for Failure {
+    fn from(error: hyper::Error) -> Self {
+        if received::is_no_response(&error) {
+            Self::Unknown(error.to_string())
+        } else {
+            Self::ConnectionLost(error.to_string())
+        }
+    }
+}
+
 /// How a server marks the end of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Framing {
@@ -164,7 +181,7 @@
     let response = tokio::select! {
         biased;
         response = await_head(&mut sender, request, &slot, until, silence_limit) => response,
-        failure = connection.received.wait_for_stall() => Err(failure),
+        stalled = connection.received.wait_for_stall() => Err(stalled.into()),
     };
     match response {
         Ok(response) => Ok(response_start(
@@ -234,7 +251,7 @@
         let response = tokio::time::timeout_at(until, response).await;
         response.map_err(|_| Failure::DeadlinePassed)?
     };
-    response.map_err(|error| received::failure(&error))
+    response.map_err(Failure::from)
 }
 
 /// Tells whether a connection was lost by the fault of the server of `slot`, or of this host's path to it.
@@ -358,7 +375,7 @@
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
-                failure = self.connection.received.wait_for_stall() => return Err(failure),
+                stalled = self.connection.received.wait_for_stall() => return Err(stalled.into()),
                 () = tokio::time::sleep_until(until) => return Err(Failure::DeadlinePassed),
             };
             match frame {
@@ -371,7 +388,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    return Err(explain(received::failure(&error), &self.slot).await);
+                    return Err(explain(error.into(), &self.slot).await);
                 }
                 None if is_at_boundary(events.as_mut(), &[]) => return Ok(Some(body.freeze())),
                 None => return Err(Failure::EndedInEvent),
--- a/crates/curlewlift/src/gateway/received.rs
+++ b/crates/curlewlift/src/gateway/received.rs
@@ -4,6 +4,7 @@
 //! link allows or slowly. Without a limit they would occupy the slot, the memory and the caller until the deadline.
 
 use std::error::Error;
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -21,8 +22,6 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::exchange::Failure;
-
 /// The size of the buffer for a response, and thereby of its head, in bytes.
 pub(super) const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
 
@@ -35,6 +34,16 @@
 /// How often a task yields until the tasks of connections have read what has arrived.
 const YIELDS_TO_READ: usize = 3;
 
+/// The server did not complete in time what it had begun to send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Stalled;
+
+impl fmt::Display for Stalled {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the server did not complete what it had begun to send")
+    }
+}
+
 /// What has arrived over a connection and is not part of a response yet.
 #[derive(Debug, Default)]
 pub(super) struct Received {
@@ -90,7 +99,7 @@
     }
 
     /// Waits until something has been incomplete for too long.
-    pub(super) async fn wait_for_stall(&self) -> Failure {
+    pub(super) async fn wait_for_stall(&self) -> Stalled {
         loop {
             let since = self.state().incomplete_since;
             let Some(since) = since else {
@@ -103,8 +112,7 @@
                 tokio::task::yield_now().await;
             }
             if self.state().incomplete_since == Some(since) {
-                let reason = "the server did not complete what it had begun to send";
-                return Failure::Unknown(reason.to_owned());
+                return Stalled;
             }
         }
     }
@@ -158,15 +166,9 @@
     }
 }
 
-/// The failure that an error of a connection stands for: the server sent bytes that are no response, or the connection was
-/// lost.
-pub(super) fn failure(error: &hyper::Error) -> Failure {
-    let reason = error.to_string();
-    if error.is_parse() || has_invalid_data(error) {
-        Failure::Unknown(reason)
-    } else {
-        Failure::ConnectionLost(reason)
-    }
+/// Whether a connection failed as the server sent bytes that are no response.
+pub(super) fn is_no_response(error: &hyper::Error) -> bool {
+    error.is_parse() || has_invalid_data(error)
 }
 
 fn has_invalid_data(error: &hyper::Error) -> bool {
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -31,7 +31,6 @@
 use super::held_bytes::STREAM_BYTES;
 use super::log::Line;
 use super::log::millis;
-use super::received;
 use super::slot::Slot;
 use super::stream_timer::StreamTimer;
 
@@ -216,7 +215,7 @@
             return Ok(Some(begun));
         }
         while let Some(frame) = self.next_frame().await? {
-            let frame = frame.map_err(|error| received::failure(&error))?;
+            let frame = frame?;
             if let Ok(data) = frame.into_data() {
                 if let Some(slot) = &mut self.slot {
                     slot.record_data();
@@ -236,7 +235,7 @@
         tokio::select! {
             biased;
             frame = self.body.frame() => Ok(frame),
-            failure = received.wait_for_stall() => Err(failure),
+            stalled = received.wait_for_stall() => Err(stalled.into()),
         }
     }
 
