Decide in one place which crashes are charged to parts

The hub and the gateway each checked whether a response had been arriving for too long for its request to be the cause of a crash; Observation::to_charge does it for both. A crash after the request was completed is one observation instead of two: the hub and the evidence release the request by CrashedParts itself. The unused result of Account::charge and the second look-up before an answer are gone, and a slot no longer copies an attempt to tell the software of its server.

--- a/crates/core/src/quarantine/account.rs
+++ b/crates/core/src/quarantine/account.rs
@@ -98,27 +98,26 @@
         }
     }
 
-    /// Charges a crash, unless a later answer refutes it; returns whether the server is new.
+    /// Charges a crash, unless a later answer refutes it.
     pub(super) fn charge(
         &mut self,
         server: &Arc<str>,
         charge: Charge,
         customer: Option<&id::Customer>,
         now: Instant,
-    ) -> bool {
+    ) {
         let answered = self.answered.get(&charge.software);
         if answered.is_some_and(|answered| *answered > charge.began) {
-            return false;
+            return;
         }
         self.is_shared |= self.owner.as_ref() != customer;
         self.last_crash = now;
         if let Some(known) = self.charges.get_mut(server) {
             // The request that began last is the one that may have crashed the server.
             known.began = known.began.max(charge.began);
-            return false;
+        } else {
+            self.charges.insert(Arc::clone(server), charge);
         }
-        self.charges.insert(Arc::clone(server), charge);
-        true
     }
 
     /// Records that `software` began to answer a request with the part at `began`, and did not crash.
--- a/crates/core/src/quarantine/accounts.rs
+++ b/crates/core/src/quarantine/accounts.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::id;
@@ -23,9 +22,6 @@
 /// How many accounts of one customer are kept: the parts of a longest prompt.
 const MAX_ACCOUNTS_PER_CUSTOMER: usize = super::MAX_PARTS;
 
-/// How long the response to a request must have been arriving for the request not to be the cause of its server's crash.
-pub const PROBATION: Duration = Duration::from_secs(1);
-
 /// Whether a request may be sent, as far as the parts of its prompt are concerned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Verdict {
@@ -73,16 +69,19 @@
         is_quarantined
     }
 
-    /// Records that requests with these parts were answered.
-    pub(super) fn answer(&mut self, parts: &[Part], software: &Software, began: Instant) {
+    /// Records that requests with these parts were answered; returns whether there is an account of one of them.
+    pub(super) fn answer(&mut self, parts: &[Part], software: &Software, began: Instant) -> bool {
+        let mut is_known = false;
         for part in parts {
             if let Some(account) = self.accounts.get_mut(part) {
+                is_known = true;
                 account.answer(software, began);
                 if account.charges.is_empty() {
                     self.close(*part);
                 }
             }
         }
+        is_known
     }
 
     /// Decides whether a request for `service` may be sent.
@@ -205,11 +204,6 @@
         account.map_or(0, |account| account.charges.len())
     }
 
-    /// Whether there is an account of the part.
-    pub(super) fn contains(&self, part: Part) -> bool {
-        self.accounts.contains_key(&part)
-    }
-
     /// Whether a quarantined part explains the crash of a server of `version`: servers of other versions crashed under it
     /// as well.
     pub(super) fn explains(&self, server: &str, version: &Version) -> bool {
--- a/crates/core/src/quarantine/answers.rs
+++ b/crates/core/src/quarantine/answers.rs
@@ -11,7 +11,7 @@
 
 /// How many parts are remembered, at some 150 bytes each. When there are more, the customer with the most loses its oldest
 /// one.
-const MAX_PARTS: usize = 2_048;
+const MAX_ANSWERED_PARTS: usize = 2_048;
 
 /// When the last requests with each part were answered, and by which software.
 ///
@@ -51,7 +51,7 @@
     }
 
     fn make_room(&mut self) {
-        if self.answered.len() < MAX_PARTS {
+        if self.answered.len() < MAX_ANSWERED_PARTS {
             return;
         }
         let customers = self.by_customer.iter_mut();
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -13,6 +13,10 @@
 use super::Features;
 use super::Identity;
 use super::Software;
+use super::account::Charge;
+
+/// How long the response to a request must have been arriving for the request not to be the cause of its server's crash.
+pub const PROBATION: Duration = Duration::from_secs(1);
 
 /// How long an observation is kept to be reported to a new hub: several changes of the hub.
 const OBSERVATION_RETENTION: Duration = Duration::from_mins(1);
@@ -26,7 +30,7 @@
 pub enum Effect {
     /// The server, identified by its incarnation, crashed under the request.
     Crashed(Arc<str>),
-    /// The same, and the request is known not to have been the cause, but its parts may have been.
+    /// The same, but the request had been completed before, so that only its parts may be the cause.
     CrashedParts(Arc<str>),
     /// The server sent nothing for long, and the attempt ended. If it is gone from the server list, it has crashed.
     Silent(Arc<str>),
@@ -68,6 +72,17 @@
         now - self.age - self.answered_for.unwrap_or_default()
     }
 
+    /// The charge to the parts of the request if its server crashed; `None` if the response had been arriving for too long
+    /// for the request to be the cause.
+    pub(super) fn to_charge(&self, now: Instant) -> Option<Charge> {
+        let was_answered = self.answered_for.is_some_and(|time| time >= PROBATION);
+        (!was_answered).then(|| Charge {
+            software: self.software.clone(),
+            began: self.began(now),
+            crashed: Some(now),
+        })
+    }
+
     /// Whether it says only that the parts of a prompt are sound, and does not end a trial.
     fn is_mere_answer(&self) -> bool {
         let is_answer = matches!(self.effect, Effect::Answered | Effect::Completed);
@@ -185,12 +200,8 @@
                 Effect::Crashed(incarnation) => {
                     crashed.insert(Arc::clone(incarnation));
                 }
-                Effect::Completed | Effect::Failed => crashed.clear(),
-                Effect::CrashedParts(_)
-                | Effect::Silent(_)
-                | Effect::Answered
-                | Effect::Inconclusive
-                | Effect::NotSent => {}
+                Effect::Completed | Effect::Failed | Effect::CrashedParts(_) => crashed.clear(),
+                Effect::Silent(_) | Effect::Answered | Effect::Inconclusive | Effect::NotSent => {}
             }
         }
         crashed
--- a/crates/core/src/quarantine/local.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -14,13 +14,11 @@
 use super::Identity;
 use super::List;
 use super::Observation;
-use super::PROBATION;
 use super::Part;
 use super::Rejection;
 use super::Software;
 use super::Step;
 use super::Update;
-use super::account::Charge;
 use super::accounts::Accounts;
 use super::answers::Answers;
 
@@ -170,35 +168,18 @@
 
     /// Records that a server crashed under a request.
     pub fn record_crash(&mut self, attempt: Attempt, server: &Arc<str>, now: Instant) {
-        let is_suspect = attempt.answered_for.is_none_or(|time| time < PROBATION);
-        if is_suspect {
-            let charge = Charge {
-                software: attempt.software.clone(),
-                began: now - attempt.answered_for.unwrap_or_default(),
-                crashed: Some(now),
-            };
-            self.accounts
-                .charge(&attempt.features, server, &charge, now);
-        }
-        if self.completed.contains(&attempt.features.identity) {
-            self.record_completed_before(attempt, server, now);
+        let was_completed = self.completed.contains(&attempt.features.identity);
+        let effect = if was_completed {
+            Effect::CrashedParts(Arc::clone(server))
         } else {
-            let observation = attempt.observe(Effect::Crashed(Arc::clone(server)));
-            self.evidence.record(observation, now);
-        }
-    }
-
-    /// Records the crash of a server under a request that was completed before: it counts against its parts only.
-    fn record_completed_before(&mut self, attempt: Attempt, server: &Arc<str>, now: Instant) {
-        let completed = Attempt {
-            features: attempt.features.identity.clone().into(),
-            permit: None,
-            ..attempt.clone()
+            Effect::Crashed(Arc::clone(server))
         };
-        self.evidence
-            .record(completed.observe(Effect::Completed), now);
-        let crashed = attempt.observe(Effect::CrashedParts(Arc::clone(server)));
-        self.evidence.record(crashed, now);
+        let observation = attempt.observe(effect);
+        if let Some(charge) = observation.to_charge(now) {
+            self.accounts
+                .charge(&observation.features, server, &charge, now);
+        }
+        self.evidence.record(observation, now);
     }
 
     /// Records that a request got a complete response.
@@ -225,7 +206,7 @@
         self.completed.push_back(identity);
     }
 
-    /// Records that the response to a request has been arriving for [`PROBATION`]; returns whether there is something to
+    /// Records that the response to a request has been arriving for [`PROBATION`](super::PROBATION); returns whether there is something to
     /// report.
     pub fn record_answer(&mut self, attempt: Attempt, now: Instant) -> bool {
         self.note_answer(&attempt, now);
--- a/crates/core/src/quarantine/tracker.rs
+++ b/crates/core/src/quarantine/tracker.rs
@@ -283,7 +283,10 @@
         }
         match &observation.effect {
             Effect::Crashed(server) => self.record_crash_of(server, observation, now),
-            Effect::CrashedParts(server) => self.charge_parts(observation, server, now),
+            Effect::CrashedParts(server) => {
+                self.release(&features.identity);
+                self.charge_parts(observation, server, now)
+            }
             Effect::Silent(server) => {
                 let is_gone = self.silences.record(server, observation, now);
                 is_gone && self.record_crash_of(server, observation, now)
--- a/crates/core/src/quarantine/tracker/parts.rs
+++ b/crates/core/src/quarantine/tracker/parts.rs
@@ -8,10 +8,8 @@
 use crate::quarantine::Features;
 use crate::quarantine::List;
 use crate::quarantine::Observation;
-use crate::quarantine::PROBATION;
 use crate::quarantine::Part;
 use crate::quarantine::Step;
-use crate::quarantine::account::Charge;
 use crate::rollout::Version;
 
 use super::Tracker;
@@ -52,24 +50,16 @@
         affected
     }
 
-    /// Charges a crash to the parts of a request, unless its response had been arriving for long. Returns whether one of
-    /// them is quarantined by that.
+    /// Charges a crash to the parts of a request that may be the cause. Returns whether one of them is quarantined by that.
     pub(super) fn charge_parts(
         &mut self,
         observation: &Observation,
         server: &Arc<str>,
         now: Instant,
     ) -> bool {
-        let was_answered = observation
-            .answered_for
-            .is_some_and(|time| time >= PROBATION);
-        if was_answered || observation.features.parts.is_empty() {
+        let charge = observation.to_charge(now);
+        let Some(charge) = charge.filter(|_| !observation.features.parts.is_empty()) else {
             return false;
-        }
-        let charge = Charge {
-            software: observation.software.clone(),
-            began: observation.began(now),
-            crashed: Some(now),
         };
         self.is_dirty = true;
         self.accounts
@@ -78,11 +68,7 @@
 
     pub(super) fn record_answer(&mut self, observation: &Observation, now: Instant) {
         let (parts, began) = (&observation.features.parts, observation.began(now));
-        let is_known = |part: &Part| self.accounts.contains(*part);
-        if parts.iter().any(is_known) {
-            self.is_dirty = true;
-            self.accounts.answer(parts, &observation.software, began);
-        }
+        self.is_dirty |= self.accounts.answer(parts, &observation.software, began);
     }
 
     /// Returns whether a quarantined part of prompts explains the crash of a server of `version`, so that it says nothing
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -268,14 +268,19 @@
         may_be_silent && last_sign.is_some_and(|last| now.since(last) >= MIN_SILENCE)
     }
 
+    /// The software of the server.
+    fn software(&self) -> Software {
+        Software {
+            service: self.service.clone(),
+            version: self.server.version.clone(),
+        }
+    }
+
     /// The attempt as it is recorded for quarantine.
     fn attempt(&self) -> Attempt {
         Attempt {
             features: self.features.clone(),
-            software: Software {
-                service: self.service.clone(),
-                version: self.server.version.clone(),
-            },
+            software: self.software(),
             permit: self.permit(),
             answered_for: self.answered_for(),
         }
@@ -417,7 +422,7 @@
             return quarantine.may_send(&self.features).is_err();
         }
         quarantine.get_version() != self.quarantine_version
-            && quarantine.withholds(&self.features, &self.attempt().software)
+            && quarantine.withholds(&self.features, &self.software())
     }
 
     /// For how much longer this gateway avoids the server.
