--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -31,6 +31,21 @@
 }
 
 
+class Site:
+    """What the settings of a site's processes have in common."""
+
+    def __init__(self, region="waw", zones=("waw-a", "waw-b", "waw-c"), bounds=None,
+                 more_contracts=(), tolerates=None):
+        self.region = region
+        self.zones = zones
+        self.bounds = BOUNDS if bounds is None else bounds
+        self.contracts = ["base", "drain", "config", "cost", "retry", "recover", "engine",
+                          "stream", "tenants", "quota", *more_contracts]
+        self.tolerates = tolerates or {"machines": 1, "zones": 0, "regions": 0}
+
+
+KURSORA = Site()
+
 class CannotRun(Exception):
     """The case could not be played; it says nothing of the rule."""
 
@@ -285,23 +300,22 @@
 
     def write_settings(self, bootstrap):
         ports = self.deployment.ports
+        site = self.deployment.site
         listen = {what: f"{self.ip}:{ports[what]}"
                   for what in ("front", "ready", "control", "directory")}
         settings = {
             "node_name": f"front-{self.zone}-{self.number}", "role": "gateway",
             "machine_class": "front", "serves": ["front", "control", "directory"],
-            "ip": self.ip, "zone": self.zone, "region": "waw",
+            "ip": self.ip, "zone": self.zone, "region": site.region,
             "internal_ports": [ports["internal"], ports["internal"] + 15],
             "seeds": self.deployment.seeds(), "bootstrap": bootstrap,
             "loss_counts": self.has_disk, "discovery": "cloud_api", "entry": "directory",
             "heartbeat_ms": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine",
-                          "stream", "tenants", "quota"],
-            "config_mode": "highest",
-            "zones": {"waw-a": "waw", "waw-b": "waw", "waw-c": "waw"}, "listen": listen,
+            "contracts": site.contracts, "config_mode": "highest",
+            "zones": {zone: site.region for zone in site.zones}, "listen": listen,
             "limits": {"cpu_share": 0.45, "cores": 1, "memory_mb": 110, "max_fds": 4100,
                        "link_mbps": 1000.0, "disk_mb": 64},
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": BOUNDS,
+            "fault_tolerance": site.tolerates, "bounds": site.bounds,
             "cloud": {"address": "%s:%d" % self.deployment.cloud, "rate_per_s": 47.0,
                       "duties": [], "max_lag_ms": 800},
         }
@@ -366,19 +380,20 @@
 
 
 class Deployment:
-    def __init__(self, record_path, disks=3, others=0, models=3, plain=2):
+    def __init__(self, record_path, disks=3, others=0, models=3, plain=2, site=KURSORA):
+        self.site = site
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="curlewlift-review-")
         self.net = random.randint(1, 250)
         self.ports = free_ports(self.net)
         self.cloud = (f"127.0.{self.net}.200", self.ports["cloud"])
-        zones = itertools.cycle(["waw-a", "waw-b", "waw-c"])
+        zones = itertools.cycle(site.zones)
         self.machines = []
         for number in range(disks + others):
             self.machines.append(Machine(self, number, next(zones), number < disks))
         self.seed_machines = self.machines[:3]
         self.engines = []
-        zones = itertools.cycle(["waw-a", "waw-b", "waw-c"])
+        zones = itertools.cycle(site.zones)
         for number in range(models + plain):
             service = MODEL_SERVICE if number < models else PLAIN_SERVICE
             self.add_engine(f"i-{number:04x}", service, next(zones), number)
@@ -470,9 +485,9 @@
                             "Content-Type: application/json")
         return answer.status, answer.body
 
-    async def resolve(self, machine, zone="waw-a", within=1.0):
+    async def resolve(self, machine, zone, within=1.0):
         """The addresses and the time to live that a directory names; none without an answer."""
-        path = f"/api/resolve?name={HOST}&region=waw&zone={zone}"
+        path = f"/api/resolve?name={HOST}&region={self.site.region}&zone={zone}"
         answer = await call(machine.address("directory"), "GET", path, b"", within)
         if answer.status != 200:
             return None
