--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -611,10 +611,10 @@
         offsets = {"directory": 20, "front": 21, "ready": 24, "control": 29, "cloud": 40,
                    "engine": 41, "internal": 0}
         try:
-            for offset in range(42):
+            for offset, last in itertools.product(range(42), (1, 200, 201)):
                 with socket.socket() as probe:
                     probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    probe.bind(("0.0.0.0", base + offset))
+                    probe.bind((f"127.0.{net}.{last}", base + offset))
             return {what: base + offset for what, offset in offsets.items()}
         except OSError:
             continue
