Log how long a server was silent, and where in its response

The log told that a response was cut off, but not for how long its server had sent nothing before, nor where in the response that was, so a cut after silence looked like any other. `ended` and `sending-failed` now say so from half a second on: `silent_ms` and `silent_in` (start, head, body, framing, event). Time in which this host did not run does not count.

Nothing else changes.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -68,13 +68,13 @@
     Sent = 204, "sent", "The first byte of the request is sent to the server.";
     FirstToken = 205, "first-token", "The first byte of the response has arrived.";
     Resumed = 206, "resumed", "A stream that broke off is resumed where it broke off.";
-    Ended = 207, "ended", "The request has ended; the detail has its code and outcome. The log line of a response that was forwarded as it arrived also says how the server marks its end (length, chunks or close), and how many bytes of an incomplete event there were.";
+    Ended = 207, "ended", "The request has ended; the detail has its code and outcome. The log line of a response that was forwarded as it arrived also says how the server marks its end (length, chunks or close), and how many bytes of an incomplete event there were. Where the server was silent for half a second or more, `silent_ms` is its longest silence, and `silent_in` says where in the response that was: `start` (before the head), `head`, `body`, `framing` (of chunks) or `event`.";
     Refused = 208, "refused", "The request was refused; the detail has the code.";
     CallerLeft = 209, "caller-left", "The caller disconnected before its response was complete.";
     TriedAgain = 210, "tried-again", "The request has certainly not run; it asks for another server.";
     ClaimKept = 211, "claim-kept", "This entry stores the request's claim as a replica of its shard.";
     Queued = 212, "queued", "The request is in the queue of the service, at its owner.";
-    SendingFailed = 213, "sending-failed", "An attempt failed: the backend server did not respond, or refused the request; the detail has the reason.";
+    SendingFailed = 213, "sending-failed", "An attempt failed: the backend server did not respond, or refused the request; the detail has the reason. The log line has the server's silence as that of `ended`.";
     ServerEnded = 214, "server-ended", "A backend server crashed under a request that it may have begun to run; the identity is the same for all attempts and retries of that request.";
     ServerRests = 215, "server-rests", "A backend server has rejected a request and asked for a backoff; the log line has the time that it asked for and the time that this gateway backs off, or the invalid value that it gave as a time.";
     ServerLeaves = 216, "server-leaves", "A backend server has announced in a response that it is draining.";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod queue;
 pub mod quota;
 pub mod rejection;
+pub mod response;
 pub mod rollout;
 pub mod route;
 pub mod sse;
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 //! A connection that carries only one request cannot deliver the late remainder of another response,
 //! and closing it tells the server that nobody waits for the response any more.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -157,6 +158,7 @@
     deadline: &Deadline,
     silence_limit: Duration,
 ) -> Result<ResponseStart, (Failure, Slot)> {
+    let mut slot = slot;
     let time_limit = CONNECT_TIMEOUT.min(deadline.remaining());
     let connected = connect(&slot, time_limit).await;
     let (mut sender, connection) = match connected {
@@ -178,8 +180,7 @@
     let received = Arc::clone(&connection.received);
     hyper::ext::on_informational(&mut request, move |_| received.record_interim());
     let until = deadline.timer_instant();
-    let mut slot = slot;
-    slot.record_sent();
+    slot.record_sent(Arc::clone(&connection.received));
     let sent_at = Instant::now();
     let response = tokio::select! {
         biased;
@@ -204,23 +205,25 @@
     time_limit: Duration,
 ) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure> {
     match slot.connect(Instant::now() + time_limit).await {
-        Ok(Opened::Direct(stream)) => handshake(stream).await,
+        Ok(Opened::Direct(stream)) => handshake(stream, slot).await,
         Ok(Opened::Tunnel(tunnel, host)) => {
             slot.log_tunnel(host);
-            handshake(tunnel).await
+            handshake(tunnel, slot).await
         }
         Err(ConnectError::ServerDown(why)) => Err(Failure::NotSent(why)),
         Err(ConnectError::NoPath(why)) => Err(Failure::NoPath(why)),
     }
 }
 
-/// Begins to speak HTTP on a connection.
-async fn handshake<T>(io: T) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure>
+/// Begins to speak HTTP on a connection to the server of `slot`.
+async fn handshake<T>(io: T, slot: &Slot) -> Result<(SendRequest<Full<Bytes>>, Connection), Failure>
 where
     T: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let received = Arc::new(Received::default());
-    let io = TokioIo::new(Limited::new(io, Arc::clone(&received)));
+    let node = slot.get_node();
+    let received = Arc::new(Received::new(node.now()));
+    let limited = Limited::new(io, Arc::clone(&received), Rc::clone(node));
+    let io = TokioIo::new(limited);
     let mut builder = http1::Builder::new();
     let handshake = builder.max_buf_size(RESPONSE_BUFFER_BYTES).handshake(io);
     let (sender, connection) = handshake
--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -39,6 +39,7 @@
             .with("identity", self.admitted.features.identity.to_string())
             .with("server", &*slot.server.incarnation)
             .with("why", reason.as_str())
+            .silence(slot.long_silence())
             .after(self.admitted.deadline.elapsed())
             .write();
         match failure {
--- a/crates/curlewlift/src/gateway/forward.rs
+++ b/crates/curlewlift/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::id;
 use curlewlift_core::pool;
 use curlewlift_core::pool::AttemptOutcome;
+use curlewlift_core::response::Silence;
 use http_body_util::Full;
 
 use super::admit::Admitted;
@@ -53,6 +54,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Time from the last attempt to the head of the response.
     pub(super) first_byte: Option<Duration>,
+    /// The longest silence of the last server, if it was long.
+    pub(super) silence: Option<Silence>,
     /// A server's complete error response, for the caller if no other server gives a better one.
     pub(super) failed_response: Option<(response::Parts, Bytes)>,
     /// Whether the caller has received a part of the response.
@@ -101,6 +104,7 @@
             not_run_attempts: 0,
             tried: Vec::new(),
             first_byte: None,
+            silence: None,
             failed_response: None,
             is_streaming: false,
             outcome_logged: false,
@@ -328,6 +332,7 @@
         let outcome = complete_outcome(head.status, first_byte, None);
         let failed = outcome == AttemptOutcome::Failed;
         slot.set_completed(outcome, head.status);
+        self.silence = slot.long_silence();
         drop(slot);
         if failed && self.may_run_again() {
             self.failed_response = Some((head, body));
--- a/crates/curlewlift/src/gateway/log.rs
+++ b/crates/curlewlift/src/gateway/log.rs
@@ -4,6 +4,7 @@
 
 use axum::http::HeaderValue;
 use curlewlift_core::event::Kind;
+use curlewlift_core::response::Silence;
 use serde_json::Map;
 use serde_json::Value;
 
@@ -44,6 +45,16 @@
         self.with("after_ms", millis(age))
     }
 
+    /// Adds how long a server was silent, and where in its response, if that is known.
+    pub(super) fn silence(self, silence: Option<Silence>) -> Self {
+        match silence {
+            Some(silence) => self
+                .with("silent_ms", millis(silence.time))
+                .with("silent_in", silence.part.as_str()),
+            None => self,
+        }
+    }
+
     /// Writes the line to the log.
     pub(crate) fn write(self) {
         ::log::info!(target: TARGET, "{}", Value::Object(self.0));
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -80,6 +80,7 @@
             .with("sent", self.attempts())
             .with("server", self.tried.last().map(|server| &**server))
             .with("first_ms", self.first_byte.map(millis))
+            .silence(self.silence)
             .after(elapsed)
     }
 }
--- a/crates/curlewlift/src/gateway/received.rs
+++ b/crates/curlewlift/src/gateway/received.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,12 +17,17 @@
 use std::task::ready;
 use std::time::Duration;
 
+use curlewlift_core::clock;
+use curlewlift_core::response::Reception;
+use curlewlift_core::response::Silence;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::node::Node;
+
 /// The size of the buffer for a response, and thereby of its head, in bytes.
 pub(super) const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
 
@@ -45,27 +51,48 @@
 }
 
 /// What has arrived over a connection and is not part of a response yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Received {
     state: Mutex<State>,
     arrived: Notify,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    reception: Reception,
     unused_bytes: usize,
     /// Since when something is incomplete; none if nothing is.
     incomplete_since: Option<Instant>,
 }
 
 impl Received {
+    /// What has arrived over a connection that was opened at `now`.
+    pub(super) fn new(now: clock::Instant) -> Self {
+        let state = State {
+            reception: Reception::new(now),
+            unused_bytes: 0,
+            incomplete_since: None,
+        };
+        Self {
+            state: Mutex::new(state),
+            arrived: Notify::new(),
+        }
+    }
+
+    /// The longest time until `now` in which nothing arrived.
+    pub(super) fn longest_silence(&self, now: clock::Instant) -> Silence {
+        self.state().reception.longest_silence(now)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that bytes have arrived; false if there are too many.
-    fn add(&self, bytes: usize) -> bool {
+    fn add(&self, bytes: usize, node: &Node) -> bool {
         let mut state = self.state();
+        let last_ran = node.progress.get().former;
+        state.reception.receive(node.now(), last_ran);
         state.unused_bytes = state.unused_bytes.saturating_add(bytes);
         if state.incomplete_since.is_none() {
             state.incomplete_since = Some(Instant::now());
@@ -77,6 +104,7 @@
     /// Records that the head or data of the body has been received, and whether what has arrived is complete.
     pub(super) fn record_used(&self, is_complete: bool) {
         let mut state = self.state();
+        state.reception.use_data(is_complete);
         state.unused_bytes = 0;
         state.incomplete_since = match state.incomplete_since {
             _ if is_complete => None,
@@ -87,15 +115,17 @@
 
     /// Records that an event has been received whole, and another one has begun.
     pub(super) fn record_next_event(&self) {
-        *self.state() = State {
-            unused_bytes: 0,
-            incomplete_since: Some(Instant::now()),
-        };
+        let mut state = self.state();
+        state.reception.use_data(false);
+        state.unused_bytes = 0;
+        state.incomplete_since = Some(Instant::now());
     }
 
     /// Records that the head of an interim response has been received. The final one may take long.
     pub(super) fn record_interim(&self) {
-        self.state().incomplete_since = None;
+        let mut state = self.state();
+        state.reception.use_interim();
+        state.incomplete_since = None;
     }
 
     /// Waits until something has been incomplete for too long.
@@ -122,11 +152,12 @@
 pub(super) struct Limited<T> {
     io: T,
     received: Arc<Received>,
+    node: Rc<Node>,
 }
 
 impl<T> Limited<T> {
-    pub(super) fn new(io: T, received: Arc<Received>) -> Self {
-        Self { io, received }
+    pub(super) fn new(io: T, received: Arc<Received>, node: Rc<Node>) -> Self {
+        Self { io, received, node }
     }
 }
 
@@ -138,7 +169,8 @@
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
-        let is_within_limit = self.received.add(buffer.filled().len() - filled);
+        let bytes = buffer.filled().len() - filled;
+        let is_within_limit = self.received.add(bytes, &self.node);
         Poll::Ready(if is_within_limit {
             Ok(())
         } else {
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -117,6 +117,7 @@
                 .abandoned_line()
                 .request(self.request.admitted.head_fields.id.as_ref())
                 .with("pieces", self.chunks)
+                .silence(self.slot.as_ref().and_then(Slot::long_silence))
                 .after(self.request.admitted.deadline.elapsed())
                 .write();
         }
@@ -247,6 +248,7 @@
     ///
     /// If that is not possible, so that the response must be truncated.
     async fn recover(&mut self, failure: Failure) -> Result<(), TruncatedBody> {
+        self.record_silence();
         let reason = match &mut self.slot {
             Some(slot) => {
                 let failure = exchange::explain(failure, slot).await;
@@ -300,12 +302,20 @@
         }
     }
 
+    /// Records the longest silence of the server, for the log line of the response.
+    fn record_silence(&mut self) {
+        if let Some(slot) = &self.slot {
+            self.request.silence = slot.long_silence();
+        }
+    }
+
     /// Handles the end of the stream.
     fn finish(&mut self) {
         self.finished = true;
         self.request.record_response_time();
         let gaps = self.chunks.saturating_sub(1);
         let gap = (gaps > 0).then(|| self.head_received.elapsed() / gaps);
+        self.record_silence();
         if let Some(slot) = &mut self.slot {
             let times = self.timer.as_ref().and_then(StreamTimer::times);
             let answered = forward::complete_outcome(self.status, self.first_byte, gap);
@@ -331,6 +341,7 @@
     /// Ends a stream that can neither continue nor be resumed.
     async fn truncate(&mut self, reason: String) -> TruncatedBody {
         self.finished = true;
+        self.record_silence();
         self.slot = None;
         self.connection = None;
         let line = Line::new(Kind::Ended)
@@ -343,6 +354,7 @@
             .with("how", "cut")
             .with("why", reason.as_str())
             .with("pieces", self.chunks)
+            .silence(self.request.silence)
             .after(self.request.admitted.deadline.elapsed());
         self.log_framing(line).write();
         metrics::counter!("curlewlift_cut").increment(1);
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -25,6 +25,7 @@
 use curlewlift_core::quarantine::PROBATION;
 use curlewlift_core::quarantine::Software;
 use curlewlift_core::rejection;
+use curlewlift_core::response::Silence;
 use curlewlift_core::rollout::Version;
 use curlewlift_core::unit::Tokens;
 use tokio::time::Instant;
@@ -37,12 +38,16 @@
 use super::log::Line;
 use super::log::millis;
 use super::node::Node;
+use super::received::Received;
 use super::service::Service;
 use super::tunnel::Target;
 
 /// After how long without data a server may have crashed, in an attempt that its caller or the deadline ended.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
+/// The shortest silence of a server that the log line of a response states.
+const MIN_LOGGED_SILENCE: Duration = Duration::from_millis(500);
+
 /// A slot at a backend server; released when dropped.
 pub(super) struct Slot {
     node: Rc<Node>,
@@ -72,6 +77,8 @@
     quarantine_version: u64,
     /// When the request was sent; none before that.
     sent_at: Option<clock::Instant>,
+    /// What has arrived of the response; none before the request was sent.
+    received: Option<Arc<Received>>,
     /// The load that the server stated in the head of its response.
     load: Option<ReportedLoad>,
     /// Whether the server crashed under the request.
@@ -108,6 +115,7 @@
             is_answer_recorded: false,
             quarantine_version: node.quarantine.borrow().get_version(),
             sent_at: None,
+            received: None,
             load: None,
             crashed: false,
             completed: None,
@@ -130,6 +138,11 @@
         self
     }
 
+    /// The gateway that the slot is used by.
+    pub(super) fn get_node(&self) -> &Rc<Node> {
+        &self.node
+    }
+
     /// The server to connect to, and the data halls that the connection must stay in.
     fn target(&self) -> Target<'_> {
         Target {
@@ -431,9 +444,16 @@
             .avoid_time(&self.service, &self.server.incarnation)
     }
 
-    /// The request is being sent.
-    pub(super) fn record_sent(&mut self) {
+    /// The request is being sent; `received` follows the response.
+    pub(super) fn record_sent(&mut self, received: Arc<Received>) {
         self.sent_at = Some(self.node.now());
+        self.received = Some(received);
+    }
+
+    /// The longest silence of the server, if it was long.
+    pub(super) fn long_silence(&self) -> Option<Silence> {
+        let silence = self.received.as_ref()?.longest_silence(self.node.now());
+        (silence.time >= MIN_LOGGED_SILENCE).then_some(silence)
     }
 
     /// Records the server's load as its response stated it.
