Test sound servers that are silent at any place of a stream

A stream is sent for each third byte of a response (a length, chunks, events that span chunks, the end of the connection), whose server is silent for 2.6 s before that byte, with the two bytes before it in a packet of their own: by itself, while its host stops and the configuration changes, and through another host. Each must be whole and run once.

--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::Silent;
 use super::StreamEnd;
 
 /// How long an engine stays down after a crash.
@@ -533,6 +534,8 @@
                 } else if let Some(time) = behavior.strip_prefix("lasts ") {
                     let time = Duration::from_millis(time.parse().expect("a time in ms"));
                     lasting_events(&mut stream, id, signed, time);
+                } else if let Some(silent) = behavior.strip_prefix("silent ") {
+                    Silent::parse(silent).send(&mut stream, &head(200, id, signed));
                 } else if let Some(end) = behavior.strip_prefix("ends ") {
                     let head = head(200, id, signed);
                     let end = StreamEnd::parse(end).of_version(self.version);
