Let silence end no response

Callers saw streams of sound servers end 2 s after the server's last byte, by themselves and around planned stops (LOST), and streams that may be resumed go on elsewhere while the first server worked on them (TWICE).

Cause: a timer on whatever had begun and was not complete. It ran on while nothing arrived, and it was started by any byte, such as the line end of a chunk in a packet of its own, after which nothing is incomplete. Its class is a limit on what a peer sends that is measured by how long it sends nothing. Ruled out: the stop (the cut needs none), the kernel's time-outs (the servers' connections were open), the deadline.

There is no timer any more. What counts against a server is what it sends: the bytes, as before, and for how long it goes on sending a head, the framing of a chunk or an event without completing it, where at most a quarter of a second between two arrivals counts. Both are checked only when something arrives, so neither silence nor a suspension of this host ends a response.

--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -1,9 +1,28 @@
-//! Follows what arrives of a server's response, and how long nothing does.
+//! Tells a server that sends bytes without end from one that is silent.
+//!
+//! A faulty server may send bytes that complete nothing, in a head, in the framing of chunks or inside an event, as fast as the
+//! link allows or slowly. Without a limit they would occupy the slot, the memory and the caller until the deadline. A sound
+//! server may be silent at any of these places. So the limits apply to what it sends and to how long it goes on sending,
+//! and they are checked only when something arrives: silence ends no response.
 
+use std::error::Error;
+use std::fmt;
 use std::time::Duration;
 
 use crate::clock::Instant;
 
+/// The size of the buffer for a response, and thereby of its head, in bytes.
+pub const BUFFER_BYTES: usize = 64 << 10;
+
+/// How many bytes may arrive without any of them being data of the body: a full buffer, and the framing of chunks.
+const MAX_UNUSED_BYTES: usize = 2 * BUFFER_BYTES;
+
+/// For how long a server may go on sending a head, the framing of a chunk or an event without completing it.
+const MAX_SENDING_TIME: Duration = Duration::from_secs(2);
+
+/// How much of the time between two arrivals counts as sending. The rest is silence.
+const MAX_SENDING_GAP: Duration = Duration::from_millis(250);
+
 /// The part of a response at which a server is, by what has arrived.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Part {
@@ -43,6 +62,26 @@
     pub part: Part,
 }
 
+/// Why what a server sends is no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// Too many bytes arrived that are no part of a response.
+    Bytes,
+    /// It went on sending for too long without completing what it had begun.
+    Time,
+}
+
+impl fmt::Display for Endless {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Bytes => "the server sent too many bytes that are no part of a response",
+            Self::Time => "the server went on sending without completing what it had begun",
+        })
+    }
+}
+
+impl Error for Endless {}
+
 /// What has arrived of a response.
 ///
 /// # Examples
@@ -55,7 +94,7 @@
 /// let sent = Instant::default();
 /// let mut reception = Reception::new(sent);
 /// let head = sent + Duration::from_millis(300);
-/// reception.receive(head, head);
+/// assert!(reception.receive(200, head, head).is_ok());
 /// reception.use_data(true);
 /// let silence = reception.longest_silence(head + Duration::from_secs(2));
 /// assert_eq!(silence.time, Duration::from_secs(2));
@@ -64,6 +103,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Reception {
     part: Part,
+    /// How many bytes have arrived since the last ones that were the head or data of the body.
+    unused_bytes: usize,
+    /// For how long the server has been sending what is not complete.
+    sending_time: Duration,
     last_arrival: Instant,
     longest_silence: Silence,
 }
@@ -74,28 +117,62 @@
     pub fn new(now: Instant) -> Self {
         Self {
             part: Part::Start,
+            unused_bytes: 0,
+            sending_time: Duration::ZERO,
             last_arrival: now,
             longest_silence: Silence::default(),
         }
     }
 
-    /// Records that bytes were read at `now`. They may have arrived at any time after `last_ran`, when this process was last
+    /// Records that `bytes` were read at `now`. They may have arrived at any time after `last_ran`, when this process was last
     /// seen to run.
-    pub fn receive(&mut self, now: Instant, last_ran: Instant) {
+    ///
+    /// # Errors
+    ///
+    /// If they are no response.
+    pub fn receive(
+        &mut self,
+        bytes: usize,
+        now: Instant,
+        last_ran: Instant,
+    ) -> Result<(), Endless> {
         self.longest_silence = self.longest_silence(last_ran);
+        let gap = now.since(self.last_arrival);
         self.last_arrival = now;
-        self.part = match self.part {
-            Part::Start => Part::Head,
-            Part::Body => Part::Framing,
-            Part::Head | Part::Framing | Part::Event => self.part,
-        };
+        self.unused_bytes = self.unused_bytes.saturating_add(bytes);
+        match self.part {
+            Part::Start => self.begin(Part::Head),
+            Part::Body => self.begin(Part::Framing),
+            Part::Head | Part::Framing | Part::Event => {
+                self.sending_time += gap.min(MAX_SENDING_GAP);
+            }
+        }
+        if self.unused_bytes > MAX_UNUSED_BYTES {
+            return Err(Endless::Bytes);
+        }
+        if self.sending_time > MAX_SENDING_TIME {
+            return Err(Endless::Time);
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, part: Part) {
+        self.part = part;
+        self.sending_time = Duration::ZERO;
     }
 
     /// Records that the head, or data of the body, has been read from the bytes, and whether all that has begun is complete.
     pub fn use_data(&mut self, is_complete: bool) {
+        self.unused_bytes = 0;
         self.part = if is_complete { Part::Body } else { Part::Event };
     }
 
+    /// Records that an event has been read, and another one has begun.
+    pub fn begin_next_event(&mut self) {
+        self.unused_bytes = 0;
+        self.begin(Part::Event);
+    }
+
     /// Records that an interim response has been read: the head of the final one follows, and may take long.
     pub fn use_interim(&mut self) {
         self.part = Part::Start;
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use axum::http::response;
 use bytes::Bytes;
 use bytes::BytesMut;
+use curlewlift_core::response::BUFFER_BYTES;
 use curlewlift_core::route;
 use curlewlift_core::sse;
 use http_body_util::BodyExt;
@@ -36,9 +37,7 @@
 use super::dialect::ResponseHead;
 use super::received;
 use super::received::Limited;
-use super::received::RESPONSE_BUFFER_BYTES;
 use super::received::Received;
-use super::received::Stalled;
 use super::slot::Slot;
 
 /// Maximum time for establishing a connection.
@@ -90,18 +89,11 @@
     DeadlinePassed,
 }
 
-impl From<Stalled> for Failure {
-    fn from(stalled: Stalled) -> Self {
-        Self::Unknown(stalled.to_string())
-    }
-}
-
 impl From<hyper::Error> for Failure {
     fn from(error: hyper::Error) -> Self {
-        if received::is_no_response(&error) {
-            Self::Unknown(error.to_string())
-        } else {
-            Self::ConnectionLost(error.to_string())
+        match received::no_response(&error) {
+            Some(why) => Self::Unknown(why),
+            None => Self::ConnectionLost(error.to_string()),
         }
     }
 }
@@ -178,15 +170,11 @@
         Err(failure) => return Err((failure, slot)),
     };
     let received = Arc::clone(&connection.received);
-    hyper::ext::on_informational(&mut request, move |_| received.record_interim());
+    hyper::ext::on_informational(&mut request, move |_| received.use_interim());
     let until = deadline.timer_instant();
     slot.record_sent(Arc::clone(&connection.received));
     let sent_at = Instant::now();
-    let response = tokio::select! {
-        biased;
-        response = await_head(&mut sender, request, &slot, until, silence_limit) => response,
-        stalled = connection.received.wait_for_stall() => Err(stalled.into()),
-    };
+    let response = await_head(&mut sender, request, &slot, until, silence_limit).await;
     match response {
         Ok(response) => Ok(response_start(
             response,
@@ -225,7 +213,7 @@
     let limited = Limited::new(io, Arc::clone(&received), Rc::clone(node));
     let io = TokioIo::new(limited);
     let mut builder = http1::Builder::new();
-    let handshake = builder.max_buf_size(RESPONSE_BUFFER_BYTES).handshake(io);
+    let handshake = builder.max_buf_size(BUFFER_BYTES).handshake(io);
     let (sender, connection) = handshake
         .await
         .map_err(|error| Failure::NotSent(error.to_string()))?;
@@ -277,7 +265,7 @@
     first_byte: Duration,
 ) -> ResponseStart {
     slot.record_first_byte();
-    connection.received.record_used(true);
+    connection.received.use_data(true);
     let (head, body) = response.into_parts();
     let head_fields = (dialect.parse_response)(head.status.as_u16(), &head.headers);
     if let Some(load) = head_fields.load {
@@ -381,7 +369,6 @@
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
-                stalled = self.connection.received.wait_for_stall() => return Err(stalled.into()),
                 () = tokio::time::sleep_until(until) => return Err(Failure::DeadlinePassed),
             };
             match frame {
@@ -390,7 +377,7 @@
                         self.slot.record_data();
                         body.extend_from_slice(&data);
                         let is_complete = is_at_boundary(events.as_mut(), &data);
-                        self.connection.received.record_used(is_complete);
+                        self.connection.received.use_data(is_complete);
                     }
                 }
                 Some(Err(error)) => {
--- a/crates/curlewlift/src/gateway/received.rs
+++ b/crates/curlewlift/src/gateway/received.rs
@@ -1,10 +1,6 @@
-//! Limits what a server may send that is no part of a response.
-//!
-//! A faulty server may send bytes without end in a head, between the chunks of a body or inside an event, as fast as the
-//! link allows or slowly. Without a limit they would occupy the slot, the memory and the caller until the deadline.
+//! Ends connections to servers that send bytes without end.
 
 use std::error::Error;
-use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -15,7 +11,6 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
-use std::time::Duration;
 
 use curlewlift_core::clock;
 use curlewlift_core::response::Reception;
@@ -23,132 +18,45 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use super::node::Node;
 
-/// The size of the buffer for a response, and thereby of its head, in bytes.
-pub(super) const RESPONSE_BUFFER_BYTES: usize = 64 << 10;
-
-/// How many bytes may arrive without any of them being data of the body: a full buffer, and the framing of chunks.
-const MAX_UNUSED_BYTES: usize = 2 * RESPONSE_BUFFER_BYTES;
-
-/// How long the head of a response, the framing of a chunk or an event may be incomplete: two lost packets.
-const MAX_INCOMPLETE_TIME: Duration = Duration::from_secs(2);
-
-/// How often a task yields until the tasks of connections have read what has arrived.
-const YIELDS_TO_READ: usize = 3;
-
-/// The server did not complete in time what it had begun to send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Stalled;
-
-impl fmt::Display for Stalled {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the server did not complete what it had begun to send")
-    }
-}
-
-/// What has arrived over a connection and is not part of a response yet.
-#[derive(Debug)]
-pub(super) struct Received {
-    state: Mutex<State>,
-    arrived: Notify,
-}
-
+/// What has arrived over a connection, shared by the connection and the reader of the response.
 #[derive(Debug)]
-struct State {
-    reception: Reception,
-    unused_bytes: usize,
-    /// Since when something is incomplete; none if nothing is.
-    incomplete_since: Option<Instant>,
-}
+pub(super) struct Received(Mutex<Reception>);
 
 impl Received {
     /// What has arrived over a connection that was opened at `now`.
     pub(super) fn new(now: clock::Instant) -> Self {
-        let state = State {
-            reception: Reception::new(now),
-            unused_bytes: 0,
-            incomplete_since: None,
-        };
-        Self {
-            state: Mutex::new(state),
-            arrived: Notify::new(),
-        }
+        Self(Mutex::new(Reception::new(now)))
     }
 
-    /// The longest time until `now` in which nothing arrived.
-    pub(super) fn longest_silence(&self, now: clock::Instant) -> Silence {
-        self.state().reception.longest_silence(now)
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Records that bytes have arrived; false if there are too many.
-    fn add(&self, bytes: usize, node: &Node) -> bool {
-        let mut state = self.state();
-        let last_ran = node.progress.get().former;
-        state.reception.receive(node.now(), last_ran);
-        state.unused_bytes = state.unused_bytes.saturating_add(bytes);
-        if state.incomplete_since.is_none() {
-            state.incomplete_since = Some(Instant::now());
-            self.arrived.notify_one();
-        }
-        state.unused_bytes <= MAX_UNUSED_BYTES
+    fn reception(&self) -> MutexGuard<'_, Reception> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the head or data of the body has been received, and whether what has arrived is complete.
-    pub(super) fn record_used(&self, is_complete: bool) {
-        let mut state = self.state();
-        state.reception.use_data(is_complete);
-        state.unused_bytes = 0;
-        state.incomplete_since = match state.incomplete_since {
-            _ if is_complete => None,
-            Some(since) => Some(since),
-            None => Some(Instant::now()),
-        };
+    /// Records that the head or data of the body has been read, and whether all that has begun is complete.
+    pub(super) fn use_data(&self, is_complete: bool) {
+        self.reception().use_data(is_complete);
     }
 
-    /// Records that an event has been received whole, and another one has begun.
-    pub(super) fn record_next_event(&self) {
-        let mut state = self.state();
-        state.reception.use_data(false);
-        state.unused_bytes = 0;
-        state.incomplete_since = Some(Instant::now());
+    /// Records that an event has been read, and another one has begun.
+    pub(super) fn begin_next_event(&self) {
+        self.reception().begin_next_event();
     }
 
-    /// Records that the head of an interim response has been received. The final one may take long.
-    pub(super) fn record_interim(&self) {
-        let mut state = self.state();
-        state.reception.use_interim();
-        state.incomplete_since = None;
+    /// Records that the head of an interim response has been read.
+    pub(super) fn use_interim(&self) {
+        self.reception().use_interim();
     }
 
-    /// Waits until something has been incomplete for too long.
-    pub(super) async fn wait_for_stall(&self) -> Stalled {
-        loop {
-            let since = self.state().incomplete_since;
-            let Some(since) = since else {
-                self.arrived.notified().await;
-                continue;
-            };
-            tokio::time::sleep_until(since + MAX_INCOMPLETE_TIME).await;
-            // After this host was suspended, the timer is due before the connection has read what arrived meanwhile.
-            for _ in 0..YIELDS_TO_READ {
-                tokio::task::yield_now().await;
-            }
-            if self.state().incomplete_since == Some(since) {
-                return Stalled;
-            }
-        }
+    /// The longest time until `now` in which nothing arrived.
+    pub(super) fn longest_silence(&self, now: clock::Instant) -> Silence {
+        self.reception().longest_silence(now)
     }
 }
 
-/// A connection that counts the bytes it receives, and fails if too many are no part of a response.
+/// A connection that fails if what it receives is no response.
 pub(super) struct Limited<T> {
     io: T,
     received: Arc<Received>,
@@ -170,13 +78,10 @@
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
         let bytes = buffer.filled().len() - filled;
-        let is_within_limit = self.received.add(bytes, &self.node);
-        Poll::Ready(if is_within_limit {
-            Ok(())
-        } else {
-            let reason = "the server sent too many bytes that are no part of a response";
-            Err(io::Error::new(io::ErrorKind::InvalidData, reason))
-        })
+        let last_ran = self.node.progress.get().former;
+        let mut reception = self.received.reception();
+        let accepted = reception.receive(bytes, self.node.now(), last_ran);
+        Poll::Ready(accepted.map_err(|endless| io::Error::new(io::ErrorKind::InvalidData, endless)))
     }
 }
 
@@ -198,21 +103,21 @@
     }
 }
 
-/// Whether a connection failed as the server sent bytes that are no response.
-pub(super) fn is_no_response(error: &hyper::Error) -> bool {
-    error.is_parse() || has_invalid_data(error)
-}
-
-fn has_invalid_data(error: &hyper::Error) -> bool {
+/// Why a connection failed, if it did as the server sent bytes that are no response.
+pub(super) fn no_response(error: &hyper::Error) -> Option<String> {
+    if error.is_parse() {
+        return Some(error.to_string());
+    }
     let mut source = error.source();
     while let Some(cause) = source {
         if let Some(error) = cause.downcast_ref::<io::Error>() {
-            return matches!(
+            let is_invalid = matches!(
                 error.kind(),
                 io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
             );
+            return is_invalid.then(|| error.to_string());
         }
         source = cause.source();
     }
-    false
+    None
 }
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -188,9 +188,9 @@
             let events = self.events.as_ref();
             let is_complete = events.is_none_or(EventSplitter::is_at_boundary);
             if !is_complete && !complete.is_empty() {
-                connection.received.record_next_event();
+                connection.received.begin_next_event();
             } else {
-                connection.received.record_used(is_complete);
+                connection.received.use_data(is_complete);
             }
         }
         Ok(())
@@ -217,7 +217,7 @@
         if let Some(begun) = self.begun.take() {
             return Ok(Some(begun));
         }
-        while let Some(frame) = self.next_frame().await? {
+        while let Some(frame) = self.body.frame().await {
             let frame = frame?;
             if let Ok(data) = frame.into_data() {
                 if let Some(slot) = &mut self.slot {
@@ -229,19 +229,6 @@
         Ok(None)
     }
 
-    /// The next frame of the body; none at its end.
-    async fn next_frame(&mut self) -> Result<Option<hyper::Result<Frame<Bytes>>>, Failure> {
-        let Some(connection) = &self.connection else {
-            return Ok(self.body.frame().await);
-        };
-        let received = &connection.received;
-        tokio::select! {
-            biased;
-            frame = self.body.frame() => Ok(frame),
-            stalled = received.wait_for_stall() => Err(stalled.into()),
-        }
-    }
-
     /// Resumes the stream at another server after it broke off.
     ///
     /// # Errors
