Give up no server that does not read a long body for seconds

What callers saw: a request with a body larger than the server's receive buffer failed (4002) or its response was cut off when the server, which was sound, read nothing for more than 3 s, also if the server had begun to answer and went on sending; directly and through another host.

Cause: connections to servers had TCP_USER_TIMEOUT. Linux also applies it to a peer that acknowledges every window probe but keeps its window closed: the time counts until the head of the send queue fits into the window. So the silence of a server ended its response.

Change: these connections and tunnels have no user time-out. Idle ones still end by keep-alive probes after 3 s, now by their count, which Linux ignores beside a user time-out.

Weighed: a user time-out up to the deadline, for all requests or for long ones, ends probes by that time as well, so a server that dies in a response would be found late. TCP_INFO tells a closed window from a dead peer, but no safe interface to it is among the dependencies. What is left: what is not acknowledged when a server or path dies is sent again until the deadline of the request; that takes a failure between connecting and the acknowledgment.

The test of the options said that all connections have a user time-out. It now says which, and derives the time to detection from the count of probes for the others, with the same bounds.

--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -241,36 +241,49 @@
     Ok(socket.into())
 }
 
-/// How long sent bytes may stay unacknowledged before a connection counts as dead. A peer that lost
-/// power or network doesn't close its connections. Linux also ends keep-alive probes by this time, whatever their count.
+/// How long sent bytes may stay unacknowledged before a connection to a caller, or between processes of the system, counts as
+/// dead. Linux also ends keep-alive probes by this time, whatever their count.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// The same for connections to backend servers and for tunnels. A sound server may be silent for a second or two.
-const SERVER_USER_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// How long a connection may be idle before the peer is probed, and the interval of the probes.
+/// How long a connection may be idle before the peer is probed, and the interval of the probes. A peer that lost power or
+/// network doesn't close its connections.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Sets a connection's options: small writes are sent at once, and an unresponsive peer is noticed.
+/// How many probes a backend server may leave unanswered, directly or through a tunnel.
+const SERVER_KEEPALIVE_PROBES: u32 = 2;
+
+/// Sets the options of a connection to a caller, or between processes of the system: small writes are sent at once, and an
+/// unresponsive peer is noticed.
 pub(crate) fn configure_connection(stream: &tokio::net::TcpStream) {
-    configure(stream, TCP_USER_TIMEOUT);
+    let configured = configure(stream, &keepalive()).and_then(|()| {
+        let socket = socket2::SockRef::from(stream);
+        socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    });
+    log_failure(configured);
 }
 
 /// Sets the options of a connection to a backend server, or of a tunnel to one.
+///
+/// There is no user time-out: Linux also applies it to a sound peer that acknowledges everything but doesn't read for that
+/// long, or only a little at a time.
 pub(crate) fn configure_server_connection(stream: &tokio::net::TcpStream) {
-    configure(stream, SERVER_USER_TIMEOUT);
+    let keepalive = keepalive().with_retries(SERVER_KEEPALIVE_PROBES);
+    log_failure(configure(stream, &keepalive));
 }
 
-fn configure(stream: &tokio::net::TcpStream, user_timeout: Duration) {
-    let socket = socket2::SockRef::from(stream);
-    let keepalive = socket2::TcpKeepalive::new()
+fn keepalive() -> socket2::TcpKeepalive {
+    socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL);
-    let result = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(user_timeout)))
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive));
-    if let Err(why) = result {
+        .with_interval(KEEPALIVE_INTERVAL)
+}
+
+fn configure(stream: &tokio::net::TcpStream, keepalive: &socket2::TcpKeepalive) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_keepalive(keepalive)
+}
+
+fn log_failure(configured: io::Result<()>) {
+    if let Err(why) = configured {
         log::debug!("the socket options of a connection cannot be set: {why}");
     }
 }
--- a/crates/curlewlift/src/process/tests.rs
+++ b/crates/curlewlift/src/process/tests.rs
@@ -8,7 +8,7 @@
 use super::configure_connection;
 use super::configure_server_connection;
 
-/// How long a sound server may be silent.
+/// How long a sound peer may be silent.
 const SOUND_SILENCE: Duration = Duration::from_secs(2);
 
 /// By when a connection whose peer is gone must have ended.
@@ -17,25 +17,28 @@
 /// Sets the options of a connection.
 type Configure = fn(&TcpStream);
 
-/// A connection without traffic is probed, and ends by the user time-out, which Linux also applies to probes: not before a
-/// sound peer may go on, and not long after.
+/// A connection without traffic is probed more than once, and ends by the unanswered probes: not before a sound peer may go on,
+/// and not long after. Only servers have no user time-out, which Linux applies to probes instead
+/// of their count: it would also end connections whose peer doesn't read.
 #[tokio::test]
 async fn silent_peers() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let cases: [(&str, Configure); 2] = [
-        ("caller", configure_connection),
-        ("server", configure_server_connection),
+    let cases: [(&str, Configure, bool); 2] = [
+        ("caller", configure_connection, true),
+        ("server", configure_server_connection, false),
     ];
-    for (name, configure) in cases {
+    for (name, configure, has_user_timeout) in cases {
         let stream = TcpStream::connect(address).await.expect("accepted");
         configure(&stream);
         let socket = socket2::SockRef::from(&stream);
         assert!(socket.keepalive().expect("an option"), "{name}");
         let first_probe = socket.tcp_keepalive_time().expect("an option");
         let interval = socket.tcp_keepalive_interval().expect("an option");
-        let timeout = socket.tcp_user_timeout().expect("an option");
-        let timeout = timeout.expect("a user time-out");
+        let probes = socket.tcp_keepalive_retries().expect("an option");
+        let user_timeout = socket.tcp_user_timeout().expect("an option");
+        assert_eq!(user_timeout.is_some(), has_user_timeout, "{name}");
+        let timeout = user_timeout.unwrap_or(first_probe + interval * probes);
         assert!(timeout > SOUND_SILENCE, "{name}: {timeout:?}");
         // The kernel looks at the time-out when a probe is due.
         let detected = timeout.max(first_probe) + interval;
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -29,6 +29,9 @@
 /// How long a sound engine may be silent: before the response of `pause`, and within that of `pause-events`.
 const SILENCE: Duration = Duration::from_millis(1_400);
 
+/// How long `reads-late` doesn't read the body of its request.
+const UNREAD_TIME: Duration = Duration::from_millis(4_500);
+
 /// The time between two events of `lasts`.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -519,6 +522,10 @@
                 answer(stream, 200, id, signed, "done");
             }
             "hang" => self.wait_for_close(&mut stream),
+            "reads-late" => answer(stream, 200, id, signed, "done"),
+            "reads-late early" => {
+                let _ = write!(stream, "{FIRST_EVENT}0\r\n\r\n");
+            }
             "break" if last_event.is_none() => events(&mut stream, id, signed, 1, Some(3)),
             "events" | "break" => {
                 let from = last_event.map_or(1, |last_event| last_event + 1);
@@ -578,6 +585,9 @@
     }
 }
 
+/// An event in a chunk.
+const FIRST_EVENT: &str = "9\r\ndata: 1\n\n\r\n";
+
 /// The header of a signed response.
 const SIGNED: &str = "X-Response-Signature: sealed\r\n";
 
@@ -661,12 +671,17 @@
     events_with_pause(stream, id, headers, from, cut_at, Duration::ZERO);
 }
 
+/// The head of a stream of events in chunks.
+fn head_of_events(id: &str, headers: &str) -> String {
+    let head = head(200, id, headers);
+    format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
 /// Sends a stream of events that ends after `time`.
 fn lasting_events(stream: &mut TcpStream, id: &str, headers: &str, time: Duration) {
     let until = Instant::now() + time;
-    let head = head(200, id, headers);
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let mut is_open = write!(stream, "{head}{kind}").is_ok();
+    let head = head_of_events(id, headers);
+    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
     let mut number = 0;
     while is_open && Instant::now() < until {
         number += 1;
@@ -686,9 +701,8 @@
     cut_at: Option<u32>,
     pause: Duration,
 ) {
-    let head = head(200, id, headers);
-    let kind = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let _ = write!(stream, "{head}{kind}");
+    let head = head_of_events(id, headers);
+    let _ = stream.write_all(head.as_bytes());
     for number in from..=6 {
         let event = format!("id: {number}\ndata: e{number}\n\n");
         if number == 4 {
@@ -721,6 +735,15 @@
         head,
         body: String::new(),
     };
+    let behavior = request.header("x-play").unwrap_or_default();
+    if behavior == "reads-late early" {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let head = head_of_events(id, SIGNED);
+        let _ = write!(reader.get_mut(), "{head}{FIRST_EVENT}");
+    }
+    if behavior.starts_with("reads-late") {
+        std::thread::sleep(UNREAD_TIME);
+    }
     let length = request
         .header("content-length")
         .and_then(|text| text.parse().ok());
