Cut off no caller that does not read for seconds

What callers saw: a response ended with a reset if they read nothing for 4 s, or read only 5 KB a second: of 200,000 and 400,000 bytes they got 4,600 and 23,000.

Cause: the caller's connection had TCP_USER_TIMEOUT (4 s), which Linux also applies to a peer that acknowledges all window probes. Its time starts again only when the packet at the head of the send queue fits into the window, so a small window that is read slowly counts as closed for all of that time.

Change: callers' connections have no user time-out. Idle ones, and those whose response has not begun, still end after 4 s without an answer to keep-alive probes. Nothing else ends a write that waits for its caller, so the gateway ends it after a minute in which nothing was taken; that bounds the memory and connections that callers can hold.

Weighed: a user time-out of a minute ends probes by that time as well, so callers that died would occupy servers for as long. Left: a caller that dies while a stream is sent to it is noticed at the deadline of the stream, as bytes without an acknowledgment are no longer timed.

--- a/crates/curlewlift/src/gateway/mod.rs
+++ b/crates/curlewlift/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod body;
+mod caller_stream;
 mod connect;
 mod daemon;
 mod deadline;
--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -19,6 +19,7 @@
 
 use super::body::Answer;
 use super::body::TruncatedBody;
+use super::caller_stream::CallerStream;
 
 /// Maximum number of headers in one request head.
 const MAX_HEADERS: usize = 128;
@@ -33,6 +34,10 @@
 /// Pause after a failed accept, for file descriptors to become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long a caller may take nothing of a response that waits to be written: longer than the deadlines of requests. It
+/// holds a connection and memory meanwhile.
+const MAX_CALLER_STALL: Duration = Duration::from_mins(1);
+
 /// Serves requests on `listener` with `answer` until the future is dropped.
 pub(crate) async fn serve<L, F, A>(listener: TcpListener, limits: L, answer: F)
 where
@@ -60,7 +65,8 @@
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
 {
-    crate::process::configure_connection(&stream);
+    crate::process::configure_caller_connection(&stream);
+    let stream = CallerStream::new(stream, MAX_CALLER_STALL);
     let is_http_10 = Rc::new(Cell::new(false));
     let version = Rc::clone(&is_http_10);
     let service = service_fn(move |request: Request<Incoming>| {
@@ -82,7 +88,7 @@
     };
     log::debug!("a caller's connection failed: {why}");
     if is_http_10.get() && is_truncation(&why) {
-        reset(&connection.into_parts().io.into_inner());
+        reset(connection.into_parts().io.inner().get_ref());
     }
 }
 
--- a/crates/curlewlift/src/process.rs
+++ b/crates/curlewlift/src/process.rs
@@ -241,19 +241,22 @@
     Ok(socket.into())
 }
 
-/// How long sent bytes may stay unacknowledged before a connection to a caller, or between processes of the system, counts as
-/// dead. Linux also ends keep-alive probes by this time, whatever their count.
+/// How long sent bytes may stay unacknowledged before a connection between processes of the system counts as dead. Linux
+/// also ends keep-alive probes by this time, whatever their count.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// How long a connection may be idle before the peer is probed, and the interval of the probes. A peer that lost power or
 /// network doesn't close its connections.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How many probes a caller may leave unanswered.
+const CALLER_KEEPALIVE_PROBES: u32 = 3;
+
 /// How many probes a backend server may leave unanswered, directly or through a tunnel.
 const SERVER_KEEPALIVE_PROBES: u32 = 2;
 
-/// Sets the options of a connection to a caller, or between processes of the system: small writes are sent at once, and an
-/// unresponsive peer is noticed.
+/// Sets the options of a connection between processes of the system: small writes are sent at once, and an unresponsive
+/// peer is noticed.
 pub(crate) fn configure_connection(stream: &tokio::net::TcpStream) {
     let configured = configure(stream, &keepalive()).and_then(|()| {
         let socket = socket2::SockRef::from(stream);
@@ -262,10 +265,16 @@
     log_failure(configured);
 }
 
-/// Sets the options of a connection to a backend server, or of a tunnel to one.
+/// Sets the options of a caller's connection.
 ///
 /// There is no user time-out: Linux also applies it to a sound peer that acknowledges everything but doesn't read for that
 /// long, or only a little at a time.
+pub(crate) fn configure_caller_connection(stream: &tokio::net::TcpStream) {
+    let keepalive = keepalive().with_retries(CALLER_KEEPALIVE_PROBES);
+    log_failure(configure(stream, &keepalive));
+}
+
+/// Sets the options of a connection to a backend server, or of a tunnel to one; without a user time-out, as for callers.
 pub(crate) fn configure_server_connection(stream: &tokio::net::TcpStream) {
     let keepalive = keepalive().with_retries(SERVER_KEEPALIVE_PROBES);
     log_failure(configure(stream, &keepalive));
--- a/crates/curlewlift/src/process/tests.rs
+++ b/crates/curlewlift/src/process/tests.rs
@@ -5,6 +5,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use super::configure_caller_connection;
 use super::configure_connection;
 use super::configure_server_connection;
 
@@ -18,14 +19,15 @@
 type Configure = fn(&TcpStream);
 
 /// A connection without traffic is probed more than once, and ends by the unanswered probes: not before a sound peer may go on,
-/// and not long after. Only servers have no user time-out, which Linux applies to probes instead
+/// and not long after. Only between processes of the system there is a user time-out, which Linux applies to probes instead
 /// of their count: it would also end connections whose peer doesn't read.
 #[tokio::test]
 async fn silent_peers() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let cases: [(&str, Configure, bool); 2] = [
-        ("caller", configure_connection, true),
+    let cases: [(&str, Configure, bool); 3] = [
+        ("process", configure_connection, true),
+        ("caller", configure_caller_connection, false),
         ("server", configure_server_connection, false),
     ];
     for (name, configure, has_user_timeout) in cases {
--- a/crates/curlewlift/tests/platform_slow_readers.rs
+++ b/crates/curlewlift/tests/platform_slow_readers.rs
@@ -1,14 +1,28 @@
-//! Servers that read nothing for a while: responses are whole.
+//! Callers and servers that read slowly, or nothing for a while: responses are whole.
 
 mod platform;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use curlewlift::LinkFault;
+use platform::Engine;
 use platform::ThreeHosts;
 use platform::document;
 use platform::send_request;
+use platform::wait;
 use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
+/// The lengths of responses: one that the gateway reads whole, and one that it forwards as it arrives.
+const LENGTHS: [usize; 2] = [200_000, 400_000];
 
 /// The length of a request body that does not fit into the receive buffer of a server.
 const LONG_BODY: usize = 160_000;
@@ -17,9 +31,75 @@
 const DIRECT: usize = 2;
 const TUNNELED: usize = 3;
 
+/// The packet size and the receive buffer of a slow caller, in bytes: with them, the kernel of the gateway's host holds only a
+/// part of a response.
+const SMALL_PACKET: u32 = 536;
+const SMALL_BUFFER: usize = 4 << 10;
+
+/// How many bytes a slow caller reads at a time, and after which pause.
+const READ_BYTES: usize = 512;
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// For how long a caller reads slowly, or nothing.
+const SLOW_TIME: Duration = Duration::from_millis(5_500);
+
 /// A deadline that is longer than a gateway runs after the order to stop.
 const DEADLINE_MS: u32 = 15_000;
 
+/// A caller with small buffers that has sent a request.
+struct SlowCaller {
+    stream: TcpStream,
+    response: Vec<u8>,
+}
+
+impl SlowCaller {
+    /// Sends a request; `behavior` says what the engine does.
+    fn send(address: SocketAddr, id: &str, behavior: &str) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_tcp_mss(SMALL_PACKET).expect("an option");
+        socket
+            .set_recv_buffer_size(SMALL_BUFFER)
+            .expect("an option");
+        socket
+            .connect(&address.into())
+            .expect("the connection is accepted");
+        let mut stream = TcpStream::from(socket);
+        let request = format!(
+            "POST /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Play: {behavior}\r\n\
+             X-Deadline-Ms: {DEADLINE_MS}\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .expect("the request is sent");
+        Self {
+            stream,
+            response: Vec::new(),
+        }
+    }
+
+    /// Reads a little at a time until the time `until`.
+    fn read_slowly(&mut self, until: Instant) {
+        let mut buffer = [0; READ_BYTES];
+        while Instant::now() < until {
+            let count = self.stream.read(&mut buffer).unwrap_or(0);
+            self.response.extend_from_slice(&buffer[..count]);
+            thread::sleep(READ_INTERVAL);
+        }
+    }
+
+    /// Reads the rest; returns how many bytes of the body have come.
+    fn read_rest(mut self) -> usize {
+        // What comes before a reset counts.
+        let _ = self.stream.read_to_end(&mut self.response);
+        let end_of_head = self
+            .response
+            .windows(4)
+            .position(|bytes| bytes == b"\r\n\r\n");
+        let body = end_of_head.map_or(&[][..], |end| &self.response[end + 4..]);
+        String::from_utf8_lossy(body).matches('x').count()
+    }
+}
+
 /// Starts three hosts with a disk and one more, with a long time-out for all routes.
 fn start(name: &str) -> ThreeHosts {
     let small = ThreeHosts::start_more(name, 1);
@@ -32,6 +112,67 @@
     small
 }
 
+/// Sends a request for each response to a host, and waits until the engines have received them.
+fn send_all(small: &ThreeHosts, host: usize, reads: bool) -> Vec<SlowCaller> {
+    let callers = small.hosts.callers(host);
+    let send = |length: &usize| {
+        let id = format!("{host} {reads} {length}");
+        let sent = SlowCaller::send(callers, &id, &format!("unframed {length}"));
+        wait("the request arrives", || {
+            let received = small.engines.iter().flat_map(Engine::received);
+            received
+                .into_iter()
+                .any(|request| request.header("x-attempt-id") == Some(id.as_str()))
+        });
+        sent
+    };
+    LENGTHS.iter().map(send).collect()
+}
+
+/// Lets each caller read slowly, or nothing, until the time `until`, and then the rest; returns how many bytes of the body each
+/// has received.
+fn read_all(callers: Vec<SlowCaller>, until: Instant, reads: bool) -> Vec<usize> {
+    let read = move |mut caller: SlowCaller| {
+        if reads {
+            caller.read_slowly(until);
+        }
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+        caller.read_rest()
+    };
+    let threads = callers
+        .into_iter()
+        .map(|caller| thread::spawn(move || read(caller)));
+    let threads: Vec<_> = threads.collect();
+    let received = threads.into_iter().map(thread::JoinHandle::join);
+    received
+        .map(|received| received.expect("the caller does not panic"))
+        .collect()
+}
+
+/// Callers that read nothing for seconds, or only a little at a time, were cut off by the user time-out of TCP.
+#[test]
+fn slow_or_paused() {
+    let small = start("slow_or_paused");
+    small.set_link_faults(&[TUNNELED], Some(LinkFault::Refuses));
+    let cases = [
+        (DIRECT, true),
+        (DIRECT, false),
+        (TUNNELED, true),
+        (TUNNELED, false),
+    ];
+    let received = thread::scope(|scope| {
+        let cases = cases.map(|(host, reads)| {
+            let small = &small;
+            scope.spawn(move || {
+                let sent = send_all(small, host, reads);
+                read_all(sent, Instant::now() + SLOW_TIME, reads)
+            })
+        });
+        cases.map(|case| case.join().expect("the callers do not panic"))
+    });
+    assert_eq!(received, cases.map(|_| LENGTHS.to_vec()), "{cases:?}");
+}
+
 /// A sound server that did not read a long request body for seconds was given up by the user time-out of TCP, also when it
 /// had begun to answer.
 #[test]
