Keep a request open until its response has been written

What callers saw: a gateway that stopped cut off the end of a response whose caller read slowly, although the response had come whole and the grace period was not over.

Cause: a request was open until the HTTP library had taken the last part of its response body. A body that is read whole (up to 256 KB) is taken at once, and of a stream the last parts. What the library still held when no request was open any more was lost, as the process ended within 50 ms.

Change: the guards of a response (its open request, its held memory) pass from the body to the caller's connection, which drops them at its next flush. The library flushes a connection only when it has written all that it holds. The memory of such responses was not counted either: a caller that reads nothing may hold it for a minute, so it counts against the memory of the host as long as it is held.

What the kernel holds is sent after the process has ended, unless the caller sends more before it has read the response, as it may do by pipelining.

--- a/crates/curlewlift/src/gateway/body.rs
+++ b/crates/curlewlift/src/gateway/body.rs
@@ -15,6 +15,9 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use super::caller_stream::Guard;
+use super::caller_stream::Unsent;
+
 /// The stream broke off: the connection is closed without the end of the body, so that nobody takes
 /// the response as complete.
 #[derive(Debug)]
@@ -29,32 +32,46 @@
 impl std::error::Error for TruncatedBody {}
 
 /// The body of a response.
-pub(crate) type ResponseBody = Pin<Box<dyn Body<Data = Bytes, Error = TruncatedBody>>>;
-
-/// A body that is already complete.
-pub(crate) fn full(bytes: impl Into<Bytes>) -> ResponseBody {
-    let infallible = |error: std::convert::Infallible| match error {};
-    Box::pin(Full::new(bytes.into()).map_err(infallible))
+pub(crate) struct ResponseBody {
+    body: Pin<Box<dyn Body<Data = Bytes, Error = TruncatedBody>>>,
+    /// What it holds until it has been sent or dropped.
+    guards: Vec<Guard>,
+    /// The connection that it is sent over, which holds the guards until its last bytes have been written.
+    unsent: Option<Unsent>,
 }
 
-/// A response with a complete or a streamed body.
-pub(crate) type Answer = Response<ResponseBody>;
+impl ResponseBody {
+    /// A response body that holds nothing.
+    pub(super) fn new(body: impl Body<Data = Bytes, Error = TruncatedBody> + 'static) -> Self {
+        Self {
+            body: Box::pin(body),
+            guards: Vec::new(),
+            unsent: None,
+        }
+    }
 
-/// A response with a JSON body.
-pub(crate) fn json(body: String) -> Answer {
-    let mut response = Response::new(full(body));
-    let kind = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    response
+    /// Adds what it holds until it has been sent or dropped.
+    pub(super) fn with_guard<T: 'static>(mut self, guard: T) -> Self {
+        self.guards.push(Box::new(guard));
+        self
+    }
+
+    /// Sets the connection that it is sent over.
+    pub(super) fn sent_over(mut self, unsent: Unsent) -> Self {
+        self.unsent = Some(unsent);
+        self
+    }
 }
 
-/// A body that holds a guard until it has been sent or dropped.
-struct GuardedBody<T> {
-    body: ResponseBody,
-    _guard: T,
+impl Drop for ResponseBody {
+    fn drop(&mut self) {
+        if let Some(unsent) = &self.unsent {
+            unsent.hold(&mut self.guards);
+        }
+    }
 }
 
-impl<T: Unpin> Body for GuardedBody<T> {
+impl Body for ResponseBody {
     type Data = Bytes;
     type Error = TruncatedBody;
 
@@ -74,10 +91,19 @@
     }
 }
 
-/// `body`, which holds `guard` until it has been sent or dropped.
-pub(super) fn with_guard<T: Unpin + 'static>(body: ResponseBody, guard: T) -> ResponseBody {
-    Box::pin(GuardedBody {
-        body,
-        _guard: guard,
-    })
+/// A body that is already complete.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> ResponseBody {
+    let infallible = |error: std::convert::Infallible| match error {};
+    ResponseBody::new(Full::new(bytes.into()).map_err(infallible))
+}
+
+/// A response with a complete or a streamed body.
+pub(crate) type Answer = Response<ResponseBody>;
+
+/// A response with a JSON body.
+pub(crate) fn json(body: String) -> Answer {
+    let mut response = Response::new(full(body));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
 }
--- a/crates/curlewlift/src/gateway/caller_stream.rs
+++ b/crates/curlewlift/src/gateway/caller_stream.rs
@@ -1,9 +1,12 @@
 //! The connection of a caller, which may read slowly.
 
+use std::any::Any;
+use std::cell::RefCell;
 use std::future::Future;
 use std::io;
 use std::io::IoSlice;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -18,6 +21,26 @@
 #[cfg(test)]
 mod tests;
 
+/// What a response holds until it has been written, such as memory.
+pub(super) type Guard = Box<dyn Any>;
+
+/// What is held until the bytes that were given to a connection before have been written, such as memory. Clones are for the
+/// same connection.
+#[derive(Clone, Default)]
+pub(super) struct Unsent(Rc<RefCell<Vec<Guard>>>);
+
+impl Unsent {
+    /// Holds these guards until the connection has written all that it has been given.
+    pub(super) fn hold(&self, guards: &mut Vec<Guard>) {
+        self.0.borrow_mut().append(guards);
+    }
+
+    /// Drops all guards.
+    fn release(&self) {
+        drop(self.0.take());
+    }
+}
+
 /// A connection that fails if its caller takes nothing of what is to be written for too long. The kernel has no such limit
 /// for a caller that is alive and keeps its window closed.
 pub(super) struct CallerStream {
@@ -25,6 +48,7 @@
     max_stall: Duration,
     /// Fires when the caller has taken nothing for too long; none unless something waits to be written.
     stalled: Option<Pin<Box<Sleep>>>,
+    unsent: Unsent,
 }
 
 impl CallerStream {
@@ -34,6 +58,7 @@
             stream,
             max_stall,
             stalled: None,
+            unsent: Unsent::default(),
         }
     }
 
@@ -42,6 +67,11 @@
         &self.stream
     }
 
+    /// What is held until the connection has been flushed.
+    pub(super) fn unsent(&self) -> Unsent {
+        self.unsent.clone()
+    }
+
     /// Passes on the result of a write, unless nothing could be written for too long.
     fn limit_stall(
         &mut self,
@@ -93,8 +123,11 @@
         self.stream.is_write_vectored()
     }
 
+    /// The HTTP library flushes the connection when it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.unsent.release();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/curlewlift/src/gateway/open.rs
+++ b/crates/curlewlift/src/gateway/open.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 
 use super::body::Answer;
-use super::body::with_guard;
 use super::node::Node;
 use super::request;
 
@@ -31,7 +30,7 @@
     }
 }
 
-/// Serves a request, and counts it as open until its response body has been sent.
+/// Serves a request, and counts it as open until its response has been written to its caller's connection.
 pub(super) async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Answer {
     let open = OpenGuard::new(&node);
     let stop_state = Rc::clone(&node);
@@ -40,5 +39,5 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response.map(|body| with_guard(body, open))
+    response.map(|body| body.with_guard(open))
 }
--- a/crates/curlewlift/src/gateway/outcome.rs
+++ b/crates/curlewlift/src/gateway/outcome.rs
@@ -41,11 +41,7 @@
         self.end_line(head.status.as_u16(), "whole").write();
         let memory = HeldBytes::new(&self.node);
         memory.extend(body.len());
-        to_caller(
-            head,
-            Some(body.len()),
-            body::with_guard(body::full(body), memory),
-        )
+        to_caller(head, Some(body.len()), body::full(body).with_guard(memory))
     }
 
     /// A server's response that is forwarded as it arrives.
@@ -58,7 +54,7 @@
         let mut begun = self.clone();
         begun.is_streaming = true;
         let body = relay::body(begun, response_start);
-        to_caller(head, None, body::with_guard(body, memory))
+        to_caller(head, None, body.with_guard(memory))
     }
 
     /// Records how long the request has taken, for others of its rule.
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -106,7 +106,7 @@
         let chunk = relay.next_chunk().await?;
         Some((chunk.map(Frame::data), relay))
     });
-    Box::pin(StreamBody::new(chunks))
+    ResponseBody::new(StreamBody::new(chunks))
 }
 
 impl Drop for Relay {
--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -69,10 +69,12 @@
     let stream = CallerStream::new(stream, MAX_CALLER_STALL);
     let is_http_10 = Rc::new(Cell::new(false));
     let version = Rc::clone(&is_http_10);
+    let unsent = stream.unsent();
     let service = service_fn(move |request: Request<Incoming>| {
         version.set(request.version() == Version::HTTP_10);
         let answer = answer(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let unsent = unsent.clone();
+        async move { Ok::<_, Infallible>(answer.await.map(|body| body.sent_over(unsent))) }
     });
     // The timeout for a head also runs while the connection is idle, so it includes the idle time.
     let mut connection = http1::Builder::new()
--- a/crates/curlewlift/tests/platform_slow_readers.rs
+++ b/crates/curlewlift/tests/platform_slow_readers.rs
@@ -1,4 +1,4 @@
-//! Callers and servers that read slowly, or nothing for a while: responses are whole.
+//! Callers and servers that read slowly, or nothing for a while: responses are whole, also while a gateway stops.
 
 mod platform;
 
@@ -27,9 +27,9 @@
 /// The length of a request body that does not fit into the receive buffer of a server.
 const LONG_BODY: usize = 160_000;
 
-/// A host that reaches the servers, and one that reaches them through another host.
-const DIRECT: usize = 2;
-const TUNNELED: usize = 3;
+/// Hosts that reach the servers, and some that reach them through other hosts.
+const DIRECT: [usize; 2] = [1, 2];
+const TUNNELED: [usize; 2] = [3, 4];
 
 /// The packet size and the receive buffer of a slow caller, in bytes: with them, the kernel of the gateway's host holds only a
 /// part of a response.
@@ -40,9 +40,12 @@
 const READ_BYTES: usize = 512;
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 
-/// For how long a caller reads slowly, or nothing.
+/// For how long a caller reads slowly, or nothing: longer than a gateway without open requests takes to stop.
 const SLOW_TIME: Duration = Duration::from_millis(5_500);
 
+/// The host that stops.
+const STOPPING: usize = 3;
+
 /// A deadline that is longer than a gateway runs after the order to stop.
 const DEADLINE_MS: u32 = 15_000;
 
@@ -100,9 +103,9 @@
     }
 }
 
-/// Starts three hosts with a disk and one more, with a long time-out for all routes.
+/// Starts three hosts with a disk and two more, with a long time-out for all routes.
 fn start(name: &str) -> ThreeHosts {
-    let small = ThreeHosts::start_more(name, 1);
+    let small = ThreeHosts::start_more(name, 2);
     let mut document = document(8);
     for route in document["routes"].as_array_mut().expect("routes") {
         route["timeout_ms"] = json!(DEADLINE_MS);
@@ -113,7 +116,7 @@
 }
 
 /// Sends a request for each response to a host, and waits until the engines have received them.
-fn send_all(small: &ThreeHosts, host: usize, reads: bool) -> Vec<SlowCaller> {
+fn send_all(small: &ThreeHosts, host: usize, reads: bool, lengths: &[usize]) -> Vec<SlowCaller> {
     let callers = small.hosts.callers(host);
     let send = |length: &usize| {
         let id = format!("{host} {reads} {length}");
@@ -126,7 +129,7 @@
         });
         sent
     };
-    LENGTHS.iter().map(send).collect()
+    lengths.iter().map(send).collect()
 }
 
 /// Lets each caller read slowly, or nothing, until the time `until`, and then the rest; returns how many bytes of the body each
@@ -153,18 +156,18 @@
 #[test]
 fn slow_or_paused() {
     let small = start("slow_or_paused");
-    small.set_link_faults(&[TUNNELED], Some(LinkFault::Refuses));
+    small.set_link_faults(&TUNNELED, Some(LinkFault::Refuses));
     let cases = [
-        (DIRECT, true),
-        (DIRECT, false),
-        (TUNNELED, true),
-        (TUNNELED, false),
+        (DIRECT[0], true),
+        (DIRECT[1], false),
+        (TUNNELED[0], true),
+        (TUNNELED[1], false),
     ];
     let received = thread::scope(|scope| {
         let cases = cases.map(|(host, reads)| {
             let small = &small;
             scope.spawn(move || {
-                let sent = send_all(small, host, reads);
+                let sent = send_all(small, host, reads, &LENGTHS);
                 read_all(sent, Instant::now() + SLOW_TIME, reads)
             })
         });
@@ -178,12 +181,12 @@
 #[test]
 fn unread_body() {
     let small = start("unread_body");
-    small.set_link_faults(&[TUNNELED], Some(LinkFault::Refuses));
+    small.set_link_faults(&TUNNELED, Some(LinkFault::Refuses));
     let cases = [
-        (DIRECT, "reads-late", "done"),
-        (DIRECT, "reads-late early", "data: 1\n\ndata: 1\n\n"),
-        (TUNNELED, "reads-late", "done"),
-        (TUNNELED, "reads-late early", "data: 1\n\ndata: 1\n\n"),
+        (DIRECT[0], "reads-late", "done"),
+        (DIRECT[1], "reads-late early", "data: 1\n\ndata: 1\n\n"),
+        (TUNNELED[0], "reads-late", "done"),
+        (TUNNELED[1], "reads-late early", "data: 1\n\ndata: 1\n\n"),
     ];
     let body = "q".repeat(LONG_BODY);
     thread::scope(|scope| {
@@ -201,3 +204,14 @@
         }
     });
 }
+
+/// The process of a gateway ended while it held the rest of a response that the kernel had no room for.
+#[test]
+fn unsent_at_stop() {
+    let mut small = start("unsent_at_stop");
+    let sent = send_all(&small, STOPPING, true, &LENGTHS[..1]);
+    let process = small.hosts.stop(STOPPING);
+    let received = read_all(sent, Instant::now() + SLOW_TIME, true);
+    process.wait().expect("the host stops");
+    assert_eq!(received, LENGTHS[..1]);
+}
