Let callers read what a stopping entry still holds

What callers saw: the end of a long response was missing if they read it slowly while their entry stopped.

Cause: an entry counts a request as open until its response has been stored, and ended 0.5 s after the last one. What the store and the HTTP library held for a caller was lost.

Change: once no request is open, the entry shuts its HTTP server down gracefully: idle connections are closed, and the process waits until all responses have been written. It waits no longer than a minute, as a caller that takes nothing, or that never completes a head, would keep it forever.

--- a/crates/curlewlift/src/entry/daemon.rs
+++ b/crates/curlewlift/src/entry/daemon.rs
@@ -13,6 +13,7 @@
 use curlewlift_core::view::LeaseTiming;
 use curlewlift_core::view::Member;
 use rand::Rng;
+use tokio::sync::oneshot;
 
 use crate::process;
 use crate::process::Clock;
@@ -135,8 +136,11 @@
     let handler = calls::handler(Arc::clone(&node));
     tokio::task::spawn_local(rpc::serve(rpc_listener, handler, timeline.clone()));
     let router = http::router(Arc::clone(&node));
-    let server = axum::serve(http_listener, router);
-    tokio::spawn(async move {
+    let (close_sender, close) = oneshot::channel::<()>();
+    let server = axum::serve(http_listener, router).with_graceful_shutdown(async {
+        let _ = close.await;
+    });
+    let server = tokio::spawn(async move {
         if let Err(error) = server.await {
             log::error!("the HTTP server for callers ended: {error}");
         }
@@ -150,7 +154,11 @@
         () = stop::wait_for_order(&node) => Order::Stop,
     };
     if order == Order::Stop {
-        stop::run(&node, entry.keep).await;
+        let close_callers = async {
+            drop(close_sender);
+            let _ = server.await;
+        };
+        stop::run(&node, entry.keep, close_callers).await;
     }
     Ok(())
 }
--- a/crates/curlewlift/src/entry/stop.rs
+++ b/crates/curlewlift/src/entry/stop.rs
@@ -17,6 +17,9 @@
 /// Interval between two checks whether operators have ordered the stop of this entry.
 const ORDER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// For how long callers may still read responses that are complete here.
+const MAX_READ_TIME: Duration = Duration::from_mins(1);
+
 /// Delay before the process ends, so that the last renewal reaches the leader.
 const LAST_RENEWAL_WAIT: Duration = Duration::from_millis(500);
 
@@ -33,8 +36,12 @@
 }
 
 /// Leaves the view, serves until no caller may still use an address response that names this entry,
-/// and waits for the open requests.
-pub(super) async fn run(node: &Arc<Node>, address_retention: Duration) {
+/// and waits for the open requests. `close_callers` accepts no more callers, and waits until all responses have been written.
+pub(super) async fn run(
+    node: &Arc<Node>,
+    address_retention: Duration,
+    close_callers: impl Future<Output = ()>,
+) {
     node.timeline.note(Line::new(Kind::Stopping));
     lock(&node.view_holder).start_leaving();
     // Once the view has this entry as leaving, no address response names it any more. Responses
@@ -47,6 +54,7 @@
     while node.open_requests.load(Ordering::Relaxed) > 0 {
         tokio::time::sleep(PROGRESS_CHECK_INTERVAL).await;
     }
+    let _ = tokio::time::timeout(MAX_READ_TIME, close_callers).await;
     lock(&node.view_holder).stop();
     tokio::time::sleep(LAST_RENEWAL_WAIT).await;
     let finished = node.finished_requests.load(Ordering::Relaxed);
--- a/crates/curlewlift/tests/planned_stop.rs
+++ b/crates/curlewlift/tests/planned_stop.rs
@@ -3,13 +3,27 @@
 
 mod support;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use axum::http::Method;
 use curlewlift_lab::client::Client;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use support::SmallSystem;
 
+/// The packet size and the receive buffer of a slow caller, in bytes: with them, the kernel of the entry's host holds only a
+/// part of a response.
+const SMALL_PACKET: u32 = 536;
+const SMALL_BUFFER: usize = 4 << 10;
+
+/// The length of a response that the kernel holds only a part of.
+const LONG_BODY: usize = 300_000;
+
 #[test]
 fn serves_until_end() {
     let mut small = SmallSystem::start("serves_until_end", 1, 4, 2);
@@ -72,3 +86,33 @@
     assert_eq!(left_out.status, 200, "{}", left_out.body);
     drop(process);
 }
+
+/// An entry ended while it held the rest of a response that its caller had not read yet.
+#[test]
+fn unsent_at_stop() {
+    let mut small = SmallSystem::start("unsent_at_stop", 1, 4, 1);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_tcp_mss(SMALL_PACKET).expect("an option");
+    let resized = socket.set_recv_buffer_size(SMALL_BUFFER);
+    resized.expect("an option");
+    let connected = socket.connect(&small.site.entry(0).into());
+    connected.expect("the connection is accepted");
+    let mut caller = TcpStream::from(socket);
+    // The server sends the body back.
+    let body = "q".repeat(LONG_BODY);
+    let request = format!(
+        "POST /services/pay/echo HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-ann\r\n\
+         Content-Length: {LONG_BODY}\r\n\r\n{body}"
+    );
+    let sent = caller.write_all(request.as_bytes());
+    sent.expect("the request is sent");
+    while small.plain.calls().is_empty() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let process = small.site.stop_entry(0);
+    std::thread::sleep(Duration::from_secs(3));
+    let mut response = String::new();
+    let _ = caller.read_to_string(&mut response);
+    assert!(response.ends_with(&body), "{} bytes", response.len());
+    process.wait().expect("the entry stops without an error");
+}
