Test slow readers on connections with a short idle time

The idle time of a connection, and the time for a head, are one timer of the HTTP library. It was suspected to run while a response waits to be written, so that a slow caller on a kept connection would be cut off.

--- a/crates/curlewlift/tests/platform_slow_readers.rs
+++ b/crates/curlewlift/tests/platform_slow_readers.rs
@@ -46,6 +46,9 @@
 /// The host that stops.
 const STOPPING: usize = 3;
 
+/// How long a connection may be idle, and a head may take: shorter than the time in which a response is read.
+const IDLE_TIME_MS: u32 = 1_000;
+
 /// A deadline that is longer than a gateway runs after the order to stop.
 const DEADLINE_MS: u32 = 15_000;
 
@@ -69,7 +72,7 @@
         let mut stream = TcpStream::from(socket);
         let request = format!(
             "POST /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\nX-Play: {behavior}\r\n\
-             X-Deadline-Ms: {DEADLINE_MS}\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion"
+             X-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 8\r\n\r\nquestion"
         );
         stream
             .write_all(request.as_bytes())
@@ -110,6 +113,8 @@
     for route in document["routes"].as_array_mut().expect("routes") {
         route["timeout_ms"] = json!(DEADLINE_MS);
     }
+    document["limits"]["idle_timeout_ms"] = json!(IDLE_TIME_MS);
+    document["limits"]["header_timeout_ms"] = json!(IDLE_TIME_MS);
     document["limits"]["max_body_bytes"] = json!(LONG_BODY);
     small.hosts.configure(&document.to_string());
     small
