Decode the active table off the thread of a new leader

Cause: State::update_role decoded the active table on the thread of the control replica. The first heartbeats of the new leader are tasks of that thread and went out only afterwards; the others elect the next leader after 0.6 to 1.2 s. Decoding took so long as Table::new compared each rule's prefix with all others of its host.

Ruled out: the size of the log's messages (with the table decoded elsewhere the same messages go out in time). Not tried: either half of the change without the other.

Change: control/active_table.rs is the only place that decodes tables for the hub, on another thread. The hub of a new leader serves nobody until it has the table; polls wait for it. The same holds for an entry of a former leader that is applied late. Tables are published one at a time, so that two of them cannot take each other's decoded form. Table::new looks prefixes up by hash, with the same errors in the same order.

--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -100,13 +101,14 @@
     /// two customers have the same key.
     pub fn new(parts: Parts) -> Result<Self, Refusal> {
         let mut hosts: HashMap<Arc<str>, Vec<Arc<Rule>>> = HashMap::new();
+        let mut matched = HashSet::new();
         for rule in parts.rules {
             validate_rule(&rule, &parts.services)?;
-            let rules = hosts.entry(Arc::clone(&rule.host)).or_default();
-            if rules.iter().any(|other| other.prefix == rule.prefix) {
+            if !matched.insert((Arc::clone(&rule.host), Arc::clone(&rule.prefix))) {
                 let why = format!("two rules match {}{}", rule.host, rule.prefix);
                 return Err(bad_value(why));
             }
+            let rules = hosts.entry(Arc::clone(&rule.host)).or_default();
             rules.push(Arc::new(rule));
         }
         for rules in hosts.values_mut() {
--- a/crates/core/tests/route_tables.rs
+++ b/crates/core/tests/route_tables.rs
@@ -117,6 +117,42 @@
     ])));
 }
 
+/// Of several errors the first one in the order of the rules is stated, also among rules of other hosts.
+#[test]
+fn repeated_prefix() {
+    let at = |host: &str, prefix: &str| Rule {
+        host: host.into(),
+        ..rule(prefix, prefix)
+    };
+    let untimed = Rule {
+        timeout: Duration::ZERO,
+        ..at("b", "/y/")
+    };
+    let cases = [
+        (vec![at("a", "/x/"), at("b", "/x/"), at("a", "/y/")], None),
+        (
+            vec![
+                at("a", "/x/"),
+                at("b", "/x/"),
+                at("a", "/x/"),
+                untimed.clone(),
+            ],
+            Some("two rules match a/x/"),
+        ),
+        (
+            vec![at("a", "/x/"), untimed, at("a", "/x/")],
+            Some("rule /y/: the timeout is 0"),
+        ),
+    ];
+    for (rules, why) in cases {
+        let refusal = Table::new(parts(rules)).err();
+        let detail = refusal
+            .as_ref()
+            .map(curlewlift_core::code::Refusal::get_detail);
+        assert_eq!(detail, why);
+    }
+}
+
 #[test]
 fn shared_key() {
     let mut shared = parts(vec![rule("one", "/")]);
--- a/crates/curlewlift/src/control/daemon.rs
+++ b/crates/curlewlift/src/control/daemon.rs
@@ -211,7 +211,15 @@
         clock.now(),
     );
     let client = rpc::Client::new(timeline.clone());
-    let state = State::new(replica, writer, client, timeline.clone(), control.lease);
+    let (decoded_sender, mut decoded_tables) = mpsc::unbounded_channel();
+    let state = State::new(
+        replica,
+        writer,
+        client,
+        timeline.clone(),
+        control.lease,
+        decoded_sender,
+    );
     let state = Rc::new(RefCell::new(
         state?
             .peers(control.peers)
@@ -240,6 +248,7 @@
                     return Err(refusal);
                 }
             },
+            Some(decoded) = decoded_tables.recv() => state.borrow_mut().on_decoded(decoded),
             order = signal.next() => {
                 if order == Order::Stop {
                     timeline.note(Line::new(Kind::Stopped));
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -18,11 +18,11 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
-use crate::blocking;
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
 use crate::rpc::TableRequest;
 
+use super::active_table;
 use super::replica::State;
 
 type Shared = Rc<RefCell<State>>;
@@ -86,27 +86,6 @@
 }
 
 impl State {
-    /// Updates the hub to the active table, and wakes the polls that wait for it.
-    pub(super) fn apply_table(&mut self) {
-        let publication = self.machine.get_publication();
-        let (Some(hub), Some(gateways)) = (&mut self.hub, &self.gateways) else {
-            return;
-        };
-        if publication.version == 0 {
-            return;
-        }
-        let prepared = self
-            .prepared_table
-            .take_if(|(prepared, _)| prepared == publication);
-        let table = prepared.map_or_else(|| (gateways.decode)(publication), |(_, table)| Ok(table));
-        // Before any gateway hears of the table: the hub charges nothing to a customer that it does not know.
-        match table {
-            Ok(table) => hub.apply_table(&table, self.clock.now()),
-            Err(why) => log::error!("cannot decode routing table {}: {why}", publication.version),
-        }
-        self.updates.notify_waiters();
-    }
-
     /// Records in the metrics how long after their acknowledgement tables have come into effect at the gateway on `host`,
     /// which has table `in_effect` now.
     pub(super) fn record_in_effect(&mut self, host: &id::Host, in_effect: u64) {
@@ -233,6 +212,7 @@
 
 /// Responds to a poll at once if there is an update, or else when there is one or the poll times out.
 async fn respond_to_poll(state: &Shared, poll: Poll) -> Result<HubReply, Refusal> {
+    active_table::wait_for_hub(state).await;
     let mut has_update = on_poll(&mut state.borrow_mut(), &poll)?;
     let timeout = state
         .borrow()
@@ -326,10 +306,15 @@
 async fn publish(state: &Shared, publication: Publication) -> Result<HubReply, Refusal> {
     let version = publication.version;
     // A leader that a majority confirms has applied everything that is committed.
-    let is_newer = version > state.borrow().machine.get_publication().version;
-    if is_newer {
-        prepare(state, &publication).await?;
-        commit(state, publication).await?;
+    let is_newer = || version > state.borrow().machine.get_publication().version;
+    if is_newer() {
+        let publishing = Rc::clone(&state.borrow().publishing);
+        let _publishing = publishing.lock().await;
+        // Another call may have published a newer one meanwhile.
+        if is_newer() {
+            active_table::prepare(state, &publication).await?;
+            commit(state, publication).await?;
+        }
     }
     let (in_touch, missing, waited) = wait_until_announced(state, version).await?;
     state.borrow_mut().note_acknowledged(version);
@@ -344,21 +329,6 @@
     Ok(HubReply::Published)
 }
 
-/// Decodes a table that is about to be committed. Decoding takes another thread: on this one a large table would delay
-/// heartbeats for so long that the leader is replaced.
-async fn prepare(state: &Shared, publication: &Publication) -> Result<(), Refusal> {
-    let gateways = state.borrow().gateways.clone();
-    let decode = gateways.ok_or_else(not_ready)?.decode;
-    let prepared = publication.clone();
-    let prepared = blocking::run(move || {
-        let table = decode(&prepared)?;
-        Ok((prepared, table))
-    });
-    let prepared = prepared.await?;
-    state.borrow_mut().prepared_table = Some(prepared);
-    Ok(())
-}
-
 async fn commit(state: &Shared, publication: Publication) -> Result<(), Refusal> {
     let version = publication.version;
     let bytes = publication.document.as_packed().len();
@@ -389,11 +359,14 @@
             state.ensure_leading().map_err(|_| leader_changed())?;
             let now = state.clock.now();
             let waited = now.since(started_at);
-            let leases = state.hub.as_ref().ok_or_else(not_ready)?.get_table_leases();
-            let (in_touch, missing) = leases.count_missing(version, now);
-            let is_in_effect = missing == 0 || waited >= MAX_IN_EFFECT_WAIT;
-            if is_in_effect && leases.is_announced(version, now) {
-                return Ok((in_touch, missing, waited));
+            // A new leader's hub may still wait for the active table.
+            if let Some(hub) = &state.hub {
+                let leases = hub.get_table_leases();
+                let (in_touch, missing) = leases.count_missing(version, now);
+                let is_in_effect = missing == 0 || waited >= MAX_IN_EFFECT_WAIT;
+                if is_in_effect && leases.is_announced(version, now) {
+                    return Ok((in_touch, missing, waited));
+                }
             }
         }
         tokio::time::sleep(ANNOUNCEMENT_CHECK_INTERVAL).await;
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! A control replica: the replicated log, the state machine that it drives, and the entries' leases.
 
+mod active_table;
 mod daemon;
 mod distribution;
 mod evacuations;
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -31,7 +31,9 @@
 use curlewlift_core::view::Grantor;
 use curlewlift_core::view::LeaseTiming;
 use rand::Rng;
+use tokio::sync::Mutex;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::disk::Batch;
@@ -41,6 +43,7 @@
 use crate::rpc::Method;
 use crate::timeline::Timeline;
 
+use super::active_table::DecodedTable;
 use super::distribution::Distributor;
 use super::gateways::Gateways;
 use super::in_flight::KnownLimits;
@@ -82,8 +85,14 @@
     /// Hosts whose replicas must be removed from the replica set.
     pub(super) removed: BTreeSet<id::Host>,
     pub(super) gateways: Option<Gateways>,
-    /// The hub that serves the gateways, while this replica leads.
+    /// The hub that serves the gateways, while this replica leads and the active table is decoded.
     pub(super) hub: Option<Hub>,
+    /// The leader's hub while it waits for the active table.
+    pub(super) waiting_hub: Option<Hub>,
+    /// The active table, while it is being decoded on another thread.
+    pub(super) decoding: Option<Publication>,
+    /// Sends the event loop tables that have been decoded.
+    pub(super) decoded_tables: mpsc::UnboundedSender<DecodedTable>,
     /// Requests that wait for a slot at a backend server, while this replica leads.
     pub(super) pending_slots: HashMap<Ticket, oneshot::Sender<SlotAnswer>>,
     /// The limits of requests in flight that were last reported to operators.
@@ -92,6 +101,8 @@
     pub(super) updates: Rc<Notify>,
     /// Gives the active routing table to gateways.
     pub(super) distributor: Rc<Distributor>,
+    /// Held while a table is published: one at a time is decoded and committed.
+    pub(super) publishing: Rc<Mutex<()>>,
     /// The table that is being published, decoded already.
     pub(super) prepared_table: Option<(Publication, Table)>,
     /// When tables were acknowledged to their operators, by version.
@@ -110,6 +121,7 @@
         client: rpc::Client,
         timeline: Timeline,
         lease: LeaseTiming,
+        decoded_tables: mpsc::UnboundedSender<DecodedTable>,
     ) -> Result<Self, Refusal> {
         let machine = Machine::decode(&replica.snapshot().state)?;
         Ok(Self {
@@ -130,10 +142,14 @@
             removed: BTreeSet::new(),
             gateways: None,
             hub: None,
+            waiting_hub: None,
+            decoding: None,
+            decoded_tables,
             pending_slots: HashMap::new(),
             known_limits: KnownLimits::default(),
             updates: Rc::new(Notify::new()),
             distributor: Distributor::new(Clock::start(), Distribution::new(0.0)),
+            publishing: Rc::default(),
             prepared_table: None,
             acknowledged_tables: BTreeMap::new(),
             maintainer: Maintainer::default(),
@@ -353,20 +369,13 @@
             self.grantor = Some(Grantor::new(self.lease, now));
             if let Some(gateways) = &self.gateways {
                 let hub_id = rand::rng().next_u64();
-                self.hub = Some(Hub::new(gateways.tuning, now).with_id(hub_id));
-                self.apply_table();
-                self.apply_shares();
-                self.apply_retry_blocks();
-                self.apply_plans(None);
-                self.apply_evacuated_halls();
-                self.apply_quarantine_steps(&[]);
-                self.apply_stream_versions(&[]);
+                self.start_hub(Hub::new(gateways.tuning, now).with_id(hub_id));
             }
         } else if self.role == Role::Leader {
             self.timeline
                 .note(Line::new(Kind::Follows).detail(format_args!("term={term}")));
             self.grantor = None;
-            self.hub = None;
+            self.drop_hub();
             self.pending_slots.clear();
             self.known_limits.clear();
             self.acknowledged_tables.clear();
