Redirect large reads at narrow links to the leader

Cause: the host that was asked fetched the packed table from the leader and sent the whole text, uncompressed, over its own link.

Ruled out: compression for all (callers that do not ask for it cannot read it); a redirect to any replica (it has to ask the leader again, and may be gone; the leader has just replied); an unconditional redirect (nothing for a caller that reaches this host, but not the leader).

Change: the leader's reply to a read has its name and the rate of its link. A host whose own link would take over 250 ms answers 307 with the leader's address, if that link is at least twice as wide. A caller that comes back within 10 s is served where it asked (publication::Redirects, pure). The leader's link is no wider than itself, so no read is redirected twice. Callers that accept gzip get the stored form without compressing it again; responses have an ETag, and 304 for If-None-Match. The leader sends the table only to a host that does not have it. Documents are unpacked on another thread.

How long reads take was not measured.

--- a/crates/core/src/publication/mod.rs
+++ b/crates/core/src/publication/mod.rs
@@ -11,6 +11,7 @@
 mod holder;
 mod patch;
 mod payload;
+mod redirects;
 mod store;
 
 pub use chunk::CHUNK_BYTES;
@@ -24,5 +25,7 @@
 pub use patch::Patch;
 pub use payload::Payload;
 pub use payload::PayloadId;
+pub use redirects::Redirects;
+pub use redirects::Transfer;
 pub use store::Job;
 pub use store::Store;
--- a/crates/core/src/state/document.rs
+++ b/crates/core/src/state/document.rs
@@ -7,6 +7,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use flate2::Compression;
+use flate2::Crc;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use serde::Deserialize;
@@ -18,6 +19,9 @@
 /// Prefix of a compressed document.
 const PACKED_PREFIX: &str = "deflate,base64:";
 
+/// The head of a gzip file of deflated data, without a name and a time, from an unknown system.
+const GZIP_HEADER: [u8; 10] = [0x1f, 0x8b, 8, 0, 0, 0, 0, 0, 0, 255];
+
 /// Maximum size of a document: enough for about 30,000 routes.
 pub const MAX_DOCUMENT_BYTES: usize = 8 << 20;
 
@@ -70,29 +74,52 @@
     /// [`Code::Damaged`] if the stored form is invalid, or the text is larger than
     /// [`MAX_DOCUMENT_BYTES`].
     pub fn unpack(&self) -> Result<String, Refusal> {
-        let Some(packed) = self.0.strip_prefix(PACKED_PREFIX) else {
+        let Some(bytes) = self.deflated()? else {
             return Ok(self.0.to_string());
         };
-        let damaged = |error: String| {
-            Refusal::new(
-                Code::Damaged,
-                format!("cannot decompress a document: {error}"),
-            )
-        };
-        let bytes = BASE64_STANDARD.decode(packed);
-        let bytes = bytes.map_err(|error| damaged(error.to_string()))?;
         let mut text = String::new();
         DeflateDecoder::new(&*bytes)
             .take(MAX_DOCUMENT_BYTES as u64 + 1)
             .read_to_string(&mut text)
-            .map_err(|error| damaged(error.to_string()))?;
+            .map_err(|error| damaged(&error))?;
         if text.len() > MAX_DOCUMENT_BYTES {
-            return Err(damaged(format!(
-                "it has more than {MAX_DOCUMENT_BYTES} bytes"
-            )));
+            let why = format!("it has more than {MAX_DOCUMENT_BYTES} bytes");
+            return Err(damaged(&why));
         }
         Ok(text)
     }
+
+    /// The document's `text` as a gzip file, without compressing it again; none if it is stored uncompressed.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Damaged`] if the stored form is invalid.
+    pub fn to_gzip(&self, text: &str) -> Result<Option<Vec<u8>>, Refusal> {
+        let Some(deflated) = self.deflated()? else {
+            return Ok(None);
+        };
+        let mut checksum = Crc::new();
+        checksum.update(text.as_bytes());
+        let mut file = GZIP_HEADER.to_vec();
+        file.extend_from_slice(&deflated);
+        file.extend_from_slice(&checksum.sum().to_le_bytes());
+        file.extend_from_slice(&checksum.amount().to_le_bytes());
+        Ok(Some(file))
+    }
+
+    /// The compressed text; none if it is stored uncompressed.
+    fn deflated(&self) -> Result<Option<Vec<u8>>, Refusal> {
+        let packed = self.0.strip_prefix(PACKED_PREFIX);
+        let bytes = packed.map(|packed| BASE64_STANDARD.decode(packed));
+        bytes.transpose().map_err(|error| damaged(&error))
+    }
+}
+
+fn damaged(error: &dyn std::fmt::Display) -> Refusal {
+    Refusal::new(
+        Code::Damaged,
+        format!("cannot decompress a document: {error}"),
+    )
 }
 
 fn deflate(text: &str) -> std::io::Result<String> {
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -20,6 +20,7 @@
 
 use crate::rpc::HubCall;
 use crate::rpc::HubReply;
+use crate::rpc::TableRead;
 use crate::rpc::TableRequest;
 
 use super::active_table;
@@ -74,7 +75,7 @@
         // Gateways with a replica in their process lend no slots either.
         HubCall::BorrowSlot(_) => Ok(HubReply::SlotLent(None)),
         HubCall::ReturnSlot(_) => Ok(HubReply::Acknowledged),
-        HubCall::ReadTable => read_table(state).await,
+        HubCall::ReadTable { known } => read_table(state, known).await,
         HubCall::StartRollout(order) => super::rollouts::order(state, order).await,
         HubCall::ReadRollout(service) => super::rollouts::read(state, &service).await,
         HubCall::Evacuate(order) => super::evacuations::order(state, order).await,
@@ -273,11 +274,18 @@
     Ok(is_new_list || state.has_update(poll))
 }
 
-/// The newest accepted table, confirmed by a majority.
-async fn read_table(state: &Shared) -> Result<HubReply, Refusal> {
+/// The newest accepted table, confirmed by a majority. It is sent only to a caller that does not have it.
+async fn read_table(state: &Shared, known: u64) -> Result<HubReply, Refusal> {
     confirm(state).await?;
-    let publication = state.borrow().machine.get_publication().clone();
-    Ok(HubReply::Table(publication))
+    let state = state.borrow();
+    let publication = state.machine.get_publication();
+    let is_known = known > 0 && publication.version == known;
+    let gateways = state.gateways.as_ref();
+    Ok(HubReply::Table(TableRead {
+        publication: (!is_known).then(|| publication.clone()),
+        leader: state.replica.get_host().clone(),
+        link_bytes_per_s: gateways.map_or(0.0, |gateways| gateways.tuning.link_bytes_per_s),
+    }))
 }
 
 /// Waits until a majority confirms, after this call began, that this replica leads.
--- a/crates/curlewlift/src/gateway/daemon.rs
+++ b/crates/curlewlift/src/gateway/daemon.rs
@@ -80,6 +80,8 @@
     pub(crate) regions: Regions,
     /// How many bytes requests and responses may hold.
     pub(crate) memory_budget: MemoryBudget,
+    /// The rate of the host's link in bytes per second; 0 if it is unknown.
+    pub(crate) link_bytes_per_s: f64,
     /// The parts of scheduling under hard load that are switched on.
     pub(crate) scheduling: Scheduling,
     /// Address where it answers which hosts run control replicas, if it runs none itself.
@@ -150,6 +152,7 @@
         let node = node.regions(self.regions).scheduling(self.scheduling);
         let node = node.memory_budget(self.memory_budget).links(self.links);
         let node = node.stopping_gateways(self.stopping_gateways);
+        let node = node.link_bytes_per_s(self.link_bytes_per_s);
         let node = Rc::new(node);
         Line::new(Kind::Started)
             .with("host", self.host.as_str())
--- a/crates/curlewlift/src/gateway/environment.rs
+++ b/crates/curlewlift/src/gateway/environment.rs
@@ -14,6 +14,8 @@
     pub(crate) locate: Locate,
     /// Returns the address at which a gateway takes calls, by its address for callers.
     pub(crate) locate_gateway: Box<dyn Fn(SocketAddr) -> SocketAddr>,
+    /// The address for operators; its port is the same on all hosts.
+    pub(crate) operators: SocketAddr,
     /// Decodes a routing table.
     pub(crate) decode: Decode,
     /// Address of the control replica in this process, if there is one.
--- a/crates/curlewlift/src/gateway/leader_calls.rs
+++ b/crates/curlewlift/src/gateway/leader_calls.rs
@@ -52,14 +52,28 @@
     }
 }
 
-/// Reads the newest routing table from the leader.
+/// The newest routing table, and the leader that confirmed it.
+pub(crate) struct NewestTable {
+    pub(crate) publication: Publication,
+    pub(crate) leader: id::Host,
+    /// The rate of the leader's link in bytes per second; 0 if it is unknown.
+    pub(crate) leader_link: f64,
+}
+
+/// Reads the newest routing table from the leader, or learns from it that the one in effect here is the newest.
 ///
 /// # Errors
 ///
 /// [`Code::Unreachable`] if no replica is certain to lead.
-pub(crate) async fn read(node: &Node, environment: &Environment) -> Result<Publication, Refusal> {
-    match call_leader(node, environment, HubCall::ReadTable).await? {
-        HubReply::Table(publication) => Ok(publication),
+pub(crate) async fn read(node: &Node, environment: &Environment) -> Result<NewestTable, Refusal> {
+    let in_effect = node.publication();
+    let known = in_effect.version;
+    match call_leader(node, environment, HubCall::ReadTable { known }).await? {
+        HubReply::Table(read) => Ok(NewestTable {
+            publication: read.publication.unwrap_or(in_effect),
+            leader: read.leader,
+            leader_link: read.link_bytes_per_s,
+        }),
         _ => Err(no_leader()),
     }
 }
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,7 +30,9 @@
 use curlewlift_core::pool::RetryBudget;
 use curlewlift_core::pool::Scheduling;
 use curlewlift_core::publication::Distribution;
+use curlewlift_core::publication::Redirects;
 use curlewlift_core::publication::Standing;
+use curlewlift_core::publication::Transfer;
 use curlewlift_core::quarantine;
 use curlewlift_core::quota::Charge;
 use curlewlift_core::quota::LocalLimiter;
@@ -141,6 +144,10 @@
     pub(super) regions: Regions,
     /// The bytes that requests and responses hold here.
     pub(super) memory_budget: RefCell<MemoryBudget>,
+    /// The rate of this host's link in bytes per second; 0 if it is unknown.
+    link_bytes_per_s: f64,
+    /// The operators that were redirected to the leader.
+    redirects: RefCell<Redirects>,
     /// The parts of scheduling under hard load that are switched on.
     pub(super) scheduling: Scheduling,
     /// Whether the whole deployment starts for the first time.
@@ -239,6 +246,8 @@
             links: Links::default(),
             regions: Regions::default(),
             memory_budget: RefCell::default(),
+            link_bytes_per_s: 0.0,
+            redirects: RefCell::default(),
             scheduling: Scheduling::default(),
             first_start: false,
             rpc,
@@ -314,6 +323,12 @@
         self
     }
 
+    /// Sets the rate of this host's link in bytes per second; 0 if it is unknown.
+    pub(super) fn link_bytes_per_s(mut self, link_bytes_per_s: f64) -> Self {
+        self.link_bytes_per_s = link_bytes_per_s;
+        self
+    }
+
     /// Sets the parts of scheduling under hard load that are switched on.
     pub(super) fn scheduling(mut self, scheduling: Scheduling) -> Self {
         self.scheduling = scheduling;
@@ -450,6 +465,17 @@
         self.held_table.publication()
     }
 
+    /// Whether `caller` is to read `bytes` from the leader, whose link has the rate `leader_link`.
+    pub(crate) fn redirects_read(&self, caller: IpAddr, bytes: usize, leader_link: f64) -> bool {
+        let transfer = Transfer {
+            bytes,
+            own_link: self.link_bytes_per_s,
+            leader_link,
+        };
+        let mut redirects = self.redirects.borrow_mut();
+        redirects.redirect(caller, transfer, self.now())
+    }
+
     /// Waits until the table in effect or what may be decided by it has changed, for at most `time`.
     pub(super) async fn wait_for_table(&self, time: Duration) {
         self.held_table.changed(time).await;
--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// How long a caller may take nothing of a response that waits to be written: longer than the deadlines of requests. It
 /// holds a connection and memory meanwhile.
 const MAX_CALLER_STALL: Duration = Duration::from_mins(1);
+/// The address of a request's caller, among the request's extensions.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerAddress(pub(crate) SocketAddr);
 
 /// Serves requests on `listener` with `answer` until the future is dropped.
 pub(crate) async fn serve<L, F, A>(listener: TcpListener, limits: L, answer: F)
@@ -48,9 +52,10 @@
     let answer = Rc::new(answer);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 let answer = Rc::clone(&answer);
-                tokio::task::spawn_local(connection(stream, limits(), answer));
+                let caller = CallerAddress(caller);
+                tokio::task::spawn_local(connection(stream, caller, limits(), answer));
             }
             Err(why) => {
                 log::warn!("accepting a connection failed: {why}");
@@ -60,7 +65,7 @@
     }
 }
 
-async fn connection<F, A>(stream: TcpStream, limits: Limits, answer: Rc<F>)
+async fn connection<F, A>(stream: TcpStream, caller: CallerAddress, limits: Limits, answer: Rc<F>)
 where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
@@ -70,7 +75,8 @@
     let is_http_10 = Rc::new(Cell::new(false));
     let version = Rc::clone(&is_http_10);
     let unsent = stream.unsent();
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(caller);
         version.set(request.version() == Version::HTTP_10);
         let answer = answer(request);
         let unsent = unsent.clone();
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod instances;
 mod operator;
 mod quarantine;
+mod reads;
 mod rollouts;
 mod settings;
 mod start;
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -28,6 +28,7 @@
 use super::evacuations;
 use super::http;
 use super::quarantine;
+use super::reads;
 use super::rollouts;
 
 /// Responds to an operator's request.
@@ -39,7 +40,7 @@
     let path = request.uri().path();
     match (request.method(), path) {
         (&Method::POST, "/api/config/put") => put(&node, &environment, request).await,
-        (&Method::GET, "/api/config/get") => get(&node, &environment).await,
+        (&Method::GET, "/api/config/get") => reads::get(&node, &environment, request).await,
         (&Method::POST, "/api/rollouts/start") => {
             rollouts::start(&node, &environment, request).await
         }
@@ -98,27 +99,6 @@
     .await
 }
 
-async fn get(node: &Node, environment: &Environment) -> Answer {
-    let read = gateway::read(node, environment).await;
-    let version = read.as_ref().map(|publication| publication.version);
-    note(Kind::Command)
-        .with("table", version.as_ref().ok().copied())
-        .with("answer", "read")
-        .with("why", version.err().map(ToString::to_string))
-        .write();
-    match read {
-        Ok(publication) if publication.version > 0 => match publication.document.unpack() {
-            Ok(text) => gateway::json(text),
-            Err(refusal) => http::refused(&unclear_outcome(refusal)),
-        },
-        Ok(_) => {
-            let why = "no configuration has been accepted yet";
-            http::refused(&Refusal::new(Code::NoTable, why))
-        }
-        Err(refusal) => http::refused(&unclear_outcome(refusal)),
-    }
-}
-
 /// The body of an operator's request, as text.
 pub(super) async fn body_text(request: Request<Incoming>) -> Result<String, Refusal> {
     let body = Limited::new(request.into_body(), MAX_DOCUMENT_BYTES)
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -172,6 +172,7 @@
         list_rate: settings.platform.rate,
         regions: Regions::new(settings.halls.clone()),
         memory_budget: settings.limits.memory_budget(),
+        link_bytes_per_s: settings.limits.link_bytes_per_s(),
         scheduling,
         discovery_address: settings.replica_address(settings.ip),
         known_replicas: known,
@@ -264,6 +265,7 @@
         }),
         locate: locate(settings),
         locate_gateway: Box::new(move |callers| SocketAddr::new(callers.ip(), port)),
+        operators: settings.listen.operators,
         decode: document::table,
         local_replica: settings
             .data_dir
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -64,8 +64,8 @@
     Introduce(Vec<id::Host>),
     /// Publishes a routing table.
     Publish(Publication),
-    /// Reads the active routing table.
-    ReadTable,
+    /// Reads the active routing table; the caller has the one with the number `known` already.
+    ReadTable { known: u64 },
     /// Orders a rollout of a service to another version.
     StartRollout(rollout::Order),
     /// Reads the phase of the last rollout of a service.
@@ -114,8 +114,8 @@
     NoTableChunk { holders: Vec<id::Host> },
     /// The published table, or one with a higher number, is active.
     Published,
-    /// The active table; number 0 if there is none.
-    Table(Publication),
+    /// The active table.
+    Table(TableRead),
     /// The order is accepted, by this call or an earlier one.
     OrderAccepted,
     /// The lent slot: its number, and the server; none if none becomes free in time.
@@ -133,6 +133,17 @@
     },
 }
 
+/// The active routing table, as its leader confirms it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct TableRead {
+    /// The table, with number 0 if there is none; `None` if the caller has it already.
+    pub(crate) publication: Option<Publication>,
+    /// The leader.
+    pub(crate) leader: id::Host,
+    /// The rate of the leader's link in bytes per second; 0 if it is unknown.
+    pub(crate) link_bytes_per_s: f64,
+}
+
 /// A gateway's request for a chunk of a newer routing table than the one in effect there.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct TableRequest {
--- a/crates/curlewlift/src/rpc/mod.rs
+++ b/crates/curlewlift/src/rpc/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use call::RenewCall;
 pub(crate) use call::ResponseChunk;
 pub(crate) use call::ServerGrant;
+pub(crate) use call::TableRead;
 pub(crate) use call::TableRequest;
 pub(crate) use client::Client;
 pub(crate) use curlewlift_wire::node_capnp::Method;
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -66,6 +66,8 @@
     seeds: Vec<usize>,
     /// The link over which hosts without a disk reach the others.
     link: Option<SlowLink>,
+    /// The link over which operators reach hosts without a disk, if it is slow too. The settings state the rates of links then.
+    operators_link: Option<SlowLink>,
     processes: Vec<Option<Process>>,
     /// The clocks of the hosts.
     clocks: Vec<Clock>,
@@ -85,6 +87,8 @@
     without_disk: u8,
     /// The rate of the link of hosts without a disk, in bytes per second.
     link: Option<u64>,
+    /// Whether operators reach hosts without a disk over a link of the same rate.
+    operators_link: bool,
     contracts: &'static [&'static str],
     /// How much later than the others the third host starts.
     third_delay: Duration,
@@ -96,6 +100,7 @@
         Self {
             without_disk: 0,
             link: None,
+            operators_link: false,
             contracts: &["base"],
             third_delay: Duration::ZERO,
             scheduling: "",
@@ -153,6 +158,23 @@
         Self::start_with(folder, engines, without_disk, link, &["base"])
     }
 
+    /// Does the same, with a link of that rate also between operators and each host without a disk. The hosts know the rates of
+    /// their links.
+    pub(crate) fn start_narrow(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        without_disk: u8,
+        link: u64,
+    ) -> Self {
+        let start = Start {
+            without_disk,
+            link: Some(link),
+            operators_link: true,
+            ..Start::default()
+        };
+        Self::start_as(folder, engines, start)
+    }
+
     fn start_with(
         folder: PathBuf,
         engines: &[(&Engine, &str)],
@@ -173,6 +195,7 @@
         let Start {
             without_disk,
             link,
+            operators_link,
             contracts,
             third_delay,
             scheduling,
@@ -189,12 +212,21 @@
         let ports = ports(first);
         let replicas = (0..DISK_COUNT).map(|index| address(first, index.into(), ports.internal));
         let link = link.map(|rate| SlowLink::open(rate, &replicas.collect::<Vec<_>>()));
+        let narrow = (DISK_COUNT..DISK_COUNT + without_disk)
+            .map(|index| address(first, index.into(), ports.control));
+        let operators_rate = link
+            .as_ref()
+            .filter(|_| operators_link)
+            .map(SlowLink::get_rate);
+        let operators_link =
+            operators_rate.map(|rate| SlowLink::open(rate, &narrow.collect::<Vec<_>>()));
         let mut hosts = Self {
             folder,
             first,
             ports,
             seeds: (0..DISK_COUNT.into()).collect(),
             link,
+            operators_link,
             processes: (0..DISK_COUNT + without_disk).map(|_| None).collect(),
             clocks: (0..DISK_COUNT + without_disk)
                 .map(|_| Clock::start())
@@ -271,6 +303,18 @@
         self.link.as_ref().map_or(0, SlowLink::get_response_bytes)
     }
 
+    /// Returns the address at which operators reach a host without a disk over its link.
+    pub(crate) fn narrow_control(&self, index: usize) -> SocketAddr {
+        let link = self.operators_link.as_ref().expect("there is a link");
+        address(self.first, index, link.get_port())
+    }
+
+    /// Returns how many bytes the hosts without a disk have sent to operators over their link.
+    pub(crate) fn operators_bytes(&self) -> u64 {
+        let link = self.operators_link.as_ref();
+        link.map_or(0, SlowLink::get_response_bytes)
+    }
+
     /// Makes the link of the hosts without a disk to these hosts silent, and to no others.
     pub(crate) fn silence_link(&self, to: &[usize]) {
         let link = self.link.as_ref().expect("there is a link");
@@ -434,6 +478,11 @@
         let link = self.link.as_ref().filter(|_| !has_disk);
         let internal = link.map_or(self.ports.internal, SlowLink::get_port);
         let ready = address(self.first, index, self.ports.ready);
+        #[allow(clippy::cast_precision_loss)]
+        let link_mbit_per_s = self.operators_link.as_ref().map_or(0.0, |link| {
+            let rate = link.get_rate() as f64 * 8.0 / 1e6;
+            if has_disk { rate * 10.0 } else { rate }
+        });
         let settings = json!({
             "ip": address(self.first, index, 0).ip(), "zone": format!("hall-{index}"),
             "zones": { "hall-0": "region-0", "hall-1": "region-1", "hall-2": "region-2" },
@@ -445,7 +494,7 @@
                 "control": self.control(index), "directory": self.directory(index),
             },
             "fault_tolerance": { "machines": 1 },
-            "limits": { "memory_mb": MEMORY_MEGABYTES },
+            "limits": { "memory_mb": MEMORY_MEGABYTES, "link_mbps": link_mbit_per_s },
             "bounds": {
                 "grace_s": 8, "retry_budget_ratio": 0.2, "budget_min_retries": 60,
                 "budget_window_s": 10, "quota_window_s": 8, "quota_overage": 0.1,
--- a/crates/curlewlift/tests/platform/slow_link.rs
+++ b/crates/curlewlift/tests/platform/slow_link.rs
@@ -22,6 +22,7 @@
 
 /// A proxy that forwards responses at a limited rate, and requests without a limit.
 pub(crate) struct SlowLink {
+    rate: u64,
     port: u16,
     response_bytes: Arc<AtomicU64>,
     silent: Silent,
@@ -54,6 +55,7 @@
             });
         }
         Self {
+            rate,
             port,
             response_bytes,
             silent,
@@ -70,6 +72,11 @@
         self.response_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns its rate in bytes per second.
+    pub(crate) fn get_rate(&self) -> u64 {
+        self.rate
+    }
+
     pub(crate) fn get_port(&self) -> u16 {
         self.port
     }
