Refuse operators' orders that may have been given up

Operators saw an acknowledged evacuation undone: a host that had been suspended for 3.5 s carried out the end of it, which its operator had given up two seconds before, which another host had acknowledged since, and after which a new start had been acknowledged.

Cause: a host passed on whatever it read, however long that had lain in its socket, and the leader committed orders as they arrived. The end of the connection lay behind the order and was read after the call to the leader.

Change: the host asks the leader for its position (its identity, how many orders it has accepted, its time), and sends the order with that as its precondition. The leader accepts no order about the same subject over another one accepted since, and none later than 0.8 s after the order can have arrived, on its own clock. One way for evacuations, roll-outs and releases from quarantine; routing tables are ordered by their versions. Code 7009 says that an order was not carried out and will not be; where that is not known the response says so.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lang;
 pub mod limit;
 pub mod log;
+pub mod order;
 pub mod platform;
 pub mod pool;
 pub mod publication;
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -16,6 +16,7 @@
 use crate::id;
 use crate::lang;
 use crate::lang::Statement;
+use crate::order::Order;
 use crate::quarantine;
 use crate::rollout::Plans;
 use crate::stream;
@@ -248,6 +249,27 @@
         &self.evacuated_halls
     }
 
+    /// Whether an operator's order would change nothing, as its effect is already in place.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Conflict`] or [`Code::Unknown`] if the order cannot be carried out in this state.
+    pub fn has_order(&self, order: &Order) -> Result<bool, Refusal> {
+        match order {
+            Order::Evacuate(order) => Ok(self.evacuated_halls.is_applied(order)),
+            Order::RollOut(order) => {
+                self.rollouts.check_order(order)?;
+                Ok(self.rollouts.has_order(order))
+            }
+            Order::ReleasePart(part) if self.quarantine.get_part(*part).is_none() => {
+                let why =
+                    format!("no backend server has crashed under requests with the part {part}");
+                Err(Refusal::new(Code::Unknown, why))
+            }
+            Order::ReleasePart(_) => Ok(false),
+        }
+    }
+
     /// The versions at which streams may begin.
     #[must_use]
     pub fn get_stream_versions(&self) -> &stream::Versions {
--- a/crates/curlewlift/src/control/hub.rs
+++ b/crates/curlewlift/src/control/hub.rs
@@ -76,11 +76,12 @@
         HubCall::BorrowSlot(_) => Ok(HubReply::SlotLent(None)),
         HubCall::ReturnSlot(_) => Ok(HubReply::Acknowledged),
         HubCall::ReadTable { known } => read_table(state, known).await,
-        HubCall::StartRollout(order) => super::rollouts::order(state, order).await,
+        HubCall::ReadOrderPosition => super::orders::position(&state.borrow()),
+        HubCall::CarryOut(order, precondition) => {
+            super::orders::carry_out(state, order, &precondition).await
+        }
         HubCall::ReadRollout(service) => super::rollouts::read(state, &service).await,
-        HubCall::Evacuate(order) => super::evacuations::order(state, order).await,
         HubCall::ReadQuarantine => super::quarantine::read(state).await,
-        HubCall::ReleasePart(part) => super::quarantine::release_part(state, part).await,
         HubCall::Introduce(hosts) => Ok(add_known_hosts(&state.borrow(), hosts)),
         HubCall::AnnounceStop(notice) => Ok(record_stop(&state.borrow(), notice)),
     }
--- a/crates/curlewlift/src/control/mod.rs
+++ b/crates/curlewlift/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod in_flight;
 mod known_hosts;
 mod members;
+mod orders;
 mod platform;
 mod quarantine;
 mod query;
--- a/crates/curlewlift/src/control/quarantine.rs
+++ b/crates/curlewlift/src/control/quarantine.rs
@@ -1,14 +1,12 @@
-//! The quarantine of requests and parts of prompts under which servers crashed: proposals of the leader, their
-//! application, and the orders of operators.
+//! The quarantine of requests and parts of prompts under which servers crashed: proposals of the leader and their
+//! application.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
-use curlewlift_core::quarantine::Part;
 use curlewlift_core::quarantine::PartCase;
 use curlewlift_core::quarantine::Step;
 use curlewlift_core::state::Record;
@@ -26,24 +24,6 @@
     Ok(HubReply::Quarantine(Box::new(list)))
 }
 
-/// Releases a part of prompts, and waits until that is committed.
-pub(super) async fn release_part(state: &Shared, part: Part) -> Result<HubReply, Refusal> {
-    let committed = {
-        let mut state = state.borrow_mut();
-        if state.machine.get_quarantine().get_part(part).is_none() {
-            let why = format!("no backend server has crashed under requests with the part {part}");
-            return Err(Refusal::new(Code::Unknown, why));
-        }
-        state.ensure_enough_replicas()?;
-        state.propose(&Record::Quarantine(vec![Step::ReleasePart(part)]))?
-    };
-    let leader_changed = "the leader changed; send the same order again to learn its result";
-    committed
-        .await
-        .map_err(|_| Refusal::new(Code::Unreachable, leader_changed))??;
-    Ok(HubReply::OrderAccepted)
-}
-
 impl State {
     /// Updates the hub to the committed quarantine, and notes the `steps` that changed it on the timeline.
     pub(super) fn apply_quarantine_steps(&mut self, steps: &[Step]) {
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -23,6 +23,7 @@
 use curlewlift_core::log::Replica;
 use curlewlift_core::log::Role;
 use curlewlift_core::log::SyncId;
+use curlewlift_core::order::Sequence;
 use curlewlift_core::publication::Distribution;
 use curlewlift_core::route::Table;
 use curlewlift_core::state::Machine;
@@ -93,6 +94,8 @@
     pub(super) decoding: Option<Publication>,
     /// Sends the event loop tables that have been decoded.
     pub(super) decoded_tables: mpsc::UnboundedSender<DecodedTable>,
+    /// The operators' orders that this replica accepts while it leads.
+    pub(super) orders: Option<Sequence>,
     /// Requests that wait for a slot at a backend server, while this replica leads.
     pub(super) pending_slots: HashMap<Ticket, oneshot::Sender<SlotAnswer>>,
     /// The limits of requests in flight that were last reported to operators.
@@ -145,6 +148,7 @@
             waiting_hub: None,
             decoding: None,
             decoded_tables,
+            orders: None,
             pending_slots: HashMap::new(),
             known_limits: KnownLimits::default(),
             updates: Rc::new(Notify::new()),
@@ -367,6 +371,7 @@
                 .note(Line::new(Kind::Leads).detail(format_args!("term={term}")));
             let now = self.clock.now();
             self.grantor = Some(Grantor::new(self.lease, now));
+            self.orders = Some(Sequence::new(rand::rng().next_u64()));
             if let Some(gateways) = &self.gateways {
                 let hub_id = rand::rng().next_u64();
                 self.start_hub(Hub::new(gateways.tuning, now).with_id(hub_id));
@@ -376,6 +381,7 @@
                 .note(Line::new(Kind::Follows).detail(format_args!("term={term}")));
             self.grantor = None;
             self.drop_hub();
+            self.orders = None;
             self.pending_slots.clear();
             self.known_limits.clear();
             self.acknowledged_tables.clear();
--- a/crates/curlewlift/src/control/rollouts.rs
+++ b/crates/curlewlift/src/control/rollouts.rs
@@ -1,4 +1,4 @@
-//! Rollouts on the leader: commits orders, reads their progress, and advances them by the hub's observations.
+//! Rollouts on the leader: checks orders, reads their progress, and advances them by the hub's observations.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -21,47 +21,8 @@
 
 type Shared = Rc<RefCell<State>>;
 
-/// Commits an order; returns once it is committed, or at once if it was committed before.
-pub(super) async fn order(state: &Shared, mut order: Order) -> Result<HubReply, Refusal> {
-    order.given_ms = crate::process::unix_ms();
-    let detail = format!(
-        "service={} target={} seconds={}",
-        order.service,
-        order.target,
-        order.duration.as_secs_f64()
-    );
-    let result = commit(state, order).await;
-    let code = result
-        .as_ref()
-        .err()
-        .map_or(0, |why| why.get_code().number());
-    let line = Line::new(Kind::RolloutOrdered).detail(format_args!("{detail} code={code}"));
-    state.borrow().timeline.note(line);
-    result.map(|()| HubReply::OrderAccepted)
-}
-
-/// Proposes the order, and waits until it is committed.
-async fn commit(state: &Shared, order: Order) -> Result<(), Refusal> {
-    check_service(state, &order.service).await?;
-    let committed = {
-        let mut state = state.borrow_mut();
-        let plans = state.machine.get_rollouts();
-        plans.check_order(&order)?;
-        if plans.has_order(&order) {
-            return Ok(());
-        }
-        state.ensure_enough_replicas()?;
-        state.propose(&Record::Rollout(Step::Ordered(order)))?
-    };
-    let leader_changed = "the leader changed; send the same order again to learn its result";
-    committed
-        .await
-        .map_err(|_| Refusal::new(Code::Unreachable, leader_changed))??;
-    Ok(())
-}
-
 /// Checks that the active table has the service, and that rollouts are enabled.
-async fn check_service(state: &Shared, service: &id::Service) -> Result<(), Refusal> {
+pub(super) async fn check_service(state: &Shared, service: &id::Service) -> Result<(), Refusal> {
     let (decode, publication) = {
         let state = state.borrow();
         let gateways = state.gateways.as_ref().ok_or_else(hub::not_ready)?;
--- a/crates/curlewlift/src/gateway/deadline.rs
+++ b/crates/curlewlift/src/gateway/deadline.rs
@@ -9,7 +9,7 @@
 
 /// When a request arrived.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Arrival {
+pub(crate) struct Arrival {
     /// When its head was read.
     pub(super) at: clock::Instant,
     /// A time before its caller sent it: a host that was suspended or busy reads requests late.
--- a/crates/curlewlift/src/gateway/leader_calls.rs
+++ b/crates/curlewlift/src/gateway/leader_calls.rs
@@ -5,10 +5,9 @@
 
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
-use curlewlift_core::evacuation;
 use curlewlift_core::id;
+use curlewlift_core::order::Order;
 use curlewlift_core::quarantine;
-use curlewlift_core::rollout::Order;
 use curlewlift_core::rollout::Phase;
 use curlewlift_core::rollout::Version;
 use curlewlift_core::state::Publication;
@@ -19,6 +18,7 @@
 use crate::rpc::Method;
 use crate::rpc::RenewCall;
 
+use super::deadline::Arrival;
 use super::environment::Environment;
 use super::node::Node;
 
@@ -78,36 +78,55 @@
     }
 }
 
-/// Orders a roll-out of a service to another version.
+/// Has the leader carry out an order that arrived at `arrival`, unless its operator may have given it up.
+///
+/// The operator's connection is watched while the leader's position is read: if its end was received behind the order,
+/// this future is dropped before the order is sent.
 ///
 /// # Errors
 ///
-/// The leader's refusal; [`Code::Unreachable`] if the outcome is unknown.
-pub(crate) async fn roll_out(
+/// The leader's refusal; [`Code::NotCarriedOut`] if the order certainly was not and will not be carried out, and
+/// [`Code::Unreachable`] if that is unknown.
+pub(crate) async fn carry_out(
     node: &Node,
     environment: &Environment,
     order: Order,
+    arrival: Arrival,
 ) -> Result<(), Refusal> {
-    match call_leader(node, environment, HubCall::StartRollout(order)).await? {
-        HubReply::OrderAccepted => Ok(()),
-        _ => Err(no_leader()),
+    let position = match call_leader(node, environment, HubCall::ReadOrderPosition).await {
+        Ok(HubReply::OrderPosition(position)) => position,
+        Ok(_) => return Err(not_carried_out(&no_leader())),
+        Err(why) => return Err(not_carried_out(&why)),
+    };
+    let age = node.now().since(arrival.sent_after);
+    let precondition = position.precondition(age)?;
+    let call = HubCall::CarryOut(order, precondition);
+    match call_leader(node, environment, call).await {
+        Ok(HubReply::OrderAccepted) => Ok(()),
+        Ok(_) => Err(unknown_outcome(&no_leader())),
+        Err(why) if is_decision(why.get_code()) => Err(why),
+        Err(why) => Err(unknown_outcome(&why)),
     }
 }
 
-/// Orders the start or end of a data hall's evacuation.
-///
-/// # Errors
-///
-/// The leader's refusal; [`Code::Unreachable`] if the outcome is unknown.
-pub(crate) async fn evacuate(
-    node: &Node,
-    environment: &Environment,
-    order: evacuation::Order,
-) -> Result<(), Refusal> {
-    match call_leader(node, environment, HubCall::Evacuate(order)).await? {
-        HubReply::OrderAccepted => Ok(()),
-        _ => Err(no_leader()),
-    }
+/// Whether the leader has decided on an order by a refusal with this code.
+fn is_decision(code: Code) -> bool {
+    matches!(
+        code,
+        Code::Conflict | Code::Unknown | Code::UnknownService | Code::NoTable | Code::NotCarriedOut
+    )
+}
+
+fn not_carried_out(why: &Refusal) -> Refusal {
+    let why = why.get_detail();
+    let why = format!("the order was not carried out: {why}; send it again");
+    Refusal::new(Code::NotCarriedOut, why)
+}
+
+fn unknown_outcome(why: &Refusal) -> Refusal {
+    let why = why.get_detail();
+    let why = format!("it is not known whether the order is carried out: {why}; send it again");
+    Refusal::new(Code::Unreachable, why)
 }
 
 /// Reads the target and phase of a service's last roll-out from the leader; none if none was ordered.
@@ -141,22 +160,6 @@
     }
 }
 
-/// Orders the release of a part of prompts from quarantine; returns once that is committed.
-///
-/// # Errors
-///
-/// [`Code::Unknown`] if the part is not on the list, and [`Code::Unreachable`] if no replica is certain to lead.
-pub(crate) async fn release_part(
-    node: &Node,
-    environment: &Environment,
-    part: quarantine::Part,
-) -> Result<(), Refusal> {
-    match call_leader(node, environment, HubCall::ReleasePart(part)).await? {
-        HubReply::OrderAccepted => Ok(()),
-        _ => Err(no_leader()),
-    }
-}
-
 /// Calls the leader within [`CALL_TIMEOUT`].
 async fn call_leader(
     node: &Node,
@@ -203,7 +206,9 @@
                 named_leader = leader;
             }
             Ok(reply) => return Ok(reply),
-            // A host that runs no process refuses at once, and every order is safe to repeat.
+            // The refusal of a second copy would say nothing of the first, which may have been accepted.
+            Err(why) if matches!(call, RenewCall::Hub(HubCall::CarryOut(..))) => return Err(why),
+            // A host that runs no process refuses at once, and every other call is safe to repeat.
             Err(why) => {
                 last_refusal = why;
                 let leader = node.hub.borrow().leader.clone();
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -55,6 +55,7 @@
 use crate::process::Clock;
 use crate::rpc;
 
+use super::deadline::Arrival;
 use super::dialect::Dialect;
 use super::held_table::HeldTable;
 use super::loans::Loans;
@@ -345,6 +346,14 @@
         self.clock.now()
     }
 
+    /// The arrival of a request whose head has just been read.
+    pub(crate) fn arrival(&self) -> Arrival {
+        Arrival {
+            at: self.now(),
+            sent_after: self.progress.get().former,
+        }
+    }
+
     /// Whether callers may be sent here: the gateway has a table that it may use and a server list, and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping()
--- a/crates/curlewlift/src/gateway/request.rs
+++ b/crates/curlewlift/src/gateway/request.rs
@@ -10,7 +10,6 @@
 
 use super::admit;
 use super::body::Answer;
-use super::deadline::Arrival;
 use super::forward::ForwardedRequest;
 use super::log::Line;
 use super::log::millis;
@@ -21,10 +20,7 @@
 
 /// Serves one request.
 pub(super) async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Answer {
-    let arrived = Arrival {
-        at: node.now(),
-        sent_after: node.progress.get().former,
-    };
+    let arrived = node.arrival();
     metrics::counter!("curlewlift_requests").increment(1);
     let head_fields = match (node.dialect.parse_request)(request.headers()) {
         Ok(head_fields) => head_fields,
--- a/crates/curlewlift/src/platform/evacuations.rs
+++ b/crates/curlewlift/src/platform/evacuations.rs
@@ -8,9 +8,11 @@
 use curlewlift_core::evacuation::Action;
 use curlewlift_core::evacuation::Order;
 use curlewlift_core::event::Kind;
+use curlewlift_core::order;
 
 use crate::gateway;
 use crate::gateway::Answer;
+use crate::gateway::Arrival;
 use crate::gateway::Environment;
 use crate::gateway::Node;
 use crate::gateway::note;
@@ -35,13 +37,20 @@
 }
 
 /// Handles an order: checks it and passes it to the leading control replica.
-pub(super) async fn handle_order(node: &Node, environment: &Environment, order: Order) -> Answer {
+pub(super) async fn handle_order(
+    node: &Node,
+    environment: &Environment,
+    order: Order,
+    arrival: Arrival,
+) -> Answer {
     let hall = Arc::clone(&order.hall);
     let action = order.action;
     let result = match check_hall(node, &order) {
-        Ok(()) => gateway::evacuate(node, environment, order)
-            .await
-            .map_err(operator::unclear_outcome),
+        Ok(()) => {
+            let order = order::Order::Evacuate(order);
+            let result = gateway::carry_out(node, environment, order, arrival).await;
+            result.map_err(operator::unclear_outcome)
+        }
         Err(refusal) => Err(refusal),
     };
     let why = result.as_ref().err().map(ToString::to_string);
--- a/crates/curlewlift/src/platform/operator.rs
+++ b/crates/curlewlift/src/platform/operator.rs
@@ -37,22 +37,23 @@
     environment: Rc<Environment>,
     request: Request<Incoming>,
 ) -> Answer {
+    let arrival = node.arrival();
     let path = request.uri().path();
     match (request.method(), path) {
         (&Method::POST, "/api/config/put") => put(&node, &environment, request).await,
         (&Method::GET, "/api/config/get") => reads::get(&node, &environment, request).await,
         (&Method::POST, "/api/rollouts/start") => {
-            rollouts::start(&node, &environment, request).await
+            rollouts::start(&node, &environment, request, arrival).await
         }
         (&Method::POST, _) if let Some(order) = evacuations::order_from_path(path) => {
-            evacuations::handle_order(&node, &environment, order).await
+            evacuations::handle_order(&node, &environment, order, arrival).await
         }
         (&Method::GET, _) if let Some(service) = rollouts::service_from_path(path) => {
             rollouts::get(&node, &environment, &service).await
         }
         (&Method::GET, quarantine::PATH) => quarantine::read(&node, &environment).await,
         (&Method::DELETE, _) if let Some(part) = quarantine::part_from_path(path) => {
-            quarantine::release(&node, &environment, part).await
+            quarantine::release(&node, &environment, part, arrival).await
         }
         _ => http::empty(StatusCode::NOT_FOUND),
     }
--- a/crates/curlewlift/src/platform/quarantine.rs
+++ b/crates/curlewlift/src/platform/quarantine.rs
@@ -2,6 +2,7 @@
 
 use axum::http::StatusCode;
 use curlewlift_core::event::Kind;
+use curlewlift_core::order::Order;
 use curlewlift_core::quarantine::Case;
 use curlewlift_core::quarantine::Part;
 use curlewlift_core::quarantine::PartCase;
@@ -10,6 +11,7 @@
 
 use crate::gateway;
 use crate::gateway::Answer;
+use crate::gateway::Arrival;
 use crate::gateway::Environment;
 use crate::gateway::Node;
 use crate::gateway::note;
@@ -64,8 +66,14 @@
 }
 
 /// Handles an order to release a part.
-pub(super) async fn release(node: &Node, environment: &Environment, part: Part) -> Answer {
-    let result = gateway::release_part(node, environment, part).await;
+pub(super) async fn release(
+    node: &Node,
+    environment: &Environment,
+    part: Part,
+    arrival: Arrival,
+) -> Answer {
+    let order = Order::ReleasePart(part);
+    let result = gateway::carry_out(node, environment, order, arrival).await;
     let why = result.as_ref().err().map(ToString::to_string);
     note(Kind::Command)
         .with("release", part.to_string())
--- a/crates/curlewlift/src/platform/rollouts.rs
+++ b/crates/curlewlift/src/platform/rollouts.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::id;
+use curlewlift_core::order;
 use curlewlift_core::rollout::Order;
 use curlewlift_core::rollout::Phase;
 use curlewlift_core::rollout::Version;
@@ -17,6 +18,7 @@
 
 use crate::gateway;
 use crate::gateway::Answer;
+use crate::gateway::Arrival;
 use crate::gateway::Environment;
 use crate::gateway::Node;
 use crate::gateway::note;
@@ -41,6 +43,7 @@
     node: &Node,
     environment: &Environment,
     request: Request<Incoming>,
+    arrival: Arrival,
 ) -> Answer {
     let text = operator::body_text(request).await;
     let order = match text.and_then(|text| parse_order(&text)) {
@@ -50,7 +53,8 @@
             return http::refused(&refusal);
         }
     };
-    let result = gateway::roll_out(node, environment, order.clone()).await;
+    let roll_out = order::Order::RollOut(order.clone());
+    let result = gateway::carry_out(node, environment, roll_out, arrival).await;
     log_order(Some(&order), result.as_ref().err());
     match result {
         Ok(()) => http::empty(StatusCode::OK),
--- a/crates/curlewlift/src/rpc/call.rs
+++ b/crates/curlewlift/src/rpc/call.rs
@@ -4,10 +4,10 @@
 
 use curlewlift_core::claim::Claim;
 use curlewlift_core::claim::Status;
-use curlewlift_core::evacuation;
 use curlewlift_core::fleet::Prefix;
 use curlewlift_core::gateway;
 use curlewlift_core::id;
+use curlewlift_core::order;
 use curlewlift_core::publication;
 use curlewlift_core::publication::PayloadId;
 use curlewlift_core::quarantine;
@@ -66,16 +66,14 @@
     Publish(Publication),
     /// Reads the active routing table; the caller has the one with the number `known` already.
     ReadTable { known: u64 },
-    /// Orders a rollout of a service to another version.
-    StartRollout(rollout::Order),
+    /// Reads how far the leader has come in accepting operators' orders.
+    ReadOrderPosition,
+    /// Carries out an operator's order if the precondition holds.
+    CarryOut(order::Order, order::Precondition),
     /// Reads the phase of the last rollout of a service.
     ReadRollout(id::Service),
-    /// Orders the start or the end of the evacuation of a data hall.
-    Evacuate(evacuation::Order),
     /// Reads the list of requests and parts of prompts in quarantine.
     ReadQuarantine,
-    /// Orders the release of a part of prompts from quarantine.
-    ReleasePart(quarantine::Part),
     /// Asks a gateway to lend a slot of its share, as the hub does not reply. The reply comes once there is one or the
     /// wait limit is reached.
     BorrowSlot(Box<gateway::SlotRequest>),
@@ -116,6 +114,8 @@
     Published,
     /// The active table.
     Table(TableRead),
+    /// How far the leader has come in accepting operators' orders.
+    OrderPosition(order::Position),
     /// The order is accepted, by this call or an earlier one.
     OrderAccepted,
     /// The lent slot: its number, and the server; none if none becomes free in time.
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -109,9 +109,13 @@
 }
 
 impl Hosts {
-    /// Starts three hosts with a disk and roll-outs enabled.
-    pub(crate) fn start_rollouts(folder: PathBuf, engines: &[(&Engine, &str)]) -> Self {
-        Self::start_with(folder, engines, 0, None, &["base", "rollout"])
+    /// Starts three hosts with a disk, and `without_disk` more, with roll-outs enabled.
+    pub(crate) fn start_rollouts(
+        folder: PathBuf,
+        engines: &[(&Engine, &str)],
+        without_disk: u8,
+    ) -> Self {
+        Self::start_with(folder, engines, without_disk, None, &["base", "rollout"])
     }
 
     /// Starts three hosts with a disk.
--- a/crates/curlewlift/tests/platform_rollouts.rs
+++ b/crates/curlewlift/tests/platform_rollouts.rs
@@ -102,7 +102,7 @@
 /// Starts three hosts that serve the engines of the former version.
 fn start(name: &str, former: &[Engine]) -> Hosts {
     let listed: Vec<_> = former.iter().map(|engine| (engine, "chat")).collect();
-    let hosts = Hosts::start_rollouts(folder(name), &listed);
+    let hosts = Hosts::start_rollouts(folder(name), &listed, 0);
     hosts.configure(&document(7).to_string());
     hosts
 }
--- a/crates/curlewlift/tests/platform_suspended.rs
+++ b/crates/curlewlift/tests/platform_suspended.rs
@@ -2,8 +2,11 @@
 
 mod platform;
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use curlewlift::core::event::Kind;
 use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
@@ -98,3 +101,59 @@
         }
     }
 }
+
+/// Operators' orders that may have waited in a host's sockets while it was suspended are not carried out, as their operators
+/// may have given them up; the response says so. The same orders are accepted afterwards.
+#[test]
+fn orders_given_up() {
+    let engines = [Engine::start("i-1")];
+    let listed = [(&engines[0], "chat")];
+    let hosts = Hosts::start_rollouts(folder("orders_given_up"), &listed, 1);
+    hosts.configure(&document(7).to_string());
+    let send = |host: usize, line: &str, body: &str| {
+        let head = format!("{line} HTTP/1.1\r\nHost: x");
+        send_request(hosts.control(host), &head, body)
+    };
+    let start = "POST /api/evacuation/hall-0/start";
+    wait("the evacuation is started", || {
+        send(0, start, "").status == 200
+    });
+    let rollout = r#"{"service":"chat","target_version":"v9","duration_s":60}"#;
+    let orders = [
+        ("POST /api/evacuation/hall-0/end", "", 200),
+        ("POST /api/rollouts/start", rollout, 200),
+        ("DELETE /quarantine/parts/1f", "", 404),
+    ];
+    let suspended = 3;
+    for (line, body, _) in orders {
+        let is_answered = AtomicBool::new(false);
+        let answer = std::thread::scope(|scope| {
+            // Whenever the order is read, the host was suspended a moment before.
+            scope.spawn(|| {
+                while !is_answered.load(Ordering::Relaxed) {
+                    hosts.suspend(suspended, SUSPENSION);
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+            });
+            std::thread::sleep(Duration::from_millis(200));
+            let answer = send(suspended, line, body);
+            is_answered.store(true, Ordering::Relaxed);
+            answer
+        });
+        assert_eq!(answer.status, 503, "{line}: {}", answer.body);
+        assert!(answer.body.contains("7009"), "{line}: {}", answer.body);
+        assert!(answer.header("retry-after").is_some(), "{line}");
+    }
+    let agreed = || hosts.timeline(Kind::EvacuationAgreed).len();
+    assert_eq!(hosts.rollout_steps().len(), 0, "no roll-out was started");
+    let agreed_before = agreed();
+    for (line, body, status) in orders {
+        wait("the order is accepted once the host runs", || {
+            send(suspended, line, body).status == status
+        });
+    }
+    assert!(
+        agreed() > agreed_before,
+        "the evacuation had not been ended before"
+    );
+}
