Count what a server sends anew for each element

A steady stream whose packets all end inside events was cut off after 2 to 3 s, although each event was completed: a sound server whose packet has the end of one event and the beginning of the next one never began anew, as only a read did that. With events that span chunks the same was so for streams that are read whole (502, and a second attempt where a rule allows it).

Cause: the time of sending was kept by reads, and not by the elements that the decoder completes. It is kept by those now, in one place for streams that are forwarded and those that are read whole. Less of a pause counts as sending (50 ms instead of 250), so that an element may come in forty packets however far apart. A silence is only measured while the connection is read and this process runs; the end of a connection is no arrival. A server that is silent when a stream's deadline passes counts as timed out for the pool, as before the head.

--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -3,7 +3,7 @@
 //! A faulty server may send bytes that complete nothing, in a head, in the framing of chunks or inside an event, as fast as the
 //! link allows or slowly. Without a limit they would occupy the slot, the memory and the caller until the deadline. A sound
 //! server may be silent at any of these places. So the limits apply to what it sends and to how long it goes on sending,
-//! and they are checked only when something arrives: silence ends no response.
+//! and they are checked only when something arrives: however long a silence is, it counts little and ends no response.
 
 use std::error::Error;
 use std::fmt;
@@ -20,8 +20,8 @@
 /// For how long a server may go on sending a head, the framing of a chunk or an event without completing it.
 const MAX_SENDING_TIME: Duration = Duration::from_secs(2);
 
-/// How much of the time between two arrivals counts as sending. The rest is silence.
-const MAX_SENDING_GAP: Duration = Duration::from_millis(250);
+/// How much of the time before an arrival counts as sending. The rest is silence.
+const MAX_COUNTED_GAP: Duration = Duration::from_millis(50);
 
 /// The part of a response at which a server is, by what has arrived.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -53,6 +53,17 @@
     }
 }
 
+/// Where the data of a body that was read last ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DataEnd {
+    /// Where all that has begun is complete.
+    Boundary,
+    /// In an event that began in it, after the end of another one.
+    NextEvent,
+    /// In an event, and no other one ended in it.
+    Event,
+}
+
 /// A time in which a server sent nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Silence {
@@ -89,39 +100,36 @@
 /// ```
 /// use std::time::Duration;
 /// use curlewlift_core::clock::Instant;
+/// use curlewlift_core::response::DataEnd;
 /// use curlewlift_core::response::Part;
 /// use curlewlift_core::response::Reception;
 /// let sent = Instant::default();
-/// let mut reception = Reception::new(sent);
+/// let mut reception = Reception::default();
 /// let head = sent + Duration::from_millis(300);
+/// reception.wait(sent);
 /// assert!(reception.receive(200, head, head).is_ok());
-/// reception.use_data(true);
+/// reception.use_data(DataEnd::Boundary);
+/// reception.wait(head);
 /// let silence = reception.longest_silence(head + Duration::from_secs(2));
 /// assert_eq!(silence.time, Duration::from_secs(2));
 /// assert_eq!(silence.part, Part::Body);
 /// ```
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Reception {
     part: Part,
     /// How many bytes have arrived since the last ones that were the head or data of the body.
     unused_bytes: usize,
     /// For how long the server has been sending what is not complete.
     sending_time: Duration,
-    last_arrival: Instant,
+    /// Since when the reader has waited for the server; none while it does not read.
+    waiting_since: Option<Instant>,
     longest_silence: Silence,
 }
 
 impl Reception {
-    /// Creates the state of a connection that was opened at `now`.
-    #[must_use]
-    pub fn new(now: Instant) -> Self {
-        Self {
-            part: Part::Start,
-            unused_bytes: 0,
-            sending_time: Duration::ZERO,
-            last_arrival: now,
-            longest_silence: Silence::default(),
-        }
+    /// Records that nothing has arrived when the connection was read at `now`.
+    pub fn wait(&mut self, now: Instant) {
+        self.waiting_since.get_or_insert(now);
     }
 
     /// Records that `bytes` were read at `now`. They may have arrived at any time after `last_ran`, when this process was last
@@ -137,14 +145,14 @@
         last_ran: Instant,
     ) -> Result<(), Endless> {
         self.longest_silence = self.longest_silence(last_ran);
-        let gap = now.since(self.last_arrival);
-        self.last_arrival = now;
+        let waiting_since = self.waiting_since.take();
+        let gap = waiting_since.map_or(Duration::ZERO, |since| now.since(since));
         self.unused_bytes = self.unused_bytes.saturating_add(bytes);
         match self.part {
-            Part::Start => self.begin(Part::Head),
-            Part::Body => self.begin(Part::Framing),
+            Part::Start => self.part = Part::Head,
+            Part::Body => self.part = Part::Framing,
             Part::Head | Part::Framing | Part::Event => {
-                self.sending_time += gap.min(MAX_SENDING_GAP);
+                self.sending_time += gap.min(MAX_COUNTED_GAP);
             }
         }
         if self.unused_bytes > MAX_UNUSED_BYTES {
@@ -156,36 +164,42 @@
         Ok(())
     }
 
-    fn begin(&mut self, part: Part) {
-        self.part = part;
-        self.sending_time = Duration::ZERO;
-    }
-
-    /// Records that the head, or data of the body, has been read from the bytes, and whether all that has begun is complete.
-    pub fn use_data(&mut self, is_complete: bool) {
+    /// Records that the head has been read from the bytes, at its end, or data of the body.
+    pub fn use_data(&mut self, end: DataEnd) {
         self.unused_bytes = 0;
-        self.part = if is_complete { Part::Body } else { Part::Event };
-    }
-
-    /// Records that an event has been read, and another one has begun.
-    pub fn begin_next_event(&mut self) {
-        self.unused_bytes = 0;
-        self.begin(Part::Event);
+        match end {
+            DataEnd::Boundary => self.enter(Part::Body),
+            DataEnd::NextEvent => self.enter(Part::Event),
+            DataEnd::Event => self.part = Part::Event,
+        }
     }
 
     /// Records that an interim response has been read: the head of the final one follows, and may take long.
     pub fn use_interim(&mut self) {
-        self.part = Part::Start;
+        self.enter(Part::Start);
+    }
+
+    /// Records that all that was sent before `part` is complete.
+    fn enter(&mut self, part: Part) {
+        self.part = part;
+        self.sending_time = Duration::ZERO;
     }
 
     /// Returns the longest silence until `now`.
     #[must_use]
     pub fn longest_silence(&self, now: Instant) -> Silence {
-        let time = now.since(self.last_arrival);
+        let time = self.present_silence(now);
         if time > self.longest_silence.time {
             let part = self.part;
             return Silence { time, part };
         }
         self.longest_silence
     }
+
+    /// Returns for how long the server has sent nothing at `now`; zero while the reader does not wait for it.
+    #[must_use]
+    pub fn present_silence(&self, now: Instant) -> Duration {
+        self.waiting_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
 }
--- a/crates/curlewlift/src/gateway/events.rs
+++ b/crates/curlewlift/src/gateway/events.rs
@@ -2,15 +2,20 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use curlewlift_core::response::DataEnd;
 use curlewlift_core::sse::Decoder;
 use curlewlift_core::sse::Progress;
 use curlewlift_core::sse::ResumePoint;
 
+use super::exchange;
+
 /// Splits a stream into events, and remembers the last one that was forwarded.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     decoder: Decoder,
     progress: Progress,
+    /// Whether an event ended in the bytes that were appended last.
+    has_ended: bool,
 }
 
 impl EventSplitter {
@@ -18,7 +23,9 @@
     pub(super) fn push(&mut self, data: &[u8]) -> Bytes {
         self.decoder.push(data);
         let mut complete = BytesMut::new();
+        self.has_ended = false;
         while let Some(event) = self.decoder.next_event() {
+            self.has_ended = true;
             if self.progress.record(&event) {
                 complete.extend_from_slice(&event);
             }
@@ -36,6 +43,11 @@
         self.decoder.is_at_boundary()
     }
 
+    /// Where the bytes that were appended last end.
+    pub(super) fn data_end(&self) -> DataEnd {
+        exchange::end_in_events(&self.decoder, self.has_ended)
+    }
+
     /// How many bytes have arrived since the last complete event.
     pub(super) fn incomplete_bytes(&self) -> usize {
         self.decoder.incomplete_bytes()
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use curlewlift_core::response::BUFFER_BYTES;
+use curlewlift_core::response::DataEnd;
 use curlewlift_core::route;
 use curlewlift_core::sse;
 use http_body_util::BodyExt;
@@ -209,7 +210,7 @@
     T: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let node = slot.get_node();
-    let received = Arc::new(Received::new(node.now()));
+    let received = Arc::new(Received::default());
     let limited = Limited::new(io, Arc::clone(&received), Rc::clone(node));
     let io = TokioIo::new(limited);
     let mut builder = http1::Builder::new();
@@ -265,7 +266,7 @@
     first_byte: Duration,
 ) -> ResponseStart {
     slot.record_first_byte();
-    connection.received.use_data(true);
+    connection.received.use_data(DataEnd::Boundary);
     let (head, body) = response.into_parts();
     let head_fields = (dialect.parse_response)(head.status.as_u16(), &head.headers);
     if let Some(load) = head_fields.load {
@@ -376,14 +377,16 @@
                     if let Ok(data) = frame.into_data() {
                         self.slot.record_data();
                         body.extend_from_slice(&data);
-                        let is_complete = is_at_boundary(events.as_mut(), &data);
-                        self.connection.received.use_data(is_complete);
+                        let end = data_end(events.as_mut(), &data);
+                        self.connection.received.use_data(end);
                     }
                 }
                 Some(Err(error)) => {
                     return Err(explain(error.into(), &self.slot).await);
                 }
-                None if is_at_boundary(events.as_mut(), &[]) => return Ok(Some(body.freeze())),
+                None if events.as_ref().is_none_or(sse::Decoder::is_at_boundary) => {
+                    return Ok(Some(body.freeze()));
+                }
                 None => return Err(Failure::EndedInEvent),
             }
         }
@@ -392,12 +395,24 @@
     }
 }
 
-/// Whether a body is at the end of an event after `data`, if it consists of events.
-fn is_at_boundary(events: Option<&mut sse::Decoder>, data: &[u8]) -> bool {
+/// Where `data` of a body ends, which may consist of events.
+fn data_end(events: Option<&mut sse::Decoder>, data: &[u8]) -> DataEnd {
     let Some(events) = events else {
-        return true;
+        return DataEnd::Boundary;
     };
     events.push(data);
-    while events.next_event().is_some() {}
-    events.is_at_boundary()
+    let mut has_ended = false;
+    while events.next_event().is_some() {
+        has_ended = true;
+    }
+    end_in_events(events, has_ended)
+}
+
+/// Where data ends that `events` has been given, and in which an event ended or none did.
+pub(super) fn end_in_events(events: &sse::Decoder, has_ended: bool) -> DataEnd {
+    match has_ended {
+        _ if events.is_at_boundary() => DataEnd::Boundary,
+        true => DataEnd::NextEvent,
+        false => DataEnd::Event,
+    }
 }
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -346,11 +346,16 @@
         self.clock.now()
     }
 
+    /// When this process was last seen to run, a short time ago unless it was suspended or busy since.
+    pub(super) fn last_ran(&self) -> clock::Instant {
+        self.progress.get().former
+    }
+
     /// The arrival of a request whose head has just been read.
     pub(crate) fn arrival(&self) -> Arrival {
         Arrival {
             at: self.now(),
-            sent_after: self.progress.get().former,
+            sent_after: self.last_ran(),
         }
     }
 
--- a/crates/curlewlift/src/gateway/received.rs
+++ b/crates/curlewlift/src/gateway/received.rs
@@ -10,9 +10,10 @@
 use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
-use std::task::ready;
+use std::time::Duration;
 
 use curlewlift_core::clock;
+use curlewlift_core::response::DataEnd;
 use curlewlift_core::response::Reception;
 use curlewlift_core::response::Silence;
 use tokio::io::AsyncRead;
@@ -22,27 +23,17 @@
 use super::node::Node;
 
 /// What has arrived over a connection, shared by the connection and the reader of the response.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Received(Mutex<Reception>);
 
 impl Received {
-    /// What has arrived over a connection that was opened at `now`.
-    pub(super) fn new(now: clock::Instant) -> Self {
-        Self(Mutex::new(Reception::new(now)))
-    }
-
     fn reception(&self) -> MutexGuard<'_, Reception> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the head or data of the body has been read, and whether all that has begun is complete.
-    pub(super) fn use_data(&self, is_complete: bool) {
-        self.reception().use_data(is_complete);
-    }
-
-    /// Records that an event has been read, and another one has begun.
-    pub(super) fn begin_next_event(&self) {
-        self.reception().begin_next_event();
+    /// Records that the head has been read, at its end, or data of the body.
+    pub(super) fn use_data(&self, end: DataEnd) {
+        self.reception().use_data(end);
     }
 
     /// Records that the head of an interim response has been read.
@@ -54,6 +45,11 @@
     pub(super) fn longest_silence(&self, now: clock::Instant) -> Silence {
         self.reception().longest_silence(now)
     }
+
+    /// For how long nothing has arrived at `now`.
+    pub(super) fn present_silence(&self, now: clock::Instant) -> Duration {
+        self.reception().present_silence(now)
+    }
 }
 
 /// A connection that fails if what it receives is no response.
@@ -76,12 +72,20 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
-        let bytes = buffer.filled().len() - filled;
-        let last_ran = self.node.progress.get().former;
+        let read = Pin::new(&mut self.io).poll_read(context, buffer);
+        let now = self.node.now();
         let mut reception = self.received.reception();
-        let accepted = reception.receive(bytes, self.node.now(), last_ran);
-        Poll::Ready(accepted.map_err(|endless| io::Error::new(io::ErrorKind::InvalidData, endless)))
+        match read {
+            Poll::Pending => reception.wait(now),
+            Poll::Ready(Ok(())) if buffer.filled().len() > filled => {
+                let bytes = buffer.filled().len() - filled;
+                let accepted = reception.receive(bytes, now, self.node.last_ran());
+                let no_response = |endless| io::Error::new(io::ErrorKind::InvalidData, endless);
+                return Poll::Ready(accepted.map_err(no_response));
+            }
+            Poll::Ready(_) => {}
+        }
+        read
     }
 }
 
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::AttemptOutcome;
+use curlewlift_core::response::DataEnd;
 use curlewlift_core::route;
 use curlewlift_core::sse::MAX_EVENT_BYTES;
 use curlewlift_core::sse::ResumePoint;
@@ -142,6 +143,9 @@
                 }
                 Ok(Err(failure)) => failure,
                 Err(_) => {
+                    if let Some(slot) = &mut self.slot {
+                        slot.record_deadline();
+                    }
                     let reason = "the deadline has passed".to_owned();
                     return Some(Err(self.truncate(reason).await));
                 }
@@ -185,13 +189,10 @@
             }
         }
         if let Some(connection) = &self.connection {
-            let events = self.events.as_ref();
-            let is_complete = events.is_none_or(EventSplitter::is_at_boundary);
-            if !is_complete && !complete.is_empty() {
-                connection.received.begin_next_event();
-            } else {
-                connection.received.use_data(is_complete);
-            }
+            let end = self.events.as_ref().map(EventSplitter::data_end);
+            connection
+                .received
+                .use_data(end.unwrap_or(DataEnd::Boundary));
         }
         Ok(())
     }
@@ -385,6 +386,7 @@
                 .with("version", response_start.slot.server.version.to_string())
                 .with("after_event", resume_point.event_id())
                 .with("why", reason)
+                .silence(self.request.silence)
                 .write();
             self.switch_to(response_start);
             return true;
--- a/crates/curlewlift/src/gateway/slot.rs
+++ b/crates/curlewlift/src/gateway/slot.rs
@@ -450,9 +450,22 @@
         self.received = Some(received);
     }
 
+    /// The deadline of the request has passed inside its response. A server that is silent then may have failed.
+    pub(super) fn record_deadline(&mut self) {
+        let now = self.node.last_ran();
+        let silence = self.received.as_ref();
+        let silence = silence.map(|received| received.present_silence(now));
+        if silence.is_some_and(|silence| silence >= MIN_SILENCE) {
+            self.outcome = AttemptOutcome::TimedOut;
+        }
+    }
+
     /// The longest silence of the server, if it was long.
     pub(super) fn long_silence(&self) -> Option<Silence> {
-        let silence = self.received.as_ref()?.longest_silence(self.node.now());
+        let silence = self
+            .received
+            .as_ref()?
+            .longest_silence(self.node.last_ran());
         (silence.time >= MIN_LOGGED_SILENCE).then_some(silence)
     }
 
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -19,6 +19,7 @@
 
 use super::Silent;
 use super::StreamEnd;
+use super::send_straddling;
 
 /// How long an engine stays down after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(300);
@@ -543,6 +544,9 @@
                     lasting_events(&mut stream, id, signed, time);
                 } else if let Some(silent) = behavior.strip_prefix("silent ") {
                     Silent::parse(silent).send(&mut stream, &head(200, id, signed));
+                } else if let Some(chunks) = behavior.strip_prefix("straddling ") {
+                    let head = head(200, id, signed);
+                    send_straddling(&mut stream, &head, chunks == "single");
                 } else if let Some(end) = behavior.strip_prefix("ends ") {
                     let head = head(200, id, signed);
                     let end = StreamEnd::parse(end).of_version(self.version);
--- a/crates/curlewlift/tests/platform/silent.rs
+++ b/crates/curlewlift/tests/platform/silent.rs
@@ -25,6 +25,10 @@
 /// The time between two packets.
 const PACKET_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The number of events of a stream whose packets end inside events, and the time between two of these packets.
+pub(crate) const STRADDLING_EVENTS: usize = 60;
+const STRADDLING_INTERVAL: Duration = Duration::from_millis(60);
+
 /// A stream that is sent on request: `silent BODY OFFSET MILLIS`, where the server sends nothing for that time before the byte
 /// at the offset, which begins a packet of its own.
 #[derive(Clone, Copy, Debug)]
@@ -69,3 +73,19 @@
         let _ = stream.write_all(after.as_bytes());
     }
 }
+
+/// Sends a stream in chunks, whose packets each have the end of an event and the beginning of the next one: in two chunks,
+/// or in a single one.
+pub(crate) fn send_straddling(stream: &mut TcpStream, head: &str, is_single: bool) {
+    let fields = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+    let _ = write!(stream, "{head}{fields}\r\n\r\n3\r\ndat\r\n");
+    for number in 1..=STRADDLING_EVENTS {
+        thread::sleep(STRADDLING_INTERVAL);
+        let packet = match number {
+            STRADDLING_EVENTS => "6\r\na: 1\n\n\r\n0\r\n\r\n",
+            _ if is_single => "9\r\na: 1\n\ndat\r\n",
+            _ => "6\r\na: 1\n\n\r\n3\r\ndat\r\n",
+        };
+        let _ = stream.write_all(packet.as_bytes());
+    }
+}
--- a/crates/curlewlift/tests/platform_silent.rs
+++ b/crates/curlewlift/tests/platform_silent.rs
@@ -10,6 +10,7 @@
 use platform::BODIES;
 use platform::EVENTS;
 use platform::Engine;
+use platform::STRADDLING_EVENTS;
 use platform::Silent;
 use platform::ThreeHosts;
 use platform::document;
@@ -131,3 +132,23 @@
     small.set_link_faults(&[HOST], Some(LinkFault::Refuses));
     check(small, 24, |_| ());
 }
+
+/// A stream whose packets all end inside events is cut off, as what counts against its server never begins anew.
+#[test]
+fn packets_end_in_events() {
+    let small = ThreeHosts::start("packets_end_in_events");
+    thread::scope(|scope| {
+        let cases =
+            ["/stream/", "/safe/"].map(|path| ["two", "single"].map(|chunks| (path, chunks)));
+        for (number, (path, chunks)) in cases.into_iter().flatten().enumerate() {
+            let small = &small;
+            scope.spawn(move || {
+                let answer = small.send(0, number, path, &format!("straddling {chunks}"));
+                let is_whole =
+                    answer.whole && answer.body == "data: 1\n\n".repeat(STRADDLING_EVENTS);
+                assert!(is_whole, "{path} {chunks}: {answer:?}");
+            });
+        }
+    });
+    assert_eq!(small.count_received(), 4, "one ran twice");
+}
