Send an order again when the leader changed under it

Ruled out: sending the same copy again, as its refusal says nothing of the first one.

Change: an order whose outcome is unknown is sent again with a new position and precondition, while its age allows. A refusal of that copy leaves the outcome unknown.

--- a/crates/curlewlift/src/gateway/leader_calls.rs
+++ b/crates/curlewlift/src/gateway/leader_calls.rs
@@ -6,6 +6,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::code::Refusal;
 use curlewlift_core::id;
+use curlewlift_core::order::MAX_AGE;
 use curlewlift_core::order::Order;
 use curlewlift_core::quarantine;
 use curlewlift_core::rollout::Phase;
@@ -92,6 +93,29 @@
     environment: &Environment,
     order: Order,
     arrival: Arrival,
+) -> Result<(), Refusal> {
+    let mut result = carry_out_once(node, environment, &order, arrival).await;
+    // An order whose outcome is unknown, as when the leader has changed, is sent again for as long as its age allows.
+    while let Err(unknown) = &result
+        && unknown.get_code() == Code::Unreachable
+        && node.now().since(arrival.sent_after) < MAX_AGE
+    {
+        tokio::time::sleep(LEADER_CHECK_INTERVAL).await;
+        // The refusal of a second copy says nothing of the first, which may have been accepted.
+        match carry_out_once(node, environment, &order, arrival).await {
+            Err(why) if why.get_code() != Code::Unreachable => break,
+            next => result = next,
+        }
+    }
+    result
+}
+
+/// Reads the leader's position, and sends the order there once.
+async fn carry_out_once(
+    node: &Node,
+    environment: &Environment,
+    order: &Order,
+    arrival: Arrival,
 ) -> Result<(), Refusal> {
     let position = match call_leader(node, environment, HubCall::ReadOrderPosition).await {
         Ok(HubReply::OrderPosition(position)) => position,
@@ -100,7 +124,7 @@
     };
     let age = node.now().since(arrival.sent_after);
     let precondition = position.precondition(age)?;
-    let call = HubCall::CarryOut(order, precondition);
+    let call = HubCall::CarryOut(order.clone(), precondition);
     match call_leader(node, environment, call).await {
         Ok(HubReply::OrderAccepted) => Ok(()),
         Ok(_) => Err(unknown_outcome(&no_leader())),
@@ -206,7 +230,7 @@
                 named_leader = leader;
             }
             Ok(reply) => return Ok(reply),
-            // The refusal of a second copy would say nothing of the first, which may have been accepted.
+            // Another copy needs another precondition.
             Err(why) if matches!(call, RenewCall::Hub(HubCall::CarryOut(..))) => return Err(why),
             // A host that runs no process refuses at once, and every other call is safe to repeat.
             Err(why) => {
