--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -67,10 +67,10 @@
     Granted = 203, "granted", "The owner of the service's queue has granted the request a slot of a server.";
     Sent = 204, "sent", "The first byte of the request is sent to the server.";
     FirstToken = 205, "first-token", "The first byte of the response has arrived.";
-    Resumed = 206, "resumed", "A stream that broke off is resumed where it broke off.";
+    Resumed = 206, "resumed", "A stream that broke off is resumed where it broke off. The log line has the former server's silence as that of `ended`.";
     Ended = 207, "ended", "The request has ended; the detail has its code and outcome. The log line of a response that was forwarded as it arrived also says how the server marks its end (length, chunks or close), and how many bytes of an incomplete event there were. Where the server was silent for half a second or more, `silent_ms` is its longest silence, and `silent_in` says where in the response that was: `start` (before the head), `head`, `body`, `framing` (of chunks) or `event`.";
     Refused = 208, "refused", "The request was refused; the detail has the code.";
-    CallerLeft = 209, "caller-left", "The caller disconnected before its response was complete.";
+    CallerLeft = 209, "caller-left", "The caller disconnected before its response was complete. The log line of a stream has its server's silence as that of `ended`.";
     TriedAgain = 210, "tried-again", "The request has certainly not run; it asks for another server.";
     ClaimKept = 211, "claim-kept", "This entry stores the request's claim as a replica of its shard.";
     Queued = 212, "queued", "The request is in the queue of the service, at its owner.";
--- a/crates/curlewlift/src/gateway/relay.rs
+++ b/crates/curlewlift/src/gateway/relay.rs
@@ -236,7 +236,7 @@
     ///
     /// If that is not possible, so that the response must be truncated.
     async fn recover(&mut self, failure: Failure) -> Result<(), TruncatedBody> {
-        self.record_silence();
+        self.keep_longest_silence();
         let reason = match &mut self.slot {
             Some(slot) => {
                 let failure = exchange::explain(failure, slot).await;
@@ -290,8 +290,8 @@
         }
     }
 
-    /// Records the longest silence of the server, for the log line of the response.
-    fn record_silence(&mut self) {
+    /// Keeps the longest silence of the server for the log line of the response, as the slot does not last until then.
+    fn keep_longest_silence(&mut self) {
         if let Some(slot) = &self.slot {
             self.request.silence = slot.long_silence();
         }
@@ -303,7 +303,7 @@
         self.request.record_response_time();
         let gaps = self.chunks.saturating_sub(1);
         let gap = (gaps > 0).then(|| self.head_received.elapsed() / gaps);
-        self.record_silence();
+        self.keep_longest_silence();
         if let Some(slot) = &mut self.slot {
             let times = self.timer.as_ref().and_then(StreamTimer::times);
             let answered = forward::complete_outcome(self.status, self.first_byte, gap);
@@ -329,7 +329,7 @@
     /// Ends a stream that can neither continue nor be resumed.
     async fn truncate(&mut self, reason: String) -> TruncatedBody {
         self.finished = true;
-        self.record_silence();
+        self.keep_longest_silence();
         self.slot = None;
         self.connection = None;
         let line = Line::new(Kind::Ended)
