State in one place that an order was not carried out

The host that passes on an order and the leader that decides on it each built the same refusal. Both call one function of the order module now. Behaviour is unchanged.

--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -17,6 +17,7 @@
 pub use position::MAX_AGE;
 pub use position::Position;
 pub use position::Precondition;
+pub use position::not_carried_out;
 pub use sequence::Sequence;
 pub use subject::Order;
 pub use subject::Subject;
--- a/crates/core/src/order/position.rs
+++ b/crates/core/src/order/position.rs
@@ -52,6 +52,14 @@
     }
 }
 
+/// Returns the refusal of an order that was not carried out because of `why`, and will not be.
+#[must_use]
+pub fn not_carried_out(why: &Refusal) -> Refusal {
+    let why = why.get_detail();
+    let why = format!("the order was not carried out: {why}; send it again");
+    Refusal::new(Code::NotCarriedOut, why)
+}
+
 /// The refusal of an order that is older than [`MAX_AGE`].
 pub(super) fn too_old() -> Refusal {
     let why = "the order was not carried out: it was delayed for so long that its operator may have given it up; \
--- a/crates/curlewlift/src/control/orders.rs
+++ b/crates/curlewlift/src/control/orders.rs
@@ -9,6 +9,7 @@
 use curlewlift_core::event::Line;
 use curlewlift_core::order::Order;
 use curlewlift_core::order::Precondition;
+use curlewlift_core::order::not_carried_out;
 use tokio::sync::oneshot;
 
 use crate::process::unix_ms;
@@ -72,17 +73,14 @@
         if self.machine.has_order(&order)? && is_settled {
             return Ok(None);
         }
-        let not_carried_out = |why: Refusal| {
-            let why = why.get_detail();
-            let why = format!("the order was not carried out: {why}; send it again");
-            Refusal::new(Code::NotCarriedOut, why)
-        };
-        self.ensure_enough_replicas().map_err(not_carried_out)?;
+        self.ensure_enough_replicas()
+            .map_err(|why| not_carried_out(&why))?;
         let now = self.clock.now();
         let orders = self.orders.as_mut().ok_or_else(hub::not_ready)?;
         orders.accept(precondition, order.subject(), now)?;
         let record = order.into_record(unix_ms());
-        self.propose(&record).map(Some).map_err(not_carried_out)
+        let proposed = self.propose(&record).map(Some);
+        proposed.map_err(|why| not_carried_out(&why))
     }
 }
 
--- a/crates/curlewlift/src/gateway/leader_calls.rs
+++ b/crates/curlewlift/src/gateway/leader_calls.rs
@@ -8,6 +8,7 @@
 use curlewlift_core::id;
 use curlewlift_core::order::MAX_AGE;
 use curlewlift_core::order::Order;
+use curlewlift_core::order::not_carried_out;
 use curlewlift_core::quarantine;
 use curlewlift_core::rollout::Phase;
 use curlewlift_core::rollout::Version;
@@ -141,12 +142,6 @@
     )
 }
 
-fn not_carried_out(why: &Refusal) -> Refusal {
-    let why = why.get_detail();
-    let why = format!("the order was not carried out: {why}; send it again");
-    Refusal::new(Code::NotCarriedOut, why)
-}
-
 fn unknown_outcome(why: &Refusal) -> Refusal {
     let why = why.get_detail();
     let why = format!("it is not known whether the order is carried out: {why}; send it again");
