Let the decoder of events say where data ends

Streams that are forwarded and those that are read whole each kept whether an event had ended in the last bytes, and asked a function of a third module what follows. The decoder knows both: it keeps that itself and says where data ends. A variable is where it was before, and two items are parted by a line again.

Behaviour is unchanged.

--- a/crates/core/src/sse/decoder.rs
+++ b/crates/core/src/sse/decoder.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::response::DataEnd;
+
 use super::BYTE_ORDER_MARK;
 
 /// What has been read of the present line.
@@ -48,12 +50,15 @@
     after_return: bool,
     /// How many bytes of the byte order mark have been read; all, after the beginning of the stream.
     mark_bytes: usize,
+    /// Whether an event ended in the bytes that were appended last.
+    has_ended: bool,
 }
 
 impl Decoder {
     /// Appends bytes that have arrived.
     pub fn push(&mut self, bytes: &[u8]) {
         self.incomplete.extend_from_slice(bytes);
+        self.has_ended = false;
     }
 
     /// Returns the next complete event, comment or blank line; none if more bytes are needed.
@@ -68,6 +73,7 @@
                 }
                 let event = self.incomplete.split_to(self.scanned);
                 self.scanned = 0;
+                self.has_ended = true;
                 return Some(event.freeze());
             }
         }
@@ -83,6 +89,16 @@
             && [0, BYTE_ORDER_MARK.len()].contains(&self.mark_bytes)
     }
 
+    /// Returns where the bytes that were appended last end, once their events have been read.
+    #[must_use]
+    pub fn data_end(&self) -> DataEnd {
+        match self.has_ended {
+            _ if self.is_at_boundary() => DataEnd::Boundary,
+            true => DataEnd::NextEvent,
+            false => DataEnd::Event,
+        }
+    }
+
     /// Returns how many bytes have arrived since the last complete event.
     #[must_use]
     pub fn incomplete_bytes(&self) -> usize {
--- a/crates/curlewlift/src/gateway/events.rs
+++ b/crates/curlewlift/src/gateway/events.rs
@@ -7,15 +7,11 @@
 use curlewlift_core::sse::Progress;
 use curlewlift_core::sse::ResumePoint;
 
-use super::exchange;
-
 /// Splits a stream into events, and remembers the last one that was forwarded.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     decoder: Decoder,
     progress: Progress,
-    /// Whether an event ended in the bytes that were appended last.
-    has_ended: bool,
 }
 
 impl EventSplitter {
@@ -23,9 +19,7 @@
     pub(super) fn push(&mut self, data: &[u8]) -> Bytes {
         self.decoder.push(data);
         let mut complete = BytesMut::new();
-        self.has_ended = false;
         while let Some(event) = self.decoder.next_event() {
-            self.has_ended = true;
             if self.progress.record(&event) {
                 complete.extend_from_slice(&event);
             }
@@ -45,7 +39,7 @@
 
     /// Where the bytes that were appended last end.
     pub(super) fn data_end(&self) -> DataEnd {
-        exchange::end_in_events(&self.decoder, self.has_ended)
+        self.decoder.data_end()
     }
 
     /// How many bytes have arrived since the last complete event.
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -151,7 +151,6 @@
     deadline: &Deadline,
     silence_limit: Duration,
 ) -> Result<ResponseStart, (Failure, Slot)> {
-    let mut slot = slot;
     let time_limit = CONNECT_TIMEOUT.min(deadline.remaining());
     let connected = connect(&slot, time_limit).await;
     let (mut sender, connection) = match connected {
@@ -173,6 +172,7 @@
     let received = Arc::clone(&connection.received);
     hyper::ext::on_informational(&mut request, move |_| received.use_interim());
     let until = deadline.timer_instant();
+    let mut slot = slot;
     slot.record_sent(Arc::clone(&connection.received));
     let sent_at = Instant::now();
     let response = await_head(&mut sender, request, &slot, until, silence_limit).await;
@@ -401,18 +401,6 @@
         return DataEnd::Boundary;
     };
     events.push(data);
-    let mut has_ended = false;
-    while events.next_event().is_some() {
-        has_ended = true;
-    }
-    end_in_events(events, has_ended)
-}
-
-/// Where data ends that `events` has been given, and in which an event ended or none did.
-pub(super) fn end_in_events(events: &sse::Decoder, has_ended: bool) -> DataEnd {
-    match has_ended {
-        _ if events.is_at_boundary() => DataEnd::Boundary,
-        true => DataEnd::NextEvent,
-        false => DataEnd::Event,
-    }
+    while events.next_event().is_some() {}
+    events.data_end()
 }
--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -38,6 +38,7 @@
 /// How long a caller may take nothing of a response that waits to be written: longer than the deadlines of requests. It
 /// holds a connection and memory meanwhile.
 const MAX_CALLER_STALL: Duration = Duration::from_mins(1);
+
 /// The address of a request's caller, among the request's extensions.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerAddress(pub(crate) SocketAddr);
