Read what a server sent before it closed a tunnel's connection

Callers saw 502 (4002, may have run) for requests that a server had rejected as not run, where it closed its connection before it had read the whole body and the gateway reached it through another one. The same rejection sent directly was passed on as not run.

Cause: the other gateway gave the tunnel up as soon as the request could not be written any more, and again as soon as the server's connection was reset, although the response had arrived before that.

Ruled out: the HTTP library's client, which reads what has arrived before it reports the failed write (the direct cases passed before).

The rest of the request is now discarded, and what was copied is delivered before the tunnel is closed; its missing end still says that the server has not closed its connection in order.

The engines of the tests receive packets of an Ethernet's size: over a loopback interface the kernel took the whole body, and nothing failed.

--- a/crates/curlewlift/src/gateway/tunnel_server.rs
+++ b/crates/curlewlift/src/gateway/tunnel_server.rs
@@ -194,8 +194,14 @@
     let (mut origin_reader, mut origin_writer) = origin.split();
     let (mut reader, mut writer) = stream.split();
     let requests = async {
-        writer.write_all(&parts.read_buf).await?;
-        tokio::io::copy(&mut origin_reader, &mut writer).await
+        let copied = async {
+            writer.write_all(&parts.read_buf).await?;
+            tokio::io::copy(&mut origin_reader, &mut writer).await
+        };
+        if copied.await.is_err() {
+            // A server may respond and close its connection before it has read the whole request.
+            let _ = tokio::io::copy(&mut origin_reader, &mut tokio::io::sink()).await;
+        }
     };
     let record = |status, headers: &HeaderMap| {
         let head = (node.dialect.parse_response)(status, headers);
@@ -207,16 +213,17 @@
     let responses = copy_responses(&mut reader, &mut origin_writer, record);
     let ended = tokio::select! {
         // The origin closes its connection when nobody waits for the response any more.
-        _ = requests => return,
+        () = requests => return,
         ended = responses => ended,
     };
-    if ended.is_ok() {
-        // Closing with unread bytes would reset the connection, and the end of the response could be lost.
-        let _ = origin.shutdown().await;
-        let mut rest = [0; 1 << 10];
-        let drained = async { while matches!(origin.read(&mut rest).await, Ok(1..)) {} };
-        let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
+    if let Err(why) = ended {
+        log::debug!("a tunnel ended without the end of its response: {why}");
     }
+    // Closing with unread bytes would reset the connection, and the end of the response could be lost.
+    let _ = origin.shutdown().await;
+    let mut rest = [0; 1 << 10];
+    let drained = async { while matches!(origin.read(&mut rest).await, Ok(1..)) {} };
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
 }
 
 /// Copies responses into frames until the server closes its connection, and passes their heads to `record`.
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -31,6 +31,10 @@
 /// How long a sound engine may be silent: before the response of `pause`, and within that of `pause-events`.
 const SILENCE: Duration = Duration::from_millis(1_400);
 
+/// The size of the packets that engines receive, as on an Ethernet. The kernel holds more of a body in the large ones of a
+/// loopback interface.
+const PACKET_BYTES: u32 = 1_460;
+
 /// How long `reads-late` doesn't read the body of its request.
 const UNREAD_TIME: Duration = Duration::from_millis(4_500);
 
@@ -170,6 +174,8 @@
 
     fn start_with(id: &str, version: &'static str, fixed_behavior: Option<&'static str>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let packets = socket2::SockRef::from(&listener).set_tcp_mss(PACKET_BYTES);
+        packets.expect("the option is valid");
         let engine = Self {
             id: id.to_owned(),
             version,
@@ -758,6 +764,18 @@
     if behavior.starts_with("reads-late") {
         std::thread::sleep(UNREAD_TIME);
     }
+    let headers = match behavior {
+        "unread" => Some((200, SIGNED)),
+        "unread shed" => Some((503, "X-Not-Executed: 1\r\n")),
+        _ => None,
+    };
+    if let Some((status, headers)) = headers {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let stream = reader.get_ref().try_clone();
+        let stream = stream.expect("the stream can be cloned");
+        answer(stream, status, id, headers, "done");
+        return None;
+    }
     let length = request
         .header("content-length")
         .and_then(|text| text.parse().ok());
--- a/crates/curlewlift/tests/platform_slow_readers.rs
+++ b/crates/curlewlift/tests/platform_slow_readers.rs
@@ -24,7 +24,7 @@
 /// The lengths of responses: one that the gateway reads whole, and one that it forwards as it arrives.
 const LENGTHS: [usize; 2] = [200_000, 400_000];
 
-/// The length of a request body that does not fit into the receive buffer of a server.
+/// The length of a request body that does not fit into the buffers of a connection to a server.
 const LONG_BODY: usize = 160_000;
 
 /// Hosts that reach the servers, and some that reach them through other hosts.
@@ -210,6 +210,25 @@
     });
 }
 
+/// What a server had sent before it closed its connection with a part of the request unread was lost, as the rest of the
+/// request could not be written.
+#[test]
+fn answered_unread() {
+    let small = start("answered_unread");
+    small.set_link_faults(&TUNNELED, Some(LinkFault::Refuses));
+    let body = "q".repeat(LONG_BODY);
+    for (behavior, status) in [("unread", 200), ("unread shed", 503)] {
+        for host in [DIRECT[0], TUNNELED[0]] {
+            let head = format!(
+                "POST /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {host} {behavior}\r\n\
+                 X-Play: {behavior}\r\nX-Deadline-Ms: {DEADLINE_MS}"
+            );
+            let answer = send_request(small.hosts.callers(host), &head, &body);
+            assert_eq!(answer.status, status, "{host} {behavior}: {answer:?}");
+        }
+    }
+}
+
 /// The process of a gateway ended while it held the rest of a response that the kernel had no room for.
 #[test]
 fn unsent_at_stop() {
