Let callers finish sending a request that is rejected

A caller that was still sending a request when it was rejected (too large, host full) had its connection reset: its writes failed, and what it had not read of the response could be lost with the reset.

Cause: the HTTP library closes a connection whose request body was not read whole, and the kernel resets a connection that is closed with unread bytes.

Ruled out: reading the rest before the response is written, as the caller should hear of it at once.

A caller's connection is closed for writing first; what still arrives is discarded until the caller closes it too, for 5 s at most.

--- a/crates/curlewlift/src/gateway/caller_stream.rs
+++ b/crates/curlewlift/src/gateway/caller_stream.rs
@@ -21,6 +21,13 @@
 #[cfg(test)]
 mod tests;
 
+/// How long a caller may go on sending after its connection has been closed for writing: long enough for the rest of a large
+/// request over a narrow link.
+const MAX_LINGER: Duration = Duration::from_secs(5);
+
+/// How many bytes are discarded at a time.
+const DISCARD_BYTES: usize = 4 << 10;
+
 /// What a response holds until it has been written, such as memory.
 pub(super) type Guard = Box<dyn Any>;
 
@@ -48,6 +55,8 @@
     max_stall: Duration,
     /// Fires when the caller has taken nothing for too long; none unless something waits to be written.
     stalled: Option<Pin<Box<Sleep>>>,
+    /// Fires when the caller may no longer send to the closed connection; none while it is open.
+    linger: Option<Pin<Box<Sleep>>>,
     unsent: Unsent,
 }
 
@@ -58,6 +67,7 @@
             stream,
             max_stall,
             stalled: None,
+            linger: None,
             unsent: Unsent::default(),
         }
     }
@@ -130,7 +140,28 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Closes the connection for writing, and discards what the caller still sends: a connection that is closed with unread
+    /// bytes is reset, and the caller may lose the end of the response.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        let this = &mut *self;
+        let mut linger = if let Some(linger) = this.linger.take() {
+            linger
+        } else {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+            Box::pin(tokio::time::sleep(MAX_LINGER))
+        };
+        let mut discarded = [0; DISCARD_BYTES];
+        while linger.as_mut().poll(context).is_pending() {
+            let mut buffer = ReadBuf::new(&mut discarded);
+            match Pin::new(&mut this.stream).poll_read(context, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
+                Poll::Ready(_) => break,
+                Poll::Pending => {
+                    this.linger = Some(linger);
+                    return Poll::Pending;
+                }
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/curlewlift/tests/platform_slow_readers.rs
+++ b/crates/curlewlift/tests/platform_slow_readers.rs
@@ -27,6 +27,9 @@
 /// The length of a request body that does not fit into the buffers of a connection to a server.
 const LONG_BODY: usize = 160_000;
 
+/// The length of a request body that is too large, and does not fit into the buffers of a caller's connection.
+const TOO_LONG_BODY: usize = 16 << 20;
+
 /// Hosts that reach the servers, and some that reach them through other hosts.
 const DIRECT: [usize; 2] = [1, 2];
 const TUNNELED: [usize; 2] = [3, 4];
@@ -229,6 +232,20 @@
     }
 }
 
+/// A caller that was still sending when its request was rejected had its connection reset, and could lose the response.
+#[test]
+fn rejected_while_sending() {
+    let small = start("rejected_while_sending");
+    let head = "POST /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: long";
+    let answer = send_request(
+        small.hosts.callers(DIRECT[0]),
+        head,
+        &"q".repeat(TOO_LONG_BODY),
+    );
+    assert_eq!(answer.status, 413, "{answer:?}");
+    assert!(answer.whole, "{answer:?}");
+}
+
 /// The process of a gateway ended while it held the rest of a response that the kernel had no room for.
 #[test]
 fn unsent_at_stop() {
