Withhold a version that is ordered while it serves beside others

A service whose servers run two versions when it is first seen is served by both. An order to one of them put it on trial, but it stayed among the versions that gateways may send to by their own decision, and after a rollback the hub gave it requests without limit again, beyond the bound of exposure.

Cause: `Plans` changed the serving versions only when a roll-out was completed. The same gap was open to versions that a hub proposed to establish before an order was committed.

Ruled out: the credit of the trial; the hub kept to it, also before, for as long as the roll-out was active.

An order now removes its target from the serving versions, unless no other one serves.

What gateways without a hub send before they hear of the order is not in any history.

--- a/crates/core/src/rollout/plans.rs
+++ b/crates/core/src/rollout/plans.rs
@@ -28,7 +28,8 @@
 /// The committed roll-outs of all services; every replica computes the same value from the log.
 ///
 /// A version serves a service if it did so when the service was first seen, or if a roll-out to it
-/// was completed. A version whose servers merely appear gets no requests. Memory is linear in the
+/// was completed. One that is ordered while others serve too no longer does, until its roll-out
+/// moves on. A version whose servers merely appear gets no requests. Memory is linear in the
 /// services.
 ///
 /// # Examples
@@ -50,6 +51,16 @@
     services: BTreeMap<id::Service, ServiceRollout>,
 }
 
+impl ServiceRollout {
+    /// Stops `target` from serving while it is not trusted, unless no other version serves. Gateways would send it requests by
+    /// their own decision, beyond what the hub allows a version on trial.
+    fn withhold(&mut self, target: &Version) {
+        if self.serving.len() > 1 {
+            self.serving.remove(target);
+        }
+    }
+}
+
 impl Plans {
     /// Applies a committed step; a step that doesn't follow from the current state changes nothing.
     ///
@@ -128,8 +139,15 @@
     /// Sets the versions that serve a service, unless they are known already.
     fn establish(&mut self, service: &id::Service, versions: &BTreeSet<Version>) {
         let rollout = self.services.entry(service.clone()).or_default();
-        if rollout.serving.is_empty() {
-            rollout.serving.clone_from(versions);
+        if !rollout.serving.is_empty() {
+            return;
+        }
+        rollout.serving.clone_from(versions);
+        // These versions may have been proposed before the order was committed.
+        if let Some((order, phase)) = rollout.last_order.clone()
+            && phase != Phase::Completed
+        {
+            rollout.withhold(&order.target);
         }
     }
 
@@ -146,6 +164,7 @@
         } else {
             Phase::Trial
         };
+        rollout.withhold(&order.target);
         rollout.last_order = Some((order.clone(), phase));
         Ok(())
     }
--- a/crates/core/tests/rollout_plans.rs
+++ b/crates/core/tests/rollout_plans.rs
@@ -238,15 +238,33 @@
     assert!(proposed_steps(&plans, &["v1", "v2", "v3"]).is_empty());
 }
 
+/// Asserts that a version on trial, or rolled back, is not allowed where another one serves.
+fn assert_withheld(plans: &Plans, seed: u64) {
+    let service = "chat".parse().expect("a valid name");
+    let last = plans.last_order(&service);
+    let Some((order, Phase::Trial | Phase::RolledBack)) = last else {
+        return;
+    };
+    let serves_alone = plans
+        .serving_versions(&service)
+        .is_some_and(|serving| serving.iter().eq([&order.target]));
+    let is_allowed = Policy::from_plans(plans).allows(&Server {
+        version: order.target.clone(),
+        ..server("v1")
+    });
+    assert!(!is_allowed || serves_alone, "seed {seed}: {plans:?}");
+}
+
 /// Random steps in random order: a roll-out that has ended changes only by another order, only
-/// ordered versions are allowed, and the replicated state is the same after it is encoded and
+/// ordered versions are allowed, none that is on trial or rolled back beside another one is, and the replicated state is the same after it is encoded and
 /// decoded.
 #[test]
 fn random_steps() {
     for seed in 0..SEED_COUNT {
         let mut random = SmallRng::seed_from_u64(seed);
         let mut machine = Machine::default();
-        let mut ordered = vec!["v1"];
+        let established = ["v1", "v2"].split_at(random.random_range(1..=2)).0;
+        let mut ordered = established.to_vec();
         for _ in 0..30 {
             let target = ["v1", "v2", "v3"][random.random_range(0..3)];
             let phases = [
@@ -258,7 +276,7 @@
             let step = match random.random_range(0..5) {
                 0 => Step::Established {
                     service: "chat".parse().expect("a valid name"),
-                    versions: [version("v1")].into(),
+                    versions: established.iter().map(|name| version(name)).collect(),
                 },
                 1 => Step::Ordered(order(target, random.random_range(1..3))),
                 _ => Step::Advanced {
@@ -288,6 +306,7 @@
                     "seed {seed}: allowed {allowed:?}, ordered {ordered:?}"
                 );
             }
+            assert_withheld(machine.get_rollouts(), seed);
             let decoded = Machine::decode(&machine.encode()).expect("the state decodes");
             assert_eq!(decoded, machine, "seed {seed}");
         }
