Close connections between processes whose calls time out

Cause: a call that timed out removed the connection from the client's table, but the task that runs the connection went on, and with it the socket, on both sides. The same held for a connection that was opened at the same moment as another one to the same address. When such a leftover ended, it also removed the newer connection from the table, so the next call opened yet another one.

Ruled out: the serving side ends a connection once its peer has closed it, also while a call is unanswered (`peer_gone`); peers that are gone without a word end by keep-alive probes and the user time-out (`silent_peers`). By reading only: tunnels, whose HTTP connections end with their sender.

Change: the task of a connection ends once neither the table nor a call holds it any more. A call that fails removes its own connection only. Calls that are cancelled leave it open, as before.

Measured: the tests `timed_out`, `reused` and `peer_gone` of `rpc::client` failed on the unchanged code (peer_gone: the half with a call) and pass now.

--- a/crates/curlewlift/src/rpc/client.rs
+++ b/crates/curlewlift/src/rpc/client.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::timeline::Timeline;
@@ -45,7 +46,15 @@
     timeline: Timeline,
 }
 
-type Connections = Rc<RefCell<HashMap<SocketAddr, node::Client>>>;
+/// An open connection, which is closed once nobody holds it any more.
+struct Connection {
+    client: node::Client,
+    /// Its end stops the task that runs the connection.
+    _is_held: oneshot::Sender<()>,
+}
+
+/// The connections for new calls. Calls hold theirs until they end.
+type Connections = Rc<RefCell<HashMap<SocketAddr, Rc<Connection>>>>;
 
 impl Client {
     /// Creates a client whose calls run on the current local task set.
@@ -107,59 +116,68 @@
         timeout,
         reply,
     } = pending;
-    let call = call(address, method, body, &connections, &timeline);
+    let call = async {
+        let until = Instant::now() + timeout;
+        let connected = tokio::time::timeout_at(until, connect(address, &connections)).await;
+        let connection = connected.map_err(|_| no_reply(address))??;
+        let exchange = exchange(&connection, method, &body, &timeline);
+        let failure = match tokio::time::timeout_at(until, exchange).await {
+            Ok(Ok(reply)) => return reply,
+            Ok(Err(error)) => unreachable(address, &error.to_string()),
+            Err(_) => no_reply(address),
+        };
+        remove(&connections, address, &connection);
+        Err(failure)
+    };
     let mut reply = reply;
     let result = tokio::select! {
-        result = tokio::time::timeout(timeout, call) => result,
+        result = call => result,
         () = reply.closed() => return,
     };
-    let result = result.unwrap_or_else(|_| {
-        connections.borrow_mut().remove(&address);
-        Err(unreachable(address, "no reply within the time limit"))
-    });
     let _ = reply.send(result);
 }
 
-async fn call(
-    address: SocketAddr,
+/// Sends a call and waits for its reply, which may be a refusal.
+async fn exchange(
+    connection: &Connection,
     method: Method,
-    body: Vec<u8>,
-    connections: &Connections,
+    body: &[u8],
     timeline: &Timeline,
-) -> CallResult {
-    let client = connect(address, connections).await?;
-    let mut request = client.call_request();
+) -> Result<CallResult, capnp::Error> {
+    let mut request = connection.client.call_request();
     let mut params = request.get();
     params.set_method(method);
-    params.set_body(&body);
+    params.set_body(body);
     params.set_stamp(timeline.stamp().0);
-    let connection_failed = |error: capnp::Error| {
-        connections.borrow_mut().remove(&address);
-        unreachable(address, &error.to_string())
-    };
-    let response = request.send().promise.await.map_err(connection_failed)?;
-    let reply = response
-        .get()
-        .and_then(curlewlift_wire::node_capnp::node::call_results::Reader::get_reply)
-        .map_err(connection_failed)?;
+    let response = request.send().promise.await?;
+    let reply = response.get()?.get_reply()?;
     timeline.observe(Stamp(reply.get_stamp()));
-    let body = reply.get_body().map_err(connection_failed)?.to_vec();
-    match reply.get_code() {
+    let body = reply.get_body()?.to_vec();
+    Ok(match reply.get_code() {
         0 => Ok(body),
         number => {
             let code = Code::try_from(number).unwrap_or(Code::Internal);
             Err(Refusal::new(code, String::from_utf8_lossy(&body)))
         }
-    }
+    })
 }
 
-async fn connect(address: SocketAddr, connections: &Connections) -> Result<node::Client, Refusal> {
-    if let Some(client) = connections.borrow().get(&address) {
-        return Ok(client.clone());
+/// Returns the connection to `address`, and opens one if there is none.
+async fn connect(
+    address: SocketAddr,
+    connections: &Connections,
+) -> Result<Rc<Connection>, Refusal> {
+    let known = || connections.borrow().get(&address).cloned();
+    if let Some(connection) = known() {
+        return Ok(connection);
     }
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| unreachable(address, "no connection within the time limit"))?;
     let stream = stream.map_err(|error| unreachable(address, &error.to_string()))?;
+    // Another call may have opened one meanwhile.
+    if let Some(connection) = known() {
+        return Ok(connection);
+    }
     crate::process::configure_connection(&stream);
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(
@@ -170,15 +188,43 @@
     );
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: node::Client = system.bootstrap(Side::Server);
+    let (is_held, released) = oneshot::channel();
+    let connection = Rc::new(Connection {
+        client,
+        _is_held: is_held,
+    });
     let open_connections = Rc::clone(connections);
+    let opened = Rc::downgrade(&connection);
     tokio::task::spawn_local(async move {
-        let _ = system.await;
-        open_connections.borrow_mut().remove(&address);
+        tokio::select! {
+            _ = system => {}
+            _ = released => {}
+        }
+        if let Some(connection) = opened.upgrade() {
+            remove(&open_connections, address, &connection);
+        }
     });
-    connections.borrow_mut().insert(address, client.clone());
-    Ok(client)
+    let mut connections = connections.borrow_mut();
+    connections.insert(address, Rc::clone(&connection));
+    Ok(connection)
+}
+
+/// Lets new calls to `address` open another connection, unless there is a newer one than `connection` already.
+fn remove(connections: &Connections, address: SocketAddr, connection: &Rc<Connection>) {
+    let mut connections = connections.borrow_mut();
+    let current = connections.get(&address);
+    if current.is_some_and(|current| Rc::ptr_eq(current, connection)) {
+        connections.remove(&address);
+    }
+}
+
+fn no_reply(address: SocketAddr) -> Refusal {
+    unreachable(address, "no reply within the time limit")
 }
 
 fn unreachable(address: SocketAddr, reason: &str) -> Refusal {
     Refusal::new(Code::Unreachable, format!("{address}: {reason}"))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/curlewlift/src/rpc/server.rs
+++ b/crates/curlewlift/src/rpc/server.rs
@@ -60,15 +60,13 @@
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
             continue;
         };
-        let node = Node {
-            handler: Rc::clone(&handler),
-            timeline: timeline.clone(),
-        };
-        tokio::task::spawn_local(serve_connection(stream, node));
+        let served = serve_connection(stream, Rc::clone(&handler), timeline.clone());
+        tokio::task::spawn_local(served);
     }
 }
 
-async fn serve_connection(stream: TcpStream, node: Node) {
+/// Serves one connection until its peer closes it.
+pub(super) async fn serve_connection(stream: TcpStream, handler: Handler, timeline: Timeline) {
     crate::process::configure_connection(&stream);
     let (reader, writer) = stream.compat().split();
     let network = VatNetwork::new(
@@ -77,7 +75,7 @@
         Side::Server,
         capnp::message::ReaderOptions::default(),
     );
-    let client: node::Client = capnp_rpc::new_client(node);
+    let client: node::Client = capnp_rpc::new_client(Node { handler, timeline });
     let _ = RpcSystem::new(Box::new(network), Some(client.client)).await;
 }
 
