Refuse requests that cost more than any window of a quota allows

Seen by a reviewer: a request whose declared tokens exceed all that its customer may use in a window was admitted by a full bucket. In other moments its caller was told to come back within 1 s, for nothing.

Cause: a request that costs more than the burst needs a full bucket only, without an upper bound.

What callers hear: the platform's protocol wants 429 for what is over a customer's limit, and that status promises that the request has not run; so 429 it is, with the new code 2006 and without Retry-After. 413 would keep clients from repeating it, but promises nothing.

Change: `Tolerance::max_in_window` is what a window of the quota bears at the most, tolerance included. The limiter admits nothing beyond it. A gateway refuses such a request itself, with or without the hub, if its table is certainly the newest; by an older one the hub decides.

Not changed: a request between the burst and that bound still needs a full bucket, whatever its customer used in the window before.

--- a/crates/core/src/code/table.rs
+++ b/crates/core/src/code/table.rs
@@ -86,6 +86,7 @@
     OpenLimit = 2003, "open-limit", 429, "The customer has reached its limit of open requests.";
     Forbidden = 2004, "forbidden", 403, "The operator may not give this command.";
     Allowance = 2005, "allowance", 429, "The customer has used up its quota; retry later.";
+    CostTooHigh = 2006, "cost-too-high", 429, "The request costs more than the customer's quota ever allows; it is never admitted.";
     Shed = 3001, "shed", 503, "The service's queue is full and this request had the lowest tier in it.";
     CannotFinish = 3002, "cannot-finish", 503, "The deadline cannot be met; the request was refused before prefill.";
     QueueLimit = 3003, "queue-limit", 503, "The customer has reached its limit of queued requests.";
--- a/crates/core/src/quota/limiter.rs
+++ b/crates/core/src/quota/limiter.rs
@@ -124,12 +124,16 @@
     ///
     /// # Errors
     ///
-    /// Returns after how long the bucket holds enough if nothing else is charged.
+    /// Returns after how long the bucket holds enough if nothing else is charged. A request that exceeds by itself what
+    /// is tolerated in a window is never admitted.
     pub fn acquire(&mut self, charge: &Charge, now: Instant) -> Result<(), Duration> {
         let Some(state) = self.customers.get_mut(&charge.customer) else {
             return Ok(());
         };
         state.fill(&self.tolerance, self.hub_share, now);
+        if !self.tolerance.allows_cost(&state.quota, charge.cost) {
+            return Err(MAX_RETRY_DELAY);
+        }
         let cost = to_f64(charge.cost);
         // A request that costs more than the burst needs a full bucket.
         let missing = cost.min(state.quota.burst) - state.bucket.level();
--- a/crates/core/src/quota/local.rs
+++ b/crates/core/src/quota/local.rs
@@ -116,6 +116,12 @@
         (now.since(polled_at) >= LOCAL_QUOTA_DELAY).then(|| polled_at + LOCAL_QUOTA_DELAY)
     }
 
+    /// Returns by how much a quota may be exceeded.
+    #[must_use]
+    pub fn get_tolerance(&self) -> &Tolerance {
+        &self.tolerance
+    }
+
     /// Charges a request and returns whether it is admitted; a rejected one costs nothing.
     pub fn acquire(&mut self, charge: &Charge, quota: &Quota, now: Instant) -> bool {
         let share = self.get_share(now);
--- a/crates/core/src/quota/tolerance.rs
+++ b/crates/core/src/quota/tolerance.rs
@@ -4,6 +4,8 @@
 
 use crate::route::Quota;
 
+use super::to_f64;
+
 /// The share of the tolerance that the hub adds to the quotas, evenly over time.
 const HUB_TOLERANCE_SHARE: f64 = 0.65;
 
@@ -67,6 +69,33 @@
         )
     }
 
+    /// Returns the most that a customer may use in a window, whatever it used before; `None` if windows have no length.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use curlewlift_core::quota::Tolerance;
+    /// use curlewlift_core::route::Quota;
+    /// use curlewlift_core::route::Unit;
+    /// let quota = Quota { unit: Unit::Requests, rate: 10.0, burst: 20.0 };
+    /// let tolerance = Tolerance { window: Duration::from_secs(8), ratio: 0.5, slack: 3.0 };
+    /// assert_eq!(tolerance.max_in_window(&quota), Some(153.0));
+    /// assert_eq!(Tolerance::default().max_in_window(&quota), None);
+    /// ```
+    #[must_use]
+    pub fn max_in_window(&self, quota: &Quota) -> Option<f64> {
+        let has_window = !self.window.is_zero();
+        has_window.then(|| self.window_quota(quota) + self.tolerated_excess(quota))
+    }
+
+    /// Returns whether a request that costs `cost` can ever be admitted.
+    #[must_use]
+    pub fn allows_cost(&self, quota: &Quota, cost: u64) -> bool {
+        let max = self.max_in_window(quota);
+        max.is_none_or(|max| to_f64(cost) <= max)
+    }
+
     /// What the quota itself allows in a window.
     fn window_quota(&self, quota: &Quota) -> f64 {
         quota.rate * self.window.as_secs_f64() + quota.burst
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -399,3 +399,22 @@
     assert!(limiter.acquire(&charge(9_000), at(100) + wait / 2).is_err());
     assert!(limiter.acquire(&charge(9_000), at(101) + wait).is_ok());
 }
+
+/// A request that exceeds by itself what a window tolerates is not admitted by a full bucket either; a smaller one is, although
+/// it exceeds the burst.
+#[test]
+fn beyond_window() {
+    // (8 s of the rate and the burst) x 1.1, and the slack.
+    const BOUND: u64 = 666_000;
+    for (cost, is_admitted) in [(BOUND, true), (BOUND + 1, false)] {
+        let mut limiter = limiter(1.0);
+        limiter.fill_all(at(0));
+        for millis in [0, 60_000] {
+            let admitted = limiter.acquire(&charge(cost), at(millis)).is_ok();
+            assert_eq!(admitted, is_admitted, "{cost} at {millis} ms");
+            if admitted {
+                limiter.refund(&charge(cost), at(millis));
+            }
+        }
+    }
+}
--- a/crates/curlewlift/src/gateway/admit.rs
+++ b/crates/curlewlift/src/gateway/admit.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::code::Code;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::WaitLimit;
+use curlewlift_core::publication::Standing;
 use curlewlift_core::quarantine::Features;
 use curlewlift_core::quarantine::Identity;
 use curlewlift_core::quota::Charge;
@@ -172,7 +173,10 @@
     let cost = policy
         .as_ref()
         .map_or(0, |policy| cost(policy, &head_fields));
-    let charge = policy.as_deref().and_then(|policy| charge(policy, cost));
+    let charge = match policy.as_deref() {
+        Some(policy) => charge(node, policy, cost)?,
+        None => None,
+    };
     Ok(Admitted {
         charge,
         head_fields,
@@ -204,12 +208,25 @@
     Ok(halls)
 }
 
-/// What a request is charged to its customer's quota; none if the quota is unlimited.
-fn charge(policy: &CustomerPolicy, cost: u64) -> Option<Charge> {
-    policy.quota.is_limited().then(|| Charge {
-        customer: policy.name.clone(),
-        cost,
-    })
+/// What a request is charged to its customer's quota; none if the quota is unlimited. A refusal if the request can never be
+/// admitted: the newest table decides that, so a gateway that may have an older one leaves it to the hub.
+fn charge(node: &Node, policy: &CustomerPolicy, cost: u64) -> Result<Option<Charge>, Refused> {
+    let (customer, quota) = (&policy.name, &policy.quota);
+    if !quota.is_limited() {
+        return Ok(None);
+    }
+    let is_possible = {
+        let local_limiter = node.local_limiter.borrow();
+        local_limiter.get_tolerance().allows_cost(quota, cost)
+    };
+    if !is_possible && node.table_standing() == Standing::Current {
+        let reason = format!(
+            "the request costs {cost}, more than the quota of customer {customer} allows at any time"
+        );
+        return Err(Refused::new(Code::CostTooHigh, reason));
+    }
+    let customer = customer.clone();
+    Ok(Some(Charge { customer, cost }))
 }
 
 /// The cost of a request in the unit of its customer's quota.
--- a/crates/curlewlift/tests/platform_requests.rs
+++ b/crates/curlewlift/tests/platform_requests.rs
@@ -279,6 +279,28 @@
     assert!(refused >= 3, "{statuses:?}");
 }
 
+/// A request that costs more than its customer's quota ever allows is not sent, and its caller is not told to return.
+#[test]
+fn cost_beyond_quota() {
+    let deployment = Deployment::start("cost_beyond_quota");
+    // In 8 s the quota allows 258 tokens, and a tenth more are tolerated.
+    for (tokens, is_possible) in [("200,83", true), ("200,84", false), ("9999999,1", false)] {
+        let received = deployment.received();
+        let head = format!(
+            "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\n\
+             X-Token-Counts: {tokens}\r\nAuthorization: Bearer key-ben"
+        );
+        let answer = send_request(deployment.hosts.callers(0), &head, "");
+        let has_code = answer.body.contains("\"code\":2006");
+        assert_eq!(has_code, !is_possible, "{}", answer.body);
+        if !is_possible {
+            assert_eq!(answer.status, 429, "{}", answer.body);
+            assert_eq!(answer.header("retry-after"), None, "{}", answer.head);
+            assert_eq!(deployment.received(), received, "{tokens}");
+        }
+    }
+}
+
 #[test]
 fn draining_gets_none() {
     let deployment = Deployment::start("draining_gets_none");
