Send nothing from a control replica before its boot number is on disk

Seen by a reviewer: a replica that is lost before its first write uses its boot number again.

Cause: the number is raised in memory and written with the first batch. Votes and acknowledgements waited for that batch; pre-votes, replies to them, heartbeats and rejections did not. What hangs on the number: peers store the newest start of each disk that they heard of, and take another start with the same number for a copy of the disk. All messages of the next start were therefore refused, so the replica counted as unreachable for as long as it ran; the start after that one was accepted.

Ruled out: nothing else uses the number.

Change: messages that need not wait for a sync wait for the first one.

--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -104,6 +104,8 @@
     pub(super) recent_rounds: VecDeque<(u64, Instant)>,
     pub(super) leader_since: Instant,
     pub(super) next_sync: SyncId,
+    /// Whether the boot number is on disk. Peers that saw one which is not would refuse the next start.
+    boot_synced: bool,
     pub(super) pending_sends: Vec<(SyncId, Message)>,
     pub(super) unsynced: Vec<(SyncId, Index)>,
     pub(super) output: Output,
@@ -113,8 +115,7 @@
 impl Replica {
     /// Creates the replica on `host` from what its disk has stored.
     ///
-    /// Its first output increments the boot number; no vote or acknowledgement is sent before that is
-    /// synced.
+    /// Its first output increments the boot number; no message is sent before that is synced.
     #[must_use]
     pub fn new(host: Host, saved: SavedState, timing: Timing, seed: u64, now: Instant) -> Self {
         let last = saved
@@ -146,6 +147,7 @@
             recent_rounds: VecDeque::new(),
             leader_since: now,
             next_sync: SyncId(0),
+            boot_synced: false,
             pending_sends: Vec::new(),
             unsynced: Vec::new(),
             output: Output::default(),
@@ -211,6 +213,7 @@
 
     /// Reports that the writes up to `sync` are on disk.
     pub fn on_synced(&mut self, sync: SyncId, now: Instant) {
+        self.boot_synced = true;
         let finished: Vec<_> = self
             .unsynced
             .iter()
@@ -323,7 +326,12 @@
             .push(Write::HardState(self.hard_state.clone()));
     }
 
+    /// Sends the message now, or once the boot number is on disk.
     pub(super) fn send(&mut self, to: &Member, payload: Payload) {
+        if !self.boot_synced {
+            self.send_after_sync(to, payload);
+            return;
+        }
         let message = self.message(to, payload);
         self.output.sends.push(message);
     }
--- a/crates/core/tests/old_disk.rs
+++ b/crates/core/tests/old_disk.rs
@@ -3,12 +3,15 @@
 
 mod support;
 
+use std::time::Duration;
+
 use curlewlift_core::clock::Instant;
 use curlewlift_core::id::Disk;
 use curlewlift_core::id::Host;
 use curlewlift_core::log::Message;
 use curlewlift_core::log::Payload;
 use curlewlift_core::log::Replica;
+use curlewlift_core::log::Role;
 
 use support::replicas::Node;
 use support::replicas::run_steps;
@@ -127,3 +130,29 @@
         "a copy of the disk with the same boot number was accepted"
     );
 }
+
+/// A replica that is killed before its first write is on disk uses its boot number again. Its peers must not have seen that
+/// number, or they take the next start for a copy of the disk and refuse all its messages.
+#[test]
+fn killed_before_first_sync() {
+    let (mut nodes, mut now) = three_voters();
+    let host: Host = "c2".parse().expect("valid name");
+    let disk = nodes[2].disk.clone();
+    let mut killed = Node::new("c2", disk.clone(), 9, now);
+    for _ in 0..50 {
+        now = now + Duration::from_millis(20);
+        killed.replica.tick(now);
+        for message in killed.replica.take_output().sends {
+            for node in &mut nodes[..2] {
+                node.replica.receive(message.clone(), now);
+            }
+        }
+    }
+    nodes[2] = Node::new("c2", disk, 10, now);
+    run_steps(&mut nodes, &mut now, 100);
+    let mut leaders = nodes.iter().map(|node| &node.replica);
+    let leader = leaders.find(|replica| replica.get_role() == Role::Leader);
+    let leader = leader.expect("a leader");
+    let is_reachable = leader.get_host() == &host || leader.is_reachable(&host, now);
+    assert!(is_reachable, "the next start of the replica is refused");
+}
