Keep the logs of hosts that run in the test's process

A failed test left the disks of its hosts and no log, as hosts in the process of the tests had no logger: nothing said which host refused a request, and why.

--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -31,6 +31,7 @@
 use super::KeptConnection;
 use super::Program;
 use super::SlowLink;
+use super::host_logs::log_host;
 use super::send_request;
 
 /// How long tests wait for any condition; no test asserts a shorter time.
@@ -371,6 +372,8 @@
             self.programs[index] = Some(Program::start(&path, metrics, &log));
             return;
         }
+        let host = address(self.first, index, 0).ip();
+        log_host(host, &self.log_path(index));
         let platform = Platform::new(path).expect("the settings are valid");
         let scheduling = self.scheduling.parse().expect("valid parts");
         let platform = platform.scheduling(scheduling);
@@ -409,7 +412,7 @@
         self.programs[index].as_mut().expect("the host was started")
     }
 
-    /// The file to which a host that is a process of its own writes its log.
+    /// The file to which a host writes its log.
     pub(crate) fn log_path(&self, index: usize) -> PathBuf {
         self.folder.join(format!("host-{index}")).join("log")
     }
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -6,6 +6,7 @@
 mod document;
 mod engine;
 mod flow;
+mod host_logs;
 mod hosts;
 mod program;
 mod silent;
