Count silent servers that were gone before a new hub's first list

Operators saw: a part under which five servers fell silent was still sent, when the leader changed between a silence and the change of the server list. In the log the server left the list of the gateways while no replica led, and no part-suspected event ever had it.

Cause: a silent server counts as crashed once it is gone from the list, which a hub sees as the difference between two lists. A new hub has no former list, so what left before its first one was not gone for it, although gateways report the silences of the last minute to each new hub.

Ruled out: that the silence was not reported (the former hub got it at once).

Change: servers that fell silent before the hub's first list, at most 30 s ago, and are not on it are gone. Silences older than 30 s no longer count because they are reported again; the design had this limit.

Not told apart: a server that fell silent and then left by plan, all before the new hub's first list, counts as crashed.

part_queue silent_under_earlier_hub is red on the code before (the request is queued) and green now; part_cases and quarantine_bounds are green.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -37,7 +37,8 @@
     }
 
     /// Records the servers that are gone from `server_list`, which is about to be set, without having left by plan: they
-    /// have crashed under the requests under which they had fallen silent.
+    /// have crashed under the requests under which they had fallen silent. Those that are not on the hub's first list may
+    /// have been gone before it.
     pub fn observe_gone(&mut self, server_list: &ServerList, now: Instant) {
         let remaining: BTreeSet<_> = server_list
             .servers
@@ -45,13 +46,19 @@
             .map(|server| &server.incarnation)
             .collect();
         let former = Arc::clone(&self.server_list);
+        let mut affected = Vec::new();
+        if former.version == 0 {
+            let servers = remaining.iter().map(|server| Arc::clone(server));
+            affected = self.tracker.record_first_list(servers.collect(), now);
+        }
         let gone = former.servers.iter();
         let gone =
             gone.filter(|server| !server.leaving && !remaining.contains(&server.incarnation));
         for server in gone {
-            for features in self.tracker.record_gone(&server.incarnation, now) {
-                self.reject_unpermitted(&features, now);
-            }
+            affected.extend(self.tracker.record_gone(&server.incarnation, now));
+        }
+        for features in affected {
+            self.reject_unpermitted(&features, now);
         }
     }
 
--- a/crates/core/src/quarantine/tracker/parts.rs
+++ b/crates/core/src/quarantine/tracker/parts.rs
@@ -1,6 +1,7 @@
 //! How the tracker handles parts of prompts.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::clock::Instant;
@@ -41,9 +42,32 @@
     /// Records that a server is gone from the list without having left it by plan. Returns the features of requests under
     /// which it had fallen silent, if fewer of them may be sent than before.
     pub fn record_gone(&mut self, server: &Arc<str>, now: Instant) -> Vec<Features> {
+        let silent = self.silences.record_gone(server, now).into_iter();
+        let silent = silent.map(|observation| (Arc::clone(server), observation));
+        self.record_crashes(silent.collect(), now)
+    }
+
+    /// Records the incarnations on the hub's first server list: servers that fell silent before it and are not on it are
+    /// gone. Returns the features of requests under which they had, if fewer of them may be sent than before.
+    pub fn record_first_list(
+        &mut self,
+        servers: BTreeSet<Arc<str>>,
+        now: Instant,
+    ) -> Vec<Features> {
+        let silent = self.silences.record_first_list(servers, now);
+        self.record_crashes(silent, now)
+    }
+
+    /// Records the crashes of servers that had fallen silent; returns the features of requests of which fewer may be sent
+    /// than before.
+    fn record_crashes(
+        &mut self,
+        silent: Vec<(Arc<str>, Observation)>,
+        now: Instant,
+    ) -> Vec<Features> {
         let mut affected = Vec::new();
-        for observation in self.silences.record_gone(server, now) {
-            if self.record_crash_of(server, &observation, now) {
+        for (server, observation) in silent {
+            if self.record_crash_of(&server, &observation, now) {
                 affected.push(observation.features);
             }
         }
--- a/crates/core/tests/part_queue.rs
+++ b/crates/core/tests/part_queue.rs
@@ -63,6 +63,21 @@
     }
 }
 
+/// The end of an attempt at a server of version v1.
+fn observation(features: Features, effect: Effect, age: Duration) -> Observation {
+    Observation {
+        features,
+        software: Software {
+            service: "chat".parse().expect("a valid name"),
+            version: "v1".parse().expect("a valid version"),
+        },
+        permit: None,
+        answered_for: None,
+        age,
+        effect,
+    }
+}
+
 /// What queued is decided again when the part comes into quarantine, and other requests keep their places.
 #[test]
 fn queued_requests() {
@@ -77,17 +92,8 @@
     let sound = queue(&mut hub, features(3, &[1]), now);
     for number in 0..5_u64 {
         now = now + Duration::from_millis(20);
-        let crashed = Observation {
-            features: features(10 + number, &[9]),
-            software: Software {
-                service: "chat".parse().expect("a valid name"),
-                version: "v1".parse().expect("a valid version"),
-            },
-            permit: None,
-            answered_for: None,
-            age: Duration::ZERO,
-            effect: Effect::Crashed(format!("t{number}").into()),
-        };
+        let crashed = Effect::Crashed(format!("t{number}").into());
+        let crashed = observation(features(10 + number, &[9]), crashed, Duration::ZERO);
         let report = Report {
             observations: vec![crashed],
             ..messages::report(&host())
@@ -105,3 +111,59 @@
     );
     assert!(is_expected, "{rejected:?}, beside {sound:?}");
 }
+
+/// Servers that fell silent under an earlier hub, and are gone when the next one gets its first list, have crashed; those
+/// that are listed, fell silent after that, or long before, have not.
+#[test]
+fn silent_under_earlier_hub() {
+    let cases = [
+        (true, false, 5, true),
+        (false, false, 5, true),
+        (true, true, 5, false),
+        (false, true, 5, false),
+        (false, false, 0, false),
+        (true, false, 45, false),
+        (false, false, 45, false),
+    ];
+    for (is_reported_first, is_listed, age, is_charged) in cases {
+        let start = Instant::default() + Duration::from_secs(90);
+        let mut hub = Hub::new(Tuning::default(), start).with_id(1);
+        let silent = (0..5_u64).map(|number| {
+            let silent = Effect::Silent(format!("s-t{number}").into());
+            observation(
+                features(10 + number, &[9]),
+                silent,
+                Duration::from_secs(age),
+            )
+        });
+        let report = Report {
+            observations: silent.collect(),
+            ..messages::report(&host())
+        };
+        let mut servers = vec![server("v1")];
+        if is_listed {
+            servers.extend((0..5).map(|number| server(&format!("t{number}"))));
+        }
+        let first_list = ServerList::new(servers);
+        if is_reported_first {
+            hub.report(&report, start);
+        }
+        let now = start + Duration::from_secs(1);
+        hub.observe_gone(&first_list, now);
+        hub.set_server_list(Arc::new(first_list));
+        let now = now + Duration::from_secs(1);
+        if !is_reported_first {
+            hub.report(&report, now);
+        }
+        let request = SlotRequest {
+            features: features(20, &[9]),
+            ..messages::slot_request(&host())
+        };
+        let decision = hub.request_slot(request, now);
+        let is_rejected = matches!(decision, SlotDecision::Rejected(_));
+        assert_eq!(
+            is_rejected, is_charged,
+            "{is_reported_first} {is_listed} {age}: {decision:?}"
+        );
+    }
+}
