Commit parts to the log from their first crash on

Callers whose prompts hold a part that crashes servers saw more than five servers crash when the hub and the gateway that had seen a crash were lost together: with real hosts six (the hub's host lost 1 s after the first one).

Cause: parts were committed from the second crash on, and a gateway tells the next hub only what it saw itself. What the hub and that gateway alone knew was gone with them.

Ruled out: the loss of the hub alone.

Change: parts are committed from the first crash on. The hub proposes only the cases for which the list has room (32 a customer, 1,024 in all), those with the most crashes first, and releases others before; otherwise new suspects would push out a part with four crashes. Gateways without a hub withhold a part from the second known crash on, as before.

Not covered: both lost within the 50 ms that the report and the commit take, or while no hub leads.

--- a/crates/core/src/quarantine/account.rs
+++ b/crates/core/src/quarantine/account.rs
@@ -76,7 +76,7 @@
     pub(super) wants_trial: bool,
     /// The number of the permit in use, and when it expires.
     permit: Option<(u64, Instant)>,
-    last_crash: Instant,
+    pub(super) last_crash: Instant,
     last_trial: Instant,
     pub(super) last_requested: Instant,
 }
--- a/crates/core/src/quarantine/accounts.rs
+++ b/crates/core/src/quarantine/accounts.rs
@@ -1,5 +1,6 @@
 //! The accounts of all parts of prompts under which servers crashed.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -15,6 +16,8 @@
 use super::Software;
 use super::account::Account;
 use super::account::Charge;
+use super::list::MAX_CASES;
+use super::list::MAX_CASES_PER_CUSTOMER;
 
 /// How many accounts are kept, at some 500 bytes each. When there are more, the customer with the most loses one.
 const MAX_ACCOUNTS: usize = 4_096;
@@ -253,11 +256,21 @@
         !expired.is_empty()
     }
 
-    /// The cases of all parts with at least `min_crashes`, as they are to be committed.
+    /// The cases of the parts with at least `min_crashes`, as they are to be committed: of those for which the list has
+    /// room, the ones with the most crashes, and of these the last ones.
     pub(super) fn to_cases(&self, min_crashes: usize) -> BTreeMap<Part, PartCase> {
         let accounts = self.accounts.iter();
         let accounts = accounts.filter(|(_, account)| account.charges.len() >= min_crashes);
-        accounts
+        let mut accounts: Vec<_> = accounts.collect();
+        accounts.sort_by_key(|(_, account)| Reverse((account.charges.len(), account.last_crash)));
+        let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+        accounts.retain(|(_, account)| {
+            let count = counts.entry(&account.owner).or_default();
+            *count += 1;
+            *count <= MAX_CASES_PER_CUSTOMER
+        });
+        let cases = accounts.into_iter().take(MAX_CASES);
+        cases
             .map(|(part, account)| (*part, account.to_case(*part)))
             .collect()
     }
--- a/crates/core/src/quarantine/local.rs
+++ b/crates/core/src/quarantine/local.rs
@@ -8,6 +8,7 @@
 
 use super::CRASHES_TO_COMMIT;
 use super::CRASHES_TO_QUARANTINE_PART;
+use super::CRASHES_TO_WITHHOLD_PART;
 use super::Effect;
 use super::Evidence;
 use super::Features;
@@ -90,7 +91,7 @@
         match counts.max().unwrap_or(0) {
             CRASHES_TO_QUARANTINE_PART.. => Err(Rejection::PartQuarantined),
             // It may be sound, and the hub soon knows.
-            CRASHES_TO_COMMIT.. => Err(Rejection::PartInTrial),
+            CRASHES_TO_WITHHOLD_PART.. => Err(Rejection::PartInTrial),
             _ => Ok(()),
         }
     }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -3,7 +3,7 @@
 //! A request that crashes each server that starts to run it is retried, at any gateway and as a new request. Crashes
 //! are therefore counted over all gateways by what the request is ([`Identity`]). The hub counts them
 //! ([`Tracker`]) from the gateways' reports ([`Evidence`]). From the second crash on they are also committed to the log
-//! ([`List`]), and from there every gateway knows them ([`LocalTracker`]) while it is without a hub.
+//! ([`List`]), those under parts of prompts from the first on, and from there every gateway knows them ([`LocalTracker`]) while it is without a hub.
 //!
 //! A part of a prompt that crashes servers comes in requests that are all different, beside sound ones that share the
 //! rest. It is tracked by the same types: a crash is charged to each part of the requests that had just begun to be
@@ -55,3 +55,10 @@
 /// How many servers must have crashed under a request before it is committed to the log. Requests that ran on only one
 /// crashed server, six of seven, need no log entry.
 const CRASHES_TO_COMMIT: usize = CRASHES_TO_QUARANTINE - 1;
+
+/// How many servers must have crashed under requests with a part before it is committed to the log. A hub that is lost
+/// together with the gateway that saw a crash takes along what is not.
+const CRASHES_TO_COMMIT_PART: usize = 1;
+
+/// How many servers must have crashed under requests with a part before a gateway sends none without the hub.
+const CRASHES_TO_WITHHOLD_PART: usize = 2;
--- a/crates/core/src/quarantine/tracker/parts.rs
+++ b/crates/core/src/quarantine/tracker/parts.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::clock::Instant;
-use crate::quarantine::CRASHES_TO_COMMIT;
+use crate::quarantine::CRASHES_TO_COMMIT_PART;
 use crate::quarantine::Features;
 use crate::quarantine::List;
 use crate::quarantine::Observation;
@@ -111,7 +111,7 @@
 
     /// The changes of parts on the list.
     pub(super) fn propose_parts(&mut self) -> Vec<Step> {
-        let cases = self.accounts.to_cases(CRASHES_TO_COMMIT);
+        let cases = self.accounts.to_cases(CRASHES_TO_COMMIT_PART);
         let released = self.committed_parts.keys();
         let released = released.filter(|part| !cases.contains_key(part));
         self.proposed_parts = released.map(|part| (*part, None)).collect();
@@ -120,11 +120,11 @@
                 self.proposed_parts.insert(part, Some(case));
             }
         }
-        let steps = self.proposed_parts.iter();
-        let steps = steps.map(|(part, case)| match case {
-            Some(case) => Step::PutPart(case.clone()),
-            None => Step::ReleasePart(*part),
-        });
-        steps.collect()
+        // Released first, so that the list has room for the others.
+        let released = self.proposed_parts.iter();
+        let released = released.filter(|(_, case)| case.is_none());
+        let released = released.map(|(part, _)| Step::ReleasePart(*part));
+        let put = self.proposed_parts.values().flatten().cloned();
+        released.chain(put.map(Step::PutPart)).collect()
     }
 }
--- a/crates/core/tests/part_bounds.rs
+++ b/crates/core/tests/part_bounds.rs
@@ -18,6 +18,7 @@
 
 use support::crashes::Behavior;
 use support::crashes::CONTACT_TIME;
+use support::crashes::Loss;
 use support::crashes::SendOutcome;
 use support::crashes::World;
 
@@ -28,6 +29,9 @@
 /// For how long and how often a request asks again whose parts another request is about to show to be sound.
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(2);
 
+/// How long the crash of a server may take to be reported and committed to the log.
+const LOG_TIME: Duration = Duration::from_millis(50);
+
 const STEP: Duration = Duration::from_millis(50);
 
 /// A part that sound requests share with those that crash servers.
@@ -275,3 +279,47 @@
 fn any_history_3() {
     run_histories(1_500..2_000);
 }
+
+/// Runs histories in which something is lost after each crash under the part, at least `min_delay` later: all hosts
+/// together see five crashes and three trials.
+///
+/// Requests with the part come so rarely that none is in flight when the next one arrives, and that a hub leads by then.
+fn run_losses(seeds: std::ops::Range<u64>, loss: Loss, min_delay: Duration) {
+    for seed in seeds {
+        let context = format!("seed {seed}, {loss:?}");
+        let mut world = World::new(seed);
+        world.loss_after_crash = Some((loss, min_delay));
+        let mut callers = Callers::default();
+        let load = Load {
+            crashing_interval: 100 + world.random_below(20),
+            ..Load::beside(1)
+        };
+        callers.run(&mut world, &load, Duration::from_secs(70));
+        let crashes = world.untried_part_crashes.get(&BAD).copied();
+        let crashes = crashes.unwrap_or(0);
+        assert_eq!(
+            crashes, CRASHES_TO_QUARANTINE_PART,
+            "{context}: crashes beside those of trials"
+        );
+        let arrivals = world.count_part_arrivals_after(BAD, CONTACT_TIME);
+        assert!(
+            arrivals <= MAX_SENT_AFTER_QUARANTINE,
+            "{context}: {arrivals} arrivals"
+        );
+        check(&world, &callers, BAD, &context);
+        let (percent, all) = callers.rejected_percent(Instant::default());
+        assert!(percent <= 10, "{context}: {percent} % of {all}");
+    }
+}
+
+/// The hub is lost, from the moment of the crash on.
+#[test]
+fn hub_lost() {
+    run_losses(800..1_400, Loss::Hub, Duration::ZERO);
+}
+
+/// The hub and the gateway that saw a crash are lost together, once the crash is in the log.
+#[test]
+fn hub_and_witness_lost() {
+    run_losses(1_400..2_000, Loss::Both, LOG_TIME);
+}
--- a/crates/core/tests/support/crashes.rs
+++ b/crates/core/tests/support/crashes.rs
@@ -6,7 +6,9 @@
 
 use curlewlift_core::clock::Instant;
 use curlewlift_core::gateway::Gateway;
+use curlewlift_core::gateway::GrantId;
 use curlewlift_core::gateway::Hub;
+use curlewlift_core::gateway::Load;
 use curlewlift_core::gateway::Poll;
 use curlewlift_core::gateway::Report;
 use curlewlift_core::gateway::Server;
@@ -26,6 +28,7 @@
 use curlewlift_core::quarantine::Software;
 use curlewlift_core::quarantine::Step;
 use curlewlift_core::state::Publication;
+use curlewlift_core::unit::Tokens;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -42,6 +45,25 @@
 /// How long a gateway must have been in contact with the hub before its attempts count against the bound.
 pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
 
+/// The longest time from a crash to the loss that follows it.
+const MAX_LOSS_DELAY: Duration = Duration::from_secs(2);
+
+/// What is lost after each crash of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Loss {
+    /// The gateway whose request crashed it.
+    Witness,
+    Hub,
+    Both,
+}
+
+/// A loss that is due.
+struct PendingLoss {
+    due: Instant,
+    loss: Loss,
+    witness: usize,
+}
+
 /// What a request does to its server.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Behavior {
@@ -54,6 +76,12 @@
 struct GatewayState {
     host: id::Host,
     quarantine: LocalTracker,
+    /// Distinguishes the processes of the host.
+    process: u64,
+    /// The last grant that it received.
+    last_grant: GrantId,
+    /// Whether it has no table yet, so that it serves nothing without the hub.
+    is_new: bool,
     /// Since when it has been in contact with the hub; none without contact.
     connected_since: Option<Instant>,
     is_cut: bool,
@@ -66,6 +94,9 @@
         Self {
             host: format!("g{index}").parse().expect("a valid name"),
             quarantine: LocalTracker::default(),
+            process: 1,
+            last_grant: GrantId::default(),
+            is_new: false,
             connected_since: None,
             is_cut: false,
             suspended_until: None,
@@ -132,6 +163,13 @@
     pub(crate) part_crashes: BTreeMap<Part, Vec<Instant>>,
     /// When each request was sent by gateways that had been in contact for [`CONTACT_TIME`].
     pub(crate) sent: BTreeMap<Identity, Vec<Instant>>,
+    /// How many servers crashed under requests with each part that were no trials.
+    pub(crate) untried_part_crashes: BTreeMap<Part, usize>,
+    /// When requests with each part were sent by any gateway.
+    pub(crate) part_arrivals: BTreeMap<Part, Vec<Instant>>,
+    /// What is lost after each crash, and the shortest time until then.
+    pub(crate) loss_after_crash: Option<(Loss, Duration)>,
+    pending_losses: Vec<PendingLoss>,
     /// When requests with each part were sent by gateways that had been in contact for [`CONTACT_TIME`].
     pub(crate) part_sent: BTreeMap<Part, Vec<Instant>>,
     /// Harmless requests that were interrupted by the crash of their server.
@@ -153,6 +191,10 @@
             loss_percent: 0,
             crashes: BTreeMap::new(),
             part_crashes: BTreeMap::new(),
+            untried_part_crashes: BTreeMap::new(),
+            part_arrivals: BTreeMap::new(),
+            loss_after_crash: None,
+            pending_losses: Vec::new(),
             sent: BTreeMap::new(),
             part_sent: BTreeMap::new(),
             interrupted: Vec::new(),
@@ -216,7 +258,58 @@
     pub(crate) fn restart_all(&mut self) {
         self.replace_hub();
         self.running.clear();
-        self.gateways = (0..GATEWAYS).map(GatewayState::new).collect();
+        (0..GATEWAYS).for_each(|index| self.restart_gateway(index));
+    }
+
+    /// Replaces the process of a gateway; it keeps nothing.
+    fn restart_gateway(&mut self, index: usize) {
+        let process = self.gateways[index].process + 1;
+        self.gateways[index] = GatewayState {
+            process,
+            ..GatewayState::new(index)
+        };
+    }
+
+    /// Loses a gateway for a while, with what it has seen and what it has in flight.
+    fn lose_gateway(&mut self, index: usize) {
+        self.restart_gateway(index);
+        let length = Duration::from_millis(100 + self.random_below(4_000) as u64);
+        self.gateways[index].suspended_until = Some(self.now + length);
+        self.gateways[index].is_new = true;
+        self.running.retain(|running| running.gateway != index);
+    }
+
+    fn lose(&mut self, loss: Loss, witness: usize) {
+        if loss != Loss::Hub {
+            self.lose_gateway(witness);
+        }
+        if loss != Loss::Witness && self.hub.is_some() {
+            self.replace_hub();
+        }
+    }
+
+    /// Draws the time of the loss that follows a crash. Returns whether it happens at once.
+    fn lose_after_crash(&mut self, witness: usize) -> bool {
+        let Some((loss, min_delay)) = self.loss_after_crash else {
+            return false;
+        };
+        let steps = MAX_LOSS_DELAY.as_millis() / STEP.as_millis();
+        let steps = usize::try_from(steps).expect("fits in usize");
+        let delay = match self.random_below(3) {
+            0 => min_delay,
+            1 => min_delay + STEP * u32::try_from(self.random_below(20)).expect("fits in u32"),
+            _ => min_delay + STEP * u32::try_from(self.random_below(steps)).expect("fits in u32"),
+        };
+        if delay.is_zero() {
+            self.lose(loss, witness);
+        } else {
+            self.pending_losses.push(PendingLoss {
+                due: self.now + delay,
+                loss,
+                witness,
+            });
+        }
+        delay.is_zero() && loss != Loss::Hub
     }
 
     /// Injects a random fault.
@@ -227,7 +320,7 @@
             1 => self.restart_all(),
             2 => self.gateways[index].is_cut = !self.gateways[index].is_cut,
             3 => {
-                self.gateways[index] = GatewayState::new(index);
+                self.restart_gateway(index);
                 self.running.retain(|running| running.gateway != index);
             }
             4 => {
@@ -254,6 +347,12 @@
             self.now = self.now + STEP;
             self.advance_hub();
             self.finish_due();
+            let now = self.now;
+            let due = |pending: &mut PendingLoss| pending.due <= now;
+            let due: Vec<_> = self.pending_losses.extract_if(.., due).collect();
+            for pending in due {
+                self.lose(pending.loss, pending.witness);
+            }
             (0..GATEWAYS).for_each(|index| self.poll_hub(index));
         }
     }
@@ -319,11 +418,17 @@
         self.crashes.entry(identity).or_default().push(now);
         for part in &*cause.features.parts {
             self.part_crashes.entry(*part).or_default().push(now);
+            let untried = usize::from(cause.permit.is_none());
+            *self.untried_part_crashes.entry(*part).or_default() += untried;
         }
         let server = Arc::clone(&cause.server);
         let runs_there = |running: &mut Running| running.server == server;
         let mut stopped: Vec<_> = self.running.extract_if(.., runs_there).collect();
+        let witness = cause.gateway;
         stopped.push(cause);
+        if self.lose_after_crash(witness) {
+            stopped.retain(|stopped| stopped.gateway != witness);
+        }
         for stopped in stopped {
             let quarantine = &mut self.gateways[stopped.gateway].quarantine;
             quarantine.record_crash(stopped.attempt(now), &server, now);
@@ -351,6 +456,8 @@
         let gateway_state = &self.gateways[index];
         let evidence = gateway_state.quarantine.get_evidence();
         let report = Report {
+            last_grant: gateway_state.last_grant,
+            loads: self.loads(index),
             observations: evidence.unacknowledged(self.now).0,
             ..messages::report(&gateway_state.host)
         };
@@ -359,6 +466,20 @@
         }
     }
 
+    /// The requests that a gateway has in flight.
+    fn loads(&self, index: usize) -> Vec<Load> {
+        let mut counts: BTreeMap<_, u32> = BTreeMap::new();
+        for running in self.running.iter().filter(|it| it.gateway == index) {
+            *counts.entry(Arc::clone(&running.server)).or_default() += 1;
+        }
+        let loads = counts.into_iter().map(|(incarnation, requests)| Load {
+            incarnation,
+            requests,
+            prefill_tokens: Tokens(0),
+        });
+        loads.collect()
+    }
+
     /// Makes a gateway poll the hub, ten times a second on average.
     fn poll_hub(&mut self, index: usize) {
         if self.random_below(10) != 0 {
@@ -376,7 +497,10 @@
         gateway_state.suspended_until = None;
         let evidence = gateway_state.quarantine.get_evidence();
         let (observed, upto) = evidence.unacknowledged(self.now);
-        let poll = poll(gateway_state, observed);
+        let poll = Poll {
+            loads: self.loads(index),
+            ..poll(&self.gateways[index], observed)
+        };
         let Some(hub) = &mut self.hub else {
             return;
         };
@@ -387,6 +511,7 @@
             return;
         }
         let gateway_state = &mut self.gateways[index];
+        gateway_state.is_new = false;
         gateway_state.quarantine.acknowledge(reply.hub_id, upto);
         if let Some(update) = &reply.quarantine {
             gateway_state.quarantine.apply_update(update, self.now);
@@ -437,6 +562,7 @@
         let served = hub.grant_slots(now).into_iter();
         let mut grants = served.filter(|(served, _)| *served == ticket);
         if let Some((_, grant)) = grants.next() {
+            self.gateways[index].last_grant = grant.id;
             return Ok((grant.server.incarnation, grant.permit));
         }
         hub.cancel(&ticket, now);
@@ -448,6 +574,9 @@
         index: usize,
         features: &Features,
     ) -> Result<(Arc<str>, Option<u64>), SendOutcome> {
+        if self.gateways[index].is_new {
+            return Err(SendOutcome::NoServer);
+        }
         let may_send = self.gateways[index].quarantine.may_send(features);
         may_send.map_err(SendOutcome::Rejected)?;
         let server = self.random_below(SERVERS);
@@ -468,6 +597,9 @@
         permit: Option<u64>,
     ) {
         let duration = Duration::from_millis(30 + self.random_below(800) as u64);
+        for part in &*features.parts {
+            self.part_arrivals.entry(*part).or_default().push(self.now);
+        }
         if self.is_in_contact(index) {
             let sent = self.sent.entry(features.identity.clone()).or_default();
             sent.push(self.now);
@@ -502,6 +634,15 @@
         self.part_crashes.get(&part)?.get(4).copied()
     }
 
+    /// How many requests with a part arrived at servers later than `after` its fifth crash.
+    pub(crate) fn count_part_arrivals_after(&self, part: Part, after: Duration) -> usize {
+        let (Some(fifth), Some(arrivals)) = (self.fifth_crash(part), self.part_arrivals.get(&part))
+        else {
+            return 0;
+        };
+        arrivals.iter().filter(|at| **at > fifth + after).count()
+    }
+
     /// How often gateways in contact sent requests with a part later than `after` its fifth crash.
     pub(crate) fn count_part_sent_after(&self, part: Part, after: Duration) -> usize {
         let (Some(fifth), Some(sent)) = (self.fifth_crash(part), self.part_sent.get(&part)) else {
@@ -526,8 +667,9 @@
             hall: "a".into(),
             callers: "127.0.0.1:80".parse().expect("a valid address"),
             tunnels: None,
-            incarnation: 1,
+            incarnation: gateway_state.process,
         },
+        last_grant: gateway_state.last_grant,
         quarantine_version: gateway_state.quarantine.get_version(),
         observations,
         ..messages::poll(&gateway_state.host)
