Add a command that reads and sends configurations

Ruled out: exit code 1 for both, as a script must send again after one and not after the other; fewer rounds, which ended with 7010 while a leader was still being elected.

How the progress looks on a terminal is tested by its text only.

--- a/crates/core/src/code/table.rs
+++ b/crates/core/src/code/table.rs
@@ -128,6 +128,7 @@
     NoTable = 7007, "no-table", 503, "This gateway has no routing table yet; use another address.";
     OldTable = 7008, "old-table", 503, "This gateway cannot be sure that its routing table is the newest, and does not decide by it; retry at another address.";
     NotCarriedOut = 7009, "not-carried-out", 503, "The operator's order was not carried out and will not be; send it again if it is still wanted.";
+    NotTransferred = 7010, "not-transferred", 503, "No host completed the transfer of a document; one that was sent may be in effect: send it again.";
     BadSetting = 8001, "bad-setting", 500, "A setting is unknown, out of range or contradicts another.";
     Damaged = 9001, "damaged", 500, "A file of the data folder is damaged; its content is not repaired by guessing.";
     DiskFailed = 9002, "disk-failed", 500, "A write or sync failed; the process stopped.";
--- a/crates/core/src/state/document.rs
+++ b/crates/core/src/state/document.rs
@@ -9,6 +9,7 @@
 use flate2::Compression;
 use flate2::Crc;
 use flate2::read::DeflateDecoder;
+use flate2::read::GzDecoder;
 use flate2::write::DeflateEncoder;
 use serde::Deserialize;
 use serde::Serialize;
@@ -77,16 +78,7 @@
         let Some(bytes) = self.deflated()? else {
             return Ok(self.0.to_string());
         };
-        let mut text = String::new();
-        DeflateDecoder::new(&*bytes)
-            .take(MAX_DOCUMENT_BYTES as u64 + 1)
-            .read_to_string(&mut text)
-            .map_err(|error| damaged(&error))?;
-        if text.len() > MAX_DOCUMENT_BYTES {
-            let why = format!("it has more than {MAX_DOCUMENT_BYTES} bytes");
-            return Err(damaged(&why));
-        }
-        Ok(text)
+        read_text(DeflateDecoder::new(&*bytes))
     }
 
     /// The document's `text` as a gzip file, without compressing it again; none if it is stored uncompressed.
@@ -107,6 +99,16 @@
         Ok(Some(file))
     }
 
+    /// The text in a gzip file, as [`Document::to_gzip`] returns it.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Damaged`] if the file is invalid or incomplete, or the text is larger than
+    /// [`MAX_DOCUMENT_BYTES`].
+    pub fn text_from_gzip(file: &[u8]) -> Result<String, Refusal> {
+        read_text(GzDecoder::new(file))
+    }
+
     /// The compressed text; none if it is stored uncompressed.
     fn deflated(&self) -> Result<Option<Vec<u8>>, Refusal> {
         let packed = self.0.strip_prefix(PACKED_PREFIX);
@@ -115,6 +117,20 @@
     }
 }
 
+/// Reads the whole text of a decoder, up to the maximum size of a document.
+fn read_text(decoder: impl Read) -> Result<String, Refusal> {
+    let mut text = String::new();
+    decoder
+        .take(MAX_DOCUMENT_BYTES as u64 + 1)
+        .read_to_string(&mut text)
+        .map_err(|error| damaged(&error))?;
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let why = format!("it has more than {MAX_DOCUMENT_BYTES} bytes");
+        return Err(damaged(&why));
+    }
+    Ok(text)
+}
+
 fn damaged(error: &dyn std::fmt::Display) -> Refusal {
     Refusal::new(
         Code::Damaged,
--- a/crates/curlewlift/src/platform/mod.rs
+++ b/crates/curlewlift/src/platform/mod.rs
@@ -5,6 +5,7 @@
 //! platform's own names appear in this folder only; each is decoded once, into types whose fields say
 //! what they hold.
 
+mod client;
 mod directory;
 mod document;
 mod entries;
@@ -19,5 +20,7 @@
 mod settings;
 mod start;
 
+pub(crate) use client::Client;
+pub(crate) use client::Transfer;
 pub(crate) use settings::Settings;
 pub use start::Platform;
--- a/crates/curlewlift/src/platform/reads.rs
+++ b/crates/curlewlift/src/platform/reads.rs
@@ -31,7 +31,7 @@
 use super::operator;
 
 /// The encoding of a compressed response.
-const GZIP: &str = "gzip";
+pub(super) const GZIP: &str = "gzip";
 
 /// Responds to a read.
 pub(super) async fn get(
--- a/crates/curlewlift/src/program/run.rs
+++ b/crates/curlewlift/src/program/run.rs
@@ -18,6 +18,7 @@
 use crate::settings::Command;
 use crate::settings::Environment;
 
+use super::configuration;
 use super::log_writer;
 use super::losses;
 use super::operate;
@@ -33,10 +34,13 @@
 /// Exit code if a process failed.
 const EXIT_FAILED: u8 = 3;
 
+/// Exit code if no host completed the transfer of a document.
+const EXIT_NOT_TRANSFERRED: u8 = 4;
+
 /// Runs the program with this process's arguments and environment.
 ///
-/// The exit code is 0 on success, 1 if a command was refused, 2 if a setting is invalid and 3 if
-/// a process failed; docs/CODES.md lists them.
+/// The exit code is 0 on success, 1 if a command was refused, 2 if a setting is invalid, 3 if a
+/// process failed and 4 if a document was not transferred; docs/CODES.md lists them.
 #[must_use]
 pub fn main() -> ExitCode {
     let args: Args = argh::from_env();
@@ -62,6 +66,7 @@
     match code {
         Code::BadSetting => EXIT_BAD_SETTING,
         Code::Damaged | Code::DiskFailed | Code::Internal => EXIT_FAILED,
+        Code::NotTransferred => EXIT_NOT_TRANSFERRED,
         _ => EXIT_REFUSED,
     }
 }
@@ -80,6 +85,9 @@
             platform(&args, environment, &common).attach("running a gateway on the platform")
         }
         Command::Operate(args) => operate::run(&args, environment).attach("running a command"),
+        Command::Configuration(args) => {
+            configuration::run(&args).attach("transferring a configuration")
+        }
         Command::Timeline(args) => timeline::run(&args).attach("collecting the timeline"),
         Command::Losses(args) => losses::run(&args).attach("counting losses"),
         Command::Check(args) => check(&args.role, environment).attach("checking settings"),
--- a/crates/curlewlift/src/settings/args.rs
+++ b/crates/curlewlift/src/settings/args.rs
@@ -30,6 +30,7 @@
     Control(Control),
     Operate(Operate),
     Platform(Platform),
+    Configuration(Configuration),
     Timeline(Timeline),
     Losses(Losses),
     Check(Check),
@@ -135,6 +136,46 @@
     pub(crate) line: Vec<String>,
 }
 
+/// Reads or sends the configuration of gateways on the platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "configuration")]
+pub(crate) struct Configuration {
+    #[argh(subcommand)]
+    pub(crate) action: ConfigurationAction,
+}
+
+/// What to do with the configuration.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum ConfigurationAction {
+    Get(GetConfiguration),
+    Put(PutConfiguration),
+}
+
+/// Reads the newest configuration from the first host that is certain of it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "get")]
+pub(crate) struct GetConfiguration {
+    /// the gateways to ask, in this order, at their addresses for operators, as ADDRESS:PORT,...
+    #[argh(option)]
+    pub(crate) from: String,
+    /// file to write, replaced once the configuration is complete; default standard output
+    #[argh(option)]
+    pub(crate) output: Option<String>,
+}
+
+/// Sends a configuration to the first host that acknowledges it.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "put")]
+pub(crate) struct PutConfiguration {
+    /// the gateways to try, in this order, at their addresses for operators, as ADDRESS:PORT,...
+    #[argh(option)]
+    pub(crate) to: String,
+    /// file with the configuration; - for standard input
+    #[argh(positional)]
+    pub(crate) file: String,
+}
+
 /// Shows the events of several processes in one causal order.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "timeline")]
