Let another host read the platform's list when one gets no answer

Seen by a reviewer: only the gateway beside the leader reads the list while the hub is heard. When that host alone is cut off from the platform, all hosts go on by an old list, without an end.

Cause: the hub named the reader by liveness of its polls only, and did not hear whether the platform answered it.

Ruled out: a second reader at all times (twice the calls), and each host for itself (hundreds of hosts exceed the platform's rate).

Change: polls of the reader say for how long the platform has not answered it; a 429 with a time to retry is an answer.

Hundreds of hosts were not played.

--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -33,6 +33,7 @@
 use super::StopNotice;
 use super::Ticket;
 use super::dispatch::Dispatcher;
+use super::list_fetchers::ListFetchers;
 use super::membership::MembershipHistory;
 use super::retries::Retries;
 use super::retries::RetryBlocks;
@@ -147,6 +148,8 @@
     pub(super) last_reply: u64,
     table_version: u64,
     pub(super) server_list: Arc<ServerList>,
+    /// Which gateways could not fetch the list.
+    list_fetchers: ListFetchers,
     pub(super) subset_selector: SubsetSelector,
     /// The difference between the former server list and this one.
     pub(super) server_list_delta: ServerListDelta,
@@ -194,6 +197,7 @@
             last_reply: 0,
             table_version: 0,
             server_list: Arc::default(),
+            list_fetchers: ListFetchers::default(),
             subset_selector: SubsetSelector::default(),
             server_list_delta: ServerListDelta::default(),
             membership: MembershipHistory::default(),
@@ -296,6 +300,8 @@
             self.are_lenders_outdated = true;
             self.gateways.insert(poll.host.clone(), state);
         }
+        self.list_fetchers
+            .record_silence(&poll.host, poll.platform_silence, now);
         self.table_leases
             .on_poll(&poll.host, poll.known_table, poll.table_in_effect);
         self.dispatcher
@@ -304,17 +310,31 @@
         self.apply_limit_reports(&poll.host, &poll.limit_reports, now);
     }
 
-    /// Returns the gateway that fetches the server list for all: the one on the host `beside`, or
-    /// the first live one.
-    #[must_use]
-    pub fn fetcher(&self, beside: &id::Host, now: Instant) -> Option<id::Host> {
-        let is_live = |state: &GatewayState| self.is_live(state, now);
-        if self.gateways.get(beside).is_some_and(is_live) {
+    /// Returns the gateway that fetches the server list for all: the one on the host `beside`, or another live one if
+    /// the platform does not answer that. They take turns, those in other data halls and those beside a replica first.
+    pub fn fetcher(&mut self, beside: &id::Host, now: Instant) -> Option<id::Host> {
+        let fetchers = &self.list_fetchers;
+        let is_live = |host: &id::Host| {
+            let state = self.gateways.get(host);
+            state.is_some_and(|state| self.is_live(state, now))
+        };
+        if fetchers.failed_at(beside).is_none() && is_live(beside) {
             return Some(beside.clone());
         }
-        let mut states = self.gateways.iter();
-        let first = states.find(|(_, state)| is_live(state));
-        first.map(|(host, _)| host.clone())
+        if let Some(current) = fetchers.current().filter(|host| is_live(host)) {
+            return Some(current.clone());
+        }
+        let hall = |host| self.gateways.get(host).map(|state| &state.gateway.hall);
+        let failed_hall = fetchers.last_failed().and_then(hall);
+        let live = self.gateways.iter();
+        let live = live.filter(|(_, state)| self.is_live(state, now));
+        let next = live.min_by_key(|(host, state)| {
+            let is_same_hall = failed_hall == Some(&state.gateway.hall);
+            (fetchers.failed_at(host), is_same_hall, !state.has_replica)
+        });
+        let next = next.map(|(host, _)| host.clone());
+        self.list_fetchers.set_current(next.clone());
+        next
     }
 
     /// Returns the gateways that may still send callers to one that has stopped being ready.
@@ -358,6 +378,8 @@
             let gateways = &self.gateways;
             self.limits
                 .retain_gateways(|host| gateways.contains_key(host));
+            self.list_fetchers
+                .retain(|host| gateways.contains_key(host));
             self.table_leases
                 .retain(now, |host| gateways.contains_key(host));
         }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod incarnations;
 mod leader_search;
 mod limits;
+mod list_fetchers;
 mod local_slots;
 mod membership;
 mod memory_budget;
--- a/crates/core/src/gateway/sync.rs
+++ b/crates/core/src/gateway/sync.rs
@@ -127,6 +127,8 @@
     pub stream_versions: u64,
     /// The whole server list, if this gateway fetches it for all and the hub had another one.
     pub fetched_list: Option<ServerList>,
+    /// For how long the platform has not answered this gateway, if it fetches the server list for all.
+    pub platform_silence: Duration,
 }
 
 /// The hub's reply to a poll.
--- a/crates/core/tests/gateway_hub.rs
+++ b/crates/core/tests/gateway_hub.rs
@@ -144,17 +144,62 @@
     let beside_leader = "gg".parse().expect("a name");
     assert_eq!(hub.fetcher(&beside_leader, seconds(1)), None);
     hub.on_poll(&poll("g", 0), seconds(1));
-    let fetcher = |hub: &Hub, now| {
+    let fetcher = |hub: &mut Hub, now| {
         hub.fetcher(&beside_leader, now)
             .map(|host| host.to_string())
     };
-    assert_eq!(fetcher(&hub, seconds(1)).as_deref(), Some("g"));
+    assert_eq!(fetcher(&mut hub, seconds(1)).as_deref(), Some("g"));
     hub.on_poll(&poll("gg", 0), seconds(1));
-    assert_eq!(fetcher(&hub, seconds(1)).as_deref(), Some("gg"));
+    assert_eq!(fetcher(&mut hub, seconds(1)).as_deref(), Some("gg"));
     hub.on_poll(&poll("g", 0), seconds(5));
     assert_eq!(
-        fetcher(&hub, seconds(5)).as_deref(),
+        fetcher(&mut hub, seconds(5)).as_deref(),
         Some("g"),
         "the other gateway has timed out"
     );
 }
+
+/// The platform does not answer the gateway beside the leader, then others: each is replaced by one that failed longest ago, in
+/// another data hall or beside a replica first. One that is answered stays, and a platform that answers nobody is called
+/// by few.
+#[test]
+fn other_fetchers() {
+    let mut hub = Hub::new(Tuning::default(), seconds(0));
+    let beside_leader = "a".parse().expect("a name");
+    let gateways = [
+        ("a", "x", true),
+        ("b", "x", true),
+        ("c", "y", false),
+        ("d", "y", true),
+    ];
+    let mut silence = Duration::ZERO;
+    let mut fetcher = None;
+    let mut turns = Vec::new();
+    // The gateway b is answered after 60 s.
+    for step in 0..1_200 {
+        let now = seconds(1) + Duration::from_millis(100) * step;
+        for (host, hall, has_replica) in gateways {
+            let mut poll = poll(host, 0);
+            poll.gateway.hall = hall.into();
+            poll.wants_whole_list = has_replica;
+            if fetcher.as_deref() == Some(host) {
+                let is_answered = host == "b" && step > 600;
+                silence = if is_answered { Duration::ZERO } else { silence };
+                poll.platform_silence = silence;
+            }
+            hub.on_poll(&poll, now);
+        }
+        silence += Duration::from_millis(100);
+        let next = hub
+            .fetcher(&beside_leader, now)
+            .map(|host| host.to_string());
+        if next != fetcher {
+            silence = Duration::ZERO;
+            turns.extend(next.clone());
+            fetcher = next;
+        }
+    }
+    assert_eq!(turns[..5], ["a", "d", "b", "c", "a"]);
+    assert_eq!(fetcher.as_deref(), Some("b"));
+    assert!(turns.len() < 15, "{turns:?}");
+}
--- a/crates/core/tests/support/messages.rs
+++ b/crates/core/tests/support/messages.rs
@@ -72,6 +72,7 @@
         limits_version: (0, 0),
         stream_versions: 0,
         fetched_list: None,
+        platform_silence: Duration::ZERO,
     }
 }
 
--- a/crates/curlewlift/src/gateway/lists.rs
+++ b/crates/curlewlift/src/gateway/lists.rs
@@ -1,5 +1,5 @@
-//! Fetches the platform's list of backend servers: one gateway fetches it for all, and each gateway for
-//! itself once it can't reach the hub any more.
+//! Fetches the platform's list of backend servers: one gateway fetches it for all, another one if the platform does not
+//! answer that, and each gateway for itself once it can't reach the hub any more.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -60,7 +60,16 @@
         };
         // Gateways that lose the hub at the same time must not all start to fetch at the same moment.
         tokio::time::sleep(call_interval.mul_f64(rand::rng().random())).await;
-        let retry_after = match fetch(call_interval).await {
+        let fetched = fetch(call_interval).await;
+        // A platform that wants no more calls for now is reachable.
+        let is_answered = match &fetched {
+            Ok(_) => true,
+            Err(error) => error.retry_after.is_some(),
+        };
+        if is_answered {
+            node.hub.borrow_mut().platform_answered_at = node.now();
+        }
+        let retry_after = match fetched {
             Ok(list) => {
                 if !platform_reachable {
                     Line::new(Kind::PlatformFound).write();
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -99,6 +99,8 @@
     pub(super) server_list_version: u64,
     /// Whether this gateway fetches the platform's server list for all gateways.
     pub(super) fetches_list: bool,
+    /// When the platform last answered a fetch for all gateways, or when this gateway began to fetch for them.
+    pub(super) platform_answered_at: clock::Instant,
     /// How many requests a second each server of a service may reject before it fails, for services with such servers.
     pub(super) rejection_limits: Vec<(id::Service, rejection::Limit)>,
 }
--- a/crates/curlewlift/src/gateway/sync.rs
+++ b/crates/curlewlift/src/gateway/sync.rs
@@ -205,6 +205,11 @@
         limits_version: limits.get_table_version(),
         stream_versions: node.stream_versions.borrow().number(),
         fetched_list: fetched_list.cloned(),
+        platform_silence: if hub.fetches_list {
+            node.now().since(hub.platform_answered_at)
+        } else {
+            Duration::ZERO
+        },
     }
 }
 
@@ -228,6 +233,9 @@
         hub.leader = reply.leader;
         hub.last_reply = reply.number;
         hub.poll_timeout = reply.poll_timeout;
+        if reply.fetches_list && !hub.fetches_list {
+            hub.platform_answered_at = node.now();
+        }
         hub.fetches_list = reply.fetches_list;
         hub.server_list_version = reply.server_list_version;
         hub.rejection_limits = reply.rejection_limits;
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -10,6 +10,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -80,7 +81,8 @@
     clocks: Vec<Clock>,
     /// The hosts' links to engines.
     links: Vec<Links>,
-    list: SocketAddr,
+    /// The server list as each host reaches it, and whether the platform leaves that host without answers.
+    lists: Vec<(SocketAddr, Arc<AtomicBool>)>,
     server_list: Arc<Mutex<ListState>>,
     /// The platform contracts that are enabled.
     contracts: &'static [&'static str],
@@ -270,7 +272,9 @@
             links: (0..DISK_COUNT + without_disk)
                 .map(|_| Links::default())
                 .collect(),
-            list: serve_list(Arc::clone(&server_list)),
+            lists: (0..DISK_COUNT + without_disk)
+                .map(|_| serve_list(&server_list))
+                .collect(),
             server_list,
             contracts,
             scheduling,
@@ -331,6 +335,13 @@
         server_list.retry_after = None;
     }
 
+    /// Makes the platform answer calls for the list from these hosts only.
+    pub(crate) fn answer_list_calls_of(&self, hosts: &[usize]) {
+        for (index, (_, is_silent)) in self.lists.iter().enumerate() {
+            is_silent.store(!hosts.contains(&index), Ordering::Relaxed);
+        }
+    }
+
     /// Returns the calls for the list that were rejected: the caller's address and the time.
     pub(crate) fn rejected_list_calls(&self) -> Vec<(SocketAddr, Instant)> {
         self.server_list
@@ -571,7 +582,7 @@
                 "budget_window_s": 10, "quota_window_s": 8, "quota_overage": 0.1,
                 "quota_slack": 0, "ttl_max_s": 5, "exposure_share": 0.1, "exposure_slack": 50,
             },
-            "cloud": { "address": self.list },
+            "cloud": { "address": self.lists[index].0 },
             "contracts": self.contracts, "some_later_field": true,
         });
         let path = folder.join("settings.json");
@@ -667,15 +678,22 @@
 }
 
 /// Serves the server list, two entries per page.
-fn serve_list(server_list: Arc<Mutex<ListState>>) -> SocketAddr {
+fn serve_list(server_list: &Arc<Mutex<ListState>>) -> (SocketAddr, Arc<AtomicBool>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("the listener has an address");
+    let server_list = Arc::clone(server_list);
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let silent = Arc::clone(&is_silent);
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             let server_list = Arc::clone(&server_list);
+            let silent = Arc::clone(&silent);
             std::thread::spawn(move || {
                 let caller = stream.peer_addr().expect("the stream has a peer address");
                 while let Some(path) = read_path(&mut stream) {
+                    if silent.load(Ordering::Relaxed) {
+                        continue;
+                    }
                     let from: usize = path
                         .split_once("page_token=")
                         .and_then(|(_, token)| token.parse().ok())
@@ -690,7 +708,7 @@
             });
         }
     });
-    address
+    (address, is_silent)
 }
 
 fn list_response(server_list: &mut ListState, caller: SocketAddr, from: usize) -> String {
--- a/crates/lab/src/rollout/world.rs
+++ b/crates/lab/src/rollout/world.rs
@@ -647,5 +647,6 @@
         limits_version: (0, 0),
         stream_versions: 0,
         fetched_list: None,
+        platform_silence: Duration::ZERO,
     }
 }
