End connections that were accepted under other limits on heads

Seen by a reviewer: after a configuration raises `max_header_bytes`, connections that were open before refuse with 431 what only the old limit forbids, for as long as they live.

Cause: the buffer and the time limits of a connection are set when it is accepted, and the HTTP library can't change them later.

Ruled out: the largest buffer for every connection, with a check of the limit afterwards, as a host with little memory would have to read heads of up to 1 MB first.

Change: every 50 ms, and with each accepted connection, the limits of the table in effect are compared with the former ones. If those on heads or idle time differ, open connections are shut down gracefully: idle ones are closed, others after the response that is under way, which says `Connection: close`. Callers open new ones.

--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use super::body::Answer;
 use super::body::TruncatedBody;
@@ -43,7 +45,11 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerAddress(pub(crate) SocketAddr);
 
-/// Serves requests on `listener` with `answer` until the future is dropped.
+/// Interval at which it is checked whether the limits have changed.
+const LIMITS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Serves requests on `listener` with `answer` until the future is dropped. Connections that were accepted under other limits
+/// on heads or idle time end after the response that is under way, so that callers open new ones.
 pub(crate) async fn serve<L, F, A>(listener: TcpListener, limits: L, answer: F)
 where
     L: Fn() -> Limits,
@@ -51,12 +57,31 @@
     A: Future<Output = Answer> + 'static,
 {
     let answer = Rc::new(answer);
+    let (current_limits, _) = watch::channel(limits());
+    let update_limits = || {
+        let next = limits();
+        current_limits.send_if_modified(|current| {
+            let is_changed = head_limits(*current) != head_limits(next);
+            *current = next;
+            is_changed
+        });
+    };
+    let mut limits_check = tokio::time::interval(LIMITS_CHECK_INTERVAL);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = limits_check.tick() => {
+                update_limits();
+                continue;
+            }
+        };
+        match accepted {
             Ok((stream, caller)) => {
+                update_limits();
                 let answer = Rc::clone(&answer);
                 let caller = CallerAddress(caller);
-                tokio::task::spawn_local(connection(stream, caller, limits(), answer));
+                let limits = current_limits.subscribe();
+                tokio::task::spawn_local(connection(stream, caller, limits, answer));
             }
             Err(why) => {
                 log::warn!("accepting a connection failed: {why}");
@@ -66,11 +91,21 @@
     }
 }
 
-async fn connection<F, A>(stream: TcpStream, caller: CallerAddress, limits: Limits, answer: Rc<F>)
-where
+/// The limits that a connection keeps from when it is accepted.
+fn head_limits(limits: Limits) -> (usize, Duration, Duration) {
+    (limits.header_bytes, limits.header_time, limits.idle_time)
+}
+
+async fn connection<F, A>(
+    stream: TcpStream,
+    caller: CallerAddress,
+    mut current_limits: watch::Receiver<Limits>,
+    answer: Rc<F>,
+) where
     F: Fn(Request<Incoming>) -> A + 'static,
     A: Future<Output = Answer> + 'static,
 {
+    let limits = *current_limits.borrow_and_update();
     crate::process::configure_caller_connection(&stream);
     let stream = CallerStream::new(stream, MAX_CALLER_STALL);
     let is_http_10 = Rc::new(Cell::new(false));
@@ -92,7 +127,17 @@
             limits.header_bytes.clamp(MIN_BUFFER_BYTES, MAX_HEAD_BYTES) + MIN_BUFFER_BYTES,
         )
         .serve_connection(TokioIo::new(stream), service);
-    let Err(why) = (&mut connection).await else {
+    let ended = tokio::select! {
+        ended = &mut connection => Some(ended),
+        Ok(()) = current_limits.changed() => None,
+    };
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        Pin::new(&mut connection).graceful_shutdown();
+        (&mut connection).await
+    };
+    let Err(why) = ended else {
         return;
     };
     log::debug!("a caller's connection failed: {why}");
--- a/crates/curlewlift/tests/platform_tables.rs
+++ b/crates/curlewlift/tests/platform_tables.rs
@@ -8,6 +8,7 @@
 use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
+use platform::KeptConnection;
 use platform::document;
 use platform::folder;
 use platform::send_request;
@@ -258,3 +259,34 @@
     );
     process.wait().expect("the process ends without an error");
 }
+
+/// A connection that was open before a table with another limit on heads does not go on by the old one: it is closed
+/// between requests, and no request that the new table allows is refused by the old limit.
+#[test]
+fn header_limit_raised() {
+    let hosts = start("header_limit_raised");
+    hosts.configure(&document(7).to_string());
+    let head = |length: usize| {
+        let filler = "x".repeat(length);
+        format!(
+            "GET /open/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: a\r\nX-Filler: {filler}"
+        )
+    };
+    let (small, large) = (head(10), head(40_000));
+    let callers = hosts.callers(1);
+    let mut kept = KeptConnection::default();
+    assert_eq!(kept.send(callers, &small, "").status, 200);
+    assert_eq!(send_request(callers, &large, "").status, 431);
+    let mut raised = document(8);
+    raised["limits"]["max_header_bytes"] = json!(65_536);
+    assert_eq!(hosts.put(0, &raised.to_string()), 200);
+    wait("new connections have the new limit", || {
+        send_request(callers, &large, "").status == 200
+    });
+    wait("the old connection is closed", || {
+        let status = kept.send(callers, &small, "").status;
+        assert!([0, 200].contains(&status), "{status}");
+        !kept.is_open()
+    });
+    assert_eq!(kept.send(callers, &large, "").status, 200);
+}
