Wait for a new hub's quotas before a customer is rejected

After each change of the leader, customers far within their quotas got 429 (2005) with a retry time of 1.25 s from a hub that had just been found.

Cause: a hub's buckets start empty and gain nothing until the gateways that may admit requests without it have acknowledged a reply, two rounds of polls later; until then every charged request was rejected as over its quota.

In the first 1.1 s of a hub such a request now waits at the hub, for up to 0.7 s, while such a gateway has not been heard or the quota suffices within 20 ms. What is admitted is charged as before, so no quota is exceeded.

--- a/crates/core/src/gateway/shares.rs
+++ b/crates/core/src/gateway/shares.rs
@@ -305,6 +305,13 @@
         fraction
     }
 
+    /// Returns whether a holder has acknowledged no reply of this leader yet.
+    #[must_use]
+    pub fn awaits_first_reply(&self) -> bool {
+        let mut holders = self.shares.holders.iter();
+        holders.any(|host| self.acknowledged_at(host).is_none())
+    }
+
     /// Returns the numbered share of a gateway, unless the gateway is about to lose it.
     #[must_use]
     pub fn slot_share(&self, host: &Host) -> Option<SlotShare> {
--- a/crates/core/src/gateway/slots.rs
+++ b/crates/core/src/gateway/slots.rs
@@ -113,6 +113,18 @@
         }
     }
 
+    /// Returns whether the hub is so new that it may not know yet what gateways have admitted of the quotas.
+    #[must_use]
+    pub fn is_settling(&self, now: Instant) -> bool {
+        now.since(self.started) < SETTLING_TIME
+    }
+
+    /// Returns whether it has not heard from all gateways that may admit requests without it.
+    #[must_use]
+    pub fn awaits_standbys(&self) -> bool {
+        self.standby_shares.awaits_first_reply()
+    }
+
     /// Whether a server that accepts work runs a version that the request may be sent to.
     fn has_allowed_version(&self, request: &SlotRequest) -> bool {
         let versions = request.allowed_versions.as_ref();
@@ -157,8 +169,7 @@
     /// Grants free slots to queued requests.
     pub fn grant_slots(&mut self, now: Instant) -> Vec<(Ticket, Grant)> {
         self.dispatcher.set_on_trial(self.trials.on_trial());
-        self.dispatcher
-            .set_settling(now.since(self.started) < SETTLING_TIME);
+        self.dispatcher.set_settling(self.is_settling(now));
         let reserved_shares = if self.dispatcher.has_local_slots() {
             self.retry_shares.reserved_shares(now)
         } else {
--- a/crates/curlewlift/src/control/slots.rs
+++ b/crates/curlewlift/src/control/slots.rs
@@ -32,6 +32,13 @@
 /// are waiting, each unaware of the others.
 const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a request waits for a new hub to learn what gateways may have admitted of its customer's quota: two rounds of
+/// polls, and the delay of a busy host.
+const FIRST_QUOTA_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Interval at which such a request asks again.
+const QUOTA_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 type Shared = Rc<RefCell<State>>;
 
 /// A queued request; removed from the queue when it is dropped.
@@ -74,14 +81,25 @@
 /// Waits for a slot until the wait limit of the request.
 pub(super) async fn request_slot(
     state: &Shared,
-    request: SlotRequest,
+    mut request: SlotRequest,
 ) -> Result<HubReply, Refusal> {
     let until = Instant::now() + request.max_wait;
     let list_deadline = until.min(Instant::now() + FIRST_LIST_TIMEOUT);
     let _ = tokio::time::timeout_at(list_deadline, wait_for_server_list(state)).await;
-    let (queued, answer) = match enqueue(state, request)? {
-        Enqueued::Waiting(queued, answer) => (queued, answer),
-        Enqueued::Decided(reply) => return Ok(reply),
+    let quota_deadline = until.min(Instant::now() + FIRST_QUOTA_TIMEOUT);
+    let (queued, answer) = loop {
+        let again = is_settling(state).then(|| request.clone());
+        match (enqueue(state, request)?, again) {
+            (Enqueued::Waiting(queued, answer), _) => break (queued, answer),
+            (Enqueued::Decided(HubReply::QuotaExceeded(wait)), Some(again))
+                if Instant::now() < quota_deadline
+                    && (wait <= QUOTA_CHECK_INTERVAL || awaits_standbys(state)) =>
+            {
+                tokio::time::sleep(QUOTA_CHECK_INTERVAL).await;
+                request = again;
+            }
+            (Enqueued::Decided(reply), _) => return Ok(reply),
+        }
     };
     let answer = match tokio::time::timeout_at(until, answer).await {
         Ok(answer) => answer.unwrap_or(Err(NoGrant::NoRoom(None))),
@@ -111,6 +129,20 @@
     }
 }
 
+/// Whether the hub is so new that it may not know yet what gateways have admitted.
+fn is_settling(state: &Shared) -> bool {
+    let state = state.borrow();
+    let now = state.clock.now();
+    let hub = state.hub.as_ref();
+    hub.is_some_and(|hub| hub.is_settling(now))
+}
+
+/// Whether the hub has not heard from all gateways that may admit requests without it.
+fn awaits_standbys(state: &Shared) -> bool {
+    let state = state.borrow();
+    state.hub.as_ref().is_some_and(Hub::awaits_standbys)
+}
+
 /// Queues a request, unless it is decided at once.
 fn enqueue(state: &Shared, request: SlotRequest) -> Result<Enqueued, Refusal> {
     let mut borrowed = state.borrow_mut();
--- a/crates/curlewlift/tests/platform_slots.rs
+++ b/crates/curlewlift/tests/platform_slots.rs
@@ -2,6 +2,10 @@
 
 mod platform;
 
+use std::time::Duration;
+use std::time::Instant;
+
+use curlewlift::core::event::Kind;
 use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
@@ -42,3 +46,39 @@
         assert_eq!(get(&hosts, 2, round).status, 200, "{round}");
     }
 }
+
+/// A new hub rejected customers within their quotas until it had heard from the gateways that may admit requests without
+/// it.
+#[test]
+fn quota_at_new_hub() {
+    const LEADER_CHANGES: u32 = 3;
+    const REQUESTS: usize = 40;
+    let engine = Engine::start("i-1");
+    let mut hosts = Hosts::start(folder("quota_at_new_hub"), &[(&engine, "chat")]);
+    hosts.configure(&document(7).to_string());
+    let mut round = 0;
+    for _ in 0..LEADER_CHANGES {
+        let newest_leader = |hosts: &Hosts| {
+            let leaders = hosts.timeline(Kind::Leads);
+            let newest = leaders.last().map(|event| event.host.clone());
+            let leads = |host: &usize| Some(hosts.control(*host).ip().to_string()) == newest;
+            hosts.indices().find(leads)
+        };
+        let former = newest_leader(&hosts).expect("a leader");
+        hosts.kill(former);
+        let others: Vec<_> = hosts.indices().filter(|host| *host != former).collect();
+        let mut found_at = None;
+        wait("another leader has led for a while", || {
+            for host in others.iter().cycle().take(REQUESTS) {
+                round += 1;
+                let answer = get(&hosts, *host, round);
+                assert!(!answer.body.contains("2005"), "{round}: {}", answer.body);
+            }
+            let is_led = newest_leader(&hosts).is_some_and(|leader| leader != former);
+            let found_at = is_led.then(|| *found_at.get_or_insert_with(Instant::now));
+            found_at.is_some_and(|at| at.elapsed() > Duration::from_millis(500))
+        });
+        hosts.boot(former, false);
+        wait("the lost host is ready again", || hosts.is_ready(former));
+    }
+}
