Start the hosts of evacuation tests with their servers listed

platform_evacuations evacuated_hall_unused was sometimes red beside load, as its first request was answered 503 (3002).

Cause, by the logs of a red run: the test started its hosts with an empty server list and replaced that afterwards. One host had fetched the empty list before (event 307 with no servers) and became the hub's source; the next fetch came after the first request. Nothing in the test waited for the list.

The hosts now start with both engines listed in their halls, which an engine of the test support names. What the test asserts is unchanged.

--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -89,6 +89,8 @@
     pub id: String,
     /// The version of its software, as the server list names it.
     pub version: &'static str,
+    /// The data hall that it is in.
+    pub hall: &'static str,
     pub address: SocketAddr,
     received: Arc<Mutex<Vec<ReceivedRequest>>>,
     abandoned: Arc<Mutex<u32>>,
@@ -179,6 +181,7 @@
         let engine = Self {
             id: id.to_owned(),
             version,
+            hall: "hall-0",
             address: listener.local_addr().expect("the listener has an address"),
             received: Arc::default(),
             abandoned: Arc::default(),
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -672,7 +672,7 @@
 /// Returns an entry of the server list.
 pub(crate) fn entry(engine: &Engine, service: &str, state: &str) -> Value {
     json!({
-        "id": engine.name(), "service": service, "address": engine.address, "zone": "hall-0",
+        "id": engine.name(), "service": service, "address": engine.address, "zone": engine.hall,
         "version": engine.version, "slots": 4, "state": state, "cold_left_ms": 0,
     })
 }
--- a/crates/curlewlift/tests/platform_evacuations.rs
+++ b/crates/curlewlift/tests/platform_evacuations.rs
@@ -9,7 +9,6 @@
 use platform::Engine;
 use platform::Hosts;
 use platform::document;
-use platform::entry;
 use platform::folder;
 use platform::send_request;
 use platform::wait;
@@ -37,14 +36,10 @@
 
 /// Starts three hosts, and an engine in each of two halls.
 fn start(name: &str) -> (Hosts, [Engine; 2]) {
-    let engines = ["i-0", "i-1"].map(Engine::start);
-    let hosts = Hosts::start(folder(name), &[]);
-    let mut entries: Vec<_> = engines
-        .iter()
-        .map(|engine| entry(engine, "chat", "ready"))
-        .collect();
-    entries[1]["zone"] = json!("hall-1");
-    hosts.list(entries);
+    let mut engines = ["i-0", "i-1"].map(Engine::start);
+    engines[1].hall = "hall-1";
+    let listed = [(&engines[0], "chat"), (&engines[1], "chat")];
+    let hosts = Hosts::start(folder(name), &listed);
     (hosts, engines)
 }
 
