Say when quarantine rejects a request for want of the hub

Callers saw 4006 with "and it is being tried" while no hub was reachable and nothing was being tried, and 4007 from an outdated copy of the list in the same words as from the hub. The log line `refused` could not tell who had decided, so red runs of platform_crashing_parts could not be traced.

Cause: what the gateway's own tracker withholds was reported like a rejection by the hub.

Change: such refusals keep their codes and times, and their text and the log line end with "(the hub is not reachable)". Nothing is decided differently.

Ruled out: waiting for the hub instead of rejecting. The elections in the traced runs took about 2 s, longer than requests may be held for the hub.

--- a/crates/curlewlift/src/gateway/failure.rs
+++ b/crates/curlewlift/src/gateway/failure.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use curlewlift_core::code::Code;
+use curlewlift_core::code::Refusal;
 use curlewlift_core::event::Kind;
 use curlewlift_core::pool::AttemptOutcome;
 use curlewlift_core::quarantine::FIRST_TRIAL_DELAY;
@@ -157,6 +158,7 @@
                 Refused::new(Code::Suspected, reason)
             }
             NoSlot::Rejected(Rejection::PartQuarantined) => return self.part_refusal(),
+            NoSlot::Undecided(why) => return self.undecided_refusal(why),
             NoSlot::NoRetry => {
                 self.log_retry_denied("hub");
                 return self.retry_budget_refusal();
@@ -235,6 +237,26 @@
         Refused::new(Code::PartQuarantined, reason).with_retry_after(FIRST_TRIAL_DELAY)
     }
 
+    /// The refusal of a request that this gateway withholds by what it knows itself, as the hub is not reachable.
+    fn undecided_refusal(&self, why: Rejection) -> Refused {
+        let refused = match why {
+            Rejection::PartInTrial => {
+                let reason = "backend servers crashed under requests with a part of this prompt, which may be sound";
+                Refused::new(Code::Suspected, reason).with_retry_after(self.retry_after())
+            }
+            why => self.no_slot_refusal(NoSlot::Rejected(why)),
+        };
+        let Refused {
+            refusal,
+            retry_after,
+        } = refused;
+        let reason = format!("{} (the hub is not reachable)", refusal.get_detail());
+        Refused {
+            refusal: Refusal::new(refusal.get_code(), reason),
+            retry_after,
+        }
+    }
+
     /// The customer's name, for messages.
     fn customer_name(&self) -> &str {
         let policy = self.admitted.policy.as_ref();
--- a/crates/curlewlift/src/gateway/slot_queue.rs
+++ b/crates/curlewlift/src/gateway/slot_queue.rs
@@ -73,6 +73,8 @@
     Limited,
     /// Servers crashed under this request, and quarantine rejects it.
     Rejected(Rejection),
+    /// The same, by what this gateway knows: the hub, which may know better, is not reachable.
+    Undecided(Rejection),
     /// The request is a retry, and the retry budget is used up.
     NoRetry,
     /// No server that accepts work runs a version that the request may be sent to.
--- a/crates/curlewlift/src/gateway/slot_wait.rs
+++ b/crates/curlewlift/src/gateway/slot_wait.rs
@@ -77,7 +77,7 @@
         }
         // Other gateways may be sending the same request, and only the hub sees all of them.
         let may_send = node.quarantine.borrow().may_send(context.features);
-        may_send.map_err(NoSlot::Rejected)?;
+        may_send.map_err(NoSlot::Undecided)?;
         let is_limited = node.is_limited(context.service);
         let share = node.local_share(context.service);
         if let LocalShare::Usable(slots) = share
--- a/crates/curlewlift/tests/platform_crashing_parts.rs
+++ b/crates/curlewlift/tests/platform_crashing_parts.rs
@@ -119,6 +119,11 @@
         && answer.header("retry-after").is_some()
 }
 
+/// Whether a request was withheld by what its host knows itself, as the hub is not reachable.
+fn is_undecided(answer: &Answer) -> bool {
+    answer.status == 503 && answer.body.contains("(the hub is not reachable)")
+}
+
 /// The requests come one after the other, at all hosts in turn.
 #[test]
 fn unlike_requests() {
@@ -172,11 +177,14 @@
     deployment.hosts.kill(0);
     deployment.hosts.kill(1);
     wait("the host decides without the hub", || {
-        deployment.ask(2, &[], "answer").status == 200
+        let answer = deployment.ask(2, &[BAD], "crash");
+        assert!(is_quarantined(&answer), "{}", answer.body);
+        is_undecided(&answer)
     });
     for _ in 0..4 {
         let answer = deployment.ask(2, &[BAD], "crash");
-        assert!(is_quarantined(&answer), "{}", answer.body);
+        let is_rejected = is_quarantined(&answer) && is_undecided(&answer);
+        assert!(is_rejected, "{}", answer.body);
         assert_eq!(deployment.ask(2, &[], "answer").status, 200);
     }
     assert_eq!(deployment.crashes(), 5);
