Wait for what the tests of crashing parts assumed

Traces of the hosts' log lines beside the test's steps show why the tests were wrong:

- The leader steps down on such a machine and for about 2 s no hub leads.
Hosts reject requests with suspected or quarantined parts meanwhile, as designed, and say so.
The tests took each request for one that was sent.
They send again what was rejected "(the hub is not reachable)", and nothing else; each of the five requests that quarantine must now be sent (200).
- silent_servers looked for the closed connection before the server had seen it, so that each crash came one round late.
It waits until no server has a request in progress.
- hub_unreachable killed the hub without waiting until the host knew of the quarantine, and depended on a share of a quota that lasts 10 s.
It waits, and the customer has no limit.
- An operator's release that was answered as unknown (503) may have been carried out, and 404 answers the second copy.
Suspected for two red runs, whose answers were not recorded.

Bounds are unchanged: five and three crashes, eight rounds, sound requests get 200.

--- a/crates/curlewlift/tests/platform_crashing_parts.rs
+++ b/crates/curlewlift/tests/platform_crashing_parts.rs
@@ -18,6 +18,7 @@
 use platform::folder;
 use platform::send_request;
 use platform::wait;
+use serde_json::json;
 
 /// How many servers may crash under requests with one part: five, and three trials.
 const MAX_CRASHES: u64 = 5 + 3;
@@ -44,7 +45,11 @@
         let engines = ["i-1", "i-2", "i-3", "i-4"].map(Engine::start).to_vec();
         let server_list: Vec<_> = engines.iter().map(|engine| (engine, "chat")).collect();
         let hosts = Hosts::start(folder(name), &server_list);
-        hosts.configure(&document(7).to_string());
+        let mut document = document(7);
+        // A customer with a limit is rejected once a host has been without the hub for ten seconds.
+        document["tenants"][0]["rate_per_s"] = json!(0);
+        document["tenants"][0]["burst"] = json!(0);
+        hosts.configure(&document.to_string());
         Self {
             hosts,
             engines,
@@ -67,26 +72,52 @@
         send_request(self.hosts.callers(host), &head, "question")
     }
 
-    /// Sends requests to the hosts in turn under which servers crash, until the part [`BAD`] is quarantined.
+    /// Sends requests like [`ask`](Self::ask) until one is not withheld for want of the hub: leaders change on a busy machine.
+    fn send(&self, host: usize, parts: &[&str], play: &str) -> Answer {
+        let mut answer = Answer::default();
+        wait("the hub decides on the request", || {
+            answer = self.ask(host, parts, play);
+            !is_undecided(&answer)
+        });
+        answer
+    }
+
+    /// Sends requests to the hosts in turn under which servers crash, until all hosts know that the part [`BAD`] is
+    /// quarantined.
     fn quarantine(&self) {
         for round in 0..5 {
-            self.ask(round % 3, &[SHARED, BAD], "crash");
+            let answer = self.send(round % 3, &[SHARED, BAD], "crash");
+            assert_eq!(answer.status, 200, "round {round}: {}", answer.body);
             self.restore_engines();
         }
         assert_eq!(self.crashes(), 5);
-        let answer = self.ask(0, &[SHARED, BAD], "answer");
-        assert!(is_quarantined(&answer), "{}", answer.body);
+        // First the host that saw the last crash: the hub may not have heard of it before.
+        for host in [1, 2, 0] {
+            wait("the host knows that the part is quarantined", || {
+                let answer = self.ask(host, &[SHARED, BAD], "answer");
+                let is_rejected = answer.body.contains("\"code\":4007,") || is_undecided(&answer);
+                assert!(is_rejected, "{}", answer.body);
+                is_quarantined(&answer)
+            });
+        }
     }
 
     /// Sends a call of an operator to a host, again while no leader is confirmed.
     fn call(&self, host: usize, call: &str) -> Answer {
+        self.call_all(host, call).pop().expect("there is an answer")
+    }
+
+    /// Does the same; returns all answers.
+    fn call_all(&self, host: usize, call: &str) -> Vec<Answer> {
         let head = format!("{call} HTTP/1.1\r\nHost: x");
-        let mut answer = Answer::default();
+        let mut answers = Vec::new();
         wait("a leader responds to the call", || {
-            answer = send_request(self.hosts.control(host), &head, "");
-            answer.status != 503
+            let answer = send_request(self.hosts.control(host), &head, "");
+            let is_decided = answer.status != 503;
+            answers.push(answer);
+            is_decided
         });
-        answer
+        answers
     }
 
     /// Puts all servers on the list again, and waits until crashed ones run again.
@@ -97,8 +128,15 @@
         std::thread::sleep(RECOVERY_TIME);
     }
 
-    /// Replaces the servers that abandoned a request by other instances, on the list as well.
+    /// Replaces the servers whose callers have left by other instances, on the list as well.
     fn restart_silent(&self) {
+        let is_idle = |engine: &Engine| {
+            let received = engine.received();
+            received.iter().all(|request| request.ended_at.is_some())
+        };
+        wait("the servers have seen that their callers left", || {
+            self.engines.iter().all(is_idle)
+        });
         for engine in &self.engines {
             engine.restart_if_abandoned();
         }
@@ -129,9 +167,9 @@
 fn unlike_requests() {
     let deployment = Deployment::start("unlike_requests");
     for round in 0..12 {
-        deployment.ask(round % 3, &[SHARED, BAD], "crash");
+        deployment.send(round % 3, &[SHARED, BAD], "crash");
         deployment.restore_engines();
-        let sound = deployment.ask(round % 3, &[SHARED], "answer");
+        let sound = deployment.send(round % 3, &[SHARED], "answer");
         assert_eq!(sound.status, 200, "round {round}: {}", sound.body);
     }
     assert!(
@@ -157,7 +195,7 @@
         hosts.all(|host| deployment.hosts.is_ready(host))
     });
     for round in 0..9 {
-        deployment.ask(round % 3, &[SHARED, BAD], "crash");
+        deployment.send(round % 3, &[SHARED, BAD], "crash");
         deployment.restore_engines();
     }
     assert!(
@@ -165,7 +203,7 @@
         "{} servers crashed",
         deployment.crashes()
     );
-    let sound = deployment.ask(1, &[SHARED], "answer");
+    let sound = deployment.send(1, &[SHARED], "answer");
     assert_eq!(sound.status, 200, "{}", sound.body);
 }
 
@@ -204,11 +242,15 @@
     let listed = deployment.call(1, "GET /quarantine").body;
     let is_listed = listed.contains("\"part\":\"bad0\"") && listed.contains("\"quarantined\":true");
     assert!(is_listed, "{listed}");
-    assert_eq!(
-        deployment.call(1, "DELETE /quarantine/parts/bad0").status,
-        200
-    );
-    let answer = deployment.ask(0, &[BAD], "answer");
+    let answers = deployment.call_all(1, "DELETE /quarantine/parts/bad0");
+    let statuses: Vec<_> = answers.iter().map(|answer| answer.status).collect();
+    // An order whose outcome was unknown may have been carried out when it is sent again.
+    let may_be_done = answers
+        .iter()
+        .any(|answer| answer.body.contains("it is not known"));
+    let is_done = statuses.ends_with(&[200]) || may_be_done && statuses.ends_with(&[404]);
+    assert!(is_done, "{answers:?}");
+    let answer = deployment.send(0, &[BAD], "answer");
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
 
@@ -218,11 +260,11 @@
     let deployment = Deployment::start("parts_silent_servers");
     let mut rejected = false;
     for round in 0..8 {
-        let answer = deployment.ask(round % 3, &[SHARED, BAD], "hang");
+        let answer = deployment.send(round % 3, &[SHARED, BAD], "hang");
         rejected |= is_quarantined(&answer);
         // Another instance of the server that had the request is on the list.
         deployment.restart_silent();
-        let sound = deployment.ask(round % 3, &[SHARED], "answer");
+        let sound = deployment.send(round % 3, &[SHARED], "answer");
         assert_eq!(sound.status, 200, "round {round}: {}", sound.body);
     }
     assert!(rejected, "the part was not quarantined");
