Charge parts for crashes whose only witness is lost

Callers whose prompts hold a part that crashes servers saw more than five servers crash where the gateway that ran each request was lost with it: all 14 of 14 requests crashed a server when it was killed at once.

Cause: a crash was charged by the report of its gateway alone, although the hub had granted the slot and knew the parts.

Change: the hub keeps the parts of granted requests until they end. When their gateway times out or polls as a new process, those in flight are charged at the servers that have ended, by the list or by another gateway's report. Responses that had begun a second before are charged nothing; any answer that began after the grant refutes the charge. Identities of requests are not charged that way.

The model of crashes now reports loads and grants.

No real hosts were killed.

Not covered: hub and witness lost before the report and the commit, or a witness lost while no hub leads.

--- a/crates/core/src/gateway/dispatch.rs
+++ b/crates/core/src/gateway/dispatch.rs
@@ -22,7 +22,9 @@
 use crate::pool::TrialVersion;
 use crate::quarantine;
 use crate::quarantine::Features;
+use crate::quarantine::Observation;
 use crate::quarantine::Permit;
+use crate::quarantine::Software;
 use crate::quota::Charge;
 use crate::rejection;
 use crate::rollout::Version;
@@ -38,6 +40,7 @@
 use super::SlotShare;
 use super::grant::Reservation;
 use super::grant_log::GrantLog;
+use super::grant_log::Granted;
 use super::occupancy::Occupancy;
 
 /// A request in the queue of its service.
@@ -327,6 +330,11 @@
                         now,
                     );
                 }
+                if let Some(number) = number
+                    && !attempt.outcome.is_end()
+                {
+                    self.grant_log.record_begin(number, now);
+                }
                 let number = number.filter(|_| attempt.outcome.is_end());
                 let release = number.and_then(|number| self.grant_log.finish(number, attempt, now));
                 let held = release.as_ref().map(|release| release.held);
@@ -408,6 +416,25 @@
         self.occupancy.last_grant()
     }
 
+    /// Returns what is known of the requests with parts in their prompts that `host` had in flight when it was last heard of
+    /// at `last_heard`.
+    pub(super) fn in_flight_of(
+        &self,
+        host: &id::Host,
+        last_heard: Instant,
+        now: Instant,
+    ) -> Vec<Observation> {
+        let is_in_flight =
+            |number, incarnation: &str| self.occupancy.may_be_in_flight(host, number, incarnation);
+        self.grant_log
+            .in_flight(host, is_in_flight, last_heard, now)
+    }
+
+    /// Forgets the grants of a process of `host` that is gone.
+    pub(super) fn forget_grants(&mut self, host: &id::Host) {
+        self.grant_log.drop_host(host);
+    }
+
     /// Drops what a gateway that timed out had in flight.
     pub(super) fn drop_host(&mut self, host: &id::Host) {
         self.occupancy.drop_host(host);
@@ -630,12 +657,14 @@
         assignment: &pool::Assignment,
         now: Instant,
     ) -> Option<(Grant, Reservation)> {
+        let waiting = self.waiting.remove(ticket)?;
+        let features = waiting.features();
         let Waiting {
             host,
             customer,
             reservation,
             ..
-        } = self.waiting.remove(ticket)?;
+        } = waiting;
         let server = Server::clone(&assignment.server);
         let load = Load {
             incarnation: Arc::clone(&server.incarnation),
@@ -650,10 +679,20 @@
         if let Some(pool) = self.pools.get_mut(&ticket.service) {
             pool.record_grant(&incarnation, ticket.number, id.number);
         }
-        let charge = reservation.charge.clone();
-        self.grant_log
-            .record(id.number, incarnation, customer, charge, now);
         let permit = reservation.permit.as_ref().map(|permit| permit.number);
+        let granted = Granted {
+            host,
+            incarnation,
+            software: Software {
+                service: ticket.service.clone(),
+                version: server.version.clone(),
+            },
+            features,
+            customer,
+            charge: reservation.charge.clone(),
+            permit,
+        };
+        self.grant_log.record(id.number, granted, now);
         let grant = Grant {
             id,
             server,
--- a/crates/core/src/gateway/hub.rs
+++ b/crates/core/src/gateway/hub.rs
@@ -97,6 +97,8 @@
     pub(super) has_replica: bool,
     /// Whether it is in the membership.
     is_member: bool,
+    /// When it timed out, if it has since its last poll.
+    timed_out: Option<Instant>,
 }
 
 impl GatewayState {
@@ -276,6 +278,12 @@
             .on_poll(&poll.host, poll.last_reply, poll.given_up_unused, now);
         self.standby_shares
             .on_poll(&poll.host, poll.last_reply, 0.0, now);
+        let former = self.gateways.get(&poll.host);
+        let former = former.filter(|state| state.gateway.incarnation != poll.gateway.incarnation);
+        if let Some(last_poll) = former.map(|state| state.last_poll) {
+            self.observe_lost(&poll.host, last_poll, now);
+            self.dispatcher.forget_grants(&poll.host);
+        }
         if let Some(state) = self.gateways.get_mut(&poll.host) {
             // A new process of the same host has another address for callers.
             state.is_member &= state.gateway == poll.gateway;
@@ -285,6 +293,7 @@
             state.has_replica = poll.wants_whole_list;
             state.policy_version = poll.policy_version;
             state.last_poll = now;
+            state.timed_out = None;
             state.membership_version = poll.membership_version;
         } else {
             let state = GatewayState {
@@ -296,6 +305,7 @@
                 subset: Subset::default(),
                 has_replica: poll.wants_whole_list,
                 is_member: false,
+                timed_out: None,
             };
             self.are_lenders_outdated = true;
             self.gateways.insert(poll.host.clone(), state);
@@ -407,6 +417,16 @@
     /// Drops what timed-out gateways had in flight.
     fn drop_timed_out(&mut self, now: Instant) {
         let timeout = self.gateway_timeout();
+        let mut lost = Vec::new();
+        for (host, state) in &mut self.gateways {
+            if state.timed_out.is_none() && !state.is_live(timeout, now) {
+                state.timed_out = Some(now);
+                lost.push((host.clone(), state.last_poll));
+            }
+        }
+        for (host, last_poll) in lost {
+            self.observe_lost(&host, last_poll, now);
+        }
         let has_local_slots = self.dispatcher.has_local_slots();
         let timed_out = self
             .gateways
--- a/crates/core/src/gateway/occupancy.rs
+++ b/crates/core/src/gateway/occupancy.rs
@@ -28,6 +28,8 @@
 struct HostLoad {
     loads: Vec<Load>,
     pending_grants: VecDeque<PendingGrant>,
+    /// The number of the last grant that the last report covers.
+    last_seen: u64,
 }
 
 impl HostLoad {
@@ -69,6 +71,7 @@
     pub(super) fn report(&mut self, host: &id::Host, last_seen: u64, loads: &[Load]) {
         let host_load = self.hosts.entry(host.clone()).or_default();
         let former = std::mem::replace(&mut host_load.loads, loads.to_vec());
+        host_load.last_seen = last_seen;
         let reported = host_load.remove_grants_while(|pending| pending.number <= last_seen);
         for load in loads {
             self.add(load);
@@ -144,6 +147,15 @@
         self.totals.get(incarnation)
     }
 
+    /// Returns whether the request of `host` with the grant `number` at `incarnation` may be in flight: it is not covered
+    /// by the last report, or there was something at the server.
+    pub(super) fn may_be_in_flight(&self, host: &id::Host, number: u64, incarnation: &str) -> bool {
+        self.hosts.get(host).is_none_or(|host_load| {
+            let mut loads = host_load.loads.iter();
+            number > host_load.last_seen || loads.any(|load| &*load.incarnation == incarnation)
+        })
+    }
+
     /// Returns how many requests `host` has in flight at the incarnations that `is_wanted` selects.
     pub(super) fn host_requests(&self, host: &id::Host, is_wanted: impl Fn(&str) -> bool) -> u32 {
         let loads = self.hosts.get(host).into_iter();
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use crate::clock::Instant;
+use crate::id;
 use crate::quarantine::Decision;
+use crate::quarantine::Effect;
 use crate::quarantine::Features;
 use crate::quarantine::List;
 use crate::quarantine::Observation;
@@ -33,6 +35,22 @@
             if self.tracker.record(observation, now) {
                 self.reject_unpermitted(&observation.features, now);
             }
+            if let Effect::Crashed(server) | Effect::CrashedParts(server) = &observation.effect {
+                let crashed_at = now - observation.age;
+                for features in self.tracker.record_end(server, crashed_at, now) {
+                    self.reject_unpermitted(&features, now);
+                }
+            }
+        }
+    }
+
+    /// Records the loss of a gateway that was last heard of at `last_heard`: nobody else says under which of its requests
+    /// servers crashed.
+    pub(super) fn observe_lost(&mut self, host: &id::Host, last_heard: Instant, now: Instant) {
+        for observation in self.dispatcher.in_flight_of(host, last_heard, now) {
+            if self.tracker.record_lost(&observation, now) {
+                self.reject_unpermitted(&observation.features, now);
+            }
         }
     }
 
--- a/crates/core/src/quarantine/silence.rs
+++ b/crates/core/src/quarantine/silence.rs
@@ -73,15 +73,27 @@
 
     /// Records that `server` is gone; returns the requests under which it had fallen silent.
     pub(super) fn record_gone(&mut self, server: &Arc<str>, now: Instant) -> Vec<Observation> {
+        self.record_end(server, Instant::default(), now)
+    }
+
+    /// The same for a server that ended at `ended_at` or later: it had not fallen silent under the requests that were
+    /// recorded before.
+    pub(super) fn record_end(
+        &mut self,
+        server: &Arc<str>,
+        ended_at: Instant,
+        now: Instant,
+    ) -> Vec<Observation> {
         self.forget(now);
-        if self.gone.len() >= MAX_REMEMBERED {
-            self.gone.pop_front();
+        if !self.gone.iter().any(|(_, gone)| gone == server) {
+            if self.gone.len() >= MAX_REMEMBERED {
+                self.gone.pop_front();
+            }
+            self.gone.push_back((now, Arc::clone(server)));
         }
-        self.gone.push_back((now, Arc::clone(server)));
-        let same = self.take_silent(|silent| silent == server, now);
-        same.into_iter()
-            .map(|(_, observation)| observation)
-            .collect()
+        let same = self.take_silent(|silent| silent == server, now).into_iter();
+        let same = same.filter(|(at, ..)| *at >= ended_at);
+        same.map(|(_, _, observation)| observation).collect()
     }
 
     /// Records the incarnations on the first server list; returns the requests under which others had fallen silent, with
@@ -97,21 +109,24 @@
             received_at: now,
             servers,
         });
+        let unlisted = unlisted.into_iter();
         unlisted
+            .map(|(_, server, observation)| (server, observation))
+            .collect()
     }
 
-    /// Removes the silences of the servers that `is_taken` selects.
+    /// Removes the silences of the servers that `is_taken` selects; returns them with the times at which they were recorded.
     fn take_silent(
         &mut self,
         is_taken: impl Fn(&Arc<str>) -> bool,
         now: Instant,
-    ) -> Vec<(Arc<str>, Observation)> {
+    ) -> Vec<(Instant, Arc<str>, Observation)> {
         let silent = std::mem::take(&mut self.silent).into_iter();
         let (taken, others): (Vec<_>, Vec<_>) = silent.partition(|(_, silent, _)| is_taken(silent));
         self.silent = others.into();
         let taken = taken.into_iter().map(|(at, server, observation)| {
             let age = observation.age + now.since(at);
-            (server, Observation { age, ..observation })
+            (at, server, Observation { age, ..observation })
         });
         taken.collect()
     }
--- a/crates/core/src/quarantine/tracker.rs
+++ b/crates/core/src/quarantine/tracker.rs
@@ -173,6 +173,8 @@
     cases: BTreeMap<Identity, OpenCase>,
     accounts: Accounts,
     silences: Silences,
+    /// The requests that lost gateways had in flight.
+    lost: Silences,
     /// The cases of parts on the committed list.
     committed_parts: BTreeMap<Part, PartCase>,
     /// What was proposed for parts and is not committed yet; `None` if they are to be released.
--- a/crates/core/src/quarantine/tracker/parts.rs
+++ b/crates/core/src/quarantine/tracker/parts.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Instant;
 use crate::quarantine::CRASHES_TO_COMMIT_PART;
+use crate::quarantine::Effect;
 use crate::quarantine::Features;
 use crate::quarantine::List;
 use crate::quarantine::Observation;
@@ -44,7 +45,9 @@
     pub fn record_gone(&mut self, server: &Arc<str>, now: Instant) -> Vec<Features> {
         let silent = self.silences.record_gone(server, now).into_iter();
         let silent = silent.map(|observation| (Arc::clone(server), observation));
-        self.record_crashes(silent.collect(), now)
+        let mut affected = self.record_crashes(silent.collect(), now);
+        affected.extend(self.record_end(server, Instant::default(), now));
+        affected
     }
 
     /// Records the incarnations on the hub's first server list: servers that fell silent before it and are not on it are
@@ -74,6 +77,32 @@
         affected
     }
 
+    /// Records that a server ended at `ended_at` or later. Returns the features of requests that lost gateways had there, if
+    /// fewer of them may be sent than before.
+    pub fn record_end(
+        &mut self,
+        server: &Arc<str>,
+        ended_at: Instant,
+        now: Instant,
+    ) -> Vec<Features> {
+        let mut affected = Vec::new();
+        for observation in self.lost.record_end(server, ended_at, now) {
+            if self.charge_parts(&observation, server, now) {
+                affected.push(observation.features);
+            }
+        }
+        affected
+    }
+
+    /// Records a request that a lost gateway had in flight: its parts are charged if the server has ended, or as soon as it
+    /// is known to. Returns whether one of them is quarantined by that.
+    pub fn record_lost(&mut self, observation: &Observation, now: Instant) -> bool {
+        let Effect::Silent(server) = &observation.effect else {
+            return false;
+        };
+        self.lost.record(server, observation, now) && self.charge_parts(observation, server, now)
+    }
+
     /// Charges a crash to the parts of a request that may be the cause. Returns whether one of them is quarantined by that.
     pub(super) fn charge_parts(
         &mut self,
--- a/crates/core/tests/part_bounds.rs
+++ b/crates/core/tests/part_bounds.rs
@@ -312,6 +312,17 @@
     }
 }
 
+/// The gateway that saw a crash is lost with it, from the moment of the crash on.
+#[test]
+fn witness_lost_0() {
+    run_losses(0..400, Loss::Witness, Duration::ZERO);
+}
+
+#[test]
+fn witness_lost_1() {
+    run_losses(400..800, Loss::Witness, Duration::ZERO);
+}
+
 /// The hub is lost, from the moment of the crash on.
 #[test]
 fn hub_lost() {
--- a/crates/core/tests/support/crashes.rs
+++ b/crates/core/tests/support/crashes.rs
@@ -1,6 +1,7 @@
 //! Simulates gateways, a hub, a log and servers, with requests that crash every server that runs them.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -154,6 +155,8 @@
     /// The incarnation of each server, and until when it is down.
     servers: Vec<(u64, Instant)>,
     running: Vec<Running>,
+    /// Those that end at this time, in order; their gateways don't know yet.
+    due: VecDeque<Running>,
     random: ChaCha8Rng,
     /// Percentage of messages that are lost.
     pub(crate) loss_percent: u64,
@@ -187,6 +190,7 @@
             commit: None,
             servers: vec![(0, Instant::default()); SERVERS],
             running: Vec::new(),
+            due: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
             loss_percent: 0,
             crashes: BTreeMap::new(),
@@ -277,6 +281,7 @@
         self.gateways[index].suspended_until = Some(self.now + length);
         self.gateways[index].is_new = true;
         self.running.retain(|running| running.gateway != index);
+        self.due.retain(|running| running.gateway != index);
     }
 
     fn lose(&mut self, loss: Loss, witness: usize) {
@@ -368,6 +373,7 @@
             return;
         };
         if hub.get_server_list().version != server_list.version {
+            hub.observe_gone(&server_list, now);
             hub.set_server_list(server_list);
         }
         if let Some((_, steps)) = self.commit.take_if(|(due, _)| *due <= now) {
@@ -387,8 +393,8 @@
     fn finish_due(&mut self) {
         let now = self.now;
         let due = |running: &mut Running| running.ends_at <= now;
-        let due: Vec<_> = self.running.extract_if(.., due).collect();
-        for running in due {
+        self.due = self.running.extract_if(.., due).collect();
+        while let Some(running) = self.due.pop_front() {
             if running.behavior == Behavior::Answer {
                 self.complete(&running);
             } else if self.is_up(&running.server) {
@@ -469,7 +475,8 @@
     /// The requests that a gateway has in flight.
     fn loads(&self, index: usize) -> Vec<Load> {
         let mut counts: BTreeMap<_, u32> = BTreeMap::new();
-        for running in self.running.iter().filter(|it| it.gateway == index) {
+        let running = self.running.iter().chain(&self.due);
+        for running in running.filter(|running| running.gateway == index) {
             *counts.entry(Arc::clone(&running.server)).or_default() += 1;
         }
         let loads = counts.into_iter().map(|(incarnation, requests)| Load {
