Read what a server sent although the request cannot be written

Callers saw 502 (4002, may have run) where a server rejected a request that it had not read whole, and the write of the rest failed before its response was read.

A failed write is no failure of the connection any more: what has arrived is read first. As the failed write consumes the connection's error, its end is not taken for the end of a response after that, neither here nor at the end of a tunnel, where the same could have made a truncated response look complete.

The stand-in sent its response in pieces, of which the kernel dropped some as it closed the connection; it sends it at once.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -3,7 +3,8 @@
 //! A request that crashes each server that starts to run it is retried, at any gateway and as a new request. Crashes
 //! are therefore counted over all gateways by what the request is ([`Identity`]). The hub counts them
 //! ([`Tracker`]) from the gateways' reports ([`Evidence`]). From the second crash on they are also committed to the log
-//! ([`List`]), those under parts of prompts from the first on, and from there every gateway knows them ([`LocalTracker`]) while it is without a hub.
+//! ([`List`]), those under parts of prompts from the first on, and from there every gateway knows them
+//! ([`LocalTracker`]) while it is without a hub.
 //!
 //! A part of a prompt that crashes servers comes in requests that are all different, beside sound ones that share the
 //! rest. It is tracked by the same types: a crash is charged to each part of the requests that had just begun to be
--- a/crates/curlewlift/src/gateway/received.rs
+++ b/crates/curlewlift/src/gateway/received.rs
@@ -53,15 +53,25 @@
 }
 
 /// A connection that fails if what it receives is no response.
+///
+/// A server may respond and close its connection before it has read the whole request. So a failed write is no failure: what
+/// has arrived is read first.
 pub(super) struct Limited<T> {
     io: T,
+    /// Whether a write has failed, so that nothing more is sent.
+    is_broken: bool,
     received: Arc<Received>,
     node: Rc<Node>,
 }
 
 impl<T> Limited<T> {
     pub(super) fn new(io: T, received: Arc<Received>, node: Rc<Node>) -> Self {
-        Self { io, received, node }
+        Self {
+            io,
+            is_broken: false,
+            received,
+            node,
+        }
     }
 }
 
@@ -83,6 +93,10 @@
                 let no_response = |endless| io::Error::new(io::ErrorKind::InvalidData, endless);
                 return Poll::Ready(accepted.map_err(no_response));
             }
+            // The failed write has consumed the error, and the end of a connection may be the end of a response.
+            Poll::Ready(Ok(())) if self.is_broken => {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+            }
             Poll::Ready(_) => {}
         }
         read
@@ -95,10 +109,22 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+        if self.is_broken {
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        let written = Pin::new(&mut self.io).poll_write(context, bytes);
+        if let Poll::Ready(Err(why)) = written {
+            log::debug!("a request cannot be written any more: {why}");
+            self.is_broken = true;
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.is_broken {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.io).poll_flush(context)
     }
 
--- a/crates/curlewlift/src/gateway/tunnel_server.rs
+++ b/crates/curlewlift/src/gateway/tunnel_server.rs
@@ -3,6 +3,7 @@
 //! Slots, quotas, retries and limits are counted at the gateway that took the request. This one copies bytes, and reads
 //! only what a server announces about itself to this host.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -193,12 +194,14 @@
     let mut stream = stream;
     let (mut origin_reader, mut origin_writer) = origin.split();
     let (mut reader, mut writer) = stream.split();
+    let is_broken = Cell::new(false);
     let requests = async {
         let copied = async {
             writer.write_all(&parts.read_buf).await?;
             tokio::io::copy(&mut origin_reader, &mut writer).await
         };
         if copied.await.is_err() {
+            is_broken.set(true);
             // A server may respond and close its connection before it has read the whole request.
             let _ = tokio::io::copy(&mut origin_reader, &mut tokio::io::sink()).await;
         }
@@ -210,7 +213,7 @@
             node.record_notices(&server.service, server, &head.notices);
         }
     };
-    let responses = copy_responses(&mut reader, &mut origin_writer, record);
+    let responses = copy_responses(&mut reader, &mut origin_writer, record, &is_broken);
     let ended = tokio::select! {
         // The origin closes its connection when nobody waits for the response any more.
         () = requests => return,
@@ -226,16 +229,21 @@
     let _ = tokio::time::timeout(CLOSE_TIMEOUT, drained).await;
 }
 
-/// Copies responses into frames until the server closes its connection, and passes their heads to `record`.
+/// Copies responses into frames until the server closes its connection, and passes their heads to `record`. A connection that
+/// could not be written to has not been closed in order: the failed write has consumed the error.
 async fn copy_responses(
     reader: &mut (impl AsyncReadExt + Unpin),
     writer: &mut (impl AsyncWriteExt + Unpin),
     record: impl Fn(u16, &HeaderMap),
+    is_broken: &Cell<bool>,
 ) -> std::io::Result<()> {
     let mut parser = Some(ResponseHeadParser::default());
     let mut frame = FrameBuffer::default();
     loop {
         let count = reader.read(frame.content()).await?;
+        if count == 0 && is_broken.get() {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         parser = parser.and_then(|parser| parser.push(&frame.content()[..count], &record));
         frame.write(count, writer).await?;
         if count == 0 {
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -620,7 +620,9 @@
 fn answer(mut stream: TcpStream, status: u16, id: &str, headers: &str, body: &str) {
     let head = head(status, id, headers);
     let length = body.len();
-    let _ = write!(stream, "{head}Content-Length: {length}\r\n\r\n{body}");
+    let message = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+    // At once: a connection that is closed with unread bytes drops what it has not sent yet.
+    let _ = stream.write_all(message.as_bytes());
 }
 
 /// Begins a response, and then sends bytes that are no part of one until the connection is closed: `KIND`, as fast as
