Ask in one place whether a replica has synced all it wrote

The check that nothing is pending stood in the count of votes and in the sending of replies, and was written once more for heartbeats that are answered before a sync ends. No change of behaviour.

--- a/crates/core/src/log/election.rs
+++ b/crates/core/src/log/election.rs
@@ -141,7 +141,7 @@
 
     /// Becomes leader once a majority has voted for this replica. Its own vote counts once it is synced.
     pub(super) fn count_votes(&mut self, now: Instant) {
-        if self.unsynced.is_empty() && self.output.writes.is_empty() {
+        if self.is_synced() {
             self.votes.insert(self.host.clone());
         }
         if self.votes.len() >= self.members().majority() {
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -347,22 +347,26 @@
     /// Sends the message once everything written up to now is on disk.
     pub(super) fn send_after_sync(&mut self, to: &Member, payload: Payload) {
         let message = self.message(to, payload);
-        if self.output.writes.is_empty() && self.unsynced.is_empty() {
+        if self.is_synced() {
             self.output.sends.push(message);
         } else {
             self.pending_sends.push((self.newest_sync(), message));
         }
     }
 
+    /// Whether everything written up to now is on disk.
+    pub(super) fn is_synced(&self) -> bool {
+        self.output.writes.is_empty() && self.unsynced.is_empty()
+    }
+
     /// Whether to answer a leader before the pending sync ends, so that it knows that it still reaches this replica.
     ///
     /// Its term must be on disk, and so must a snapshot that replaced its entries. Replies are limited to two a heartbeat, as
     /// most syncs end soon.
     pub(super) fn must_answer_unsynced(&mut self, now: Instant) -> bool {
-        let is_pending = !self.output.writes.is_empty() || !self.unsynced.is_empty();
         let interval = self.timing.heartbeat / 2;
         let is_recent = |at| now.since(at) < interval;
-        if !is_pending
+        if self.is_synced()
             || self.unsynced_state.is_some()
             || self.answered_unsynced_at.is_some_and(is_recent)
         {
