--- a/crates/core/tests/old_disk.rs
+++ b/crates/core/tests/old_disk.rs
@@ -10,40 +10,11 @@
 use curlewlift_core::id::Host;
 use curlewlift_core::log::Message;
 use curlewlift_core::log::Payload;
-use curlewlift_core::log::Replica;
 use curlewlift_core::log::Role;
 
 use support::replicas::Node;
 use support::replicas::run_steps;
-
-/// Three voters; the first one leads.
-fn three_voters() -> (Vec<Node>, Instant) {
-    let mut now = Instant::default();
-    let founder: Host = "c0".parse().expect("valid name");
-    let mut nodes = vec![Node::new(
-        "c0",
-        Replica::founding_state(&founder, Disk(1)),
-        1,
-        now,
-    )];
-    nodes.push(Node::new("c1", Replica::blank_state(Disk(2)), 2, now));
-    nodes.push(Node::new("c2", Replica::blank_state(Disk(3)), 3, now));
-    run_steps(&mut nodes, &mut now, 100);
-    for (index, disk) in [(1, 2), (2, 3)] {
-        let host: Host = format!("c{index}").parse().expect("valid name");
-        nodes[0]
-            .replica
-            .admit(&host, Disk(disk), now)
-            .expect("admitted");
-        run_steps(&mut nodes, &mut now, 20);
-        nodes[0]
-            .replica
-            .promote(&host, now)
-            .expect("a caught-up learner");
-        run_steps(&mut nodes, &mut now, 20);
-    }
-    (nodes, now)
-}
+use support::replicas::three_voters;
 
 /// Appends ten entries that all replicas acknowledge.
 fn propose_ten_entries(nodes: &mut [Node], now: &mut Instant) {
