--- a/crates/curlewlift/src/gateway/serve.rs
+++ b/crates/curlewlift/src/gateway/serve.rs
@@ -37,6 +37,9 @@
 /// Pause after a failed accept, for file descriptors to become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Interval at which it is checked whether the limits have changed.
+const LIMITS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a caller may take nothing of a response that waits to be written: longer than the deadlines of requests. It
 /// holds a connection and memory meanwhile.
 const MAX_CALLER_STALL: Duration = Duration::from_mins(1);
@@ -45,9 +48,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerAddress(pub(crate) SocketAddr);
 
-/// Interval at which it is checked whether the limits have changed.
-const LIMITS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Serves requests on `listener` with `answer` until the future is dropped. Connections that were accepted under other limits
 /// on heads or idle time end after the response that is under way, so that callers open new ones.
 pub(crate) async fn serve<L, F, A>(listener: TcpListener, limits: L, answer: F)
