Replace a lost replica in one change that the others can complete

Cause: the leader removed the old replica at the new one's first request to join, and admitted the new one only when that asked again. In between, and until it had caught up, the set had two voters, and how long that lasted was up to a machine that may never come back. The check on the number of voters is right: with two, one lost disk leaves no majority for good.

Change: the leader replaces the old voter by a learner on the new disk in one entry of the log, and promotes it at once where its vote raises no majority (2 of 2, 2 of 3), so that neither step needs it. Related paths: - a voter that is lost for good is removed before its successor is promoted, not after: four voters with the successor lost again have no majority at all; - a learner beyond an odd set stays a learner until it can replace a voter, for the same reason; - a replica that lost entries is demoted and promoted, not removed until it asks; - a reachable member is not replaced by another process at its address; learners that are gone are removed.

planned_replacement asked for four voters while four hosts run. It now asks for three voters and four members, and that the fourth replaces the one that stops; failed_replacement has why. Its other checks are as before.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -117,7 +117,7 @@
     Command = 402, "command", "An operator's command was answered.";
     ViewProposed = 403, "view-proposed", "The leader proposes a new view of the entries.";
     ReplicaAdmitted = 404, "replica-admitted", "A control replica was admitted as a learner.";
-    ReplicaCounts = 405, "replica-counts", "A learner has caught up and has become a voter.";
+    ReplicaCounts = 405, "replica-counts", "A learner has become a voter.";
     ReplicaExpelled = 406, "replica-expelled", "A control replica was removed.";
     DiskFailed = 407, "disk-failed", "A write or sync has failed; the process ends.";
     Published = 408, "published", "A routing table was published and is in effect; the detail has its number.";
@@ -137,4 +137,5 @@
     ShareKept = 422, "share-kept", "A customer no longer asks for more than its share of the slots of a service, or there are enough for all; the detail has the slot time that it asked for and received.";
     ServerAvoided = 423, "server-avoided", "The hub keeps new requests away from a backend server for a while; the detail has the service, the server, the host whose attempt failed, the failure, and for how long.";
     StreamVersion = 424, "stream-version", "A version of a service's software is announced, opened or removed: streams may begin at open ones.";
+    ReplicaReplaced = 425, "replica-replaced", "A control replica was replaced by a learner on the same host; the detail has the host and the learner's disk.";
 }
--- a/crates/core/src/log/maintainer.rs
+++ b/crates/core/src/log/maintainer.rs
@@ -1,11 +1,12 @@
 //! Maintains the replica set if control hosts are not configured by name: replicas are admitted on
-//! request, and a lost replica is removed when another one replaces it.
+//! request, and another one replaces a lost replica.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::code::Code;
 use crate::code::Refusal;
 use crate::id::Disk;
 use crate::id::Host;
@@ -25,6 +26,8 @@
     Admitted(Host),
     /// A learner became a voter.
     Promoted(Host),
+    /// A replica was replaced by a learner on the same host, with this disk.
+    Replaced(Host, Disk),
     /// A replica was removed.
     Removed(Host),
 }
@@ -37,7 +40,6 @@
 pub struct Maintainer {
     target_voters: usize,
     unreachable_since: BTreeMap<Host, Instant>,
-    to_remove: BTreeSet<Host>,
 }
 
 impl Maintainer {
@@ -50,12 +52,13 @@
         }
     }
 
-    /// Admits the replica on `host` with `disk`, which has asked for it. If the host has a replica on
-    /// another disk, removes that one instead; the host then has to ask again.
+    /// Admits the replica on `host` with `disk`, which has asked for it. If the host has a replica on another disk, replaces
+    /// that one in the same change.
     ///
     /// # Errors
     ///
-    /// Those of [`Replica::admit`] and [`Replica::remove`].
+    /// Those of [`Replica::admit`] and [`Replica::replace`]; [`Code::InUse`] while a replica on another disk of that host is
+    /// reachable, or while another learner is to be promoted first.
     pub fn admit(
         &mut self,
         replica: &mut Replica,
@@ -63,74 +66,106 @@
         disk: Disk,
         now: Instant,
     ) -> Result<Option<MemberChange>, Refusal> {
-        let members = replica.members();
-        if members.contains(host, disk) {
+        let Some(member) = replica.members().get(host) else {
+            replica.admit(host, disk, now)?;
+            return Ok(Some(MemberChange::Admitted(host.clone())));
+        };
+        if member.disk == disk {
             return Ok(None);
         }
-        if members.get(host).is_some() {
-            replica.remove(host, now)?;
-            return Ok(Some(MemberChange::Removed(host.clone())));
+        // Two processes that answer at one address must not replace each other in turn.
+        if replica.is_reachable(host, now) {
+            let why = format!("`{host}` has a live replica on another disk");
+            return Err(Refusal::new(Code::InUse, why));
+        }
+        // Otherwise two losses would take two voters from the set before one is added.
+        if !replica.promotable_learners().is_empty() {
+            let why = "another replica is to be promoted first";
+            return Err(Refusal::new(Code::InUse, why));
         }
-        replica.admit(host, disk, now)?;
-        Ok(Some(MemberChange::Admitted(host.clone())))
+        replica.replace(host, disk, now)?;
+        Ok(Some(MemberChange::Replaced(host.clone(), disk)))
     }
 
-    /// Promotes the learners that have caught up, and removes replicas that are lost, replaced or
-    /// regressed. Call it at every tick of a replica that is certain to lead.
+    /// Promotes learners, and removes or replaces replicas that are lost or regressed. Call it at every tick of a replica
+    /// that is certain to lead.
+    ///
+    /// No change raises the majority for a replica that may fail again: the others can always complete what was started.
     pub fn maintain(&mut self, replica: &mut Replica, now: Instant) -> Vec<MemberChange> {
         self.update_unreachable(replica, now);
         let mut changes = Vec::new();
-        for host in replica.caught_up_learners() {
-            if replica.promote(&host, now).is_ok() {
-                changes.push(MemberChange::Promoted(host));
-                // The new voter replaces an unreachable one, if there is one.
-                self.to_remove
-                    .extend(self.longest_unreachable().map(|(host, _)| host));
+        if let Some(host) = self.select_lost(replica, now) {
+            if replica.remove(&host, now).is_ok() {
+                changes.push(MemberChange::Removed(host));
             }
+            return changes;
         }
-        self.select_surplus(replica, now);
-        let regressed: BTreeSet<_> = replica.regressed().cloned().collect();
-        for host in self.to_remove.union(&regressed) {
-            if replica.remove(host, now).is_ok() {
-                changes.push(MemberChange::Removed(host.clone()));
+        if let Some(host) = self.select_learner(replica, now)
+            && replica.promote(&host, now).is_ok()
+        {
+            changes.push(MemberChange::Promoted(host));
+        }
+        let members = replica.members();
+        let regressed = replica.regressed().filter_map(|host| members.get(host));
+        let regressed: Vec<_> = regressed.cloned().collect();
+        for member in regressed {
+            // As a learner it gets the lost entries, and votes again without having to ask.
+            if replica.replace(&member.host, member.disk, now).is_ok() {
+                changes.push(MemberChange::Replaced(member.host, member.disk));
             }
         }
         changes
     }
 
-    /// Records which voters are unreachable, and since when.
+    /// Records which members are unreachable, and since when.
     fn update_unreachable(&mut self, replica: &Replica, now: Instant) {
-        let members = replica.members();
-        let unreachable = members
-            .voters()
-            .filter(|member| !replica.is_reachable(&member.host, now));
+        let members = replica.members().0.iter();
+        let unreachable = members.filter(|member| !replica.is_reachable(&member.host, now));
         let unreachable: BTreeSet<_> = unreachable.map(|member| member.host.clone()).collect();
         self.unreachable_since
             .retain(|host, _| unreachable.contains(host));
         for host in unreachable {
             self.unreachable_since.entry(host).or_insert(now);
         }
-        // A replica that is reachable again stays.
-        self.to_remove
-            .retain(|host| self.unreachable_since.contains_key(host));
     }
 
-    /// Selects a replica to remove if there are more voters than the target and one has been
-    /// unreachable for [`REMOVAL_DELAY`].
-    fn select_surplus(&mut self, replica: &Replica, now: Instant) {
-        if replica.members().voters().count() <= self.target_voters {
-            return;
-        }
-        if let Some((host, since)) = self.longest_unreachable()
-            && now.since(since) >= REMOVAL_DELAY
-        {
-            self.to_remove.insert(host);
-        }
+    /// Selects a replica to remove: one that has been unreachable for [`REMOVAL_DELAY`], if the set has enough voters without
+    /// it or a learner can take its place.
+    ///
+    /// It is removed before the learner is promoted. Between the two, the majority is as large as before; the other way round
+    /// it would be larger by one, and a failure of the new voter would stop the log.
+    fn select_lost(&self, replica: &Replica, now: Instant) -> Option<Host> {
+        let members = replica.members();
+        let voters = members.voters().count();
+        let is_surplus = voters > self.target_voters;
+        let has_successor = !voters.is_multiple_of(2) && !replica.promotable_learners().is_empty();
+        let is_removable = |host: &Host| {
+            let is_voter = members.get(host).is_some_and(|member| member.voter);
+            if is_voter {
+                is_surplus || has_successor
+            } else {
+                voters >= self.target_voters
+            }
+        };
+        let lost = self.unreachable_since.iter();
+        let lost = lost.filter(|(_, since)| now.since(**since) >= REMOVAL_DELAY);
+        let removable = lost.filter(|(host, _)| is_removable(host));
+        let longest = removable.min_by_key(|(_, since)| **since);
+        longest.map(|(host, _)| host.clone())
     }
 
-    fn longest_unreachable(&self) -> Option<(Host, Instant)> {
-        let unreachable = self.unreachable_since.iter();
-        let longest = unreachable.min_by_key(|(_, since)| **since);
-        longest.map(|(host, since)| (host.clone(), *since))
+    /// Selects a learner to promote.
+    ///
+    /// An even number of voters tolerates no more losses than one voter fewer, and each of them can stop the log in more ways.
+    /// So a single learner beyond the target stays a learner until it can replace a voter.
+    fn select_learner(&self, replica: &Replica, now: Instant) -> Option<Host> {
+        let voters = replica.members().voters().count();
+        let learners = replica.promotable_learners();
+        let mut reachable = learners
+            .iter()
+            .filter(|host| replica.is_reachable(host, now));
+        let first = reachable.next().or(learners.first())?;
+        let is_wanted = voters < self.target_voters || voters.is_multiple_of(2);
+        (is_wanted || reachable.next().is_some()).then(|| first.clone())
     }
 }
--- a/crates/core/src/log/membership.rs
+++ b/crates/core/src/log/membership.rs
@@ -41,7 +41,29 @@
         Ok(())
     }
 
-    /// Makes the learner on `host` a voter, if it has every committed entry.
+    /// Replaces the replica on `host` by a learner on `disk`, in one change. `disk` may be the same if it has lost entries.
+    ///
+    /// The learner is a member from then on, so that any later leader can promote it.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::NotLeader`]; [`Code::InUse`] while another change is in progress; [`Code::Unknown`] if the host has no replica;
+    /// [`Code::Floor`] if no voter would remain, or if the replica is this leader itself.
+    pub fn replace(&mut self, host: &Host, disk: Disk, now: Instant) -> Result<(), Refusal> {
+        self.ensure_change_allowed()?;
+        self.ensure_not_self(host)?;
+        if self.members().get(host).is_none() {
+            return Err(no_replica(host));
+        }
+        let next = self.members().with(Member {
+            host: host.clone(),
+            disk,
+            voter: false,
+        });
+        self.drop_progress_and_change(host, next, now)
+    }
+
+    /// Makes the learner on `host` a voter, if it has every committed entry or its vote raises no majority.
     ///
     /// # Errors
     ///
@@ -50,15 +72,12 @@
     pub fn promote(&mut self, host: &Host, now: Instant) -> Result<(), Refusal> {
         self.ensure_change_allowed()?;
         let Some(member) = self.members().get(host).cloned() else {
-            return Err(Refusal::new(
-                Code::Unknown,
-                format!("`{host}` has no replica"),
-            ));
+            return Err(no_replica(host));
         };
         if member.voter {
             return Ok(());
         }
-        if self.match_index(host) < self.commit {
+        if !self.is_promotable(host) {
             return Err(Refusal::new(
                 Code::InUse,
                 format!("the replica on `{host}` has not caught up"),
@@ -80,22 +99,13 @@
     /// no voter would remain, or if the replica is this leader itself.
     pub fn remove(&mut self, host: &Host, now: Instant) -> Result<(), Refusal> {
         self.ensure_change_allowed()?;
-        if host == &self.host {
-            let message = "a leader cannot remove itself; stop its process first".to_owned();
-            return Err(Refusal::new(Code::Floor, message));
-        }
+        self.ensure_not_self(host)?;
         let next = self.members().without(host);
-        if next.voters().count() == 0 {
-            return Err(Refusal::new(Code::Floor, "no voter would remain"));
-        }
-        self.progress.remove(host);
-        self.regressed.remove(host);
-        self.change_members(next, now);
-        Ok(())
+        self.drop_progress_and_change(host, next, now)
     }
 
     /// The replicas that have lost entries that they had acknowledged to this leader. Their disks are
-    /// older copies of themselves, so they must be removed.
+    /// older copies of themselves, so they must be removed or replaced.
     pub fn regressed(&self) -> impl Iterator<Item = &Host> {
         let members = self.members();
         self.regressed
@@ -103,15 +113,32 @@
             .filter(|host| members.get(host).is_some())
     }
 
-    /// The learners that have every committed entry.
+    /// The learners that can be promoted: those that have every committed entry, and all of them if one more vote raises no
+    /// majority.
+    ///
+    /// A learner that is not caught up cannot acknowledge new entries. Where its vote raises the majority, the others might then
+    /// lack one. In a set with an even number of voters it does not, and with the vote the set tolerates a loss that it would
+    /// not tolerate without, even while the learner is lost again.
     #[must_use]
-    pub fn caught_up_learners(&self) -> Vec<Host> {
+    pub fn promotable_learners(&self) -> Vec<Host> {
         let learners = self.members().0.iter().filter(|member| !member.voter);
-        let caught_up = learners.filter(|member| {
-            let match_index = self.match_index(&member.host);
-            match_index > Index(0) && match_index >= self.commit
-        });
-        caught_up.map(|member| member.host.clone()).collect()
+        let promotable = learners.filter(|member| self.is_promotable(&member.host));
+        promotable.map(|member| member.host.clone()).collect()
+    }
+
+    fn is_promotable(&self, learner: &Host) -> bool {
+        let members = self.members();
+        let match_index = self.match_index(learner);
+        let is_caught_up = match_index > Index(0) && match_index >= self.commit;
+        is_caught_up || members.voters().count().is_multiple_of(2)
+    }
+
+    fn ensure_not_self(&self, host: &Host) -> Result<(), Refusal> {
+        if host == &self.host {
+            let message = "a leader cannot remove itself; stop its process first";
+            return Err(Refusal::new(Code::Floor, message));
+        }
+        Ok(())
     }
 
     fn ensure_change_allowed(&self) -> Result<(), Refusal> {
@@ -128,6 +155,22 @@
         Ok(())
     }
 
+    /// Changes the replica set to `next`, in which the replica on `host` is no voter, and forgets its progress.
+    fn drop_progress_and_change(
+        &mut self,
+        host: &Host,
+        next: Members,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        if next.voters().count() == 0 {
+            return Err(Refusal::new(Code::Floor, "no voter would remain"));
+        }
+        self.progress.remove(host);
+        self.regressed.remove(host);
+        self.change_members(next, now);
+        Ok(())
+    }
+
     fn change_members(&mut self, members: Members, now: Instant) {
         self.append(Body::Members(members));
         self.advance_commit();
@@ -148,3 +191,7 @@
         sets.next().unwrap_or_else(|| self.snapshot.members.clone())
     }
 }
+
+fn no_replica(host: &Host) -> Refusal {
+    Refusal::new(Code::Unknown, format!("`{host}` has no replica"))
+}
--- a/crates/core/tests/log_histories.rs
+++ b/crates/core/tests/log_histories.rs
@@ -10,6 +10,7 @@
 
 use support::history;
 use support::history::Flaw;
+use support::history::History;
 
 /// Number of histories unless `HISTORIES` sets another.
 const DEFAULT_HISTORIES: u64 = 4_000;
@@ -23,11 +24,11 @@
         .unwrap_or(DEFAULT_HISTORIES)
 }
 
-#[test]
-fn log_is_safe() {
+/// Runs all histories; they must commit something.
+fn check_histories(run: impl Fn(u64) -> Result<History, String>) {
     let mut commits = 0;
     for seed in 0..history_count() {
-        match history::run(seed, STEPS_PER_HISTORY, Flaw::None) {
+        match run(seed) {
             Ok(history) => commits += history.committed(),
             Err(why) => panic!("seed {seed}: {why}"),
         }
@@ -38,6 +39,17 @@
     );
 }
 
+#[test]
+fn log_is_safe() {
+    check_histories(|seed| history::run(seed, STEPS_PER_HISTORY, Flaw::None));
+}
+
+/// The same if lost replicas are replaced in one change.
+#[test]
+fn safe_replacement() {
+    check_histories(|seed| history::run_replacing(seed, STEPS_PER_HISTORY));
+}
+
 /// The first seed whose history detects `flaw`.
 fn first_failing_seed(flaw: Flaw) -> u64 {
     let seed =
--- a/crates/core/tests/replica_maintenance.rs
+++ b/crates/core/tests/replica_maintenance.rs
@@ -8,7 +8,10 @@
 use curlewlift_core::clock::Instant;
 use curlewlift_core::id::Disk;
 use curlewlift_core::id::Host;
+use curlewlift_core::id::Index;
+use curlewlift_core::log::Body;
 use curlewlift_core::log::Maintainer;
+use curlewlift_core::log::Member;
 use curlewlift_core::log::Replica;
 use curlewlift_core::log::Role;
 use curlewlift_core::log::SavedState;
@@ -94,20 +97,49 @@
         self.maintainer.maintain(replica, now);
     }
 
+    /// The replica that is certain to lead.
+    fn leader(&self) -> Option<&Replica> {
+        let mut replicas = self.nodes.iter().map(|node| &node.replica);
+        replicas.find(|replica| {
+            replica.get_role() == Role::Leader && replica.reaches_majority(self.now)
+        })
+    }
+
     /// The hosts of the voters as the leader knows them; `None` if no replica is certain to lead.
     fn voters(&self) -> Option<Vec<String>> {
-        let is_leader = |node: &&Node| {
-            node.replica.get_role() == Role::Leader && node.replica.reaches_majority(self.now)
-        };
-        let leader = self.nodes.iter().find(is_leader)?;
-        let members = leader.replica.members();
-        let mut voters: Vec<_> = members
-            .voters()
-            .map(|member| member.host.to_string())
-            .collect();
-        voters.sort();
-        Some(voters)
+        let members = self.leader()?.members();
+        Some(sorted_names(members.voters()))
+    }
+
+    /// The hosts of the voters and learners as the leader knows them; `None` if no replica is certain to lead.
+    fn members(&self) -> Option<Vec<String>> {
+        let members = self.leader()?.members();
+        Some(sorted_names(members.0.iter()))
+    }
+
+    /// The index of the newest change of the replica set.
+    fn last_change(&self) -> Option<Index> {
+        let mut newest_first = self.leader()?.entries().iter().rev();
+        let change = newest_first.find(|entry| matches!(entry.body, Body::Members(_)));
+        change.map(|entry| entry.index)
     }
+
+    /// Proposes a value; returns whether it is committed within a second.
+    fn acknowledges(&mut self) -> bool {
+        let now = self.now;
+        let mut replicas = self.nodes.iter_mut().map(|node| &mut node.replica);
+        let leader = replicas.find(|replica| replica.get_role() == Role::Leader);
+        let proposed = leader.and_then(|leader| leader.propose(vec![1], now).ok());
+        self.run_for(Duration::from_secs(1));
+        let commit = self.leader().map(Replica::get_commit);
+        proposed.is_some() && commit >= proposed
+    }
+}
+
+fn sorted_names<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<String> {
+    let mut names: Vec<_> = members.map(|member| member.host.to_string()).collect();
+    names.sort();
+    names
 }
 
 fn host_names(host_names: &[&str]) -> Vec<String> {
@@ -148,9 +180,8 @@
     assert_eq!(cluster.voters(), Some(host_names(&["c0", "c1", "c3"])));
 }
 
-/// A new host joins before the old one stops, so there are four voters. Then the old one stops for
-/// good, another one loses its disk, and the remaining two lose power. With four voters left in the
-/// set, those two would be no majority.
+/// A new host joins before the old one stops. Then the old one stops for good, another one loses its disk, and the remaining
+/// two lose power. With four voters in the set, those two would be no majority.
 #[test]
 fn planned_replacement() {
     let mut cluster = three_voters();
@@ -158,14 +189,25 @@
     cluster.run_for(Duration::from_secs(2));
     assert_eq!(
         cluster.voters(),
-        Some(host_names(&["c0", "c1", "c2", "c3"]))
+        Some(host_names(&["c0", "c1", "c2"])),
+        "a fourth voter would make the majority larger"
+    );
+    assert_eq!(
+        cluster.members(),
+        Some(host_names(&["c0", "c1", "c2", "c3"])),
+        "the new host was not admitted"
     );
     cluster.stop("c2");
     cluster.run_for(Duration::from_secs(4));
     assert_eq!(
         cluster.voters(),
         Some(host_names(&["c0", "c1", "c3"])),
-        "the fourth voter was not removed"
+        "the new host did not take the place of the old one"
+    );
+    assert_eq!(
+        cluster.members(),
+        cluster.voters(),
+        "the old host was not removed"
     );
     let saved: Vec<_> = ["c0", "c3"].map(|host| (host, cluster.stop(host))).into();
     cluster.stop("c1");
@@ -177,6 +219,55 @@
     assert_eq!(cluster.voters(), Some(host_names(&["c0", "c1", "c3"])));
 }
 
+/// The new host fails together with the one that it is to replace: the others must still be a majority.
+#[test]
+fn failed_replacement() {
+    let mut cluster = three_voters();
+    cluster.join("c3", 103);
+    cluster.run_for(Duration::from_secs(2));
+    cluster.stop("c2");
+    cluster.stop("c3");
+    cluster.run_for(Duration::from_secs(4));
+    assert_eq!(cluster.voters().map(|voters| voters.len()), Some(3));
+    assert!(cluster.acknowledges(), "two of three hosts are no majority");
+}
+
+/// A host that lost its disk fails again as soon as its replica has been heard: three replicas must vote on.
+#[test]
+fn lost_while_joining() {
+    for delay in 1..40 {
+        let mut cluster = three_voters();
+        cluster.stop("c2");
+        cluster.run_for(Duration::from_secs(2));
+        cluster.join("c2", 202);
+        cluster.run_for(Duration::from_millis(20 * delay));
+        cluster.stop("c2");
+        cluster.run_for(Duration::from_secs(1));
+        assert_eq!(
+            cluster.voters(),
+            Some(host_names(&["c0", "c1", "c2"])),
+            "after {delay} steps"
+        );
+        assert!(cluster.acknowledges(), "after {delay} steps");
+    }
+}
+
+/// Two processes with different disks run at one address: the one that is a member stays, and they do not replace each
+/// other in turn.
+#[test]
+fn two_disks_of_one_host() {
+    let mut cluster = three_voters();
+    let old_disk = cluster.stop("c2");
+    cluster.run_for(Duration::from_secs(2));
+    cluster.join("c2", 202);
+    cluster.run_for(Duration::from_secs(2));
+    cluster.start("c2", old_disk);
+    let before = cluster.last_change();
+    cluster.run_for(Duration::from_secs(6));
+    assert_eq!(cluster.voters(), Some(host_names(&["c0", "c1", "c2"])));
+    assert_eq!(cluster.last_change(), before, "the set has changed");
+}
+
 /// An unreachable replica stays a voter until another one replaces it, as the set has no surplus.
 #[test]
 fn unreachable_stays() {
--- a/crates/core/tests/support/history.rs
+++ b/crates/core/tests/support/history.rs
@@ -121,13 +121,24 @@
     seed: u64,
     drawn_numbers: u64,
     flaw: Flaw,
+    /// Whether a leader replaces a lost replica in one change.
+    replaces: bool,
     leaders: BTreeMap<Term, Host>,
     committed: BTreeMap<Index, Entry>,
 }
 
 /// Runs the history of `seed`; the error says which property was violated.
 pub(crate) fn run(seed: u64, steps: usize, flaw: Flaw) -> Result<History, String> {
-    let mut history = History::new(seed, flaw);
+    run_from(History::new(seed, flaw, false), steps)
+}
+
+/// Runs the history of `seed` with lost replicas that are replaced in one change.
+pub(crate) fn run_replacing(seed: u64, steps: usize) -> Result<History, String> {
+    run_from(History::new(seed, Flaw::None, true), steps)
+}
+
+fn run_from(mut history: History, steps: usize) -> Result<History, String> {
+    let seed = history.seed;
     let mut g = Gen::from_size_and_seed(100, seed);
     for number in 0..steps {
         let step = Step::arbitrary(&mut g).adapted_to(seed);
@@ -141,7 +152,7 @@
 }
 
 impl History {
-    fn new(seed: u64, flaw: Flaw) -> Self {
+    fn new(seed: u64, flaw: Flaw, replaces: bool) -> Self {
         let hosts = (0..HOSTS).map(|index| format!("c{index}").parse().expect("valid name"));
         let hosts: Vec<Host> = hosts.collect();
         let node = |index: usize| Node {
@@ -159,6 +170,7 @@
             seed,
             drawn_numbers: HOSTS as u64,
             flaw,
+            replaces,
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
         };
@@ -322,19 +334,22 @@
         }
     }
 
-    /// A replica that is no member asks every leader to be admitted. A leader first removes the
-    /// replica that the same host had on a lost disk.
+    /// A replica that is no member asks every leader to be admitted. A leader replaces the replica that the same host had on
+    /// a lost disk, or first removes it.
     fn join(&mut self, index: usize) -> Result<(), String> {
         let node = &self.nodes[index];
         let host = node.host.clone();
         let disk = node.disk.hard_state.disk;
         let now = self.now;
+        let replaces = self.replaces;
         self.at_each(|replica| {
             let other = replica
                 .members()
                 .get(&host)
                 .is_some_and(|member| member.disk != disk);
-            if other {
+            if other && replaces {
+                drop(replica.replace(&host, disk, now));
+            } else if other {
                 drop(replica.remove(&host, now));
             } else {
                 drop(replica.admit(&host, disk, now));
@@ -345,7 +360,7 @@
     fn promote(&mut self) -> Result<(), String> {
         let now = self.now;
         self.at_each(|replica| {
-            for host in replica.caught_up_learners() {
+            for host in replica.promotable_learners() {
                 drop(replica.promote(&host, now));
             }
         })
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod members;
 pub(crate) mod messages;
 pub(crate) mod network;
+pub(crate) mod rejoins;
 pub(crate) mod replicas;
 pub(crate) mod requests;
 pub(crate) mod retries;
--- a/crates/curlewlift/src/control/members.rs
+++ b/crates/curlewlift/src/control/members.rs
@@ -36,12 +36,15 @@
     /// Notes changes of the replica set on the timeline.
     fn note_changes(&self, changes: impl IntoIterator<Item = MemberChange>) {
         for change in changes {
-            let (kind, host) = match change {
-                MemberChange::Admitted(host) => (Kind::ReplicaAdmitted, host),
-                MemberChange::Promoted(host) => (Kind::ReplicaCounts, host),
-                MemberChange::Removed(host) => (Kind::ReplicaExpelled, host),
+            let (kind, detail) = match change {
+                MemberChange::Admitted(host) => (Kind::ReplicaAdmitted, host.to_string()),
+                MemberChange::Promoted(host) => (Kind::ReplicaCounts, host.to_string()),
+                MemberChange::Replaced(host, disk) => {
+                    (Kind::ReplicaReplaced, format!("{host} disk={disk}"))
+                }
+                MemberChange::Removed(host) => (Kind::ReplicaExpelled, host.to_string()),
             };
-            self.timeline.note(Line::new(kind).detail(host));
+            self.timeline.note(Line::new(kind).detail(detail));
         }
     }
 }
@@ -67,7 +70,7 @@
     /// Promotes learners that have caught up, and removes members that must go.
     pub(super) fn maintain_configured_replicas(&mut self) {
         let now = self.clock.now();
-        for host in self.replica.caught_up_learners() {
+        for host in self.replica.promotable_learners() {
             if self.replica.promote(&host, now).is_ok() {
                 self.note_changes([MemberChange::Promoted(host)]);
             }
