Start the next election soon after a split vote

Callers saw: after the leader is lost, now and then no other replica leads for 3 s or more; gateways without a hub reject what needs one, and configurations are not acknowledged.

Cause: two replicas that become candidates within a sync and a message of each other refuse each other's vote, and each then waits for a whole election timeout and a random part of one.

Change: a candidate that is refused a vote starts the next pre-vote within half an election timeout. The pre-vote has shown that there is no leader to wait for; a candidate whose log is behind fails the next pre-vote and waits as before.

--- a/crates/core/src/log/election.rs
+++ b/crates/core/src/log/election.rs
@@ -1,6 +1,8 @@
 //! Elections in two phases: a pre-vote, which changes neither terms nor votes, then a vote, which
 //! each voter syncs to disk before it replies.
 
+use rand::RngExt;
+
 use crate::clock::Instant;
 use crate::id::Disk;
 use crate::id::Host;
@@ -12,6 +14,9 @@
 use super::Replica;
 use super::Role;
 
+/// A candidate that was refused a vote starts the next election within this fraction of the election timeout.
+const MAX_RETRY_FRACTION: f64 = 0.5;
+
 /// Term and index of a log's last entry.
 type Position = (Term, Index);
 
@@ -131,14 +136,27 @@
         granted: bool,
         now: Instant,
     ) {
-        let is_valid =
-            granted && term == self.hard_state.term && self.members().is_voter(&from, disk);
-        if self.role == Role::Candidate && is_valid {
+        let is_valid = term == self.hard_state.term && self.members().is_voter(&from, disk);
+        if self.role != Role::Candidate || !is_valid {
+            return;
+        }
+        if granted {
             self.votes.insert(from);
             self.count_votes(now);
+        } else {
+            self.retry_election(now);
         }
     }
 
+    /// Starts the next election soon, as another candidate may have split the vote.
+    ///
+    /// The pre-vote has shown that no leader is known, so there is none to wait for.
+    fn retry_election(&mut self, now: Instant) {
+        let spread = self.random.random_range(0.0..MAX_RETRY_FRACTION);
+        let retry = now + self.timing.election.mul_f64(spread);
+        self.election_deadline = self.election_deadline.min(retry);
+    }
+
     /// Becomes leader once a majority has voted for this replica. Its own vote counts once it is synced.
     pub(super) fn count_votes(&mut self, now: Instant) {
         if self.is_synced() {
