Let all seeds found the log together on the first start

Cause: the first seed alone founded the log, with itself as the only member. Until it had admitted the others, some 0.5 s later, its disk was the only copy, and the set had no place for hosts that it had not heard of.

Change: each seed of the first start computes the same identities for all of them and begins with the whole set, so that any majority can begin. A replica without a leader reports which voters must run (426), and the readiness of a host says what it waits for.

--- a/crates/core/src/event/kind.rs
+++ b/crates/core/src/event/kind.rs
@@ -138,4 +138,5 @@
     ServerAvoided = 423, "server-avoided", "The hub keeps new requests away from a backend server for a while; the detail has the service, the server, the host whose attempt failed, the failure, and for how long.";
     StreamVersion = 424, "stream-version", "A version of a service's software is announced, opened or removed: streams may begin at open ones.";
     ReplicaReplaced = 425, "replica-replaced", "A control replica was replaced by a learner on the same host; the detail has the host and the learner's disk.";
+    LeaderMissing = 426, "leader-missing", "A control replica has seen no leader for seconds; the detail has the voters of its log, of which a majority must run, or says that it waits to be admitted.";
 }
--- a/crates/core/src/id/number.rs
+++ b/crates/core/src/id/number.rs
@@ -1,5 +1,6 @@
 //! Identifiers that are numbers or hashes.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
@@ -29,7 +30,8 @@
 }
 
 numbers! {
-    /// The identity of a control host's disk, a random number chosen when the disk is first written.
+    /// The identity of a control host's disk, chosen when the disk is first written: a random number, or for a founder of the
+    /// log a hash ([`Disk::of_founder`]).
     Disk,
     /// An index in the replicated log; the first entry has index 1.
     Index,
@@ -45,6 +47,26 @@
     View,
 }
 
+impl Disk {
+    /// The identity of the disk with which `host` founds a log together with the others of `founders`.
+    ///
+    /// All founders compute the same ones, so that each has the whole replica set before it has heard of another. A disk that
+    /// is blank later gets a random identity.
+    #[must_use]
+    pub fn of_founder(host: &super::Host, founders: &BTreeSet<super::Host>) -> Self {
+        use sha2::Digest;
+        let mut hash = sha2::Sha256::new();
+        for name in std::iter::once(host).chain(founders) {
+            hash.update(name.as_str());
+            hash.update([0]);
+        }
+        let digest = hash.finalize();
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&digest[..8]);
+        Self(u64::from_be_bytes(prefix))
+    }
+}
+
 /// A customer's request key, as a 128-bit hash.
 ///
 /// The customer's name is hashed too, so equal keys of two customers have different hashes.
--- a/crates/core/src/log/replica.rs
+++ b/crates/core/src/log/replica.rs
@@ -177,10 +177,31 @@
             disk,
             voter: true,
         };
+        Self::state_with(disk, vec![member])
+    }
+
+    /// The initial state of `host`'s disk if several hosts found a new log together; `None` if it is not one of them.
+    ///
+    /// All must be given the same `founders`, and must not use it again on a blank disk: a founder that has lost its disk starts
+    /// from [`Replica::blank_state`]. A majority of the founders can begin, whichever of them are missing.
+    #[must_use]
+    pub fn shared_founding_state(host: &Host, founders: &BTreeSet<Host>) -> Option<SavedState> {
+        founders.get(host)?;
+        let members = founders.iter().map(|founder| Member {
+            host: founder.clone(),
+            disk: Disk::of_founder(founder, founders),
+            voter: true,
+        });
+        let disk = Disk::of_founder(host, founders);
+        Some(Self::state_with(disk, members.collect()))
+    }
+
+    /// The state of a disk with a log whose first entry has `members`.
+    fn state_with(disk: Disk, members: Vec<Member>) -> SavedState {
         let first_entry = Entry {
             term: Term(0),
             index: Index(1),
-            body: Body::Members(Members(vec![member])),
+            body: Body::Members(Members(members)),
         };
         SavedState {
             hard_state: HardState {
--- a/crates/core/tests/rejoin_histories.rs
+++ b/crates/core/tests/rejoin_histories.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use support::rejoins;
+use support::rejoins::Beginning;
 
 /// Number of histories unless `HISTORIES` sets another.
 const DEFAULT_HISTORIES: u64 = 2_000;
@@ -25,12 +26,11 @@
 /// Mean number of proposals that a history must acknowledge, for its checks to mean something.
 const MIN_ACKNOWLEDGED: u64 = 100;
 
-#[test]
-fn repeated_losses() {
+fn check_histories(beginning: Beginning) {
     let mut failures = Vec::new();
     let mut acknowledged = 0;
     for seed in 0..history_count() {
-        match rejoins::run(seed, EPISODES_PER_HISTORY) {
+        match rejoins::run(seed, EPISODES_PER_HISTORY, beginning) {
             Ok(count) => acknowledged += count,
             Err(why) => failures.push(format!("seed {seed} {why}")),
         }
@@ -49,3 +49,15 @@
         "the histories acknowledged too little: {acknowledged}"
     );
 }
+
+/// A host is lost again while it rejoins.
+#[test]
+fn repeated_losses() {
+    check_histories(Beginning::Formed);
+}
+
+/// One of the founders is lost before the others have heard of it.
+#[test]
+fn first_start() {
+    check_histories(Beginning::FirstStart);
+}
--- a/crates/core/tests/support/rejoins.rs
+++ b/crates/core/tests/support/rejoins.rs
@@ -99,14 +99,27 @@
     drawn_numbers: u64,
 }
 
+/// When the first episode of a history begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Beginning {
+    /// Once all hosts vote.
+    Formed,
+    /// Within the first second of the first start.
+    FirstStart,
+}
+
 /// Runs the history of `seed` with `episodes` episodes; returns the number of acknowledged proposals.
 ///
 /// # Errors
 ///
 /// Says which property was violated, and when.
-pub(crate) fn run(seed: u64, episodes: u32) -> Result<usize, String> {
+pub(crate) fn run(seed: u64, episodes: u32, beginning: Beginning) -> Result<usize, String> {
     let mut history = History::new(seed);
-    let result = history.run_episodes(episodes);
+    let result = match beginning {
+        Beginning::Formed => history.recover(),
+        Beginning::FirstStart => history.run_first_start(),
+    };
+    let result = result.and_then(|()| history.run_episodes(episodes));
     result.map_err(|why| format!("at {}: {why}\n{}", history.now, history.describe()))?;
     Ok(history.acknowledged)
 }
@@ -116,7 +129,7 @@
 }
 
 impl History {
-    /// Three hosts start for the first time; the first founds the log.
+    /// Three hosts start for the first time, and found the log together.
     fn new(seed: u64) -> Self {
         let hosts: Vec<Host> = (0..3)
             .map(|index| format!("c{index}").parse().expect("valid name"))
@@ -134,29 +147,43 @@
             last_acknowledged: Instant::default(),
             drawn_numbers: 1_000,
         };
-        for (index, host) in hosts.iter().enumerate() {
-            let disk = Disk(index as u64 + 1);
-            let saved = if index == 0 {
-                Replica::founding_state(host, disk)
-            } else {
-                Replica::blank_state(disk)
-            };
-            history.add_node(host.clone(), saved);
+        let founders = hosts.iter().cloned().collect();
+        for host in hosts {
+            let saved = Replica::shared_founding_state(&host, &founders);
+            history.add_node(host, saved.expect("a founder"));
         }
         history
     }
 
     fn run_episodes(&mut self, episodes: u32) -> Result<(), String> {
-        self.run_for(RECOVERY_TIME)?;
-        self.check_recovered()?;
         for _ in 0..episodes {
             self.run_episode()?;
-            self.run_for(RECOVERY_TIME)?;
-            self.check_recovered()?;
+            self.recover()?;
         }
         Ok(())
     }
 
+    /// A founder is lost soon after its first start, with its disk or without. The two others begin without it.
+    fn run_first_start(&mut self) -> Result<(), String> {
+        let delay = millis(&mut self.random, 0, 1_000);
+        self.run_for(delay)?;
+        if self.random.random_bool(0.5) {
+            self.run_episode()?;
+        } else {
+            let victim = self.random.random_range(0..self.nodes.len());
+            self.victim = Some(victim);
+            self.crash(victim);
+            self.run_for(Duration::from_secs(12))?;
+            self.start(victim);
+        }
+        self.recover()
+    }
+
+    fn recover(&mut self) -> Result<(), String> {
+        self.run_for(RECOVERY_TIME)?;
+        self.check_recovered()
+    }
+
     /// One host loses its disk; what happens until it votes again is drawn.
     fn run_episode(&mut self) -> Result<(), String> {
         let victim = self.random.random_range(0..self.nodes.len());
--- a/crates/curlewlift/src/control/daemon.rs
+++ b/crates/curlewlift/src/control/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -57,7 +58,7 @@
     host: id::Host,
     listener: TcpListener,
     data: PathBuf,
-    found: bool,
+    founders: BTreeSet<id::Host>,
     peers: BTreeMap<id::Host, SocketAddr>,
     timing: Timing,
     lease: LeaseTiming,
@@ -75,7 +76,7 @@
             host,
             listener,
             data: PathBuf::from("data"),
-            found: false,
+            founders: BTreeSet::new(),
             peers: BTreeMap::new(),
             timing: Timing::default(),
             lease: LeaseTiming::default(),
@@ -108,8 +109,15 @@
 
     /// Whether to found a new log if the folder is empty, instead of joining one.
     #[must_use]
-    pub fn found(mut self, found: bool) -> Self {
-        self.found = found;
+    pub fn found(self, found: bool) -> Self {
+        let host = found.then(|| self.host.clone());
+        self.founders(host.into_iter().collect())
+    }
+
+    /// The hosts that found a new log together if their folders are empty; the others join it. Each must be given the same.
+    #[must_use]
+    pub(crate) fn founders(mut self, founders: BTreeSet<id::Host>) -> Self {
+        self.founders = founders;
         self
     }
 
@@ -161,10 +169,12 @@
             return Ok(journal);
         }
         let disk = id::Disk(rand::rng().next_u64());
-        let saved = if self.found {
+        let is_only_founder = self.founders.iter().eq([&self.host]);
+        let saved = if is_only_founder {
             Replica::founding_state(&self.host, disk)
         } else {
-            Replica::blank_state(disk)
+            let shared = Replica::shared_founding_state(&self.host, &self.founders);
+            shared.unwrap_or_else(|| Replica::blank_state(disk))
         };
         Journal::create(&self.data, saved)
     }
--- a/crates/curlewlift/src/control/members.rs
+++ b/crates/curlewlift/src/control/members.rs
@@ -123,7 +123,8 @@
     pub(super) fn join(&mut self) {
         let disk = self.replica.get_disk();
         let host = self.replica.get_host().clone();
-        if self.replica.members().contains(&host, disk) && !self.may_be_removed() {
+        let may_be_removed = self.may_be_removed();
+        if self.replica.members().contains(&host, disk) && !may_be_removed {
             return;
         }
         for (peer, address) in self.known_peers() {
@@ -150,11 +151,28 @@
     fn may_be_removed(&mut self) -> bool {
         if self.gateways.is_none() || self.replica.get_leader().is_some() {
             self.leaderless_since = None;
+            self.reported_leaderless = false;
             return false;
         }
         let now = self.clock.now();
         let since = *self.leaderless_since.get_or_insert(now);
-        now.since(since) > REJOIN_DELAY
+        let is_long = now.since(since) > REJOIN_DELAY;
+        if is_long && !self.reported_leaderless {
+            self.reported_leaderless = true;
+            let line = Line::new(Kind::LeaderMissing).detail(self.awaited());
+            self.timeline.note(line);
+        }
+        is_long
+    }
+
+    /// What a replica without a leader waits for.
+    fn awaited(&self) -> String {
+        let members = self.replica.members();
+        let voters: Vec<_> = members.voters().map(|voter| voter.host.as_str()).collect();
+        if voters.is_empty() {
+            return "waits to be admitted".to_owned();
+        }
+        format!("voters={} needed={}", voters.join(","), members.majority())
     }
 
     /// The addresses of all replicas that are configured, known by announcement, or members.
--- a/crates/curlewlift/src/control/replica.rs
+++ b/crates/curlewlift/src/control/replica.rs
@@ -114,6 +114,8 @@
     pub(super) maintainer: Maintainer,
     /// Since when this replica has seen no leader.
     pub(super) leaderless_since: Option<Instant>,
+    /// Whether it has reported that.
+    pub(super) reported_leaderless: bool,
 }
 
 /// # Construction
@@ -158,6 +160,7 @@
             acknowledged_tables: BTreeMap::new(),
             maintainer: Maintainer::default(),
             leaderless_since: None,
+            reported_leaderless: false,
         })
     }
 
--- a/crates/curlewlift/src/gateway/local_replica.rs
+++ b/crates/curlewlift/src/gateway/local_replica.rs
@@ -1,6 +1,7 @@
 //! The control replica that runs in the same process as a gateway.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -24,8 +25,8 @@
     pub(crate) rpc: SocketAddr,
     /// The folder of its files.
     pub(crate) data: PathBuf,
-    /// Whether it creates a new log if the folder is empty.
-    pub(crate) found: bool,
+    /// The hosts that found a new log together if their folders are empty.
+    pub(crate) founders: BTreeSet<id::Host>,
     /// The other replicas that are known at the start.
     pub(crate) peers: BTreeMap<id::Host, SocketAddr>,
     /// Clock for its decisions, the same as the gateway's.
@@ -58,7 +59,7 @@
         match start(&host, &settings) {
             Ok(process) => {
                 // If the folder is lost while the replica runs, a restart must not create a second log.
-                settings.found = false;
+                settings.founders.clear();
                 let mut replica = Replica(Some(process));
                 while !replica.is_ended() {
                     tokio::time::sleep(RESTART_INTERVAL).await;
@@ -77,7 +78,7 @@
     let listener = process::bind(settings.rpc)?;
     Control::new(host.clone(), listener)
         .data(settings.data.clone())
-        .found(settings.found)
+        .founders(settings.founders.clone())
         .peers(settings.peers.clone())
         .clock(settings.clock.clone())
         .gateways(settings.gateways.clone())
--- a/crates/curlewlift/src/gateway/node.rs
+++ b/crates/curlewlift/src/gateway/node.rs
@@ -361,11 +361,24 @@
         }
     }
 
-    /// Whether callers may be sent here: the gateway has a table that it may use and a server list, and is not stopping.
+    /// Whether callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping()
-            && self.table_standing() != Standing::Outdated
-            && self.server_lists.borrow().get_subset().version != 0
+        self.missing().is_none()
+    }
+
+    /// Why callers may not be sent here, if so: the gateway is stopping, or has no table that it may use or no server list.
+    pub(crate) fn missing(&self) -> Option<&'static str> {
+        if self.is_stopping() {
+            return Some("this host is stopping");
+        }
+        if self.table_standing() == Standing::Outdated {
+            return Some(match self.since_hub_reply() {
+                Some(_) => "waits for a current routing table",
+                None => "waits for the leading control replica",
+            });
+        }
+        let has_list = self.server_lists.borrow().get_subset().version != 0;
+        (!has_list).then_some("waits for the list of backend servers")
     }
 
     /// This gateway, as the hub tells others of it.
--- a/crates/curlewlift/src/platform/directory.rs
+++ b/crates/curlewlift/src/platform/directory.rs
@@ -43,12 +43,13 @@
     gateway::json(json!({ "addresses": addresses, "ttl_s": ttl_seconds }).to_string())
 }
 
-/// Responds whether the platform may send callers to this host.
+/// Responds whether the platform may send callers to this host; if not, the body says what is missing.
 pub(super) fn readiness(node: &Rc<Node>, request: &Request<Incoming>) -> Answer {
-    let path_known = request.uri().path() == "/api/readiness";
-    http::empty(match (path_known, node.is_ready()) {
-        (false, _) => StatusCode::NOT_FOUND,
-        (true, true) => StatusCode::OK,
-        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-    })
+    if request.uri().path() != "/api/readiness" {
+        return http::empty(StatusCode::NOT_FOUND);
+    }
+    match node.missing() {
+        None => http::empty(StatusCode::OK),
+        Some(missing) => http::text(StatusCode::SERVICE_UNAVAILABLE, missing),
+    }
 }
--- a/crates/curlewlift/src/platform/http.rs
+++ b/crates/curlewlift/src/platform/http.rs
@@ -26,7 +26,12 @@
 
 /// A response without a body.
 pub(super) fn empty(status: StatusCode) -> Answer {
-    let mut response = Response::new(full(""));
+    text(status, "")
+}
+
+/// A response with a text as its body.
+pub(super) fn text(status: StatusCode, body: &'static str) -> Answer {
+    let mut response = Response::new(full(body));
     *response.status_mut() = status;
     response
 }
--- a/crates/curlewlift/src/platform/settings.rs
+++ b/crates/curlewlift/src/platform/settings.rs
@@ -283,10 +283,10 @@
         (port < last).then(|| SocketAddr::new(self.ip, port))
     }
 
-    /// Whether this process is the one that creates the replicated log.
-    pub(super) fn creates_log(&self) -> bool {
-        let first_seed = self.seeds.first();
-        self.first_start && first_seed.is_some_and(|seed| seed.ip() == self.ip)
+    /// The addresses of the hosts that found the replicated log together: on the first start, all seeds.
+    pub(super) fn founders(&self) -> impl Iterator<Item = IpAddr> {
+        let seeds = self.seeds.iter().filter(|_| self.first_start);
+        seeds.map(SocketAddr::ip)
     }
 
     /// By how much quotas may be exceeded.
--- a/crates/curlewlift/src/platform/start.rs
+++ b/crates/curlewlift/src/platform/start.rs
@@ -224,7 +224,10 @@
     Ok(Some(LocalReplica {
         rpc: settings.replica_address(settings.ip),
         data: data.clone(),
-        found: settings.creates_log(),
+        founders: settings
+            .founders()
+            .map(host_name)
+            .collect::<Result<_, _>>()?,
         peers,
         clock: clock.clone(),
         gateways: Gateways {
--- a/crates/curlewlift/tests/platform/hosts.rs
+++ b/crates/curlewlift/tests/platform/hosts.rs
@@ -428,10 +428,19 @@
         self.folder.join(format!("host-{index}")).join("log")
     }
 
+    /// The folder that is the disk of a host.
+    fn disk(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("host-{index}")).join("data")
+    }
+
+    /// Whether a host has written to its disk.
+    pub(crate) fn has_written(&self, index: usize) -> bool {
+        self.disk(index).exists()
+    }
+
     /// Deletes the disk of a host that is down.
     pub(crate) fn wipe(&self, index: usize) {
-        let disk = self.folder.join(format!("host-{index}")).join("data");
-        std::fs::remove_dir_all(disk).expect("the host has a disk");
+        std::fs::remove_dir_all(self.disk(index)).expect("the host has a disk");
     }
 
     /// Asks a host to stop; returns its process to wait for.
@@ -515,8 +524,13 @@
     /// Whether a host accepts callers.
     pub(crate) fn is_ready(&self, index: usize) -> bool {
         let address = address(self.first, index, self.ports.ready);
-        std::net::TcpStream::connect(address).is_ok()
-            && send_request(address, "GET /api/readiness HTTP/1.1\r\nHost: x", "").status == 200
+        std::net::TcpStream::connect(address).is_ok() && self.readiness(index).status == 200
+    }
+
+    /// What a host that listens responds when it is asked whether it accepts callers.
+    pub(crate) fn readiness(&self, index: usize) -> Answer {
+        let address = address(self.first, index, self.ports.ready);
+        send_request(address, "GET /api/readiness HTTP/1.1\r\nHost: x", "")
     }
 
     /// Whether an address response of the host at `directory` names the host at `callers`; none if there is no response.
