Say when to return if it is not known which version began a stream

Callers saw: after all hosts had been killed and had come back while two versions of a service's software were known, a stream that was taken up again was rejected (3011) without Retry-After, though it had not run; each caller then came back by its own timing.

Reported elsewhere: such streams were joined from two versions after the loss of all hosts. Ruled out here, where streams without a record go on only at the one version that the log has: platform_rejoined kills five hosts at once and takes 24 streams up at all of them, named and unnamed, from the moment they listen, in six ways (both versions serve; the old one leaves just before or meanwhile; a new one replaces it meanwhile; an older list; one version only, where streams do go on).

Change: every rejection with 3011 says when to return. Measured: all six ways failed for want of Retry-After before, and pass now; no request went to another version in either.

--- a/crates/curlewlift/src/gateway/resumption.rs
+++ b/crates/curlewlift/src/gateway/resumption.rs
@@ -60,7 +60,9 @@
         key: id.map(|id| key(admitted, id)),
         services: services(&admitted.rule),
     };
-    let (origin, known_by) = find_origin(node, admitted, &query).await?;
+    let found = find_origin(node, admitted, &query).await;
+    let (origin, known_by) =
+        found.map_err(|why| unknown(why).with_retry_after(admitted.retry_after(node)))?;
     log_taken(admitted, resumption, &origin, known_by);
     metrics::counter!("curlewlift_streams_taken", "known_by" => known_by).increment(1);
     Ok(Stream::begun(query.key, origin))
@@ -77,12 +79,12 @@
     targets.map(|target| target.service.clone()).collect()
 }
 
-/// Where a stream began, and who knew it.
+/// Where a stream began, and who knew it; the error says why it is not known.
 async fn find_origin(
     node: &Rc<Node>,
     admitted: &Admitted,
     query: &StreamQuery,
-) -> Result<(Origin, &'static str), Refused> {
+) -> Result<(Origin, &'static str), &'static str> {
     let found = query
         .key
         .and_then(|key| node.streams.borrow().find(key, node.now()));
@@ -91,14 +93,10 @@
             return Ok((Origin::clone(&origin), "gateway"));
         }
         Some(Found::Begun(_)) => {
-            return Err(unknown(
-                "the stream began at a service that its rule no longer names",
-            ));
+            return Err("the stream began at a service that its rule no longer names");
         }
         Some(Found::Conflicting) => {
-            return Err(unknown(
-                "two requests with the same id began at different versions",
-            ));
+            return Err("two requests with the same id began at different versions");
         }
         None => {}
     }
@@ -118,14 +116,14 @@
             }) => {
                 arrives_within = arrives_within.max(more);
                 if begun.elapsed() >= arrives_within {
-                    return Err(unknown("no host has a record of the stream"));
+                    return Err("no host has a record of the stream");
                 }
                 why = "the hub has no record of the stream yet";
             }
             None => {}
         }
         if begun.elapsed() + QUERY_INTERVAL > time {
-            return Err(unknown(why).with_retry_after(admitted.retry_after(node)));
+            return Err(why);
         }
         tokio::time::sleep(QUERY_INTERVAL).await;
     }
