Refuse responses whose status is beyond 599

Callers saw: a response with the status 600 to 999 of a server in trouble, signed as the server's, as if it were one; the server went on getting requests.

Cause: the HTTP library accepts any three digits from 100 to 999, and the check of the head refused interim statuses only. 000, 099, four digits, words and nothing at all did not pass the library before (ruled out by the same tests).

Change: final responses have 200 to 599, in gateways, entries, and for what a host notes of the connections that it tunnels. Others are responses that cannot be read.

--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -7,6 +7,7 @@
 
 use std::error::Error;
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use crate::clock::Instant;
@@ -14,6 +15,9 @@
 /// The size of the buffer for a response, and thereby of its head, in bytes.
 pub const BUFFER_BYTES: usize = 64 << 10;
 
+/// The statuses of final responses. HTTP parsers also accept three digits beyond, which mean nothing to a caller.
+pub const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How many bytes may arrive without any of them being data of the body: a full buffer, and the framing of chunks.
 const MAX_UNUSED_BYTES: usize = 2 * BUFFER_BYTES;
 
--- a/crates/curlewlift/src/entry/send.rs
+++ b/crates/curlewlift/src/entry/send.rs
@@ -15,6 +15,7 @@
 use curlewlift_core::event::Kind;
 use curlewlift_core::event::Line;
 use curlewlift_core::queue::Report;
+use curlewlift_core::response::FINAL_STATUSES;
 use curlewlift_core::sse;
 use curlewlift_core::unit::Tokens;
 use http_body_util::BodyExt;
@@ -122,6 +123,9 @@
             "the server refused before running",
         ));
     }
+    if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+        return broken_response("the response has no final status".to_owned());
+    }
     let head = response_head(response.status(), response.headers());
     let streamed = request.mode == ResponseMode::Stream && response.status().is_success();
     stored.set_head(head);
--- a/crates/curlewlift/src/gateway/exchange.rs
+++ b/crates/curlewlift/src/gateway/exchange.rs
@@ -10,13 +10,13 @@
 use axum::http::HeaderValue;
 use axum::http::Request;
 use axum::http::Response;
-use axum::http::StatusCode;
 use axum::http::header;
 use axum::http::response;
 use bytes::Bytes;
 use bytes::BytesMut;
 use curlewlift_core::response::BUFFER_BYTES;
 use curlewlift_core::response::DataEnd;
+use curlewlift_core::response::FINAL_STATUSES;
 use curlewlift_core::route;
 use curlewlift_core::sse;
 use http_body_util::BodyExt;
@@ -305,9 +305,7 @@
         if self.head.status.is_success() && !self.head_fields.signed {
             return Some("the response is not signed");
         }
-        if self.head.status.is_informational()
-            || self.head.status == StatusCode::SWITCHING_PROTOCOLS
-        {
+        if !FINAL_STATUSES.contains(&self.head.status.as_u16()) {
             return Some("the response has no final status");
         }
         None
--- a/crates/curlewlift/src/gateway/response_head.rs
+++ b/crates/curlewlift/src/gateway/response_head.rs
@@ -3,6 +3,7 @@
 use axum::http::HeaderMap;
 use axum::http::HeaderName;
 use axum::http::HeaderValue;
+use curlewlift_core::response::FINAL_STATUSES;
 
 /// The largest head that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -30,10 +31,13 @@
                 Ok(httparse::Status::Partial) | Err(_) => return None,
             };
             let status = response.code?;
-            if status >= 200 {
+            if FINAL_STATUSES.contains(&status) {
                 record(status, &header_map(response.headers));
                 return None;
             }
+            if status > *FINAL_STATUSES.end() {
+                return None;
+            }
             self.0.drain(..length);
         }
     }
--- a/crates/curlewlift/tests/broken_answers.rs
+++ b/crates/curlewlift/tests/broken_answers.rs
@@ -89,6 +89,25 @@
     assert_eq!(reply.header("curlewlift-outcome"), "unknown");
 }
 
+/// A status that no final response has is not forwarded.
+#[test]
+fn unknown_status() {
+    for status in [600, 999] {
+        let small = SmallSystem::start(&format!("unknown_status_{status}"), 1, 1, 1);
+        small.engines[0].set_faults(Faults {
+            status: Some(status),
+            ..Faults::default()
+        });
+        let body = Client::chat("m", "hello", 20, false);
+        let reply = small
+            .runtime
+            .block_on(small.ann.post(small.site.entry(0), &[], body));
+        let code = (reply.status, reply.header("curlewlift-code"));
+        assert_eq!(code, (502, "4002"), "{status}: {}", reply.body);
+        assert_eq!(reply.header("curlewlift-outcome"), "unknown");
+    }
+}
+
 #[test]
 fn refusing_server() {
     let small = SmallSystem::start("refusing_server", 1, 1, 2);
--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -554,6 +554,11 @@
                 } else if let Some(kind) = behavior.strip_prefix("endless ") {
                     let head = head(200, id, signed);
                     endless(&mut stream, &head, kind, &self.endless_bytes);
+                } else if let Some(status) = behavior.strip_prefix("status-not-run ") {
+                    let headers = format!("{signed}X-Not-Executed: 1\r\n");
+                    answer_with_status(&mut stream, status, id, &headers);
+                } else if let Some(status) = behavior.strip_prefix("status ") {
+                    answer_with_status(&mut stream, status, id, signed);
                 } else if let Some(time) = behavior.strip_prefix("lasts ") {
                     let time = Duration::from_millis(time.parse().expect("a time in ms"));
                     lasting_events(&mut stream, id, signed, time);
@@ -625,6 +630,12 @@
     let _ = stream.write_all(message.as_bytes());
 }
 
+/// Sends a response with any text in the place of the status.
+fn answer_with_status(stream: &mut TcpStream, status: &str, id: &str, headers: &str) {
+    let head = head(200, id, headers).replacen("200", status, 1);
+    let _ = stream.write_all(format!("{head}Content-Length: 4\r\n\r\ndone").as_bytes());
+}
+
 /// Begins a response, and then sends bytes that are no part of one until the connection is closed: `KIND`, as fast as
 /// possible, or `KIND slow`, a byte at a time. `max_sent` is raised to the number of bytes that were sent.
 fn endless(stream: &mut TcpStream, head: &str, kind: &str, max_sent: &AtomicU64) {
--- a/crates/lab/src/standin/engine.rs
+++ b/crates/lab/src/standin/engine.rs
@@ -61,6 +61,8 @@
     pub slowdown: u32,
     /// Breaks off the response to a completion that is not streamed after half of its bytes.
     pub truncate: bool,
+    /// The status of the responses to completions that are not streamed, instead of 200.
+    pub status: Option<u16>,
 }
 
 /// Statistics of an engine.
@@ -206,7 +208,10 @@
         let chunks = [Ok(first_half), Err(std::io::Error::other("broken"))];
         return Body::from_stream(stream::iter(chunks)).into_response();
     }
-    ([(header::CONTENT_TYPE, "application/json")], response).into_response()
+    let status = faults.status.unwrap_or(200);
+    let status = StatusCode::from_u16(status).unwrap_or_default();
+    let content_type = [(header::CONTENT_TYPE, "application/json")];
+    (status, content_type, response).into_response()
 }
 
 fn completion(engine: &Shared, headers: &HeaderMap, body: &Value) -> Completion {
