Test late requests that may not be repeated in a planned stop

Reported elsewhere: in a planned stop, in calm, requests that came late in the grace were passed on and cut off at its end without an answer, among them some that may not be repeated.

--- a/crates/curlewlift/tests/platform/engine.rs
+++ b/crates/curlewlift/tests/platform/engine.rs
@@ -559,6 +559,10 @@
                     answer_with_status(&mut stream, status, id, &headers);
                 } else if let Some(status) = behavior.strip_prefix("status ") {
                     answer_with_status(&mut stream, status, id, signed);
+                } else if let Some(time) = behavior.strip_prefix("after ") {
+                    let time = Duration::from_millis(time.parse().expect("a time in ms"));
+                    std::thread::sleep(time);
+                    answer(stream, 200, id, signed, "done");
                 } else if let Some(time) = behavior.strip_prefix("lasts ") {
                     let time = Duration::from_millis(time.parse().expect("a time in ms"));
                     lasting_events(&mut stream, id, signed, time);
--- a/crates/curlewlift/tests/platform_stop.rs
+++ b/crates/curlewlift/tests/platform_stop.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use curlewlift::LinkFault;
 use platform::Answer;
 use platform::Engine;
 use platform::Hosts;
@@ -81,9 +82,24 @@
     connection.send(address, &head, "question")
 }
 
+/// The request to send as the `number`th, some time after the order to stop.
+fn request_during_stop(number: usize, after: Duration) -> (&'static str, &'static str, u32) {
+    let is_late = (CUT_TOLERANCE..CUT_TOLERANCE + LATE_STREAMS_TIME).contains(&after);
+    let requests = if is_late {
+        &LATE_STREAMS[..]
+    } else {
+        &REQUESTS
+    };
+    requests[number / 2 % requests.len()]
+}
+
 /// Sends a request at every interval until the grace period ends, in turn over a new connection and over one that was opened
-/// before the stop; `stop` orders it.
-fn send_during_stop(callers: SocketAddr, stop: impl FnOnce()) -> Vec<Sent> {
+/// before the stop; `stop` orders it, and `request` says what to send.
+fn send_during_stop(
+    callers: SocketAddr,
+    request: impl Fn(usize, Duration) -> (&'static str, &'static str, u32) + Sync,
+    stop: impl FnOnce(),
+) -> Vec<Sent> {
     let count = usize::try_from(GRACE.as_millis() / SEND_INTERVAL.as_millis()).expect("a number");
     let connections: Vec<_> = (0..count)
         .map(|number| {
@@ -101,6 +117,7 @@
         .collect();
     stop();
     let ordered_at = Instant::now();
+    let request = &request;
     thread::scope(|scope| {
         let requests = connections.into_iter().enumerate();
         let requests = requests.map(|(number, mut connection)| {
@@ -109,14 +126,7 @@
                 thread::sleep(at.saturating_duration_since(Instant::now()));
                 let id = format!("during-{number}");
                 let after = ordered_at.elapsed();
-                let is_late = (CUT_TOLERANCE..CUT_TOLERANCE + LATE_STREAMS_TIME).contains(&after);
-                let requests = if is_late {
-                    &LATE_STREAMS[..]
-                } else {
-                    &REQUESTS
-                };
-                let request = requests[number / 2 % requests.len()];
-                let answer = send(&mut connection, callers, &id, request);
+                let answer = send(&mut connection, callers, &id, request(number, after));
                 Sent { id, after, answer }
             })
         });
@@ -188,7 +198,9 @@
             }
             assert_ne!(Hosts::is_named(own, callers), Some(true), "it names itself");
         });
-        let sent = send_during_stop(callers, || process = Some(small.hosts.stop(STOPPING)));
+        let sent = send_during_stop(callers, request_during_stop, || {
+            process = Some(small.hosts.stop(STOPPING));
+        });
         watch.join().expect("the watch does not panic");
         sent
     });
@@ -300,3 +312,61 @@
     assert!(answer.whole, "{answer:?}");
     assert!(answer.body.contains("e3"), "{answer:?}");
 }
+
+/// What callers send that may not be repeated: the engine takes up to two seconds, and callers wait longer.
+const UNSAFE_REQUESTS: [(&str, &str, u32); 7] = [
+    ("/once/", "after 2000", 2_500),
+    ("/once/", "after 100", 2_500),
+    ("/once/", "after 1500", 5_000),
+    ("/once/", "after 700", 1_000),
+    ("/once/", "after 1900", LONG_DEADLINE_MS),
+    ("/once/", "after 300", LONG_DEADLINE_MS),
+    ("/once/", "after 1000", 1_200),
+];
+
+/// Stops a host in calm, while requests that may not be repeated are sent to it until its grace is over. Whichever reached an
+/// engine has a whole response: none of them is at work long enough to be excused.
+fn stop_under_unsafe_requests(small: &mut ThreeHosts) {
+    let callers = small.hosts.callers(STOPPING);
+    let request = |number: usize, _| UNSAFE_REQUESTS[number / 2 % UNSAFE_REQUESTS.len()];
+    let mut process = None;
+    let sent = send_during_stop(callers, request, || {
+        process = Some(small.hosts.stop(STOPPING));
+    });
+    check(&sent, &small.engines);
+    let received = small.engines.iter().flat_map(Engine::received);
+    let received: Vec<_> = received.collect();
+    for Sent { id, after, answer } in &sent {
+        let own = received
+            .iter()
+            .filter(|run| run.header("x-attempt-id") == Some(id.as_str()));
+        let runs = own.count();
+        assert!(runs <= 1, "{id} ran {runs} times");
+        let is_answered = answer.whole && matches!(answer.status, 200 | 504);
+        assert!(runs == 0 || is_answered, "{id} after {after:?}: {answer:?}");
+    }
+    let process = process.expect("it was stopped");
+    process.wait().expect("the host stops");
+}
+
+/// Requests that may not be repeated and that come late in the grace were passed on and cut off at its end.
+#[test]
+fn late_unsafe() {
+    stop_under_unsafe_requests(&mut start("late_unsafe"));
+}
+
+/// The same where the host reaches its servers through other hosts.
+#[test]
+fn late_unsafe_tunneled() {
+    let mut small = start("late_unsafe_tunneled");
+    small.set_link_faults(&[STOPPING], Some(LinkFault::Refuses));
+    stop_under_unsafe_requests(&mut small);
+}
+
+/// The same where they wait for a server.
+#[test]
+fn late_unsafe_queued() {
+    let mut small = start("late_unsafe_queued");
+    small.list_engines(|engine| engine.id == "i-1");
+    stop_under_unsafe_requests(&mut small);
+}
