--- a/crates/curlewlift/tests/platform_disk_soak.rs
+++ b/crates/curlewlift/tests/platform_disk_soak.rs
@@ -5,6 +5,7 @@
 
 mod platform;
 
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -55,6 +56,9 @@
             soak.lose(victim);
             soak.pause(0, 2_000);
             soak.hosts.boot(victim, false);
+            wait("the host listens", || {
+                TcpStream::connect(soak.hosts.control(victim)).is_ok()
+            });
         }
         soak.hosts.configure(&document(7).to_string());
         soak
