--- a/crates/curlewlift/tests/platform/client.rs
+++ b/crates/curlewlift/tests/platform/client.rs
@@ -4,6 +4,8 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// A response.
@@ -31,6 +33,17 @@
     read_to_end(send(address, head, body))
 }
 
+/// Sends a request with an id of its own; `play` says what the engines do.
+pub(crate) fn request_play(host: SocketAddr, path: &str, play: &str) -> Answer {
+    static NEXT_ID: AtomicU32 = AtomicU32::new(0);
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+    let head = format!(
+        "POST {path}{id} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: h0-{id}\r\n\
+         X-Play: {play}\r\nX-Deadline-Ms: 6000\r\nAuthorization: Bearer key-ann"
+    );
+    send_request(host, &head, play)
+}
+
 /// Sends the head of a request, which states a length, without its body, and reads the response.
 pub(crate) fn send_head(address: SocketAddr, head: &str) -> Answer {
     read_to_end(write(
--- a/crates/curlewlift/tests/platform/mod.rs
+++ b/crates/curlewlift/tests/platform/mod.rs
@@ -17,6 +17,7 @@
 
 pub(crate) use client::Answer;
 pub(crate) use client::KeptConnection;
+pub(crate) use client::request_play;
 pub(crate) use client::send_head;
 pub(crate) use client::send_request;
 pub(crate) use client::send_until;
--- a/crates/curlewlift/tests/platform_endless.rs
+++ b/crates/curlewlift/tests/platform_endless.rs
@@ -5,15 +5,10 @@
 
 mod platform;
 
-use std::net::SocketAddr;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
-
 use curlewlift::LinkFault;
-use platform::Answer;
 use platform::Engine;
 use platform::ThreeHosts;
-use platform::send_request;
+use platform::request_play;
 
 /// Where the bytes without end are.
 const KINDS: [&str; 8] = [
@@ -31,17 +26,6 @@
 /// two hosts hold meanwhile.
 const MAX_BYTES: u64 = 16 << 20;
 
-/// Sends a request; `play` says what the engines do.
-fn request(host: SocketAddr, path: &str, play: &str) -> Answer {
-    static NEXT_ID: AtomicU32 = AtomicU32::new(0);
-    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-    let head = format!(
-        "POST {path}{id} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: h0-{id}\r\n\
-         X-Play: {play}\r\nX-Deadline-Ms: 6000\r\nAuthorization: Bearer key-ann"
-    );
-    send_request(host, &head, play)
-}
-
 /// The most bytes that an engine has sent without end.
 fn max_bytes(world: &ThreeHosts) -> u64 {
     let bytes = world.engines.iter().map(Engine::max_endless_bytes);
@@ -53,7 +37,7 @@
 fn check(world: &ThreeHosts, kind: &str) {
     let host = world.hosts.callers(0);
     for path in ["/once/", "/stream/"] {
-        let answer = request(host, path, &format!("endless {kind}"));
+        let answer = request_play(host, path, &format!("endless {kind}"));
         let is_broken = answer.status == 502 && answer.body.contains("\"code\":4002,");
         let is_cut = answer.status == 200 && !answer.whole;
         let is_ended = is_broken || is_cut;
@@ -66,7 +50,7 @@
         // It is forwarded as it arrives once it is too long for a buffer, and cannot be sent again then.
         return;
     }
-    let answer = request(host, "/safe/", &format!("first=endless {kind}"));
+    let answer = request_play(host, "/safe/", &format!("first=endless {kind}"));
     let is_served = answer.status == 200 && answer.whole;
     assert!(is_served, "{kind}: {} {}", answer.status, answer.body);
 }
@@ -95,7 +79,7 @@
 fn after_whole_response() {
     let world = ThreeHosts::start("after_whole_response");
     for _ in 0..10 {
-        let answer = request(world.hosts.callers(0), "/once/", "endless after-length");
+        let answer = request_play(world.hosts.callers(0), "/once/", "endless after-length");
         assert_eq!(answer.status, 200, "{}", answer.body);
         assert!(answer.whole && answer.body == "done", "{}", answer.body);
     }
--- a/crates/curlewlift/tests/platform_statuses.rs
+++ b/crates/curlewlift/tests/platform_statuses.rs
@@ -4,13 +4,11 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 
 use curlewlift::LinkFault;
 use platform::Answer;
 use platform::ThreeHosts;
-use platform::send_request;
+use platform::request_play;
 use platform::wait;
 
 /// What stands in the place of the status.
@@ -25,24 +23,13 @@
 /// The statuses that callers may receive.
 const FINAL: RangeInclusive<u16> = 200..=599;
 
-/// Sends a request; `play` says what the engines do.
-fn request(host: SocketAddr, path: &str, play: &str) -> Answer {
-    static NEXT_ID: AtomicU32 = AtomicU32::new(0);
-    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-    let head = format!(
-        "POST {path}{id} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: h0-{id}\r\n\
-         X-Play: {play}\r\nX-Deadline-Ms: 6000\r\nAuthorization: Bearer key-ann"
-    );
-    send_request(host, &head, play)
-}
-
 /// Sends a request until it reaches a server, as those that failed are avoided for a while; returns the response, and
 /// how often it was sent to servers.
 fn request_sent(world: &ThreeHosts, host: SocketAddr, path: &str, play: &str) -> (Answer, usize) {
     let before = world.count_received();
     let mut answer = Answer::default();
     wait("a request reaches a server", || {
-        answer = request(host, path, play);
+        answer = request_play(host, path, play);
         world.count_received() > before
     });
     (answer, world.count_received() - before)
@@ -73,7 +60,7 @@
         }
         // The others are avoided for a while after the requests above.
         wait("another server serves a request that may run again", || {
-            let answer = request(host, "/safe/", &format!("first=status {status}"));
+            let answer = request_play(host, "/safe/", &format!("first=status {status}"));
             assert!(
                 FINAL.contains(&answer.status),
                 "{status:?}: {}",
@@ -106,7 +93,7 @@
         ));
         let host = world.hosts.callers(0);
         for _ in 0..60 {
-            request(host, "/safe/", play);
+            request_play(host, "/safe/", play);
         }
         world.engines[0].received().len()
     };
