--- a/crates/core/src/log/maintainer.rs
+++ b/crates/core/src/log/maintainer.rs
@@ -100,7 +100,8 @@
     /// Promotes learners, and removes or replaces replicas that are lost or regressed. Call it at every tick of a replica
     /// that is certain to lead.
     ///
-    /// No change raises the majority for a replica that may fail again: the others can always complete what was started.
+    /// A replica that is replaced or removed is not needed for that: the others can complete what was started. Only growth makes
+    /// the majority larger.
     pub fn maintain(&mut self, replica: &mut Replica, now: Instant) -> Vec<MemberChange> {
         self.update_unreachable(replica, now);
         let mut changes = Vec::new();
--- a/crates/curlewlift/src/platform/instances.rs
+++ b/crates/curlewlift/src/platform/instances.rs
@@ -32,8 +32,7 @@
 /// The largest page, in bytes.
 const MAX_PAGE_BYTES: usize = 4 << 20;
 
-/// The largest list, in bytes: about ten times that of the largest fleets. With [`MAX_PAGES`] alone a faulty platform could
-/// send two hundred large pages.
+/// The largest list, in bytes. With [`MAX_PAGES`] alone a faulty platform could send two hundred large pages.
 const MAX_LIST_BYTES: usize = 16 << 20;
 
 /// The maximum number of unreadable entries that are logged for one fetch.
